Add the control loop, the operators' language and the client

Cause: the seams had no view of the fleet and no way in for operators. Ruled out: heartbeats that delete and put again (a version that starts over would let a replaced process pass for its successor, so a member that left stays as a mark); one read per heartbeat. Change: basilview owns the control state in one goroutine and publishes an immutable view; a process finds out before each send whether it was frozen. The language's grammar is participle's; mistakes name the word and the nearest known one. Before/after: query table test passes; the control loop has no test yet. Conclusion: next the tests that bring about its failures.

--- /dev/null
+++ b/internal/basilquery/doc.go
@@ -0,0 +1,2 @@
+// Package basilquery answers operators' questions; it changes nothing.
+package basilquery
--- /dev/null
+++ b/internal/basilquery/query_test.go
@@ -0,0 +1,58 @@
+package basilquery_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basillanguage"
+	"basilstage.example/basilstage/internal/basilquery"
+	"basilstage.example/basilstage/pkg/basilapi"
+)
+
+type fruit struct{}
+
+func (fruit) Columns() []string { return []string{"name", "weight"} }
+
+func (fruit) Rows(context.Context) ([][]string, error) {
+	return [][]string{{"apple", "9"}, {"melon", "10"}, {"plum", "2"}}, nil
+}
+
+func (fruit) Why(_ context.Context, name string) (basilapi.QueryAnswer, error) {
+	return basilapi.QueryAnswer{Columns: []string{"why"}, Rows: [][]string{{name + " is ripe"}}}, nil
+}
+
+func TestQuery(t *testing.T) {
+	var q basilquery.Queries
+	q.AddSubject("fruits", fruit{})
+	q.AddExplainer("fruit", fruit{})
+	tests := []struct {
+		text  string
+		rows  [][]string
+		fault string
+	}{
+		{"fruits", [][]string{{"apple", "9"}, {"melon", "10"}, {"plum", "2"}}, ""},
+		{`fruits where weight > 2 and name = "melon"`, [][]string{{"melon", "10"}}, ""},
+		{"fruits where weight >= 9 limit 1", [][]string{{"apple", "9"}}, ""},
+		{"FRUITS where name ~ l and weight != 9", [][]string{{"melon", "10"}, {"plum", "2"}}, ""},
+		{"why fruit plum", [][]string{{"plum is ripe"}}, ""},
+		{"friuts", nil, `unknown subject "friuts"; did you mean "fruits"?`},
+		{"fruits where wieght > 2", nil, `unknown field "wieght"; did you mean "weight"?`},
+		{"fruits wehre weight > 2", nil, `column 8: unexpected token "wehre"; did you mean "where"?`},
+		{"", nil, `column 1: unexpected token "<EOF>"`},
+		{"fruits where", nil, `column 13: unexpected token "<EOF>" (expected Condition ("and" Condition)*)`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.text, func(t *testing.T) {
+			a, err := q.Run(t.Context(), tt.text)
+			if tt.fault == "" {
+				must.NoError(t, err)
+				must.Eq(t, tt.rows, a.Rows)
+				return
+			}
+			must.True(t, basillanguage.IsErrSyntax(err) || basillanguage.IsErrUnknownWord(err))
+			must.EqOp(t, tt.fault, err.Error())
+		})
+	}
+}
--- /dev/null
+++ b/internal/basilview/poll.go
@@ -0,0 +1,140 @@
+package basilview
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"basilstage.example/basilstage/internal/basilconfig"
+)
+
+// Time limits of one call of the pollers.
+const (
+	readLimit  = 2 * time.Second
+	writeLimit = 2 * time.Second
+	leaveLimit = 2 * time.Second
+)
+
+// poll runs the pollers; each has a goroutine, so that a slow table or list delays only itself.
+func (c *Control) poll(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { every(ctx, trailPeriod, c.kickTrail, c.pollTrail) })
+	group.Go(func() { every(ctx, memberPeriod, c.kickBeat, c.beat) })
+	group.Go(func() { every(ctx, memberPeriod, nil, c.pollMembers) })
+	group.Go(func() { every(ctx, trailPeriod, nil, c.pollList) })
+	group.Wait()
+}
+
+// every calls f at once and then each period, spread by up to a fifth, or when kicked.
+func every(ctx context.Context, period time.Duration, kicked <-chan struct{}, f func(context.Context)) {
+	for {
+		f(ctx)
+		timer := time.NewTimer(period - time.Duration(rand.Int64N(int64(period)/5)))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		case <-kicked:
+			timer.Stop()
+		}
+	}
+}
+
+func (c *Control) pollTrail(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	v := c.View()
+	if v.standing == StandingStarting {
+		c.load(ctx)
+		return
+	}
+	began := time.Now()
+	entries, err := c.options.Trail.After(ctx, v.sequence, trailBatch)
+	if err != nil {
+		return
+	}
+	if len(entries) > 0 {
+		c.post(entriesEvent{entries: entries})
+		c.options.Learnt(entries)
+	}
+	if len(entries) < trailBatch {
+		c.post(headEvent{at: began})
+	} else {
+		kick(c.kickTrail)
+	}
+}
+
+// load reads the whole view: the trail's place before and after bounds what the hosts hold.
+func (c *Control) load(ctx context.Context) {
+	began := time.Now()
+	t := c.options.Trail
+	sequence, err := t.Head(ctx)
+	if err != nil {
+		return
+	}
+	configuration, _, err := basilconfig.Current(ctx, t.Table())
+	if err != nil {
+		return
+	}
+	hosts, err := c.options.Hosts.Hosts(ctx)
+	if err != nil {
+		return
+	}
+	through, err := t.Head(ctx)
+	if err != nil {
+		return
+	}
+	c.post(snapshotEvent{Snapshot{Sequence: sequence, Through: through, Configuration: configuration, Hosts: hosts}})
+	c.post(headEvent{at: began})
+}
+
+func (c *Control) beat(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, writeLimit)
+	defer cancel()
+	if c.View().standing == StandingStarting {
+		return
+	}
+	m := c.options.Member
+	m.Applied = c.applied.Load()
+	m.Revision = c.View().configuration.Revision()
+	c.post(beatEvent{err: c.registration.Beat(ctx, m)})
+}
+
+func (c *Control) pollMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	members, err := c.registry.List(ctx)
+	if err != nil {
+		return
+	}
+	c.post(membersEvent{members: members})
+}
+
+func (c *Control) pollList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	listed, err := c.options.List.List(ctx)
+	if err != nil {
+		return
+	}
+	leaving := make(map[string]bool)
+	for _, h := range listed {
+		if h.Leaving {
+			leaving[h.ID] = true
+		}
+	}
+	if len(leaving) > 0 {
+		c.post(listEvent{leaving: leaving})
+	}
+}
+
+// Leave gives up the registration; call it after Run has returned.
+func (c *Control) Leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	m := c.options.Member
+	m.Applied = c.applied.Load()
+	return c.registration.End(ctx, m)
+}
