Register as soon as the view is loaded

Cause: TestReplacedMemberIsFenced failed first: "view is too old to act on [standing: unconfirmed]" one second after a start. The first heartbeat fell before the view was loaded, and the next came 3 s later. Ruled out: a shorter heartbeat period (costs the table writes for ever). Change: loading the view asks for a heartbeat at once.

--- a/internal/basilview/state.go
+++ b/internal/basilview/state.go
@@ -28,7 +28,7 @@
 	sponsorSeen   time.Time
 	sponsored     map[string]sponsored
 	gap           bool // an entry is missing: the trail has to be read
-	asked         bool // a host of this data centre is asked away: report at once
+	asked         bool // a heartbeat is due at once: the view is loaded or a host of this data centre is asked away
 }
 
 // silence counts the reads in a row in which a member's heartbeat stood still.
@@ -64,6 +64,7 @@
 	s.sequence = e.snapshot.Sequence
 	s.loaded = true
 	s.gap = false
+	s.asked = true
 }
 
 func (e entriesEvent) apply(s *state, _ time.Time) {
