--- /dev/null
+++ b/internal/basilplatform/basildynamo/errors.go
@@ -0,0 +1,121 @@
+package basildynamo
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/aws/smithy-go"
+	"github.com/pkg/errors"
+
+	"basilstage.example/basilstage/internal/basilplatform"
+)
+
+// throttledRetryAfter is when to come back to a service that asked to be left alone.
+const throttledRetryAfter = 500 * time.Millisecond
+
+// conflictRetryAfter is when to come back after another transaction held an item.
+const conflictRetryAfter = 20 * time.Millisecond
+
+// The codes of the reasons for which a transaction was cancelled.
+const (
+	reasonNone       = "None"
+	reasonCondition  = "ConditionalCheckFailed"
+	reasonConflict   = "TransactionConflict"
+	reasonValidation = "ValidationError"
+	reasonCollection = "ItemCollectionSizeLimitExceeded"
+)
+
+// ErrItemMalformed says that the service returned an item that basilstage did not write.
+type ErrItemMalformed struct{ Version string }
+
+func (e ErrItemMalformed) Error() string {
+	return fmt.Sprintf("item is malformed [version: %q]", e.Version)
+}
+
+// IsErrItemMalformed tells whether the error is an ErrItemMalformed.
+func IsErrItemMalformed(err error) bool { return errors.As(err, new(ErrItemMalformed)) }
+
+// throttledCodes are the service's ways to say that it did nothing, for now.
+var throttledCodes = map[string]bool{
+	"ProvisionedThroughputExceededException": true,
+	"ThrottlingException":                    true,
+	"RequestLimitExceeded":                   true,
+	"RequestThrottledException":              true,
+}
+
+// refusedCodes are the service's ways to say that it did nothing and never will.
+var refusedCodes = map[string]bool{
+	"AccessDeniedException":                    true,
+	"ExpiredTokenException":                    true,
+	"IdempotentParameterMismatchException":     true,
+	"IncompleteSignatureException":             true,
+	"InvalidSignatureException":                true,
+	"ItemCollectionSizeLimitExceededException": true,
+	"MissingAuthenticationTokenException":      true,
+	"ResourceNotFoundException":                true,
+	"SerializationException":                   true,
+	"UnrecognizedClientException":              true,
+	"UnknownOperationException":                true,
+	"ValidationException":                      true,
+}
+
+// knownError returns the error of an answer that says for certain that nothing was done, or nil.
+func knownError(operation string, err error) error {
+	var a smithy.APIError
+	if !errors.As(err, &a) {
+		return nil
+	}
+	switch {
+	case throttledCodes[a.ErrorCode()]:
+		return basilplatform.ErrUnavailable{Operation: operation, RetryAfter: throttledRetryAfter, Cause: err}
+	case refusedCodes[a.ErrorCode()]:
+		return basilplatform.ErrRefused{Operation: operation, Reason: a.ErrorCode() + ": " + a.ErrorMessage()}
+	}
+	return nil
+}
+
+func readError(operation string, err error) error {
+	if known := knownError(operation, err); known != nil {
+		return known
+	}
+	return basilplatform.ErrUnavailable{Operation: operation, Cause: err}
+}
+
+func transactError(err error, token string, keys []basilplatform.Key, maySent bool) error {
+	if !maySent {
+		return basilplatform.ErrUnavailable{Operation: operationTransact, Cause: err}
+	}
+	var c *types.TransactionCanceledException
+	if errors.As(err, &c) {
+		return cancelledError(c, keys)
+	}
+	if known := knownError(operationTransact, err); known != nil {
+		return known
+	}
+	return basilplatform.ErrOutcomeUnknown{Operation: operationTransact, Token: token, Cause: err}
+}
+
+// cancelledError tells why a cancelled transaction, which never has an effect, was cancelled.
+func cancelledError(c *types.TransactionCanceledException, keys []basilplatform.Key) error {
+	retryAfter := throttledRetryAfter
+	var refusal string
+	for n, r := range c.CancellationReasons {
+		code := reasonNone
+		if r.Code != nil {
+			code = *r.Code
+		}
+		switch {
+		case code == reasonCondition && n < len(keys):
+			return basilplatform.ErrConditionFailed{Key: keys[n]}
+		case code == reasonValidation, code == reasonCollection:
+			refusal = code
+		case code == reasonConflict:
+			retryAfter = conflictRetryAfter
+		}
+	}
+	if refusal != "" {
+		return basilplatform.ErrRefused{Operation: operationTransact, Reason: refusal}
+	}
+	return basilplatform.ErrUnavailable{Operation: operationTransact, RetryAfter: retryAfter, Cause: c}
+}
--- /dev/null
+++ b/internal/basilplatform/basiltrace/request_trace.go
@@ -0,0 +1,50 @@
+package basiltrace
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+const maxIdleConnections = 64
+
+// RequestTrace follows one request; its zero value works.
+type RequestTrace struct{ connected atomic.Bool }
+
+// Context returns a context that reports the request's progress to the trace.
+func (t *RequestTrace) Context(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) },
+	})
+}
+
+// MaySent tells whether the server may have got any of a request that ended with the error.
+//
+// A request that got no connection was not sent. Neither was one whose last step
+// was to dial: the transport dials again for a POST only when the earlier
+// connection took none of it.
+func (t *RequestTrace) MaySent(err error) bool {
+	if !t.connected.Load() {
+		return false
+	}
+	var o *net.OpError
+	return !errors.As(err, &o) || o.Op != "dial"
+}
+
+// NewClient returns an HTTP client that follows no redirects and uses no proxy.
+func NewClient() *http.Client {
+	return &http.Client{
+		CheckRedirect: StayPut,
+		Transport: &http.Transport{
+			MaxIdleConns:        maxIdleConnections,
+			MaxIdleConnsPerHost: maxIdleConnections,
+		},
+	}
+}
+
+// StayPut makes a client return a redirect as it came.
+func StayPut(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/internal/basilstandin/table.go
+++ b/internal/basilstandin/table.go
@@ -7,9 +7,13 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"basilstage.example/basilstage/internal/basilplatform"
 )
 
+const reasonTokenReused = "token was used for other writes"
+
 // TableFaults switches the faults of a Table; the zero value has none.
 type TableFaults struct {
 	Down        bool          `json:"down"`         // every call fails without effect
@@ -22,7 +26,7 @@
 type Table struct {
 	mutex  sync.Mutex
 	items  map[basilplatform.Key]basilplatform.Item
-	tokens map[string]bool
+	tokens map[string]uint64 // digests of the writes that took effect
 	faults TableFaults
 	hook   func(basilplatform.Transaction) TableFaults
 	reads  int64
@@ -118,6 +122,9 @@
 
 // Transact applies all writes, or none.
 func (t *Table) Transact(ctx context.Context, x basilplatform.Transaction) error {
+	if err := basilplatform.CheckTransaction(x); err != nil {
+		return err
+	}
 	f := t.current()
 	t.mutex.Lock()
 	hook := t.hook
@@ -143,23 +150,20 @@
 	defer t.mutex.Unlock()
 	if t.items == nil {
 		t.items = make(map[basilplatform.Key]basilplatform.Item)
-		t.tokens = make(map[string]bool)
+		t.tokens = make(map[string]uint64)
 	}
-	if t.tokens[x.Token] {
+	digest := digestOf(x)
+	if earlier, ok := t.tokens[x.Token]; ok && earlier != digest {
+		return basilplatform.ErrRefused{Operation: "transact", Reason: reasonTokenReused}
+	} else if ok {
 		return nil
 	}
-	if len(x.Writes) > basilplatform.MaxTransactionWrites {
-		return basilplatform.ErrRefused{Operation: "transact", Reason: fmt.Sprintf("%d writes", len(x.Writes))}
-	}
 	for _, w := range x.Writes {
 		i, ok := t.items[w.Key]
 		if w.Precondition == basilplatform.PreconditionAbsent && ok ||
 			w.Precondition == basilplatform.PreconditionVersion && (!ok || i.Version != w.Version) {
 			return basilplatform.ErrConditionFailed{Key: w.Key}
 		}
-		if len(w.Body) > basilplatform.MaxItemBytes {
-			return basilplatform.ErrRefused{Operation: "transact", Reason: "item too large"}
-		}
 	}
 	for _, w := range x.Writes {
 		t.writes++
@@ -170,6 +174,16 @@
 			t.items[w.Key] = basilplatform.Item{Key: w.Key, Version: t.items[w.Key].Version + 1, Token: x.Token, Body: w.Body}
 		}
 	}
-	t.tokens[x.Token] = true
+	t.tokens[x.Token] = digest
 	return nil
 }
+
+// digestOf tells two transactions with the same token apart.
+func digestOf(x basilplatform.Transaction) uint64 {
+	d := xxhash.New()
+	for _, w := range x.Writes {
+		fmt.Fprintf(d, "%d %q %q %d %d %d ", w.Kind, w.Key.Partition, w.Key.Sort, w.Precondition, w.Version, len(w.Body))
+		_, _ = d.Write(w.Body)
+	}
+	return d.Sum64()
+}
