Add pools and waves: host changes within budgets, planner and executor

Cause: moves and maintenance must keep each service's availability budget and leave each host in exactly one pool, with racing operators and executors.

Ruled out: a budget item per service, since all services of a pool share its hosts and a configuration that moves a service would need a copy brought over; the pool's tally item serves all of them. Refusals judged on a state torn between two commits: a refusal now counts only if the trail's head stood still.

Change: basilpool.Pools (one transaction per order, epoch fence, guard inside the commit), basilpool.Replica (follows the trail), basilwave.Waves, Planner, Executor. A repeated command is looked up also when the order is refused, because Trail.Commit asks for the refusal first.

TestWaveAndMoveRunToTheirEnd passes under -race.

--- a/internal/basilmodel/host.go
+++ b/internal/basilmodel/host.go
@@ -1,6 +1,9 @@
 package basilmodel
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // HostRecord is the stored form of a Host.
 type HostRecord struct {
@@ -15,6 +18,11 @@
 	Wave       string    `json:"wave,omitempty"`
 	Address    string    `json:"address"`            // IP:port of the backend server
 	Serviced   string    `json:"serviced,omitempty"` // the last wave that maintained it
+	Registered int64     `json:"registered"`         // sequence of the entry that took it into the fleet
+	Sequence   int64     `json:"sequence"`           // of the last change
+	Operator   string    `json:"operator"`           // who made the last change
+	Action     string    `json:"action"`             // what the last change was
+	Since      time.Time `json:"since"`              // of the last change, by the writer's clock
 }
 
 // Host is one backend server host, which belongs to exactly one pool.
@@ -59,6 +67,24 @@
 // Address returns the IP:port of the host's backend server.
 func (h Host) Address() string { return h.record.Address }
 
+// Registered returns the sequence of the entry that took the host into the fleet.
+func (h Host) Registered() int64 { return h.record.Registered }
+
+// Sequence returns the sequence of the host's last change.
+func (h Host) Sequence() int64 { return h.record.Sequence }
+
+// Operator returns who made the last change.
+func (h Host) Operator() string { return h.record.Operator }
+
+// Action returns what the last change was.
+func (h Host) Action() string { return h.record.Action }
+
+// Since returns when the last change was made, by the clock of its writer.
+func (h Host) Since() time.Time { return h.record.Since }
+
+// InService tells whether the host counts as available for its pool's services.
+func (h Host) InService() bool { return h.record.State == HostStateActive }
+
 // MarshalJSON encodes the stored form.
 func (h Host) MarshalJSON() ([]byte, error) { return json.Marshal(h.record) }
 
--- /dev/null
+++ b/internal/basilpool/replica.go
@@ -0,0 +1,110 @@
+package basilpool
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"basilstage.example/basilstage/internal/basilaudit"
+	"basilstage.example/basilstage/internal/basilconfig"
+	"basilstage.example/basilstage/internal/basilmodel"
+)
+
+// trailPageSize is how many entries one read of the trail brings.
+const trailPageSize = 500
+
+// Replica is a copy of the hosts and the configuration that follows the trail.
+//
+// It is for one goroutine. What it returns is shared and stays as it is until the next Refresh.
+type Replica struct {
+	trail         *basilaudit.Trail
+	sequence      int64
+	loaded        bool
+	hosts         []basilmodel.Host // by id
+	configuration basilmodel.Configuration
+}
+
+// NewReplica returns an empty replica of what is on the trail.
+func NewReplica(t *basilaudit.Trail) *Replica { return &Replica{trail: t} }
+
+// Hosts returns all hosts by id.
+func (r *Replica) Hosts() []basilmodel.Host { return r.hosts }
+
+// Configuration returns the newest accepted configuration.
+func (r *Replica) Configuration() basilmodel.Configuration { return r.configuration }
+
+// Sequence returns the sequence of the newest entry that the replica holds.
+func (r *Replica) Sequence() int64 { return r.sequence }
+
+// Refresh brings the replica up to date; after a failure it is older but whole.
+func (r *Replica) Refresh(ctx context.Context) error {
+	if !r.loaded {
+		if err := r.load(ctx); err != nil {
+			return err
+		}
+	}
+	for {
+		entries, err := r.trail.After(ctx, r.sequence, trailPageSize)
+		if err != nil || len(entries) == 0 {
+			return err
+		}
+		for _, e := range entries {
+			r.apply(e)
+		}
+	}
+}
+
+// load reads everything once. Changes made meanwhile are on the trail after the
+// head read first; epochs and revisions make it harmless to apply them twice.
+func (r *Replica) load(ctx context.Context) error {
+	head, err := r.trail.Head(ctx)
+	if err != nil {
+		return err
+	}
+	hosts, err := queryHosts(ctx, r.trail.Table())
+	if err != nil {
+		return err
+	}
+	configuration, _, err := basilconfig.Current(ctx, r.trail.Table())
+	if err != nil {
+		return err
+	}
+	r.sequence, r.hosts, r.configuration, r.loaded = head, hosts, configuration, true
+	return nil
+}
+
+func (r *Replica) apply(e basilaudit.Entry) {
+	r.sequence = e.Sequence()
+	if c := e.Configuration(); c != nil && c.Revision() > r.configuration.Revision() {
+		r.configuration = *c
+	}
+	for _, h := range e.Hosts() {
+		r.put(h)
+	}
+	if len(e.Hosts()) > 0 {
+		return
+	}
+	for _, h := range e.Record().Before {
+		r.remove(h)
+	}
+}
+
+func (r *Replica) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(r.hosts, id, func(h basilmodel.Host, id string) int { return cmp.Compare(h.ID(), id) })
+}
+
+func (r *Replica) put(h basilmodel.Host) {
+	n, ok := r.find(h.ID())
+	switch {
+	case !ok:
+		r.hosts = slices.Insert(r.hosts, n, h)
+	case h.Epoch() > r.hosts[n].Epoch():
+		r.hosts[n] = h
+	}
+}
+
+func (r *Replica) remove(h basilmodel.Host) {
+	if n, ok := r.find(h.ID()); ok && r.hosts[n].Epoch() <= h.Epoch() {
+		r.hosts = slices.Delete(r.hosts, n, n+1)
+	}
+}
--- /dev/null
+++ b/internal/basilpool/transition.go
@@ -0,0 +1,118 @@
+package basilpool
+
+import (
+	"github.com/pkg/errors"
+
+	"basilstage.example/basilstage/internal/basilmodel"
+)
+
+// transition returns the host after the order, with neither epoch nor authorship set.
+//
+// It fails with ErrHostConflict when the host's state doesn't allow the action
+// and with errUnchanged when there is nothing to do.
+func transition(h basilmodel.Host, o Order) (basilmodel.HostRecord, error) {
+	r := h.Record()
+	switch o.Action {
+	case ActionMove:
+		if h.State() != basilmodel.HostStateActive {
+			return r, conflict(h)
+		}
+		if o.Target == h.Pool() {
+			return r, errors.WithStack(ErrPoolSame{Host: h.ID(), Pool: o.Target})
+		}
+		return leave(r, o.Target, "", basilmodel.OutCauseMove), nil
+	case ActionDrain:
+		if h.State() != basilmodel.HostStateActive {
+			return r, conflict(h)
+		}
+		return leave(r, "", o.Wave, basilmodel.OutCauseWave), nil
+	case ActionDrained:
+		return step(h, basilmodel.HostStateLeaving, basilmodel.HostStateDrained)
+	case ActionMaintain:
+		if h.Target() != "" {
+			return r, conflict(h)
+		}
+		return step(h, basilmodel.HostStateDrained, basilmodel.HostStateMaintenance)
+	case ActionFinish:
+		return finish(h)
+	case ActionReturn:
+		return takeBack(h)
+	case ActionFail:
+		return fail(h)
+	case ActionRemove:
+		if h.State() != basilmodel.HostStateFailed {
+			return r, conflict(h)
+		}
+		return basilmodel.HostRecord{}, nil
+	}
+	return r, conflict(h)
+}
+
+func conflict(h basilmodel.Host) error {
+	return errors.WithStack(ErrHostConflict{
+		Host: h.ID(), State: h.State(), Operator: h.Operator(), Action: h.Action(), Sequence: h.Sequence(),
+	})
+}
+
+func leave(r basilmodel.HostRecord, target, wave string, c basilmodel.OutCause) basilmodel.HostRecord {
+	r.State = basilmodel.HostStateLeaving
+	r.Target = target
+	r.Wave = wave
+	r.Cause = c
+	return r
+}
+
+func step(h basilmodel.Host, from, to basilmodel.HostState) (basilmodel.HostRecord, error) {
+	r := h.Record()
+	if r.State != from {
+		return r, conflict(h)
+	}
+	r.State = to
+	return r, nil
+}
+
+// finish ends a move in the target pool, or maintenance in the host's own.
+func finish(h basilmodel.Host) (basilmodel.HostRecord, error) {
+	r := h.Record()
+	switch {
+	case r.State == basilmodel.HostStateDrained && r.Target != "":
+		r.Pool = r.Target
+	case r.State == basilmodel.HostStateMaintenance:
+		if r.Wave != "" {
+			r.Serviced = r.Wave
+		}
+	default:
+		return r, conflict(h)
+	}
+	return inService(r), nil
+}
+
+// takeBack undoes a move or drain that has not ended, or readmits a failed host.
+func takeBack(h basilmodel.Host) (basilmodel.HostRecord, error) {
+	r := h.Record()
+	switch r.State {
+	case basilmodel.HostStateLeaving, basilmodel.HostStateDrained, basilmodel.HostStateFailed:
+		return inService(r), nil
+	}
+	return r, conflict(h)
+}
+
+// fail keeps the wave, so that the wave sees which of its hosts were lost.
+func fail(h basilmodel.Host) (basilmodel.HostRecord, error) {
+	r := h.Record()
+	if r.State == basilmodel.HostStateFailed {
+		return r, errUnchanged{host: h}
+	}
+	r.State = basilmodel.HostStateFailed
+	r.Target = ""
+	r.Cause = basilmodel.OutCauseFailure
+	return r, nil
+}
+
+func inService(r basilmodel.HostRecord) basilmodel.HostRecord {
+	r.State = basilmodel.HostStateActive
+	r.Target = ""
+	r.Wave = ""
+	r.Cause = basilmodel.OutCauseNone
+	return r
+}
--- /dev/null
+++ b/internal/basilwave/take_out.go
@@ -0,0 +1,125 @@
+package basilwave
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"basilstage.example/basilstage/internal/basilmodel"
+)
+
+// rackPlace names a rack.
+type rackPlace struct{ dataCentre, rack string }
+
+// rackWork is what a wave has still to do in one rack.
+type rackWork struct {
+	place   rackPlace
+	busy    int // hosts that are out for the wave
+	done    int // hosts that the wave has maintained
+	waiting []basilmodel.Host
+}
+
+// waveWork is what a wave has still to do.
+type waveWork struct {
+	racks   []*rackWork
+	done    int
+	busy    int
+	pending int // hosts not maintained that the wave can still reach
+}
+
+// takeOut starts the next hosts of each running wave and completes waves with nothing left to do.
+func (p *plan) takeOut() {
+	for _, w := range p.state.Waves {
+		if !p.running(w.Name()) {
+			continue
+		}
+		work := survey(w, p.state.Hosts)
+		if work.pending == 0 {
+			p.addWave(StepKindComplete, w, fmt.Sprintf("%d hosts maintained", work.done))
+			continue
+		}
+		p.takeRacks(w, work)
+	}
+}
+
+// survey sorts the wave's hosts by rack, racks that are begun first.
+func survey(w basilmodel.Wave, hosts []basilmodel.Host) waveWork {
+	var work waveWork
+	racks := make(map[rackPlace]*rackWork)
+	for _, h := range hosts {
+		if !w.Selects(h) || h.State() == basilmodel.HostStateFailed {
+			continue
+		}
+		at := rackPlace{dataCentre: h.DataCentre(), rack: h.Rack()}
+		if racks[at] == nil {
+			racks[at] = &rackWork{place: at}
+			work.racks = append(work.racks, racks[at])
+		}
+		work.note(w, h, racks[at])
+	}
+	slices.SortFunc(work.racks, func(a, b *rackWork) int {
+		return cmp.Or(
+			cmp.Compare(min(b.busy, 1), min(a.busy, 1)),
+			cmp.Compare(b.done, a.done),
+			cmp.Compare(a.place.dataCentre, b.place.dataCentre),
+			cmp.Compare(a.place.rack, b.place.rack))
+	})
+	return work
+}
+
+func (k *waveWork) note(w basilmodel.Wave, h basilmodel.Host, r *rackWork) {
+	switch {
+	case h.Serviced() == w.Name():
+		k.done++
+		r.done++
+		return
+	case h.Wave() == w.Name():
+		k.busy++
+		r.busy++
+	case h.InService():
+		r.waiting = append(r.waiting, h)
+	}
+	k.pending++
+}
+
+// takeRacks takes hosts out rack by rack, in each data centre as many racks at a
+// time as the wave allows; until the first host has come back, in one rack alone.
+//
+// A rack whose hosts no budget lets go is passed over, so it holds up no other.
+func (p *plan) takeRacks(w basilmodel.Wave, work waveWork) {
+	open := make(map[string]int)
+	total := 0
+	for _, r := range work.racks {
+		if r.busy > 0 {
+			open[r.place.dataCentre]++
+			total++
+		}
+	}
+	for _, r := range work.racks {
+		if r.busy == 0 && (open[r.place.dataCentre] >= w.RackBatch() || work.done == 0 && total > 0) {
+			continue
+		}
+		if p.takeRack(w, r) > 0 && r.busy == 0 {
+			open[r.place.dataCentre]++
+			total++
+		}
+	}
+}
+
+// takeRack takes the hosts of one rack out that the budgets allow and returns how many.
+func (p *plan) takeRack(w basilmodel.Wave, r *rackWork) int {
+	taken := 0
+	for _, h := range r.waiting {
+		l := p.pools[h.Pool()]
+		if p.returned[h.ID()] || !l.allows(w) {
+			continue
+		}
+		l.leave(w.Name())
+		taken++
+		p.steps = append(p.steps, Step{
+			Kind: StepKindDrain, Host: h.ID(), Epoch: h.Epoch(), Wave: w.Name(),
+			Reason: fmt.Sprintf("wave %s, data centre %s, rack %s", w.Name(), h.DataCentre(), h.Rack()),
+		})
+	}
+	return taken
+}
