Use the host's own sequence for acknowledgements; first part of the entry host

Cause: the pool records now carry the sequence of their last change, so the view's second bookkeeping of it stood twice and was only an upper bound. Change: the view compares members' applied sequence with the host's own; removed hosts are forgotten.

--- a/internal/basilaudit/trail.go
+++ b/internal/basilaudit/trail.go
@@ -32,11 +32,17 @@
 type Decide func(ctx context.Context, t basilplatform.Table) (Change, error)
 
 // Trail appends changes to the audit trail in the table and reads them back.
-type Trail struct{ table basilplatform.Table }
+type Trail struct {
+	table    basilplatform.Table
+	observer func(Entry)
+}
 
 // NewTrail returns the trail kept in the table.
 func NewTrail(t basilplatform.Table) *Trail { return &Trail{table: t} }
 
+// Observe sets the function that is told of each change committed here; call it before the first commit.
+func (t *Trail) Observe(f func(Entry)) { t.observer = f }
+
 // Table returns the table that the trail is kept in.
 func (t *Trail) Table() basilplatform.Table { return t.table }
 
@@ -85,7 +91,11 @@
 	if err != nil {
 		return Entry{}, err
 	}
-	return NewEntry(r), nil
+	e := NewEntry(r)
+	if t.observer != nil {
+		t.observer(e)
+	}
+	return e, nil
 }
 
 // compose builds the transaction that moves the head, appends the entry and carries the writes.
--- /dev/null
+++ b/internal/basilentry/caller.go
@@ -0,0 +1,65 @@
+package basilentry
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"basilstage.example/basilstage/internal/basilmodel"
+	"basilstage.example/basilstage/internal/basilview"
+	"basilstage.example/basilstage/pkg/basilapi"
+)
+
+// anonymous is the team of callers while no team is declared.
+const anonymous = "anonymous"
+
+// caller is who sent a request.
+type caller struct {
+	team     string
+	operator bool
+}
+
+// authenticate finds the team whose token the request bears.
+//
+// While the configuration declares no team, the entry host serves anyone, which
+// the settings allow on loopback only.
+func authenticate(v *basilview.View, open bool, r *http.Request) (caller, error) {
+	teams := v.Configuration().Teams()
+	if len(teams) == 0 && open {
+		return caller{team: anonymous, operator: true}, nil
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return caller{}, refuse(basilapi.CodeUnauthenticated, "the request bears no token", "send Authorization: Bearer TOKEN", 0)
+	}
+	t, ok := teamOf(teams, token)
+	if !ok {
+		return caller{}, refuse(basilapi.CodeUnauthenticated, "the token is no team's", "ask your operator for a token", 0)
+	}
+	return caller{team: t.Name, operator: t.Operator}, nil
+}
+
+// teamOf compares with every team, so that the time taken tells nothing.
+func teamOf(teams []basilmodel.Team, token string) (basilmodel.Team, bool) {
+	sum := sha256.Sum256([]byte(token))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	found := -1
+	for n, t := range teams {
+		if subtle.ConstantTimeCompare(hash, []byte(strings.ToLower(t.TokenHash))) == 1 {
+			found = n
+		}
+	}
+	if found < 0 {
+		return basilmodel.Team{}, false
+	}
+	return teams[found], true
+}
+
+func requireOperator(c caller) error {
+	if c.operator {
+		return nil
+	}
+	return refuse(basilapi.CodeForbidden, "team "+c.team+" may not give queries and commands", "use an operator's token", 0)
+}
--- a/internal/basilview/control_test.go
+++ b/internal/basilview/control_test.go
@@ -187,7 +187,7 @@
 		defer e.stop()
 		pass(time.Second)
 		e.Entries(old)
-		e.Snapshot(basilview.Snapshot{Sequence: 1, Through: 1, Configuration: *old[0].Configuration()})
+		e.Snapshot(basilview.Snapshot{Sequence: 1, Configuration: *old[0].Configuration()})
 		pass(time.Second)
 		must.EqOp(t, 2, e.View().Configuration().Revision())
 	})
--- a/internal/basilview/event.go
+++ b/internal/basilview/event.go
@@ -15,7 +15,6 @@
 // Snapshot is the whole of hosts and configuration at or after an audit sequence.
 type Snapshot struct {
 	Sequence      int64                    `json:"sequence"` // entries that follow it are still to be applied
-	Through       int64                    `json:"through"`  // no host is newer than this entry
 	Configuration basilmodel.Configuration `json:"configuration"`
 	Hosts         []basilmodel.Host        `json:"hosts"`
 }
--- a/internal/basilview/poll.go
+++ b/internal/basilview/poll.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// load reads the whole view: the trail's place before and after bounds what the hosts hold.
+// load reads the whole view; entries after the trail's place before the read are applied on top of it.
 func (c *Control) load(ctx context.Context) {
 	began := time.Now()
 	t := c.options.Trail
@@ -82,11 +82,7 @@
 	if err != nil {
 		return
 	}
-	through, err := t.Head(ctx)
-	if err != nil {
-		return
-	}
-	c.post(snapshotEvent{Snapshot{Sequence: sequence, Through: through, Configuration: configuration, Hosts: hosts}})
+	c.post(snapshotEvent{Snapshot{Sequence: sequence, Configuration: configuration, Hosts: hosts}})
 	c.post(headEvent{at: began})
 }
 
--- a/internal/basilview/state.go
+++ b/internal/basilview/state.go
@@ -14,7 +14,7 @@
 	loaded        bool
 	sequence      int64
 	configuration basilmodel.Configuration
-	pools         map[string]map[string]placedHost
+	pools         map[string]map[string]basilmodel.Host
 	leaving       map[string]int64
 	leavings      int // how often leaving changed
 	members       []Member
@@ -46,7 +46,7 @@
 func newState(dataCentre string) *state {
 	return &state{
 		dataCentre: dataCentre,
-		pools:      make(map[string]map[string]placedHost),
+		pools:      make(map[string]map[string]basilmodel.Host),
 		leaving:    make(map[string]int64),
 		silence:    make(map[string]silence),
 		sponsored:  make(map[string]sponsored),
@@ -58,7 +58,7 @@
 		return
 	}
 	for _, h := range e.snapshot.Hosts {
-		s.putHost(h, e.snapshot.Through)
+		s.putHost(h)
 	}
 	s.putConfiguration(e.snapshot.Configuration)
 	s.sequence = e.snapshot.Sequence
@@ -83,9 +83,14 @@
 		return
 	}
 	for _, h := range e.Hosts() {
-		s.putHost(h, e.Sequence())
+		s.putHost(h)
 		s.asked = s.asked || h.DataCentre() == s.dataCentre && h.State() == basilmodel.HostStateLeaving
 	}
+	if len(e.Hosts()) == 0 {
+		for _, h := range e.Record().Before {
+			s.removeHost(h)
+		}
+	}
 	if c := e.Configuration(); c != nil {
 		s.putConfiguration(*c)
 	}
@@ -100,13 +105,13 @@
 }
 
 // putHost stores the host unless a later epoch is known, and takes it out of any other pool.
-func (s *state) putHost(h basilmodel.Host, sequence int64) {
+func (s *state) putHost(h basilmodel.Host) {
 	for name, p := range s.pools {
 		known, ok := p[h.ID()]
 		if !ok {
 			continue
 		}
-		if known.host.Epoch() > h.Epoch() {
+		if known.Epoch() > h.Epoch() {
 			return
 		}
 		if name != h.Pool() {
@@ -116,12 +121,22 @@
 	}
 	p := maps.Clone(s.pools[h.Pool()])
 	if p == nil {
-		p = make(map[string]placedHost)
+		p = make(map[string]basilmodel.Host)
 	}
-	p[h.ID()] = placedHost{host: h, sequence: sequence}
+	p[h.ID()] = h
 	s.pools[h.Pool()] = p
 }
 
+// removeHost strikes off a host that was removed at that epoch.
+func (s *state) removeHost(h basilmodel.Host) {
+	known, ok := s.pools[h.Pool()][h.ID()]
+	if !ok || known.Epoch() > h.Epoch() {
+		return
+	}
+	s.pools[h.Pool()] = maps.Clone(s.pools[h.Pool()])
+	delete(s.pools[h.Pool()], h.ID())
+}
+
 func (e headEvent) apply(s *state, _ time.Time) {
 	if !s.gap && e.at.After(s.storeSeen) {
 		s.storeSeen = e.at
@@ -167,8 +182,8 @@
 func (e listEvent) apply(s *state, now time.Time) {
 	for _, p := range s.pools {
 		for id, h := range p {
-			if e.leaving[id] && h.host.State() == basilmodel.HostStateActive {
-				leavingEvent{host: id, epoch: h.host.Epoch()}.apply(s, now)
+			if e.leaving[id] && h.State() == basilmodel.HostStateActive {
+				leavingEvent{host: id, epoch: h.Epoch()}.apply(s, now)
 			}
 		}
 	}
--- a/internal/basilview/state_test.go
+++ b/internal/basilview/state_test.go
@@ -19,14 +19,14 @@
 	return basilaudit.NewEntry(basilaudit.EntryRecord{Sequence: sequence, Hosts: h})
 }
 
-func loaded(sequence, through int64, h ...basilmodel.Host) *state {
+func loaded(sequence int64, h ...basilmodel.Host) *state {
 	s := newState("fukuoka")
-	snapshotEvent{Snapshot{Sequence: sequence, Through: through, Hosts: h}}.apply(s, time.Time{})
+	snapshotEvent{Snapshot{Sequence: sequence, Hosts: h}}.apply(s, time.Time{})
 	return s
 }
 
 func TestMissingEntryLeavesAGap(t *testing.T) {
-	s := loaded(1, 1, host("h1", "counter", 1, basilmodel.HostStateActive))
+	s := loaded(1, host("h1", "counter", 1, basilmodel.HostStateActive))
 	entriesEvent{[]basilaudit.Entry{entry(3, host("h1", "divers", 3, basilmodel.HostStateActive))}}.apply(s, time.Time{})
 	must.True(t, s.gap)
 	must.EqOp(t, 1, s.sequence)
@@ -37,10 +37,13 @@
 
 func TestAppliedWaitsForHostsReadAheadOfTheTrail(t *testing.T) {
 	now := time.Now()
-	s := loaded(5, 7, host("h1", "counter", 4, basilmodel.HostStateLeaving))
+	ahead := basilmodel.NewHost(basilmodel.HostRecord{
+		ID: "h1", DataCentre: "fukuoka", Pool: "counter", Epoch: 4, State: basilmodel.HostStateLeaving, Sequence: 7,
+	})
+	s := loaded(5, ahead)
 	s.members = []Member{NewMember(MemberRecord{DataCentre: "fukuoka", Applied: 6})}
 	h, _ := s.view(now).Host("h1")
-	must.False(t, s.view(now).Applied(h), must.Sprint("the change may be entry 7"))
+	must.False(t, s.view(now).Applied(h), must.Sprint("the change is entry 7"))
 	s.members = []Member{NewMember(MemberRecord{DataCentre: "fukuoka", Applied: 7})}
 	must.True(t, s.view(now).Applied(h))
 	must.False(t, s.view(now).Applied(host("h1", "counter", 5, basilmodel.HostStateDrained)), must.Sprint("another epoch"))
@@ -48,7 +51,7 @@
 
 func TestRemoteHostsNeedAFreshView(t *testing.T) {
 	now := time.Now()
-	s := loaded(1, 1, host("h1", "counter", 1, basilmodel.HostStateActive))
+	s := loaded(1, host("h1", "counter", 1, basilmodel.HostStateActive))
 	s.storeSeen = now
 	must.Len(t, 1, s.view(now).Usable("counter", "kumamoto", now))
 	later := now.Add(remoteViewLimit + time.Second)
@@ -58,7 +61,7 @@
 
 func TestFrozenLoopNeedsANewConfirmation(t *testing.T) {
 	now := time.Now()
-	s := loaded(1, 1)
+	s := loaded(1)
 	beatEvent{}.apply(s, now)
 	tickEvent{}.apply(s, now)
 	must.EqOp(t, StandingMember, s.standing(now))
@@ -71,10 +74,18 @@
 	must.EqOp(t, StandingFenced, s.standing(woken))
 }
 
+func TestRemovedHostIsForgotten(t *testing.T) {
+	h := host("h1", "counter", 4, basilmodel.HostStateFailed)
+	s := loaded(1, h)
+	removal := basilaudit.NewEntry(basilaudit.EntryRecord{Sequence: 2, Before: []basilmodel.Host{h}})
+	entriesEvent{[]basilaudit.Entry{removal}}.apply(s, time.Time{})
+	must.Len(t, 0, s.view(time.Time{}).Hosts())
+}
+
 func TestPropertyEachHostIsInOnePool(t *testing.T) {
 	pools := []string{"counter", "divers", "stretch"}
 	rapid.Check(t, func(t *rapid.T) {
-		s := loaded(0, 0)
+		s := loaded(0)
 		newest := make(map[string]basilmodel.Host)
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
 			h := host(rapid.SampledFrom([]string{"h1", "h2", "h3"}).Draw(t, "host"),
--- a/internal/basilview/view.go
+++ b/internal/basilview/view.go
@@ -9,18 +9,12 @@
 	"basilstage.example/basilstage/internal/basilmodel"
 )
 
-// placedHost is a host with the place in the audit trail of its last change.
-type placedHost struct {
-	host     basilmodel.Host
-	sequence int64
-}
-
 // View is what an entry host knows at one moment; it never changes.
 type View struct {
 	sequence      int64
 	configuration basilmodel.Configuration
-	pools         map[string]map[string]placedHost // by pool and host id
-	leaving       map[string]int64                 // host id to the epoch that is leaving
+	pools         map[string]map[string]basilmodel.Host // by pool and host id
+	leaving       map[string]int64                      // host id to the epoch that is leaving
 	members       []Member
 	silence       map[string]silence
 	storeSeen     time.Time // when the table was last read up to its head
@@ -50,28 +44,18 @@
 func (v *View) Host(id string) (basilmodel.Host, bool) {
 	for _, p := range v.pools {
 		if h, ok := p[id]; ok {
-			return h.host, true
+			return h, true
 		}
 	}
 	return basilmodel.Host{}, false
 }
 
-// HostSequence returns the audit sequence of the host's last change, or 0.
-func (v *View) HostSequence(id string) int64 {
-	for _, p := range v.pools {
-		if h, ok := p[id]; ok {
-			return h.sequence
-		}
-	}
-	return 0
-}
-
 // Hosts returns all hosts in the order of their ids.
 func (v *View) Hosts() []basilmodel.Host {
 	var all []basilmodel.Host
 	for _, p := range v.pools {
 		for _, h := range p {
-			all = append(all, h.host)
+			all = append(all, h)
 		}
 	}
 	sortHosts(all)
@@ -82,7 +66,7 @@
 func (v *View) HostsIn(pool string) []basilmodel.Host {
 	all := make([]basilmodel.Host, 0, len(v.pools[pool]))
 	for _, h := range v.pools[pool] {
-		all = append(all, h.host)
+		all = append(all, h)
 	}
 	sortHosts(all)
 	return all
@@ -117,9 +101,8 @@
 	if !ok || known.Epoch() != h.Epoch() {
 		return false
 	}
-	sequence := v.HostSequence(h.ID())
 	for _, m := range v.members {
-		if m.DataCentre() == h.DataCentre() && m.Applied() < sequence {
+		if m.DataCentre() == h.DataCentre() && m.Applied() < known.Sequence() {
 			return false
 		}
 	}
@@ -139,7 +122,7 @@
 
 // Snapshot returns the view's hosts and configuration for a cold start elsewhere.
 func (v *View) Snapshot() Snapshot {
-	return Snapshot{Sequence: v.sequence, Through: v.sequence, Configuration: v.configuration, Hosts: v.Hosts()}
+	return Snapshot{Sequence: v.sequence, Configuration: v.configuration, Hosts: v.Hosts()}
 }
 
 func sortHosts(all []basilmodel.Host) {
