Decide what runs, how often, and what is told of it

Cause: no job could be run; the first end-to-end path needs the names. Ruled out: remembering each minted id (callers could fill the memory by minting; a MAC in the serial knows ids again without state); a clock as the rule that keeps a forgotten id from running (a clock set back would run it again; the floor compares serials only); one index entry per open job that all owners read in full (reads grow with jobs times owners; sorting the index by owner lets each search skip from owner to owner). No speed or fault was measured yet.

--- /dev/null
+++ b/internal/basiljob/long_cancel.go
@@ -0,0 +1,107 @@
+package basiljob
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/pkg/basilapi"
+)
+
+// maxCancelTries is how often a cancel starts anew when the record moves on under it.
+const maxCancelTries = 5
+
+// Cancel ends the job if it was not run; from then on it never will be.
+//
+// It fails with ErrTooLate when an attempt may have started, which goes on, and
+// with an ErrProblem of OutcomeUnknown when the table doesn't tell.
+func (l *LongJobs) Cancel(ctx context.Context, id basilapi.JobID) (basilapi.JobAnswer, error) {
+	for n := range maxCancelTries {
+		if err := pause(ctx, n); err != nil {
+			break
+		}
+		a, err := l.tryCancel(ctx, id)
+		if !basilplatform.IsErrConditionFailed(err) {
+			return a, l.cancelError(id, err)
+		}
+	}
+	return pending(id), unknown(id, "the job changes too fast", storeRetryAfter)
+}
+
+func (l *LongJobs) cancelError(id basilapi.JobID, err error) error {
+	if err == nil || IsErrTooLate(err) || IsErrItemCorrupt(err) {
+		return err
+	}
+	return unknown(id, "the platform did not answer", storeRetryAfter)
+}
+
+func (l *LongJobs) tryCancel(ctx context.Context, id basilapi.JobID) (basilapi.JobAnswer, error) {
+	j, err := l.store.load(ctx, id)
+	if IsErrJobNotExist(err) {
+		j, err = l.store.save(ctx, longJob{LongJobRecord: tombstone(id)})
+		return j.answer(), err
+	}
+	if err != nil {
+		return pending(id), err
+	}
+	if j.final() {
+		return endedBefore(j)
+	}
+	if j.Ran {
+		return j.answer(), errors.WithStack(ErrTooLate{ID: id})
+	}
+	if j.State == basilapi.JobStateStarted {
+		if err := l.void(ctx, j); err != nil {
+			return j.answer(), err
+		}
+	}
+	c := j.closed(basilapi.JobStateCancelled, basilapi.OutcomeNotRun, basilapi.CodeCancelled, reasonCancelled)
+	saved, err := l.store.save(ctx, c, c.closing()...)
+	if err != nil {
+		return pending(id), err
+	}
+	l.disown(id)
+	return saved.answer(), nil
+}
+
+func endedBefore(j longJob) (basilapi.JobAnswer, error) {
+	if j.Outcome == basilapi.OutcomeNotRun {
+		return j.answer(), nil
+	}
+	return j.answer(), errors.WithStack(ErrTooLate{ID: j.ID})
+}
+
+// void makes sure that the recorded attempt never starts, or fails with ErrTooLate.
+//
+// It stops nothing that is known to run.
+func (l *LongJobs) void(ctx context.Context, j longJob) error {
+	if j.Seen {
+		return errors.WithStack(ErrTooLate{ID: j.ID})
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
+	defer cancel()
+	s, err := l.tasks.Status(ctx, j.Address, j.ID.String(), j.Attempt)
+	if err == nil && s.State == basilplatform.TaskStateAbsent {
+		s, err = l.tasks.Stop(ctx, j.Address, j.ID.String(), j.Attempt)
+	}
+	if err != nil || s.State != basilplatform.TaskStateNotStarted {
+		return errors.WithStack(ErrTooLate{ID: j.ID})
+	}
+	return nil
+}
+
+// closed returns the job in a final state.
+func (j longJob) closed(s basilapi.JobState, o basilapi.Outcome, c basilapi.Code, reason string) longJob {
+	j.State, j.Outcome, j.Code, j.Reason = s, o, c, reason
+	return j
+}
+
+// closing returns the writes that go with a final state.
+func (j longJob) closing() []basilplatform.Write {
+	w := []basilplatform.Write{deleteItem(j.indexKey()), deleteItem(jobKey(j.ID, sortPayload))}
+	if j.Checkpoint != 0 {
+		w = append(w, deleteItem(jobKey(j.ID, sortCheckpoint)))
+	}
+	return w
+}
--- /dev/null
+++ b/internal/basiljob/long_job_record.go
@@ -0,0 +1,129 @@
+package basiljob
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
+
+	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/pkg/basilapi"
+)
+
+// Sort keys of the items of one long job; its partition is its own.
+const (
+	sortRecord     = "record"
+	sortPayload    = "payload"
+	sortResult     = "result"
+	sortCheckpoint = "checkpoint"
+)
+
+// LongJobRecord is the stored form of a long job.
+type LongJobRecord struct {
+	ID         basilapi.JobID    `json:"id"`
+	State      basilapi.JobState `json:"state"`
+	Outcome    basilapi.Outcome  `json:"outcome"` // pending until the state is final
+	Digest     uint64            `json:"digest,omitempty"`
+	Service    string            `json:"service,omitempty"`
+	Idempotent bool              `json:"idempotent,omitempty"`
+	Urgent     bool              `json:"urgent,omitempty"`
+	Cores      int               `json:"cores,omitempty"`
+	MemoryMB   int               `json:"memory_mb,omitempty"`
+	GuessMS    int64             `json:"guess_ms,omitempty"`
+	Deadline   time.Time         `json:"deadline,omitzero"` // to start by
+	Payload    uint64            `json:"payload"`           // checksum
+
+	DataCentre string    `json:"data_centre,omitempty"` // whose index lists the job while it is open
+	Owner      ulid.ULID `json:"owner"`                 // the incarnation that runs it
+
+	Attempt    int    `json:"attempt,omitempty"` // the last one that may have been sent
+	Host       string `json:"host,omitempty"`
+	Address    string `json:"address,omitempty"`
+	HostEpoch  int64  `json:"host_epoch,omitempty"`
+	Seen       bool   `json:"seen,omitempty"` // the attempt is known to have started
+	Ran        bool   `json:"ran,omitempty"`  // an earlier attempt may have started
+	Checkpoint uint64 `json:"checkpoint,omitempty"`
+
+	FailedOn []string `json:"failed_on,omitempty"` // hosts where an attempt failed
+	Refusals int      `json:"refusals,omitempty"`  // attempts that hosts refused
+
+	Result uint64        `json:"result,omitempty"` // checksum
+	Code   basilapi.Code `json:"code,omitempty"`
+	Reason string        `json:"reason,omitempty"`
+}
+
+// longJob is a record as it stands in the table.
+type longJob struct {
+	LongJobRecord
+	version int64
+	token   string
+}
+
+func (r LongJobRecord) final() bool {
+	return r.State != basilapi.JobStateAccepted && r.State != basilapi.JobStateStarted
+}
+
+func (r LongJobRecord) answer() basilapi.JobAnswer {
+	return basilapi.JobAnswer{ID: r.ID, Outcome: r.Outcome, State: r.State, Attempt: r.Attempt, Reason: r.Reason}
+}
+
+func jobKey(id basilapi.JobID, sort string) basilplatform.Key {
+	return basilplatform.Key{Partition: "job/" + id.String(), Sort: sort}
+}
+
+func indexPartition(dataCentre string) string { return "open-jobs/" + dataCentre }
+
+// indexKey sorts open jobs by owner, so that those of one owner are found together.
+func (r LongJobRecord) indexKey() basilplatform.Key {
+	return basilplatform.Key{Partition: indexPartition(r.DataCentre), Sort: ownerPrefix(r.Owner) + r.ID.String()}
+}
+
+func ownerPrefix(owner ulid.ULID) string { return owner.String() + "/" }
+
+// afterOwner follows all keys of the owner and precedes those of the next.
+func afterOwner(owner ulid.ULID) string { return owner.String() + "0" }
+
+// parseIndexSort reads the owner and the job from a sort key of the index.
+func parseIndexSort(k basilplatform.Key) (ulid.ULID, basilapi.JobID, error) {
+	owner, id, _ := strings.Cut(k.Sort, "/")
+	o, err := ulid.ParseStrict(owner)
+	if err != nil {
+		return ulid.ULID{}, basilapi.JobID{}, errors.WithStack(ErrItemCorrupt{Key: k, Cause: err})
+	}
+	j, err := basilapi.ParseJobID(id)
+	if err != nil {
+		return ulid.ULID{}, basilapi.JobID{}, errors.WithStack(ErrItemCorrupt{Key: k, Cause: err})
+	}
+	return o, j, nil
+}
+
+// put returns the write that stores the record if the item still has the version; 0 is absent.
+func (r LongJobRecord) put(version int64) (basilplatform.Write, error) {
+	body, err := json.Marshal(r)
+	w := basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: jobKey(r.ID, sortRecord), Body: body}
+	if version > 0 {
+		w.Precondition, w.Version = basilplatform.PreconditionVersion, version
+	}
+	return w, errors.WithStack(err)
+}
+
+func parseLongJob(i basilplatform.Item) (longJob, error) {
+	j := longJob{version: i.Version, token: i.Token}
+	if err := json.Unmarshal(i.Body, &j.LongJobRecord); err != nil {
+		return longJob{}, errors.WithStack(ErrItemCorrupt{Key: i.Key, Cause: err})
+	}
+	return j, nil
+}
+
+func putBody(k basilplatform.Key, p basilplatform.Precondition, body []byte) basilplatform.Write {
+	return basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: k, Precondition: p, Body: body}
+}
+
+func deleteItem(k basilplatform.Key) basilplatform.Write {
+	return basilplatform.Write{Kind: basilplatform.WriteKindDelete, Key: k, Precondition: basilplatform.PreconditionNone}
+}
+
+func checksum(b []byte) uint64 { return xxhash.Sum64(b) }
--- /dev/null
+++ b/internal/basiljob/long_watch.go
@@ -0,0 +1,158 @@
+package basiljob
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/pkg/basilapi"
+)
+
+// renewalsPerLease is how often a lease is renewed before it would lapse.
+const renewalsPerLease = 3
+
+// watch acts on what the worker of a started job says.
+//
+// The lease is renewed only while the worker answers, so that it lapses otherwise.
+func (l *LongJobs) watch(ctx context.Context, o *ownedJob) error {
+	o.due = time.Now().Add(min(l.options.PollEvery, l.options.Lease/renewalsPerLease))
+	s, err := l.ask(ctx, o, l.tasks.Status)
+	if err == nil && s.State == basilplatform.TaskStateAbsent && !o.hasStarted() {
+		s, err = l.ask(ctx, o, l.tasks.Stop) // voids it, should it still be on its way
+	}
+	if err != nil {
+		return l.silent(ctx, o)
+	}
+	o.lost = time.Time{}
+	return l.heard(ctx, o, s)
+}
+
+func (o *ownedJob) hasStarted() bool { return o.started || o.job.Seen }
+
+func (l *LongJobs) renew(ctx context.Context, o *ownedJob) {
+	now := time.Now()
+	if now.Sub(o.renewed) < l.options.Lease/renewalsPerLease {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
+	defer cancel()
+	err := l.tasks.Renew(call, o.job.Address, o.job.ID.String(), o.job.Attempt, l.options.Lease)
+	if !basilplatform.IsErrUnavailable(err) && !basilplatform.IsErrRefused(err) {
+		o.renewed = now // a renewal without an answer may have taken effect
+	}
+}
+
+type taskCall func(ctx context.Context, address, job string, attempt int) (basilplatform.TaskStatus, error)
+
+func (l *LongJobs) ask(ctx context.Context, o *ownedJob, call taskCall) (basilplatform.TaskStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
+	defer cancel()
+	return call(ctx, o.job.Address, o.job.ID.String(), o.job.Attempt)
+}
+
+// silent decides on a job whose worker gives no answer.
+func (l *LongJobs) silent(ctx context.Context, o *ownedJob) error {
+	now := time.Now()
+	if o.lost.IsZero() {
+		o.lost = now
+	}
+	if o.job.Idempotent {
+		if now.Sub(o.renewed) <= l.options.Lease {
+			return nil
+		}
+		return l.lapsed(ctx, o)
+	}
+	if now.Sub(o.lost) < l.options.GiveUp {
+		return nil
+	}
+	return l.endWith(ctx, o, ending{
+		state: basilapi.JobStateUnknown, outcome: basilapi.OutcomeUnknown,
+		code: basilapi.CodeOutcomeUnknown, reason: "the worker gave no answer",
+	})
+}
+
+// lapsed lets an idempotent job go on elsewhere.
+func (l *LongJobs) lapsed(ctx context.Context, o *ownedJob) error {
+	j := o.job
+	j.Ran = true
+	o.avoid = append(o.avoid, j.Host)
+	return l.release(ctx, o, j)
+}
+
+// heard acts on a worker's report.
+func (l *LongJobs) heard(ctx context.Context, o *ownedJob, s basilplatform.TaskStatus) error {
+	switch s.State {
+	case basilplatform.TaskStateRunning:
+		return l.running(ctx, o, s)
+	case basilplatform.TaskStateDone:
+		return l.done(ctx, o, s)
+	case basilplatform.TaskStateFailed:
+		return l.failed(ctx, o, s)
+	case basilplatform.TaskStateNotStarted, basilplatform.TaskStateAbsent:
+		if !o.hasStarted() && s.State == basilplatform.TaskStateNotStarted {
+			return l.release(ctx, o, o.job)
+		}
+	}
+	return l.cutOff(ctx, o)
+}
+
+// running records that a non-idempotent job started, and keeps the checkpoint of an idempotent one.
+func (l *LongJobs) running(ctx context.Context, o *ownedJob, s basilplatform.TaskStatus) error {
+	o.started = true
+	l.renew(ctx, o)
+	j := o.job
+	if !j.Idempotent {
+		if j.Seen {
+			return nil
+		}
+		j.Seen = true
+		return l.save(ctx, o, j)
+	}
+	sum := checksum(s.Checkpoint)
+	if len(s.Checkpoint) == 0 || len(s.Checkpoint) > basilapi.MaxPayloadBytes || sum == j.Checkpoint {
+		return nil
+	}
+	j.Checkpoint = sum
+	return l.save(ctx, o, j, putBody(jobKey(j.ID, sortCheckpoint), basilplatform.PreconditionNone, s.Checkpoint))
+}
+
+func (l *LongJobs) done(ctx context.Context, o *ownedJob, s basilplatform.TaskStatus) error {
+	if len(s.Result) > basilapi.MaxPayloadBytes {
+		return l.endWith(ctx, o, failure("the result is too large"))
+	}
+	return l.endWith(ctx, o, ending{
+		state: basilapi.JobStateDone, outcome: basilapi.OutcomeRan, result: s.Result,
+	})
+}
+
+func failure(reason string) ending {
+	return ending{
+		state: basilapi.JobStateFailed, outcome: basilapi.OutcomeRan,
+		code: basilapi.CodeJobFailed, reason: reason,
+	}
+}
+
+// failed lets an idempotent job try other hosts; one that fails on several is at fault itself.
+func (l *LongJobs) failed(ctx context.Context, o *ownedJob, s basilplatform.TaskStatus) error {
+	j := o.job
+	j.Ran = true
+	if !slices.Contains(j.FailedOn, j.Host) {
+		j.FailedOn = append(slices.Clone(j.FailedOn), j.Host)
+	}
+	if !j.Idempotent || len(j.FailedOn) >= l.options.MaxFailed {
+		return l.endWith(ctx, o, failure(s.Message))
+	}
+	return l.release(ctx, o, j)
+}
+
+// cutOff decides on an attempt that started and ended without a result.
+func (l *LongJobs) cutOff(ctx context.Context, o *ownedJob) error {
+	if o.job.Idempotent {
+		return l.lapsed(ctx, o)
+	}
+	return l.endWith(ctx, o, ending{
+		state: basilapi.JobStateUnknown, outcome: basilapi.OutcomeUnknown,
+		code: basilapi.CodeOutcomeUnknown, reason: "the attempt was cut off after it had started",
+	})
+}
--- /dev/null
+++ b/internal/basiljob/owned_job.go
@@ -0,0 +1,58 @@
+package basiljob
+
+import (
+	"time"
+
+	"basilstage.example/basilstage/pkg/basilapi"
+)
+
+// ownedJob is what an owner knows of one of its open jobs; only Step changes it.
+type ownedJob struct {
+	job     longJob
+	due     time.Time // when to look at it next
+	renewed time.Time // the lease lasts at least until this plus the lease, and no longer
+	lost    time.Time // since when the worker gives no answer; zero when it does
+	misfits int
+	avoid   []string // hosts that refused it
+	reload  bool     // the record may have moved on
+	started bool     // the worker took the attempt, whether or not that is recorded
+	ending  *ending  // a final state that the table didn't take yet
+}
+
+// ending is a final state and the result that goes with it.
+type ending struct {
+	state   basilapi.JobState
+	outcome basilapi.Outcome
+	code    basilapi.Code
+	reason  string
+	result  []byte // for JobStateDone
+}
+
+// own puts a record in the care of the next Step.
+func (l *LongJobs) own(j longJob) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.owned[j.ID] == nil {
+		now := time.Now()
+		l.owned[j.ID] = &ownedJob{job: j, due: now, renewed: now}
+	}
+}
+
+func (l *LongJobs) disown(id basilapi.JobID) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.owned, id)
+}
+
+func (l *LongJobs) owns(id basilapi.JobID) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.owned[id] != nil
+}
+
+// Owned returns the number of open jobs in the care of this incarnation.
+func (l *LongJobs) Owned() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.owned)
+}
--- /dev/null
+++ b/internal/basiljob/world_test.go
@@ -0,0 +1,236 @@
+package basiljob_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"basilstage.example/basilstage/internal/basiljob"
+	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basilstandin"
+	"basilstage.example/basilstage/pkg/basilapi"
+)
+
+const taskTime = 12 * time.Second
+
+// result is what the attempt of a job answers.
+func result(job string, attempt int) string { return fmt.Sprintf("%s/%d", job, attempt) }
+
+// attemptKey names one attempt of a job.
+type attemptKey struct {
+	job     string
+	attempt int
+}
+
+// fakeTask is one attempt on a worker.
+type fakeTask struct {
+	status basilplatform.TaskStatus
+	began  time.Time
+	lapses time.Time
+}
+
+// fakeTasks is a set of workers, named by their addresses, which count the real starts of each job.
+type fakeTasks struct {
+	mutex   sync.Mutex
+	tasks   map[attemptKey]*fakeTask
+	started map[string]int
+	down    map[string]bool // workers that give no answer, though they work
+	failing map[string]bool // workers that fail all that they start
+	full    map[string]bool // workers that refuse
+}
+
+func newFakeTasks() *fakeTasks {
+	return &fakeTasks{
+		tasks: make(map[attemptKey]*fakeTask), started: make(map[string]int),
+		down: make(map[string]bool), failing: make(map[string]bool), full: make(map[string]bool),
+	}
+}
+
+func (f *fakeTasks) starts(id basilapi.JobID) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.started[id.String()]
+}
+
+func (f *fakeTasks) set(m map[string]bool, address string, on bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	m[address] = on
+}
+
+// arrive starts the attempt unless it is known; it also serves calls that were under way for long.
+func (f *fakeTasks) arrive(address string, t basilplatform.Task) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	k := attemptKey{t.Job, t.Attempt}
+	if f.tasks[k] != nil && f.tasks[k].status.State == basilplatform.TaskStateNotStarted || f.full[address] {
+		return basilplatform.ErrRefused{Operation: "start", Reason: "voided or full"}
+	}
+	if f.tasks[k] != nil {
+		return nil
+	}
+	f.started[t.Job]++
+	now := time.Now()
+	n := &fakeTask{began: now, lapses: now.Add(time.Duration(t.LeaseMillis) * time.Millisecond)}
+	n.status.State = basilplatform.TaskStateRunning
+	if f.failing[address] {
+		n.status = basilplatform.TaskStatus{State: basilplatform.TaskStateFailed, Message: "no thread"}
+	}
+	f.tasks[k] = n
+	return nil
+}
+
+// tick moves a running task on to its end.
+func (f *fakeTasks) tick(k attemptKey) *fakeTask {
+	n := f.tasks[k]
+	if n == nil || n.status.State != basilplatform.TaskStateRunning {
+		return n
+	}
+	now := time.Now()
+	ends := n.began.Add(taskTime)
+	switch {
+	case n.lapses.Before(ends) && !now.Before(n.lapses):
+		n.status = basilplatform.TaskStatus{State: basilplatform.TaskStateStopped, Message: "lease lapsed"}
+	case !now.Before(ends):
+		n.status = basilplatform.TaskStatus{State: basilplatform.TaskStateDone, Result: []byte(result(k.job, k.attempt))}
+	default:
+		n.status.Checkpoint = fmt.Appendf(nil, "%s at %s", k.job, now.Sub(n.began).Truncate(time.Second))
+	}
+	return n
+}
+
+func (f *fakeTasks) isDown(address string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.down[address]
+}
+
+func (f *fakeTasks) Start(_ context.Context, address string, t basilplatform.Task) error {
+	if f.isDown(address) {
+		return basilplatform.ErrUnavailable{Operation: "start"}
+	}
+	return f.arrive(address, t)
+}
+
+func (f *fakeTasks) Renew(_ context.Context, address, job string, attempt int, lease time.Duration) error {
+	if f.isDown(address) {
+		return basilplatform.ErrUnavailable{Operation: "renew"}
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if n := f.tick(attemptKey{job, attempt}); n != nil {
+		n.lapses = time.Now().Add(lease)
+	}
+	return nil
+}
+
+func (f *fakeTasks) Status(_ context.Context, address, job string, attempt int) (basilplatform.TaskStatus, error) {
+	if f.isDown(address) {
+		return basilplatform.TaskStatus{}, basilplatform.ErrUnavailable{Operation: "status"}
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if n := f.tick(attemptKey{job, attempt}); n != nil {
+		return n.status, nil
+	}
+	return basilplatform.TaskStatus{}, nil
+}
+
+func (f *fakeTasks) Stop(_ context.Context, address, job string, attempt int) (basilplatform.TaskStatus, error) {
+	if f.isDown(address) {
+		return basilplatform.TaskStatus{}, basilplatform.ErrUnavailable{Operation: "stop"}
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	k := attemptKey{job, attempt}
+	n := f.tick(k)
+	switch {
+	case n == nil:
+		n = &fakeTask{status: basilplatform.TaskStatus{State: basilplatform.TaskStateNotStarted}}
+		f.tasks[k] = n
+	case n.status.State == basilplatform.TaskStateRunning:
+		n.status = basilplatform.TaskStatus{State: basilplatform.TaskStateStopped, Message: "stopped"}
+	}
+	return n.status, nil
+}
+
+func (f *fakeTasks) Checkpoint(context.Context, string, string, int) error { return nil }
+
+func (f *fakeTasks) Throttle(context.Context, string, string, int, float64) error { return nil }
+
+// fakePlacer takes the first worker that isn't excluded.
+type fakePlacer struct {
+	workers []string
+	fits    bool
+}
+
+func (p *fakePlacer) Place(_ context.Context, r basiljob.PlacementRequest) (basiljob.Placement, error) {
+	if !p.fits {
+		return basiljob.Placement{}, basiljob.ErrFitsNoHost{Service: r.Service, Cores: r.Cores}
+	}
+	for _, w := range p.workers {
+		if !slices.Contains(r.Exclude, w) {
+			return basiljob.Placement{Host: w, Address: w, HostEpoch: 1}, nil
+		}
+	}
+	return basiljob.Placement{}, basiljob.ErrNothingFree{RetryAfter: time.Second}
+}
+
+// fakeMembers holds the incarnations that were seen dead.
+type fakeMembers struct {
+	mutex sync.Mutex
+	dead  map[ulid.ULID]bool
+}
+
+func (m *fakeMembers) Gone(i ulid.ULID) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.dead[i]
+}
+
+func (m *fakeMembers) declare(i ulid.ULID) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.dead[i] = true
+}
+
+// owner is one incarnation of an entry host, and what stands between it and the world.
+type owner struct {
+	incarnation ulid.ULID
+	jobs        *basiljob.LongJobs
+	link        *link
+}
+
+// world is what survives entry hosts.
+type world struct {
+	table   *basilstandin.Table
+	tasks   *fakeTasks
+	placer  *fakePlacer
+	members *fakeMembers
+	owners  []*owner
+}
+
+func newWorld(owners int) *world {
+	w := &world{
+		table: new(basilstandin.Table), tasks: newFakeTasks(),
+		placer:  &fakePlacer{workers: []string{"w1", "w2", "w3", "w4"}, fits: true},
+		members: &fakeMembers{dead: make(map[ulid.ULID]bool)},
+	}
+	for range owners {
+		w.owners = append(w.owners, w.newOwner())
+	}
+	return w
+}
+
+func (w *world) newOwner() *owner {
+	o := &owner{incarnation: ulid.Make(), link: &link{world: w}}
+	o.jobs = basiljob.NewLongJobs(linkedTable{o.link}, linkedTasks{o.link}, basiljob.LongOptions{
+		DataCentre: "fukuoka", Incarnation: o.incarnation, Placer: w.placer, Members: w.members,
+		OwnEvery: 10 * time.Second, GiveUp: time.Minute, Parallel: 1,
+	})
+	return o
+}
