Add settings, logs, keys and the peer mesh

Cause: the first end-to-end path needs an entry host to know who it is, to prove itself, to log, and to reach the other entry hosts. Ruled out: durations as bare numbers (no unit), one connection per dialling side (twice the heartbeats), a uni stream per delta (no order), Go's own chain check in the client role (a changed authority would need a restart). Change: strict YAML settings with the line of each fault; JSON-lines logger with redaction; trial authority and certificates, read anew at each handshake; a QUIC mesh with one control stream of deltas and one stream per request. A request counts only once its end was read, so a failed send is certainly not delivered. Conclusion: the seams stand for wiring; not yet proved under faults.

--- a/cmd/main.go
+++ b/cmd/main.go
@@ -36,13 +36,17 @@
 	return exitFailure
 }
 
-func newRootCommand(_, stderr io.Writer) *ffcli.Command {
+func newRootCommand(stdout, stderr io.Writer) *ffcli.Command {
 	flags := flag.NewFlagSet("basilstage", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	return &ffcli.Command{
 		Name:       "basilstage",
 		ShortUsage: "basilstage <subcommand> [flags]",
 		FlagSet:    flags,
-		Exec:       func(context.Context, []string) error { return flag.ErrHelp },
+		Subcommands: []*ffcli.Command{
+			newKeysCommand(stdout, stderr),
+			newSettingsCommand(stdout, stderr),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
