Serve the whole path, thin, as separate processes

Cause: nothing ran end to end. A job whose id was minted here but that was submitted as a long one is looked up in the table: the first trial by hand answered "the id was not submitted" for it. A wave did not start while an operator's drained host was out: its reserve for a rack held it back without saying so; open.

--- /dev/null
+++ b/cmd/client.go
@@ -0,0 +1,91 @@
+package cmd
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"basilstage.example/basilstage/pkg/basilapi"
+	"basilstage.example/basilstage/pkg/basilclient"
+)
+
+// defaultAddress is where an entry host for trials serves.
+const defaultAddress = "http://127.0.0.1:8443"
+
+// connection holds the flags that say how to reach entry hosts.
+type connection struct {
+	addresses string
+	tokenFile string
+}
+
+func (c *connection) register(flags *flag.FlagSet) {
+	flags.StringVar(&c.addresses, "address", defaultAddress, "base `URLs` of entry hosts, comma-separated, tried in order")
+	flags.StringVar(&c.tokenFile, "token-file", "", "`FILE` with the bearer token")
+}
+
+func (c *connection) client() (*basilclient.Client, error) {
+	token := ""
+	if c.tokenFile != "" {
+		b, err := os.ReadFile(c.tokenFile)
+		if err != nil {
+			return nil, errors.WithStack(ErrFileUnreadable{File: c.tokenFile, Cause: err})
+		}
+		token = strings.TrimSpace(string(b))
+	}
+	return basilclient.NewClient(basilclient.Options{Addresses: strings.Split(c.addresses, ","), Token: token}), nil
+}
+
+// ErrFileUnreadable says that a file that a flag names can't be read.
+type ErrFileUnreadable struct {
+	File  string
+	Cause error
+}
+
+func (e ErrFileUnreadable) Error() string {
+	return fmt.Sprintf("file can't be read [file: %s, cause: %v]", e.File, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e ErrFileUnreadable) Unwrap() error { return e.Cause }
+
+// IsErrFileUnreadable tells whether the error is an ErrFileUnreadable.
+func IsErrFileUnreadable(err error) bool { return errors.As(err, new(ErrFileUnreadable)) }
+
+// exitStatus tells a script how a request ended.
+func exitStatus(err error) int {
+	if basilclient.IsErrNoAnswer(err) || basilclient.IsErrAnswerMalformed(err) {
+		return exitUnknown
+	}
+	p, ok := basilapi.AsProblem(err)
+	switch {
+	case !ok:
+		return exitFailure
+	case p.Outcome == basilapi.OutcomeNotRun:
+		return exitRefused
+	case p.Outcome == basilapi.OutcomeUnknown:
+		return exitUnknown
+	}
+	return exitFailure
+}
+
+// explain tells an error to a person: what happened, what to do, when to come back.
+func explain(err error) string {
+	p, ok := basilapi.AsProblem(err)
+	if !ok {
+		return err.Error()
+	}
+	s := fmt.Sprintf("%s (%s): %s", p.Outcome, p.Code, p.Message)
+	if p.Hint != "" {
+		s += "; " + p.Hint
+	}
+	if p.RetryAfterMS > 0 {
+		s += fmt.Sprintf("; come back in %s", p.RetryAfter())
+	}
+	if p.AskAt != "" {
+		s += "; ask at " + p.AskAt
+	}
+	return s
+}
--- a/cmd/main.go
+++ b/cmd/main.go
@@ -18,6 +18,8 @@
 	exitOK      = 0
 	exitFailure = 1
 	exitUsage   = 2
+	exitRefused = 3 // not run, not changed: safe to ask again
+	exitUnknown = 4 // may have run or been changed: ask again with the same id
 )
 
 // Main runs the subcommand that the arguments name and returns the exit status.
@@ -32,8 +34,8 @@
 	case errors.Is(err, flag.ErrHelp):
 		return exitUsage
 	}
-	fmt.Fprintln(stderr, "basilstage:", err)
-	return exitFailure
+	fmt.Fprintln(stderr, "basilstage:", explain(err))
+	return exitStatus(err)
 }
 
 func newRootCommand(stdout, stderr io.Writer) *ffcli.Command {
@@ -44,6 +46,11 @@
 		ShortUsage: "basilstage <subcommand> [flags]",
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
+			newEntryCommand(stdout, stderr),
+			newSubmitCommand(stdout, stderr),
+			newJobCommand(stdout, stderr),
+			newQueryCommand(stdout, stderr),
+			newCommandCommand(stdout, stderr),
 			newKeysCommand(stdout, stderr),
 			newSettingsCommand(stdout, stderr),
 		},
--- a/internal/basilentry/job_service.go
+++ b/internal/basilentry/job_service.go
@@ -105,10 +105,7 @@
 // Get returns what is known of the job.
 func (s *jobService) Get(ctx context.Context, id basilapi.JobID, forwards int) (basilapi.JobAnswer, error) {
 	if id.Incarnation() == s.registry.Incarnation() {
-		if a, ok := s.registry.Answer(id); ok {
-			return a, nil
-		}
-		return s.long.Get(ctx, id)
+		return s.getOwn(ctx, id)
 	}
 	if a, ok := s.copies.Get(id); ok {
 		return a, nil
@@ -127,14 +124,36 @@
 	return a, err
 }
 
+// getOwn looks for a job whose id was minted here: among the short jobs, then the long ones.
+func (s *jobService) getOwn(ctx context.Context, id basilapi.JobID) (basilapi.JobAnswer, error) {
+	if !s.registry.Submitted(id) {
+		a, err := s.long.Get(ctx, id)
+		if !basiljob.IsErrJobNotExist(err) {
+			return a, err
+		}
+	}
+	a, ok := s.registry.Answer(id)
+	if !ok {
+		return a, errors.WithStack(basiljob.ErrJobNotExist{ID: id})
+	}
+	return a, nil
+}
+
+// cancelOwn ends a job whose id was minted here; an id that names no long job is voided.
+func (s *jobService) cancelOwn(ctx context.Context, id basilapi.JobID) (basilapi.JobAnswer, error) {
+	if !s.registry.Submitted(id) {
+		a, err := s.long.Cancel(ctx, id)
+		if !basiljob.IsErrJobNotExist(err) {
+			return a, err
+		}
+	}
+	return s.registry.Cancel(id)
+}
+
 // Cancel ends the job if it has not started.
 func (s *jobService) Cancel(ctx context.Context, id basilapi.JobID, forwards int) (basilapi.JobAnswer, error) {
 	if id.Incarnation() == s.registry.Incarnation() {
-		a, err := s.registry.Cancel(id)
-		if !basiljob.IsErrNotMinted(err) && !basiljob.IsErrJobNotExist(err) {
-			return a, err
-		}
-		return s.long.Cancel(ctx, id)
+		return s.cancelOwn(ctx, id)
 	}
 	peer, ok := s.locator.Locate(id.Incarnation())
 	if ok && forwards < maxForwards {
--- a/internal/basilentry/ports.go
+++ b/internal/basilentry/ports.go
@@ -29,7 +29,7 @@
 	})
 	c := &http.Client{Timeout: s.HostsTimeout()}
 	return Ports{
-		Table:   basilplatform.NewBreaker(t, basilplatform.BreakerOptions{}),
+		Table:   t,
 		List:    basilfleet.NewHostList(s.HostsEndpoint(), c),
 		Control: basilfleet.NewHostControl(s.HostsEndpoint(), c),
 		Tasks:   basilfleet.NewTasks(c),
