--- a/internal/basilplatform/basildynamo/errors.go
+++ b/internal/basilplatform/basildynamo/errors.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/aws/smithy-go"
 	"github.com/pkg/errors"
@@ -19,7 +20,6 @@
 
 // The codes of the reasons for which a transaction was cancelled.
 const (
-	reasonNone       = "None"
 	reasonCondition  = "ConditionalCheckFailed"
 	reasonConflict   = "TransactionConflict"
 	reasonValidation = "ValidationError"
@@ -97,25 +97,29 @@
 }
 
 // cancelledError tells why a cancelled transaction, which never has an effect, was cancelled.
+//
+// A failed condition goes before a refusal, a refusal before a conflict, and a
+// conflict, which another try may not meet, before the rest.
 func cancelledError(c *types.TransactionCanceledException, keys []basilplatform.Key) error {
-	retryAfter := throttledRetryAfter
-	var refusal string
+	first := make(map[string]basilplatform.Key)
 	for n, r := range c.CancellationReasons {
-		code := reasonNone
-		if r.Code != nil {
-			code = *r.Code
+		code := aws.ToString(r.Code)
+		if _, ok := first[code]; !ok && n < len(keys) {
+			first[code] = keys[n]
 		}
-		switch {
-		case code == reasonCondition && n < len(keys):
-			return basilplatform.ErrConditionFailed{Key: keys[n]}
-		case code == reasonValidation, code == reasonCollection:
-			refusal = code
-		case code == reasonConflict:
-			retryAfter = conflictRetryAfter
+	}
+	if k, ok := first[reasonCondition]; ok {
+		return basilplatform.ErrConditionFailed{Key: k}
+	}
+	for _, code := range []string{reasonValidation, reasonCollection} {
+		if k, ok := first[code]; ok {
+			return basilplatform.ErrRefused{Operation: operationTransact, Reason: code + " at " + k.Partition + "/" + k.Sort}
 		}
 	}
-	if refusal != "" {
-		return basilplatform.ErrRefused{Operation: operationTransact, Reason: refusal}
+	if k, ok := first[reasonConflict]; ok {
+		return basilplatform.ErrUnavailable{
+			Operation: operationTransact, RetryAfter: conflictRetryAfter, Cause: basilplatform.ErrConflict{Key: k},
+		}
 	}
-	return basilplatform.ErrUnavailable{Operation: operationTransact, RetryAfter: retryAfter, Cause: c}
+	return basilplatform.ErrUnavailable{Operation: operationTransact, RetryAfter: throttledRetryAfter, Cause: c}
 }
--- a/internal/basilstandin/platform.go
+++ b/internal/basilstandin/platform.go
@@ -29,6 +29,7 @@
 	TableDelayMS int64 `json:"table_delay_ms"`      // before each call of the table takes effect
 	LoseAnswers  bool  `json:"lose_answers"`        // writes take effect, their answers are lost
 	LoseWrites   bool  `json:"lose_writes"`         // writes vanish without an answer
+	LateByMS     int64 `json:"late_by_ms"`          // writes get no answer and take effect after this time
 	HostListLagS int64 `json:"host_list_lag_s"`     // seconds that the host list is behind
 	HostListDown bool  `json:"host_list_down"`      // the host list is away
 	Refuse       bool  `json:"host_control_refuse"` // host control refuses every reboot
@@ -74,7 +75,8 @@
 	p.faults = f
 	p.table.SetFaults(TableFaults{
 		Down: f.TableDown, LoseAnswers: f.LoseAnswers, LoseWrites: f.LoseWrites,
-		Delay: time.Duration(f.TableDelayMS) * time.Millisecond,
+		Delay:  time.Duration(f.TableDelayMS) * time.Millisecond,
+		LateBy: time.Duration(f.LateByMS) * time.Millisecond,
 	})
 }
 
--- a/internal/basilstandin/table.go
+++ b/internal/basilstandin/table.go
@@ -1,9 +1,9 @@
 package basilstandin
 
 import (
+	"bytes"
 	"context"
 	"fmt"
-	"sort"
 	"sync"
 	"time"
 
@@ -14,18 +14,26 @@
 
 const reasonTokenReused = "token was used for other writes"
 
+// The operations, as errors name them.
+const (
+	operationGet      = "get"
+	operationQuery    = "query"
+	operationTransact = "transact"
+)
+
 // TableFaults switches the faults of a Table; the zero value has none.
 type TableFaults struct {
 	Down        bool          `json:"down"`         // every call fails without effect
 	LoseAnswers bool          `json:"lose_answers"` // writes take effect, their answers are lost
 	LoseWrites  bool          `json:"lose_writes"`  // writes vanish without an answer
+	LateBy      time.Duration `json:"late_by"`      // writes get no answer and take effect after this time
 	Delay       time.Duration `json:"delay"`        // before each call takes effect
 }
 
 // Table is an in-memory table service with faults; its zero value works.
 type Table struct {
 	mutex  sync.Mutex
-	items  map[basilplatform.Key]basilplatform.Item
+	items  itemIndex
 	tokens map[string]uint64 // digests of the writes that took effect
 	faults TableFaults
 	hook   func(basilplatform.Transaction) TableFaults
@@ -60,6 +68,17 @@
 	return t.faults
 }
 
+// faultsOf returns the faults that the transaction meets.
+func (t *Table) faultsOf(x basilplatform.Transaction) TableFaults {
+	t.mutex.Lock()
+	hook, faults := t.hook, t.faults
+	t.mutex.Unlock()
+	if hook != nil {
+		return hook(x)
+	}
+	return faults
+}
+
 func pause(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
 		return ctx.Err()
@@ -74,110 +93,145 @@
 	}
 }
 
-func (t *Table) enter(ctx context.Context, operation string, f TableFaults) error {
+// enter delays a read or fails it as the faults say.
+func (t *Table) enter(ctx context.Context, operation string) error {
+	f := t.current()
 	if err := pause(ctx, f.Delay); err != nil {
 		return basilplatform.ErrUnavailable{Operation: operation, Cause: err}
 	}
 	if f.Down {
-		return basilplatform.ErrUnavailable{Operation: operation, RetryAfter: time.Second}
+		return downError(operation)
 	}
 	return nil
 }
 
+func downError(operation string) error {
+	return basilplatform.ErrUnavailable{Operation: operation, RetryAfter: time.Second}
+}
+
 // Get returns one item.
 func (t *Table) Get(ctx context.Context, k basilplatform.Key) (basilplatform.Item, error) {
-	if err := t.enter(ctx, "get", t.current()); err != nil {
+	if err := t.enter(ctx, operationGet); err != nil {
 		return basilplatform.Item{}, err
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.reads++
-	i, ok := t.items[k]
+	i, ok := t.items.get(k)
 	if !ok {
 		return basilplatform.Item{}, basilplatform.ErrItemNotExist{Key: k}
 	}
+	i.Body = bytes.Clone(i.Body)
 	return i, nil
 }
 
-// Query returns up to limit items of the partition in sort order.
+// Query returns up to limit items of the partition in sort order; limit 0 is all of them.
 func (t *Table) Query(ctx context.Context, partition, after string, limit int) ([]basilplatform.Item, error) {
-	if err := t.enter(ctx, "query", t.current()); err != nil {
+	if err := t.enter(ctx, operationQuery); err != nil {
 		return nil, err
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var found []basilplatform.Item
-	for k, i := range t.items {
-		if k.Partition == partition && k.Sort > after {
-			found = append(found, i)
-		}
-	}
-	sort.Slice(found, func(a, b int) bool { return found[a].Key.Sort < found[b].Key.Sort })
-	if limit > 0 && len(found) > limit {
-		found = found[:limit]
+	found := t.items.after(partition, after, limit)
+	for n := range found {
+		found[n].Body = bytes.Clone(found[n].Body)
 	}
 	t.reads += int64(len(found)) + 1
 	return found, nil
 }
 
 // Transact applies all writes, or none.
+//
+// A caller that leaves during the delay learns nothing of the outcome, and the
+// writes take effect when the delay is over.
 func (t *Table) Transact(ctx context.Context, x basilplatform.Transaction) error {
 	if err := basilplatform.CheckTransaction(x); err != nil {
 		return err
 	}
-	f := t.current()
-	t.mutex.Lock()
-	hook := t.hook
-	t.mutex.Unlock()
-	if hook != nil {
-		f = hook(x)
-	}
-	if err := t.enter(ctx, "transact", f); err != nil {
-		return err
+	if err := ctx.Err(); err != nil {
+		return basilplatform.ErrUnavailable{Operation: operationTransact, Cause: err}
 	}
-	if f.LoseWrites {
-		return basilplatform.ErrOutcomeUnknown{Operation: "transact", Token: x.Token}
+	f := t.faultsOf(x)
+	arrived := time.Now()
+	if err := pause(ctx, f.Delay); err != nil {
+		t.applyLater(f.Delay-time.Since(arrived), f, x)
+		return unknownError(x, err)
+	}
+	switch {
+	case f.Down:
+		return downError(operationTransact)
+	case f.LoseWrites:
+		return unknownError(x, nil)
+	case f.LateBy > 0:
+		t.applyLater(f.LateBy, f, x)
+		return unknownError(x, nil)
 	}
 	err := t.apply(x)
 	if f.LoseAnswers {
-		return basilplatform.ErrOutcomeUnknown{Operation: "transact", Token: x.Token}
+		return unknownError(x, nil)
 	}
 	return err
 }
 
+func unknownError(x basilplatform.Transaction, cause error) error {
+	return basilplatform.ErrOutcomeUnknown{Operation: operationTransact, Token: x.Token, Cause: cause}
+}
+
+// applyLater applies the writes after d, with nobody to answer to, unless the faults lose them.
+func (t *Table) applyLater(d time.Duration, f TableFaults, x basilplatform.Transaction) {
+	if f.Down || f.LoseWrites {
+		return
+	}
+	time.AfterFunc(d, func() { _ = t.apply(x) })
+}
+
 func (t *Table) apply(x basilplatform.Transaction) error {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.items == nil {
-		t.items = make(map[basilplatform.Key]basilplatform.Item)
-		t.tokens = make(map[string]uint64)
-	}
 	digest := digestOf(x)
 	if earlier, ok := t.tokens[x.Token]; ok && earlier != digest {
-		return basilplatform.ErrRefused{Operation: "transact", Reason: reasonTokenReused}
+		return basilplatform.ErrRefused{Operation: operationTransact, Reason: reasonTokenReused}
 	} else if ok {
 		return nil
 	}
 	for _, w := range x.Writes {
-		i, ok := t.items[w.Key]
-		if w.Precondition == basilplatform.PreconditionAbsent && ok ||
-			w.Precondition == basilplatform.PreconditionVersion && (!ok || i.Version != w.Version) {
+		if !t.holds(w) {
 			return basilplatform.ErrConditionFailed{Key: w.Key}
 		}
 	}
 	for _, w := range x.Writes {
-		t.writes++
-		switch w.Kind {
-		case basilplatform.WriteKindDelete:
-			delete(t.items, w.Key)
-		case basilplatform.WriteKindPut:
-			t.items[w.Key] = basilplatform.Item{Key: w.Key, Version: t.items[w.Key].Version + 1, Token: x.Token, Body: w.Body}
-		}
+		t.store(w, x.Token)
+	}
+	if t.tokens == nil {
+		t.tokens = make(map[string]uint64)
 	}
 	t.tokens[x.Token] = digest
 	return nil
 }
 
+// holds tells whether the write's precondition is met.
+func (t *Table) holds(w basilplatform.Write) bool {
+	i, ok := t.items.get(w.Key)
+	switch w.Precondition {
+	case basilplatform.PreconditionAbsent:
+		return !ok
+	case basilplatform.PreconditionVersion:
+		return ok && i.Version == w.Version
+	}
+	return true
+}
+
+func (t *Table) store(w basilplatform.Write, token string) {
+	t.writes++
+	switch w.Kind {
+	case basilplatform.WriteKindDelete:
+		t.items.remove(w.Key)
+	case basilplatform.WriteKindPut:
+		earlier, _ := t.items.get(w.Key)
+		t.items.put(basilplatform.Item{Key: w.Key, Version: earlier.Version + 1, Token: token, Body: bytes.Clone(w.Body)})
+	}
+}
+
 // digestOf tells two transactions with the same token apart.
 func digestOf(x basilplatform.Transaction) uint64 {
 	d := xxhash.New()
