--- a/internal/basilrouter/pool.go
+++ b/internal/basilrouter/pool.go
@@ -8,13 +8,27 @@
 )
 
 const (
-	choices     = 2    // members compared for one request
 	maxScan     = 1024 // members looked at when the sample held none with a credit
-	highUsed    = 900  // thousandths of the credits; above it other data centres are used
-	lowUsed     = 600  // thousandths of the credits; below it only the own data centre is used
 	randomShift = 32
 )
 
+// policy holds what a choice goes by.
+type policy struct {
+	choices  int   // members compared for one request
+	highUsed int64 // thousandths of the credits; from there on other data centres are used
+	lowUsed  int64 // thousandths of the credits; down there only the own data centre is used
+	random   func() uint32
+}
+
+func defaultPolicy() policy {
+	return policy{choices: 2, highUsed: 900, lowUsed: 600, random: rand.Uint32}
+}
+
+// index returns a random index below n.
+func (o *policy) index(n int) int {
+	return int(uint64(o.random()) * uint64(n) >> randomShift)
+}
+
 // poolView is the immutable membership of one pool.
 type poolView struct {
 	near []*member // in the own data centre
@@ -35,6 +49,7 @@
 
 // request is what one choice has to heed.
 type request struct {
+	policy  *policy
 	now     int64
 	probe   bool // may go to an ejected member that is due
 	probing bool // went to one; set by the choice
@@ -54,7 +69,7 @@
 	v := p.view.Load()
 	typical := p.typicalLatency()
 	m := sample(v.near, q, typical)
-	if p.steer(m, len(v.near)) {
+	if p.steer(m, len(v.near), q.policy) {
 		m = better(m, sample(v.far, q, typical), q.now, typical)
 	}
 	if m != nil && m.acquire(q) {
@@ -67,7 +82,7 @@
 }
 
 // steer tells whether other data centres may be used, by how full the own one looks.
-func (p *pool) steer(m *member, near int) bool {
+func (p *pool) steer(m *member, near int, o *policy) bool {
 	spilling := p.spilling.Load()
 	switch {
 	case near == 0:
@@ -76,11 +91,11 @@
 		return spilling
 	}
 	used := m.host.credit.used()
-	if !spilling && used >= highUsed {
+	if !spilling && used >= o.highUsed {
 		p.spilling.Store(true)
 		return true
 	}
-	if spilling && used <= lowUsed {
+	if spilling && used <= o.lowUsed {
 		p.spilling.Store(false)
 		return false
 	}
@@ -101,8 +116,8 @@
 	}
 	var best *member
 	var bestScore int64
-	for range choices {
-		m := members[randomIndex(len(members))]
+	for range q.policy.choices {
+		m := members[q.policy.index(len(members))]
 		if m == best || !q.takes(m) {
 			continue
 		}
@@ -128,7 +143,7 @@
 	if len(members) == 0 {
 		return nil
 	}
-	start := randomIndex(len(members))
+	start := q.policy.index(len(members))
 	for i := range min(len(members), maxScan) {
 		m := members[(start+i)%len(members)]
 		if q.takes(m) && m.acquire(q) {
@@ -137,7 +152,3 @@
 	}
 	return nil
 }
-
-func randomIndex(n int) int {
-	return int(uint64(rand.Uint32()) * uint64(n) >> randomShift)
-}
--- a/internal/basilrouter/router.go
+++ b/internal/basilrouter/router.go
@@ -30,6 +30,7 @@
 // Router chooses a backend server for each job.
 type Router struct {
 	options RouterOptions
+	policy  policy
 	pools   sync.Map // service name to *pool
 
 	mu    sync.Mutex
@@ -41,7 +42,7 @@
 // NewRouter returns a router that knows no backend server yet.
 func NewRouter(o RouterOptions) *Router {
 	marks, _ := lru.New[string, int64](maxLeavingMarks) // fails only for a size below 1
-	return &Router{options: o, hosts: make(map[string]*host), marks: marks}
+	return &Router{options: o, policy: defaultPolicy(), hosts: make(map[string]*host), marks: marks}
 }
 
 // Update sets the backend servers of a service.
@@ -137,7 +138,7 @@
 	if !ok {
 		return nil, r.noBackend(service)
 	}
-	q := request{now: now.UnixNano(), probe: probe, exclude: exclude}
+	q := request{policy: &r.policy, now: now.UnixNano(), probe: probe, exclude: exclude}
 	m := p.choose(&q)
 	if m == nil {
 		return nil, r.noBackend(service)
