--- a/internal/basilentry/ports.go
+++ b/internal/basilentry/ports.go
@@ -17,6 +17,9 @@
 	Tasks   basilplatform.Tasks
 }
 
+// tableShare is the part of the platform's table budget that one entry host may use.
+const tableShare = 0.25
+
 // NewPorts returns adapters to the platform that the settings name; it fails with basilsettings.ErrSettingsInvalid.
 func NewPorts(s basilsettings.Settings) (Ports, error) {
 	access, secret, err := s.TableKeys()
@@ -29,7 +32,7 @@
 	})
 	c := &http.Client{Timeout: s.HostsTimeout()}
 	return Ports{
-		Table:   t,
+		Table:   basilplatform.NewBreaker(t, basilplatform.BreakerOptions{Share: tableShare}),
 		List:    basilfleet.NewHostList(s.HostsEndpoint(), c),
 		Control: basilfleet.NewHostControl(s.HostsEndpoint(), c),
 		Tasks:   basilfleet.NewTasks(c),
