--- a/session_test.go
+++ b/session_test.go
@@ -212,4 +212,3 @@
 	}
 	return total
 }
-
