Add the demonstration: jobs, a move and a wave on embedded stand-ins, checked

Cause: make run had nothing to run. Change: basilstage demo runs two entry hosts, a platform and ten backend servers in one process, keeps two callers asking for jobs, moves a host, runs a wave over all hosts, then compares what callers were told with what was started and replays the audit trail against the budgets. Exit status 1 when a promise broke.

--- a/cmd/main.go
+++ b/cmd/main.go
@@ -46,6 +46,7 @@
 		ShortUsage: "basilstage <subcommand> [flags]",
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
+			newDemoCommand(stdout, stderr),
 			newEntryCommand(stdout, stderr),
 			newSubmitCommand(stdout, stderr),
 			newJobCommand(stdout, stderr),
--- a/process_test.go
+++ b/process_test.go
@@ -86,7 +86,7 @@
 	c := exec.Command(filepath.Join(l.programs, "basilstage"), args...)
 	c.Dir = l.directory
 	c.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0") // the client's goroutines have ended
-	out, _ := c.CombinedOutput() // the exit status tells
+	out, _ := c.CombinedOutput()                             // the exit status tells
 	return string(out), c.ProcessState.ExitCode()
 }
 
