Prove the table's contract on every implementation

Cause: the adapter's claims about lost answers rested on a trial by hand.

Failing first, faults found by these tests and mended: - 204 as the answer to a get: "item does not exist" where "unavailable" was due; the SDK also took an empty 200 for a write done. A transport now fails any success that is not 200 with a whole JSON object. - a token used again with a version that its precondition ignores: "refused" in memory, "ok" through the adapter; the digest now covers what the service sees. - a check without a precondition: "unavailable" in memory when down, "ok" through the adapter, which sent nothing; CheckTransaction now refuses it for both. - keys that are no UTF-8 would have been changed by the JSON encoder: refused.

Ruled out: trusting a typed 503 ServiceUnavailable as "not done".

--- a/internal/basilplatform/basildynamo/errors.go
+++ b/internal/basilplatform/basildynamo/errors.go
@@ -36,6 +36,22 @@
 // IsErrItemMalformed tells whether the error is an ErrItemMalformed.
 func IsErrItemMalformed(err error) bool { return errors.As(err, new(ErrItemMalformed)) }
 
+// ErrAnswerMalformed says that an answer is cut off or no JSON object.
+type ErrAnswerMalformed struct {
+	Status int // of HTTP
+	Cause  error
+}
+
+func (e ErrAnswerMalformed) Error() string {
+	return fmt.Sprintf("answer is malformed [status: %d, cause: %v]", e.Status, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e ErrAnswerMalformed) Unwrap() error { return e.Cause }
+
+// IsErrAnswerMalformed tells whether the error is an ErrAnswerMalformed.
+func IsErrAnswerMalformed(err error) bool { return errors.As(err, new(ErrAnswerMalformed)) }
+
 // throttledCodes are the service's ways to say that it did nothing, for now.
 var throttledCodes = map[string]bool{
 	"ProvisionedThroughputExceededException": true,
@@ -82,30 +98,30 @@
 	return basilplatform.ErrUnavailable{Operation: operation, Cause: err}
 }
 
-func transactError(err error, token string, keys []basilplatform.Key, maySent bool) error {
+func transactError(err error, x basilplatform.Transaction, maySent bool) error {
 	if !maySent {
 		return basilplatform.ErrUnavailable{Operation: operationTransact, Cause: err}
 	}
 	var c *types.TransactionCanceledException
 	if errors.As(err, &c) {
-		return cancelledError(c, keys)
+		return cancelledError(c, x.Writes)
 	}
 	if known := knownError(operationTransact, err); known != nil {
 		return known
 	}
-	return basilplatform.ErrOutcomeUnknown{Operation: operationTransact, Token: token, Cause: err}
+	return basilplatform.ErrOutcomeUnknown{Operation: operationTransact, Token: x.Token, Cause: err}
 }
 
 // cancelledError tells why a cancelled transaction, which never has an effect, was cancelled.
 //
 // A failed condition goes before a refusal, a refusal before a conflict, and a
 // conflict, which another try may not meet, before the rest.
-func cancelledError(c *types.TransactionCanceledException, keys []basilplatform.Key) error {
+func cancelledError(c *types.TransactionCanceledException, writes []basilplatform.Write) error {
 	first := make(map[string]basilplatform.Key)
 	for n, r := range c.CancellationReasons {
 		code := aws.ToString(r.Code)
-		if _, ok := first[code]; !ok && n < len(keys) {
-			first[code] = keys[n]
+		if _, ok := first[code]; !ok && n < len(writes) {
+			first[code] = writes[n].Key
 		}
 	}
 	if k, ok := first[reasonCondition]; ok {
--- a/internal/basilplatform/basildynamo/table.go
+++ b/internal/basilplatform/basildynamo/table.go
@@ -69,7 +69,7 @@
 		BaseEndpoint:          aws.String(o.Endpoint),
 		Region:                o.Region,
 		Credentials:           credentials.NewStaticCredentialsProvider(o.AccessKey, o.SecretKey, ""),
-		HTTPClient:            basiltrace.NewClient(),
+		HTTPClient:            newHTTPClient(),
 		Retryer:               aws.NopRetryer{},
 		RetryMaxAttempts:      1,
 		AccountIDEndpointMode: aws.AccountIDEndpointModeDisabled,
@@ -151,33 +151,23 @@
 	if err := basilplatform.CheckTransaction(x); err != nil {
 		return err
 	}
-	writes, keys := t.transactItems(x)
-	if len(writes) == 0 {
-		return nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, t.options.Timeout)
 	defer cancel()
 	var trace basiltrace.RequestTrace
 	_, err := t.client.TransactWriteItems(trace.Context(ctx), &dynamodb.TransactWriteItemsInput{
 		ClientRequestToken: &x.Token,
-		TransactItems:      writes,
+		TransactItems:      t.transactItems(x),
 	})
 	if err != nil {
-		return transactError(err, x.Token, keys, trace.MaySent(err))
+		return transactError(err, x, trace.MaySent(err))
 	}
 	return nil
 }
 
-// transactItems returns the writes that the service has to see, and their keys in the same order.
-func (t *Table) transactItems(x basilplatform.Transaction) ([]types.TransactWriteItem, []basilplatform.Key) {
-	writes := make([]types.TransactWriteItem, 0, len(x.Writes))
-	keys := make([]basilplatform.Key, 0, len(x.Writes))
-	for _, w := range x.Writes {
-		if w.Kind == basilplatform.WriteKindCheck && w.Precondition == basilplatform.PreconditionNone {
-			continue // always true
-		}
-		writes = append(writes, t.transactItem(w, x.Token))
-		keys = append(keys, w.Key)
+func (t *Table) transactItems(x basilplatform.Transaction) []types.TransactWriteItem {
+	items := make([]types.TransactWriteItem, len(x.Writes))
+	for n, w := range x.Writes {
+		items[n] = t.transactItem(w, x.Token)
 	}
-	return writes, keys
+	return items
 }
--- a/internal/basilplatform/transaction_check.go
+++ b/internal/basilplatform/transaction_check.go
@@ -1,6 +1,9 @@
 package basilplatform
 
-import "fmt"
+import (
+	"fmt"
+	"unicode/utf8"
+)
 
 // MaxTransactionBytes is the largest total size of the items of one transaction.
 const MaxTransactionBytes = 4 << 20
@@ -32,6 +35,10 @@
 		switch {
 		case w.Key.Partition == "" || w.Key.Sort == "":
 			return refuse("empty key [partition: %s, sort: %s]", w.Key.Partition, w.Key.Sort)
+		case !utf8.ValidString(w.Key.Partition) || !utf8.ValidString(w.Key.Sort):
+			return refuse("key is no UTF-8 [partition: %q, sort: %q]", w.Key.Partition, w.Key.Sort)
+		case w.Kind == WriteKindCheck && w.Precondition == PreconditionNone:
+			return refuse("check without a precondition [partition: %s, sort: %s]", w.Key.Partition, w.Key.Sort)
 		case seen[w.Key]:
 			return refuse("two writes of one item [partition: %s, sort: %s]", w.Key.Partition, w.Key.Sort)
 		case size > MaxItemBytes:
--- a/internal/basilstandin/table.go
+++ b/internal/basilstandin/table.go
@@ -3,12 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"basilstage.example/basilstage/internal/basilplatform"
 )
 
@@ -231,13 +228,3 @@
 		t.items.put(basilplatform.Item{Key: w.Key, Version: earlier.Version + 1, Token: token, Body: bytes.Clone(w.Body)})
 	}
 }
-
-// digestOf tells two transactions with the same token apart.
-func digestOf(x basilplatform.Transaction) uint64 {
-	d := xxhash.New()
-	for _, w := range x.Writes {
-		fmt.Fprintf(d, "%d %q %q %d %d %d ", w.Kind, w.Key.Partition, w.Key.Sort, w.Precondition, w.Version, len(w.Body))
-		_, _ = d.Write(w.Body)
-	}
-	return d.Sum64()
-}
