--- a/internal/basilplatform/basildynamo/table.go
+++ b/internal/basilplatform/basildynamo/table.go
@@ -62,6 +62,8 @@
 	options Options
 }
 
+var _ basilplatform.Table = (*Table)(nil)
+
 // New returns the table that the options name; it sends nothing.
 func New(o Options) *Table {
 	o = o.withDefaults()
--- a/internal/basilplatform/basildynamo/table_fault_test.go
+++ b/internal/basilplatform/basildynamo/table_fault_test.go
@@ -64,7 +64,7 @@
 
 func reason(code string) string { return `{"Code":"` + code + `"}` }
 
-func cut(w http.ResponseWriter, r *http.Request) {
+func cut(_ http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/basilplatform/basilfleet/call.go
+++ b/internal/basilplatform/basilfleet/call.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilplatform/basiltrace"
 )
@@ -35,8 +37,9 @@
 // query asks for data; a failure is ErrUnavailable or ErrRefused.
 func query[A any](ctx context.Context, c caller, operation, url string) (A, error) {
 	answer, err := send[A](ctx, c, operation, http.MethodGet, url, nil)
-	if basilplatform.IsErrOutcomeUnknown(err) {
-		return answer, basilplatform.ErrUnavailable{Operation: operation, Cause: err}
+	var unknown basilplatform.ErrOutcomeUnknown
+	if errors.As(err, &unknown) {
+		return answer, basilplatform.ErrUnavailable{Operation: operation, Cause: unknown.Cause}
 	}
 	return answer, err
 }
--- a/internal/basilplatform/basilfleet/host_control.go
+++ b/internal/basilplatform/basilfleet/host_control.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/url"
 	"strconv"
+
+	"basilstage.example/basilstage/internal/basilplatform"
 )
 
 // HostControl is a basilplatform.HostControl over HTTP.
@@ -13,6 +15,8 @@
 	endpoint string
 }
 
+var _ basilplatform.HostControl = (*HostControl)(nil)
+
 // NewHostControl returns the host control at the endpoint, a URL; a nil client is one of its own.
 func NewHostControl(endpoint string, c *http.Client) *HostControl {
 	return &HostControl{caller: newCaller(c), endpoint: endpoint}
--- a/internal/basilplatform/basilfleet/host_list.go
+++ b/internal/basilplatform/basilfleet/host_list.go
@@ -15,6 +15,8 @@
 	endpoint string
 }
 
+var _ basilplatform.HostList = (*HostList)(nil)
+
 // NewHostList returns the host list at the endpoint, a URL; a nil client is one of its own.
 func NewHostList(endpoint string, c *http.Client) *HostList {
 	return &HostList{caller: newCaller(c), endpoint: endpoint}
--- a/internal/basilplatform/basilfleet/tasks.go
+++ b/internal/basilplatform/basilfleet/tasks.go
@@ -19,6 +19,8 @@
 // Tasks is a basilplatform.Tasks over HTTP; addresses are IP:port.
 type Tasks struct{ caller caller }
 
+var _ basilplatform.Tasks = (*Tasks)(nil)
+
 // NewTasks returns tasks over the client; a nil client is one of its own.
 func NewTasks(c *http.Client) *Tasks { return &Tasks{caller: newCaller(c)} }
 
--- a/internal/basilstandin/dynamo_transact.go
+++ b/internal/basilstandin/dynamo_transact.go
@@ -48,7 +48,7 @@
 	case dynamoTransactItem{Put: i.Put, Update: i.Update, Delete: i.Delete}:
 		return i.ConditionCheck.onKey(basilplatform.WriteKindCheck)
 	}
-	return basilplatform.Write{}, ErrRequestRefused{Reason: "one write each, please"}
+	return basilplatform.Write{}, ErrRequestRefused{Reason: "one write each"}
 }
 
 // put reads a put, whose version must follow from its condition.
--- a/internal/basilstandin/platform.go
+++ b/internal/basilstandin/platform.go
@@ -60,7 +60,6 @@
 func NewPlatform(o PlatformOptions) *Platform {
 	if o.Client == nil {
 		o.Client = basiltrace.NewClient()
-		o.Client.Timeout = backendTimeout
 	}
 	return &Platform{options: o, reboots: make(map[string]reboot)}
 }
--- a/internal/basilstandin/platform_reboot.go
+++ b/internal/basilstandin/platform_reboot.go
@@ -54,6 +54,8 @@
 	if h.Address == "" {
 		return true, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, backendTimeout)
+	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Address+PathStatus, nil)
 	if err != nil {
 		return false, err
@@ -122,6 +124,8 @@
 	if err != nil || h.Address == "" {
 		return
 	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), backendTimeout)
+	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.Address+PathRestart, bytes.NewReader(text))
 	if err != nil {
 		return
