Let one maintenance serve every wave that was started before it

Ruled out: a list of waves in the host record, which grows without end; refusing a second wave, which an operator needs when the first is slow.

Change: the host keeps the sequence at which its last maintenance began, and a wave counts hosts maintained after its start. A failure in maintenance clears it.

--- a/internal/basilmodel/host.go
+++ b/internal/basilmodel/host.go
@@ -18,6 +18,7 @@
 	Wave       string    `json:"wave,omitempty"`
 	Address    string    `json:"address"`            // IP:port of the backend server
 	Serviced   string    `json:"serviced,omitempty"` // the last wave that maintained it
+	Maintained int64     `json:"maintained"`         // sequence of the entry that last handed it to the platform, 0 after a failure there
 	Registered int64     `json:"registered"`         // sequence of the entry that took it into the fleet
 	Sequence   int64     `json:"sequence"`           // of the last change
 	Operator   string    `json:"operator"`           // who made the last change
@@ -67,6 +68,9 @@
 // Address returns the IP:port of the host's backend server.
 func (h Host) Address() string { return h.record.Address }
 
+// Maintained returns the sequence of the entry that began the last maintenance, 0 for none or a failed one.
+func (h Host) Maintained() int64 { return h.record.Maintained }
+
 // Registered returns the sequence of the entry that took the host into the fleet.
 func (h Host) Registered() int64 { return h.record.Registered }
 
--- a/internal/basilmodel/wave.go
+++ b/internal/basilmodel/wave.go
@@ -29,7 +29,7 @@
 	RackBatch       int       `json:"rack_batch,omitempty" validate:"gte=0"`       // racks of a data centre in progress at once; 0 means 1
 	FailuresAllowed int       `json:"failures_allowed,omitempty" validate:"gte=0"` // before the wave pauses
 	Reason          string    `json:"reason,omitempty"`                            // for the last change of state
-	Created         int64     `json:"created"`                                     // sequence of the entry that declared it
+	Started         int64     `json:"started,omitempty"`                           // sequence of the first start
 	Resumed         int64     `json:"resumed,omitempty"`                           // sequence of the last start or resumption
 	Version         int64     `json:"version"`                                     // counts the changes
 }
@@ -61,8 +61,8 @@
 // Reason returns why the state was last changed.
 func (w Wave) Reason() string { return w.record.Reason }
 
-// Created returns the sequence of the entry that declared the wave.
-func (w Wave) Created() int64 { return w.record.Created }
+// Started returns the sequence of the first start, 0 before it.
+func (w Wave) Started() int64 { return w.record.Started }
 
 // Resumed returns the sequence of the last start or resumption.
 func (w Wave) Resumed() int64 { return w.record.Resumed }
@@ -72,9 +72,9 @@
 
 // Selects tells whether the host is one that the wave passes through.
 //
-// A host that joined after the wave was declared is fresh and needs no maintenance.
+// A host that joined after the wave was started is fresh and needs no maintenance.
 func (w Wave) Selects(h Host) bool {
-	if h.Registered() > w.record.Created {
+	if h.Registered() > w.record.Started {
 		return false
 	}
 	if len(w.record.Pools) > 0 && !slices.Contains(w.record.Pools, h.Pool()) {
@@ -83,6 +83,12 @@
 	return len(w.record.DataCentres) == 0 || slices.Contains(w.record.DataCentres, h.DataCentre())
 }
 
+// Passed tells whether the host was maintained since the wave was started; one
+// maintenance serves every wave that was started before it.
+func (w Wave) Passed(h Host) bool {
+	return h.Maintained() > w.record.Started && h.State() != HostStateMaintenance
+}
+
 // MarshalJSON encodes the stored form.
 func (w Wave) MarshalJSON() ([]byte, error) { return json.Marshal(w.record) }
 
--- a/internal/basilpool/host_rules.go
+++ b/internal/basilpool/host_rules.go
@@ -33,7 +33,7 @@
 	if o.fenced() && o.Epoch != h.Epoch() {
 		return basilmodel.HostRecord{}, errors.WithStack(ErrHostStale{Host: o.Host, Epoch: o.Epoch, Current: h.Epoch()})
 	}
-	return transition(h, o)
+	return transition(h, o, sequence)
 }
 
 // register takes a listed host in, or notes where a known one now is.
--- a/internal/basilpool/transition.go
+++ b/internal/basilpool/transition.go
@@ -10,7 +10,7 @@
 //
 // It fails with ErrHostConflict when the host's state doesn't allow the action
 // and with errUnchanged when there is nothing to do.
-func transition(h basilmodel.Host, o Order) (basilmodel.HostRecord, error) {
+func transition(h basilmodel.Host, o Order, sequence int64) (basilmodel.HostRecord, error) {
 	r := h.Record()
 	switch o.Action {
 	case ActionMove:
@@ -29,10 +29,7 @@
 	case ActionDrained:
 		return step(h, basilmodel.HostStateLeaving, basilmodel.HostStateDrained)
 	case ActionMaintain:
-		if h.Target() != "" {
-			return r, conflict(h)
-		}
-		return step(h, basilmodel.HostStateDrained, basilmodel.HostStateMaintenance)
+		return maintain(h, sequence)
 	case ActionFinish:
 		return finish(h)
 	case ActionReturn:
@@ -71,6 +68,16 @@
 	return r, nil
 }
 
+// maintain hands the host to the platform, unless it moves.
+func maintain(h basilmodel.Host, sequence int64) (basilmodel.HostRecord, error) {
+	if h.Target() != "" {
+		return h.Record(), conflict(h)
+	}
+	r, err := step(h, basilmodel.HostStateDrained, basilmodel.HostStateMaintenance)
+	r.Maintained = sequence
+	return r, err
+}
+
 // finish ends a move in the target pool, or maintenance in the host's own.
 func finish(h basilmodel.Host) (basilmodel.HostRecord, error) {
 	r := h.Record()
@@ -103,6 +110,9 @@
 	if r.State == basilmodel.HostStateFailed {
 		return r, errUnchanged{host: h}
 	}
+	if r.State == basilmodel.HostStateMaintenance {
+		r.Maintained = 0
+	}
 	r.State = basilmodel.HostStateFailed
 	r.Target = ""
 	r.Cause = basilmodel.OutCauseFailure
--- a/internal/basilwave/take_out.go
+++ b/internal/basilwave/take_out.go
@@ -69,7 +69,7 @@
 
 func (k *waveWork) note(w basilmodel.Wave, h basilmodel.Host, r *rackWork) {
 	switch {
-	case h.Serviced() == w.Name():
+	case w.Passed(h):
 		k.done++
 		r.done++
 		return
--- a/internal/basilwave/wave_command.go
+++ b/internal/basilwave/wave_command.go
@@ -1,6 +1,7 @@
 package basilwave
 
 import (
+	"cmp"
 	"context"
 	"slices"
 
@@ -19,12 +20,12 @@
 	if err := validate.Struct(r); err != nil {
 		return basilmodel.Wave{}, errors.WithStack(ErrWaveInvalid{Detail: err.Error()})
 	}
-	return w.commit(ctx, change{action: actionCreate, name: r.Name, next: func(_ basilmodel.WaveRecord, exists bool, sequence int64) (basilmodel.WaveRecord, error) {
+	return w.commit(ctx, change{action: actionCreate, name: r.Name, next: func(_ basilmodel.WaveRecord, exists bool, _ int64) (basilmodel.WaveRecord, error) {
 		if exists {
 			return r, errors.WithStack(ErrWaveExists{Name: r.Name})
 		}
 		r.State = basilmodel.WaveStateCreated
-		r.Created = sequence
+		r.Started = 0
 		r.Resumed = 0
 		r.Version = 0
 		return r, nil
@@ -89,6 +90,7 @@
 		r.State = to
 		if to == basilmodel.WaveStateRunning {
 			r.Resumed = sequence
+			r.Started = cmp.Or(r.Started, sequence)
 		}
 		return r, nil
 	}}
