--- a/internal/basilwave/fixture_test.go
+++ b/internal/basilwave/fixture_test.go
@@ -22,6 +22,7 @@
 	busy     map[string]bool
 	rebooted map[string]int64
 	wrong    []string
+	stuck    bool // reboots never end
 }
 
 func (c *control) Drained(_ context.Context, host string) (bool, error) { return !c.busy[host], nil }
@@ -35,7 +36,7 @@
 }
 
 func (c *control) Rebooted(_ context.Context, host string, epoch int64) (bool, error) {
-	return c.rebooted[host] >= epoch, nil
+	return c.rebooted[host] >= epoch && !c.stuck, nil
 }
 
 // acks answers for the entry members; those of a cut-off data centre have applied nothing.
