Prove long jobs under faults, and look at a new task before its lease could lapse

Cause: the promises "at most once" and "'not run' is true" had no proof. The checkpoint test said: got "... at 5s", want "... at 6s": the first look at a task came after the poll interval, not a third of the lease, so a lease shorter than the interval would lapse before its first renewal. Ruled out: trusting a green property.

--- a/internal/basiljob/link_test.go
+++ b/internal/basiljob/link_test.go
@@ -16,7 +16,7 @@
 	linkAnswerLost           // takes effect, the answer is lost
 	linkLate                 // has no answer, and takes effect when released
 	linkRefuses              // no effect, and the caller knows
-	linkFrozen               // the owner stops just before the call until it is woken
+	linkFrozen               // the owner stops just before the call, also a read, until it is woken
 	linkFaults
 )
 
@@ -69,6 +69,17 @@
 	}
 }
 
+func (l *link) freeze() chan struct{} {
+	l.mutex.Lock()
+	frozen := len(l.faults) > 0 && l.faults[0] == linkFrozen
+	l.mutex.Unlock()
+	if !frozen {
+		return nil
+	}
+	_, woken := l.next()
+	return woken
+}
+
 func (l *link) next() (linkFault, chan struct{}) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -108,7 +119,11 @@
 	return call()
 }
 
+// read holds up a read of a frozen owner; other faults wait for changes.
 func (l *link) read(operation string) error {
+	if woken := l.freeze(); woken != nil {
+		<-woken
+	}
 	if l.isCut() {
 		return basilplatform.ErrUnavailable{Operation: operation}
 	}
--- a/internal/basiljob/long_cancel.go
+++ b/internal/basiljob/long_cancel.go
@@ -18,7 +18,7 @@
 // with an ErrProblem of OutcomeUnknown when the table doesn't tell.
 func (l *LongJobs) Cancel(ctx context.Context, id basilapi.JobID) (basilapi.JobAnswer, error) {
 	for n := range maxCancelTries {
-		if err := pause(ctx, n); err != nil {
+		if err := l.store.pause(ctx, n); err != nil {
 			break
 		}
 		a, err := l.tryCancel(ctx, id)
--- a/internal/basiljob/long_job_store.go
+++ b/internal/basiljob/long_job_store.go
@@ -20,7 +20,10 @@
 )
 
 // longJobStore reads and writes long jobs; it never guesses what became of a write.
-type longJobStore struct{ table basilplatform.Table }
+type longJobStore struct {
+	table  basilplatform.Table
+	jitter func(time.Duration) time.Duration
+}
 
 // load returns the job; it fails with ErrJobNotExist.
 func (s longJobStore) load(ctx context.Context, id basilapi.JobID) (longJob, error) {
@@ -74,7 +77,7 @@
 // again is harmless: at most one copy can take effect.
 func (s longJobStore) resolve(ctx context.Context, x basilplatform.Transaction, w basilplatform.Write) error {
 	for n := range maxResolveReads {
-		if err := pause(ctx, n); err != nil {
+		if err := s.pause(ctx, n); err != nil {
 			break
 		}
 		i, err := s.table.Get(ctx, w.Key)
@@ -93,13 +96,13 @@
 	return errors.WithStack(basilplatform.ErrOutcomeUnknown{Operation: "save job", Token: x.Token})
 }
 
-// pause waits before the nth retry, with full jitter.
-func pause(ctx context.Context, n int) error {
+// pause waits before the nth retry.
+func (s longJobStore) pause(ctx context.Context, n int) error {
 	if n == 0 {
 		return ctx.Err()
 	}
 	ceiling := min(resolveBackoff<<n, resolveBackoffMax)
-	timer := time.NewTimer(time.Duration(rand.Int64N(int64(ceiling)) + 1))
+	timer := time.NewTimer(s.jitter(ceiling))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -108,3 +111,8 @@
 		return nil
 	}
 }
+
+// fullJitter returns a random wait up to the ceiling.
+func fullJitter(ceiling time.Duration) time.Duration {
+	return time.Duration(rand.Int64N(int64(ceiling)) + 1)
+}
--- a/internal/basiljob/long_jobs.go
+++ b/internal/basiljob/long_jobs.go
@@ -35,6 +35,7 @@
 	Incarnation ulid.ULID
 	Placer      Placer
 	Members     Members
+	Jitter      func(ceiling time.Duration) time.Duration // nil: full jitter
 
 	Lease       time.Duration // of tasks
 	PollEvery   time.Duration // between looks at a started job
@@ -56,6 +57,9 @@
 }
 
 func (o LongOptions) withDefaults() LongOptions {
+	if o.Jitter == nil {
+		o.Jitter = fullJitter
+	}
 	orDefault(&o.Lease, defaultLease)
 	orDefault(&o.PollEvery, defaultPollEvery)
 	orDefault(&o.ScanEvery, defaultScanEvery)
@@ -89,10 +93,11 @@
 
 // NewLongJobs returns the long jobs of one incarnation of an entry host.
 func NewLongJobs(t basilplatform.Table, tasks basilplatform.Tasks, o LongOptions) *LongJobs {
+	o = o.withDefaults()
 	return &LongJobs{
-		store:   longJobStore{table: t},
+		store:   longJobStore{table: t, jitter: o.Jitter},
 		tasks:   tasks,
-		options: o.withDefaults(),
+		options: o,
 		owned:   make(map[basilapi.JobID]*ownedJob),
 	}
 }
--- a/internal/basiljob/long_jobs_test.go
+++ b/internal/basiljob/long_jobs_test.go
@@ -1,12 +1,17 @@
 package basiljob_test
 
 import (
+	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"basilstage.example/basilstage/internal/basiljob"
+	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basilstandin"
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
@@ -14,22 +19,275 @@
 	return basilapi.SubmitRequest{Service: "stretch", Payload: []byte(payload), Idempotent: idempotent}
 }
 
-func TestLongJobRunsOnce(t *testing.T) {
+// step begins a Step of an owner that has none in progress.
+func (o *owner) step() {
+	if !o.busy.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		_ = o.jobs.Step(context.Background())
+		o.busy.Store(false)
+	}()
+	synctest.Wait()
+}
+
+// stepFor lets all owners work for the time; those that are frozen are left alone.
+func (w *world) stepFor(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		for _, o := range w.owners {
+			o.step()
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+	}
+}
+
+func repeated(f linkFault, n int) []linkFault { return slices.Repeat([]linkFault{f}, n) }
+
+func TestAcceptUnderFaults(t *testing.T) {
+	const sends = 5 // the first, and one after each look at the record
+	tests := []struct {
+		name   string
+		faults []linkFault
+		retry  bool
+		told   basilapi.Outcome
+		starts int
+	}{
+		{"no fault", nil, false, basilapi.OutcomePending, 1},
+		{"answer lost", []linkFault{linkAnswerLost}, false, basilapi.OutcomePending, 1},
+		{"store away", []linkFault{linkRefuses}, false, basilapi.OutcomeNotRun, 0},
+		{"store away on a repeat", []linkFault{linkRefuses}, true, basilapi.OutcomeUnknown, 0},
+		{"write late, sent again", []linkFault{linkLate}, false, basilapi.OutcomePending, 1},
+		{"writes late, then fenced", repeated(linkLate, sends), false, basilapi.OutcomeNotRun, 0},
+		{"writes late, the fence's answer lost", append(repeated(linkLate, sends), linkAnswerLost), false, basilapi.OutcomeNotRun, 0},
+		{"writes late, store away", append(repeated(linkLate, sends), linkRefuses), false, basilapi.OutcomeUnknown, 1},
+		{"writes and fences late", repeated(linkLate, 2*sends), false, basilapi.OutcomeUnknown, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, shortLease)
+				o := w.owners[0]
+				r := long("boots", false)
+				r.ID, r.Retry = basilapi.NewJobID("fukuoka", o.incarnation), tt.retry
+				o.link.inject(tt.faults...)
+				a, err := o.jobs.Accept(t.Context(), r)
+				must.Eq(t, tt.told, a.Outcome)
+				if p, ok := basilapi.AsProblem(err); tt.told == basilapi.OutcomeUnknown {
+					must.True(t, ok)
+					must.Eq(t, basiljob.AskAt(r.ID), p.AskAt)
+				}
+				o.link.release() // writes that were under way take effect now
+				w.stepFor(time.Minute)
+				must.Eq(t, tt.starts, w.tasks.starts(r.ID))
+				if tt.starts > 0 {
+					a, err = o.jobs.Get(t.Context(), r.ID)
+					must.NoError(t, err)
+					must.Eq(t, result(r.ID.String(), 1), string(a.Answer))
+				}
+			})
+		})
+	}
+}
+
+func TestAcceptAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(1)
-		o := w.owners[0]
-		a, err := o.jobs.Accept(t.Context(), long("boots", false))
+		w := newWorld(2, longLease)
+		r := long("boots", false)
+		r.ID = basilapi.NewJobID("fukuoka", w.owners[0].incarnation)
+		for _, o := range w.owners {
+			_, err := o.jobs.Accept(t.Context(), r)
+			must.NoError(t, err)
+			r.Retry = true
+		}
+		w.stepFor(time.Minute)
+		a, err := w.owners[1].jobs.Accept(t.Context(), r)
 		must.NoError(t, err)
-		must.Eq(t, basilapi.OutcomePending, a.Outcome)
-		for range 10 {
-			must.NoError(t, o.jobs.Step(t.Context()))
-			time.Sleep(5 * time.Second)
+		must.Eq(t, result(r.ID.String(), 1), string(a.Answer))
+		must.Eq(t, 1, w.tasks.starts(r.ID))
+		r.Payload = []byte("other boots")
+		_, err = w.owners[1].jobs.Accept(t.Context(), r)
+		must.True(t, basiljob.IsErrRequestConflict(err))
+	})
+}
+
+// TestOwnerStopsAtEachCall stops the owner at each of its calls, lets another
+// take over, and then lets the first go on.
+func TestOwnerStopsAtEachCall(t *testing.T) {
+	const calls = 8
+	for _, f := range []linkFault{linkFrozen, linkLate, linkAnswerLost} {
+		for n := range calls {
+			for _, idempotent := range []bool{false, true} {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(2, longLease)
+					o := w.owners[0]
+					a, err := o.jobs.Accept(t.Context(), long("boots", idempotent))
+					must.NoError(t, err)
+					o.link.inject(append(repeated(linkWorks, n), f)...)
+					w.stepFor(6 * time.Second)
+					w.members.declare(o.incarnation)
+					w.stepFor(40 * time.Second)
+					o.link.wake()
+					o.link.release()
+					w.stepFor(40 * time.Second)
+					got, err := w.owners[1].jobs.Get(t.Context(), a.ID)
+					must.NoError(t, err)
+					must.Eq(t, basilapi.OutcomeRan, got.Outcome)
+					must.Eq(t, result(a.ID.String(), got.Attempt), string(got.Answer))
+					if !idempotent {
+						must.Eq(t, 1, w.tasks.starts(a.ID))
+					}
+				})
+			}
 		}
-		a, err = o.jobs.Get(t.Context(), a.ID)
+	}
+}
+
+func TestWorkerFaults(t *testing.T) {
+	all := []string{"w1", "w2", "w3", "w4"}
+	tests := []struct {
+		name       string
+		idempotent bool
+		before     func(w *world) // the job is started
+		after      func(w *world)
+		state      basilapi.JobState
+		outcome    basilapi.Outcome
+		starts     int
+	}{
+		{"fails everywhere", true, func(w *world) { w.tasks.setAll(w.tasks.failing, all) }, nil, basilapi.JobStateFailed, basilapi.OutcomeRan, 3},
+		{"fails once, may not again", false, func(w *world) { w.tasks.setAll(w.tasks.failing, all) }, nil, basilapi.JobStateFailed, basilapi.OutcomeRan, 1},
+		{"one worker fails all", true, func(w *world) { w.tasks.setAll(w.tasks.failing, all[:1]) }, nil, basilapi.JobStateDone, basilapi.OutcomeRan, 2},
+		{"worker away before the start", false, func(w *world) { w.tasks.setAll(w.tasks.down, all[:1]) }, nil, basilapi.JobStateDone, basilapi.OutcomeRan, 1},
+		{"two workers refuse", false, func(w *world) { w.tasks.setAll(w.tasks.full, all[:2]) }, nil, basilapi.JobStateDone, basilapi.OutcomeRan, 1},
+		{"all workers refuse", false, func(w *world) { w.tasks.setAll(w.tasks.full, all) }, nil, basilapi.JobStateFailed, basilapi.OutcomeNotRun, 0},
+		{"fits no host", false, func(w *world) { w.placer.fits = false }, nil, basilapi.JobStateFailed, basilapi.OutcomeNotRun, 0},
+		{"nothing free until the deadline", false, func(w *world) { w.placer.workers = nil }, nil, basilapi.JobStateCancelled, basilapi.OutcomeNotRun, 0},
+		{"worker lost after the start", true, nil, func(w *world) { w.tasks.setAll(w.tasks.down, all[:1]) }, basilapi.JobStateDone, basilapi.OutcomeRan, 2},
+		{"worker lost after the only start", false, nil, func(w *world) { w.tasks.setAll(w.tasks.down, all[:1]) }, basilapi.JobStateUnknown, basilapi.OutcomeUnknown, 1},
+		{"lease lapsed", true, nil, func(w *world) { time.Sleep(10 * time.Second) }, basilapi.JobStateDone, basilapi.OutcomeRan, 2},
+		{"lease of the only start lapsed", false, nil, func(w *world) { time.Sleep(10 * time.Second) }, basilapi.JobStateUnknown, basilapi.OutcomeUnknown, 1},
+		{"worker forgot the only start", false, nil, func(w *world) { w.tasks.forget() }, basilapi.JobStateUnknown, basilapi.OutcomeUnknown, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, shortLease)
+				r := long("boots", tt.idempotent)
+				r.DeadlineMS = time.Minute.Milliseconds()
+				a, err := w.owners[0].jobs.Accept(t.Context(), r)
+				must.NoError(t, err)
+				if tt.before != nil {
+					tt.before(w)
+				}
+				w.stepFor(2 * time.Second)
+				if tt.after != nil {
+					tt.after(w)
+				}
+				w.stepFor(2 * time.Minute)
+				a, err = w.owners[0].jobs.Get(t.Context(), a.ID)
+				must.NoError(t, err)
+				must.Eq(t, tt.state, a.State, must.Sprint(a.Reason))
+				must.Eq(t, tt.outcome, a.Outcome)
+				must.Eq(t, tt.starts, w.tasks.starts(a.ID))
+				must.Eq(t, 0, w.owners[0].jobs.Owned())
+			})
+		})
+	}
+}
+
+func TestIdempotentJobResumesFromItsCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, shortLease)
+		a, err := w.owners[0].jobs.Accept(t.Context(), long("report", true))
+		must.NoError(t, err)
+		w.stepFor(8 * time.Second)
+		w.tasks.setAll(w.tasks.down, []string{"w1"})
+		w.stepFor(time.Minute)
+		must.Eq(t, a.ID.String()+" at 6s", string(w.tasks.sent(a.ID, 2).Checkpoint))
+		must.Eq(t, int64(1), w.tasks.sent(a.ID, 2).HostEpoch)
+	})
+}
+
+func TestCancelLongJob(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults []linkFault   // of the owner's Step
+		before time.Duration // between accept and cancel
+		ok     bool
+		starts int
+	}{
+		{"accepted", nil, 0, true, 0},
+		{"running", nil, 4 * time.Second, false, 1},
+		{"done", nil, 30 * time.Second, false, 1},
+		{"recorded, not sent", []linkFault{linkWorks, linkFrozen}, 4 * time.Second, true, 0},
+		{"sent, under way", []linkFault{linkWorks, linkLate}, time.Second, true, 0},
+		{"sent, its answer lost", []linkFault{linkWorks, linkAnswerLost}, time.Second, false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, shortLease)
+				o := w.owners[0]
+				a, err := o.jobs.Accept(t.Context(), long("boots", false))
+				must.NoError(t, err)
+				o.link.inject(tt.faults...)
+				w.stepFor(tt.before)
+				a, err = w.newOwner().jobs.Cancel(t.Context(), a.ID) // through another entry host
+				must.Eq(t, tt.ok, err == nil)
+				must.Eq(t, !tt.ok, basiljob.IsErrTooLate(err))
+				must.Eq(t, tt.ok, a.Outcome == basilapi.OutcomeNotRun)
+				o.link.wake()
+				o.link.release()
+				w.stepFor(time.Minute)
+				must.Eq(t, tt.starts, w.tasks.starts(a.ID))
+			})
+		})
+	}
+}
+
+func TestCancelOfAnUnknownIDKeepsItFromBeingAccepted(t *testing.T) {
+	w := newWorld(1, shortLease)
+	r := long("boots", false)
+	r.ID = basilapi.NewJobID("fukuoka", w.owners[0].incarnation)
+	_, err := w.owners[0].jobs.Get(t.Context(), r.ID)
+	must.True(t, basiljob.IsErrJobNotExist(err))
+	a, err := w.owners[0].jobs.Cancel(t.Context(), r.ID)
+	must.NoError(t, err)
+	must.Eq(t, basilapi.OutcomeNotRun, a.Outcome)
+	a, err = w.owners[0].jobs.Accept(t.Context(), r)
+	must.True(t, basilapi.IsErrProblem(err))
+	must.Eq(t, basilapi.OutcomeNotRun, a.Outcome)
+}
+
+func TestResultIsStoredWhenTheTableComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, shortLease)
+		a, err := w.owners[0].jobs.Accept(t.Context(), long("boots", false))
+		must.NoError(t, err)
+		w.stepFor(8 * time.Second)
+		w.table.SetFaults(basilstandin.TableFaults{Down: true})
+		w.stepFor(20 * time.Second)
+		w.tasks.forget()
+		w.table.SetFaults(basilstandin.TableFaults{})
+		w.stepFor(10 * time.Second)
+		a, err = w.owners[0].jobs.Get(t.Context(), a.ID)
 		must.NoError(t, err)
-		must.Eq(t, basilapi.OutcomeRan, a.Outcome)
 		must.Eq(t, result(a.ID.String(), 1), string(a.Answer))
-		must.Eq(t, 1, w.tasks.starts(a.ID))
-		must.Eq(t, 0, o.jobs.Owned())
+	})
+}
+
+func TestTruncatedResultIsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, shortLease)
+		a, err := w.owners[0].jobs.Accept(t.Context(), long("boots", false))
+		must.NoError(t, err)
+		w.stepFor(30 * time.Second)
+		key := basilplatform.Key{Partition: "job/" + a.ID.String(), Sort: "result"}
+		must.NoError(t, w.table.Transact(t.Context(), basilplatform.Transaction{Token: "cut", Writes: []basilplatform.Write{
+			{Key: key, Precondition: basilplatform.PreconditionNone, Body: []byte(a.ID.String())},
+		}}))
+		a, err = w.owners[0].jobs.Get(t.Context(), a.ID)
+		must.True(t, basiljob.IsErrItemCorrupt(err))
+		must.SliceEmpty(t, a.Answer)
 	})
 }
--- a/internal/basiljob/long_start.go
+++ b/internal/basiljob/long_start.go
@@ -147,7 +147,7 @@
 // send sends a recorded attempt, for the first and only time.
 func (l *LongJobs) send(ctx context.Context, o *ownedJob, t basilplatform.Task) error {
 	o.renewed, o.lost, o.started = time.Now(), time.Time{}, false
-	o.due = o.renewed.Add(l.options.PollEvery)
+	o.due = o.renewed.Add(l.lookEvery())
 	call, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
 	defer cancel()
 	err := l.tasks.Start(call, o.job.Address, t)
--- a/internal/basiljob/long_watch.go
+++ b/internal/basiljob/long_watch.go
@@ -16,7 +16,7 @@
 //
 // The lease is renewed only while the worker answers, so that it lapses otherwise.
 func (l *LongJobs) watch(ctx context.Context, o *ownedJob) error {
-	o.due = time.Now().Add(min(l.options.PollEvery, l.options.Lease/renewalsPerLease))
+	o.due = time.Now().Add(l.lookEvery())
 	s, err := l.ask(ctx, o, l.tasks.Status)
 	if err == nil && s.State == basilplatform.TaskStateAbsent && !o.hasStarted() {
 		s, err = l.ask(ctx, o, l.tasks.Stop) // voids it, should it still be on its way
@@ -28,6 +28,11 @@
 	return l.heard(ctx, o, s)
 }
 
+// lookEvery returns the time between looks, which leaves room for renewals.
+func (l *LongJobs) lookEvery() time.Duration {
+	return min(l.options.PollEvery, l.options.Lease/renewalsPerLease)
+}
+
 func (o *ownedJob) hasStarted() bool { return o.started || o.job.Seen }
 
 func (l *LongJobs) renew(ctx context.Context, o *ownedJob) {
--- /dev/null
+++ b/internal/basiljob/property_test.go
@@ -0,0 +1,40 @@
+package basiljob_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"testing/synctest"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the properties unless the command line asks for more of them.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.steps", "60")
+	fixed := true
+	flag.Visit(func(f *flag.Flag) {
+		if f.Name == "rapid.checks" || f.Name == "rapid.seed" {
+			fixed = false
+		}
+	})
+	if fixed {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// checkPaused runs the property with a clock that moves only when all wait.
+func checkPaused(t *testing.T, property func(t *rapid.T)) {
+	rapid.Check(t, func(r *rapid.T) {
+		var failure any
+		synctest.Test(t, func(*testing.T) {
+			defer func() { failure = recover() }()
+			property(r)
+		})
+		if failure != nil {
+			panic(failure)
+		}
+	})
+}
--- a/internal/basiljob/world_test.go
+++ b/internal/basiljob/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -15,7 +16,12 @@
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
-const taskTime = 12 * time.Second
+// Times of the fake workers; only the long lease outlasts the search for a new owner.
+const (
+	taskTime   = 12 * time.Second
+	longLease  = 30 * time.Second
+	shortLease = 8 * time.Second
+)
 
 // result is what the attempt of a job answers.
 func result(job string, attempt int) string { return fmt.Sprintf("%s/%d", job, attempt) }
@@ -29,6 +35,7 @@
 // fakeTask is one attempt on a worker.
 type fakeTask struct {
 	status basilplatform.TaskStatus
+	task   basilplatform.Task
 	began  time.Time
 	lapses time.Time
 }
@@ -43,6 +50,12 @@
 	full    map[string]bool // workers that refuse
 }
 
+func (f *fakeTasks) sent(id basilapi.JobID, attempt int) basilplatform.Task {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.tasks[attemptKey{id.String(), attempt}].task
+}
+
 func newFakeTasks() *fakeTasks {
 	return &fakeTasks{
 		tasks: make(map[attemptKey]*fakeTask), started: make(map[string]int),
@@ -62,6 +75,19 @@
 	m[address] = on
 }
 
+func (f *fakeTasks) setAll(m map[string]bool, addresses []string) {
+	for _, a := range addresses {
+		f.set(m, a, true)
+	}
+}
+
+// forget is what a worker does that restarts.
+func (f *fakeTasks) forget() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	clear(f.tasks)
+}
+
 // arrive starts the attempt unless it is known; it also serves calls that were under way for long.
 func (f *fakeTasks) arrive(address string, t basilplatform.Task) error {
 	f.mutex.Lock()
@@ -75,7 +101,7 @@
 	}
 	f.started[t.Job]++
 	now := time.Now()
-	n := &fakeTask{began: now, lapses: now.Add(time.Duration(t.LeaseMillis) * time.Millisecond)}
+	n := &fakeTask{task: t, began: now, lapses: now.Add(time.Duration(t.LeaseMillis) * time.Millisecond)}
 	n.status.State = basilplatform.TaskStateRunning
 	if f.failing[address] {
 		n.status = basilplatform.TaskStatus{State: basilplatform.TaskStateFailed, Message: "no thread"}
@@ -203,6 +229,8 @@
 	incarnation ulid.ULID
 	jobs        *basiljob.LongJobs
 	link        *link
+	dead        bool
+	busy        atomic.Bool // a Step is in progress
 }
 
 // world is what survives entry hosts.
@@ -212,10 +240,12 @@
 	placer  *fakePlacer
 	members *fakeMembers
 	owners  []*owner
+	lease   time.Duration
 }
 
-func newWorld(owners int) *world {
+func newWorld(owners int, lease time.Duration) *world {
 	w := &world{
+		lease: lease,
 		table: new(basilstandin.Table), tasks: newFakeTasks(),
 		placer:  &fakePlacer{workers: []string{"w1", "w2", "w3", "w4"}, fits: true},
 		members: &fakeMembers{dead: make(map[ulid.ULID]bool)},
@@ -230,7 +260,8 @@
 	o := &owner{incarnation: ulid.Make(), link: &link{world: w}}
 	o.jobs = basiljob.NewLongJobs(linkedTable{o.link}, linkedTasks{o.link}, basiljob.LongOptions{
 		DataCentre: "fukuoka", Incarnation: o.incarnation, Placer: w.placer, Members: w.members,
-		OwnEvery: 10 * time.Second, GiveUp: time.Minute, Parallel: 1,
+		Jitter:   func(ceiling time.Duration) time.Duration { return ceiling },
+		OwnEvery: 10 * time.Second, GiveUp: time.Minute, Lease: w.lease, Parallel: 1,
 	})
 	return o
 }
