Prove short jobs and copied answers, and keep a full registry open

Cause: short jobs had no proof, and ended long jobs stayed in the table for good. TestRegistryKeepsToItsBounds said: "overloaded [outcome: not-run, message: too many jobs in progress]" for the 51st job of a registry of 50 that were all ended; and, after the retention had passed in an idle registry: got "ran", want "unknown". Ruled out: making room before the decision (the test then kept 49 of 50, and an older id could be forbidden by what was dropped for it). Change: only jobs in flight fill the registry; the oldest answer is dropped after the decision; reads let the retention pass too.

--- /dev/null
+++ b/internal/basiljob/answer_gone_test.go
@@ -0,0 +1,116 @@
+package basiljob_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basiljob"
+	"basilstage.example/basilstage/internal/basilstandin"
+	"basilstage.example/basilstage/pkg/basilapi"
+)
+
+// TestAnswersOfAGoneEntryHost replaces the only entry host of a data centre
+// between the submit and the fetch, with the copies in different places.
+func TestAnswersOfAGoneEntryHost(t *testing.T) {
+	tests := []struct {
+		name   string
+		peer   bool // keeps copies
+		table  bool // keeps copies
+		down   bool // the table, at the fetch
+		first  bool // the id was never submitted
+		retry  bool
+		told   basilapi.Outcome // of a submit
+		fetch  basilapi.Outcome
+		failed bool // the fetch
+	}{
+		{"a peer has it", true, false, false, false, true, basilapi.OutcomeRan, basilapi.OutcomeRan, false},
+		{"a peer has it, though the client says first", true, false, false, false, false, basilapi.OutcomeRan, basilapi.OutcomeRan, false},
+		{"the table has it", false, true, false, false, true, basilapi.OutcomeRan, basilapi.OutcomeRan, false},
+		{"the table is down", false, true, true, false, true, basilapi.OutcomeUnknown, basilapi.OutcomeUnknown, true},
+		{"nobody has it", false, false, false, false, true, basilapi.OutcomeUnknown, basilapi.OutcomeUnknown, false},
+		{"never submitted", true, true, false, true, false, basilapi.OutcomeNotRun, basilapi.OutcomeUnknown, false},
+		{"never submitted, the table is down", true, true, true, true, false, basilapi.OutcomeNotRun, basilapi.OutcomeUnknown, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				copies := basiljob.NewCopies(basiljob.CopiesOptions{})
+				var table basilstandin.Table
+				var o basiljob.RegistryOptions
+				if tt.peer {
+					o.Copiers = append(o.Copiers, peer{copies})
+				}
+				if tt.table {
+					o.Copiers = append(o.Copiers, basiljob.NewTableCopier(&table, "fukuoka"))
+				}
+				g := newRegistry(o)
+				r := short(g.Mint(1)[0])
+				var runs int
+				if !tt.first {
+					_, err := g.Submit(t.Context(), r, ran(time.Second, &runs))
+					must.NoError(t, err)
+				}
+				must.NoError(t, g.Drain(t.Context()))
+				table.SetFaults(basilstandin.TableFaults{Down: tt.down})
+
+				a, err := basiljob.AnswerGone(t.Context(), r.ID, copies, &table)
+				must.Eq(t, tt.failed, err != nil)
+				must.Eq(t, tt.fetch, a.Outcome)
+				r.Retry = tt.retry
+				a, err = basiljob.SubmitGone(t.Context(), r, copies, &table)
+				must.Eq(t, tt.told, a.Outcome)
+				if p, ok := basilapi.AsProblem(err); ok {
+					must.Eq(t, tt.told, p.Outcome)
+				}
+				if tt.told == basilapi.OutcomeRan {
+					must.Eq(t, r.ID.String(), string(a.Answer))
+				}
+			})
+		})
+	}
+}
+
+func TestTableCopierBatchesAndSweeps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var table basilstandin.Table
+		c := basiljob.NewTableCopier(&table, "fukuoka")
+		id := func() basilapi.JobID { return basilapi.NewJobID("fukuoka", ulid.Make()) }
+		var answers []basilapi.JobAnswer
+		for n := range 1000 {
+			answers = append(answers, basilapi.JobAnswer{ID: id(), Outcome: basilapi.OutcomeRan, Answer: fmt.Appendf(nil, "%01000d", n)})
+		}
+		largest := basilapi.JobAnswer{ID: id(), Outcome: basilapi.OutcomeRan, Answer: make([]byte, basilapi.MaxPayloadBytes)}
+		c.Copy(append(answers, largest))
+		_, writes := table.Counts()
+		must.Between(t, 9, writes, 11)
+		for _, want := range []basilapi.JobAnswer{answers[0], answers[999], largest} {
+			a, err := basiljob.AnswerGone(t.Context(), want.ID, nil, &table)
+			must.NoError(t, err)
+			must.Eq(t, want, a)
+		}
+		must.NoError(t, c.Sweep(t.Context(), time.Now().Add(time.Second)))
+		a, err := basiljob.AnswerGone(t.Context(), largest.ID, nil, &table)
+		must.NoError(t, err)
+		must.Eq(t, basilapi.OutcomeUnknown, a.Outcome)
+	})
+}
+
+func TestCopiesKeepToTheirBounds(t *testing.T) {
+	c := basiljob.NewCopies(basiljob.CopiesOptions{MaxCopies: 10, MaxBytes: 50})
+	g := newRegistry(basiljob.RegistryOptions{})
+	ids := g.Mint(30)
+	for _, id := range ids {
+		c.Put([]basilapi.JobAnswer{{ID: id, Outcome: basilapi.OutcomeRan, Answer: []byte("0123456789")}})
+		c.Put([]basilapi.JobAnswer{{ID: id, Outcome: basilapi.OutcomeUnknown}}) // later, and dropped
+	}
+	for n, id := range ids {
+		a, ok := c.Get(id)
+		must.Eq(t, n >= 25, ok)
+		must.Eq(t, ok, a.Outcome == basilapi.OutcomeRan)
+	}
+}
--- a/internal/basiljob/long_cancel.go
+++ b/internal/basiljob/long_cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -39,8 +40,7 @@
 func (l *LongJobs) tryCancel(ctx context.Context, id basilapi.JobID) (basilapi.JobAnswer, error) {
 	j, err := l.store.load(ctx, id)
 	if IsErrJobNotExist(err) {
-		j, err = l.store.save(ctx, longJob{LongJobRecord: tombstone(id)})
-		return j.answer(), err
+		return l.entomb(ctx, id)
 	}
 	if err != nil {
 		return pending(id), err
@@ -99,7 +99,11 @@
 
 // closing returns the writes that go with a final state.
 func (j longJob) closing() []basilplatform.Write {
-	w := []basilplatform.Write{deleteItem(j.indexKey()), deleteItem(jobKey(j.ID, sortPayload))}
+	w := []basilplatform.Write{
+		deleteItem(j.indexKey()),
+		deleteItem(jobKey(j.ID, sortPayload)),
+		putBody(j.endedKey(time.Now()), basilplatform.PreconditionNone, nil),
+	}
 	if j.Checkpoint != 0 {
 		w = append(w, deleteItem(jobKey(j.ID, sortCheckpoint)))
 	}
--- a/internal/basiljob/long_jobs.go
+++ b/internal/basiljob/long_jobs.go
@@ -14,18 +14,19 @@
 
 // Defaults of LongOptions.
 const (
-	defaultLease       = 30 * time.Second
-	defaultPollEvery   = 5 * time.Second
-	defaultScanEvery   = 5 * time.Second
-	defaultOwnEvery    = time.Minute
-	defaultGiveUp      = time.Hour
-	defaultCallTimeout = 2 * time.Second
-	defaultMaxFailed   = 3
-	defaultMaxRefusals = 10
-	defaultMaxAttempts = 50
-	defaultMaxMisfits  = 3
-	defaultParallel    = 16
-	storeRetryAfter    = 5 * time.Second
+	defaultLease         = 30 * time.Second
+	defaultPollEvery     = 5 * time.Second
+	defaultScanEvery     = 5 * time.Second
+	defaultOwnEvery      = time.Minute
+	defaultLongRetention = 7 * 24 * time.Hour
+	defaultGiveUp        = time.Hour
+	defaultCallTimeout   = 2 * time.Second
+	defaultMaxFailed     = 3
+	defaultMaxRefusals   = 10
+	defaultMaxAttempts   = 50
+	defaultMaxMisfits    = 3
+	defaultParallel      = 16
+	storeRetryAfter      = 5 * time.Second
 )
 
 // LongOptions configures a LongJobs; zero limits take the defaults.
@@ -42,6 +43,7 @@
 	ScanEvery   time.Duration // between searches for jobs of gone owners
 	OwnEvery    time.Duration // between searches for own jobs that memory lacks
 	GiveUp      time.Duration // how long an unreachable non-idempotent job stays open
+	Retention   time.Duration // how long ended jobs are kept
 	CallTimeout time.Duration // of one call to a worker
 	MaxFailed   int           // hosts that a job may fail on
 	MaxRefusals int           // refusals by hosts
@@ -65,6 +67,7 @@
 	orDefault(&o.ScanEvery, defaultScanEvery)
 	orDefault(&o.OwnEvery, defaultOwnEvery)
 	orDefault(&o.GiveUp, defaultGiveUp)
+	orDefault(&o.Retention, defaultLongRetention)
 	orDefault(&o.CallTimeout, defaultCallTimeout)
 	orDefault(&o.MaxFailed, defaultMaxFailed)
 	orDefault(&o.MaxRefusals, defaultMaxRefusals)
@@ -115,6 +118,9 @@
 	if len(r.Payload) > basilapi.MaxPayloadBytes {
 		return refused(r.ID), notRun(r.ID, basilapi.CodeBodyTooLarge, "the payload is too large", 0)
 	}
+	if l.tooOld(r.ID) {
+		return l.accepted(ctx, r)
+	}
 	j := longJob{LongJobRecord: l.newRecord(r)}
 	saved, err := l.store.save(ctx, j,
 		putBody(jobKey(r.ID, sortPayload), basilplatform.PreconditionAbsent, r.Payload),
@@ -157,6 +163,9 @@
 // accepted answers a submit whose id has a record already.
 func (l *LongJobs) accepted(ctx context.Context, r basilapi.SubmitRequest) (basilapi.JobAnswer, error) {
 	j, err := l.store.load(ctx, r.ID)
+	if IsErrJobNotExist(err) {
+		return pending(r.ID), unknown(r.ID, reasonForgotten, 0)
+	}
 	if err != nil {
 		return pending(r.ID), unknown(r.ID, "the table service is away", storeRetryAfter)
 	}
@@ -168,7 +177,7 @@
 
 // fence keeps a submit whose write may still take effect from doing so, or finds its record.
 func (l *LongJobs) fence(ctx context.Context, r basilapi.SubmitRequest) (basilapi.JobAnswer, error) {
-	_, err := l.store.save(ctx, longJob{LongJobRecord: tombstone(r.ID)})
+	_, err := l.entomb(ctx, r.ID)
 	switch {
 	case err == nil:
 		return refused(r.ID), notRun(r.ID, basilapi.CodeStoreUnavailable, "the table service did not answer", storeRetryAfter)
@@ -178,12 +187,14 @@
 	return pending(r.ID), unknown(r.ID, "the table service did not answer", storeRetryAfter)
 }
 
-// tombstone is the record of an id that will never be accepted.
-func tombstone(id basilapi.JobID) LongJobRecord {
-	return LongJobRecord{
+// entomb records that the id will never be accepted, if it has no record.
+func (l *LongJobs) entomb(ctx context.Context, id basilapi.JobID) (basilapi.JobAnswer, error) {
+	j := longJob{LongJobRecord: LongJobRecord{
 		ID: id, State: basilapi.JobStateCancelled, Outcome: basilapi.OutcomeNotRun,
-		Code: basilapi.CodeCancelled, Reason: "the job was not accepted",
-	}
+		Code: basilapi.CodeCancelled, Reason: "the job was not accepted", DataCentre: l.options.DataCentre,
+	}}
+	_, err := l.store.save(ctx, j, putBody(j.endedKey(time.Now()), basilplatform.PreconditionNone, nil))
+	return j.answer(), err
 }
 
 func (r LongJobRecord) isTombstone() bool { return r.Service == "" && r.final() }
--- a/internal/basiljob/long_jobs_test.go
+++ b/internal/basiljob/long_jobs_test.go
@@ -148,8 +148,8 @@
 	tests := []struct {
 		name       string
 		idempotent bool
-		before     func(w *world) // the job is started
-		after      func(w *world)
+		before     func(*world) // the job is started
+		after      func(*world)
 		state      basilapi.JobState
 		outcome    basilapi.Outcome
 		starts     int
@@ -164,8 +164,8 @@
 		{"nothing free until the deadline", false, func(w *world) { w.placer.workers = nil }, nil, basilapi.JobStateCancelled, basilapi.OutcomeNotRun, 0},
 		{"worker lost after the start", true, nil, func(w *world) { w.tasks.setAll(w.tasks.down, all[:1]) }, basilapi.JobStateDone, basilapi.OutcomeRan, 2},
 		{"worker lost after the only start", false, nil, func(w *world) { w.tasks.setAll(w.tasks.down, all[:1]) }, basilapi.JobStateUnknown, basilapi.OutcomeUnknown, 1},
-		{"lease lapsed", true, nil, func(w *world) { time.Sleep(10 * time.Second) }, basilapi.JobStateDone, basilapi.OutcomeRan, 2},
-		{"lease of the only start lapsed", false, nil, func(w *world) { time.Sleep(10 * time.Second) }, basilapi.JobStateUnknown, basilapi.OutcomeUnknown, 1},
+		{"lease lapsed", true, nil, func(*world) { time.Sleep(10 * time.Second) }, basilapi.JobStateDone, basilapi.OutcomeRan, 2},
+		{"lease of the only start lapsed", false, nil, func(*world) { time.Sleep(10 * time.Second) }, basilapi.JobStateUnknown, basilapi.OutcomeUnknown, 1},
 		{"worker forgot the only start", false, nil, func(w *world) { w.tasks.forget() }, basilapi.JobStateUnknown, basilapi.OutcomeUnknown, 1},
 	}
 	for _, tt := range tests {
--- a/internal/basiljob/registry.go
+++ b/internal/basiljob/registry.go
@@ -144,11 +144,12 @@
 		g.end(j, refusal(basilapi.CodeStopping, "the entry host is leaving"))
 		return nil, nil
 	}
-	if len(g.jobs) >= g.options.MaxJobs {
+	if g.inFlight >= g.options.MaxJobs {
 		g.raiseFloor(serial)
 		return nil, notRun(r.ID, basilapi.CodeOverloaded, "too many jobs in progress", time.Second)
 	}
 	g.launch(ctx, j, r, run)
+	g.forget() // after the decision: what is dropped for this job can't forbid it
 	return j.running, nil
 }
 
@@ -207,6 +208,7 @@
 func (g *Registry) tell(id basilapi.JobID) (basilapi.JobAnswer, error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	g.forget()
 	j := g.jobs[id.Serial()]
 	if j != nil {
 		return j.answer(id), j.err(id)
--- /dev/null
+++ b/internal/basiljob/registry_property_test.go
@@ -0,0 +1,217 @@
+package basiljob_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"basilstage.example/basilstage/internal/basiljob"
+	"basilstage.example/basilstage/pkg/basilapi"
+)
+
+// command is what the run of a job does next; a result ends it.
+type command func(start basiljob.StartFunc) *basiljob.RunResult
+
+// shortHistory is what became of one id, and what was told of it.
+type shortHistory struct {
+	id       basilapi.JobID
+	commands chan command
+	start    basiljob.StartFunc
+	runs     int
+	attempt  int
+	reached  int // attempts that the runner started
+	notRun   bool
+	done     string
+}
+
+// shortModel drives one registry with racing clients and slow runs.
+type shortModel struct {
+	registry *basiljob.Registry
+	copies   *basiljob.Copies
+	jobs     []*shortHistory
+	mutex    sync.Mutex // held while an answer is told
+}
+
+// peer is a copier that reaches the copies at once.
+type peer struct{ copies *basiljob.Copies }
+
+func (p peer) Copy(answers []basilapi.JobAnswer) { p.copies.Put(answers) }
+
+func newShortModel() *shortModel {
+	m := &shortModel{copies: basiljob.NewCopies(basiljob.CopiesOptions{})}
+	m.registry = newRegistry(basiljob.RegistryOptions{
+		MaxJobs: 4, Retention: 20 * time.Second, Copiers: []basiljob.Copier{peer{m.copies}},
+	})
+	return m
+}
+
+func (m *shortModel) job(t *rapid.T) *shortHistory {
+	if len(m.jobs) == 0 {
+		t.Skip("no job")
+	}
+	return rapid.SampledFrom(m.jobs).Draw(t, "job")
+}
+
+func (m *shortModel) mint(*rapid.T) {
+	for _, id := range m.registry.Mint(2) {
+		m.jobs = append(m.jobs, &shortHistory{id: id, commands: make(chan command)})
+	}
+}
+
+// run obeys commands until one ends it, or its deadline or a cancel does.
+func (h *shortHistory) run(ctx context.Context, _ basilapi.JobID, _ basilapi.SubmitRequest, start basiljob.StartFunc) basiljob.RunResult {
+	h.runs++
+	h.start = start
+	for {
+		select {
+		case c := <-h.commands:
+			if r := c(start); r != nil {
+				return *r
+			}
+		case <-ctx.Done():
+			if h.reached > 0 {
+				return basiljob.RunResult{Outcome: basilapi.OutcomeUnknown, Attempt: h.attempt}
+			}
+			return basiljob.RunResult{Outcome: basilapi.OutcomeNotRun}
+		}
+	}
+}
+
+// command reaches the run if one is in progress.
+func (h *shortHistory) command(c command) {
+	select {
+	case h.commands <- c:
+	default:
+	}
+	synctest.Wait()
+}
+
+func (m *shortModel) submit(t *rapid.T) {
+	h := m.job(t)
+	r := short(h.id)
+	r.DeadlineMS = rapid.Int64Range(0, 15).Draw(t, "deadline") * time.Second.Milliseconds()
+	ctx, hangUp := context.WithTimeout(context.Background(), time.Duration(rapid.IntRange(1, 60).Draw(t, "patience"))*time.Second)
+	go func() {
+		defer hangUp()
+		a, err := m.registry.Submit(ctx, r, h.run)
+		m.tell(t, h, a, err)
+	}()
+	synctest.Wait()
+}
+
+func (m *shortModel) tell(t *rapid.T, h *shortHistory, a basilapi.JobAnswer, err error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if p, ok := basilapi.AsProblem(err); ok && p.Outcome == basilapi.OutcomeNotRun {
+		a.Outcome = p.Outcome
+	}
+	switch a.Outcome {
+	case basilapi.OutcomeNotRun:
+		must.Eq(t, "", h.done)
+		h.notRun = true
+	case basilapi.OutcomePending:
+		must.False(t, h.notRun)
+		must.Eq(t, "", h.done)
+	case basilapi.OutcomeRan:
+		must.False(t, h.notRun)
+		must.Eq(t, result(h.id.String(), h.attempt), string(a.Answer))
+		h.done = string(a.Answer)
+	}
+}
+
+// send starts the next attempt; a run sends again only when the one before provably did not start.
+func (m *shortModel) send(t *rapid.T) {
+	h := m.job(t)
+	reaches := rapid.Bool().Draw(t, "reaches")
+	h.command(func(start basiljob.StartFunc) *basiljob.RunResult {
+		if h.reached == 0 && start(h.attempt+1) {
+			h.attempt++
+			if reaches {
+				h.reached++
+			}
+		}
+		return nil
+	})
+}
+
+func (m *shortModel) finish(t *rapid.T) {
+	h := m.job(t)
+	stale := rapid.IntRange(0, 1).Draw(t, "stale")
+	h.command(func(basiljob.StartFunc) *basiljob.RunResult {
+		if h.reached == 0 {
+			return &basiljob.RunResult{Outcome: basilapi.OutcomeNotRun}
+		}
+		return &basiljob.RunResult{
+			Outcome: basilapi.OutcomeRan, Attempt: h.attempt - stale,
+			Answer: []byte(result(h.id.String(), h.attempt-stale)),
+		}
+	})
+}
+
+// straggle tries an attempt from a goroutine that its run left behind.
+func (m *shortModel) straggle(t *rapid.T) {
+	h := m.job(t)
+	a, _ := m.registry.Answer(h.id)
+	if h.start == nil || a.Outcome == basilapi.OutcomePending {
+		t.Skip("in progress")
+	}
+	must.False(t, h.start(h.attempt+1))
+}
+
+func (m *shortModel) cancel(t *rapid.T) {
+	h := m.job(t)
+	a, err := m.registry.Cancel(h.id)
+	must.Eq(t, err == nil, a.Outcome == basilapi.OutcomeNotRun)
+	synctest.Wait()
+	if err == nil {
+		m.tell(t, h, a, nil)
+	}
+}
+
+func (m *shortModel) ask(t *rapid.T) {
+	h := m.job(t)
+	a, _ := m.registry.Answer(h.id)
+	m.tell(t, h, a, nil)
+}
+
+func (m *shortModel) check(t *rapid.T) {
+	synctest.Wait()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, h := range m.jobs {
+		must.LessEq(t, 1, h.runs)
+		must.LessEq(t, 1, h.reached)
+		must.False(t, h.notRun && h.reached > 0)
+		c, ok := m.copies.Get(h.id)
+		must.True(t, !ok || h.done == "" || h.done == string(c.Answer))
+		must.False(t, ok && h.notRun && c.Outcome != basilapi.OutcomeNotRun)
+	}
+}
+
+func (m *shortModel) end(t *rapid.T) {
+	m.registry.Stop()
+	for _, h := range m.jobs {
+		h.command(func(basiljob.StartFunc) *basiljob.RunResult { return &basiljob.RunResult{} })
+	}
+	must.NoError(t, m.registry.Drain(context.Background()))
+	must.Eq(t, 0, m.registry.InFlight())
+	m.check(t)
+}
+
+func TestRegistryPropertyAtMostOnce(t *testing.T) {
+	checkPaused(t, func(r *rapid.T) {
+		m := newShortModel()
+		sleep := func(t *rapid.T) { time.Sleep(time.Duration(rapid.IntRange(1, 15).Draw(t, "seconds")) * time.Second) }
+		r.Repeat(map[string]func(*rapid.T){
+			"": m.check, "mint": m.mint, "submit": m.submit, "submit 2": m.submit, "send": m.send, "send 2": m.send,
+			"finish": m.finish, "straggle": m.straggle, "cancel": m.cancel, "ask": m.ask, "sleep": sleep,
+		})
+		m.end(r)
+		time.Sleep(time.Minute) // the most patient client
+	})
+}
--- a/internal/basiljob/registry_test.go
+++ b/internal/basiljob/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -79,3 +80,84 @@
 		must.Eq(t, id.String(), string(a.Answer))
 	})
 }
+
+func TestSubmitRefusesForgedIDs(t *testing.T) {
+	g := newRegistry(basiljob.RegistryOptions{})
+	forged := ulid.MustNew(ulid.Now(), nil)
+	var runs int
+	for _, id := range []basilapi.JobID{
+		{},
+		basilapi.NewJobID("fukuoka", ulid.Make()),
+		basilapi.NewJobIDWithSerial("fukuoka", g.Incarnation(), forged),
+		basilapi.NewJobIDWithSerial("kumamoto", g.Incarnation(), g.Mint(1)[0].Serial()),
+	} {
+		_, err := g.Submit(t.Context(), short(id), ran(0, &runs))
+		must.True(t, basiljob.IsErrNotMinted(err))
+		_, err = g.Cancel(id)
+		must.True(t, basiljob.IsErrNotMinted(err))
+		_, ok := g.Answer(id)
+		must.False(t, ok)
+	}
+	must.Eq(t, 0, runs)
+}
+
+func TestRegistryKeepsToItsBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newRegistry(basiljob.RegistryOptions{MaxJobs: 50, MaxAnswerBytes: 500, Retention: time.Minute})
+		ids := g.Mint(200)
+		var runs int
+		for _, id := range ids {
+			a, err := g.Submit(t.Context(), short(id), ran(0, &runs))
+			must.NoError(t, err) // whoever waits gets the answer, also when it isn't kept
+			must.Eq(t, id.String(), string(a.Answer))
+		}
+		var kept, bodies int
+		for _, id := range ids {
+			a, _ := g.Answer(id)
+			kept += a.Attempt
+			bodies += len(a.Answer)
+			_, err := g.Submit(t.Context(), short(id), ran(0, &runs))
+			must.Eq(t, a.Outcome == basilapi.OutcomeRan, err == nil)
+		}
+		must.Eq(t, 50, kept)
+		must.Between(t, 400, bodies, 500)
+		must.Eq(t, 200, runs)
+		time.Sleep(2 * time.Minute)
+		a, _ := g.Answer(ids[199])
+		must.Eq(t, basilapi.OutcomeUnknown, a.Outcome)
+	})
+}
+
+func TestCancelBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobs, cancels = 100, 10_000
+		g := newRegistry(basiljob.RegistryOptions{})
+		ids := g.Mint(jobs)
+		queued := func(ctx context.Context, _ basilapi.JobID, _ basilapi.SubmitRequest, start basiljob.StartFunc) basiljob.RunResult {
+			<-ctx.Done()
+			must.False(t, start(1))
+			return basiljob.RunResult{Outcome: basilapi.OutcomeNotRun}
+		}
+		var wait sync.WaitGroup
+		for _, id := range ids {
+			wait.Go(func() {
+				_, err := g.Submit(t.Context(), short(id), queued)
+				p, _ := basilapi.AsProblem(err)
+				must.Eq(t, basilapi.CodeCancelled, p.Code)
+				must.Eq(t, basilapi.OutcomeNotRun, p.Outcome)
+			})
+		}
+		synctest.Wait()
+		random := rand.New(rand.NewPCG(1, 1))
+		for range cancels {
+			id := ids[random.IntN(jobs)]
+			wait.Go(func() {
+				a, err := g.Cancel(id)
+				must.NoError(t, err)
+				must.Eq(t, basilapi.OutcomeNotRun, a.Outcome)
+			})
+		}
+		wait.Wait()
+		must.Eq(t, 0, g.InFlight())
+	})
+}
