Keep leases alive while the table is away, and long jobs within its budget

Cause: TestLongJobTableCost said 16 writes for an idempotent job of 12 s with three checkpoints: each look at a running job could cost two writes. With the record in doubt and the table away, TestResultIsStoredWhenTheTableComesBack said: want ".../1", got "" (the owner neither renewed the lease nor fetched the result until the table came back). A lease of 30 s would have cut off every non-idempotent job whose entry hosts were replaced in an outage. Ruled out: acting on a record in doubt only after a read (the lease lapses); one lease for all (an idempotent job wants a short one, to go on elsewhere; one that can't be repeated gains nothing from lapsing). Change: checkpoints are stored at most every 15 min; neighbours are searched once a minute; a started job is watched on the last known record while the table is away, since each write needs that record's version anyway; jobs that may not run twice have a lease of their own of 1 h.

--- /dev/null
+++ b/internal/basiljob/long_cost_test.go
@@ -0,0 +1,107 @@
+package basiljob_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basiljob"
+	"basilstage.example/basilstage/pkg/basilapi"
+)
+
+// tableCost returns the items that the table read and wrote while f ran.
+func (w *world) tableCost(f func()) (reads, writes int64) {
+	r, x := w.table.Counts()
+	f()
+	reads, writes = w.table.Counts()
+	return reads - r, writes - x
+}
+
+// TestLongJobTableCost pins what jobs cost the table; docs/decisions/long-jobs.md scales it up.
+func TestLongJobTableCost(t *testing.T) {
+	tests := []struct {
+		name          string
+		idempotent    bool
+		reads, writes int64
+	}{
+		{"non-idempotent", false, 3, 10},
+		{"idempotent, one checkpoint", true, 3, 12},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, shortLease)
+				o := w.owners[0]
+				w.stepFor(time.Second)
+				idleReads, _ := w.tableCost(func() { w.stepFor(time.Minute) })
+				reads, writes := w.tableCost(func() {
+					a, err := o.jobs.Accept(t.Context(), long("boots", tt.idempotent))
+					must.NoError(t, err)
+					w.stepFor(time.Minute)
+					a, err = o.jobs.Get(t.Context(), a.ID)
+					must.NoError(t, err)
+					must.Eq(t, basilapi.OutcomeRan, a.Outcome)
+				})
+				t.Logf("reads: %d, of which %d searches a minute; writes: %d", reads, idleReads, writes)
+				must.Eq(t, tt.writes, writes)
+				must.Between(t, tt.reads, reads-idleReads, tt.reads+10) // searches find more while a job is open
+			})
+		})
+	}
+}
+
+func TestSearchCostDoesNotGrowWithTheJobsOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobs, owners = 500, 3
+		w := newWorld(owners, longLease)
+		w.placer.workers = nil // all stay open
+		for _, o := range w.owners {
+			for range jobs {
+				_, err := o.jobs.Accept(t.Context(), long("boots", false))
+				must.NoError(t, err)
+			}
+		}
+		extra := w.newOwner()
+		must.NoError(t, extra.jobs.Step(t.Context()))
+		time.Sleep(5 * time.Second)
+		reads, writes := w.tableCost(func() { must.NoError(t, extra.jobs.Step(t.Context())) })
+		must.Eq(t, 0, writes)
+		must.Eq(t, 2*owners+1, reads) // one query for each owner, and a last one that finds none
+
+		w.members.declare(w.owners[0].incarnation)
+		time.Sleep(5 * time.Second)
+		_, writes = w.tableCost(func() { must.NoError(t, extra.jobs.Step(t.Context())) })
+		must.Eq(t, jobs, extra.jobs.Owned())
+		must.Eq(t, 3*jobs, writes)
+	})
+}
+
+func TestSweepDeletesEndedJobsAndTheirIDsStayRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const day = 24 * time.Hour
+		w := newWorld(1, longLease)
+		o := w.owners[0]
+		r := long("boots", false)
+		r.ID = basilapi.NewJobID("fukuoka", o.incarnation)
+		_, err := o.jobs.Accept(t.Context(), r)
+		must.NoError(t, err)
+		w.stepFor(time.Minute)
+		for _, tt := range []struct {
+			after   time.Duration
+			deleted int
+			told    basilapi.Outcome // of the same submit
+		}{{0, 0, basilapi.OutcomeRan}, {6 * day, 0, basilapi.OutcomeRan}, {2 * day, 1, basilapi.OutcomeUnknown}, {0, 0, basilapi.OutcomeUnknown}} {
+			time.Sleep(tt.after)
+			n, err := o.jobs.Sweep(t.Context())
+			must.NoError(t, err)
+			must.Eq(t, tt.deleted, n)
+			a, _ := o.jobs.Accept(t.Context(), r)
+			must.Eq(t, tt.told, a.Outcome)
+		}
+		_, err = o.jobs.Get(t.Context(), r.ID)
+		must.True(t, basiljob.IsErrJobNotExist(err))
+		must.Eq(t, 1, w.tasks.starts(r.ID))
+	})
+}
--- a/internal/basiljob/long_jobs.go
+++ b/internal/basiljob/long_jobs.go
@@ -14,10 +14,12 @@
 
 // Defaults of LongOptions.
 const (
-	defaultLease         = 30 * time.Second
+	defaultLease         = 2 * time.Minute
+	defaultOnceLease     = time.Hour
 	defaultPollEvery     = 5 * time.Second
 	defaultScanEvery     = 5 * time.Second
-	defaultOwnEvery      = time.Minute
+	defaultWideEvery     = time.Minute
+	defaultCheckpoint    = 15 * time.Minute
 	defaultLongRetention = 7 * 24 * time.Hour
 	defaultGiveUp        = time.Hour
 	defaultCallTimeout   = 2 * time.Second
@@ -38,10 +40,12 @@
 	Members     Members
 	Jitter      func(ceiling time.Duration) time.Duration // nil: full jitter
 
-	Lease       time.Duration // of tasks
+	Lease       time.Duration // of idempotent tasks, which go on elsewhere when it lapses
+	OnceLease   time.Duration // of other tasks, which are lost when it lapses
 	PollEvery   time.Duration // between looks at a started job
-	ScanEvery   time.Duration // between searches for jobs of gone owners
-	OwnEvery    time.Duration // between searches for own jobs that memory lacks
+	ScanEvery   time.Duration // between searches of the data centre for jobs of gone owners
+	WideEvery   time.Duration // between searches of the neighbours, and for own jobs that memory lacks
+	Checkpoint  time.Duration // between stored checkpoints of one job
 	GiveUp      time.Duration // how long an unreachable non-idempotent job stays open
 	Retention   time.Duration // how long ended jobs are kept
 	CallTimeout time.Duration // of one call to a worker
@@ -63,9 +67,11 @@
 		o.Jitter = fullJitter
 	}
 	orDefault(&o.Lease, defaultLease)
+	orDefault(&o.OnceLease, defaultOnceLease)
 	orDefault(&o.PollEvery, defaultPollEvery)
 	orDefault(&o.ScanEvery, defaultScanEvery)
-	orDefault(&o.OwnEvery, defaultOwnEvery)
+	orDefault(&o.WideEvery, defaultWideEvery)
+	orDefault(&o.Checkpoint, defaultCheckpoint)
 	orDefault(&o.GiveUp, defaultGiveUp)
 	orDefault(&o.Retention, defaultLongRetention)
 	orDefault(&o.CallTimeout, defaultCallTimeout)
@@ -87,8 +93,8 @@
 	options LongOptions
 
 	stepping sync.Mutex // held by the one Step
-	scanned  time.Time
-	listed   time.Time
+	scanned  time.Time  // the data centre
+	widened  time.Time  // the neighbours
 
 	mutex sync.Mutex
 	owned map[basilapi.JobID]*ownedJob
--- a/internal/basiljob/long_jobs_test.go
+++ b/internal/basiljob/long_jobs_test.go
@@ -264,9 +264,11 @@
 		w := newWorld(1, shortLease)
 		a, err := w.owners[0].jobs.Accept(t.Context(), long("boots", false))
 		must.NoError(t, err)
-		w.stepFor(8 * time.Second)
+		w.owners[0].link.inject(append(repeated(linkWorks, 2), repeated(linkLate, 6)...)...) // whether it started is not known to be stored
+		w.stepFor(4 * time.Second)
 		w.table.SetFaults(basilstandin.TableFaults{Down: true})
 		w.stepFor(20 * time.Second)
+		w.owners[0].link.release()
 		w.tasks.forget()
 		w.table.SetFaults(basilstandin.TableFaults{})
 		w.stepFor(10 * time.Second)
@@ -291,3 +293,61 @@
 		must.SliceEmpty(t, a.Answer)
 	})
 }
+
+// TestAllEntryHostsReplacedWhileTheTableIsDown has the only owners of running
+// jobs die in an outage that outlasts the tasks.
+func TestAllEntryHostsReplacedWhileTheTableIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(2, time.Hour)
+		var ids []basilapi.JobID
+		for n := range 20 {
+			a, err := w.owners[n%2].jobs.Accept(t.Context(), long("boots", n%4 < 2))
+			must.NoError(t, err)
+			ids = append(ids, a.ID)
+		}
+		w.stepFor(4 * time.Second)
+		w.table.SetFaults(basilstandin.TableFaults{Down: true})
+		w.stepFor(4 * time.Second)
+		for _, o := range w.owners {
+			o.link.setCut(true)
+			w.members.declare(o.incarnation)
+		}
+		w.owners = []*owner{w.newOwner(), w.newOwner()}
+		w.stepFor(10 * time.Minute)
+		_, err := w.owners[0].jobs.Accept(t.Context(), long("boots", false))
+		p, _ := basilapi.AsProblem(err)
+		must.Eq(t, basilapi.OutcomeNotRun, p.Outcome)
+		must.Eq(t, basilapi.CodeStoreUnavailable, p.Code)
+		must.Positive(t, p.RetryAfterMS)
+		w.table.SetFaults(basilstandin.TableFaults{})
+		w.stepFor(30 * time.Second)
+		for _, id := range ids {
+			a, err := w.owners[0].jobs.Get(t.Context(), id)
+			must.NoError(t, err)
+			must.Eq(t, result(id.String(), 1), string(a.Answer))
+			must.Eq(t, 1, w.tasks.starts(id))
+		}
+	})
+}
+
+func TestManyLongJobsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(0, time.Hour)
+		jobs := basiljob.NewLongJobs(w.table, w.tasks, basiljob.LongOptions{
+			DataCentre: "fukuoka", Placer: w.placer, Members: w.members,
+		})
+		var ids []basilapi.JobID
+		for range 200 {
+			a, err := jobs.Accept(t.Context(), long("boots", false))
+			must.NoError(t, err)
+			ids = append(ids, a.ID)
+		}
+		for jobs.Owned() > 0 {
+			must.NoError(t, jobs.Step(t.Context()))
+			time.Sleep(time.Second)
+		}
+		for _, id := range ids {
+			must.Eq(t, 1, w.tasks.starts(id))
+		}
+	})
+}
--- a/internal/basiljob/long_start.go
+++ b/internal/basiljob/long_start.go
@@ -14,7 +14,9 @@
 // advance takes one job a step further.
 func (l *LongJobs) advance(ctx context.Context, o *ownedJob) error {
 	if o.reload {
-		if err := l.refresh(ctx, o); err != nil || o.reload {
+		err := l.refresh(ctx, o)
+		lease := o.job.State == basilapi.JobStateStarted && basilplatform.IsErrUnavailable(err)
+		if o.reload && !lease { // a lease must be renewed also while the table is away
 			return err
 		}
 	}
@@ -37,11 +39,8 @@
 		l.disown(j.ID)
 		return nil
 	}
-	if j.version != o.job.version {
-		o.ending = nil // decided on what has changed since
-	}
-	if j.Attempt != o.job.Attempt {
-		o.started, o.renewed = false, time.Now()
+	if j.Attempt != o.job.Attempt || j.State != o.job.State {
+		o.ending, o.started, o.renewed = nil, false, time.Now() // decided on what has changed since
 	}
 	o.job, o.reload = j, false
 	return nil
@@ -51,7 +50,7 @@
 func (l *LongJobs) save(ctx context.Context, o *ownedJob, j longJob, more ...basilplatform.Write) error {
 	saved, err := l.store.save(ctx, j, more...)
 	if err != nil {
-		o.reload = !basilplatform.IsErrUnavailable(err)
+		o.reload = o.reload || !basilplatform.IsErrUnavailable(err)
 		return err
 	}
 	o.job = saved
@@ -133,7 +132,7 @@
 func (l *LongJobs) task(ctx context.Context, j longJob, p Placement) (basilplatform.Task, error) {
 	t := basilplatform.Task{
 		Job: j.ID.String(), Attempt: j.Attempt + 1, Service: j.Service,
-		Host: p.Host, HostEpoch: p.HostEpoch, LeaseMillis: l.options.Lease.Milliseconds(),
+		Host: p.Host, HostEpoch: p.HostEpoch, LeaseMillis: l.leaseOf(j).Milliseconds(),
 		Cores: j.Cores, MemoryMB: j.MemoryMB, Idempotent: j.Idempotent, DurationGuess: j.GuessMS,
 	}
 	var err error
@@ -147,7 +146,8 @@
 // send sends a recorded attempt, for the first and only time.
 func (l *LongJobs) send(ctx context.Context, o *ownedJob, t basilplatform.Task) error {
 	o.renewed, o.lost, o.started = time.Now(), time.Time{}, false
-	o.due = o.renewed.Add(l.lookEvery())
+	o.kept = o.renewed
+	o.due = o.renewed.Add(l.lookEvery(o.job))
 	call, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
 	defer cancel()
 	err := l.tasks.Start(call, o.job.Address, t)
--- a/internal/basiljob/long_step.go
+++ b/internal/basiljob/long_step.go
@@ -50,21 +50,28 @@
 // search brings memory into line with the index, and adopts jobs of gone owners.
 func (l *LongJobs) search(ctx context.Context) error {
 	now := time.Now()
-	if now.Sub(l.listed) >= l.options.OwnEvery || l.listed.IsZero() {
-		if err := l.listOwn(ctx); err != nil {
+	if l.widened.IsZero() || now.Sub(l.widened) >= l.options.WideEvery {
+		if err := l.searchWide(ctx); err != nil {
 			return err
 		}
-		l.listed = now
+		l.widened = now
 	}
-	if now.Sub(l.scanned) < l.options.ScanEvery && !l.scanned.IsZero() {
+	if !l.scanned.IsZero() && now.Sub(l.scanned) < l.options.ScanEvery {
 		return nil
 	}
-	for _, d := range append([]string{l.options.DataCentre}, l.options.Neighbours...) {
+	l.scanned = now
+	return l.adoptIn(ctx, l.options.DataCentre)
+}
+
+func (l *LongJobs) searchWide(ctx context.Context) error {
+	if err := l.listOwn(ctx); err != nil {
+		return err
+	}
+	for _, d := range l.options.Neighbours {
 		if err := l.adoptIn(ctx, d); err != nil {
 			return err
 		}
 	}
-	l.scanned = now
 	return nil
 }
 
--- a/internal/basiljob/long_watch.go
+++ b/internal/basiljob/long_watch.go
@@ -16,7 +16,7 @@
 //
 // The lease is renewed only while the worker answers, so that it lapses otherwise.
 func (l *LongJobs) watch(ctx context.Context, o *ownedJob) error {
-	o.due = time.Now().Add(l.lookEvery())
+	o.due = time.Now().Add(l.lookEvery(o.job))
 	s, err := l.ask(ctx, o, l.tasks.Status)
 	if err == nil && s.State == basilplatform.TaskStateAbsent && !o.hasStarted() {
 		s, err = l.ask(ctx, o, l.tasks.Stop) // voids it, should it still be on its way
@@ -29,20 +29,27 @@
 }
 
 // lookEvery returns the time between looks, which leaves room for renewals.
-func (l *LongJobs) lookEvery() time.Duration {
-	return min(l.options.PollEvery, l.options.Lease/renewalsPerLease)
+func (l *LongJobs) lookEvery(j longJob) time.Duration {
+	return min(l.options.PollEvery, l.leaseOf(j)/renewalsPerLease)
+}
+
+func (l *LongJobs) leaseOf(j longJob) time.Duration {
+	if j.Idempotent {
+		return l.options.Lease
+	}
+	return l.options.OnceLease
 }
 
 func (o *ownedJob) hasStarted() bool { return o.started || o.job.Seen }
 
 func (l *LongJobs) renew(ctx context.Context, o *ownedJob) {
 	now := time.Now()
-	if now.Sub(o.renewed) < l.options.Lease/renewalsPerLease {
+	if now.Sub(o.renewed) < l.leaseOf(o.job)/renewalsPerLease {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
 	defer cancel()
-	err := l.tasks.Renew(call, o.job.Address, o.job.ID.String(), o.job.Attempt, l.options.Lease)
+	err := l.tasks.Renew(call, o.job.Address, o.job.ID.String(), o.job.Attempt, l.leaseOf(o.job))
 	if !basilplatform.IsErrUnavailable(err) && !basilplatform.IsErrRefused(err) {
 		o.renewed = now // a renewal without an answer may have taken effect
 	}
@@ -114,12 +121,25 @@
 		j.Seen = true
 		return l.save(ctx, o, j)
 	}
-	sum := checksum(s.Checkpoint)
-	if len(s.Checkpoint) == 0 || len(s.Checkpoint) > basilapi.MaxPayloadBytes || sum == j.Checkpoint {
+	return l.keep(ctx, o, s.Checkpoint)
+}
+
+// keep stores the checkpoint if it is new and the last one is old enough.
+func (l *LongJobs) keep(ctx context.Context, o *ownedJob, checkpoint []byte) error {
+	j := o.job
+	sum := checksum(checkpoint)
+	if len(checkpoint) == 0 || len(checkpoint) > basilapi.MaxPayloadBytes || sum == j.Checkpoint {
+		return nil
+	}
+	if time.Since(o.kept) < l.options.Checkpoint {
 		return nil
 	}
 	j.Checkpoint = sum
-	return l.save(ctx, o, j, putBody(jobKey(j.ID, sortCheckpoint), basilplatform.PreconditionNone, s.Checkpoint))
+	if err := l.save(ctx, o, j, putBody(jobKey(j.ID, sortCheckpoint), basilplatform.PreconditionNone, checkpoint)); err != nil {
+		return err
+	}
+	o.kept = time.Now()
+	return nil
 }
 
 func (l *LongJobs) done(ctx context.Context, o *ownedJob, s basilplatform.TaskStatus) error {
--- a/internal/basiljob/owned_job.go
+++ b/internal/basiljob/owned_job.go
@@ -12,6 +12,7 @@
 	due     time.Time // when to look at it next
 	renewed time.Time // the lease lasts at least until this plus the lease, and no longer
 	lost    time.Time // since when the worker gives no answer; zero when it does
+	kept    time.Time // when a checkpoint was last stored
 	misfits int
 	avoid   []string // hosts that refused it
 	reload  bool     // the record may have moved on
@@ -34,7 +35,7 @@
 	defer l.mutex.Unlock()
 	if l.owned[j.ID] == nil {
 		now := time.Now()
-		l.owned[j.ID] = &ownedJob{job: j, due: now, renewed: now}
+		l.owned[j.ID] = &ownedJob{job: j, due: now, renewed: now, kept: now}
 	}
 }
 
