--- a/internal/basiljob/long_jobs.go
+++ b/internal/basiljob/long_jobs.go
@@ -14,18 +14,21 @@
 
 // Defaults of LongOptions.
 const (
-	defaultLease       = 30 * time.Second
-	defaultPollEvery   = 5 * time.Second
-	defaultScanEvery   = 5 * time.Second
-	defaultOwnEvery    = time.Minute
-	defaultGiveUp      = time.Hour
-	defaultCallTimeout = 2 * time.Second
-	defaultMaxFailed   = 3
-	defaultMaxRefusals = 10
-	defaultMaxAttempts = 50
-	defaultMaxMisfits  = 3
-	defaultParallel    = 16
-	storeRetryAfter    = 5 * time.Second
+	defaultLease         = 2 * time.Minute
+	defaultOnceLease     = time.Hour
+	defaultPollEvery     = 5 * time.Second
+	defaultScanEvery     = 5 * time.Second
+	defaultWideEvery     = time.Minute
+	defaultCheckpoint    = 15 * time.Minute
+	defaultLongRetention = 7 * 24 * time.Hour
+	defaultGiveUp        = time.Hour
+	defaultCallTimeout   = 2 * time.Second
+	defaultMaxFailed     = 3
+	defaultMaxRefusals   = 10
+	defaultMaxAttempts   = 50
+	defaultMaxMisfits    = 3
+	defaultParallel      = 16
+	storeRetryAfter      = 5 * time.Second
 )
 
 // LongOptions configures a LongJobs; zero limits take the defaults.
@@ -35,12 +38,16 @@
 	Incarnation ulid.ULID
 	Placer      Placer
 	Members     Members
+	Jitter      func(ceiling time.Duration) time.Duration // nil: full jitter
 
-	Lease       time.Duration // of tasks
+	Lease       time.Duration // of idempotent tasks, which go on elsewhere when it lapses
+	OnceLease   time.Duration // of other tasks, which are lost when it lapses
 	PollEvery   time.Duration // between looks at a started job
-	ScanEvery   time.Duration // between searches for jobs of gone owners
-	OwnEvery    time.Duration // between searches for own jobs that memory lacks
+	ScanEvery   time.Duration // between searches of the data centre for jobs of gone owners
+	WideEvery   time.Duration // between searches of the neighbours, and for own jobs that memory lacks
+	Checkpoint  time.Duration // between stored checkpoints of one job
 	GiveUp      time.Duration // how long an unreachable non-idempotent job stays open
+	Retention   time.Duration // how long ended jobs are kept
 	CallTimeout time.Duration // of one call to a worker
 	MaxFailed   int           // hosts that a job may fail on
 	MaxRefusals int           // refusals by hosts
@@ -56,11 +63,17 @@
 }
 
 func (o LongOptions) withDefaults() LongOptions {
+	if o.Jitter == nil {
+		o.Jitter = fullJitter
+	}
 	orDefault(&o.Lease, defaultLease)
+	orDefault(&o.OnceLease, defaultOnceLease)
 	orDefault(&o.PollEvery, defaultPollEvery)
 	orDefault(&o.ScanEvery, defaultScanEvery)
-	orDefault(&o.OwnEvery, defaultOwnEvery)
+	orDefault(&o.WideEvery, defaultWideEvery)
+	orDefault(&o.Checkpoint, defaultCheckpoint)
 	orDefault(&o.GiveUp, defaultGiveUp)
+	orDefault(&o.Retention, defaultLongRetention)
 	orDefault(&o.CallTimeout, defaultCallTimeout)
 	orDefault(&o.MaxFailed, defaultMaxFailed)
 	orDefault(&o.MaxRefusals, defaultMaxRefusals)
@@ -80,8 +93,8 @@
 	options LongOptions
 
 	stepping sync.Mutex // held by the one Step
-	scanned  time.Time
-	listed   time.Time
+	scanned  time.Time  // the data centre
+	widened  time.Time  // the neighbours
 
 	mutex sync.Mutex
 	owned map[basilapi.JobID]*ownedJob
@@ -89,10 +102,11 @@
 
 // NewLongJobs returns the long jobs of one incarnation of an entry host.
 func NewLongJobs(t basilplatform.Table, tasks basilplatform.Tasks, o LongOptions) *LongJobs {
+	o = o.withDefaults()
 	return &LongJobs{
-		store:   longJobStore{table: t},
+		store:   longJobStore{table: t, jitter: o.Jitter},
 		tasks:   tasks,
-		options: o.withDefaults(),
+		options: o,
 		owned:   make(map[basilapi.JobID]*ownedJob),
 	}
 }
@@ -110,6 +124,9 @@
 	if len(r.Payload) > basilapi.MaxPayloadBytes {
 		return refused(r.ID), notRun(r.ID, basilapi.CodeBodyTooLarge, "the payload is too large", 0)
 	}
+	if l.tooOld(r.ID) {
+		return l.accepted(ctx, r)
+	}
 	j := longJob{LongJobRecord: l.newRecord(r)}
 	saved, err := l.store.save(ctx, j,
 		putBody(jobKey(r.ID, sortPayload), basilplatform.PreconditionAbsent, r.Payload),
@@ -152,6 +169,9 @@
 // accepted answers a submit whose id has a record already.
 func (l *LongJobs) accepted(ctx context.Context, r basilapi.SubmitRequest) (basilapi.JobAnswer, error) {
 	j, err := l.store.load(ctx, r.ID)
+	if IsErrJobNotExist(err) {
+		return pending(r.ID), unknown(r.ID, reasonForgotten, 0)
+	}
 	if err != nil {
 		return pending(r.ID), unknown(r.ID, "the table service is away", storeRetryAfter)
 	}
@@ -163,7 +183,7 @@
 
 // fence keeps a submit whose write may still take effect from doing so, or finds its record.
 func (l *LongJobs) fence(ctx context.Context, r basilapi.SubmitRequest) (basilapi.JobAnswer, error) {
-	_, err := l.store.save(ctx, longJob{LongJobRecord: tombstone(r.ID)})
+	_, err := l.entomb(ctx, r.ID)
 	switch {
 	case err == nil:
 		return refused(r.ID), notRun(r.ID, basilapi.CodeStoreUnavailable, "the table service did not answer", storeRetryAfter)
@@ -173,12 +193,14 @@
 	return pending(r.ID), unknown(r.ID, "the table service did not answer", storeRetryAfter)
 }
 
-// tombstone is the record of an id that will never be accepted.
-func tombstone(id basilapi.JobID) LongJobRecord {
-	return LongJobRecord{
+// entomb records that the id will never be accepted, if it has no record.
+func (l *LongJobs) entomb(ctx context.Context, id basilapi.JobID) (basilapi.JobAnswer, error) {
+	j := longJob{LongJobRecord: LongJobRecord{
 		ID: id, State: basilapi.JobStateCancelled, Outcome: basilapi.OutcomeNotRun,
-		Code: basilapi.CodeCancelled, Reason: "the job was not accepted",
-	}
+		Code: basilapi.CodeCancelled, Reason: "the job was not accepted", DataCentre: l.options.DataCentre,
+	}}
+	_, err := l.store.save(ctx, j, putBody(j.endedKey(time.Now()), basilplatform.PreconditionNone, nil))
+	return j.answer(), err
 }
 
 func (r LongJobRecord) isTombstone() bool { return r.Service == "" && r.final() }
