Never tell a repeated submit "not run" from an entry host that can't know

Cause: an entry host that was not ready, or refused the payload or service, answered a repeat with "not run" although the first try may have run elsewhere. Ruled out: the registry and the table, whose "not run" is decided where the job is decided and stays. Change: refusals by an entry host that does not decide name the job and are unknown for repeats; the client does the same for refusals that name no job.

--- a/internal/basilentry/job_handler.go
+++ b/internal/basilentry/job_handler.go
@@ -29,7 +29,7 @@
 		return
 	}
 	if err := e.control.Check(time.Now()); err != nil {
-		writeError(w, err)
+		e.writeAnswer(w, basilapi.JobAnswer{ID: q.ID}, refuseJob(q, err))
 		return
 	}
 	a, err := e.jobs.Submit(r.Context(), q, 0)
--- a/internal/basilentry/job_service.go
+++ b/internal/basilentry/job_service.go
@@ -57,11 +57,11 @@
 // Submit runs a short job or accepts a long one; forwards counts the hops that the request has made.
 func (s *jobService) Submit(ctx context.Context, r basilapi.SubmitRequest, forwards int) (basilapi.JobAnswer, error) {
 	if len(r.Payload) > basilapi.MaxPayloadBytes {
-		return basilapi.JobAnswer{ID: r.ID}, refuse(basilapi.CodeBodyTooLarge, "the payload is too large", "send at most 256 KiB", 0)
+		return basilapi.JobAnswer{ID: r.ID}, refuseJob(r, refuse(basilapi.CodeBodyTooLarge, "the payload is too large", "send at most 256 KiB", 0))
 	}
 	declared, ok := s.control.View().Configuration().Service(r.Service)
 	if !ok {
-		return basilapi.JobAnswer{ID: r.ID}, refuse(basilapi.CodeUnknownService, "no such service: "+r.Service, "list the services", 0)
+		return basilapi.JobAnswer{ID: r.ID}, refuseJob(r, refuse(basilapi.CodeUnknownService, "no such service: "+r.Service, "list the services", 0))
 	}
 	if r.ID.IsZero() {
 		r.ID = s.registry.Mint(1)[0]
@@ -83,6 +83,19 @@
 	return a, err
 }
 
+// refuseJob tells the refusal of a submit by an entry host that does not decide on the job.
+//
+// The first submit was not run. A repeat says nothing of the submits before it.
+func refuseJob(r basilapi.SubmitRequest, err error) error {
+	p := problemOf(err)
+	p.Job = r.ID
+	if r.Retry {
+		p.Outcome = basilapi.OutcomeUnknown
+		p.AskAt = basiljob.AskAt(r.ID)
+	}
+	return errors.WithStack(basilapi.ErrProblem{Problem: p})
+}
+
 // run sends a short job to a backend server.
 func (s *jobService) run(ctx context.Context, id basilapi.JobID, r basilapi.SubmitRequest, start basiljob.StartFunc) basiljob.RunResult {
 	result := s.dispatcher.Run(ctx, basilrouter.Request{
--- a/pkg/basilclient/client.go
+++ b/pkg/basilclient/client.go
@@ -59,13 +59,26 @@
 	for _, base := range c.options.Addresses {
 		last = c.ask(ctx, base, http.MethodPost, "/v1/jobs", r, &a)
 		if !IsErrNoAnswer(last) {
-			return a, last
+			return a, truthful(r, last)
 		}
 		r.Retry = true
 	}
 	return a, last
 }
 
+// truthful turns a refusal that speaks of one request only into an unknown outcome when that was a repeat.
+//
+// A Problem that speaks of the job names it.
+func truthful(r basilapi.SubmitRequest, err error) error {
+	p, ok := basilapi.AsProblem(err)
+	if !ok || !r.Retry || p.Outcome != basilapi.OutcomeNotRun || p.Job == r.ID {
+		return err
+	}
+	p.Outcome = basilapi.OutcomeUnknown
+	p.Job = r.ID
+	return errors.WithStack(basilapi.ErrProblem{Problem: p})
+}
+
 // Job returns what is known of the job.
 func (c *Client) Job(ctx context.Context, id basilapi.JobID) (basilapi.JobAnswer, error) {
 	var a basilapi.JobAnswer
