--- a/internal/basiljob/long_cancel.go
+++ b/internal/basiljob/long_cancel.go
@@ -10,14 +10,47 @@
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
-// maxCancelTries is how often a cancel starts anew when the record moves on under it.
-const maxCancelTries = 5
+// Limits of cancels, which arrive in bursts.
+const (
+	maxCancelTries = 5 // when the record moves on under a cancel
+	cancelTimeout  = 10 * time.Second
+	cancelPatience = 5 * time.Second // for a turn
+)
 
 // Cancel ends the job if it was not run; from then on it never will be.
 //
-// It fails with ErrTooLate when an attempt may have started, which goes on, and
-// with an ErrProblem of OutcomeUnknown when the table doesn't tell.
+// Cancels of one job are made once for all who ask at the same time, and those
+// of different jobs take turns. It fails with ErrTooLate when an attempt may
+// have started, which goes on, and with an ErrProblem of OutcomeUnknown when
+// the table doesn't tell, or too many cancels wait.
 func (l *LongJobs) Cancel(ctx context.Context, id basilapi.JobID) (basilapi.JobAnswer, error) {
+	shared := l.cancels.DoChan(id.String(), func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+		defer cancel()
+		return l.cancelInTurn(ctx, id)
+	})
+	select {
+	case r := <-shared:
+		a, _ := r.Val.(basilapi.JobAnswer)
+		return a, r.Err
+	case <-ctx.Done():
+		return pending(id), unknown(id, "the caller hung up", 0)
+	}
+}
+
+func (l *LongJobs) cancelInTurn(ctx context.Context, id basilapi.JobID) (basilapi.JobAnswer, error) {
+	turn := l.cancelTurns.Reserve()
+	if wait := turn.Delay(); wait > cancelPatience {
+		turn.Cancel()
+		return pending(id), unknown(id, "too many cancels wait", wait)
+	}
+	timer := time.NewTimer(turn.Delay())
+	defer timer.Stop()
+	<-timer.C
+	return l.cancel(ctx, id)
+}
+
+func (l *LongJobs) cancel(ctx context.Context, id basilapi.JobID) (basilapi.JobAnswer, error) {
 	for n := range maxCancelTries {
 		if err := l.store.pause(ctx, n); err != nil {
 			break
--- a/internal/basiljob/long_cost_test.go
+++ b/internal/basiljob/long_cost_test.go
@@ -1,6 +1,8 @@
 package basiljob_test
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +54,43 @@
 	}
 }
 
+func TestCancelBurstOfLongJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobs, cancels, rate, patience = 500, 10_000, 20, 5
+		w := newWorld(1, longLease)
+		w.placer.workers = nil // all stay open
+		o := w.owners[0]
+		var ids []basilapi.JobID
+		for range jobs {
+			a, err := o.jobs.Accept(t.Context(), long("boots", false))
+			must.NoError(t, err)
+			ids = append(ids, a.ID)
+		}
+		var cancelled, later atomic.Int64
+		var wait sync.WaitGroup
+		_, writes := w.tableCost(func() {
+			for n := range cancels {
+				wait.Go(func() {
+					_, err := o.jobs.Cancel(t.Context(), ids[n%jobs])
+					if p, ok := basilapi.AsProblem(err); ok {
+						must.Eq(t, basilapi.OutcomeUnknown, p.Outcome)
+						must.Positive(t, p.RetryAfterMS)
+						later.Add(1)
+						return
+					}
+					must.NoError(t, err)
+					cancelled.Add(1)
+				})
+			}
+			wait.Wait()
+		})
+		made := rate * (patience + 1) // the burst, and a turn for each while patience lasts
+		must.Eq(t, int64(4*made), writes)
+		must.Between(t, int64(made), cancelled.Load(), int64(made*cancels/jobs))
+		must.Eq(t, cancels, cancelled.Load()+later.Load())
+	})
+}
+
 func TestSearchCostDoesNotGrowWithTheJobsOfOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const jobs, owners = 500, 3
--- a/internal/basiljob/long_jobs.go
+++ b/internal/basiljob/long_jobs.go
@@ -7,6 +7,8 @@
 
 	"github.com/oklog/ulid/v2"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
 
 	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/pkg/basilapi"
@@ -28,6 +30,7 @@
 	defaultMaxAttempts   = 50
 	defaultMaxMisfits    = 3
 	defaultParallel      = 16
+	defaultCancelRate    = 20
 	storeRetryAfter      = 5 * time.Second
 )
 
@@ -54,6 +57,7 @@
 	MaxAttempts int
 	MaxMisfits  int // findings in a row that the job fits no host
 	Parallel    int // jobs worked on at once
+	CancelRate  int // cancels a second
 }
 
 func orDefault[T int | time.Duration](v *T, d T) {
@@ -80,6 +84,7 @@
 	orDefault(&o.MaxAttempts, defaultMaxAttempts)
 	orDefault(&o.MaxMisfits, defaultMaxMisfits)
 	orDefault(&o.Parallel, defaultParallel)
+	orDefault(&o.CancelRate, defaultCancelRate)
 	return o
 }
 
@@ -96,6 +101,9 @@
 	scanned  time.Time  // the data centre
 	widened  time.Time  // the neighbours
 
+	cancels     singleflight.Group
+	cancelTurns *rate.Limiter
+
 	mutex sync.Mutex
 	owned map[basilapi.JobID]*ownedJob
 }
@@ -107,7 +115,10 @@
 		store:   longJobStore{table: t, jitter: o.Jitter},
 		tasks:   tasks,
 		options: o,
-		owned:   make(map[basilapi.JobID]*ownedJob),
+
+		cancelTurns: rate.NewLimiter(rate.Limit(o.CancelRate), o.CancelRate),
+
+		owned: make(map[basilapi.JobID]*ownedJob),
 	}
 }
 
@@ -115,8 +126,9 @@
 //
 // Any entry host may accept any id, and a repeat finds the record. A refusal is
 // an ErrProblem: OutcomeNotRun only when no record was or will be written by
-// this id's submits, OutcomeUnknown with where to ask otherwise. It fails with
-// ErrRequestConflict when the id stands for another request.
+// this submit, whereupon the caller asks with a fresh id, and OutcomeUnknown with
+// where to ask otherwise. It fails with ErrRequestConflict when the id stands for
+// another request.
 func (l *LongJobs) Accept(ctx context.Context, r basilapi.SubmitRequest) (basilapi.JobAnswer, error) {
 	if r.ID.IsZero() {
 		r.ID = basilapi.NewJobID(l.options.DataCentre, l.options.Incarnation)
--- a/internal/basiljob/registry_bench_test.go
+++ b/internal/basiljob/registry_bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"runtime"
 	"testing"
+	"time"
 
 	"basilstage.example/basilstage/internal/basiljob"
 	"basilstage.example/basilstage/pkg/basilapi"
@@ -66,3 +67,22 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// BenchmarkLongJobsStep reports the time of one look at a running long job.
+func BenchmarkLongJobsStep(b *testing.B) {
+	const jobs = 1000
+	w := newWorld(0, time.Hour)
+	l := basiljob.NewLongJobs(w.table, w.tasks, basiljob.LongOptions{
+		DataCentre: "fukuoka", Placer: w.placer, PollEvery: time.Nanosecond,
+	})
+	for range jobs {
+		_, _ = l.Accept(b.Context(), long("boots", false))
+	}
+	for range 2 { // start, and see it run
+		_ = l.Step(b.Context())
+	}
+	for b.Loop() {
+		_ = l.Step(b.Context())
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/jobs, "ns/look")
+}
