Hold requests back from a runner that has just refused one

Cause: seven entry hosts that don't see each other's load refuse-and-retry their way through a nearly full pool. Change: after a refusal a runner is left alone for a part of the time in which one of its slots comes free; refusals are free of the retry budget and have a cap of their own; the model queues per entry host in order of arrival.

--- a/internal/basilrouter/credit.go
+++ b/internal/basilrouter/credit.go
@@ -25,6 +25,7 @@
 	limit    atomic.Int64 // thousandths
 	ceiling  atomic.Int64 // thousandths
 	cutAt    atomic.Int64 // Unix nanoseconds of the last cut
+	resume   atomic.Int64 // Unix nanoseconds; refused until then
 }
 
 func (c *credit) reset(share, slots int) {
@@ -37,6 +38,15 @@
 	return (c.inFlight.Load()+1)*milli <= c.limit.Load()
 }
 
+// paused tells whether a refusal is so recent that another one is likely.
+func (c *credit) paused(now int64) bool { return now < c.resume.Load() }
+
+// pause holds requests back for about the time in which one slot comes free.
+func (c *credit) pause(now, typical, fraction int64, random uint32) {
+	mean := typical * milli / max(c.ceiling.Load(), milli) / fraction
+	c.resume.Store(now + mean/2 + int64(uint64(random)*uint64(mean)>>randomShift))
+}
+
 // spare returns how many more requests fit.
 func (c *credit) spare() int {
 	return int(max(0, c.limit.Load()/milli-c.inFlight.Load()))
--- a/internal/basilrouter/model_bench_test.go
+++ b/internal/basilrouter/model_bench_test.go
@@ -35,7 +35,7 @@
 	r := NewRouter(RouterOptions{DataCentre: m.centres[i], EntryHosts: entries})
 	random := rand.New(rand.NewPCG(uint64(i), 3))
 	r.policy.random = random.Uint32
-	c := &routerChooser{router: r, budget: true, charge: true}
+	c := &routerChooser{router: r, budget: true}
 	if change != nil {
 		change(c)
 	}
@@ -85,29 +85,34 @@
 }
 
 func BenchmarkPolicyChoices(b *testing.B) {
-	for _, n := range []int{1, 2, 3, 4} {
-		for _, share := range []float64{0.6, 0.85} {
-			b.Run(fmt.Sprintf("%d choices/load %.2f", n, share), func(b *testing.B) {
-				for range b.N {
-					m := newModel(7, modelRunners, 1)
-					m.equip("router", modelEntries, 1, func(c *routerChooser) { c.router.policy.choices = n })
-					m.runners["r00"].slow = 2
-					m.load = steady(share)
-					m.run()
-					m.report(b.ReportMetric)
-				}
-			})
+	for _, fraction := range []int64{0, 4, 2, 1} {
+		for _, n := range []int{2, 4} {
+			for _, share := range []float64{0.6, 0.9, 1.3} {
+				b.Run(fmt.Sprintf("pause 1 in %d/%d choices/load %.1f", fraction, n, share), func(b *testing.B) {
+					for range b.N {
+						m := newModel(7, modelRunners, 1)
+						m.equip("router", modelEntries, 1, func(c *routerChooser) {
+							c.router.policy.choices = n
+							c.router.policy.pauseFraction = fraction
+						})
+						m.runners["r00"].slow = 2
+						m.load = steady(share)
+						m.run()
+						m.report(b.ReportMetric)
+					}
+				})
+			}
 		}
 	}
 }
 
-// Each data centre in turn asks five times its part for two seconds, the others little.
+// Each data centre in turn asks five times its part for two seconds, more than its own runners hold, the others little.
 func BenchmarkPolicyDataCentres(b *testing.B) {
 	const centres, entries = 3, 6
 	peaks := func(entry int, at time.Duration) float64 {
 		base := 0.25 * modelCapacity * modelRunners / entries
 		if int(at/(2*time.Second))%centres == entry%centres {
-			return 5 * base / 2
+			return 5 * base
 		}
 		return base / 4
 	}
--- a/internal/basilrouter/model_test.go
+++ b/internal/basilrouter/model_test.go
@@ -67,17 +67,19 @@
 	runners  map[string]*modelRunner
 	backends []Backend
 	entries  []modelChooser
+	waiting  []*modelLine
 	centres  []string                                  // of each entry host
 	load     func(entry int, at time.Duration) float64 // jobs a second
 	until    time.Duration
 	badJobs  float64 // share of jobs that fail wherever they run
+	refusals int     // refusals that a job may meet before it fails
 
 	latencies                         []time.Duration
 	jobs, good, attempts, remote, bad int
 }
 
 func newModel(seed uint64, runners, centres int) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 1)), runners: map[string]*modelRunner{}, until: 60 * time.Second}
+	m := &model{random: rand.New(rand.NewPCG(seed, 1)), runners: map[string]*modelRunner{}, until: 20 * time.Second, refusals: 8}
 	for i := range runners {
 		b := Backend{Host: fmt.Sprintf("r%02d", i), DataCentre: centre(i % centres), Epoch: 1, Slots: modelSlots}
 		m.backends = append(m.backends, b)
@@ -101,6 +103,7 @@
 
 func (m *model) run() {
 	for i, e := range m.entries {
+		m.waiting = append(m.waiting, &modelLine{})
 		e.update(m.backends)
 		m.after(0, func() { m.arrive(i) })
 	}
@@ -138,17 +141,52 @@
 	born  time.Duration
 	bad   bool
 	tried []string
+	runs  int // attempts that were not refused
 }
 
 func (j *modelJob) try() {
-	m := j.model
-	if m.now-j.born > modelDeadline {
+	w := j.model.waiting[j.entry]
+	w.jobs = append(w.jobs, j)
+	j.model.pump(w)
+}
+
+// modelLine is the queue of an entry host.
+type modelLine struct {
+	jobs   []*modelJob
+	polled bool
+}
+
+// pump sends from the head of a queue until nothing more can be sent.
+func (m *model) pump(w *modelLine) {
+	for len(w.jobs) > 0 {
+		j := w.jobs[0]
+		if m.now-j.born <= modelDeadline && !j.send() {
+			m.poll(w)
+			return
+		}
+		w.jobs = w.jobs[1:]
+	}
+}
+
+func (m *model) poll(w *modelLine) {
+	if w.polled {
 		return
 	}
+	w.polled = true
+	m.after(modelPoll, func() {
+		w.polled = false
+		m.pump(w)
+	})
+}
+
+func (j *modelJob) send() bool {
+	m := j.model
 	host, done, ok := m.entries[j.entry].pick(m.wall(), j.tried)
+	if !ok && len(j.tried) > 0 {
+		host, done, ok = m.entries[j.entry].pick(m.wall(), nil)
+	}
 	if !ok {
-		m.after(modelPoll, j.try)
-		return
+		return false
 	}
 	m.attempts++
 	j.tried = append(j.tried, host)
@@ -165,9 +203,11 @@
 				p.Latency = m.now - sent
 				done(p, m.wall())
 				j.settle(p)
+				m.pump(m.waiting[j.entry])
 			})
 		})
 	})
+	return true
 }
 
 func (r *modelRunner) serve(m *model, bad bool, answer func(Report)) {
@@ -206,10 +246,13 @@
 		return
 	}
 	m.bad++
-	if len(j.tried) >= modelAttempts || !m.entries[j.entry].mayRetry(p.Ending == EndingRefused) {
+	if p.Ending != EndingRefused {
+		j.runs++
+	}
+	if j.runs >= modelAttempts || len(j.tried)-j.runs > m.refusals || !m.entries[j.entry].mayRetry(p.Ending == EndingRefused) {
 		return
 	}
-	m.after(time.Duration(m.random.Float64()*float64(retryBase<<(len(j.tried)-1))), j.try)
+	m.after(time.Duration(m.random.Float64()*float64(min(retryBase<<(len(j.tried)-1), retryMax))), j.try)
 }
 
 func (m *model) quantile(q float64) float64 {
--- a/internal/basilrouter/pool.go
+++ b/internal/basilrouter/pool.go
@@ -14,14 +14,15 @@
 
 // policy holds what a choice goes by.
 type policy struct {
-	choices  int   // members compared for one request
-	highUsed int64 // thousandths of the credits; from there on other data centres are used
-	lowUsed  int64 // thousandths of the credits; down there only the own data centre is used
-	random   func() uint32
+	choices       int   // members compared for one request
+	highUsed      int64 // thousandths of the credits; from there on other data centres are used
+	lowUsed       int64 // thousandths of the credits; down there only the own data centre is used
+	random        func() uint32
+	pauseFraction int64
 }
 
 func defaultPolicy() policy {
-	return policy{choices: 2, highUsed: 900, lowUsed: 600, random: rand.Uint32}
+	return policy{choices: 2, highUsed: 900, lowUsed: 600, random: rand.Uint32, pauseFraction: 1}
 }
 
 // index returns a random index below n.
@@ -57,7 +58,7 @@
 }
 
 func (q *request) takes(m *member) bool {
-	return m.host.credit.free() && m.usable(q.now, q.probe) && !q.excludes(m)
+	return m.host.credit.free() && !m.host.credit.paused(q.now) && m.usable(q.now, q.probe) && !q.excludes(m)
 }
 
 func (q *request) excludes(m *member) bool {
