Take the watermarks out again: they don't beat "own data centre until full"

Change: other data centres are used only when the own one has no credit left; four choices. Conclusion: own data centre first stays, the marks go.

--- a/internal/basilrouter/credit.go
+++ b/internal/basilrouter/credit.go
@@ -66,11 +66,6 @@
 
 func (c *credit) release() { c.inFlight.Add(-1) }
 
-// used returns the share of the window that is in flight, in thousandths.
-func (c *credit) used() int64 {
-	return c.inFlight.Load() * milli * milli / max(c.limit.Load(), 1)
-}
-
 // grow widens the window after an answer if the window was full.
 func (c *credit) grow() {
 	if c.free() {
--- a/internal/basilrouter/model_bench_test.go
+++ b/internal/basilrouter/model_bench_test.go
@@ -118,14 +118,11 @@
 	}
 	even := func(int, time.Duration) float64 { return 0.6 * modelCapacity * modelRunners / entries }
 	policies := []struct {
-		name      string
-		high, low int64
+		name string
+		own  func(centre string) string // the data centre that the router takes for its own
 	}{
-		{"no preference", 0, -1},
-		{"leave when full", 1 << 40, 1 << 40},
-		{"one mark 0.9", 900, 899},
-		{"marks 0.9 and 0.6", 900, 600},
-		{"marks 0.7 and 0.4", 700, 400},
+		{"no preference", func(string) string { return "" }},
+		{"own first", func(c string) string { return c }},
 	}
 	for _, l := range []struct {
 		name string
@@ -136,7 +133,7 @@
 				for range b.N {
 					m := newModel(7, modelRunners, centres)
 					m.equip("router", entries, centres, func(c *routerChooser) {
-						c.router.policy.highUsed, c.router.policy.lowUsed = p.high, p.low
+						c.router.options.DataCentre = p.own(c.router.options.DataCentre)
 					})
 					m.load = l.load
 					m.run()
--- a/internal/basilrouter/pool.go
+++ b/internal/basilrouter/pool.go
@@ -15,14 +15,12 @@
 // policy holds what a choice goes by.
 type policy struct {
 	choices       int   // members compared for one request
-	highUsed      int64 // thousandths of the credits; from there on other data centres are used
-	lowUsed       int64 // thousandths of the credits; down there only the own data centre is used
+	pauseFraction int64 // a refusal holds requests back for this part of a slot's time; 0 is not at all
 	random        func() uint32
-	pauseFraction int64
 }
 
 func defaultPolicy() policy {
-	return policy{choices: 2, highUsed: 900, lowUsed: 600, random: rand.Uint32, pauseFraction: 1}
+	return policy{choices: 4, pauseFraction: 2, random: rand.Uint32}
 }
 
 // index returns a random index below n.
@@ -41,7 +39,6 @@
 type pool struct {
 	view     atomic.Pointer[poolView]
 	typical  atomic.Int64 // nanoseconds, the median latency
-	spilling atomic.Bool  // other data centres are in use
 	sweptAt  atomic.Int64 // Unix nanoseconds
 	sweeping sync.Mutex
 	sweep    sweep // guarded by sweeping
@@ -66,41 +63,22 @@
 }
 
 // choose takes a credit at the best member it finds, or returns nil.
+//
+// Another data centre is used only when the own one has no credit left.
 func (p *pool) choose(q *request) *member {
 	v := p.view.Load()
-	typical := p.typicalLatency()
-	m := sample(v.near, q, typical)
-	if p.steer(m, len(v.near), q.policy) {
-		m = better(m, sample(v.far, q, typical), q.now, typical)
-	}
-	if m != nil && m.acquire(q) {
-		return m
-	}
-	if m := scan(v.near, q); m != nil {
+	if m := p.chooseAmong(v.near, q); m != nil {
 		return m
 	}
-	return scan(v.far, q)
+	return p.chooseAmong(v.far, q)
 }
 
-// steer tells whether other data centres may be used, by how full the own one looks.
-func (p *pool) steer(m *member, near int, o *policy) bool {
-	spilling := p.spilling.Load()
-	switch {
-	case near == 0:
-		return true
-	case m == nil:
-		return spilling
-	}
-	used := m.host.credit.used()
-	if !spilling && used >= o.highUsed {
-		p.spilling.Store(true)
-		return true
-	}
-	if spilling && used <= o.lowUsed {
-		p.spilling.Store(false)
-		return false
+func (p *pool) chooseAmong(members []*member, q *request) *member {
+	m := sample(members, q, p.typicalLatency())
+	if m != nil && m.acquire(q) {
+		return m
 	}
-	return spilling
+	return scan(members, q)
 }
 
 func (p *pool) typicalLatency() int64 {
@@ -129,16 +107,6 @@
 	return best
 }
 
-func better(a, b *member, now, typical int64) *member {
-	if a == nil {
-		return b
-	}
-	if b == nil || a.score(now, typical) <= b.score(now, typical) {
-		return a
-	}
-	return b
-}
-
 // scan takes a credit at the first member that has one, from a random start.
 func scan(members []*member, q *request) *member {
 	if len(members) == 0 {
