Carry configuration changes as deltas, and answer repeated commands

TestChangeOfATeamFitsTheBytesOfANode failed first: "expected 33617.5 < 8704". TestRepeatedCommandReturnsItsRevision failed first too: a repeat was judged against the newest revision and told it had lost. Ruled out: announcing numbers only (each node then reads the whole from the table, the same bytes); compression (a change of one team still costs the whole on every processor). Change: an entry carries the delta between canonical revisions; the head keeps the whole, and every 64th revision. The trail answers a refused command that was carried out before with its entry, and judges again when the state has moved on. Properties rebuild each revision from deltas.

--- a/internal/basilaudit/entry.go
+++ b/internal/basilaudit/entry.go
@@ -21,17 +21,17 @@
 
 // EntryRecord is the stored form of one change.
 type EntryRecord struct {
-	Sequence      int64                     `json:"sequence"`
-	At            time.Time                 `json:"at"` // by the writer's clock; the sequence gives the order
-	Operator      string                    `json:"operator"`
-	Command       string                    `json:"command,omitempty"` // the command's id, unique when set
-	Action        string                    `json:"action"`
-	Subject       string                    `json:"subject"`
-	Reason        string                    `json:"reason"`
-	Hosts         []basilmodel.Host         `json:"hosts,omitempty"`  // as they are after the change
-	Before        []basilmodel.Host         `json:"before,omitempty"` // as they were
-	Configuration *basilmodel.Configuration `json:"configuration,omitempty"`
-	Detail        json.RawMessage           `json:"detail,omitempty"` // the subject after the change, when it is neither
+	Sequence      int64                          `json:"sequence"`
+	At            time.Time                      `json:"at"` // by the writer's clock; the sequence gives the order
+	Operator      string                         `json:"operator"`
+	Command       string                         `json:"command,omitempty"` // the command's id, unique when set
+	Action        string                         `json:"action"`
+	Subject       string                         `json:"subject"`
+	Reason        string                         `json:"reason"`
+	Hosts         []basilmodel.Host              `json:"hosts,omitempty"`  // as they are after the change
+	Before        []basilmodel.Host              `json:"before,omitempty"` // as they were
+	Configuration *basilmodel.ConfigurationDelta `json:"configuration,omitempty"`
+	Detail        json.RawMessage                `json:"detail,omitempty"` // the subject after the change, when it is neither
 }
 
 // Entry is one change on the trail.
@@ -49,8 +49,8 @@
 // Hosts returns the hosts as they are after the change.
 func (e Entry) Hosts() []basilmodel.Host { return e.record.Hosts }
 
-// Configuration returns the revision that the change accepted, or nil.
-func (e Entry) Configuration() *basilmodel.Configuration { return e.record.Configuration }
+// Configuration returns what the accepted revision changes, or nil.
+func (e Entry) Configuration() *basilmodel.ConfigurationDelta { return e.record.Configuration }
 
 // MarshalJSON encodes the stored form.
 func (e Entry) MarshalJSON() ([]byte, error) { return json.Marshal(e.record) }
--- a/internal/basilaudit/trail.go
+++ b/internal/basilaudit/trail.go
@@ -28,7 +28,9 @@
 
 // Decide reads what it needs from the table and returns the change to make.
 //
-// It is called anew for each attempt; an error from it ends the commit with no effect.
+// It is called anew for each attempt. An error from it ends the commit with no
+// effect, unless the change that comes with it names a command that was carried
+// out before, or the state that it judged has moved on.
 type Decide func(ctx context.Context, t basilplatform.Table) (Change, error)
 
 // Trail appends changes to the audit trail in the table and reads them back.
@@ -75,7 +77,7 @@
 	}
 	c, err := decide(ctx, t.table)
 	if err != nil {
-		return Entry{}, err
+		return t.refused(ctx, h, c, err)
 	}
 	if e, ok, err := t.Command(ctx, c.Entry.Command); err != nil || ok {
 		return e, err
@@ -98,6 +100,25 @@
 	return e, nil
 }
 
+// refused ends a commit that decide refused, unless the refusal was judged on a
+// state that has moved on, or the command was carried out before.
+func (t *Trail) refused(ctx context.Context, before basilplatform.Item, c Change, refusal error) (Entry, error) {
+	if basilplatform.IsErrUnavailable(refusal) {
+		return Entry{}, refusal
+	}
+	if e, ok, err := t.Command(ctx, c.Entry.Command); err != nil || ok {
+		return e, err
+	}
+	after, err := t.table.Get(ctx, HeadKey)
+	if err != nil && !basilplatform.IsErrItemNotExist(err) {
+		return Entry{}, err
+	}
+	if after.Version != before.Version {
+		return Entry{}, basilplatform.ErrConditionFailed{Key: HeadKey}
+	}
+	return Entry{}, refusal
+}
+
 // compose builds the transaction that moves the head, appends the entry and carries the writes.
 func compose(h basilplatform.Item, c Change) (basilplatform.Transaction, EntryRecord, error) {
 	var last head
--- a/internal/basilconfig/configuration_store.go
+++ b/internal/basilconfig/configuration_store.go
@@ -12,15 +12,7 @@
 	"basilstage.example/basilstage/internal/basilplatform"
 )
 
-const partition = "configuration"
-
-const headSort = "head"
-
-var headKey = basilplatform.Key{Partition: partition, Sort: headSort}
-
-func revisionKey(revision int64) basilplatform.Key {
-	return basilplatform.Key{Partition: partition, Sort: fmt.Sprintf("revision-%019d", revision)}
-}
+var headKey = basilplatform.Key{Partition: "configuration", Sort: "head"}
 
 // Current returns the newest accepted configuration and its item; revision 0 when there is none.
 func Current(ctx context.Context, t basilplatform.Table) (basilmodel.Configuration, basilplatform.Item, error) {
@@ -36,20 +28,6 @@
 	return c, i, errors.WithStack(err)
 }
 
-// Revision returns one accepted revision; it fails with ErrRevisionNotExist.
-func Revision(ctx context.Context, t basilplatform.Table, revision int64) (basilmodel.Configuration, error) {
-	var c basilmodel.Configuration
-	i, err := t.Get(ctx, revisionKey(revision))
-	if basilplatform.IsErrItemNotExist(err) {
-		return c, errors.WithStack(ErrRevisionNotExist{Revision: revision})
-	}
-	if err != nil {
-		return c, err
-	}
-	err = json.Unmarshal(i.Body, &c)
-	return c, errors.WithStack(err)
-}
-
 // Apply accepts the record as the revision that follows base and returns it.
 //
 // It fails with ErrRevisionConflict when base is not the newest revision, with
@@ -58,8 +36,13 @@
 	if err := Check(r); err != nil {
 		return basilmodel.Configuration{}, err
 	}
+	r = r.Canonical()
+	var accepted basilmodel.Configuration
 	e, err := t.Commit(ctx, func(ctx context.Context, table basilplatform.Table) (basilaudit.Change, error) {
-		return decide(ctx, table, base, r, a)
+		var c basilaudit.Change
+		var err error
+		c, accepted, err = decide(ctx, table, base, r, a)
+		return c, err
 	})
 	if err != nil {
 		return basilmodel.Configuration{}, err
@@ -67,36 +50,30 @@
 	if e.Configuration() == nil {
 		return basilmodel.Configuration{}, errors.WithStack(ErrCommandReused{Command: a.Command})
 	}
-	return *e.Configuration(), nil
+	if d := e.Configuration(); d.Revision != accepted.Revision() || e.Record().Command != "" {
+		return Revision(ctx, t.Table(), d.Revision) // it may be that of an earlier command with the same id
+	}
+	return accepted, nil
 }
 
-func decide(ctx context.Context, t basilplatform.Table, base int64, r basilmodel.ConfigurationRecord, a basilaudit.Actor) (basilaudit.Change, error) {
+func decide(ctx context.Context, t basilplatform.Table, base int64, r basilmodel.ConfigurationRecord, a basilaudit.Actor) (basilaudit.Change, basilmodel.Configuration, error) {
+	c := basilaudit.Change{Entry: basilaudit.EntryRecord{
+		Operator: a.Operator, Command: a.Command, Reason: a.Reason, Action: "apply configuration",
+	}}
 	current, i, err := Current(ctx, t)
 	if err != nil {
-		return basilaudit.Change{}, err
+		return c, current, err
 	}
 	if current.Revision() != base {
-		return basilaudit.Change{}, errors.WithStack(ErrRevisionConflict{Base: base, Newest: current.Revision(), Author: current.Author()})
+		return c, current, errors.WithStack(ErrRevisionConflict{Base: base, Newest: current.Revision(), Author: current.Author()})
 	}
 	r.Revision = base + 1
 	r.Author = a.Operator
 	r.Reason = a.Reason
 	next := basilmodel.NewConfiguration(r)
-	body, err := json.Marshal(next)
-	if err != nil {
-		return basilaudit.Change{}, errors.WithStack(err)
-	}
-	move := basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: headKey, Body: body}
-	if i.Version > 0 {
-		move.Precondition = basilplatform.PreconditionVersion
-		move.Version = i.Version
-	}
-	keep := basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: revisionKey(r.Revision), Body: body}
-	return basilaudit.Change{
-		Entry: basilaudit.EntryRecord{
-			Operator: a.Operator, Command: a.Command, Reason: a.Reason,
-			Action: "apply configuration", Subject: fmt.Sprintf("revision %d", r.Revision), Configuration: &next,
-		},
-		Writes: []basilplatform.Write{move, keep},
-	}, nil
+	delta := current.Delta(next)
+	c.Entry.Subject = fmt.Sprintf("revision %d", r.Revision)
+	c.Entry.Configuration = &delta
+	c.Writes, err = revisionWrites(i, next, delta)
+	return c, next, err
 }
--- a/internal/basildemo/check.go
+++ b/internal/basildemo/check.go
@@ -66,8 +66,8 @@
 		for _, e := range entries {
 			after = e.Sequence()
 			steps++
-			if c := e.Configuration(); c != nil {
-				configuration = *c
+			if d := e.Configuration(); d != nil {
+				configuration, _ = configuration.Apply(*d)
 			}
 			for _, h := range e.Hosts() {
 				hosts[h.ID()] = h
--- a/internal/basilpool/replica.go
+++ b/internal/basilpool/replica.go
@@ -75,8 +75,8 @@
 
 func (r *Replica) apply(e basilaudit.Entry) {
 	r.sequence = e.Sequence()
-	if c := e.Configuration(); c != nil && c.Revision() > r.configuration.Revision() {
-		r.configuration = *c
+	if d := e.Configuration(); d != nil {
+		r.configuration, _ = r.configuration.Apply(*d) // a revision that was read before is not applied again
 	}
 	for _, h := range e.Hosts() {
 		r.put(h)
--- a/internal/basilpool/verifier.go
+++ b/internal/basilpool/verifier.go
@@ -49,7 +49,7 @@
 	}
 	v.sequence = r.Sequence
 	if r.Configuration != nil {
-		v.configuration = *r.Configuration
+		v.configuration, _ = v.configuration.Apply(*r.Configuration)
 	}
 	if len(r.Hosts) == 0 && len(r.Before) == 0 {
 		return nil
--- a/internal/basilview/control_test.go
+++ b/internal/basilview/control_test.go
@@ -179,7 +179,7 @@
 func TestStalePeerNeverRevertsConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var table basilstandin.Table
-		accept(t, &table, 0)
+		first := accept(t, &table, 0)
 		old, err := basilaudit.NewTrail(&table).After(t.Context(), 0, 10)
 		must.NoError(t, err)
 		accept(t, &table, 1)
@@ -187,7 +187,7 @@
 		defer e.stop()
 		pass(time.Second)
 		e.Entries(old)
-		e.Snapshot(basilview.Snapshot{Sequence: 1, Configuration: *old[0].Configuration()})
+		e.Snapshot(basilview.Snapshot{Sequence: 1, Configuration: first})
 		pass(time.Second)
 		must.EqOp(t, 2, e.View().Configuration().Revision())
 	})
--- a/internal/basilview/state.go
+++ b/internal/basilview/state.go
@@ -91,8 +91,8 @@
 			s.removeHost(h)
 		}
 	}
-	if c := e.Configuration(); c != nil {
-		s.putConfiguration(*c)
+	if d := e.Configuration(); d != nil {
+		s.configuration, _ = s.configuration.Apply(*d) // a revision that was read before is not applied again
 	}
 	s.sequence = e.Sequence()
 	s.gap = false
