--- a/internal/basilrouter/dispatcher.go
+++ b/internal/basilrouter/dispatcher.go
@@ -13,6 +13,7 @@
 const (
 	defaultMaxAttempts = 3
 	defaultTimeout     = time.Minute
+	maxRefusals        = 8 // of one job
 	maxWholeFailures   = 2 // of one job on different backend servers
 	retryBase          = 5 * time.Millisecond
 	retryMax           = 250 * time.Millisecond
@@ -21,7 +22,7 @@
 
 // DispatcherOptions are the settings of a Dispatcher; the zero value works.
 type DispatcherOptions struct {
-	MaxAttempts int           // 0 is the default
+	MaxAttempts int           // refused ones aside; 0 is the default
 	Timeout     time.Duration // for requests without a deadline; 0 is the default
 	RequireEcho bool          // answers must name their job and attempt
 }
@@ -62,6 +63,7 @@
 	Deadline   time.Time
 	Start      func(attempt int) bool // called just before each send; false cancels the job
 	Allowed    func() error           // called before Start; an error forbids the send
+	Lease      *Lease                 // taken for the first attempt, or nil; Run ends it
 }
 
 // Result is what became of a job.
@@ -84,7 +86,7 @@
 		if result, done := r.next(ctx); done {
 			return result
 		}
-		if result, done := r.pause(ctx); done {
+		if result, done := r.wait(ctx); done {
 			return result
 		}
 	}
--- a/internal/basilrouter/lease.go
+++ b/internal/basilrouter/lease.go
@@ -37,8 +37,8 @@
 		l.router.options.OnLeaving(l.backend.Host, l.backend.Epoch)
 	}
 	l.pool.settle(m, r, now.UnixNano(), l.probe)
-	if r.Ending == EndingRefused && !r.Leaving && l.router.policy.pauseFraction > 0 {
-		m.host.credit.pause(now.UnixNano(), l.pool.typicalLatency(), l.router.policy.pauseFraction, l.router.policy.random())
+	if r.Ending == EndingRefused && !r.Leaving && l.pool.policy.pauseFraction > 0 {
+		m.host.credit.pause(now.UnixNano(), l.pool.typicalLatency(), l.pool.policy.pauseFraction, l.pool.policy.random())
 	}
 	if l.router.options.OnFree != nil {
 		l.router.options.OnFree(l.backend.Host)
--- a/internal/basilrouter/pool.go
+++ b/internal/basilrouter/pool.go
@@ -14,13 +14,14 @@
 
 // policy holds what a choice goes by.
 type policy struct {
-	choices       int   // members compared for one request
-	pauseFraction int64 // a refusal holds requests back for this part of a slot's time; 0 is not at all
-	random        func() uint32
+	choices           int   // members compared for one request
+	pauseFraction     int64 // a refusal holds requests back for this part of a slot's time; 0 is not at all
+	maxEjectedPercent int   // of a pool's members
+	random            func() uint32
 }
 
 func defaultPolicy() policy {
-	return policy{choices: 4, pauseFraction: 2, random: rand.Uint32}
+	return policy{choices: 4, pauseFraction: 2, maxEjectedPercent: 34, random: rand.Uint32}
 }
 
 // index returns a random index below n.
@@ -37,6 +38,7 @@
 
 // pool is the live state of one service.
 type pool struct {
+	policy   *policy
 	view     atomic.Pointer[poolView]
 	typical  atomic.Int64 // nanoseconds, the median latency
 	sweptAt  atomic.Int64 // Unix nanoseconds
@@ -47,7 +49,6 @@
 
 // request is what one choice has to heed.
 type request struct {
-	policy  *policy
 	now     int64
 	probe   bool // may go to an ejected member that is due
 	probing bool // went to one; set by the choice
@@ -74,11 +75,11 @@
 }
 
 func (p *pool) chooseAmong(members []*member, q *request) *member {
-	m := sample(members, q, p.typicalLatency())
+	m := p.sample(members, q)
 	if m != nil && m.acquire(q) {
 		return m
 	}
-	return scan(members, q)
+	return p.scan(members, q)
 }
 
 func (p *pool) typicalLatency() int64 {
@@ -89,14 +90,15 @@
 }
 
 // sample compares a few members drawn at random.
-func sample(members []*member, q *request, typical int64) *member {
+func (p *pool) sample(members []*member, q *request) *member {
 	if len(members) == 0 {
 		return nil
 	}
+	typical := p.typicalLatency()
 	var best *member
 	var bestScore int64
-	for range q.policy.choices {
-		m := members[q.policy.index(len(members))]
+	for range p.policy.choices {
+		m := members[p.policy.index(len(members))]
 		if m == best || !q.takes(m) {
 			continue
 		}
@@ -108,11 +110,11 @@
 }
 
 // scan takes a credit at the first member that has one, from a random start.
-func scan(members []*member, q *request) *member {
+func (p *pool) scan(members []*member, q *request) *member {
 	if len(members) == 0 {
 		return nil
 	}
-	start := q.policy.index(len(members))
+	start := p.policy.index(len(members))
 	for i := range min(len(members), maxScan) {
 		m := members[(start+i)%len(members)]
 		if q.takes(m) && m.acquire(q) {
--- a/internal/basilrouter/router.go
+++ b/internal/basilrouter/router.go
@@ -138,7 +138,7 @@
 	if !ok {
 		return nil, r.noBackend(service)
 	}
-	q := request{policy: &r.policy, now: now.UnixNano(), probe: probe, exclude: exclude}
+	q := request{now: now.UnixNano(), probe: probe, exclude: exclude}
 	m := p.choose(&q)
 	if m == nil {
 		return nil, r.noBackend(service)
@@ -159,7 +159,7 @@
 	if p, ok := r.pool(service); ok {
 		return p
 	}
-	p := &pool{}
+	p := &pool{policy: &r.policy}
 	p.view.Store(&poolView{})
 	r.pools.Store(service, p)
 	return p
@@ -277,7 +277,7 @@
 func (p *pool) enforceEjectedShare(v *poolView) {
 	p.sweeping.Lock()
 	defer p.sweeping.Unlock()
-	room := maxEjected(len(v.all))
+	room := p.maxEjected(len(v.all))
 	for _, m := range v.all {
 		if !m.health.ejected() {
 			continue
--- a/internal/basilrouter/run.go
+++ b/internal/basilrouter/run.go
@@ -14,6 +14,8 @@
 	dispatcher *Dispatcher
 	request    *Request
 	attempts   int
+	refusals   int   // attempts that were refused
+	misses     int   // retries that found no backend server
 	unsure     bool  // some attempt may have started and brought no whole answer
 	last       trial // of the latest attempt
 	failures   int   // whole answers that report a failure
@@ -23,10 +25,20 @@
 
 // next makes one attempt; it tells whether the result is final.
 func (r *run) next(ctx context.Context) (Result, bool) {
-	l, result := r.prepare(ctx)
-	if l == nil {
+	l, err := r.take(ctx)
+	if IsErrNoBackend(err) && r.attempts > 0 && r.refusals+r.misses < maxRefusals {
+		r.misses++
+		r.last.report.Ending = EndingRefused
+		return Result{}, false
+	}
+	if err != nil {
+		return r.refused(ctx, err), true
+	}
+	if result, ok := r.clear(l); !ok {
+		l.Done(Report{}, time.Now())
 		return result, true
 	}
+	r.attempts++
 	b := l.Backend()
 	t := r.dispatcher.send(ctx, r.request, b, r.attempts)
 	l.Done(t.report, time.Now())
@@ -34,46 +46,51 @@
 	return r.judge(t)
 }
 
-// prepare picks a backend server and passes the checks that come before a send.
-func (r *run) prepare(ctx context.Context) (*Lease, Result) {
-	q := r.request
-	for {
-		if ctx.Err() != nil {
-			return nil, r.expired(ctx)
-		}
-		l, err := r.pick()
-		if err != nil {
-			var e ErrNoBackend
-			errors.As(err, &e)
-			return nil, r.giveUp(basilapi.CodeNoRunner, "no backend server can take the job now", e.RetryAfter)
-		}
-		if q.Allowed != nil {
-			if err := q.Allowed(); err != nil {
-				l.Done(Report{}, time.Now())
-				return nil, r.giveUp(basilapi.CodeStale, err.Error(), r.retryAfter())
-			}
+// take returns the lease of the request or picks one; a lease that ran out is replaced.
+func (r *run) take(ctx context.Context) (*Lease, error) {
+	if l := r.request.Lease; l != nil {
+		r.request.Lease = nil
+		if l.Usable() && ctx.Err() == nil {
+			return l, nil
 		}
-		if !l.Usable() {
-			l.Done(Report{}, time.Now())
-			continue
-		}
-		if q.Start != nil && !q.Start(r.attempts+1) {
-			l.Done(Report{}, time.Now())
-			return nil, r.giveUp(basilapi.CodeCancelled, "the job was cancelled", 0)
-		}
-		r.attempts++
-		return l, Result{}
+		l.Done(Report{}, time.Now())
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, errors.WithStack(err)
 	}
+	l, err := r.pick(r.tried)
+	if err != nil && len(r.tried) > 0 {
+		return r.pick(nil)
+	}
+	return l, err
 }
 
-// pick prefers a backend server that was not tried yet.
-func (r *run) pick() (*Lease, error) {
-	q, d := r.request, r.dispatcher
-	l, err := d.router.pick(&Lease{}, q.Service, time.Now(), q.Idempotent, r.tried)
-	if err == nil || len(r.tried) == 0 {
-		return l, err
+func (r *run) pick(exclude []string) (*Lease, error) {
+	q := r.request
+	return r.dispatcher.router.pick(&Lease{}, q.Service, time.Now(), q.Idempotent, exclude)
+}
+
+// refused is the result of a job that could not be sent.
+func (r *run) refused(ctx context.Context, err error) Result {
+	var e ErrNoBackend
+	if errors.As(err, &e) {
+		return r.giveUp(basilapi.CodeNoRunner, "no backend server can take the job now", e.RetryAfter)
+	}
+	return r.expired(ctx)
+}
+
+// clear passes the checks that come just before a send; it tells whether to go on.
+func (r *run) clear(l *Lease) (Result, bool) {
+	q := r.request
+	if q.Allowed != nil {
+		if err := q.Allowed(); err != nil {
+			return r.giveUp(basilapi.CodeStale, err.Error(), r.retryAfter()), false
+		}
+	}
+	if q.Start != nil && !q.Start(r.attempts+1) {
+		return r.giveUp(basilapi.CodeCancelled, "the job was cancelled", 0), false
 	}
-	return d.router.pick(&Lease{}, q.Service, time.Now(), q.Idempotent, nil)
+	return Result{}, true
 }
 
 // judge takes an attempt in; it tells whether the job is at its end.
@@ -84,6 +101,8 @@
 		return Result{Outcome: basilapi.OutcomeRan, Attempt: r.attempts, Answer: t.answer}, true
 	case EndingRejected:
 		return r.jobFailed(t), true
+	case EndingRefused:
+		r.refusals++
 	case EndingFailed:
 		r.failures++
 		r.failed = t
@@ -104,19 +123,22 @@
 	if t.started && !r.request.Idempotent {
 		return false
 	}
-	return r.attempts < r.dispatcher.options.MaxAttempts && r.failures < maxWholeFailures
+	if r.refusals+r.misses > maxRefusals || r.failures >= maxWholeFailures {
+		return false
+	}
+	return r.attempts-r.refusals < r.dispatcher.options.MaxAttempts
 }
 
-// pause waits before the next attempt, if the budget and the deadline allow one.
-func (r *run) pause(ctx context.Context) (Result, bool) {
-	wait := jittered(r.attempts)
-	if time.Until(r.request.Deadline) <= wait {
+// wait passes the time before the next attempt, if the budget and the deadline allow one.
+func (r *run) wait(ctx context.Context) (Result, bool) {
+	d := jittered(r.attempts + r.misses)
+	if time.Until(r.request.Deadline) <= d {
 		return r.giveUp(basilapi.CodeDeadlineExceeded, r.last.detail, r.retryAfter()), true
 	}
-	if !r.dispatcher.router.spendRetry(r.request.Service) {
+	if r.last.report.Ending != EndingRefused && !r.dispatcher.router.spendRetry(r.request.Service) {
 		return r.giveUp(basilapi.CodeOverloaded, r.last.detail, r.retryAfter()), true
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/basilrouter/sweep.go
+++ b/internal/basilrouter/sweep.go
@@ -9,15 +9,14 @@
 
 // Limits of the comparison of members.
 const (
-	sweepInterval     = 500 * time.Millisecond
-	sweepEarly        = 20 * time.Millisecond // after a streak of failures
-	sweepPerMember    = 10 * time.Microsecond // keeps the cost of sweeps of large pools small
-	streakToSweep     = 5
-	rateHalfLife      = 5 * time.Second
-	minFailures       = 5
-	minSamples        = 8
-	ejectionMargin    = 0.3 // failure rate above the pool's median
-	maxEjectedDivisor = 3   // at most a third of a pool is ejected
+	sweepInterval  = 500 * time.Millisecond
+	sweepEarly     = 20 * time.Millisecond // after a streak of failures
+	sweepPerMember = 10 * time.Microsecond // keeps the cost of sweeps of large pools small
+	streakToSweep  = 5
+	rateHalfLife   = 5 * time.Second
+	minFailures    = 5
+	minSamples     = 8
+	ejectionMargin = 0.3 // failure rate above the pool's median
 )
 
 // failureRate holds decayed counts of attempts.
@@ -66,7 +65,7 @@
 	if len(s.latencies) > 0 {
 		p.typical.Store(lowerMedian(s.latencies))
 	}
-	s.eject(now, maxEjected(len(v.all))-ejected)
+	s.eject(now, p.maxEjected(len(v.all))-ejected)
 }
 
 func (s *sweep) add(m *member) {
@@ -106,7 +105,10 @@
 	h.rate.failed = h.rate.failed*decay + float64(h.failed.Swap(0))
 }
 
-func maxEjected(members int) int { return members / maxEjectedDivisor }
+// maxEjected returns how many of so many members may be ejected at once.
+func (p *pool) maxEjected(members int) int {
+	return members * p.policy.maxEjectedPercent / 100
+}
 
 func lowerMedian[T cmp.Ordered](values []T) T {
 	slices.Sort(values)
