Publish only the pools that changed, and load a cold start in linear time

Cause: at 13,000 hosts a cold start cloned a pool's map for each host, and each publication sorted and handed over every pool: 0.61 ms a pool and service, 70 ms for 115 services at each change. Ruled out: a persistent map from a library (the clone of one pool's 565 hosts costs 0.1 ms, which the rate of changes makes 0.01 % of a core).

--- a/internal/basilentry/entry.go
+++ b/internal/basilentry/entry.go
@@ -32,6 +32,7 @@
 	waves    *basilwave.Waves
 	control  *basilview.Control
 	router   *basilrouter.Router
+	routes   *routes
 	registry *basiljob.Registry
 	long     *basiljob.LongJobs
 	mesh     *basilpeer.Mesh
@@ -84,6 +85,7 @@
 		DataCentre: s.DataCentre(),
 		OnLeaving:  e.leaving,
 	})
+	e.routes = newRoutes(e.router, s.DataCentre())
 	e.control = basilview.NewControl(basilview.Options{
 		Member: basilview.MemberRecord{
 			ID: s.Member(), DataCentre: s.DataCentre(), Incarnation: incarnation,
@@ -121,17 +123,7 @@
 
 // publish hands a new view to traffic; the control loop calls it.
 func (e *Entry) publish(v *basilview.View) {
-	now := time.Now()
-	for _, s := range v.Configuration().Services() {
-		usable := v.Usable(s.Pool, e.settings.DataCentre(), now)
-		backends := make([]basilrouter.Backend, 0, len(usable))
-		for _, h := range usable {
-			backends = append(backends, basilrouter.Backend{
-				Host: h.ID(), Address: h.Address(), DataCentre: h.DataCentre(), Epoch: h.Epoch(),
-			})
-		}
-		e.router.Update(s.Name, backends)
-	}
+	e.routes.publish(v, time.Now())
 	e.peers.published(v)
 }
 
--- a/internal/basilview/state.go
+++ b/internal/basilview/state.go
@@ -15,6 +15,8 @@
 	sequence      int64
 	configuration basilmodel.Configuration
 	pools         map[string]map[string]basilmodel.Host
+	owned         map[string]bool  // pools whose map no view shares yet
+	changes       map[string]int64 // by pool, how often its hosts changed
 	leaving       map[string]int64
 	leavings      int // how often leaving changed
 	members       []Member
@@ -47,6 +49,8 @@
 	return &state{
 		dataCentre: dataCentre,
 		pools:      make(map[string]map[string]basilmodel.Host),
+		owned:      make(map[string]bool),
+		changes:    make(map[string]int64),
 		leaving:    make(map[string]int64),
 		silence:    make(map[string]silence),
 		sponsored:  make(map[string]sponsored),
@@ -115,16 +119,25 @@
 			return
 		}
 		if name != h.Pool() {
-			s.pools[name] = maps.Clone(p)
-			delete(s.pools[name], h.ID())
+			delete(s.own(name), h.ID())
 		}
 	}
-	p := maps.Clone(s.pools[h.Pool()])
+	s.own(h.Pool())[h.ID()] = h
+}
+
+// own returns the pool's map to change; one that a view shares is copied first.
+func (s *state) own(pool string) map[string]basilmodel.Host {
+	s.changes[pool]++
+	if s.owned[pool] {
+		return s.pools[pool]
+	}
+	p := maps.Clone(s.pools[pool])
 	if p == nil {
 		p = make(map[string]basilmodel.Host)
 	}
-	p[h.ID()] = h
-	s.pools[h.Pool()] = p
+	s.pools[pool] = p
+	s.owned[pool] = true
+	return p
 }
 
 // removeHost strikes off a host that was removed at that epoch.
@@ -133,8 +146,7 @@
 	if !ok || known.Epoch() > h.Epoch() {
 		return
 	}
-	s.pools[h.Pool()] = maps.Clone(s.pools[h.Pool()])
-	delete(s.pools[h.Pool()], h.ID())
+	delete(s.own(h.Pool()), h.ID())
 }
 
 func (e headEvent) apply(s *state, _ time.Time) {
@@ -177,6 +189,11 @@
 	s.leaving = maps.Clone(s.leaving)
 	s.leaving[e.host] = e.epoch
 	s.leavings++
+	for name, p := range s.pools {
+		if _, ok := p[e.host]; ok {
+			s.changes[name]++
+		}
+	}
 }
 
 func (e listEvent) apply(s *state, now time.Time) {
@@ -238,10 +255,12 @@
 }
 
 func (s *state) view(now time.Time) *View {
+	clear(s.owned)
 	return &View{
 		sequence:      s.sequence,
 		configuration: s.configuration,
 		pools:         maps.Clone(s.pools),
+		changes:       maps.Clone(s.changes),
 		leaving:       s.leaving,
 		members:       s.members,
 		silence:       s.silence,
@@ -266,6 +285,6 @@
 		revision: s.configuration.Revision(),
 		leavings: s.leavings,
 		standing: v.standing,
-		fresh:    v.StoreAge(now) <= remoteViewLimit,
+		fresh:    v.Fresh(now),
 	}
 }
--- a/internal/basilview/view.go
+++ b/internal/basilview/view.go
@@ -14,6 +14,7 @@
 	sequence      int64
 	configuration basilmodel.Configuration
 	pools         map[string]map[string]basilmodel.Host // by pool and host id
+	changes       map[string]int64                      // by pool
 	leaving       map[string]int64                      // host id to the epoch that is leaving
 	members       []Member
 	silence       map[string]silence
@@ -78,13 +79,19 @@
 	return ok && epoch >= h.Epoch()
 }
 
-// Usable returns the active hosts of the pool that the entry host may send work to.
+// Fresh tells whether the view is new enough for hosts of other data centres.
+func (v *View) Fresh(now time.Time) bool { return v.StoreAge(now) <= remoteViewLimit }
+
+// Changes counts how often the pool's hosts changed.
+func (v *View) Changes(pool string) int64 { return v.changes[pool] }
+
+// Usable returns the active hosts of the pool that the entry host may send work to, in no order.
 //
 // Hosts of its own data centre need no fresh view; those of others do.
 func (v *View) Usable(pool, dataCentre string, now time.Time) []basilmodel.Host {
-	fresh := v.StoreAge(now) <= remoteViewLimit
-	var usable []basilmodel.Host
-	for _, h := range v.HostsIn(pool) {
+	fresh := v.Fresh(now)
+	usable := make([]basilmodel.Host, 0, len(v.pools[pool]))
+	for _, h := range v.pools[pool] {
 		if h.State() != basilmodel.HostStateActive || v.Leaving(h) {
 			continue
 		}
