--- a/internal/basilentry/commands.go
+++ b/internal/basilentry/commands.go
@@ -11,6 +11,7 @@
 	"basilstage.example/basilstage/internal/basilcommand"
 	"basilstage.example/basilstage/internal/basilconfig"
 	"basilstage.example/basilstage/internal/basilmodel"
+	"basilstage.example/basilstage/internal/basilview"
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
@@ -94,8 +95,8 @@
 	return basilcommand.Summary(fmt.Sprintf("revision %d accepted", c.Revision())), nil
 }
 
-func (e *Entry) forgetMember(ctx context.Context, name string, _ basilaudit.Actor) (basilcommand.Summary, error) {
-	if err := e.control.Registry().Leave(ctx, name); err != nil {
+func (e *Entry) forgetMember(ctx context.Context, name string, a basilaudit.Actor) (basilcommand.Summary, error) {
+	if err := basilview.Leave(ctx, e.trail, name, a); err != nil {
 		return "", err
 	}
 	return basilcommand.Summary("member " + name + " is no longer waited for"), nil
--- a/internal/basilentry/entry.go
+++ b/internal/basilentry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,7 @@
 	router   *basilrouter.Router
 	routes   *routes
 	registry *basiljob.Registry
+	copier   *basiljob.TableCopier
 	long     *basiljob.LongJobs
 	mesh     *basilpeer.Mesh
 	peers    *peerService
@@ -101,11 +103,12 @@
 
 func (e *Entry) wireJobs(incarnation ulid.ULID) {
 	copies := basiljob.NewCopies(basiljob.CopiesOptions{})
+	e.copier = basiljob.NewTableCopier(e.ports.Table, e.settings.DataCentre())
 	e.registry = basiljob.NewRegistry(e.settings.DataCentre(), incarnation, basiljob.RegistryOptions{
-		Copiers: []basiljob.Copier{e.peers, basiljob.NewTableCopier(e.ports.Table, e.settings.DataCentre())},
+		Copiers: []basiljob.Copier{e.peers, e.copier},
 	})
 	e.long = basiljob.NewLongJobs(e.ports.Table, e.ports.Tasks, basiljob.LongOptions{
-		DataCentre: e.settings.DataCentre(), Incarnation: incarnation,
+		DataCentre: e.settings.DataCentre(), Incarnation: incarnation, Neighbours: neighbours(e.settings),
 		Placer: newPlacement(e.control, e.settings.DataCentre()), Members: members{control: e.control},
 	})
 	e.jobs = &jobService{
@@ -115,6 +118,17 @@
 	}
 }
 
+// neighbours returns the other data centres, whose long jobs are adopted when their entry hosts are gone.
+func neighbours(s basilsettings.Settings) []string {
+	var all []string
+	for _, p := range s.Peers() {
+		if p.DataCentre != s.DataCentre() && !slices.Contains(all, p.DataCentre) {
+			all = append(all, p.DataCentre)
+		}
+	}
+	return all
+}
+
 // members tells the long jobs which incarnations are gone.
 type members struct{ control *basilview.Control }
 
@@ -155,6 +169,18 @@
 	return encoded
 }
 
+// sweep deletes what is no longer kept of jobs until the context ends.
+func (e *Entry) sweep(ctx context.Context) {
+	every(ctx, sweepPeriod, func(ctx context.Context) {
+		if err := e.copier.Sweep(ctx, time.Now().Add(-copyRetention)); err != nil {
+			e.log.WithError(err).Debug("copied answers not swept")
+		}
+		if _, err := e.long.Sweep(ctx); err != nil {
+			e.log.WithError(err).Debug("long jobs not swept")
+		}
+	})
+}
+
 // workLong runs the passes of the long jobs until the context ends.
 func (e *Entry) workLong(ctx context.Context) {
 	every(ctx, longPeriod, func(ctx context.Context) {
--- a/internal/basilentry/peer_service.go
+++ b/internal/basilentry/peer_service.go
@@ -43,6 +43,7 @@
 	stopping bool
 	sequence int64
 	revision int64
+	newest   int64 // the highest audit sequence that a peer has applied
 }
 
 func newPeerService(s basilsettings.Settings) *peerService {
@@ -148,6 +149,9 @@
 
 // Delta takes what is new at a peer.
 func (p *peerService) Delta(_ basilpeer.Peer, d basilpeer.Delta) {
+	p.mutex.Lock()
+	p.newest = max(p.newest, d.Sequence)
+	p.mutex.Unlock()
 	entries := make([]basilaudit.Entry, 0, len(d.Entries))
 	for _, b := range d.Entries {
 		var x basilaudit.Entry
@@ -220,9 +224,21 @@
 		case basilview.StandingUnconfirmed, basilview.StandingSponsored:
 			p.seekSponsor(ctx)
 		}
+		p.catchUp(ctx)
 	})
 }
 
+// catchUp takes a peer's view when it is ahead and the table does not answer.
+func (p *peerService) catchUp(ctx context.Context) {
+	p.mutex.Lock()
+	newest := p.newest
+	p.mutex.Unlock()
+	v := p.control.View()
+	if v.Standing() != basilview.StandingStarting && newest > v.Sequence() && !v.Fresh(time.Now()) {
+		p.fetchState(ctx)
+	}
+}
+
 // fetchState takes the newest view that a peer has.
 func (p *peerService) fetchState(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, stateLimit)
--- a/internal/basilentry/run.go
+++ b/internal/basilentry/run.go
@@ -16,6 +16,8 @@
 const (
 	longPeriod     = 500 * time.Millisecond
 	fleetPeriod    = time.Second
+	sweepPeriod    = time.Minute
+	copyRetention  = 24 * time.Hour         // of short jobs' answers in the table
 	unreadyPeriod  = 500 * time.Millisecond // between going unready and taking no more requests
 	shutdownMargin = time.Second
 )
@@ -30,16 +32,18 @@
 		return err
 	}
 	var group sync.WaitGroup
-	meshFailed := make(chan error, 1)
-	group.Go(func() { meshFailed <- e.mesh.Serve(background) })
-	group.Go(func() { _ = e.control.Run(background) })
+	failed := make(chan error, 2)
+	group.Go(func() { failed <- e.mesh.Serve(background) })
+	group.Go(func() { failed <- e.control.Run(background) })
+	group.Go(func() { e.sweep(background) })
 	group.Go(func() { e.peers.run(background) })
 	group.Go(func() { e.workLong(background) })
 	group.Go(func() { e.fleet.run(background) })
 	e.log.WithField("http", e.settings.HTTPAddress()).WithField("incarnation", e.registry.Incarnation().String()).Info("entry host serves")
 	select {
 	case <-ctx.Done():
-	case err = <-meshFailed:
+	case err = <-failed:
+		e.log.WithError(err).Error("entry host can't go on")
 	}
 	e.stop(context.WithoutCancel(ctx), servers)
 	cancel()
--- a/internal/basilview/control.go
+++ b/internal/basilview/control.go
@@ -81,8 +81,13 @@
 	return errors.WithStack(ErrStale{Standing: v.standing, Age: age})
 }
 
-// Run runs the control loop and its pollers until the context ends, then gives up the registration.
+// Run runs the control loop and its pollers until the context ends.
+//
+// It fails with ErrFenced when another incarnation has taken the member's place;
+// this one then never serves again.
 func (c *Control) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	go c.poll(ctx)
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
@@ -96,6 +101,9 @@
 		case <-ticker.C:
 			c.step(s, tickEvent{})
 		}
+		if s.fenced {
+			return errors.WithStack(ErrFenced{Member: c.options.Member.ID})
+		}
 	}
 }
 
--- a/internal/basilview/member.go
+++ b/internal/basilview/member.go
@@ -7,6 +7,7 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/pkg/errors"
 
+	"basilstage.example/basilstage/internal/basilaudit"
 	"basilstage.example/basilstage/internal/basilplatform"
 )
 
@@ -86,35 +87,55 @@
 	}
 }
 
-// Leave ends the registration of a member that the platform has declared gone.
+// Leave ends the registration of a member that the platform has declared gone, with an entry in the audit trail.
 //
 // The item stays as a mark, so that its version keeps growing and fences the
-// former holder. It fails with ErrMemberNotExist.
-func (r *Registry) Leave(ctx context.Context, id string) error {
-	i, err := r.table.Get(ctx, memberKey(id))
+// former holder. It fails with ErrMemberNotExist and as basilaudit.Trail.Commit does.
+func Leave(ctx context.Context, t *basilaudit.Trail, id string, a basilaudit.Actor) error {
+	_, err := t.Commit(ctx, func(ctx context.Context, table basilplatform.Table) (basilaudit.Change, error) {
+		c := basilaudit.Change{Entry: basilaudit.EntryRecord{
+			Operator: a.Operator, Command: a.Command, Reason: a.Reason, Action: "forget member", Subject: id,
+		}}
+		w, err := leaveWrite(ctx, table, id)
+		c.Writes = []basilplatform.Write{w}
+		return c, err
+	})
+	return err
+}
+
+func leaveWrite(ctx context.Context, t basilplatform.Table, id string) (basilplatform.Write, error) {
+	i, err := t.Get(ctx, memberKey(id))
 	if basilplatform.IsErrItemNotExist(err) {
-		return errors.WithStack(ErrMemberNotExist{ID: id})
+		return basilplatform.Write{}, errors.WithStack(ErrMemberNotExist{ID: id})
 	}
 	if err != nil {
-		return err
+		return basilplatform.Write{}, err
 	}
 	var m MemberRecord
 	if err := json.Unmarshal(i.Body, &m); err != nil {
-		return errors.WithStack(err)
+		return basilplatform.Write{}, errors.WithStack(err)
+	}
+	if m.Left {
+		return basilplatform.Write{}, errors.WithStack(ErrMemberNotExist{ID: id})
 	}
 	m.Left = true
-	return r.put(ctx, m, i.Version)
+	return memberWrite(m, i.Version)
 }
 
-func (r *Registry) put(ctx context.Context, m MemberRecord, version int64) error {
+func memberWrite(m MemberRecord, version int64) (basilplatform.Write, error) {
 	body, err := json.Marshal(m)
-	if err != nil {
-		return errors.WithStack(err)
-	}
 	w := basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: memberKey(m.ID), Body: body}
 	if version > 0 {
 		w.Precondition = basilplatform.PreconditionVersion
 		w.Version = version
 	}
+	return w, errors.WithStack(err)
+}
+
+func (r *Registry) put(ctx context.Context, m MemberRecord, version int64) error {
+	w, err := memberWrite(m, version)
+	if err != nil {
+		return err
+	}
 	return r.table.Transact(ctx, basilplatform.Transaction{Token: ulid.Make().String(), Writes: []basilplatform.Write{w}})
 }
