Prove that a cut-off entry host catches up from its peer

Cause: the catch-up had no test; a first one passed with the catch-up switched off, since a link keeps its news while it is cut. Change: the peer is replaced while the link is cut, so that only its view can tell. Before/after: with the catch-up switched off the test fails ("never came: revision 4 at e2"), with it the test passes in 8 s.

--- a/internal/basilentry/cluster_test.go
+++ b/internal/basilentry/cluster_test.go
@@ -35,6 +35,7 @@
 type node struct {
 	id, dataCentre, http, peer string
 	cutOff                     atomic.Bool // from the platform and from other data centres
+	alone                      atomic.Bool // from all other entry hosts
 	client                     *basilclient.Client
 	stop                       func()
 }
@@ -46,6 +47,7 @@
 	endpoint string
 	backends map[string]*basilstandin.Backend
 	nodes    []*node
+	keys     string
 	lists    atomic.Int64 // reads of the host list, by all entry hosts
 }
 
@@ -59,10 +61,10 @@
 		c.nodes = append(c.nodes, &node{id: fmt.Sprintf("e%d", n+1), dataCentre: d, http: ip + ":8443", peer: ip + ":7443"})
 		members = append(members, basilkeys.Member{ID: c.nodes[n].id, Addresses: []net.IP{net.ParseIP(ip)}})
 	}
-	keys := filepath.Join(t.TempDir(), "keys")
-	must.NoError(t, basilkeys.Make(keys, members))
+	c.keys = filepath.Join(t.TempDir(), "keys")
+	must.NoError(t, basilkeys.Make(c.keys, members))
 	for _, n := range c.nodes {
-		c.start(n, keys)
+		c.start(n)
 	}
 	return c
 }
@@ -81,7 +83,7 @@
 	})
 }
 
-func (c *cluster) start(n *node, keys string) {
+func (c *cluster) start(n *node) {
 	c.t.Helper()
 	var peers strings.Builder
 	for _, p := range c.nodes {
@@ -97,7 +99,7 @@
 tls:
   plain_text: true
   peer: {ca: "%[7]s/ca.pem", certificate: "%[7]s/%[1]s.pem", key: "%[7]s/%[1]s-key.pem"}
-`, n.id, n.dataCentre, n.http, n.peer, peers.String(), c.endpoint, keys))
+`, n.id, n.dataCentre, n.http, n.peer, peers.String(), c.endpoint, c.keys))
 	must.NoError(c.t, err)
 	client := &http.Client{Timeout: 5 * time.Second}
 	e, err := basilentry.New(basilentry.Options{
@@ -126,7 +128,7 @@
 func (c *cluster) apart(n *node, peer string) bool {
 	for _, p := range c.nodes {
 		if p.id == peer {
-			return p.dataCentre != n.dataCentre && (p.cutOff.Load() || n.cutOff.Load())
+			return n.alone.Load() || p.alone.Load() || p.dataCentre != n.dataCentre && (p.cutOff.Load() || n.cutOff.Load())
 		}
 	}
 	return false
--- a/internal/basilentry/cut_off_test.go
+++ b/internal/basilentry/cut_off_test.go
@@ -52,24 +52,38 @@
 	c.await("the move", func() bool { return c.rows(e2, "hosts where host = k1 and pool = divers and state = active") == 1 })
 }
 
-// TestCutOffEntryHostCatchesUpFromItsPeer accepts a configuration that one entry host can hear of only through its peer.
-func TestCutOffEntryHostCatchesUpFromItsPeer(t *testing.T) {
+// TestEntryHostCatchesUpFromItsPeer accepts configurations that one entry host can hear
+// of only through its peer: the first while the peer is linked, the others from the peer's replacement.
+func TestEntryHostCatchesUpFromItsPeer(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 82, "fukuoka", "fukuoka")
 	c.addHost("f1", "fukuoka", "counter", basilstandin.BackendOptions{})
 	c.open(counterConfiguration())
 	e1, e2 := c.nodes[0], c.nodes[1]
 	e2.cutOff.Store(true)
+	c.change(e1, 1)
+	c.await("revision 2 at e2", func() bool { return e2.revision(t) == 2 })
+	e2.alone.Store(true)
+	c.await("the cut", func() bool { return c.rows(e1, "peers where connected = false") == 1 })
+	c.change(e1, 2)
+	c.change(e1, 3)
+	e1.stop()
+	c.start(e1)
+	c.await("the replacement", func() bool { return c.rows(e1, "hosts") == 1 })
+	e2.alone.Store(false)
+	c.await("revision 4 at e2", func() bool { return e2.revision(t) == 4 })
+}
+
+// change accepts a revision on top of the base.
+func (c *cluster) change(n *node, base int) {
+	c.t.Helper()
 	r := counterConfiguration()
-	r.Services[0].MinAvailable = 0
+	r.Services[0].TimeoutMillis = int64(base)
 	document, err := json.Marshal(r)
-	must.NoError(t, err)
-	_, err = e1.client.Command(t.Context(), basilapi.OperatorRequest{Text: "apply configuration base 1", Body: document})
-	must.NoError(t, err)
-	c.await("revision 2 at e2", func() bool {
-		_, err := e2.client.Submit(t.Context(), basilapi.SubmitRequest{Service: "quote"})
-		return err == nil && e2.revision(t) == 2
-	})
+	must.NoError(c.t, err)
+	text := "apply configuration base " + strconv.Itoa(base)
+	_, err = n.client.Command(c.t.Context(), basilapi.OperatorRequest{Text: text, Body: document})
+	must.NoError(c.t, err)
 }
 
 // revision returns the configuration revision that the entry host says is in force.
