--- a/internal/basilplatform/table_contract_test.go
+++ b/internal/basilplatform/table_contract_test.go
@@ -48,6 +48,8 @@
 		return fmt.Sprintf("condition failed at %s/%s", c.Key.Partition, c.Key.Sort)
 	case basilplatform.IsErrOutcomeUnknown(err):
 		return "outcome unknown"
+	case basilplatform.IsErrConflict(err):
+		return "unavailable for a conflict"
 	case basilplatform.IsErrUnavailable(err):
 		return "unavailable"
 	case basilplatform.IsErrRefused(err):
@@ -114,6 +116,7 @@
 var (
 	down   = basilstandin.TableFaults{Down: true}
 	lost   = basilstandin.TableFaults{LoseAnswers: true}
+	clash  = basilstandin.TableFaults{Conflicts: true}
 	vanish = basilstandin.TableFaults{LoseWrites: true}
 )
 
@@ -141,6 +144,7 @@
 	{"token with other writes", []step{do("1", create("a", "one")), do("1", create("b", "one")), do("1", create("a", "two"))}},
 	{"token of a failed transaction", []step{do("1", replace("a", 1, "one")), do("2", create("a", "two")), do("1", replace("a", 1, "one"))}},
 	{"down", []step{under(down, "1", create("a", "one")), do("1", create("a", "one"))}},
+	{"conflict", []step{under(clash, "1", create("a", "one")), do("1", create("a", "one"))}},
 	{"answer lost after the effect", []step{under(lost, "1", create("a", "one")), do("2", create("a", "two"))}},
 	{"answer lost, then repeated", []step{under(lost, "1", overwrite("a", "one")), under(lost, "1", overwrite("a", "one")), do("1", overwrite("a", "one"))}},
 	{"answer lost of a failed condition", []step{do("1", create("a", "one")), under(lost, "2", create("a", "two"))}},
@@ -283,7 +287,7 @@
 				Token:  rapid.SampledFrom([]string{"1", "2", "3", "4", "5", "6", "7", "8"}).Draw(r, "token"),
 				Writes: rapid.SliceOfN(writes, 1, 3).Draw(r, "writes"),
 			}
-			f := rapid.SampledFrom([]basilstandin.TableFaults{{}, {}, {}, down, lost, vanish}).Draw(r, "faults")
+			f := rapid.SampledFrom([]basilstandin.TableFaults{{}, {}, {}, down, clash, lost, vanish}).Draw(r, "faults")
 			standin.SetFaults(f)
 			model.SetFaults(f)
 			must.EqOp(r, outcomeOf(model.Transact(t.Context(), x)), outcomeOf(table.Transact(t.Context(), x)))
--- a/internal/basilstandin/dynamo_handler.go
+++ b/internal/basilstandin/dynamo_handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -68,11 +69,14 @@
 	switch {
 	case basilplatform.IsErrOutcomeUnknown(err):
 		panic(http.ErrAbortHandler)
+	case basilplatform.IsErrConflict(err):
+		f.Type = dynamoTypePrefix + "TransactionCanceledException"
+		f.CancellationReasons = reasonsUpTo(culprit, "TransactionConflict")
 	case basilplatform.IsErrUnavailable(err):
 		f.Type = dynamoTypePrefix + "ThrottlingException"
 	case basilplatform.IsErrConditionFailed(err):
 		f.Type = dynamoTypePrefix + "TransactionCanceledException"
-		f.CancellationReasons = reasonsUpTo(culprit)
+		f.CancellationReasons = reasonsUpTo(culprit, "ConditionalCheckFailed")
 	case isTokenReused(err):
 		f.Type = dynamoTypePrefix + "IdempotentParameterMismatchException"
 	}
@@ -84,12 +88,12 @@
 	return errors.As(err, &r) && r.Reason == reasonTokenReused
 }
 
-func reasonsUpTo(culprit int) []dynamoReason {
+func reasonsUpTo(culprit int, code string) []dynamoReason {
 	reasons := make([]dynamoReason, culprit+1)
 	for n := range reasons {
 		reasons[n].Code = "None"
 	}
-	reasons[culprit].Code = "ConditionalCheckFailed"
+	reasons[culprit].Code = code
 	return reasons
 }
 
@@ -175,18 +179,22 @@
 		return nil, 0, err
 	}
 	err = d.table.Transact(ctx, x)
-	var c basilplatform.ErrConditionFailed
-	if errors.As(err, &c) {
-		return nil, indexOf(x, c.Key), err
+	if err != nil {
+		return nil, culpritOf(x, err), err
 	}
-	return struct{}{}, 0, err
+	return struct{}{}, 0, nil
 }
 
-func indexOf(x basilplatform.Transaction, k basilplatform.Key) int {
-	for n, w := range x.Writes {
-		if w.Key == k {
-			return n
-		}
+// culpritOf returns the place of the write that the error names, or 0.
+func culpritOf(x basilplatform.Transaction, err error) int {
+	var condition basilplatform.ErrConditionFailed
+	var conflict basilplatform.ErrConflict
+	var key basilplatform.Key
+	switch {
+	case errors.As(err, &condition):
+		key = condition.Key
+	case errors.As(err, &conflict):
+		key = conflict.Key
 	}
-	return 0
+	return max(0, slices.IndexFunc(x.Writes, func(w basilplatform.Write) bool { return w.Key == key }))
 }
--- a/internal/basilstandin/platform.go
+++ b/internal/basilstandin/platform.go
@@ -29,6 +29,7 @@
 	TableDelayMS int64 `json:"table_delay_ms"`      // before each call of the table takes effect
 	LoseAnswers  bool  `json:"lose_answers"`        // writes take effect, their answers are lost
 	LoseWrites   bool  `json:"lose_writes"`         // writes vanish without an answer
+	Conflicts    bool  `json:"conflicts"`           // transactions meet another in flight and have no effect
 	LateByMS     int64 `json:"late_by_ms"`          // writes get no answer and take effect after this time
 	HostListLagS int64 `json:"host_list_lag_s"`     // seconds that the host list is behind
 	HostListDown bool  `json:"host_list_down"`      // the host list is away
@@ -73,7 +74,7 @@
 	defer p.mutex.Unlock()
 	p.faults = f
 	p.table.SetFaults(TableFaults{
-		Down: f.TableDown, LoseAnswers: f.LoseAnswers, LoseWrites: f.LoseWrites,
+		Down: f.TableDown, LoseAnswers: f.LoseAnswers, LoseWrites: f.LoseWrites, Conflicts: f.Conflicts,
 		Delay:  time.Duration(f.TableDelayMS) * time.Millisecond,
 		LateBy: time.Duration(f.LateByMS) * time.Millisecond,
 	})
--- a/internal/basilstandin/table.go
+++ b/internal/basilstandin/table.go
@@ -23,6 +23,7 @@
 	Down        bool          `json:"down"`         // every call fails without effect
 	LoseAnswers bool          `json:"lose_answers"` // writes take effect, their answers are lost
 	LoseWrites  bool          `json:"lose_writes"`  // writes vanish without an answer
+	Conflicts   bool          `json:"conflicts"`    // transactions meet another in flight and have no effect
 	LateBy      time.Duration `json:"late_by"`      // writes get no answer and take effect after this time
 	Delay       time.Duration `json:"delay"`        // before each call takes effect
 }
@@ -157,6 +158,8 @@
 	switch {
 	case f.Down:
 		return downError(operationTransact)
+	case f.Conflicts:
+		return conflictError(x)
 	case f.LoseWrites:
 		return unknownError(x, nil)
 	case f.LateBy > 0:
@@ -174,9 +177,13 @@
 	return basilplatform.ErrOutcomeUnknown{Operation: operationTransact, Token: x.Token, Cause: cause}
 }
 
+func conflictError(x basilplatform.Transaction) error {
+	return basilplatform.ErrUnavailable{Operation: operationTransact, Cause: basilplatform.ErrConflict{Key: x.Writes[0].Key}}
+}
+
 // applyLater applies the writes after d, with nobody to answer to, unless the faults lose them.
 func (t *Table) applyLater(d time.Duration, f TableFaults, x basilplatform.Transaction) {
-	if f.Down || f.LoseWrites {
+	if f.Down || f.Conflicts || f.LoseWrites {
 		return
 	}
 	time.AfterFunc(d, func() { _ = t.apply(x) })
