--- a/internal/basilpeer/connection.go
+++ b/internal/basilpeer/connection.go
@@ -13,12 +13,6 @@
 	"basilstage.example/basilstage/internal/basillog"
 )
 
-// Times of liveness.
-const (
-	heartbeatInterval = time.Second
-	unheardAfter      = 3500 * time.Millisecond
-)
-
 // Codes that a connection is closed with.
 const (
 	closeGone     quic.ApplicationErrorCode = iota + 1 // the mesh stops or drops the peer
@@ -99,17 +93,15 @@
 	return n.write(hello{DataCentre: self.DataCentre, Address: self.Address, Incarnation: m.options.Incarnation})
 }
 
+// hearHello waits for the other side's hello until the context ends.
 func (n *connection) hearHello(ctx context.Context) error {
-	deadline, _ := ctx.Deadline()
-	if err := n.control.SetReadDeadline(deadline); err != nil {
-		return errors.WithStack(err)
-	}
+	defer context.AfterFunc(ctx, func() { refuse(n.conn, ctx.Err()) })()
 	var h hello
 	if err := n.reader.next(maxHelloBytes, &h); err != nil {
 		return err
 	}
 	n.peer.DataCentre, n.peer.Address, n.incarnation = h.DataCentre, h.Address, h.Incarnation
-	return errors.WithStack(n.control.SetReadDeadline(time.Time{}))
+	return nil
 }
 
 // refuse closes a connection that never became one of a link.
@@ -172,37 +164,34 @@
 
 // writeDeltas sends what waits in the link's queue, and a heartbeat when nothing does.
 func (n *connection) writeDeltas(l *link) {
-	t := time.NewTicker(heartbeatInterval)
-	defer t.Stop()
 	defer l.queue.signal()
-	err := n.write(l.mesh.ownState().heartbeat())
+	err := n.write(l.next())
 	for err == nil {
-		select {
-		case <-n.conn.Context().Done():
-			return
-		case <-n.retired:
+		if !n.wait(flushGap, nil) || !n.wait(l.heartbeatInterval(), l.queue.wake) {
 			return
-		case <-t.C:
-			err = n.write(l.mesh.ownState().heartbeat())
-		case <-l.queue.wake:
-			err = n.flush(l.queue)
 		}
+		err = n.write(l.next())
 	}
-	n.close(closeGone)
-}
-
-func (n *connection) flush(q *deltaQueue) error {
-	d, filled := q.take()
-	if !filled {
-		return nil
+	if n.lost() {
+		return
 	}
-	return n.write(d.heartbeat())
+	l.mesh.log.WithError(err).WithField(basillog.FieldPeer, l.id).Warn("delta not sent")
+	n.close(closeGone)
 }
 
-// heartbeat leaves out what the hello has told.
-func (d Delta) heartbeat() Delta {
-	d.Incarnation = ""
-	return d
+// wait returns after the time or when woken; false means that nothing more is to be written here.
+func (n *connection) wait(d time.Duration, wake <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-n.conn.Context().Done():
+		return false
+	case <-n.retired:
+		return false
+	case <-wake:
+	case <-t.C:
+	}
+	return true
 }
 
 func (n *connection) write(message any) error {
--- a/internal/basilpeer/delta_queue.go
+++ b/internal/basilpeer/delta_queue.go
@@ -1,6 +1,10 @@
 package basilpeer
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
 
 // Bounds of what waits for one peer; the oldest goes first.
 const (
@@ -11,10 +15,15 @@
 
 // deltaQueue holds what one peer has not been sent yet, merged into one delta.
 type deltaQueue struct {
+	wake chan struct{}
+
 	mu      sync.Mutex
-	pending Delta
 	filled  bool
-	wake    chan struct{}
+	state   Delta // the fields that have one value
+	entries boundedMessages
+	answers boundedMessages
+	leaving latest[int64]
+	load    latest[int]
 }
 
 func newDeltaQueue() *deltaQueue { return &deltaQueue{wake: make(chan struct{}, 1)} }
@@ -22,8 +31,7 @@
 // put merges the delta into what waits; it never blocks.
 func (q *deltaQueue) put(d Delta) {
 	q.mu.Lock()
-	q.pending = mergeDeltas(q.pending, d)
-	q.filled = true
+	q.merge(d)
 	q.mu.Unlock()
 	q.signal()
 }
@@ -40,74 +48,98 @@
 func (q *deltaQueue) take() (Delta, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	d, filled := q.pending, q.filled
-	q.pending, q.filled = Delta{}, false
+	d, filled := q.state, q.filled
+	d.Entries, d.Answers = q.entries.take(), q.answers.take()
+	q.leaving.take(func(host string, epoch int64) {
+		d.Leaving = append(d.Leaving, LeavingHost{Host: host, Epoch: epoch})
+	})
+	q.load.take(func(host string, inFlight int) {
+		d.Load = append(d.Load, RunnerLoad{Host: host, InFlight: inFlight})
+	})
+	q.state, q.filled = Delta{}, false
 	return d, filled
 }
 
-// mergeDeltas returns the older delta brought up to date by the newer one.
-func mergeDeltas(older, newer Delta) Delta {
+func (q *deltaQueue) merge(d Delta) {
+	q.filled = true
+	q.state = q.state.advance(d)
+	q.entries.add(d.Entries, maxQueuedEntryBytes)
+	q.answers.add(d.Answers, maxQueuedAnswerBytes)
+	for _, h := range d.Leaving {
+		if epoch, found := q.leaving.get(h.Host); !found || epoch < h.Epoch {
+			q.leaving.put(h.Host, h.Epoch)
+		}
+	}
+	for _, l := range d.Load {
+		q.load.put(l.Host, l.InFlight)
+	}
+}
+
+// advance returns the fields that have one value, brought up to date by a newer delta.
+func (d Delta) advance(newer Delta) Delta {
 	return Delta{
-		Sequence:    max(older.Sequence, newer.Sequence),
-		Revision:    max(older.Revision, newer.Revision),
-		Entries:     boundBytes(concat(older.Entries, newer.Entries), maxQueuedEntryBytes),
-		Leaving:     bound(latest(older.Leaving, newer.Leaving, LeavingHost.key, newerEpoch), maxQueuedHosts),
-		Load:        bound(latest(older.Load, newer.Load, RunnerLoad.key, always[RunnerLoad]), maxQueuedHosts),
-		Answers:     boundBytes(concat(older.Answers, newer.Answers), maxQueuedAnswerBytes),
+		Sequence:    max(d.Sequence, newer.Sequence),
+		Revision:    max(d.Revision, newer.Revision),
 		Ready:       newer.Ready,
 		Stopping:    newer.Stopping,
 		Incarnation: newer.Incarnation,
 	}
 }
 
-func (h LeavingHost) key() string { return h.Host }
+// boundedMessages keeps the last messages that together fit into a number of bytes.
+type boundedMessages struct {
+	list  [][]byte
+	bytes int
+}
 
-func (l RunnerLoad) key() string { return l.Host }
+func (m *boundedMessages) add(messages [][]byte, most int) {
+	for _, b := range messages {
+		m.list = append(m.list, b)
+		m.bytes += len(b)
+	}
+	for m.bytes > most {
+		m.bytes -= len(m.list[0])
+		m.list[0] = nil
+		m.list = m.list[1:]
+	}
+}
 
-func newerEpoch(old, fresh LeavingHost) bool { return fresh.Epoch >= old.Epoch }
+func (m *boundedMessages) take() [][]byte {
+	taken := m.list
+	*m = boundedMessages{}
+	return taken
+}
 
-func always[T any](T, T) bool { return true }
+// latest keeps one value per host, for the hosts that were put last.
+type latest[V any] struct{ values *simplelru.LRU[string, V] }
 
-// concat returns a fresh slice of both, so that merges never share memory with callers.
-func concat[T any](older, newer []T) []T {
-	if len(older)+len(newer) == 0 {
-		return nil
+func (l *latest[V]) get(host string) (V, bool) {
+	if l.values == nil {
+		var none V
+		return none, false
 	}
-	both := make([]T, 0, len(older)+len(newer))
-	return append(append(both, older...), newer...)
+	return l.values.Peek(host)
 }
 
-// latest returns one item per key: the newer one, where it replaces the older.
-func latest[T any](older, newer []T, key func(T) string, replaces func(old, fresh T) bool) []T {
-	if len(newer) == 0 {
-		return older
-	}
-	merged := make([]T, 0, len(older)+len(newer))
-	place := make(map[string]int, len(older)+len(newer))
-	for _, t := range concat(older, newer) {
-		i, found := place[key(t)]
-		switch {
-		case !found:
-			place[key(t)] = len(merged)
-			merged = append(merged, t)
-		case replaces(merged[i], t):
-			merged[i] = t
+func (l *latest[V]) put(host string, v V) {
+	if l.values == nil {
+		values, err := simplelru.NewLRU[string, V](maxQueuedHosts, nil)
+		if err != nil {
+			panic(err)
 		}
+		l.values = values
 	}
-	return merged
+	l.values.Add(host, v)
 }
 
-// bound keeps the last items.
-func bound[T any](items []T, most int) []T { return items[max(0, len(items)-most):] }
-
-// boundBytes keeps the last messages that together fit.
-func boundBytes(messages [][]byte, most int) [][]byte {
-	total := 0
-	for i := len(messages) - 1; i >= 0; i-- {
-		total += len(messages[i])
-		if total > most {
-			return messages[i+1:]
-		}
+// take calls the function for each host, the oldest first, and forgets them.
+func (l *latest[V]) take(f func(host string, v V)) {
+	if l.values == nil {
+		return
+	}
+	for _, host := range l.values.Keys() {
+		v, _ := l.values.Peek(host)
+		f(host, v)
 	}
-	return messages
+	l.values = nil
 }
--- a/internal/basilpeer/link.go
+++ b/internal/basilpeer/link.go
@@ -271,7 +271,29 @@
 
 // alive tells whether the peer counts as connected; the caller holds the lock.
 func (l *link) alive() bool {
-	return l.current != nil && !l.current.lost() && time.Since(l.heard) < unheardAfter
+	return l.current != nil && !l.current.lost() && time.Since(l.heard) < l.liveness().unheardAfter
+}
+
+// next returns what to send now: what waits, or else a heartbeat.
+func (l *link) next() Delta {
+	d, filled := l.queue.take()
+	if !filled {
+		d = l.mesh.ownState()
+	}
+	d.Incarnation = "" // the hello has told it
+	return d
+}
+
+func (l *link) heartbeatInterval() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.liveness().heartbeatInterval
+}
+
+// liveness tells how often the peer is to be heard; the caller holds the lock.
+func (l *link) liveness() liveness {
+	near := l.peer.DataCentre == l.mesh.options.Self.DataCentre
+	return livenessFor(near, int(l.mesh.size.Load()))
 }
 
 func (l *link) hear() Peer {
--- a/internal/basilpeer/mesh.go
+++ b/internal/basilpeer/mesh.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -58,6 +59,7 @@
 	gate      *gate
 	transport *quic.Transport
 	group     sync.WaitGroup
+	size      atomic.Int64 // count of links
 
 	mu      sync.Mutex
 	ctx     context.Context // of Serve; nil before it and after its end
@@ -122,6 +124,7 @@
 			delete(m.links, id)
 		}
 	}
+	m.size.Store(int64(len(m.links)))
 }
 
 // Broadcast sends the delta to every peer, best effort; it never blocks.
@@ -129,13 +132,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d.Incarnation = m.options.Incarnation
-	m.state = Delta{
-		Sequence:    max(m.state.Sequence, d.Sequence),
-		Revision:    max(m.state.Revision, d.Revision),
-		Ready:       d.Ready,
-		Stopping:    d.Stopping,
-		Incarnation: d.Incarnation,
-	}
+	m.state = m.state.advance(d)
 	for _, l := range m.links {
 		l.queue.put(d)
 	}
@@ -296,6 +293,7 @@
 	if !found {
 		l = newLink(m, n.peer)
 		m.links[n.peer.ID] = l
+		m.size.Store(int64(len(m.links)))
 	}
 	return l, l.adopt(n)
 }
@@ -306,6 +304,7 @@
 	defer m.mu.Unlock()
 	if m.links[l.id] == l && l.abandoned() {
 		delete(m.links, l.id)
+		m.size.Store(int64(len(m.links)))
 	}
 }
 
