Charge the retry budget only after attempts that may have started

Change: an attempt that provably did not start is free of the budget and stays bounded by the attempts; tests of the proof on the wire (a write that breaks before and after its first byte, a request given up before its write), of the budget, and of a lease handed in by the queue.

--- a/internal/basilrouter/dispatcher_test.go
+++ b/internal/basilrouter/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -279,6 +280,94 @@
 	}
 }
 
+// brokenConn fails each write after some bytes, and its reads last until it is closed.
+type brokenConn struct {
+	net.Conn
+	bytes int
+}
+
+func (c brokenConn) Write([]byte) (int, error) { return c.bytes, errors.New("broken") }
+
+func TestRunOnBrokenWritesIsNotRunOnlyWithoutAByte(t *testing.T) {
+	for n, expected := range map[int]basilapi.Outcome{0: basilapi.OutcomeNotRun, 1: basilapi.OutcomeUnknown} {
+		var attempts int
+		transport := basilrouter.NewTransportWithDial(1, func(context.Context, string, string) (net.Conn, error) {
+			attempts++
+			near, far := net.Pipe()
+			t.Cleanup(func() { _ = far.Close() })
+			return brokenConn{near, n}, nil
+		})
+		r := basilrouter.NewRouter(basilrouter.RouterOptions{})
+		r.Update("quote", backends("127.0.0.1:1"))
+		d := basilrouter.NewDispatcher(r, &http.Client{Transport: transport}, basilrouter.DispatcherOptions{})
+		result := d.Run(t.Context(), quote(false))
+		must.Eq(t, expected, result.Outcome)
+		must.Eq(t, attempts, result.Attempt)
+		must.Eq(t, n == 0, attempts == 3)
+	}
+}
+
+// A write that is under way while the request is given up must not follow the verdict.
+func TestRunGivenUpBeforeTheWriteSendsNothingLater(t *testing.T) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	entered := make(chan struct{})
+	transport := basilrouter.NewTransportWithDial(1, func(ctx context.Context, _, _ string) (net.Conn, error) {
+		close(entered)
+		return near, nil
+	})
+	r := basilrouter.NewRouter(basilrouter.RouterOptions{})
+	r.Update("quote", backends("127.0.0.1:1"))
+	d := basilrouter.NewDispatcher(r, &http.Client{Transport: transport}, basilrouter.DispatcherOptions{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-entered
+		cancel()
+	}()
+	result := d.Run(ctx, quote(false))
+	must.Eq(t, basilapi.OutcomeNotRun, result.Outcome)
+	n, err := far.Read(make([]byte, 1))
+	must.Eq(t, 0, n)
+	must.ErrorIs(t, err, io.EOF)
+}
+
+// Failures that may have started are repeated within the budget only.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	f := newFaultyRunner(t, answers(""))
+	r := basilrouter.NewRouter(basilrouter.RouterOptions{})
+	r.Update("quote", backends(f.address(), f.address(), f.address()))
+	d := basilrouter.NewDispatcher(r, nil, basilrouter.DispatcherOptions{})
+	const jobs = 20
+	for range jobs {
+		result := d.Run(t.Context(), quote(true))
+		must.Eq(t, basilapi.OutcomeUnknown, result.Outcome)
+		must.Greater(t, 0, result.Problem.RetryAfterMS)
+	}
+	must.Eq(t, jobs+10, len(f.starts))
+}
+
+func TestRunTakesTheLeaseOfTheRequest(t *testing.T) {
+	f := newFaultyRunner(t, answers(whole))
+	r := basilrouter.NewRouter(basilrouter.RouterOptions{})
+	r.Update("quote", backends(f.address()))
+	d := basilrouter.NewDispatcher(r, nil, basilrouter.DispatcherOptions{})
+	for n, leaving := range []bool{false, true} {
+		q := quote(false)
+		epoch := int64(n + 1)
+		var err error
+		q.Lease, err = r.Pick("quote", time.Now())
+		must.NoError(t, err)
+		must.Eq(t, 7, r.Free("quote", time.Now()))
+		if leaving {
+			r.MarkLeaving("a", epoch)
+		}
+		must.Eq(t, !leaving, d.Run(t.Context(), q).Outcome == basilapi.OutcomeRan)
+		r.Update("quote", []basilrouter.Backend{{Host: "a", Address: f.address(), Epoch: epoch + 1}})
+		must.Eq(t, 8, r.Free("quote", time.Now()), must.Sprint("the credit came back"))
+	}
+	must.Eq(t, 1, len(f.starts))
+}
+
 func TestRunUntilTheDeadlineIsUnknown(t *testing.T) {
 	hang := make(chan struct{})
 	t.Cleanup(func() { close(hang) })
--- a/internal/basilrouter/model_bench_test.go
+++ b/internal/basilrouter/model_bench_test.go
@@ -13,6 +13,8 @@
 	modelCapacity = float64(modelSlots) * float64(time.Second) / float64(modelService) // jobs a second of a runner
 )
 
+var notStarted = []Ending{EndingRefused, EndingUnreachable}
+
 // equip gives each entry host a chooser of the named kind.
 func (m *model) equip(kind string, entries, centres int, change func(*routerChooser)) {
 	for i := range entries {
@@ -35,7 +37,7 @@
 	r := NewRouter(RouterOptions{DataCentre: m.centres[i], EntryHosts: entries})
 	random := rand.New(rand.NewPCG(uint64(i), 3))
 	r.policy.random = random.Uint32
-	c := &routerChooser{router: r, budget: true}
+	c := &routerChooser{router: r, free: notStarted}
 	if change != nil {
 		change(c)
 	}
@@ -178,15 +180,20 @@
 		}},
 	}
 	policies := []struct {
-		name           string
-		budget, charge bool
-	}{{"no budget", false, false}, {"budget, refusals free", true, false}, {"budget, refusals charged", true, true}}
+		name string
+		free []Ending
+	}{
+		{"no budget", []Ending{EndingRefused, EndingUnreachable, EndingFailed}},
+		{"all charged", nil},
+		{"refusals free", []Ending{EndingRefused}},
+		{"not started free", notStarted},
+	}
 	for _, f := range cases {
 		for _, p := range policies {
 			b.Run(f.name+"/"+p.name, func(b *testing.B) {
 				for range b.N {
 					m := newModel(7, modelRunners, 1)
-					m.equip("router", modelEntries, 1, func(c *routerChooser) { c.budget, c.charge = p.budget, p.charge })
+					m.equip("router", modelEntries, 1, func(c *routerChooser) { c.free = p.free })
 					m.load = steady(f.share)
 					f.apply(m)
 					m.run()
--- a/internal/basilrouter/model_test.go
+++ b/internal/basilrouter/model_test.go
@@ -56,7 +56,7 @@
 type modelChooser interface {
 	pick(now time.Time, tried []string) (host string, done func(Report, time.Time), ok bool)
 	update(b []Backend)
-	mayRetry(refused bool) bool
+	mayRetry(e Ending) bool
 }
 
 type model struct {
@@ -249,7 +249,7 @@
 	if p.Ending != EndingRefused {
 		j.runs++
 	}
-	if j.runs >= modelAttempts || len(j.tried)-j.runs > m.refusals || !m.entries[j.entry].mayRetry(p.Ending == EndingRefused) {
+	if j.runs >= modelAttempts || len(j.tried)-j.runs > m.refusals || !m.entries[j.entry].mayRetry(p.Ending) {
 		return
 	}
 	m.after(time.Duration(m.random.Float64()*float64(min(retryBase<<(len(j.tried)-1), retryMax))), j.try)
@@ -277,8 +277,7 @@
 // routerChooser is the router under test.
 type routerChooser struct {
 	router *Router
-	budget bool
-	charge bool // refusals cost a retry, too
+	free   []Ending // after which a retry is free of the budget
 }
 
 func (c *routerChooser) update(b []Backend) { c.router.Update("s", b) }
@@ -291,8 +290,8 @@
 	return l.Backend().Host, l.Done, true
 }
 
-func (c *routerChooser) mayRetry(refused bool) bool {
-	return !c.budget || refused && !c.charge || c.router.spendRetry("s")
+func (c *routerChooser) mayRetry(e Ending) bool {
+	return slices.Contains(c.free, e) || c.router.spendRetry("s")
 }
 
 // plainChooser is a baseline: round robin or random within the slots, without memory of failures.
@@ -303,8 +302,8 @@
 	inFlight map[string]int
 }
 
-func (c *plainChooser) update(b []Backend) { c.backends = b }
-func (c *plainChooser) mayRetry(bool) bool { return true }
+func (c *plainChooser) update(b []Backend)   { c.backends = b }
+func (c *plainChooser) mayRetry(Ending) bool { return true }
 
 func (c *plainChooser) pick(_ time.Time, tried []string) (string, func(Report, time.Time), bool) {
 	if c.random != nil {
--- a/internal/basilrouter/run.go
+++ b/internal/basilrouter/run.go
@@ -28,7 +28,7 @@
 	l, err := r.take(ctx)
 	if IsErrNoBackend(err) && r.attempts > 0 && r.refusals+r.misses < maxRefusals {
 		r.misses++
-		r.last.report.Ending = EndingRefused
+		r.last.started = false
 		return Result{}, false
 	}
 	if err != nil {
@@ -135,7 +135,7 @@
 	if time.Until(r.request.Deadline) <= d {
 		return r.giveUp(basilapi.CodeDeadlineExceeded, r.last.detail, r.retryAfter()), true
 	}
-	if r.last.report.Ending != EndingRefused && !r.dispatcher.router.spendRetry(r.request.Service) {
+	if r.last.started && !r.dispatcher.router.spendRetry(r.request.Service) {
 		return r.giveUp(basilapi.CodeOverloaded, r.last.detail, r.retryAfter()), true
 	}
 	timer := time.NewTimer(d)
--- a/internal/basilrouter/transport.go
+++ b/internal/basilrouter/transport.go
@@ -20,12 +20,17 @@
 // It opens no more than its part of a backend server's connections, and it lets
 // the dispatcher prove that no byte of a request was sent.
 func NewTransport(entryHosts int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	return newTransport(entryHosts, (&net.Dialer{Timeout: dialTimeout}).DialContext)
+}
+
+type dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newTransport(entryHosts int, d dial) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+			c, err := d(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
