--- a/internal/basilrouter/dispatcher_test.go
+++ b/internal/basilrouter/dispatcher_test.go
@@ -312,7 +312,7 @@
 	near, far := net.Pipe()
 	t.Cleanup(func() { _ = far.Close() })
 	entered := make(chan struct{})
-	transport := basilrouter.NewTransportWithDial(1, func(ctx context.Context, _, _ string) (net.Conn, error) {
+	transport := basilrouter.NewTransportWithDial(1, func(context.Context, string, string) (net.Conn, error) {
 		close(entered)
 		return near, nil
 	})
--- a/internal/basilrouter/run.go
+++ b/internal/basilrouter/run.go
@@ -80,7 +80,7 @@
 }
 
 // clear passes the checks that come just before a send; it tells whether to go on.
-func (r *run) clear(l *Lease) (Result, bool) {
+func (r *run) clear(_ *Lease) (Result, bool) {
 	q := r.request
 	if q.Allowed != nil {
 		if err := q.Allowed(); err != nil {
