--- a/pkg/basilclient/client_test.go
+++ b/pkg/basilclient/client_test.go
@@ -14,12 +14,12 @@
 )
 
 // entryHost answers submits with the problem, or cuts them off.
-func entryHost(t *testing.T, p *basilapi.Problem, seen *[]basilapi.SubmitRequest) string {
+func entryHost(t *testing.T, p *basilapi.Problem, seen chan<- basilapi.SubmitRequest) string {
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var q basilapi.SubmitRequest
 		_ = json.NewDecoder(r.Body).Decode(&q)
-		*seen = append(*seen, q)
+		seen <- q
 		if p == nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -45,17 +45,18 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var seen []basilapi.SubmitRequest
+			seen := make(chan basilapi.SubmitRequest, len(tt.answers))
 			var addresses []string
 			for _, p := range tt.answers {
-				addresses = append(addresses, entryHost(t, p, &seen))
+				addresses = append(addresses, entryHost(t, p, seen))
 			}
 			c := basilclient.NewClient(basilclient.Options{Addresses: addresses})
 			_, err := c.Submit(t.Context(), basilapi.SubmitRequest{ID: id, Service: "receipt"})
 			p, ok := basilapi.AsProblem(err)
 			must.True(t, ok, must.Sprint(err))
 			must.EqOp(t, tt.outcome, p.Outcome)
-			for n, q := range seen {
+			for n := range tt.answers {
+				q := <-seen
 				must.EqOp(t, n > 0, q.Retry)
 				must.EqOp(t, id, q.ID)
 			}
