--- a/internal/basilpool/verifier_check.go
+++ b/internal/basilpool/verifier_check.go
@@ -36,6 +36,11 @@
 			return err
 		}
 	}
+	return v.Compare(ctx, p)
+}
+
+// Compare fails with ErrTableDiffers unless the table holds what the entries tell that were added.
+func (v *Verifier) Compare(ctx context.Context, p *Pools) error {
 	hosts, err := p.Hosts(ctx)
 	if err != nil {
 		return err
--- a/internal/basilwave/executor_test.go
+++ b/internal/basilwave/executor_test.go
@@ -74,6 +74,7 @@
 // TestFailuresInTheMiddleOfAWave lets each failure strike while a wave and a move
 // are under way on services with two hosts to spare, and checks how they go on.
 func TestFailuresInTheMiddleOfAWave(t *testing.T) {
+	t.Parallel()
 	failRack := func(f *fixture, t *testing.T) {
 		for _, id := range []string{"h00", "h01", "h02", "h03"} { // h00 is out for the wave
 			_, err := f.pools.Fail(t.Context(), id, ann)
@@ -143,6 +144,7 @@
 // TestExecutorKilledAfterAnyTransaction ends the executor after each transaction of
 // a whole wave in turn; a new one takes over each time.
 func TestExecutorKilledAfterAnyTransaction(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f, err := newFixture(t.Context(), 4, 3)
 		must.NoError(t, err)
@@ -172,6 +174,7 @@
 }
 
 func TestStoreDownKeepsHostsWhereTheyAre(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f, err := newFixture(t.Context(), 8, 6)
 		must.NoError(t, err)
@@ -264,6 +267,7 @@
 }
 
 func TestExecutorsAtOnceFinishOneWave(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f, err := newFixture(t.Context(), 8, 5)
 		must.NoError(t, err)
--- a/internal/basilwave/wave_property_test.go
+++ b/internal/basilwave/wave_property_test.go
@@ -288,6 +288,7 @@
 }
 
 func TestPropertyHostsAndBudgetsHoldThroughMovesAndWaves(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(struct{ rapid.TB }{t}, func(rt *rapid.T) {
 			f, err := newFixture(t.Context(), hostsPerPool, rapid.IntRange(3, hostsPerPool).Draw(rt, "min available"))
