Let a killed caller's transaction end where it stood; retry conflicts

A caller that was killed before its send had its write applied by a timer later on, since the stand-in began to model late writes; that landed while the check compared table and trail. TestCommitUnderFaults failed first for conflicts: "transactions conflict [partition: audit-head]" ended the commit. Ruled out: the pools (the trail and the table agree once the timer has run); the check (it says that no change may run meanwhile). Change: a caller that left before it sent has no write; only a delay that it left early makes one late. The trail tries again at a transaction conflict; its fault table gains conflicts and late writes.

--- a/internal/basilaudit/trail.go
+++ b/internal/basilaudit/trail.go
@@ -63,7 +63,7 @@
 			return Entry{}, err
 		}
 		e, err := t.attempt(ctx, decide)
-		if !basilplatform.IsErrConditionFailed(err) {
+		if !basilplatform.IsErrConditionFailed(err) && !basilplatform.IsErrConflict(err) {
 			return e, err
 		}
 	}
--- a/internal/basilaudit/trail_test.go
+++ b/internal/basilaudit/trail_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -34,6 +35,8 @@
 func TestCommitUnderFaults(t *testing.T) {
 	lost := basilstandin.TableFaults{LoseAnswers: true}
 	vanished := basilstandin.TableFaults{LoseWrites: true}
+	conflict := basilstandin.TableFaults{Conflicts: true}
+	late := basilstandin.TableFaults{LateBy: 50 * time.Millisecond}
 	down := basilstandin.TableFaults{Down: true}
 	tests := []struct {
 		name    string
@@ -45,6 +48,8 @@
 		{"answer lost after the write", []basilstandin.TableFaults{lost}, 1, nil},
 		{"write lost", []basilstandin.TableFaults{vanished}, 1, nil},
 		{"write lost, then its answer", []basilstandin.TableFaults{vanished, lost}, 1, nil},
+		{"transactions conflict", []basilstandin.TableFaults{conflict, conflict}, 1, nil},
+		{"write late", []basilstandin.TableFaults{late}, 1, nil},
 		{"down", []basilstandin.TableFaults{down}, 0, basilplatform.IsErrUnavailable},
 		{"lost for good", []basilstandin.TableFaults{vanished, vanished, vanished, vanished, vanished}, 0, basilaudit.IsErrChangeUnknown},
 	}
--- a/internal/basilstandin/table.go
+++ b/internal/basilstandin/table.go
@@ -146,14 +146,16 @@
 	if err := basilplatform.CheckTransaction(x); err != nil {
 		return err
 	}
-	if err := ctx.Err(); err != nil {
+	f := t.faultsOf(x)
+	if err := ctx.Err(); err != nil { // the caller left before it sent anything
 		return basilplatform.ErrUnavailable{Operation: operationTransact, Cause: err}
 	}
-	f := t.faultsOf(x)
-	arrived := time.Now()
-	if err := pause(ctx, f.Delay); err != nil {
-		t.applyLater(f.Delay-time.Since(arrived), f, x)
-		return unknownError(x, err)
+	if f.Delay > 0 {
+		arrived := time.Now()
+		if err := pause(ctx, f.Delay); err != nil {
+			t.applyLater(f.Delay-time.Since(arrived), f, x)
+			return unknownError(x, err)
+		}
 	}
 	switch {
 	case f.Down:
