--- a/internal/basilwave/rollout_test.go
+++ b/internal/basilwave/rollout_test.go
@@ -22,6 +22,7 @@
 
 var (
 	smallSite = site{hosts: 50, pools: 5, dataCentres: 3, minShare: 0.7, failuresPerDay: 0.8, rackLossesPerWeek: 14, tick: 10 * time.Second}
+	tightSite = site{hosts: 50, pools: 5, dataCentres: 3, minShare: 0.8, failuresPerDay: 0.8, rackLossesPerWeek: 14, tick: 10 * time.Second}
 	largeSite = site{hosts: 13_000, pools: 23, dataCentres: 20, minShare: 0.96, failuresPerDay: 200, rackLossesPerWeek: 1, tick: 10 * time.Minute}
 )
 
@@ -221,7 +222,7 @@
 		name  string
 		site  site
 		seeds uint64
-	}{{"50", smallSite, 40}, {"13000", largeSite, 1}}
+	}{{"50", smallSite, 40}, {"50-tight", tightSite, 40}, {"13000", largeSite, 1}}
 	for _, s := range sites {
 		for _, p := range plans {
 			b.Run(fmt.Sprintf("hosts=%s/%s", s.name, p.name), func(b *testing.B) {
