Measure the entry hop with jobs that take 5 ms as well

Cause: jobs that take no time fill the processors, so p99 measures their queue. Change: the benchmark runs with both.

--- a/internal/basilentry/hop_bench_test.go
+++ b/internal/basilentry/hop_bench_test.go
@@ -24,11 +24,20 @@
 // hopPayload is about the size of a quote.
 var hopPayload = bytes.Repeat([]byte("q"), 200)
 
-// BenchmarkEntryHop compares caller → entry host → runner with caller → runner, in one run on loopback.
+// BenchmarkEntryHop compares caller → entry host → runner with caller → runner, in one
+// run on loopback: with jobs that take no time, which fill the processors, and with jobs of 5 ms.
 func BenchmarkEntryHop(b *testing.B) {
-	c := newCluster(b, 84, "fukuoka")
+	b.Run("no-work", func(b *testing.B) { hop(b, 84, basilstandin.BackendOptions{}) })
+	b.Run("5ms", func(b *testing.B) {
+		hop(b, 85, basilstandin.BackendOptions{RunTime: basilstandin.ConstantRunTime(5 * time.Millisecond)})
+	})
+}
+
+func hop(b *testing.B, network byte, o basilstandin.BackendOptions) {
+	b.Helper()
+	c := newCluster(b, network, "fukuoka")
 	for n := range hopRunners {
-		c.addHost(fmt.Sprintf("f%02d", n), "fukuoka", "counter", basilstandin.BackendOptions{})
+		c.addHost(fmt.Sprintf("f%02d", n), "fukuoka", "counter", o)
 	}
 	c.open(counterConfiguration())
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
