Pass on the problem that forbids a send; test hosts of several services

Cause: the control loop's check may know more than "stale" (stopping, say), and no test held that services of one host share its credits and its leaving mark. Ruled out: a code of its own in Request. Change: an ErrProblem from Allowed keeps its code and message; one test, one row. Conclusion: none further.

--- a/internal/basilrouter/router_test.go
+++ b/internal/basilrouter/router_test.go
@@ -135,6 +135,31 @@
 	}
 }
 
+func TestServicesOfOneHostShareItsCreditsAndItsMark(t *testing.T) {
+	var told []string
+	r := basilrouter.NewRouter(basilrouter.RouterOptions{
+		OnLeaving: func(host string, _ int64) { told = append(told, host) },
+	})
+	r.Update("s", pool(1, 1))
+	r.Update("t", pool(1, 1))
+	var leases []*basilrouter.Lease
+	for n := range 8 {
+		l, err := r.Pick([]string{"s", "t"}[n%2], time.Now())
+		must.NoError(t, err)
+		leases = append(leases, l)
+	}
+	for _, service := range []string{"s", "t"} {
+		_, err := r.Pick(service, time.Now())
+		must.True(t, basilrouter.IsErrNoBackend(err))
+	}
+	r.Remove("t")
+	for _, l := range leases {
+		l.Done(basilrouter.Report{Ending: basilrouter.EndingAnswered, Leaving: true}, time.Now())
+	}
+	must.Eq(t, []string{"r0"}, told)
+	must.Eq(t, 0, r.Free("s", time.Now()))
+}
+
 func TestExcludedHostIsNotPicked(t *testing.T) {
 	r := basilrouter.NewRouter(basilrouter.RouterOptions{})
 	r.Update("s", pool(2, 1))
--- a/internal/basilrouter/run.go
+++ b/internal/basilrouter/run.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return r.refused(ctx, err), true
 	}
-	if result, ok := r.clear(l); !ok {
+	if result, ok := r.clear(); !ok {
 		l.Done(Report{}, time.Now())
 		return result, true
 	}
@@ -80,11 +80,11 @@
 }
 
 // clear passes the checks that come just before a send; it tells whether to go on.
-func (r *run) clear(l *Lease) (Result, bool) {
+func (r *run) clear() (Result, bool) {
 	q := r.request
 	if q.Allowed != nil {
 		if err := q.Allowed(); err != nil {
-			return r.giveUp(basilapi.CodeStale, err.Error(), r.retryAfter()), false
+			return r.forbidden(err), false
 		}
 	}
 	if q.Start != nil && !q.Start(r.attempts+1) {
@@ -93,6 +93,15 @@
 	return Result{}, true
 }
 
+// forbidden is the result of a job that may not be sent now; the error may carry a problem of its own.
+func (r *run) forbidden(err error) Result {
+	p, ok := basilapi.AsProblem(err)
+	if !ok {
+		return r.giveUp(basilapi.CodeStale, err.Error(), r.retryAfter())
+	}
+	return r.giveUp(p.Code, p.Message, max(p.RetryAfter(), r.retryAfter()))
+}
+
 // judge takes an attempt in; it tells whether the job is at its end.
 func (r *run) judge(t trial) (Result, bool) {
 	r.last = t
--- a/internal/basilrouter/run_test.go
+++ b/internal/basilrouter/run_test.go
@@ -113,7 +113,7 @@
 	near, far := net.Pipe()
 	t.Cleanup(func() { _ = far.Close() })
 	entered := make(chan struct{})
-	transport := basilrouter.NewTransportWithDial(1, func(ctx context.Context, _, _ string) (net.Conn, error) {
+	transport := basilrouter.NewTransportWithDial(1, func(context.Context, string, string) (net.Conn, error) {
 		close(entered)
 		return near, nil
 	})
@@ -211,6 +211,11 @@
 		{"stale view", func(q *basilrouter.Request) {
 			q.Allowed = func() error { return errors.New("stale") }
 		}, basilapi.CodeStale, t.Context},
+		{"entry host stopping", func(q *basilrouter.Request) {
+			q.Allowed = func() error {
+				return basilapi.ErrProblem{Problem: basilapi.Problem{Code: basilapi.CodeStopping}}
+			}
+		}, basilapi.CodeStopping, t.Context},
 		{"cancelled job", func(q *basilrouter.Request) {
 			q.Start = func(int) bool { return false }
 		}, basilapi.CodeCancelled, t.Context},
