--- /dev/null
+++ b/internal/basilqueue/line.go
@@ -0,0 +1,195 @@
+package basilqueue
+
+import "time"
+
+// Rules of the order.
+const (
+	defaultLongPercent = 50 // of the slots, for long jobs
+	urgentPercent      = 75 // of the slots, for urgent jobs while others wait
+	ageLimit           = 10 * time.Second
+	minCost            = 100 * time.Microsecond
+	meanDecay          = 1.0 / 16
+)
+
+// line is the order of one service's jobs, without clocks or locks.
+type line struct {
+	lanes       [classes]lane
+	times       *runTimes
+	longPercent int
+	sequence    uint64
+	free        func() int // places that could be taken
+
+	running       int
+	longRunning   int
+	urgentRunning int
+	oldest        *Pass // of the running jobs that don't count as long
+	newest        *Pass
+	means         [classes]meanRun
+}
+
+// meanRun is a moving mean of run times.
+type meanRun struct {
+	value   float64 // nanoseconds
+	samples int
+}
+
+func (m *meanRun) observe(d time.Duration) {
+	m.samples++
+	weight := max(meanDecay, 1/float64(m.samples))
+	m.value += (float64(d) - m.value) * weight
+}
+
+// waiting returns the number of jobs in line.
+func (l *line) waiting() int {
+	n := 0
+	for i := range l.lanes {
+		n += l.lanes[i].size
+	}
+	return n
+}
+
+// classify returns a waiter for the ticket, which is not in line yet.
+func (l *line) classify(t Ticket, now time.Time) *waiter {
+	l.sequence++
+	w := &waiter{ticket: t, class: ClassShort, sequence: l.sequence, arrived: now}
+	expected := l.times.expected(t.Kind)
+	w.cost = expected
+	if expected == 0 {
+		w.cost = t.Guess
+	}
+	if !t.Deadline.IsZero() {
+		w.latest = t.Deadline.Add(-expected)
+	}
+	switch {
+	case t.Urgent:
+		w.class = ClassUrgent
+	case l.times.long(t.Kind):
+		w.class = ClassLong
+	}
+	return w
+}
+
+func (l *line) push(w *waiter)   { l.lanes[w.class].push(w) }
+func (l *line) remove(w *waiter) { l.lanes[w.class].remove(w) }
+
+// any returns some job in line, or nil.
+func (l *line) any() *waiter {
+	for i := range l.lanes {
+		if w := l.lanes[i].peek(); w != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+// next returns the job to send next, or nil when none may be sent.
+func (l *line) next(now time.Time) *waiter {
+	l.reclassify(now)
+	short := l.lanes[ClassShort].peek()
+	long := l.lanes[ClassLong].peek()
+	if long != nil && !l.longMayStart() {
+		long = nil
+	}
+	if u := l.lanes[ClassUrgent].peek(); u != nil && ((short == nil && long == nil) || l.urgentMayStart()) {
+		return u
+	}
+	if short == nil || (long != nil && long.aged(now)) {
+		return long
+	}
+	return short
+}
+
+// mayStart tells whether a job that is not in line may be sent before all that are.
+func (l *line) mayStart(w *waiter, now time.Time) bool {
+	l.reclassify(now)
+	switch w.class {
+	case ClassUrgent:
+		return l.lanes[ClassUrgent].size == 0 && (l.waiting() == 0 || l.urgentMayStart())
+	case ClassLong:
+		return l.waiting() == 0 && l.longMayStart()
+	default:
+		return l.lanes[ClassUrgent].size == 0 && l.lanes[ClassShort].size == 0 && l.next(now) == nil
+	}
+}
+
+func (l *line) slots() int { return l.running + l.free() }
+
+func (l *line) longMayStart() bool {
+	return l.longRunning < max(1, l.running*l.longPercent/100) ||
+		l.longRunning < max(1, l.slots()*l.longPercent/100)
+}
+
+func (l *line) urgentMayStart() bool {
+	return l.urgentRunning < max(1, l.slots()*urgentPercent/100)
+}
+
+// start notes that the job is sent; the caller removes it from its lane.
+func (l *line) start(w *waiter, p *Pass, now time.Time) {
+	p.kind, p.class, p.started = w.ticket.Kind, w.class, now
+	l.running++
+	if w.class == ClassUrgent {
+		l.urgentRunning++
+	}
+	if l.times.long(w.ticket.Kind) {
+		p.long = true
+		l.longRunning++
+		return
+	}
+	l.link(p)
+}
+
+// finish takes back what start noted.
+func (l *line) finish(p *Pass) {
+	l.running--
+	if p.class == ClassUrgent {
+		l.urgentRunning--
+	}
+	if p.long {
+		l.longRunning--
+		return
+	}
+	l.unlink(p)
+}
+
+// observe learns from a run.
+func (l *line) observe(p *Pass, ran time.Duration) {
+	l.times.observe(p.kind, ran)
+	l.means[p.class].observe(ran)
+}
+
+// reclassify counts jobs as long that have run for longer than short ones do.
+func (l *line) reclassify(now time.Time) {
+	bound, known := l.times.bound()
+	if !known {
+		return
+	}
+	for p := l.oldest; p != nil && now.Sub(p.started) >= bound; p = l.oldest {
+		l.unlink(p)
+		p.long = true
+		l.longRunning++
+	}
+}
+
+func (l *line) link(p *Pass) {
+	p.older = l.newest
+	if l.newest != nil {
+		l.newest.newer = p
+	} else {
+		l.oldest = p
+	}
+	l.newest = p
+}
+
+func (l *line) unlink(p *Pass) {
+	if p.older != nil {
+		p.older.newer = p.newer
+	} else {
+		l.oldest = p.newer
+	}
+	if p.newer != nil {
+		p.newer.older = p.older
+	} else {
+		l.newest = p.older
+	}
+	p.older, p.newer = nil, nil
+}
--- /dev/null
+++ b/internal/basilqueue/run_times.go
@@ -0,0 +1,76 @@
+package basilqueue
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// How run times make a job long.
+const (
+	longFactor     = 8    // times the service's median run time
+	longFraction   = 0.25 // of a kind's runs
+	fractionDecay  = 1.0 / 32
+	trustedSamples = 4 // runs that a kind must show before it counts as short
+	boundSamples   = 16
+	maxKinds       = 512 // remembered of a service
+)
+
+// kindRuns is what the runs of one kind have shown.
+type kindRuns struct {
+	runs sketch
+	long float64 // moving share of runs that were long
+}
+
+// runTimes learns the run times of one service.
+type runTimes struct {
+	all   sketch
+	kinds *simplelru.LRU[string, *kindRuns]
+}
+
+func newRunTimes() *runTimes {
+	kinds, _ := simplelru.NewLRU[string, *kindRuns](maxKinds, nil) // fails only for sizes below 1
+	return &runTimes{kinds: kinds}
+}
+
+// bound returns the run time from which a run is long, and whether enough runs were seen.
+func (t *runTimes) bound() (time.Duration, bool) {
+	return longFactor * t.all.median, t.all.samples >= boundSamples
+}
+
+func (t *runTimes) observe(kind string, ran time.Duration) {
+	k, ok := t.kinds.Get(kind)
+	if !ok {
+		k = &kindRuns{}
+		t.kinds.Add(kind, k)
+	}
+	bound, known := t.bound()
+	k.runs.observe(ran)
+	t.all.observe(ran)
+	if !known {
+		return
+	}
+	k.long -= k.long * fractionDecay
+	if ran >= bound {
+		k.long += fractionDecay
+	}
+}
+
+// long tells whether the kind's jobs count as long; those of an unproven kind do.
+func (t *runTimes) long(kind string) bool {
+	k, ok := t.kinds.Get(kind)
+	if !ok || k.runs.samples < trustedSamples {
+		return true
+	}
+	bound, known := t.bound()
+	return known && (k.long >= longFraction || k.runs.median >= bound)
+}
+
+// expected returns the kind's median run time, or 0 while it is unproven.
+func (t *runTimes) expected(kind string) time.Duration {
+	k, ok := t.kinds.Peek(kind)
+	if !ok || k.runs.samples < trustedSamples {
+		return 0
+	}
+	return k.runs.median
+}
