--- a/internal/basilqueue/forecast.go
+++ b/internal/basilqueue/forecast.go
@@ -37,7 +37,7 @@
 	case ClassLong:
 		return max(1, min(l.running, l.running*l.longPercent/100))
 	default:
-		return max(1, l.running-l.longRunning)
+		return max(1, l.running-l.started[ClassLong])
 	}
 }
 
--- a/internal/basilqueue/line.go
+++ b/internal/basilqueue/line.go
@@ -4,9 +4,10 @@
 
 // Rules of the order.
 const (
-	defaultLongPercent = 50 // of the slots, for long jobs
-	urgentPercent      = 75 // of the slots, for urgent jobs while others wait
-	ageLimit           = 10 * time.Second
+	defaultLongPercent = 50               // of the slots, for long jobs
+	urgentPercent      = 75               // of the slots, for urgent jobs while others wait
+	ageLimit           = 10 * time.Second // of jobs without a deadline
+	ageFraction        = 2                // of the time that a job can wait
 	minCost            = 100 * time.Microsecond
 	meanDecay          = 1.0 / 16
 )
@@ -19,12 +20,12 @@
 	sequence    uint64
 	free        func() int // places that could be taken
 
-	running       int
-	longRunning   int
-	urgentRunning int
-	oldest        *Pass // of the running jobs that don't count as long
-	newest        *Pass
-	means         [classes]meanRun
+	running     int
+	started     [classes]int // of running, by the class that they were sent in
+	longRunning int          // those that count as long, by now
+	oldest      *Pass        // of the running jobs that don't count as long
+	newest      *Pass
+	means       [classes]meanRun
 }
 
 // meanRun is a moving mean of run times.
@@ -120,16 +121,14 @@
 }
 
 func (l *line) urgentMayStart() bool {
-	return l.urgentRunning < max(1, l.slots()*urgentPercent/100)
+	return l.started[ClassUrgent] < max(1, l.slots()*urgentPercent/100)
 }
 
 // start notes that the job is sent; the caller removes it from its lane.
 func (l *line) start(w *waiter, p *Pass, now time.Time) {
 	p.kind, p.class, p.started = w.ticket.Kind, w.class, now
 	l.running++
-	if w.class == ClassUrgent {
-		l.urgentRunning++
-	}
+	l.started[w.class]++
 	if l.times.long(w.ticket.Kind) {
 		p.long = true
 		l.longRunning++
@@ -141,9 +140,7 @@
 // finish takes back what start noted.
 func (l *line) finish(p *Pass) {
 	l.running--
-	if p.class == ClassUrgent {
-		l.urgentRunning--
-	}
+	l.started[p.class]--
 	if p.long {
 		l.longRunning--
 		return
--- a/internal/basilqueue/waiter.go
+++ b/internal/basilqueue/waiter.go
@@ -40,8 +40,8 @@
 // aged tells whether the job has waited for so long that it goes before short ones.
 func (w *waiter) aged(now time.Time) bool {
 	waited := now.Sub(w.arrived)
-	if waited >= ageLimit {
-		return true
+	if w.latest.IsZero() {
+		return waited >= ageLimit
 	}
-	return !w.latest.IsZero() && waited >= w.latest.Sub(w.arrived)/2
+	return waited >= w.latest.Sub(w.arrived)/ageFraction
 }
