--- a/internal/basilqueue/forecast.go
+++ b/internal/basilqueue/forecast.go
@@ -69,11 +69,11 @@
 func (l *line) doomed(now time.Time) []*waiter {
 	var found []*waiter
 	for c := range l.lanes {
-		flows := l.lanes[c].flows
-		for _, f := range flows {
+		turns := l.lanes[c].turns()
+		for _, f := range l.lanes[c].flows {
 			kept := 0
 			f.waiting.each(func(w *waiter) {
-				wait, _ := l.wait(Class(c), min(kept*len(flows), l.lanes[c].size))
+				wait, _ := l.wait(Class(c), turns[kept])
 				if w.late(now.Add(wait)) {
 					found = append(found, w)
 					return
--- a/internal/basilqueue/lane.go
+++ b/internal/basilqueue/lane.go
@@ -67,11 +67,37 @@
 
 // ahead estimates how many jobs are served before w, which need not be in the lane.
 func (l *lane) ahead(w *waiter) int {
-	f := l.byTeam[w.ticket.Team]
-	if f == nil {
-		return min(l.size, len(l.flows))
+	own := l.byTeam[w.ticket.Team]
+	rank := 0
+	if own != nil {
+		rank = own.waiting.rank(w)
+	}
+	n := rank
+	for _, f := range l.flows {
+		if f != own {
+			n += min(f.waiting.len(), rank+1)
+		}
+	}
+	return n
+}
+
+// turns returns how many jobs are served before each team has had so many of its own, by that number.
+func (l *lane) turns() []int {
+	longest := 0
+	for _, f := range l.flows {
+		longest = max(longest, f.waiting.len())
+	}
+	ending := make([]int, longest+1) // teams by the number of their jobs
+	for _, f := range l.flows {
+		ending[f.waiting.len()]++
+	}
+	turns := make([]int, longest+1)
+	left := len(l.flows)
+	for i := 1; i <= longest; i++ {
+		turns[i] = turns[i-1] + left
+		left -= ending[i]
 	}
-	return min(l.size, f.waiting.rank(w)*max(1, len(l.flows)))
+	return turns
 }
 
 // crowding returns the last job of the team that waits with the most, if that is more than the team of w would.
