--- a/internal/basilqueue/line.go
+++ b/internal/basilqueue/line.go
@@ -52,8 +52,8 @@
 // classify returns a waiter for the ticket, which is not in line yet.
 func (l *line) classify(t Ticket, now time.Time) *waiter {
 	l.sequence++
-	w := &waiter{ticket: t, class: ClassShort, sequence: l.sequence, arrived: now}
-	expected := l.times.expected(t.Kind)
+	w := &waiter{ticket: t, class: ClassShort, sequence: l.sequence, arrived: now, kind: l.times.kind(t.Kind)}
+	expected := w.kind.expected()
 	w.cost = expected
 	if expected == 0 {
 		w.cost = t.Guess
@@ -64,7 +64,7 @@
 	switch {
 	case t.Urgent:
 		w.class = ClassUrgent
-	case l.times.long(t.Kind):
+	case l.times.long(w.kind):
 		w.class = ClassLong
 	}
 	return w
@@ -126,10 +126,10 @@
 
 // start notes that the job is sent; the caller removes it from its lane.
 func (l *line) start(w *waiter, p *Pass, now time.Time) {
-	p.kind, p.class, p.started = w.ticket.Kind, w.class, now
+	p.kind, p.class, p.started = w.kind, w.class, now
 	l.running++
 	l.started[w.class]++
-	if l.times.long(w.ticket.Kind) {
+	if w.class == ClassLong || l.times.long(w.kind) {
 		p.long = true
 		l.longRunning++
 		return
--- a/internal/basilqueue/queue.go
+++ b/internal/basilqueue/queue.go
@@ -11,8 +11,11 @@
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
-// outageGrace is how long jobs wait while none runs and no place can be taken.
-const outageGrace = 500 * time.Millisecond
+// Periods of a queue.
+const (
+	outageGrace = 500 * time.Millisecond // jobs wait while none runs and no place can be taken
+	shedPeriod  = 50 * time.Millisecond  // between looks for jobs that can't start in time
+)
 
 // Queue holds the jobs of one service that wait to be sent.
 type Queue struct {
@@ -23,6 +26,7 @@
 
 	mutex    sync.Mutex
 	line     line
+	shedAt   time.Time
 	dryAt    time.Time // since when nothing runs and nothing can be taken; zero is not so
 	counters counters
 }
@@ -197,11 +201,14 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.dispatch(now)
-	q.shed(now)
+	if now.Sub(q.shedAt) >= shedPeriod {
+		q.shed(now)
+	}
 }
 
 // shed refuses waiting jobs that can't start in time, and all of them in an outage.
 func (q *Queue) shed(now time.Time) {
+	q.shedAt = now
 	if !q.dryAt.IsZero() && q.line.running == 0 && now.Sub(q.dryAt) >= outageGrace {
 		for w := q.line.any(); w != nil; w = q.line.any() {
 			q.end(w, q.refuse(w.class, q.unreachable(spread(time.Second))))
--- a/internal/basilqueue/queues.go
+++ b/internal/basilqueue/queues.go
@@ -57,7 +57,7 @@
 		return nil, errors.WithStack(err)
 	}
 	u := q.queue(t.Service)
-	if err := q.quotas.take(t.Team, time.Now()); err != nil {
+	if err := q.quotas.take(t.Team); err != nil {
 		u.quotaExceeded()
 		return nil, err
 	}
--- a/internal/basilqueue/quota.go
+++ b/internal/basilqueue/quota.go
@@ -54,11 +54,15 @@
 }
 
 // take counts one job; it fails with ErrQuotaExceeded.
-func (q *quotas) take(team string, now time.Time) error {
+func (q *quotas) take(team string) error {
 	q.mutex.RLock()
 	l := q.limiters[team]
 	q.mutex.RUnlock()
-	if l == nil || l.AllowN(now, 1) {
+	if l == nil {
+		return nil
+	}
+	now := time.Now()
+	if l.AllowN(now, 1) {
 		return nil
 	}
 	r := l.ReserveN(now, 1)
--- a/internal/basilqueue/run_times.go
+++ b/internal/basilqueue/run_times.go
@@ -38,12 +38,17 @@
 	return longFactor * t.all.median, t.all.samples >= boundSamples
 }
 
-func (t *runTimes) observe(kind string, ran time.Duration) {
-	k, ok := t.kinds.Get(kind)
+// kind returns what is known of the kind.
+func (t *runTimes) kind(name string) *kindRuns {
+	k, ok := t.kinds.Get(name)
 	if !ok {
 		k = &kindRuns{}
-		t.kinds.Add(kind, k)
+		t.kinds.Add(name, k)
 	}
+	return k
+}
+
+func (t *runTimes) observe(k *kindRuns, ran time.Duration) {
 	bound, known := t.bound()
 	k.runs.observe(ran)
 	t.all.observe(ran)
@@ -57,9 +62,8 @@
 }
 
 // long tells whether the kind's jobs count as long; those of an unproven kind do.
-func (t *runTimes) long(kind string) bool {
-	k, ok := t.kinds.Get(kind)
-	if !ok || k.runs.samples < trustedSamples {
+func (t *runTimes) long(k *kindRuns) bool {
+	if k.runs.samples < trustedSamples {
 		return true
 	}
 	bound, known := t.bound()
@@ -67,9 +71,8 @@
 }
 
 // expected returns the kind's median run time, or 0 while it is unproven.
-func (t *runTimes) expected(kind string) time.Duration {
-	k, ok := t.kinds.Peek(kind)
-	if !ok || k.runs.samples < trustedSamples {
+func (k *kindRuns) expected() time.Duration {
+	if k.runs.samples < trustedSamples {
 		return 0
 	}
 	return k.runs.median
--- a/internal/basilqueue/ticket.go
+++ b/internal/basilqueue/ticket.go
@@ -32,7 +32,7 @@
 type Pass struct {
 	queue   *Queue
 	slot    Slot
-	kind    string
+	kind    *kindRuns
 	class   Class
 	started time.Time
 	long    bool // counts against the share of long jobs
--- a/internal/basilqueue/waiter.go
+++ b/internal/basilqueue/waiter.go
@@ -5,6 +5,7 @@
 // waiter is one job in line.
 type waiter struct {
 	ticket   Ticket
+	kind     *kindRuns
 	class    Class
 	sequence uint64
 	arrived  time.Time
