Wire the queues into the entry host

Cause: short jobs went to the dispatcher unasked, and a full pool refused them by chance. Checks: go test of basilentry, basilqueue and basilrouter pass.

--- a/internal/basilentry/entry.go
+++ b/internal/basilentry/entry.go
@@ -16,6 +16,7 @@
 	"basilstage.example/basilstage/internal/basilpeer"
 	"basilstage.example/basilstage/internal/basilpool"
 	"basilstage.example/basilstage/internal/basilquery"
+	"basilstage.example/basilstage/internal/basilqueue"
 	"basilstage.example/basilstage/internal/basilrouter"
 	"basilstage.example/basilstage/internal/basilsettings"
 	"basilstage.example/basilstage/internal/basilview"
@@ -32,6 +33,7 @@
 	waves    *basilwave.Waves
 	control  *basilview.Control
 	router   *basilrouter.Router
+	queues   *basilqueue.Queues
 	registry *basiljob.Registry
 	long     *basiljob.LongJobs
 	mesh     *basilpeer.Mesh
@@ -84,6 +86,7 @@
 		DataCentre: s.DataCentre(),
 		OnLeaving:  e.leaving,
 	})
+	e.queues = basilqueue.NewQueues(basilqueue.Options{Capacity: places{router: e.router}})
 	e.control = basilview.NewControl(basilview.Options{
 		Member: basilview.MemberRecord{
 			ID: s.Member(), DataCentre: s.DataCentre(), Incarnation: incarnation,
@@ -108,6 +111,7 @@
 	})
 	e.jobs = &jobService{
 		control: e.control, registry: e.registry, copies: copies, long: e.long, table: e.ports.Table,
+		queues:     e.queues,
 		dispatcher: basilrouter.NewDispatcher(e.router, nil, basilrouter.DispatcherOptions{}),
 		peers:      e.mesh, locator: e.peers,
 	}
@@ -132,6 +136,7 @@
 		}
 		e.router.Update(s.Name, backends)
 	}
+	e.queues.SetQuotas(quotasOf(v), len(v.Members()))
 	e.peers.published(v)
 }
 
--- a/internal/basilentry/job_handler.go
+++ b/internal/basilentry/job_handler.go
@@ -22,7 +22,7 @@
 	writeJSON(w, http.StatusOK, basilapi.MintAnswer{IDs: ids})
 }
 
-func (e *Entry) submit(w http.ResponseWriter, r *http.Request, _ caller) {
+func (e *Entry) submit(w http.ResponseWriter, r *http.Request, c caller) {
 	var q basilapi.SubmitRequest
 	if err := readJSON(w, r, maxRequestBytes, &q); err != nil {
 		writeError(w, err)
@@ -32,7 +32,7 @@
 		e.writeAnswer(w, basilapi.JobAnswer{ID: q.ID}, refuseJob(q, err))
 		return
 	}
-	a, err := e.jobs.Submit(r.Context(), q, 0)
+	a, err := e.jobs.Submit(r.Context(), c.team, q, 0)
 	e.metrics.answered(a, err)
 	e.writeAnswer(w, a, err)
 }
--- a/internal/basilentry/job_service.go
+++ b/internal/basilentry/job_service.go
@@ -12,6 +12,7 @@
 	"basilstage.example/basilstage/internal/basilmodel"
 	"basilstage.example/basilstage/internal/basilpeer"
 	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basilqueue"
 	"basilstage.example/basilstage/internal/basilrouter"
 	"basilstage.example/basilstage/internal/basilview"
 	"basilstage.example/basilstage/pkg/basilapi"
@@ -40,6 +41,7 @@
 	registry   *basiljob.Registry
 	copies     *basiljob.Copies
 	long       *basiljob.LongJobs
+	queues     *basilqueue.Queues
 	dispatcher *basilrouter.Dispatcher
 	table      basilplatform.Table
 	peers      asker
@@ -54,8 +56,8 @@
 	return s.registry.Mint(count), nil
 }
 
-// Submit runs a short job or accepts a long one; forwards counts the hops that the request has made.
-func (s *jobService) Submit(ctx context.Context, r basilapi.SubmitRequest, forwards int) (basilapi.JobAnswer, error) {
+// Submit runs a team's short job or accepts its long one; forwards counts the hops that the request has made.
+func (s *jobService) Submit(ctx context.Context, team string, r basilapi.SubmitRequest, forwards int) (basilapi.JobAnswer, error) {
 	if len(r.Payload) > basilapi.MaxPayloadBytes {
 		return basilapi.JobAnswer{ID: r.ID}, refuseJob(r, refuse(basilapi.CodeBodyTooLarge, "the payload is too large", "send at most 256 KiB", 0))
 	}
@@ -67,16 +69,19 @@
 		r.ID = s.registry.Mint(1)[0]
 	}
 	if declared.Class == basilmodel.ServiceClassLong {
+		if err := s.charge(team, r); err != nil {
+			return basilapi.JobAnswer{ID: r.ID}, err
+		}
 		return s.long.Accept(ctx, r)
 	}
 	if r.ID.Incarnation() == s.registry.Incarnation() {
-		return s.registry.Submit(ctx, r, s.run)
+		return s.registry.Submit(ctx, r, s.runFor(team))
 	}
 	peer, ok := s.locator.Locate(r.ID.Incarnation())
 	if !ok || forwards >= maxForwards {
 		return basiljob.SubmitGone(ctx, r, s.copies, s.table)
 	}
-	a, err := s.forwardSubmit(ctx, peer, r, forwards+1)
+	a, err := s.forwardSubmit(ctx, peer, forwarded{Team: team, Submit: r, ID: r.ID, Forwards: forwards + 1})
 	if basilpeer.IsErrPeerUnreachable(err) {
 		return basiljob.SubmitGone(ctx, r, s.copies, s.table)
 	}
@@ -96,17 +101,6 @@
 	return errors.WithStack(basilapi.ErrProblem{Problem: p})
 }
 
-// run sends a short job to a backend server.
-func (s *jobService) run(ctx context.Context, id basilapi.JobID, r basilapi.SubmitRequest, start basiljob.StartFunc) basiljob.RunResult {
-	result := s.dispatcher.Run(ctx, basilrouter.Request{
-		Job: id.String(), Service: r.Service, Payload: r.Payload, Idempotent: r.Idempotent,
-		Deadline: time.Now().Add(remaining(r, s.timeout(r.Service))),
-		Start:    start,
-		Allowed:  func() error { return s.control.Check(time.Now()) },
-	})
-	return basiljob.RunResult{Outcome: result.Outcome, Attempt: result.Attempt, Answer: result.Answer, Problem: result.Problem}
-}
-
 func (s *jobService) timeout(service string) time.Duration {
 	declared, _ := s.control.View().Configuration().Service(service)
 	if declared.TimeoutMillis > 0 {
@@ -179,6 +173,7 @@
 type forwarded struct {
 	Submit   basilapi.SubmitRequest `json:"submit,omitzero"`
 	ID       basilapi.JobID         `json:"id,omitzero"`
+	Team     string                 `json:"team,omitempty"`
 	Forwards int                    `json:"forwards"`
 }
 
@@ -188,10 +183,10 @@
 	Problem *basilapi.Problem  `json:"problem,omitempty"`
 }
 
-func (s *jobService) forwardSubmit(ctx context.Context, peer string, r basilapi.SubmitRequest, forwards int) (basilapi.JobAnswer, error) {
-	a, err := s.forward(ctx, peer, basilpeer.RequestKindSubmit, forwarded{Submit: r, ID: r.ID, Forwards: forwards})
+func (s *jobService) forwardSubmit(ctx context.Context, peer string, f forwarded) (basilapi.JobAnswer, error) {
+	a, err := s.forward(ctx, peer, basilpeer.RequestKindSubmit, f)
 	if basilpeer.IsErrAnswerLost(err) {
-		return basilapi.JobAnswer{ID: r.ID}, lost(r.ID)
+		return basilapi.JobAnswer{ID: f.ID}, lost(f.ID)
 	}
 	return a, err
 }
@@ -242,7 +237,7 @@
 	var err error
 	switch k {
 	case basilpeer.RequestKindSubmit:
-		a.Answer, err = s.Submit(ctx, f.Submit, f.Forwards)
+		a.Answer, err = s.Submit(ctx, f.Team, f.Submit, f.Forwards)
 	case basilpeer.RequestKindCancel:
 		a.Answer, err = s.Cancel(ctx, f.ID, f.Forwards)
 	default:
--- a/internal/basilentry/metrics.go
+++ b/internal/basilentry/metrics.go
@@ -25,6 +25,7 @@
 	m.all.Set("revision", expvar.Func(func() any { return e.control.View().Configuration().Revision() }))
 	m.all.Set("store_age_ms", expvar.Func(func() any { return e.control.View().StoreAge(time.Now()).Milliseconds() }))
 	m.all.Set("jobs_in_progress", expvar.Func(func() any { return e.registry.InFlight() }))
+	m.all.Set("queues", expvar.Func(func() any { return e.queues.Status() }))
 	m.all.Set("peers", expvar.Func(func() any { return e.mesh.Status() }))
 	name := "basilstage." + e.settings.Member()
 	if expvar.Get(name) == nil {
--- a/internal/basilqueue/errors.go
+++ b/internal/basilqueue/errors.go
@@ -33,6 +33,19 @@
 // IsErrDeadlineUnreachable tells whether the error is an ErrDeadlineUnreachable.
 func IsErrDeadlineUnreachable(err error) bool { return errors.As(err, new(ErrDeadlineUnreachable)) }
 
+// ErrNoCapacity says that nothing has run and no place could be taken for a while.
+type ErrNoCapacity struct {
+	Service    string
+	RetryAfter time.Duration
+}
+
+func (e ErrNoCapacity) Error() string {
+	return fmt.Sprintf("no backend server takes jobs [service: %s, retry after: %s]", e.Service, e.RetryAfter)
+}
+
+// IsErrNoCapacity tells whether the error is an ErrNoCapacity.
+func IsErrNoCapacity(err error) bool { return errors.As(err, new(ErrNoCapacity)) }
+
 // ErrQuotaExceeded says that the team asks more than its quota.
 type ErrQuotaExceeded struct {
 	Team       string
@@ -50,8 +63,11 @@
 func RetryAfter(err error) (time.Duration, bool) {
 	var full ErrQueueFull
 	var unreachable ErrDeadlineUnreachable
+	var none ErrNoCapacity
 	var quota ErrQuotaExceeded
 	switch {
+	case errors.As(err, &none):
+		return none.RetryAfter, true
 	case errors.As(err, &full):
 		return full.RetryAfter, true
 	case errors.As(err, &unreachable):
--- a/internal/basilqueue/queue.go
+++ b/internal/basilqueue/queue.go
@@ -14,7 +14,8 @@
 // Periods of a queue.
 const (
 	outageGrace = 500 * time.Millisecond // jobs wait while none runs and no place can be taken
-	shedPeriod  = 50 * time.Millisecond  // between looks for jobs that can't start in time
+	outageRetry = time.Second
+	shedPeriod  = 50 * time.Millisecond // between looks for jobs that can't start in time
 )
 
 // Queue holds the jobs of one service that wait to be sent.
@@ -211,7 +212,7 @@
 	q.shedAt = now
 	if !q.dryAt.IsZero() && q.line.running == 0 && now.Sub(q.dryAt) >= outageGrace {
 		for w := q.line.any(); w != nil; w = q.line.any() {
-			q.end(w, q.refuse(w.class, q.unreachable(spread(time.Second))))
+			q.end(w, q.refuse(w.class, errors.WithStack(ErrNoCapacity{Service: q.service, RetryAfter: spread(outageRetry)})))
 		}
 		return
 	}
--- a/internal/basilqueue/queues.go
+++ b/internal/basilqueue/queues.go
@@ -49,21 +49,24 @@
 
 // Acquire waits until the job may be sent.
 //
-// It fails with ErrQuotaExceeded, ErrQueueFull or ErrDeadlineUnreachable, which are
-// told as soon as they are known, and with the context's error. Whatever the
-// error, the job was not sent.
+// It fails with ErrQuotaExceeded, ErrQueueFull, ErrDeadlineUnreachable or
+// ErrNoCapacity, which are told as soon as they are known, and with the context's
+// error. Whatever the error, the job was not sent.
 func (q *Queues) Acquire(ctx context.Context, t Ticket) (*Pass, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, errors.WithStack(err)
 	}
 	u := q.queue(t.Service)
-	if err := q.quotas.take(t.Team); err != nil {
+	if err := q.Charge(t.Team); err != nil {
 		u.quotaExceeded()
 		return nil, err
 	}
 	return u.acquire(ctx, t)
 }
 
+// Charge counts one job against the team's quota without a place in line; it fails with ErrQuotaExceeded.
+func (q *Queues) Charge(team string) error { return q.quotas.take(team) }
+
 func (q *Queues) queue(service string) *Queue {
 	if u, ok := q.queues.Load(service); ok {
 		return u.(*Queue)
--- a/internal/basilqueue/status.go
+++ b/internal/basilqueue/status.go
@@ -22,6 +22,7 @@
 	Admitted    int64 `json:"admitted"`
 	Full        int64 `json:"refused_full"`
 	Unreachable int64 `json:"refused_deadline"`
+	NoCapacity  int64 `json:"refused_no_capacity"`
 	WaitP50US   int64 `json:"wait_p50_us"`
 	WaitP99US   int64 `json:"wait_p99_us"`
 	WaitP999US  int64 `json:"wait_p999_us"`
@@ -41,6 +42,7 @@
 	waits       [classes]*hdrhistogram.Histogram
 	full        [classes]int64
 	unreachable [classes]int64
+	noCapacity  [classes]int64
 	abandoned   int64
 	quota       int64
 }
@@ -58,11 +60,14 @@
 }
 
 func (c *counters) refused(k Class, err error) {
-	if IsErrQueueFull(err) {
+	switch {
+	case IsErrQueueFull(err):
 		c.full[k]++
-		return
+	case IsErrNoCapacity(err):
+		c.noCapacity[k]++
+	default:
+		c.unreachable[k]++
 	}
-	c.unreachable[k]++
 }
 
 func (q *Queue) quotaExceeded() {
@@ -91,7 +96,7 @@
 	for _, k := range ClassValues() {
 		h := c.waits[k]
 		s.Classes[k.String()] = ClassStatus{
-			Waiting: q.line.lanes[k].size, Admitted: h.TotalCount(), Full: c.full[k], Unreachable: c.unreachable[k],
+			Waiting: q.line.lanes[k].size, Admitted: h.TotalCount(), Full: c.full[k], Unreachable: c.unreachable[k], NoCapacity: c.noCapacity[k],
 			WaitP50US: h.ValueAtQuantile(percentileHalf), WaitP99US: h.ValueAtQuantile(percentile99),
 			WaitP999US: h.ValueAtQuantile(perMille999),
 		}
