Leave places to jobs that a backend server refused

Cause: a job that a backend server refused holds its pass but no credit, and the queue gave the freed credit to the next in line, so the refused job found none when it came back and was given up after eight tries. Change: Capacity tells the number of places; the queue grants no more passes than that.

--- a/internal/basilentry/admission.go
+++ b/internal/basilentry/admission.go
@@ -33,8 +33,8 @@
 	return place{lease: l}, true
 }
 
-// Free returns the credits that are left.
-func (p places) Free(service string) int { return p.router.Free(service, time.Now()) }
+// Size returns the credits at all backend servers of the service.
+func (p places) Size(service string) int { return p.router.Credits(service, time.Now()) }
 
 // ticket describes the job to the queues.
 func ticket(team string, r basilapi.SubmitRequest, deadline time.Time) basilqueue.Ticket {
--- a/internal/basilqueue/bench_test.go
+++ b/internal/basilqueue/bench_test.go
@@ -13,7 +13,7 @@
 
 func (endless) Release()                       {}
 func (endless) Take(string, bool) (Slot, bool) { return endless{}, true }
-func (endless) Free(string) int                { return 1 << 20 }
+func (endless) Size(string) int                { return 1 << 20 }
 
 func BenchmarkAcquireAndDone(b *testing.B) {
 	ctx := context.Background()
--- a/internal/basilqueue/line.go
+++ b/internal/basilqueue/line.go
@@ -18,7 +18,7 @@
 	times       *runTimes
 	longPercent int
 	sequence    uint64
-	free        func() int // places that could be taken
+	size        func(now time.Time) int // places, those that are taken included
 
 	running     int
 	started     [classes]int // of running, by the class that they were sent in
@@ -88,10 +88,10 @@
 	l.reclassify(now)
 	short := l.lanes[ClassShort].peek()
 	long := l.lanes[ClassLong].peek()
-	if long != nil && !l.longMayStart() {
+	if long != nil && !l.longMayStart(now) {
 		long = nil
 	}
-	if u := l.lanes[ClassUrgent].peek(); u != nil && ((short == nil && long == nil) || l.urgentMayStart()) {
+	if u := l.lanes[ClassUrgent].peek(); u != nil && ((short == nil && long == nil) || l.urgentMayStart(now)) {
 		return u
 	}
 	if short == nil || (long != nil && long.aged(now)) {
@@ -105,23 +105,20 @@
 	l.reclassify(now)
 	switch w.class {
 	case ClassUrgent:
-		return l.lanes[ClassUrgent].size == 0 && (l.waiting() == 0 || l.urgentMayStart())
+		return l.lanes[ClassUrgent].size == 0 && (l.waiting() == 0 || l.urgentMayStart(now))
 	case ClassLong:
-		return l.waiting() == 0 && l.longMayStart()
+		return l.waiting() == 0 && l.longMayStart(now)
 	default:
 		return l.lanes[ClassUrgent].size == 0 && l.lanes[ClassShort].size == 0 && l.next(now) == nil
 	}
 }
 
-func (l *line) slots() int { return l.running + l.free() }
-
-func (l *line) longMayStart() bool {
-	return l.longRunning < max(1, l.running*l.longPercent/100) ||
-		l.longRunning < max(1, l.slots()*l.longPercent/100)
+func (l *line) longMayStart(now time.Time) bool {
+	return l.longRunning < max(1, l.size(now)*l.longPercent/100)
 }
 
-func (l *line) urgentMayStart() bool {
-	return l.started[ClassUrgent] < max(1, l.slots()*urgentPercent/100)
+func (l *line) urgentMayStart(now time.Time) bool {
+	return l.started[ClassUrgent] < max(1, l.size(now)*urgentPercent/100)
 }
 
 // start notes that the job is sent; the caller removes it from its lane.
--- a/internal/basilqueue/model_test.go
+++ b/internal/basilqueue/model_test.go
@@ -34,10 +34,10 @@
 
 func (s modelSlot) Release() { s() }
 
-func (c *modelCapacity) add(n int) {
+func (c *modelCapacity) release() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.used += n
+	c.used--
 }
 
 func (c *modelCapacity) resize(n int) {
@@ -47,17 +47,19 @@
 }
 
 func (c *modelCapacity) Take(string, bool) (Slot, bool) {
-	if c.Free("") == 0 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.used >= c.size {
 		return nil, false
 	}
-	c.add(1)
-	return modelSlot(sync.OnceFunc(func() { c.add(-1) })), true
+	c.used++
+	return modelSlot(sync.OnceFunc(c.release)), true
 }
 
-func (c *modelCapacity) Free(string) int {
+func (c *modelCapacity) Size(string) int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return max(0, c.size-c.used)
+	return c.size
 }
 
 // modelPolicy is an order under test; grants come out of started, refusals out of refused.
--- a/internal/basilqueue/queue.go
+++ b/internal/basilqueue/queue.go
@@ -15,6 +15,7 @@
 const (
 	outageGrace = 500 * time.Millisecond // jobs wait while none runs and no place can be taken
 	outageRetry = time.Second
+	sizePeriod  = time.Millisecond      // between looks at the number of places
 	shedPeriod  = 50 * time.Millisecond // between looks for jobs that can't start in time
 )
 
@@ -28,16 +29,15 @@
 	mutex    sync.Mutex
 	line     line
 	shedAt   time.Time
+	sizedAt  time.Time
+	places   int       // as of sizedAt
 	dryAt    time.Time // since when nothing runs and nothing can be taken; zero is not so
 	counters counters
 }
 
 func newQueue(q *Queues, service string) *Queue {
 	u := &Queue{queues: q, service: service, counters: newCounters()}
-	u.line = line{
-		times: newRunTimes(), longPercent: q.options.LongPercent,
-		free: func() int { return q.options.Capacity.Free(service) },
-	}
+	u.line = line{times: newRunTimes(), longPercent: q.options.LongPercent, size: u.size}
 	return u
 }
 
@@ -109,9 +109,25 @@
 	return verdict{err: err}
 }
 
+// size returns how many passes there may be; it is looked up anew once it is stale.
+func (q *Queue) size(now time.Time) int {
+	if now.Sub(q.sizedAt) >= sizePeriod || q.places == 0 {
+		q.sizedAt = now
+		q.places = q.queues.options.Capacity.Size(q.service)
+	}
+	return q.places
+}
+
 // take takes a place for the job; it notes since when there is none.
+//
+// A job whose backend server refused it holds a pass but no place, so places that
+// seem free are left to such jobs.
 func (q *Queue) take(w *waiter, now time.Time) (Slot, bool) {
-	slot, ok := q.queues.options.Capacity.Take(q.service, w.ticket.Idempotent)
+	var slot Slot
+	ok := q.line.running < q.size(now)
+	if ok {
+		slot, ok = q.queues.options.Capacity.Take(q.service, w.ticket.Idempotent)
+	}
 	switch {
 	case ok || q.line.running > 0:
 		q.dryAt = time.Time{}
--- a/internal/basilqueue/ticket.go
+++ b/internal/basilqueue/ticket.go
@@ -24,8 +24,8 @@
 type Capacity interface {
 	// Take takes a place for one job, if there is one.
 	Take(service string, idempotent bool) (Slot, bool)
-	// Free returns about how many more places could be taken.
-	Free(service string) int
+	// Size returns how many jobs may hold a place at once, those that do included.
+	Size(service string) int
 }
 
 // Pass allows one job to be sent; Done must be called on it.
