Let callers name the kind of a job, and learn run times by team

Cause: classes are learned by kind, and without one the payload's size must do. A kind that teams shared would let one team's long jobs make all others' count as long. Checked: basilentry, basilqueue, basiljob.

--- a/internal/basilentry/admission.go
+++ b/internal/basilentry/admission.go
@@ -39,18 +39,27 @@
 // ticket describes the job to the queues.
 func ticket(team string, r basilapi.SubmitRequest, deadline time.Time) basilqueue.Ticket {
 	return basilqueue.Ticket{
-		Service: r.Service, Team: team, Kind: runKind(r), Idempotent: r.Idempotent, Urgent: r.Urgent,
+		Service: r.Service, Team: team, Kind: runKind(team, r), Idempotent: r.Idempotent, Urgent: r.Urgent,
 		Deadline: deadline, Guess: r.Guess(),
 	}
 }
 
-// runKind groups jobs of about equal run time: by effect and by the payload's size to a power of two.
-func runKind(r basilapi.SubmitRequest) string {
-	kind := strconv.Itoa(bits.Len(uint(len(r.Payload))))
+// maxKindBytes bounds what callers may name.
+const maxKindBytes = 64
+
+// runKind groups a team's jobs of about equal run time: by the kind that the caller names, or by effect and the payload's
+// size to a power of two.
+//
+// Teams learn apart, so that none makes another's jobs count as long.
+func runKind(team string, r basilapi.SubmitRequest) string {
+	if r.Kind != "" {
+		return team + " named " + r.Kind[:min(len(r.Kind), maxKindBytes)]
+	}
+	size := strconv.Itoa(bits.Len(uint(len(r.Payload))))
 	if r.Idempotent {
-		return "idempotent " + kind
+		return team + " idempotent " + size
 	}
-	return kind
+	return team + " " + size
 }
 
 // refusals tells the codes and hints of the queues' refusals.
--- a/internal/basilentry/admission_test.go
+++ b/internal/basilentry/admission_test.go
@@ -49,6 +49,7 @@
 			must.EqOp(t, tt.retry, r.Problem.RetryAfter() > 0)
 		})
 	}
+	must.NotEq(t, runKind("a", basilapi.SubmitRequest{Kind: "report"}), runKind("b", basilapi.SubmitRequest{Kind: "report"}))
 	overloaded := refusalOf(errors.WithStack(basilqueue.ErrDeadlineUnreachable{RetryAfter: time.Second}))
 	must.EqOp(t, basilapi.CodeOverloaded, overloaded.Code)
 	must.EqOp(t, time.Second, overloaded.RetryAfter())
--- a/internal/basilqueue/run_times.go
+++ b/internal/basilqueue/run_times.go
@@ -13,7 +13,7 @@
 	fractionDecay  = 1.0 / 32
 	trustedSamples = 4 // runs that a kind must show before it counts as short
 	boundSamples   = 16
-	maxKinds       = 512 // remembered of a service
+	maxKinds       = 2048 // remembered of a service
 )
 
 // kindRuns is what the runs of one kind have shown.
--- a/pkg/basilapi/job_message.go
+++ b/pkg/basilapi/job_message.go
@@ -23,6 +23,7 @@
 	ID         JobID  `json:"id,omitzero"`     // none: one is minted
 	Retry      bool   `json:"retry,omitempty"` // the id was submitted before
 	Service    string `json:"service"`
+	Kind       string `json:"kind,omitempty"` // jobs of one kind run about equally long; at most 64 bytes are heeded
 	Idempotent bool   `json:"idempotent,omitempty"`
 	Urgent     bool   `json:"urgent,omitempty"`
 	DeadlineMS int64  `json:"deadline_ms,omitempty"` // from now
