Give jobs of unproven kinds a class of their own

Cause: the first four jobs of a kind counted as long, so with kinds kept by team a team that seldom asks waited behind long work. Ruled out: counting them as short; a burst of first reports would then take all places. Change: an own class with a quarter of the slots, ordered with short work by deadline; a declared run time that is long for the service counts until the kind is proven.

--- a/internal/basilqueue/class_enumer.go
+++ b/internal/basilqueue/class_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ClassName = "urgentshortlong"
+const _ClassName = "urgentshortunprovenlong"
 
-var _ClassIndex = [...]uint8{0, 6, 11, 15}
+var _ClassIndex = [...]uint8{0, 6, 11, 19, 23}
 
-const _ClassLowerName = "urgentshortlong"
+const _ClassLowerName = "urgentshortunprovenlong"
 
 func (i Class) String() string {
 	if i < 0 || i >= Class(len(_ClassIndex)-1) {
@@ -26,27 +26,31 @@
 	var x [1]struct{}
 	_ = x[ClassUrgent-(0)]
 	_ = x[ClassShort-(1)]
-	_ = x[ClassLong-(2)]
+	_ = x[ClassUnproven-(2)]
+	_ = x[ClassLong-(3)]
 }
 
-var _ClassValues = []Class{ClassUrgent, ClassShort, ClassLong}
+var _ClassValues = []Class{ClassUrgent, ClassShort, ClassUnproven, ClassLong}
 
 var _ClassNameToValueMap = map[string]Class{
 	_ClassName[0:6]:   ClassUrgent,
 	_ClassName[6:11]:  ClassShort,
-	_ClassName[11:15]: ClassLong,
+	_ClassName[11:19]: ClassUnproven,
+	_ClassName[19:23]: ClassLong,
 }
 
 var _ClassLowerNameToValueMap = map[string]Class{
 	_ClassLowerName[0:6]:   ClassUrgent,
 	_ClassLowerName[6:11]:  ClassShort,
-	_ClassLowerName[11:15]: ClassLong,
+	_ClassLowerName[11:19]: ClassUnproven,
+	_ClassLowerName[19:23]: ClassLong,
 }
 
 var _ClassNames = []string{
 	_ClassName[0:6],
 	_ClassName[6:11],
-	_ClassName[11:15],
+	_ClassName[11:19],
+	_ClassName[19:23],
 }
 
 // ClassString retrieves an enum value from the enum constants string name.
--- a/internal/basilqueue/enum.go
+++ b/internal/basilqueue/enum.go
@@ -9,7 +9,8 @@
 const (
 	ClassUrgent Class = iota
 	ClassShort
-	ClassLong // known or found to run long, or of a kind that has not shown its run times yet
+	ClassUnproven // of a kind that has not shown its run times yet
+	ClassLong
 )
 
 const classes = int(ClassLong) + 1
--- a/internal/basilqueue/forecast.go
+++ b/internal/basilqueue/forecast.go
@@ -38,9 +38,11 @@
 	}
 	switch c {
 	case ClassLong:
-		return max(1, min(l.running, l.running*l.longPercent/100))
+		return max(1, l.running*l.longPercent/100)
+	case ClassUnproven:
+		return max(1, l.running*unprovenPercent/100)
 	default:
-		return max(1, l.running-l.started[ClassLong])
+		return max(1, l.running-l.started[ClassLong]-l.started[ClassUnproven])
 	}
 }
 
--- a/internal/basilqueue/line.go
+++ b/internal/basilqueue/line.go
@@ -6,6 +6,7 @@
 const (
 	defaultLongPercent = 50               // of the slots, for long jobs
 	urgentPercent      = 75               // of the slots, for urgent jobs while others wait
+	unprovenPercent    = 25               // of the slots, for jobs of unproven kinds
 	ageLimit           = 10 * time.Second // of jobs without a deadline
 	ageFraction        = 2                // of the time that a job can wait
 	minCost            = 100 * time.Microsecond
@@ -52,7 +53,7 @@
 // classify returns a waiter for the ticket, which is not in line yet.
 func (l *line) classify(t Ticket, now time.Time) *waiter {
 	l.sequence++
-	w := &waiter{ticket: t, class: ClassShort, sequence: l.sequence, arrived: now, kind: l.times.kind(t.Kind)}
+	w := &waiter{ticket: t, sequence: l.sequence, arrived: now, kind: l.times.kind(t.Kind)}
 	expected := w.kind.expected()
 	w.cost = expected
 	if expected == 0 {
@@ -61,11 +62,10 @@
 	if !t.Deadline.IsZero() {
 		w.latest = t.Deadline.Add(-expected)
 	}
-	switch {
-	case t.Urgent:
+	w.nature = l.times.class(w.kind, t.Guess)
+	w.class = w.nature
+	if t.Urgent {
 		w.class = ClassUrgent
-	case l.times.long(w.kind):
-		w.class = ClassLong
 	}
 	return w
 }
@@ -86,7 +86,7 @@
 // next returns the job to send next, or nil when none may be sent.
 func (l *line) next(now time.Time) *waiter {
 	l.reclassify(now)
-	short := l.lanes[ClassShort].peek()
+	short := l.short(now)
 	long := l.lanes[ClassLong].peek()
 	if long != nil && !l.longMayStart(now) {
 		long = nil
@@ -100,6 +100,19 @@
 	return short
 }
 
+// short returns the next job that is short or of an unproven kind, or nil.
+func (l *line) short(now time.Time) *waiter {
+	short := l.lanes[ClassShort].peek()
+	unproven := l.lanes[ClassUnproven].peek()
+	if unproven == nil || !l.unprovenMayStart(now) {
+		return short
+	}
+	if short == nil || unproven.before(short) {
+		return unproven
+	}
+	return short
+}
+
 // mayStart tells whether a job that is not in line may be sent before all that are.
 func (l *line) mayStart(w *waiter, now time.Time) bool {
 	l.reclassify(now)
@@ -108,6 +121,8 @@
 		return l.lanes[ClassUrgent].size == 0 && (l.waiting() == 0 || l.urgentMayStart(now))
 	case ClassLong:
 		return l.waiting() == 0 && l.longMayStart(now)
+	case ClassUnproven:
+		return l.waiting() == 0 && l.unprovenMayStart(now)
 	default:
 		return l.lanes[ClassUrgent].size == 0 && l.lanes[ClassShort].size == 0 && l.next(now) == nil
 	}
@@ -117,6 +132,10 @@
 	return l.longRunning < max(1, l.size(now)*l.longPercent/100)
 }
 
+func (l *line) unprovenMayStart(now time.Time) bool {
+	return l.started[ClassUnproven] < max(1, l.size(now)*unprovenPercent/100)
+}
+
 func (l *line) urgentMayStart(now time.Time) bool {
 	return l.started[ClassUrgent] < max(1, l.size(now)*urgentPercent/100)
 }
@@ -126,7 +145,7 @@
 	p.kind, p.class, p.started = w.kind, w.class, now
 	l.running++
 	l.started[w.class]++
-	if w.class == ClassLong || l.times.long(w.kind) {
+	if w.nature == ClassLong {
 		p.long = true
 		l.longRunning++
 		return
--- a/internal/basilqueue/property_test.go
+++ b/internal/basilqueue/property_test.go
@@ -105,6 +105,7 @@
 	must.EqOp(t, m.jobs, len(m.results)+q.line.waiting(), must.Sprint("each job waits or has ended once"))
 	must.EqOp(t, q.line.waiting(), int(q.waiting.Load()))
 	must.LessEq(t, max(1, m.largest/2), q.line.started[ClassLong], must.Sprint("share of long jobs"))
+	must.LessEq(t, max(1, m.largest/4), q.line.started[ClassUnproven], must.Sprint("share of unproven jobs"))
 	must.EqOp(t, q.line.running-q.line.longRunning, m.linked(&q.line))
 	for i := range q.line.lanes {
 		size := 0
--- a/internal/basilqueue/queue_test.go
+++ b/internal/basilqueue/queue_test.go
@@ -150,6 +150,25 @@
 				must.LessEq(t, 150*time.Second, e.waited)
 			}
 		}},
+		{"the first jobs of a kind don't wait behind long work", func(b *bench) {
+			for range 50 {
+				b.submit(ctx, "report", report(), time.Hour, 30*time.Second)
+			}
+			time.Sleep(time.Second)
+			b.submit(ctx, "new", Ticket{Service: "s", Kind: "new", Team: "new"}, 5*time.Second, 100*time.Millisecond)
+		}, func(t *testing.T, b *bench) {
+			must.EqOp(t, 0, b.of("new")[0].waited)
+		}},
+		{"many first jobs of a kind leave places to others, whatever they run", func(b *bench) {
+			for range 50 {
+				b.submit(ctx, "new", Ticket{Service: "s", Kind: "new", Team: "new"}, time.Hour, 30*time.Second)
+				b.submit(ctx, "report", report(), time.Hour, 30*time.Second)
+			}
+			time.Sleep(time.Second)
+			b.submit(ctx, "quote", quote(), 5*time.Second, 100*time.Millisecond)
+		}, func(t *testing.T, b *bench) {
+			must.EqOp(t, 0, b.of("quote")[0].waited)
+		}},
 		{"the earliest deadline goes first", func(b *bench) {
 			for i := range 24 {
 				b.submit(ctx, fmt.Sprint(i), quote(), time.Minute-time.Duration(i)*time.Second, 100*time.Millisecond)
--- a/internal/basilqueue/run_times.go
+++ b/internal/basilqueue/run_times.go
@@ -61,13 +61,19 @@
 	}
 }
 
-// long tells whether the kind's jobs count as long; those of an unproven kind do.
-func (t *runTimes) long(k *kindRuns) bool {
+// class tells which class a job of the kind is in; the declared run time counts until the kind is proven.
+func (t *runTimes) class(k *kindRuns, guess time.Duration) Class {
+	bound, known := t.bound()
 	if k.runs.samples < trustedSamples {
-		return true
+		if known && guess >= bound {
+			return ClassLong
+		}
+		return ClassUnproven
 	}
-	bound, known := t.bound()
-	return known && (k.long >= longFraction || k.runs.median >= bound)
+	if known && (k.long >= longFraction || k.runs.median >= bound) {
+		return ClassLong
+	}
+	return ClassShort
 }
 
 // expected returns the kind's median run time, or 0 while it is unproven.
--- a/internal/basilqueue/waiter.go
+++ b/internal/basilqueue/waiter.go
@@ -6,7 +6,8 @@
 type waiter struct {
 	ticket   Ticket
 	kind     *kindRuns
-	class    Class
+	nature   Class // by run time
+	class    Class // the lane: the nature, or urgent
 	sequence uint64
 	arrived  time.Time
 	latest   time.Time     // start after which the deadline can't be met; zero is none
