--- a/internal/basilentry/entry.go
+++ b/internal/basilentry/entry.go
@@ -17,6 +17,7 @@
 	"basilstage.example/basilstage/internal/basilpeer"
 	"basilstage.example/basilstage/internal/basilpool"
 	"basilstage.example/basilstage/internal/basilquery"
+	"basilstage.example/basilstage/internal/basilqueue"
 	"basilstage.example/basilstage/internal/basilrouter"
 	"basilstage.example/basilstage/internal/basilsettings"
 	"basilstage.example/basilstage/internal/basilview"
@@ -34,6 +35,7 @@
 	control  *basilview.Control
 	router   *basilrouter.Router
 	routes   *routes
+	queues   *basilqueue.Queues
 	registry *basiljob.Registry
 	copier   *basiljob.TableCopier
 	long     *basiljob.LongJobs
@@ -88,6 +90,7 @@
 		OnLeaving:  e.leaving,
 	})
 	e.routes = newRoutes(e.router, s.DataCentre())
+	e.queues = basilqueue.NewQueues(basilqueue.Options{Capacity: places{router: e.router}})
 	e.control = basilview.NewControl(basilview.Options{
 		Member: basilview.MemberRecord{
 			ID: s.Member(), DataCentre: s.DataCentre(), Incarnation: incarnation,
@@ -113,6 +116,7 @@
 	})
 	e.jobs = &jobService{
 		control: e.control, registry: e.registry, copies: copies, long: e.long, table: e.ports.Table,
+		queues:     e.queues,
 		dispatcher: basilrouter.NewDispatcher(e.router, nil, basilrouter.DispatcherOptions{}),
 		peers:      e.mesh, locator: e.peers,
 	}
@@ -138,6 +142,7 @@
 // publish hands a new view to traffic; the control loop calls it.
 func (e *Entry) publish(v *basilview.View) {
 	e.routes.publish(v, time.Now())
+	e.queues.SetQuotas(quotasOf(v), len(v.Members()))
 	e.peers.published(v)
 }
 
