Give the clusters of each test process addresses of their own

Cause: TestLeavingBackendServerIsLearntFromEachSide failed once in four runs, "never came: e2 knows all hosts", while another checkout ran the same package: both used 127.83.1.x. Six copies at once failed six times of six. Ruled out: the view (six copies on addresses of their own pass six of six). Change: the process id is part of the address; a wait that fails prints what each entry host knows and has logged.

--- a/internal/basilentry/cluster_test.go
+++ b/internal/basilentry/cluster_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -37,6 +38,7 @@
 	cutOff                     atomic.Bool // from the platform and from other data centres
 	alone                      atomic.Bool // from all other entry hosts
 	client                     *basilclient.Client
+	log                        logBuffer
 	stop                       func()
 }
 
@@ -51,13 +53,14 @@
 	lists    atomic.Int64 // reads of the host list, by all entry hosts
 }
 
+// newCluster starts an entry host in each of the data centres; the network tells the loopback addresses of one process's clusters apart.
 func newCluster(t testing.TB, network byte, dataCentres ...string) *cluster {
 	t.Helper()
 	c := &cluster{t: t, platform: basilstandin.NewPlatform(basilstandin.PlatformOptions{}), backends: make(map[string]*basilstandin.Backend)}
 	c.endpoint = c.serve(c.platform.Handler())
 	var members []basilkeys.Member
 	for n, d := range dataCentres {
-		ip := fmt.Sprintf("127.%d.1.%d", network, n+1)
+		ip := fmt.Sprintf("127.%d.%d.%d", network, 1+os.Getpid()%250, n+1)
 		c.nodes = append(c.nodes, &node{id: fmt.Sprintf("e%d", n+1), dataCentre: d, http: ip + ":8443", peer: ip + ":7443"})
 		members = append(members, basilkeys.Member{ID: c.nodes[n].id, Addresses: []net.IP{net.ParseIP(ip)}})
 	}
@@ -100,10 +103,12 @@
   plain_text: true
   peer: {ca: "%[7]s/ca.pem", certificate: "%[7]s/%[1]s.pem", key: "%[7]s/%[1]s-key.pem"}
 `, n.id, n.dataCentre, n.http, n.peer, peers.String(), c.endpoint, c.keys))
+	must.NoError(c.t, err)
+	log, err := basillog.New(&n.log, "debug")
 	must.NoError(c.t, err)
 	client := &http.Client{Timeout: 5 * time.Second}
 	e, err := basilentry.New(basilentry.Options{
-		Settings: s, Log: basillog.Discard(),
+		Settings: s, Log: log,
 		Ports: basilentry.Ports{
 			Table:   &linkedTable{Table: c.platform.Table(), cutOff: &n.cutOff},
 			List:    &countedList{HostList: basilfleet.NewHostList("http://"+c.endpoint, client), cutOff: &n.cutOff, count: &c.lists},
@@ -124,6 +129,25 @@
 	c.t.Cleanup(n.stop)
 }
 
+// logBuffer keeps what an entry host logs.
+type logBuffer struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (l *logBuffer) Write(b []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.Write(b)
+}
+
+// String returns the log so far.
+func (l *logBuffer) String() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.String()
+}
+
 // apart tells whether the link between the entry host and the peer is cut.
 func (c *cluster) apart(n *node, peer string) bool {
 	for _, p := range c.nodes {
@@ -141,12 +165,25 @@
 	defer tick.Stop()
 	for !holds() {
 		if time.Now().After(end) {
-			c.t.Fatalf("never came: %s", what)
+			c.t.Fatalf("never came: %s\n%s", what, c.report())
 		}
 		<-tick.C
 	}
 }
 
+// report tells what each entry host knows and has logged.
+func (c *cluster) report() string {
+	var text strings.Builder
+	for _, n := range c.nodes {
+		fmt.Fprintf(&text, "%s: %s\n", n.id, n.log.String())
+		for _, q := range []string{"hosts", "members", "peers"} {
+			a, err := n.client.Query(context.Background(), q)
+			fmt.Fprintf(&text, "  %s: %v %v\n", q, a.Rows, err)
+		}
+	}
+	return text.String()
+}
+
 func (c *cluster) rows(n *node, query string) int {
 	a, err := n.client.Query(c.t.Context(), query)
 	if err != nil {
