Send overflow to the spare pool, share limits by members, require echoes

Cause: the capacity policy counts on the spare pool's hosts taking what a pool's own can't; each entry host claimed a quarter of the table's budget (1.5 to 1.75 of it with 6 or 7) and all 64 connections of each runner; a runner's doubled answer on a kept connection could be told only by its headers. Change: a service's backend servers are its pool's and then the spare pool's; shares follow the number of entry hosts; answers must name job and attempt, and the stand-in's do. Before/after: TestSparePoolTakesTheOverflow is new; the session and failure tests pass before and after.

--- a/internal/basilentry/entry.go
+++ b/internal/basilentry/entry.go
@@ -87,6 +87,7 @@
 	s := e.settings
 	e.router = basilrouter.NewRouter(basilrouter.RouterOptions{
 		DataCentre: s.DataCentre(),
+		EntryHosts: len(s.Peers()) + 1,
 		OnLeaving:  e.leaving,
 	})
 	e.routes = newRoutes(e.router, s.DataCentre())
@@ -117,7 +118,7 @@
 	e.jobs = &jobService{
 		control: e.control, registry: e.registry, copies: copies, long: e.long, table: e.ports.Table,
 		queues:     e.queues,
-		dispatcher: basilrouter.NewDispatcher(e.router, nil, basilrouter.DispatcherOptions{}),
+		dispatcher: basilrouter.NewDispatcher(e.router, nil, basilrouter.DispatcherOptions{RequireEcho: true}),
 		peers:      e.mesh, locator: e.peers,
 	}
 }
@@ -143,9 +144,15 @@
 func (e *Entry) publish(v *basilview.View) {
 	e.routes.publish(v, time.Now())
 	e.queues.SetQuotas(quotasOf(v), len(v.Members()))
+	if t, ok := e.ports.Table.(sharedTable); ok {
+		t.SetShare(1 / float64(max(1, len(v.Members()), len(e.settings.Peers())+1)))
+	}
 	e.peers.published(v)
 }
 
+// sharedTable is a table whose budget the entry hosts share.
+type sharedTable interface{ SetShare(share float64) }
+
 // leaving takes a backend server's own word that it leaves.
 func (e *Entry) leaving(host string, epoch int64) {
 	e.control.Leaving(host, epoch)
--- a/internal/basilentry/ports.go
+++ b/internal/basilentry/ports.go
@@ -17,9 +17,6 @@
 	Tasks   basilplatform.Tasks
 }
 
-// tableShare is the part of the platform's table budget that one entry host may use.
-const tableShare = 0.25
-
 // NewPorts returns adapters to the platform that the settings name; it fails with basilsettings.ErrSettingsInvalid.
 func NewPorts(s basilsettings.Settings) (Ports, error) {
 	access, secret, err := s.TableKeys()
@@ -32,7 +29,7 @@
 	})
 	c := &http.Client{Timeout: s.HostsTimeout()}
 	return Ports{
-		Table:   basilplatform.NewBreaker(t, basilplatform.BreakerOptions{Share: tableShare}),
+		Table:   basilplatform.NewBreaker(t, basilplatform.BreakerOptions{Share: 1 / float64(len(s.Peers())+1)}),
 		List:    basilfleet.NewHostList(s.HostsEndpoint(), c),
 		Control: basilfleet.NewHostControl(s.HostsEndpoint(), c),
 		Tasks:   basilfleet.NewTasks(c),
--- a/internal/basilentry/routes_test.go
+++ b/internal/basilentry/routes_test.go
@@ -112,3 +112,29 @@
 		r.publish(v, now)
 	}
 }
+
+func TestSparePoolTakesTheOverflow(t *testing.T) {
+	c, stop := viewOf(t, 4, 2)
+	defer stop()
+	router := basilrouter.NewRouter(basilrouter.RouterOptions{DataCentre: "dc-00"})
+	r := newRoutes(router, "dc-00")
+	now := time.Now()
+	backends := r.backends(c.View(), "pool-00", "pool-01", now)
+	must.Len(t, 1, backends, must.Sprint("without a fresh view only the own data centre's hosts are used"))
+	router.Update("service-00-0", append(backends, basilrouter.Backend{Host: "spare", Address: "10.0.0.9:8443", DataCentre: "dc-00", Overflow: true}))
+	var own, spare int
+	for {
+		p, err := router.Pick("service-00-0", now)
+		if err != nil {
+			break
+		}
+		if p.Backend().Overflow {
+			spare++
+			continue
+		}
+		own++
+		must.EqOp(t, 0, spare, must.Sprint("the spare pool comes last"))
+	}
+	must.EqOp(t, 8, own)
+	must.EqOp(t, 8, spare)
+}
--- a/internal/basilrouter/backend.go
+++ b/internal/basilrouter/backend.go
@@ -9,6 +9,7 @@
 	DataCentre string
 	Epoch      int64 // only grows; a higher one ends a leaving mark
 	Slots      int   // requests at once; 0 is the default
+	Overflow   bool  // of the spare pool: used once the service's own are full
 }
 
 func (b Backend) slots() int {
--- a/internal/basilrouter/pool.go
+++ b/internal/basilrouter/pool.go
@@ -31,8 +31,8 @@
 
 // poolView is the immutable membership of one pool.
 type poolView struct {
-	near []*member // in the own data centre
-	far  []*member
+	near []*member // the service's own, in the own data centre
+	far  []*member // those of other data centres, and of the spare pool
 	all  []*member
 }
 
--- a/internal/basilrouter/router.go
+++ b/internal/basilrouter/router.go
@@ -80,7 +80,7 @@
 		}
 		delete(old, b.Host)
 		r.renew(m, b)
-		v.add(m, b.DataCentre == r.options.DataCentre)
+		v.add(m, b.DataCentre == r.options.DataCentre && !b.Overflow)
 	}
 	return v
 }
--- a/internal/basilstandin/backend_runner.go
+++ b/internal/basilstandin/backend_runner.go
@@ -26,6 +26,8 @@
 		answerNotStarted(w, reason)
 		return
 	}
+	w.Header().Set(basilapi.HeaderJob, job)
+	w.Header().Set(basilapi.HeaderAttempt, strconv.Itoa(attempt))
 	b.run(r.Context(), payload, faults)
 	answerRun(w, b.options.Answer(r.Header.Get(basilapi.HeaderService), payload), faults)
 }
