--- a/internal/basilqueue/queue_test.go
+++ b/internal/basilqueue/queue_test.go
@@ -323,3 +323,20 @@
 		})
 	}
 }
+
+// TestRefusedJobKeepsItsPass holds for a job that lost its place at a backend server and looks for another one.
+func TestRefusedJobKeepsItsPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1)
+		b.teach("quote", 100*time.Millisecond, 40)
+		p, err := b.queues.Acquire(context.Background(), quote())
+		must.NoError(t, err)
+		p.Slot().Release()
+		b.submit(context.Background(), "next", quote(), 0, 0)
+		time.Sleep(time.Minute)
+		must.SliceEmpty(t, b.of("next"))
+		p.Done(time.Minute, basilapi.OutcomeRan)
+		b.group.Wait()
+		must.NoError(t, b.of("next")[0].err)
+	})
+}
