Let capacity moves follow the demand that all entry hosts see

Cause: the capacity policy was measured but not wired: the executor had no demand to decide on. Ruled out: each entry host's own demand alone (the balancer spreads callers); loads of single runners (13,000 of them to 60 peers). Change: entry hosts tell each other every 5 s the slots that their jobs in progress and in line ask of each pool; the holder of the fleet's lease adds them up each second for the sketch and starts over when it loses the lease.

--- a/internal/basilentry/entry.go
+++ b/internal/basilentry/entry.go
@@ -42,6 +42,7 @@
 	mesh     *basilpeer.Mesh
 	peers    *peerService
 	jobs     *jobService
+	demand   *demandService
 	fleet    *fleetService
 	queries  *basilquery.Queries
 	commands *basilcommand.Commands
@@ -74,7 +75,8 @@
 	})
 	e.wireControl(incarnation)
 	e.wireJobs(incarnation)
-	e.peers.bind(e.mesh, e.control, e.jobs)
+	e.demand = newDemandService(e.queues, e.peers)
+	e.peers.bind(e.mesh, e.control, e.jobs, e.demand)
 	e.trail.Observe(e.committed)
 	e.fleet = newFleetService(e)
 	e.queries = newQueries(e)
--- a/internal/basilentry/fleet_service.go
+++ b/internal/basilentry/fleet_service.go
@@ -30,16 +30,22 @@
 	list     basilplatform.HostList
 	executor *basilwave.Executor
 	lease    *lease
+	demand   *demandService
+	sketch   *basilpool.DemandSketch // learnt while the lease is held
 	missed   map[string]int
 }
 
 func newFleetService(e *Entry) *fleetService {
-	return &fleetService{
+	f := &fleetService{
 		log: e.log, control: e.control, pools: e.pools, list: e.ports.List,
 		executor: basilwave.NewExecutor(e.pools, e.waves, e.ports.Control, acks{control: e.control}),
 		lease:    newLease(e.ports.Table, "fleet", e.registry.Incarnation().String()),
+		demand:   e.demand,
+		sketch:   &basilpool.DemandSketch{},
 		missed:   make(map[string]int),
 	}
+	f.executor.SetDemand(f.sketch)
+	return f
 }
 
 // acks asks the newest view what the entry members have applied.
@@ -51,8 +57,10 @@
 func (f *fleetService) run(ctx context.Context) {
 	every(ctx, fleetPeriod, func(ctx context.Context) {
 		if f.control.Check(time.Now()) != nil || !f.lease.Hold(ctx) {
+			*f.sketch = basilpool.DemandSketch{} // another entry host learns now
 			return
 		}
+		f.sketch.Observe(f.demand.total(f.control.View(), time.Now()), time.Now())
 		f.followList(ctx)
 		if _, err := f.executor.Step(ctx); err != nil {
 			f.log.WithError(err).Debug("pass of moves and waves failed")
--- a/internal/basilentry/peer_service.go
+++ b/internal/basilentry/peer_service.go
@@ -38,6 +38,7 @@
 	mesh    *basilpeer.Mesh
 	control *basilview.Control
 	jobs    *jobService
+	demand  *demandService
 
 	mutex    sync.Mutex
 	stopping bool
@@ -54,10 +55,11 @@
 	return p
 }
 
-func (p *peerService) bind(m *basilpeer.Mesh, c *basilview.Control, j *jobService) {
+func (p *peerService) bind(m *basilpeer.Mesh, c *basilview.Control, j *jobService, d *demandService) {
 	p.mesh = m
 	p.control = c
 	p.jobs = j
+	p.demand = d
 	m.SetPeers(p.known)
 }
 
@@ -109,6 +111,15 @@
 	p.mesh.Broadcast(d)
 }
 
+// announceLoad tells all peers what this entry host is asked for, in slots by pool.
+func (p *peerService) announceLoad(slots map[string]int) {
+	d := p.delta()
+	for pool, n := range slots {
+		d.Load = append(d.Load, basilpeer.PoolLoad{Pool: pool, Slots: n})
+	}
+	p.mesh.Broadcast(d)
+}
+
 func (p *peerService) announceStopping() {
 	p.mutex.Lock()
 	p.stopping = true
@@ -148,7 +159,7 @@
 }
 
 // Delta takes what is new at a peer.
-func (p *peerService) Delta(_ basilpeer.Peer, d basilpeer.Delta) {
+func (p *peerService) Delta(from basilpeer.Peer, d basilpeer.Delta) {
 	p.mutex.Lock()
 	p.newest = max(p.newest, d.Sequence)
 	p.mutex.Unlock()
@@ -168,6 +179,9 @@
 		p.control.Leaving(l.Host, l.Epoch)
 	}
 	p.keep(d.Answers)
+	if len(d.Load) > 0 {
+		p.demand.hear(from.ID, d.Load, time.Now())
+	}
 }
 
 func (p *peerService) keep(encoded [][]byte) {
--- a/internal/basilentry/run.go
+++ b/internal/basilentry/run.go
@@ -37,6 +37,7 @@
 	group.Go(func() { failed <- e.control.Run(background) })
 	group.Go(func() { e.sweep(background) })
 	group.Go(func() { e.peers.run(background) })
+	group.Go(func() { e.demand.run(background) })
 	group.Go(func() { e.workLong(background) })
 	group.Go(func() { e.fleet.run(background) })
 	e.log.WithField("http", e.settings.HTTPAddress()).WithField("incarnation", e.registry.Incarnation().String()).Info("entry host serves")
--- a/internal/basilpeer/delta_queue.go
+++ b/internal/basilpeer/delta_queue.go
@@ -10,7 +10,7 @@
 const (
 	maxQueuedEntryBytes  = 256 << 10
 	maxQueuedAnswerBytes = 1 << 20
-	maxQueuedHosts       = 4096 // leaving hosts, and loads, each
+	maxQueuedHosts       = 4096 // leaving hosts, and pools with a load, each
 )
 
 // deltaQueue holds what one peer has not been sent yet, merged into one delta.
@@ -53,8 +53,8 @@
 	q.leaving.take(func(host string, epoch int64) {
 		d.Leaving = append(d.Leaving, LeavingHost{Host: host, Epoch: epoch})
 	})
-	q.load.take(func(host string, inFlight int) {
-		d.Load = append(d.Load, RunnerLoad{Host: host, InFlight: inFlight})
+	q.load.take(func(pool string, slots int) {
+		d.Load = append(d.Load, PoolLoad{Pool: pool, Slots: slots})
 	})
 	q.state, q.filled = Delta{}, false
 	return d, filled
@@ -71,7 +71,7 @@
 		}
 	}
 	for _, l := range d.Load {
-		q.load.put(l.Host, l.InFlight)
+		q.load.put(l.Pool, l.Slots)
 	}
 }
 
--- a/internal/basilpeer/delta_queue_test.go
+++ b/internal/basilpeer/delta_queue_test.go
@@ -18,8 +18,8 @@
 			Leaving: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) LeavingHost {
 				return LeavingHost{Host: host.Draw(t, "host"), Epoch: rapid.Int64Range(0, 9).Draw(t, "epoch")}
 			}), 0, 3).Draw(t, "leaving"),
-			Load: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) RunnerLoad {
-				return RunnerLoad{Host: host.Draw(t, "host"), InFlight: rapid.IntRange(0, 64).Draw(t, "in flight")}
+			Load: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) PoolLoad {
+				return PoolLoad{Pool: host.Draw(t, "pool"), Slots: rapid.IntRange(0, 64).Draw(t, "slots")}
 			}), 0, 3).Draw(t, "load"),
 			Ready:    rapid.Bool().Draw(t, "ready"),
 			Stopping: rapid.Bool().Draw(t, "stopping"),
@@ -42,7 +42,7 @@
 				epochs[h.Host] = max(epochs[h.Host], h.Epoch)
 			}
 			for _, l := range d.Load {
-				loads[l.Host] = l.InFlight
+				loads[l.Pool] = l.Slots
 			}
 		}
 		got, filled := q.take()
@@ -56,9 +56,9 @@
 		for _, h := range got.Leaving {
 			must.Eq(t, epochs[h.Host], h.Epoch)
 		}
-		must.MapLen(t, len(loads), byHost(got.Load, func(l RunnerLoad) string { return l.Host }))
+		must.MapLen(t, len(loads), byHost(got.Load, func(l PoolLoad) string { return l.Pool }))
 		for _, l := range got.Load {
-			must.Eq(t, loads[l.Host], l.InFlight)
+			must.Eq(t, loads[l.Pool], l.Slots)
 		}
 		_, filled = q.take()
 		must.False(t, filled)
--- a/internal/basilpeer/message.go
+++ b/internal/basilpeer/message.go
@@ -21,7 +21,7 @@
 	Revision    int64         `cbor:"2,keyasint,omitempty"` // newest configuration revision that it applied
 	Entries     [][]byte      `cbor:"3,keyasint,omitempty"` // newly committed audit entries as JSON
 	Leaving     []LeavingHost `cbor:"4,keyasint,omitempty"` // backend servers that the sender saw leaving
-	Load        []RunnerLoad  `cbor:"5,keyasint,omitempty"` // the sender's own requests in flight
+	Load        []PoolLoad    `cbor:"5,keyasint,omitempty"` // what the sender is asked for, by pool
 	Answers     [][]byte      `cbor:"6,keyasint,omitempty"` // copies of final answers
 	Ready       bool          `cbor:"7,keyasint,omitempty"` // the sender takes callers
 	Stopping    bool          `cbor:"8,keyasint,omitempty"` // the sender is in a planned stop
@@ -34,10 +34,10 @@
 	Epoch int64  `cbor:"2,keyasint,omitempty"`
 }
 
-// RunnerLoad is how many requests the sender has in flight at a runner.
-type RunnerLoad struct {
-	Host     string `cbor:"1,keyasint"`
-	InFlight int    `cbor:"2,keyasint,omitempty"`
+// PoolLoad is how many slots the jobs in progress and in line at the sender ask for.
+type PoolLoad struct {
+	Pool  string `cbor:"1,keyasint"`
+	Slots int    `cbor:"2,keyasint,omitempty"`
 }
 
 // Request asks one peer for something; the kind tells how the body reads.
--- a/internal/basilrouter/backend.go
+++ b/internal/basilrouter/backend.go
@@ -14,7 +14,7 @@
 
 func (b Backend) slots() int {
 	if b.Slots <= 0 {
-		return defaultSlots
+		return DefaultSlots
 	}
 	return b.Slots
 }
--- a/internal/basilrouter/credit.go
+++ b/internal/basilrouter/credit.go
@@ -9,13 +9,15 @@
 const (
 	milli               = 1000 // thousandths of a credit
 	minCreditMilli      = milli
-	defaultSlots        = 8
 	connectionsPerHost  = 64
 	creditCutFactor     = 2
 	creditCutHoldoff    = 20 * time.Millisecond
 	creditGrowthPerTrip = milli // credits gained for each full window of answers
 )
 
+// DefaultSlots is how many jobs a backend server runs at once unless its Backend says otherwise.
+const DefaultSlots = 8
+
 // credit is the window of requests that may be in flight at one backend server.
 //
 // It grows additively while it is used up and is halved by a refusal; it never
