--- a/internal/basilentry/routes_test.go
+++ b/internal/basilentry/routes_test.go
@@ -118,7 +118,7 @@
 	defer stop()
 	router := basilrouter.NewRouter(basilrouter.RouterOptions{DataCentre: "dc-00"})
 	r := newRoutes(router, "dc-00")
-	now := time.Now()
+	now := time.Now().Add(time.Hour) // the view is old by then
 	backends := r.backends(c.View(), "pool-00", "pool-01", now)
 	must.Len(t, 1, backends, must.Sprint("without a fresh view only the own data centre's hosts are used"))
 	router.Update("service-00-0", append(backends, basilrouter.Backend{Host: "spare", Address: "10.0.0.9:8443", DataCentre: "dc-00", Overflow: true}))
