--- a/internal/basilconfig/configuration_cost_test.go
+++ b/internal/basilconfig/configuration_cost_test.go
@@ -58,5 +58,6 @@
 	b, err := json.Marshal(entries[0])
 	must.NoError(t, err)
 	perSecond := float64(len(b)) * targetChangesPerDay / secondsPerDay
+	t.Logf("%d bytes a change, %.0f bytes/s at the target", len(b), perSecond)
 	must.Less(t, targetBytesPerSecond*(1-targetHostChangeShare), perSecond, must.Sprintf("%d bytes a change", len(b)))
 }
--- /dev/null
+++ b/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package main_test
+
+// buildMode builds the programs as the test itself was built.
+const buildMode = "-race"
