Let a wave adopt hosts that an operator drained by hand

Cause: a host that was drained by hand counts as out in its pool, so after the first host out the reserve let no further host go. Nobody brought the drained host back, and the wave stood still without a word. Ruled out: to leave hand-drained hosts out of the reserve; the pool really has one host less. Change: takeRack hands such a host to the platform for the wave in its rack's turn, so rack batches still hold; basilpool's maintain notes the adopting wave.

--- a/internal/basilpool/transition.go
+++ b/internal/basilpool/transition.go
@@ -1,6 +1,8 @@
 package basilpool
 
 import (
+	"cmp"
+
 	"github.com/pkg/errors"
 
 	"basilstage.example/basilstage/internal/basilmodel"
@@ -29,7 +31,7 @@
 	case ActionDrained:
 		return step(h, basilmodel.HostStateLeaving, basilmodel.HostStateDrained)
 	case ActionMaintain:
-		return maintain(h, sequence)
+		return maintain(h, o, sequence)
 	case ActionFinish:
 		return finish(h)
 	case ActionReturn:
@@ -68,13 +70,14 @@
 	return r, nil
 }
 
-// maintain hands the host to the platform, unless it moves.
-func maintain(h basilmodel.Host, sequence int64) (basilmodel.HostRecord, error) {
+// maintain hands the host to the platform, unless it moves; a wave may adopt a host that no wave holds.
+func maintain(h basilmodel.Host, o Order, sequence int64) (basilmodel.HostRecord, error) {
 	if h.Target() != "" {
 		return h.Record(), conflict(h)
 	}
 	r, err := step(h, basilmodel.HostStateDrained, basilmodel.HostStateMaintenance)
 	r.Maintained = sequence
+	r.Wave = cmp.Or(r.Wave, o.Wave)
 	return r, err
 }
 
--- a/internal/basilwave/planner.go
+++ b/internal/basilwave/planner.go
@@ -43,6 +43,7 @@
 	failures map[string]int  // lost hosts by wave, since it was last resumed
 	halted   map[string]bool // waves that this plan pauses
 	returned map[string]bool // hosts that this plan takes back
+	adopted  map[string]bool // hand-drained hosts that this plan gives to a wave
 	steps    []Step
 }
 
@@ -53,6 +54,7 @@
 		failures: make(map[string]int),
 		halted:   make(map[string]bool),
 		returned: make(map[string]bool),
+		adopted:  make(map[string]bool),
 	}
 	for _, w := range s.Waves {
 		p.waves[w.Name()] = w
@@ -153,7 +155,7 @@
 	case h.Target() != "":
 		p.advanceMove(h)
 	case h.Wave() == "":
-		// an operator drained it by hand and ends that by hand
+		// an operator drained it by hand; a wave that selects it adopts it, see takeRack
 	case p.running(h.Wave()):
 		p.add(StepKindMaintain, h, "drained for wave "+h.Wave())
 	default:
--- a/internal/basilwave/take_out.go
+++ b/internal/basilwave/take_out.go
@@ -80,7 +80,7 @@
 	case h.Wave() == w.Name():
 		k.busy++
 		r.busy++
-	case h.InService():
+	case h.InService() || handDrained(*h):
 		r.waiting = append(r.waiting, h)
 	}
 	k.pending++
@@ -115,6 +115,10 @@
 	taken := 0
 	for _, h := range r.waiting {
 		l := p.pools[h.Pool()]
+		if handDrained(*h) {
+			taken += p.adopt(w, h)
+			continue
+		}
 		if p.returned[h.ID()] || !l.allows(w) {
 			continue
 		}
@@ -127,3 +131,22 @@
 	}
 	return taken
 }
+
+// handDrained tells whether an operator drained the host by hand and neither moves it nor gave it to a wave.
+func handDrained(h basilmodel.Host) bool {
+	return h.State() == basilmodel.HostStateDrained && h.Target() == "" && h.Wave() == ""
+}
+
+// adopt lets the wave maintain a host that an operator drained, and returns how many it took.
+//
+// The host is out already, so no budget is asked; two waves that select it share the one maintenance.
+func (p *plan) adopt(w basilmodel.Wave, h *basilmodel.Host) int {
+	if p.adopted[h.ID()] {
+		return 0
+	}
+	p.adopted[h.ID()] = true
+	p.steps = append(p.steps, Step{
+		Kind: StepKindMaintain, Host: h.ID(), Epoch: h.Epoch(), Wave: w.Name(), Reason: "drained by " + h.Operator() + ", adopted by wave " + w.Name(),
+	})
+	return 1
+}
