Complete the operators' language: queries, explanations, commands

Cause: operators could list seven subjects without order, ask why of a host only, and read the audit trail only as a whole; a dry run of a move moved. Change: - queries: moves, waves with progress, jobs, configuration, revisions, diff; order by FIELD [desc], limit. A Filter is handed down, so that audit and revisions read newest first and no more than bounds and limit ask for. - why job, wave, service, member, refused service; why host tells the reason given and what is waited for. basilwave.Planner.Progress tells what keeps a wave's hosts. - commands: maintain host, waves with share, racks and failures, set, add and remove of pools, services and teams, revert, dry run with the differences, base left out. CommandAnswer.Sequence is filled; a cancel goes on the trail. - a command that is refused says who came first; a dry run of anything but the configuration is refused. - the CLI says accepted, refused because, or unknown with the line to give again; exit status 2 for every mistake in flags and arguments, among them a malformed job id (was 1). basilclient.Command tells a refusal after a lost answer as unknown: the entry host that was asked first may still do it. - unknown paths and methods answer with a Problem; operators' endpoints leave the callers' address when listen.operator is set. Before: each audit query read the whole trail. After: TestAuditReadsOnlyWhatIsAskedFor, trail of 1000 entries: limit 5 reads at most 200 items, sequence = 700 reads 1, sequence > 990 reads 10. Ruled out: paging from the old end with a reversed table query, which the Table port does not have; sequences have no gaps, so windows of them do. Tests: TestOperatorsSession (each query, explanation, command and kind of mistake), TestExitStatuses, TestEndpointsAnswerWithProblems, TestEditsOfTheConfiguration, TestProgressTellsWhatAWaveWaitsFor.

--- a/cmd/client.go
+++ b/cmd/client.go
@@ -56,7 +56,10 @@
 
 // exitStatus tells a script how a request ended.
 func exitStatus(err error) int {
-	if basilclient.IsErrNoAnswer(err) || basilclient.IsErrAnswerMalformed(err) {
+	if IsErrUsage(err) || basilapi.IsErrJobIDMalformed(err) {
+		return exitUsage
+	}
+	if IsErrCommandUnknown(err) || basilclient.IsErrNoAnswer(err) || basilclient.IsErrAnswerMalformed(err) {
 		return exitUnknown
 	}
 	p, ok := basilapi.AsProblem(err)
@@ -73,11 +76,23 @@
 
 // explain tells an error to a person: what happened, what to do, when to come back.
 func explain(err error) string {
+	if IsErrCommandUnknown(err) || IsErrCommandRefused(err) {
+		return err.Error()
+	}
+	p, ok := basilapi.AsProblem(err)
+	if !ok {
+		return err.Error()
+	}
+	return fmt.Sprintf("%s (%s): %s", p.Outcome, p.Code, reason(err))
+}
+
+// reason tells what a Problem says beside its outcome.
+func reason(err error) string {
 	p, ok := basilapi.AsProblem(err)
 	if !ok {
 		return err.Error()
 	}
-	s := fmt.Sprintf("%s (%s): %s", p.Outcome, p.Code, p.Message)
+	s := p.Message
 	if p.Hint != "" {
 		s += "; " + p.Hint
 	}
@@ -89,3 +104,21 @@
 	}
 	return s
 }
+
+// Formats of answers.
+const (
+	formatTable = "table"
+	formatJSON  = "json"
+)
+
+func formatFlag(flags *flag.FlagSet) *string {
+	return flags.String("format", formatTable, "table or json")
+}
+
+// checkFormat fails with ErrUsage.
+func checkFormat(format string) error {
+	if format == formatTable || format == formatJSON {
+		return nil
+	}
+	return errors.WithStack(ErrUsage{Detail: fmt.Sprintf("format %q is neither table nor json", format)})
+}
--- a/cmd/command.go
+++ b/cmd/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -25,8 +26,9 @@
 	var r basilapi.OperatorRequest
 	flags.StringVar(&r.ID, "id", "", "id of the command; a repeat with it is not a second change")
 	flags.StringVar(&r.Reason, "reason", "", "why, for the audit trail")
-	flags.BoolVar(&r.DryRun, "dry-run", false, "check only")
+	flags.BoolVar(&r.DryRun, "dry-run", false, "change nothing; tell what the configuration would become")
 	file := flags.String("file", "", "YAML document that the command takes")
+	format := formatFlag(flags)
 	return &ffcli.Command{
 		Name:       "command",
 		ShortUsage: "basilstage command [flags] 'drain host h1'",
@@ -38,12 +40,15 @@
 				return flag.ErrHelp
 			}
 			r.Text = strings.Join(args, " ")
-			return giveCommand(ctx, stdout, &c, r, *file)
+			return giveCommand(ctx, stdout, &c, r, *file, *format)
 		},
 	}
 }
 
-func giveCommand(ctx context.Context, stdout io.Writer, c *connection, r basilapi.OperatorRequest, file string) error {
+func giveCommand(ctx context.Context, stdout io.Writer, c *connection, r basilapi.OperatorRequest, file, format string) error {
+	if err := checkFormat(format); err != nil {
+		return err
+	}
 	client, err := c.client()
 	if err != nil {
 		return err
@@ -51,16 +56,66 @@
 	if r.Body, err = readDocument(file); err != nil {
 		return err
 	}
-	if r.ID == "" {
+	repeat := r.ID != ""
+	if !repeat {
 		r.ID = ulid.Make().String()
 	}
 	a, err := client.Command(ctx, r)
 	if err != nil {
-		fmt.Fprintln(stdout, "command", r.ID)
-		return err
+		return notAccepted(err, c, r, file, repeat)
+	}
+	return printCommand(stdout, format, a)
+}
+
+func printCommand(w io.Writer, format string, a basilapi.CommandAnswer) error {
+	if format == formatJSON {
+		return errors.WithStack(json.NewEncoder(w).Encode(a))
+	}
+	place := ""
+	if a.Sequence > 0 {
+		place = fmt.Sprintf(" (audit entry %d)", a.Sequence)
+	}
+	_, err := fmt.Fprintf(w, "accepted %s%s: %s\n", a.ID, place, a.Summary)
+	return errors.WithStack(err)
+}
+
+// notAccepted tells a refusal apart from an outcome that is not known.
+//
+// An entry host that can't read the table refuses a repeat without knowing what
+// became of the try before it.
+func notAccepted(err error, c *connection, r basilapi.OperatorRequest, file string, repeat bool) error {
+	p, ok := basilapi.AsProblem(err)
+	blind := ok && (p.Code == basilapi.CodeStoreUnavailable || p.Code == basilapi.CodeStale || p.Code == basilapi.CodeStopping)
+	if exitStatus(err) == exitUnknown || repeat && blind {
+		return errors.WithStack(ErrCommandUnknown{Again: againLine(c, r, file), Cause: err})
+	}
+	if ok && p.Outcome == basilapi.OutcomeNotRun {
+		return errors.WithStack(ErrCommandRefused{ID: r.ID, Cause: err})
+	}
+	return err
+}
+
+// againLine is what to type to give the command again with the same id.
+func againLine(c *connection, r basilapi.OperatorRequest, file string) string {
+	words := []string{"basilstage command"}
+	for _, f := range [][2]string{{"address", c.addresses}, {"token-file", c.tokenFile}, {"id", r.ID}, {"reason", r.Reason}, {"file", file}} {
+		if f[1] != "" && f[1] != defaultAddress {
+			words = append(words, "--"+f[0]+" "+quoted(f[1]))
+		}
+	}
+	if r.DryRun {
+		words = append(words, "--dry-run")
+	}
+	return strings.Join(append(words, quoted(r.Text)), " ")
+}
+
+// quoted returns the word as a shell reads it.
+func quoted(word string) string {
+	plain := func(c rune) bool { return c < '+' || c > 'z' || strings.ContainsRune(";<>?[\\]^`", c) }
+	if word != "" && !strings.ContainsFunc(word, plain) {
+		return word
 	}
-	fmt.Fprintf(stdout, "accepted %s: %s\n", a.ID, a.Summary)
-	return nil
+	return "'" + strings.ReplaceAll(word, "'", `'\''`) + "'"
 }
 
 // readDocument returns the YAML file as JSON, or nothing for no file.
--- a/cmd/main.go
+++ b/cmd/main.go
@@ -27,7 +27,13 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	root := newRootCommand(stdout, stderr)
-	err := root.ParseAndRun(ctx, args)
+	if err := root.Parse(args); err != nil {
+		if !errors.Is(err, flag.ErrHelp) {
+			fmt.Fprintln(stderr, "basilstage:", err)
+		}
+		return exitUsage
+	}
+	err := root.Run(ctx)
 	switch {
 	case err == nil:
 		return exitOK
--- a/cmd/query.go
+++ b/cmd/query.go
@@ -21,7 +21,7 @@
 	flags := newFlagSet("basilstage query", stderr)
 	var c connection
 	c.register(flags)
-	format := flags.String("format", "table", "table or json")
+	format := formatFlag(flags)
 	return &ffcli.Command{
 		Name:       "query",
 		ShortUsage: `basilstage query [flags] 'hosts where pool = "counter"'`,
@@ -32,6 +32,9 @@
 			if len(args) == 0 {
 				return flag.ErrHelp
 			}
+			if err := checkFormat(*format); err != nil {
+				return err
+			}
 			client, err := c.client()
 			if err != nil {
 				return err
@@ -46,7 +49,7 @@
 }
 
 func printTable(w io.Writer, format string, a basilapi.QueryAnswer) error {
-	if format == "json" {
+	if format == formatJSON {
 		return errors.WithStack(json.NewEncoder(w).Encode(a))
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/internal/basilcommand/command.go
+++ b/internal/basilcommand/command.go
@@ -10,10 +10,11 @@
 
 	"basilstage.example/basilstage/internal/basilaudit"
 	"basilstage.example/basilstage/internal/basillanguage"
+	"basilstage.example/basilstage/internal/basilmodel"
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
-// Summary tells in one line what a command did.
+// Summary tells what a command did, in one line or in one for each change of the configuration.
 type Summary string
 
 // Action carries out one verb on the named thing.
@@ -23,16 +24,34 @@
 type Mover func(ctx context.Context, host, pool string, a basilaudit.Actor) (Summary, error)
 
 // WaveCreator declares a maintenance wave.
-type WaveCreator func(ctx context.Context, name string, pools, dataCentres []string, a basilaudit.Actor) (Summary, error)
+type WaveCreator func(ctx context.Context, w basilmodel.WaveRecord, a basilaudit.Actor) (Summary, error)
 
-// Applier accepts the configuration document as the revision that follows base.
-type Applier func(ctx context.Context, base int64, document []byte, dryRun bool, a basilaudit.Actor) (Summary, error)
+// Document is a whole configuration that an operator sends.
+type Document struct {
+	Base   int64 // the revision that it follows
+	Newest bool  // it follows the newest revision that is known; Base is not given
+	Body   []byte
+}
+
+// Applier accepts the document as a new revision, or tells what it would change when the run is dry.
+type Applier func(ctx context.Context, d Document, dryRun bool, a basilaudit.Actor) (Summary, error)
+
+// Change makes the record of the next revision from the configuration.
+type Change func(c basilmodel.Configuration) (basilmodel.ConfigurationRecord, error)
+
+// Changer makes a new revision by the change, or tells what it would change when the run is dry.
+type Changer func(ctx context.Context, change Change, dryRun bool, a basilaudit.Actor) (Summary, error)
+
+// Reverter makes a new revision with the content of an old one, or tells what that would change when the run is dry.
+type Reverter func(ctx context.Context, revision int64, dryRun bool, a basilaudit.Actor) (Summary, error)
 
 // Commands carries out commands through the actions that were added; its zero value knows none.
 type Commands struct {
 	Move       Mover
 	CreateWave WaveCreator
 	Apply      Applier
+	Change     Changer
+	Revert     Reverter
 	actions    map[string]Action // by "verb kind"
 }
 
@@ -46,7 +65,7 @@
 
 // Run carries out one command for the operator.
 //
-// It fails with basillanguage.ErrSyntax, basillanguage.ErrUnknownWord or the action's error.
+// It fails with basillanguage.ErrSyntax, basillanguage.ErrUnknownWord, ErrDryRunNotKnown or the action's error.
 func (c *Commands) Run(ctx context.Context, operator string, r basilapi.OperatorRequest) (basilapi.CommandAnswer, error) {
 	parsed, err := basillanguage.Parse(parser, r.Text, keywords)
 	if err != nil {
@@ -59,24 +78,60 @@
 
 func (c *Commands) carryOut(ctx context.Context, s *sentence, r basilapi.OperatorRequest, a basilaudit.Actor) (Summary, error) {
 	switch {
+	case s.Apply != nil:
+		return c.apply(ctx, s.Apply, r, a)
+	case s.Revert != nil:
+		return c.revert(ctx, s.Revert, r.DryRun, a)
+	case s.Edit != nil:
+		change, err := s.Edit.change()
+		if err != nil {
+			return "", err
+		}
+		return c.Change(ctx, change, r.DryRun, a)
+	case s.Simple != nil && strings.EqualFold(s.Simple.Verb.Text, "remove") && isPart(s.Simple.Kind.Text):
+		return c.Change(ctx, s.Simple.removal(), r.DryRun, a)
+	case r.DryRun:
+		return "", errors.WithStack(ErrDryRunNotKnown{Text: r.Text})
 	case s.Move != nil:
-		return c.Move(ctx, s.Move.Host, s.Move.Pool, a)
+		return c.Move(ctx, s.Move.Host.Text, s.Move.Pool.Text, a)
 	case s.Create != nil:
-		return c.CreateWave(ctx, s.Create.Name, s.Create.Pools, s.Create.DataCentres, a)
-	case s.Apply != nil:
-		return c.Apply(ctx, s.Apply.Base, r.Body, r.DryRun, a)
+		w, err := s.Create.record()
+		if err != nil {
+			return "", err
+		}
+		return c.CreateWave(ctx, w, a)
 	}
 	return c.simple(ctx, s.Simple, a)
 }
 
+func (c *Commands) apply(ctx context.Context, s *apply, r basilapi.OperatorRequest, a basilaudit.Actor) (Summary, error) {
+	d := Document{Newest: s.Base == nil, Body: r.Body}
+	if s.Base != nil {
+		n, err := s.Base.Int(0)
+		if err != nil {
+			return "", err
+		}
+		d.Base = n
+	}
+	return c.Apply(ctx, d, r.DryRun, a)
+}
+
+func (c *Commands) revert(ctx context.Context, s *revert, dryRun bool, a basilaudit.Actor) (Summary, error) {
+	n, err := s.To.Int(1)
+	if err != nil {
+		return "", err
+	}
+	return c.Revert(ctx, n, dryRun, a)
+}
+
 func (c *Commands) simple(ctx context.Context, s *simple, a basilaudit.Actor) (Summary, error) {
-	phrase := strings.ToLower(s.Verb + " " + s.Kind)
+	phrase := strings.ToLower(s.Verb.Text + " " + s.Kind.Text)
 	do, ok := c.actions[phrase]
 	if !ok {
 		known := slices.Sorted(maps.Keys(c.actions))
-		return "", errors.WithStack(basillanguage.ErrUnknownWord{
-			Kind: "command", Word: phrase, Suggestion: basillanguage.Nearest(phrase, known),
-		})
+		known = append(known, "move host", "create wave", "apply configuration", "revert configuration",
+			"remove pool", "remove service", "remove team", "add pool", "add service", "add team", "set pool", "set service", "set team")
+		return "", basillanguage.Word{Pos: s.Verb.Pos, Text: phrase}.Unknown("command", known)
 	}
-	return do(ctx, s.Name, a)
+	return do(ctx, s.Name.Text, a)
 }
--- a/internal/basilcommand/grammar.go
+++ b/internal/basilcommand/grammar.go
@@ -7,34 +7,57 @@
 	Move   *move   `parser:"  'move' 'host' @@"`
 	Create *create `parser:"| 'create' 'wave' @@"`
 	Apply  *apply  `parser:"| 'apply' 'configuration' @@"`
+	Revert *revert `parser:"| 'revert' 'configuration' @@"`
+	Edit   *edit   `parser:"| @@"`
 	Simple *simple `parser:"| @@"`
 }
 
 type move struct {
-	Host string `parser:"@(Word|String)"`
-	Pool string `parser:"'to' @(Word|String)"`
+	Host basillanguage.Word `parser:"@@"`
+	Pool basillanguage.Word `parser:"'to' @@"`
 }
 
 type create struct {
-	Name        string   `parser:"@(Word|String)"`
-	Pools       []string `parser:"('pools' @Word (Comma @Word)*)?"`
-	DataCentres []string `parser:"('in' @Word (Comma @Word)*)?"`
+	Name        basillanguage.Word   `parser:"@@"`
+	Pools       []basillanguage.Word `parser:"('pools' @@ (Comma @@)*)?"`
+	DataCentres []basillanguage.Word `parser:"('in' @@ (Comma @@)*)?"`
+	Share       *basillanguage.Word  `parser:"('share' @@)?"`
+	Racks       *basillanguage.Word  `parser:"('racks' @@)?"`
+	Failures    *basillanguage.Word  `parser:"('failures' @@)?"`
 }
 
 type apply struct {
-	Base int64 `parser:"('base' @Word)?"`
+	Base *basillanguage.Word `parser:"('base' @@)?"`
+}
+
+type revert struct {
+	To basillanguage.Word `parser:"'to' @@"`
+}
+
+// edit changes one pool, service or team, such as `set service quote min-available 3`.
+type edit struct {
+	Verb   string             `parser:"@('add' | 'set')"`
+	Kind   basillanguage.Word `parser:"@@"`
+	Name   basillanguage.Word `parser:"@@"`
+	Fields []field            `parser:"@@*"`
+}
+
+type field struct {
+	Name  basillanguage.Word `parser:"@@"`
+	Value basillanguage.Word `parser:"@@"`
 }
 
 // simple is a verb, a kind and a name, such as `drain host h1`.
 type simple struct {
-	Verb string `parser:"@Word"`
-	Kind string `parser:"@Word"`
-	Name string `parser:"@(Word|String)"`
+	Verb basillanguage.Word `parser:"@@"`
+	Kind basillanguage.Word `parser:"@@"`
+	Name basillanguage.Word `parser:"@@"`
 }
 
 var parser = basillanguage.NewParser[sentence]()
 
 var keywords = []string{
-	"move", "host", "to", "create", "wave", "pools", "in", "apply", "configuration", "base",
-	"drain", "return", "fail", "forget", "member", "start", "pause", "resume", "abort", "cancel", "job",
+	"move", "host", "to", "create", "wave", "pools", "in", "share", "racks", "failures",
+	"apply", "revert", "configuration", "base", "add", "set", "remove", "pool", "service", "team",
+	"drain", "maintain", "return", "fail", "forget", "member", "start", "pause", "resume", "abort", "cancel", "job",
 }
--- a/internal/basilentry/commands.go
+++ b/internal/basilentry/commands.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 
-	"github.com/pkg/errors"
-
 	"basilstage.example/basilstage/internal/basilaudit"
 	"basilstage.example/basilstage/internal/basilcommand"
-	"basilstage.example/basilstage/internal/basilconfig"
 	"basilstage.example/basilstage/internal/basilmodel"
+	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilview"
 	"basilstage.example/basilstage/pkg/basilapi"
 )
@@ -22,11 +19,15 @@
 type waveChange func(ctx context.Context, name string, a basilaudit.Actor) (basilmodel.Wave, error)
 
 func newCommands(e *Entry) *basilcommand.Commands {
-	c := &basilcommand.Commands{Move: e.moveHost, CreateWave: e.createWave, Apply: e.applyConfiguration}
+	c := &basilcommand.Commands{
+		Move: e.moveHost, CreateWave: e.createWave,
+		Apply: e.applyConfiguration, Change: e.changeConfiguration, Revert: e.revertConfiguration,
+	}
 	c.Add("drain", "host", onHost(e.pools.Drain))
+	c.Add("maintain", "host", onHost(e.maintainHost))
 	c.Add("return", "host", onHost(e.pools.Return))
 	c.Add("fail", "host", onHost(e.pools.Fail))
-	c.Add("remove", "host", onHost(e.pools.Remove))
+	c.Add("remove", "host", e.removeHost)
 	c.Add("start", "wave", onWave(e.waves.Start))
 	c.Add("pause", "wave", onWave(e.waves.Pause))
 	c.Add("resume", "wave", onWave(e.waves.Resume))
@@ -72,27 +73,29 @@
 	return hostSummary(h), nil
 }
 
-func (e *Entry) createWave(ctx context.Context, name string, pools, dataCentres []string, a basilaudit.Actor) (basilcommand.Summary, error) {
-	w, err := e.waves.Create(ctx, basilmodel.WaveRecord{Name: name, Pools: pools, DataCentres: dataCentres}, a)
+// maintainHost hands a drained host to the platform; the executor asks for the reboot and takes the host back.
+func (e *Entry) maintainHost(ctx context.Context, host string, a basilaudit.Actor) (basilmodel.Host, error) {
+	h, err := e.pools.Host(ctx, host)
 	if err != nil {
-		return "", err
+		return h, err
 	}
-	return waveSummary(w), nil
+	return e.pools.Maintain(ctx, host, h.Epoch(), a)
 }
 
-func (e *Entry) applyConfiguration(ctx context.Context, base int64, document []byte, dryRun bool, a basilaudit.Actor) (basilcommand.Summary, error) {
-	var r basilmodel.ConfigurationRecord
-	if err := json.Unmarshal(document, &r); err != nil {
-		return "", errors.WithStack(basilconfig.ErrConfigurationInvalid{Detail: err.Error(), Hint: "send the document as JSON"})
-	}
-	if dryRun {
-		return "the configuration can be accepted", basilconfig.Check(r)
+func (e *Entry) removeHost(ctx context.Context, host string, a basilaudit.Actor) (basilcommand.Summary, error) {
+	h, err := e.pools.Remove(ctx, host, a)
+	if err != nil {
+		return "", err
 	}
-	c, err := basilconfig.Apply(ctx, e.trail, base, r, a)
+	return basilcommand.Summary(fmt.Sprintf("%s is struck off; it was %s in pool %s", h.ID(), h.State(), h.Pool())), nil
+}
+
+func (e *Entry) createWave(ctx context.Context, w basilmodel.WaveRecord, a basilaudit.Actor) (basilcommand.Summary, error) {
+	made, err := e.waves.Create(ctx, w, a)
 	if err != nil {
 		return "", err
 	}
-	return basilcommand.Summary(fmt.Sprintf("revision %d accepted", c.Revision())), nil
+	return waveSummary(made), nil
 }
 
 func (e *Entry) forgetMember(ctx context.Context, name string, a basilaudit.Actor) (basilcommand.Summary, error) {
@@ -102,14 +105,25 @@
 	return basilcommand.Summary("member " + name + " is no longer waited for"), nil
 }
 
-func (e *Entry) cancelJob(ctx context.Context, name string, _ basilaudit.Actor) (basilcommand.Summary, error) {
+// cancelJob cancels the job and then notes it on the trail; a repeat with the same id does both again, to no further effect.
+func (e *Entry) cancelJob(ctx context.Context, name string, a basilaudit.Actor) (basilcommand.Summary, error) {
 	id, err := basilapi.ParseJobID(name)
 	if err != nil {
 		return "", err
 	}
-	a, err := e.jobs.Cancel(ctx, id, 0)
+	answer, err := e.jobs.Cancel(ctx, id, 0)
 	if err != nil {
 		return "", err
 	}
-	return basilcommand.Summary("job " + name + ": " + a.Outcome.String()), nil
+	s := basilcommand.Summary("job " + name + ": " + answer.Outcome.String())
+	_, err = e.trail.Commit(ctx, func(context.Context, basilplatform.Table) (basilaudit.Change, error) {
+		return basilaudit.Change{Entry: basilaudit.EntryRecord{
+			Operator: a.Operator, Command: a.Command, Reason: a.Reason, Action: "cancel job", Subject: name,
+		}}, nil
+	})
+	if err != nil {
+		e.log.WithField("job", name).WithField("command", a.Command).WithError(err).Warn("cancel not noted on the audit trail")
+		return s + "; the audit trail could not be written, give the command again with the same id", nil
+	}
+	return s, nil
 }
--- a/internal/basilentry/http_server.go
+++ b/internal/basilentry/http_server.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"net/http"
+	"strings"
 	"time"
 
 	"basilstage.example/basilstage/pkg/basilapi"
@@ -18,20 +19,82 @@
 // known serves a request whose caller is authenticated.
 type known func(w http.ResponseWriter, r *http.Request, c caller)
 
-// Handler returns what the entry host serves to callers and operators.
+// endpoint is one method on one path.
+type endpoint struct {
+	method, path string
+	serve        http.HandlerFunc
+}
+
+// Handler returns what the entry host serves to callers and, unless they have an address of their own, to operators.
 func (e *Entry) Handler() http.Handler {
+	all := append(e.healthEndpoints(),
+		endpoint{http.MethodPost, "/v1/job-ids", e.authenticated(e.mint)},
+		endpoint{http.MethodPost, "/v1/jobs", e.authenticated(e.submit)},
+		endpoint{http.MethodGet, "/v1/jobs/{id}", e.authenticated(e.job)},
+		endpoint{http.MethodDelete, "/v1/jobs/{id}", e.authenticated(e.cancel)},
+	)
+	if e.ownOperatorAddress() == "" {
+		all = append(all, e.operatorEndpoints()...)
+	}
+	return newMux(all)
+}
+
+// OperatorHandler returns what the entry host serves at the operators' own address.
+func (e *Entry) OperatorHandler() http.Handler {
+	return newMux(append(e.healthEndpoints(), e.operatorEndpoints()...))
+}
+
+// ownOperatorAddress returns the address that only operators use, or "" when they share that of callers.
+func (e *Entry) ownOperatorAddress() string {
+	if a := e.settings.OperatorAddress(); a != e.settings.HTTPAddress() {
+		return a
+	}
+	return ""
+}
+
+func (e *Entry) healthEndpoints() []endpoint {
+	return []endpoint{{http.MethodGet, "/healthz", e.healthy}, {http.MethodGet, "/readyz", e.ready}}
+}
+
+func (e *Entry) operatorEndpoints() []endpoint {
+	return []endpoint{
+		{http.MethodPost, "/v1/query", e.authenticated(e.query)},
+		{http.MethodPost, "/v1/command", e.authenticated(e.command)},
+	}
+}
+
+// newMux serves the endpoints and answers all else with a Problem.
+func newMux(endpoints []endpoint) http.Handler {
 	m := http.NewServeMux()
-	m.HandleFunc("POST /v1/job-ids", e.authenticated(e.mint))
-	m.HandleFunc("POST /v1/jobs", e.authenticated(e.submit))
-	m.HandleFunc("GET /v1/jobs/{id}", e.authenticated(e.job))
-	m.HandleFunc("DELETE /v1/jobs/{id}", e.authenticated(e.cancel))
-	m.HandleFunc("POST /v1/query", e.authenticated(e.query))
-	m.HandleFunc("POST /v1/command", e.authenticated(e.command))
-	m.HandleFunc("GET /healthz", e.healthy)
-	m.HandleFunc("GET /readyz", e.ready)
+	methods := make(map[string][]string) // by path
+	for _, p := range endpoints {
+		m.HandleFunc(p.method+" "+p.path, p.serve)
+		methods[p.path] = append(methods[p.path], p.method)
+	}
+	for path, allowed := range methods {
+		m.HandleFunc(path, wrongMethod(strings.Join(allowed, ", ")))
+	}
+	m.HandleFunc("/", unknownPath)
 	return m
 }
 
+func wrongMethod(allowed string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Allow", allowed)
+		writeJSON(w, http.StatusMethodNotAllowed, basilapi.Problem{
+			Code: basilapi.CodeMalformed, Outcome: basilapi.OutcomeNotRun,
+			Message: "method " + r.Method + " is not served at this path", Hint: "use " + allowed,
+		})
+	}
+}
+
+func unknownPath(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusNotFound, basilapi.Problem{
+		Code: basilapi.CodeMalformed, Outcome: basilapi.OutcomeNotRun,
+		Message: "nothing is served at this path", Hint: "see docs/API.md; operators may have an address of their own",
+	})
+}
+
 // MetricsHandler returns what the entry host serves at its metrics address.
 func (e *Entry) MetricsHandler() http.Handler {
 	m := http.NewServeMux()
--- a/internal/basilentry/operator_handler.go
+++ b/internal/basilentry/operator_handler.go
@@ -40,7 +40,10 @@
 		writeError(w, err)
 		return
 	}
-	e.log.WithField("command", q.ID).WithField("operator", c.team).Info("command accepted")
+	if x, ok, err := e.trail.Command(r.Context(), q.ID); err == nil && ok && !q.DryRun {
+		a.Sequence = x.Sequence()
+	}
+	e.log.WithField("command", q.ID).WithField("operator", c.team).WithField("sequence", a.Sequence).Info("command accepted")
 	writeJSON(w, http.StatusOK, a)
 }
 
--- a/internal/basilentry/problem.go
+++ b/internal/basilentry/problem.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"basilstage.example/basilstage/internal/basilaudit"
+	"basilstage.example/basilstage/internal/basilcommand"
 	"basilstage.example/basilstage/internal/basilconfig"
 	"basilstage.example/basilstage/internal/basiljob"
 	"basilstage.example/basilstage/internal/basillanguage"
@@ -42,10 +44,15 @@
 	{basilapi.IsErrJobIDMalformed, basilapi.CodeMalformed, basilapi.OutcomeNotRun, 0, "take ids from /v1/job-ids"},
 	{basilconfig.IsErrConfigurationInvalid, basilapi.CodeMalformed, basilapi.OutcomeNotRun, 0, "mend the document"},
 	{basilconfig.IsErrRevisionConflict, basilapi.CodeConflict, basilapi.OutcomeNotRun, 0, "read the newest revision and apply on top of it"},
+	{basilconfig.IsErrRevisionNotExist, basilapi.CodeRefused, basilapi.OutcomeNotRun, 0, "list the revisions"},
+	{basilcommand.IsErrDryRunNotKnown, basilapi.CodeRefused, basilapi.OutcomeNotRun, 0, "leave the dry run out"},
+	{basilcommand.IsErrPartExists, basilapi.CodeConflict, basilapi.OutcomeNotRun, 0, "use set, or take another name"},
+	{basilcommand.IsErrPartNotExist, basilapi.CodeRefused, basilapi.OutcomeNotRun, 0, "ask for the configuration"},
 	{basilconfig.IsErrCommandReused, basilapi.CodeConflict, basilapi.OutcomeNotRun, 0, "take a fresh command id"},
 	{basilpool.IsErrBudgetExceeded, basilapi.CodeBudget, basilapi.OutcomeNotRun, retryRefused, "ask why the service refuses"},
 	{basilpool.IsErrPoolTooSmall, basilapi.CodeBudget, basilapi.OutcomeNotRun, retryRefused, "ask for the pool's hosts"},
 	{basilpool.IsErrHostNotExist, basilapi.CodeHostNotExist, basilapi.OutcomeNotRun, 0, "list the hosts"},
+	{basilpool.IsErrServiceNotExist, basilapi.CodeUnknownService, basilapi.OutcomeNotRun, 0, "list the services"},
 	{basilpool.IsErrHostConflict, basilapi.CodeConflict, basilapi.OutcomeNotRun, 0, "ask why the host is as it is"},
 	{basilpool.IsErrHostStale, basilapi.CodeConflict, basilapi.OutcomeNotRun, 0, "ask why the host is as it is"},
 	{basilpool.IsErrPoolNotExist, basilapi.CodeRefused, basilapi.OutcomeNotRun, 0, "list the pools"},
@@ -74,7 +81,7 @@
 	for _, k := range kinds {
 		if k.is(err) {
 			return basilapi.Problem{
-				Code: k.code, Outcome: k.outcome, Message: err.Error(), Hint: k.hint, RetryAfterMS: k.retry.Milliseconds(),
+				Code: k.code, Outcome: k.outcome, Message: messageOf(err), Hint: k.hint, RetryAfterMS: k.retry.Milliseconds(),
 			}
 		}
 	}
@@ -84,6 +91,15 @@
 	return basilapi.Problem{Code: basilapi.CodeInternal, Outcome: basilapi.OutcomeUnknown, Message: err.Error()}
 }
 
+// messageOf tells the error to a person; to one who lost a race, by whom.
+func messageOf(err error) string {
+	var lost basilpool.ErrHostConflict
+	if errors.As(err, &lost) {
+		return fmt.Sprintf("%s by %s came first: host %s is %s since audit entry %d", lost.Action, lost.Operator, lost.Host, lost.State, lost.Sequence)
+	}
+	return err.Error()
+}
+
 func refuse(c basilapi.Code, message, hint string, retry time.Duration) error {
 	return errors.WithStack(basilapi.ErrProblem{Problem: basilapi.Problem{
 		Code: c, Outcome: basilapi.OutcomeNotRun, Message: message, Hint: hint, RetryAfterMS: retry.Milliseconds(),
--- a/internal/basilentry/run.go
+++ b/internal/basilentry/run.go
@@ -86,6 +86,7 @@
 		handler http.Handler
 	}{
 		{e.settings.HTTPAddress(), e.Handler()},
+		{e.ownOperatorAddress(), e.OperatorHandler()},
 		{e.settings.MetricsAddress(), e.MetricsHandler()},
 	}
 	var servers []*http.Server
--- a/internal/basilentry/subjects.go
+++ b/internal/basilentry/subjects.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"strings"
 	"time"
 
 	"basilstage.example/basilstage/internal/basilmodel"
@@ -14,14 +13,16 @@
 // subject lists one kind of thing.
 type subject struct {
 	columns []string
-	rows    func(ctx context.Context) ([][]string, error)
+	rows    func(ctx context.Context, f basilquery.Filter) ([][]string, error)
 }
 
 // Columns names the cells of a row.
 func (s subject) Columns() []string { return s.columns }
 
-// Rows returns all rows.
-func (s subject) Rows(ctx context.Context) ([][]string, error) { return s.rows(ctx) }
+// Rows returns at least the rows that the filter asks for.
+func (s subject) Rows(ctx context.Context, f basilquery.Filter) ([][]string, error) {
+	return s.rows(ctx, f)
+}
 
 // explainer tells why one thing is as it is.
 type explainer func(ctx context.Context, name string) (basilapi.QueryAnswer, error)
@@ -32,33 +33,51 @@
 }
 
 func newQueries(e *Entry) *basilquery.Queries {
-	q := &basilquery.Queries{}
-	q.AddSubject("hosts", subject{
-		columns: []string{"host", "data_centre", "rack", "pool", "target", "state", "epoch", "cause", "wave", "address"},
-		rows:    e.hostRows,
-	})
-	q.AddSubject("pools", subject{columns: []string{"pool", "spare", "hosts", "active", "out"}, rows: e.poolRows})
-	q.AddSubject("services", subject{
-		columns: []string{"service", "pool", "class", "min_available", "hosts", "available", "spare"},
-		rows:    e.serviceRows,
-	})
-	q.AddSubject("members", subject{
-		columns: []string{"member", "data_centre", "incarnation", "http", "applied", "revision", "gone"},
-		rows:    e.memberRows,
-	})
-	q.AddSubject("peers", subject{columns: []string{"peer", "data_centre", "connected", "bytes_in", "bytes_out"}, rows: e.peerRows})
-	q.AddSubject("waves", subject{columns: []string{"wave", "state", "reason"}, rows: e.waveRows})
-	q.AddSubject("audit", subject{
-		columns: []string{"sequence", "at", "operator", "action", "subject", "reason", "command", "hosts"},
-		rows:    e.auditRows,
-	})
-	q.AddExplainer("host", explainer(e.whyHost))
+	q := &basilquery.Queries{Diff: e.diffRevisions}
+	for name, s := range e.subjects() {
+		q.AddSubject(name, s)
+	}
+	for kind, x := range map[string]explainer{
+		"host": e.whyHost, "job": e.whyJob, "wave": e.whyWave, "service": e.whyService, "member": e.whyMember,
+		"refused service": e.whyRefused,
+	} {
+		q.AddExplainer(kind, x)
+	}
 	return q
 }
 
+func (e *Entry) subjects() map[string]subject {
+	return map[string]subject{
+		"hosts": {
+			[]string{"host", "data_centre", "rack", "pool", "target", "state", "epoch", "cause", "wave", "address"}, e.hostRows,
+		},
+		"moves":    {[]string{"host", "pool", "target", "state", "wave", "operator", "since", "waits_for"}, e.moveRows},
+		"pools":    {[]string{"pool", "spare", "hosts", "active", "out", "min_hosts"}, e.poolRows},
+		"services": {[]string{"service", "pool", "class", "min_available", "hosts", "available", "spare"}, e.serviceRows},
+		"members":  {[]string{"member", "data_centre", "incarnation", "http", "applied", "revision", "gone"}, e.memberRows},
+		"peers":    {[]string{"peer", "data_centre", "connected", "bytes_in", "bytes_out"}, e.peerRows},
+		"waves":    {[]string{"wave", "state", "done", "busy", "pending", "failed", "reason"}, e.waveRows},
+		"jobs": {
+			[]string{"job", "service", "state", "outcome", "attempt", "host", "data_centre", "minted", "ended", "reason"}, e.jobRows,
+		},
+		"configuration": {[]string{"kind", "name", "settings"}, e.configurationRows},
+		"revisions":     {[]string{"revision", "author", "reason", "changes"}, e.revisionRows},
+		"audit": {
+			[]string{"sequence", "at", "operator", "action", "subject", "reason", "command", "hosts"}, e.auditRows,
+		},
+	}
+}
+
 func number[T int | int64](n T) string { return strconv.FormatInt(int64(n), 10) }
 
-func (e *Entry) hostRows(context.Context) ([][]string, error) {
+func stamp(at time.Time) string {
+	if at.IsZero() {
+		return ""
+	}
+	return at.UTC().Format(time.RFC3339)
+}
+
+func (e *Entry) hostRows(context.Context, basilquery.Filter) ([][]string, error) {
 	var rows [][]string
 	for _, h := range e.control.View().Hosts() {
 		rows = append(rows, []string{
@@ -69,23 +88,40 @@
 	return rows, nil
 }
 
-func (e *Entry) poolRows(context.Context) ([][]string, error) {
+// moveRows lists the hosts that are out on purpose.
+func (e *Entry) moveRows(context.Context, basilquery.Filter) ([][]string, error) {
+	v := e.control.View()
+	var rows [][]string
+	for _, h := range v.Hosts() {
+		if h.InService() || h.State() == basilmodel.HostStateFailed {
+			continue
+		}
+		rows = append(rows, []string{
+			h.ID(), h.Pool(), h.Target(), h.State().String(), h.Wave(), h.Operator(), stamp(h.Since()), waitsFor(v, h),
+		})
+	}
+	return rows, nil
+}
+
+func (e *Entry) poolRows(context.Context, basilquery.Filter) ([][]string, error) {
 	v := e.control.View()
 	var rows [][]string
 	for _, p := range v.Configuration().Pools() {
 		hosts := v.HostsIn(p.Name)
 		active := 0
 		for _, h := range hosts {
-			if h.State() == basilmodel.HostStateActive {
+			if h.InService() {
 				active++
 			}
 		}
-		rows = append(rows, []string{p.Name, strconv.FormatBool(p.Spare), number(len(hosts)), number(active), number(len(hosts) - active)})
+		rows = append(rows, []string{
+			p.Name, strconv.FormatBool(p.Spare), number(len(hosts)), number(active), number(len(hosts) - active), number(p.MinHosts),
+		})
 	}
 	return rows, nil
 }
 
-func (e *Entry) serviceRows(ctx context.Context) ([][]string, error) {
+func (e *Entry) serviceRows(ctx context.Context, _ basilquery.Filter) ([][]string, error) {
 	budgets, err := e.pools.Budgets(ctx)
 	if err != nil {
 		return nil, err
@@ -101,7 +137,7 @@
 	return rows, nil
 }
 
-func (e *Entry) memberRows(context.Context) ([][]string, error) {
+func (e *Entry) memberRows(context.Context, basilquery.Filter) ([][]string, error) {
 	v := e.control.View()
 	var rows [][]string
 	for _, m := range v.Members() {
@@ -114,7 +150,7 @@
 	return rows, nil
 }
 
-func (e *Entry) peerRows(context.Context) ([][]string, error) {
+func (e *Entry) peerRows(context.Context, basilquery.Filter) ([][]string, error) {
 	var rows [][]string
 	for _, s := range e.mesh.Status() {
 		rows = append(rows, []string{
@@ -125,42 +161,17 @@
 	return rows, nil
 }
 
-func (e *Entry) waveRows(ctx context.Context) ([][]string, error) {
+func (e *Entry) waveRows(ctx context.Context, _ basilquery.Filter) ([][]string, error) {
 	waves, err := e.waves.List(ctx)
 	if err != nil {
 		return nil, err
 	}
 	var rows [][]string
 	for _, w := range waves {
-		rows = append(rows, []string{w.Name(), w.State().String(), w.Record().Reason})
+		g := e.progress(waves, w)
+		rows = append(rows, []string{
+			w.Name(), w.State().String(), number(g.Done), number(g.Busy), number(g.Pending), number(g.Failed), w.Reason(),
+		})
 	}
 	return rows, nil
 }
-
-// auditPage is how many entries one read of the trail returns.
-const auditPage = 500
-
-func (e *Entry) auditRows(ctx context.Context) ([][]string, error) {
-	var rows [][]string
-	var after int64
-	for {
-		entries, err := e.trail.After(ctx, after, auditPage)
-		if err != nil {
-			return nil, err
-		}
-		for _, x := range entries {
-			r := x.Record()
-			var hosts []string
-			for _, h := range append(r.Before, r.Hosts...) {
-				hosts = append(hosts, h.ID()+":"+h.State().String())
-			}
-			rows = append(rows, []string{
-				number(r.Sequence), r.At.Format(time.RFC3339), r.Operator, r.Action, r.Subject, r.Reason, r.Command, strings.Join(hosts, " "),
-			})
-			after = r.Sequence
-		}
-		if len(entries) < auditPage {
-			return rows, nil
-		}
-	}
-}
--- a/internal/basillanguage/errors.go
+++ b/internal/basillanguage/errors.go
@@ -30,11 +30,15 @@
 type ErrUnknownWord struct {
 	Kind       string // what the word should name
 	Word       string
+	Column     int // from 1; 0 when the place is not known
 	Suggestion string
 }
 
 func (e ErrUnknownWord) Error() string {
 	s := fmt.Sprintf("unknown %s %q", e.Kind, e.Word)
+	if e.Column > 0 {
+		s = fmt.Sprintf("column %d: %s", e.Column, s)
+	}
 	if e.Suggestion != "" {
 		s += fmt.Sprintf("; did you mean %q?", e.Suggestion)
 	}
--- a/internal/basillanguage/language.go
+++ b/internal/basillanguage/language.go
@@ -1,6 +1,8 @@
 package basillanguage
 
 import (
+	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/agnivade/levenshtein"
@@ -43,6 +45,33 @@
 	return nil, errors.WithStack(e)
 }
 
+// Word is one word of a sentence and its place.
+type Word struct {
+	Pos  lexer.Position
+	Text string `parser:"@(Word|String)"`
+}
+
+// Unknown returns the ErrUnknownWord for a word that is none of the known ones.
+func (w Word) Unknown(kind string, known []string) error {
+	return errors.WithStack(ErrUnknownWord{
+		Kind: kind, Word: w.Text, Column: w.Pos.Column, Suggestion: Nearest(w.Text, known),
+	})
+}
+
+// Wrong returns the ErrSyntax for a word that can't stand where it does.
+func (w Word) Wrong(detail string) error {
+	return errors.WithStack(ErrSyntax{Column: w.Pos.Column, Near: w.Text, Detail: detail})
+}
+
+// Int returns the word as a whole number of at least the least one; it fails with ErrSyntax.
+func (w Word) Int(least int64) (int64, error) {
+	n, err := strconv.ParseInt(w.Text, 10, 64)
+	if err != nil || n < least {
+		return 0, w.Wrong(fmt.Sprintf("%q is not a whole number of at least %d", w.Text, least))
+	}
+	return n, nil
+}
+
 func wordAt(text string, offset int) string {
 	if offset >= len(text) {
 		return ""
--- a/internal/basilquery/query.go
+++ b/internal/basilquery/query.go
@@ -4,11 +4,8 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 
-	"github.com/pkg/errors"
-
 	"basilstage.example/basilstage/internal/basillanguage"
 	"basilstage.example/basilstage/pkg/basilapi"
 )
@@ -17,8 +14,8 @@
 type Subject interface {
 	// Columns names the cells of a row.
 	Columns() []string
-	// Rows returns all rows.
-	Rows(ctx context.Context) ([][]string, error)
+	// Rows returns at least the rows that the filter asks for.
+	Rows(ctx context.Context, f Filter) ([][]string, error)
 }
 
 // Explainer tells why one thing of a kind is as it is.
@@ -26,8 +23,12 @@
 	Why(ctx context.Context, name string) (basilapi.QueryAnswer, error)
 }
 
+// Differ tells what differs between two revisions of the configuration.
+type Differ func(ctx context.Context, from, to int64) (basilapi.QueryAnswer, error)
+
 // Queries answers questions about its subjects; its zero value knows none.
 type Queries struct {
+	Diff       Differ // nil knows no revisions
 	subjects   map[string]Subject
 	explainers map[string]Explainer
 }
@@ -40,7 +41,7 @@
 	q.subjects[name] = s
 }
 
-// AddExplainer lets operators ask why about the kind.
+// AddExplainer lets operators ask why about the kind, which may begin with "refused ".
 func (q *Queries) AddExplainer(kind string, e Explainer) {
 	if q.explainers == nil {
 		q.explainers = make(map[string]Explainer)
@@ -51,100 +52,100 @@
 // Run answers one question; it fails with basillanguage.ErrSyntax, basillanguage.ErrUnknownWord or the subject's error.
 func (q *Queries) Run(ctx context.Context, text string) (basilapi.QueryAnswer, error) {
 	known := slices.Sorted(maps.Keys(q.subjects))
-	parsed, err := basillanguage.Parse(parser, text, append(known, "where", "and", "limit", "why"))
+	parsed, err := basillanguage.Parse(parser, text, append(known, keywords...))
 	if err != nil {
 		return basilapi.QueryAnswer{}, err
 	}
-	if parsed.Why != nil {
+	switch {
+	case parsed.Why != nil:
 		return q.why(ctx, parsed.Why)
+	case parsed.Diff != nil && q.Diff != nil:
+		return q.diff(ctx, parsed.Diff)
+	case parsed.List != nil:
+		return q.list(ctx, parsed.List)
 	}
-	return q.list(ctx, parsed.List)
+	return basilapi.QueryAnswer{}, basillanguage.Word{Text: text}.Unknown("subject", known)
 }
 
 func (q *Queries) why(ctx context.Context, w *why) (basilapi.QueryAnswer, error) {
-	e, ok := q.explainers[strings.ToLower(w.Kind)]
+	prefix := ""
+	if w.Refused {
+		prefix = "refused "
+	}
+	var known []string
+	for k := range q.explainers {
+		rest, ok := strings.CutPrefix(k, prefix)
+		if ok && !strings.Contains(rest, " ") {
+			known = append(known, rest)
+		}
+	}
+	e, ok := q.explainers[prefix+strings.ToLower(w.Kind.Text)]
 	if !ok {
-		return basilapi.QueryAnswer{}, unknown("kind", w.Kind, slices.Sorted(maps.Keys(q.explainers)))
+		slices.Sort(known)
+		return basilapi.QueryAnswer{}, w.Kind.Unknown("kind", known)
 	}
-	return e.Why(ctx, w.Name)
+	return e.Why(ctx, w.Name.Text)
+}
+
+func (q *Queries) diff(ctx context.Context, d *diff) (basilapi.QueryAnswer, error) {
+	from, err := d.From.Int(0)
+	if err != nil {
+		return basilapi.QueryAnswer{}, err
+	}
+	to, err := d.To.Int(0)
+	if err != nil {
+		return basilapi.QueryAnswer{}, err
+	}
+	return q.Diff(ctx, from, to)
 }
 
 func (q *Queries) list(ctx context.Context, l *list) (basilapi.QueryAnswer, error) {
-	s, ok := q.subjects[strings.ToLower(l.Subject)]
+	s, ok := q.subjects[strings.ToLower(l.Subject.Text)]
 	if !ok {
-		return basilapi.QueryAnswer{}, unknown("subject", l.Subject, slices.Sorted(maps.Keys(q.subjects)))
-	}
-	columns := s.Columns()
-	for _, c := range l.Conditions {
-		if !slices.Contains(columns, strings.ToLower(c.Field)) {
-			return basilapi.QueryAnswer{}, unknown("field", c.Field, columns)
-		}
+		return basilapi.QueryAnswer{}, l.Subject.Unknown("subject", slices.Sorted(maps.Keys(q.subjects)))
 	}
-	rows, err := s.Rows(ctx)
+	f, err := filterOf(s.Columns(), l)
 	if err != nil {
 		return basilapi.QueryAnswer{}, err
 	}
-	kept := rows[:0]
-	for _, r := range rows {
-		if matches(columns, r, l.Conditions) {
-			kept = append(kept, r)
-		}
-	}
-	if l.Limit > 0 && len(kept) > l.Limit {
-		kept = kept[:l.Limit]
+	rows, err := s.Rows(ctx, f)
+	if err != nil {
+		return basilapi.QueryAnswer{}, err
 	}
-	return basilapi.QueryAnswer{Columns: columns, Rows: kept}, nil
-}
-
-func unknown(kind, word string, known []string) error {
-	return errors.WithStack(basillanguage.ErrUnknownWord{
-		Kind: kind, Word: word, Suggestion: basillanguage.Nearest(word, known),
-	})
+	return basilapi.QueryAnswer{Columns: f.columns, Rows: f.finish(rows)}, nil
 }
 
-func matches(columns, row []string, conditions []condition) bool {
-	for _, c := range conditions {
-		cell := row[slices.Index(columns, strings.ToLower(c.Field))]
-		if !holds(cell, c.Comparison, c.Value) {
-			return false
+func filterOf(columns []string, l *list) (Filter, error) {
+	f := Filter{columns: columns}
+	for _, c := range l.Conditions {
+		name, err := field(columns, c.Field)
+		if err != nil {
+			return f, err
 		}
+		f.conditions = append(f.conditions, Condition{Field: name, Comparison: c.Comparison, Value: c.Value.Text})
 	}
-	return true
-}
-
-// holds compares numbers as numbers and all else as text.
-func holds(cell, comparison, value string) bool {
-	if comparison == "~" {
-		return strings.Contains(cell, value)
-	}
-	order := strings.Compare(cell, value)
-	a, errA := strconv.ParseFloat(cell, 64)
-	b, errB := strconv.ParseFloat(value, 64)
-	if errA == nil && errB == nil {
-		order = compareNumbers(a, b)
-	}
-	switch comparison {
-	case "=":
-		return order == 0
-	case "!=":
-		return order != 0
-	case "<":
-		return order < 0
-	case "<=":
-		return order <= 0
-	case ">":
-		return order > 0
-	default:
-		return order >= 0
+	if l.Order != nil {
+		name, err := field(columns, l.Order.Field)
+		if err != nil {
+			return f, err
+		}
+		f.order = name
+		f.descending = l.Order.Descending
 	}
+	if l.Limit != nil {
+		n, err := l.Limit.Int(1)
+		if err != nil {
+			return f, err
+		}
+		f.limit = int(n)
+	}
+	return f, nil
 }
 
-func compareNumbers(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
+func field(columns []string, w basillanguage.Word) (string, error) {
+	name := strings.ToLower(w.Text)
+	if !slices.Contains(columns, name) {
+		return "", w.Unknown("field", columns)
 	}
-	return 0
+	return name, nil
 }
--- a/pkg/basilclient/client.go
+++ b/pkg/basilclient/client.go
@@ -101,13 +101,35 @@
 }
 
 // Command gives one command in the operators' language; without an id it gets a fresh one.
+//
+// An entry host that gives no answer is followed by the next with the same id,
+// whose refusal then leaves the outcome unknown.
 func (c *Client) Command(ctx context.Context, r basilapi.OperatorRequest) (basilapi.CommandAnswer, error) {
 	if r.ID == "" {
 		r.ID = ulid.Make().String()
 	}
 	var a basilapi.CommandAnswer
-	err := c.post(ctx, "/v1/command", r, &a)
-	return a, err
+	var last error
+	lost := false
+	for _, base := range c.options.Addresses {
+		last = c.ask(ctx, base, http.MethodPost, "/v1/command", r, &a)
+		if !IsErrNoAnswer(last) {
+			return a, uncertain(last, lost)
+		}
+		lost = true
+	}
+	return a, last
+}
+
+// uncertain turns a refusal into an unknown outcome when an earlier entry host may still carry the command out.
+func uncertain(err error, lost bool) error {
+	p, ok := basilapi.AsProblem(err)
+	if !ok || !lost || p.Outcome != basilapi.OutcomeNotRun {
+		return err
+	}
+	p.Outcome = basilapi.OutcomeUnknown
+	p.Hint = "an entry host that was asked before gave no answer; give the command again with the same id"
+	return errors.WithStack(basilapi.ErrProblem{Problem: p})
 }
 
 func (c *Client) post(ctx context.Context, path string, in, out any) error {
