Let the command line give up on a frozen entry host

Cause: tried by hand, a client whose first address was a process stopped by SIGSTOP waited without end; 'timeout 5 basilstage query' ended with status 124 and never asked the second address. After: TestExitStatuses/frozen_entry_host ends with status 4 and the line to give again. TestCommandTellsTheTruthOfARepeat proves that a refusal after a lost answer is told as unknown.

--- a/cmd/client.go
+++ b/cmd/client.go
@@ -3,8 +3,10 @@
 import (
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,15 +17,20 @@
 // defaultAddress is where an entry host for trials serves.
 const defaultAddress = "http://127.0.0.1:8443"
 
+// defaultTimeout is longer than a short job's own limit.
+const defaultTimeout = time.Minute
+
 // connection holds the flags that say how to reach entry hosts.
 type connection struct {
 	addresses string
 	tokenFile string
+	timeout   time.Duration
 }
 
 func (c *connection) register(flags *flag.FlagSet) {
 	flags.StringVar(&c.addresses, "address", defaultAddress, "base `URLs` of entry hosts, comma-separated, tried in order")
 	flags.StringVar(&c.tokenFile, "token-file", "", "`FILE` with the bearer token")
+	flags.DurationVar(&c.timeout, "timeout", defaultTimeout, "longest wait for the answer of one entry host, which may be frozen")
 }
 
 func (c *connection) client() (*basilclient.Client, error) {
@@ -35,7 +42,9 @@
 		}
 		token = strings.TrimSpace(string(b))
 	}
-	return basilclient.NewClient(basilclient.Options{Addresses: strings.Split(c.addresses, ","), Token: token}), nil
+	return basilclient.NewClient(basilclient.Options{
+		Addresses: strings.Split(c.addresses, ","), Token: token, HTTP: &http.Client{Timeout: c.timeout},
+	}), nil
 }
 
 // ErrFileUnreadable says that a file that a flag names can't be read.
--- a/cmd/exit_test.go
+++ b/cmd/exit_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -32,6 +33,7 @@
 		{"refused first that saw nothing", away, []string{"command", "drain host h1"}, 3, " refused because away\n"},
 		{"unknown", unknown, []string{"command", "--id", "c1", "--reason", "it's time", "drain host h1"}, 4, `--id c1 --reason 'it'\''s time' 'drain host h1'` + "\n  unknown (outcome-unknown): no answer\n"},
 		{"no answer", nil, []string{"command", "--id", "c1", "drain host h1"}, 4, "unknown, ask with: basilstage command --address "},
+		{"frozen entry host", frozen{}, []string{"command", "--timeout", "50ms", "--id", "c1", "drain host h1"}, 4, "unknown, ask with: basilstage command --address "},
 		{"query", basilapi.QueryAnswer{Columns: []string{"host"}, Rows: [][]string{{"h1"}}}, []string{"query", "hosts"}, 0, "HOST\nh1\n"},
 		{"query as JSON", basilapi.QueryAnswer{Columns: []string{"host"}}, []string{"query", "--format", "json", "hosts"}, 0, `{"columns":["host"],"rows":null}` + "\n"},
 		{"query refused", refused, []string{"query", "hosts"}, 3, "basilstage: not-run (budget): too few\n"},
@@ -59,11 +61,19 @@
 	}
 }
 
+// frozen never answers.
+type frozen struct{}
+
 // answering serves the answer to everything; nil hangs up, and ids are minted for submits.
 func answering(answer any) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if answer == nil {
+		switch answer.(type) {
+		case nil:
 			panic(http.ErrAbortHandler)
+		case frozen:
+			_, _ = io.Copy(io.Discard, r.Body) // or the server sees no hang-up
+			<-r.Context().Done()
+			return
 		}
 		status := http.StatusOK
 		value := answer
--- a/pkg/basilclient/client_test.go
+++ b/pkg/basilclient/client_test.go
@@ -63,3 +63,29 @@
 		})
 	}
 }
+
+func TestCommandTellsTheTruthOfARepeat(t *testing.T) {
+	refusal := basilapi.Problem{Code: basilapi.CodeStoreUnavailable, Outcome: basilapi.OutcomeNotRun}
+	tests := []struct {
+		name    string
+		answers []*basilapi.Problem // nil cuts the connection
+		outcome basilapi.Outcome
+	}{
+		{"refused at once", []*basilapi.Problem{&refusal}, basilapi.OutcomeNotRun},
+		{"cut off, then refused elsewhere", []*basilapi.Problem{nil, &refusal}, basilapi.OutcomeUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			seen := make(chan basilapi.SubmitRequest, len(tt.answers))
+			var addresses []string
+			for _, p := range tt.answers {
+				addresses = append(addresses, entryHost(t, p, seen))
+			}
+			c := basilclient.NewClient(basilclient.Options{Addresses: addresses})
+			_, err := c.Command(t.Context(), basilapi.OperatorRequest{Text: "drain host h1"})
+			p, ok := basilapi.AsProblem(err)
+			must.True(t, ok, must.Sprint(err))
+			must.EqOp(t, tt.outcome, p.Outcome)
+		})
+	}
+}
