--- a/internal/basilentry/operators_test.go
+++ b/internal/basilentry/operators_test.go
@@ -105,7 +105,7 @@
 // TestOperatorsSession covers each query, explanation, command and kind of mistake once.
 func TestOperatorsSession(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, 84, "fukuoka", "kumamoto")
+	c := newCluster(t, 97, "fukuoka", "kumamoto")
 	for _, id := range []string{"f1", "f2", "f3"} {
 		c.addHost(id, "fukuoka", "counter", basilstandin.BackendOptions{})
 	}
--- a/internal/basilentry/why_service.go
+++ b/internal/basilentry/why_service.go
@@ -49,7 +49,7 @@
 	e.refusedWork(r, v, s, now)
 	e.refusedChanges(ctx, r, v, s)
 	if len(r.rows) == 0 {
-		r.add("nothing is refused: work for %s is taken and a host may be taken out of pool %s", name, s.Pool)
+		r.add("nothing known here refuses work for %s, or to take a host out of pool %s; a backend server's own refusal is in the answer", name, s.Pool)
 	}
 	return r.answer()
 }
