--- a/cmd/client.go
+++ b/cmd/client.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"os"
+	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -85,7 +87,7 @@
 
 // explain tells an error to a person: what happened, what to do, when to come back.
 func explain(err error) string {
-	if IsErrCommandUnknown(err) || IsErrCommandRefused(err) {
+	if IsErrCommandUnknown(err) || IsErrCommandRefused(err) || IsErrQueryMistaken(err) {
 		return err.Error()
 	}
 	p, ok := basilapi.AsProblem(err)
@@ -114,6 +116,23 @@
 	return s
 }
 
+// mistakeColumn finds the place of a mistake in a message.
+var mistakeColumn = regexp.MustCompile(`^column (\d+): `)
+
+// pointer returns the sentence with a mark below the word that the error names, or "" when it names none.
+func pointer(text string, err error) string {
+	p, _ := basilapi.AsProblem(err)
+	found := mistakeColumn.FindStringSubmatch(p.Message)
+	if p.Code != basilapi.CodeMalformed || found == nil || strings.Contains(text, "\n") {
+		return ""
+	}
+	column, err := strconv.Atoi(found[1])
+	if err != nil || column < 1 || column > len(text)+1 {
+		return ""
+	}
+	return "\n  " + text + "\n  " + strings.Repeat(" ", column-1) + "^"
+}
+
 // Formats of answers.
 const (
 	formatTable = "table"
--- a/cmd/command.go
+++ b/cmd/command.go
@@ -90,7 +90,7 @@
 		return errors.WithStack(ErrCommandUnknown{Again: againLine(c, r, file), Cause: err})
 	}
 	if ok && p.Outcome == basilapi.OutcomeNotRun {
-		return errors.WithStack(ErrCommandRefused{ID: r.ID, Cause: err})
+		return errors.WithStack(ErrCommandRefused{ID: r.ID, Text: r.Text, Cause: err})
 	}
 	return err
 }
--- a/cmd/errors.go
+++ b/cmd/errors.go
@@ -25,11 +25,12 @@
 // ErrCommandRefused says that a command changed nothing, and why.
 type ErrCommandRefused struct {
 	ID    string
+	Text  string // of the command
 	Cause error
 }
 
 func (e ErrCommandRefused) Error() string {
-	return fmt.Sprintf("command %s refused because %s", e.ID, reason(e.Cause))
+	return fmt.Sprintf("command %s refused because %s%s", e.ID, reason(e.Cause), pointer(e.Text, e.Cause))
 }
 
 // Unwrap returns the cause.
@@ -38,6 +39,20 @@
 // IsErrCommandRefused tells whether the error is an ErrCommandRefused.
 func IsErrCommandRefused(err error) bool { return errors.As(err, new(ErrCommandRefused)) }
 
+// ErrQueryMistaken says that a query can't be read, and where.
+type ErrQueryMistaken struct {
+	Text  string
+	Cause error
+}
+
+func (e ErrQueryMistaken) Error() string { return explain(e.Cause) + pointer(e.Text, e.Cause) }
+
+// Unwrap returns the cause.
+func (e ErrQueryMistaken) Unwrap() error { return e.Cause }
+
+// IsErrQueryMistaken tells whether the error is an ErrQueryMistaken.
+func IsErrQueryMistaken(err error) bool { return errors.As(err, new(ErrQueryMistaken)) }
+
 // ErrUsage says that a flag or argument can't be used as it was given.
 type ErrUsage struct{ Detail string }
 
--- a/cmd/exit_test.go
+++ b/cmd/exit_test.go
@@ -33,6 +33,8 @@
 		{"refused first that saw nothing", away, []string{"command", "drain host h1"}, 3, " refused because away\n"},
 		{"unknown", unknown, []string{"command", "--id", "c1", "--reason", "it's time", "drain host h1"}, 4, `--id c1 --reason 'it'\''s time' 'drain host h1'` + "\n  unknown (outcome-unknown): no answer\n"},
 		{"no answer", nil, []string{"command", "--id", "c1", "drain host h1"}, 4, "unknown, ask with: basilstage command --address "},
+		{"mistake in a command", basilapi.Problem{Code: basilapi.CodeMalformed, Outcome: basilapi.OutcomeNotRun, Message: "column 7: unknown x"}, []string{"command", "drain hsot h1"}, 3, "unknown x\n  drain hsot h1\n        ^\n"},
+		{"mistake in a query", basilapi.Problem{Code: basilapi.CodeMalformed, Outcome: basilapi.OutcomeNotRun, Message: "column 1: unknown x"}, []string{"query", "hots", "limit", "1"}, 3, "not-run (malformed): column 1: unknown x\n  hots limit 1\n  ^\n"},
 		{"frozen entry host", frozen{}, []string{"command", "--timeout", "50ms", "--id", "c1", "drain host h1"}, 4, "unknown, ask with: basilstage command --address "},
 		{"query", basilapi.QueryAnswer{Columns: []string{"host"}, Rows: [][]string{{"h1"}}}, []string{"query", "hosts"}, 0, "HOST\nh1\n"},
 		{"query as JSON", basilapi.QueryAnswer{Columns: []string{"host"}}, []string{"query", "--format", "json", "hosts"}, 0, `{"columns":["host"],"rows":null}` + "\n"},
--- a/cmd/query.go
+++ b/cmd/query.go
@@ -39,9 +39,10 @@
 			if err != nil {
 				return err
 			}
-			a, err := client.Query(ctx, strings.Join(args, " "))
+			text := strings.Join(args, " ")
+			a, err := client.Query(ctx, text)
 			if err != nil {
-				return err
+				return errors.WithStack(ErrQueryMistaken{Text: text, Cause: err})
 			}
 			return printTable(stdout, *format, a)
 		},
