Cover a whole move, a removed host and a repeat in the operators' session

Change: TestOperatorsSession also moves a host to its end, removes one that the platform no longer lists, repeats the opening under its id, removes a team and reads a cancel from the trail. A repeat of apply says that the same command made the revision before, in place of a base that it did not follow.

--- a/internal/basilentry/configuration_command.go
+++ b/internal/basilentry/configuration_command.go
@@ -106,6 +106,9 @@
 	if err != nil {
 		return "", err
 	}
+	if c.Revision() != base+1 {
+		note = " before, by the same command"
+	}
 	before, err := basilconfig.Revision(ctx, e.ports.Table, c.Revision()-1)
 	if err != nil { // it was accepted, only the differences can't be told
 		return basilcommand.Summary(fmt.Sprintf("revision %d accepted%s", c.Revision(), note)), nil
--- a/internal/basilentry/operators_test.go
+++ b/internal/basilentry/operators_test.go
@@ -159,6 +159,7 @@
 	s.awaitRow("revisions where revision = 6")
 	s.request(basilapi.OperatorRequest{Text: "apply configuration base 6", Body: document, DryRun: true})
 	s.request(basilapi.OperatorRequest{Text: "apply configuration base 2", Body: document})
+	s.request(basilapi.OperatorRequest{ID: "opening", Text: "apply configuration", Body: document})
 	s.request(basilapi.OperatorRequest{Text: "apply configuration", Body: []byte("{")})
 }
 
@@ -176,6 +177,7 @@
 		if r.Service == "never" {
 			s.give("cancel job " + a.ID.String())
 			s.query("jobs where state = cancelled")
+			s.query(`audit where action = "cancel job"`)
 		}
 	}
 	a, err := s.client.Submit(s.t.Context(), basilapi.SubmitRequest{Service: "quote"})
@@ -207,6 +209,14 @@
 	s.give("set pool counter min-hosts 4")
 	s.give("move host f2 to stretch")
 	s.give("set pool counter min-hosts 0")
+	s.give("move host w1 to empty")
+	s.awaitRow("hosts where host = w1 and pool = empty and state = active")
+	s.query("pools where pool = empty")
+	s.platform.RemoveHost("w1")
+	s.awaitRow("hosts where host = w1 and state = failed")
+	s.query("hosts where host = w1")
+	s.give("remove host w1")
+	s.awaitRow("pools where pool = empty and hosts = 0")
 }
 
 func (s *transcript) waves() {
@@ -273,4 +283,5 @@
 	s.awaitRow("configuration where kind = team and settings ~ 100")
 	s.query("configuration where kind = team")
 	s.query("revisions limit 1")
+	s.give("remove team keepers")
 }
