--- a/cmd/client.go
+++ b/cmd/client.go
@@ -3,8 +3,12 @@
 import (
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
+	"regexp"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,15 +19,20 @@
 // defaultAddress is where an entry host for trials serves.
 const defaultAddress = "http://127.0.0.1:8443"
 
+// defaultTimeout is longer than a short job's own limit.
+const defaultTimeout = time.Minute
+
 // connection holds the flags that say how to reach entry hosts.
 type connection struct {
 	addresses string
 	tokenFile string
+	timeout   time.Duration
 }
 
 func (c *connection) register(flags *flag.FlagSet) {
 	flags.StringVar(&c.addresses, "address", defaultAddress, "base `URLs` of entry hosts, comma-separated, tried in order")
 	flags.StringVar(&c.tokenFile, "token-file", "", "`FILE` with the bearer token")
+	flags.DurationVar(&c.timeout, "timeout", defaultTimeout, "longest wait for the answer of one entry host, which may be frozen")
 }
 
 func (c *connection) client() (*basilclient.Client, error) {
@@ -35,7 +44,9 @@
 		}
 		token = strings.TrimSpace(string(b))
 	}
-	return basilclient.NewClient(basilclient.Options{Addresses: strings.Split(c.addresses, ","), Token: token}), nil
+	return basilclient.NewClient(basilclient.Options{
+		Addresses: strings.Split(c.addresses, ","), Token: token, HTTP: &http.Client{Timeout: c.timeout},
+	}), nil
 }
 
 // ErrFileUnreadable says that a file that a flag names can't be read.
@@ -56,7 +67,10 @@
 
 // exitStatus tells a script how a request ended.
 func exitStatus(err error) int {
-	if basilclient.IsErrNoAnswer(err) || basilclient.IsErrAnswerMalformed(err) {
+	if IsErrUsage(err) || basilapi.IsErrJobIDMalformed(err) {
+		return exitUsage
+	}
+	if IsErrCommandUnknown(err) || basilclient.IsErrNoAnswer(err) || basilclient.IsErrAnswerMalformed(err) {
 		return exitUnknown
 	}
 	p, ok := basilapi.AsProblem(err)
@@ -73,11 +87,23 @@
 
 // explain tells an error to a person: what happened, what to do, when to come back.
 func explain(err error) string {
+	if IsErrCommandUnknown(err) || IsErrCommandRefused(err) || IsErrQueryMistaken(err) {
+		return err.Error()
+	}
 	p, ok := basilapi.AsProblem(err)
 	if !ok {
 		return err.Error()
 	}
-	s := fmt.Sprintf("%s (%s): %s", p.Outcome, p.Code, p.Message)
+	return fmt.Sprintf("%s (%s): %s", p.Outcome, p.Code, reason(err))
+}
+
+// reason tells what a Problem says beside its outcome.
+func reason(err error) string {
+	p, ok := basilapi.AsProblem(err)
+	if !ok {
+		return err.Error()
+	}
+	s := p.Message
 	if p.Hint != "" {
 		s += "; " + p.Hint
 	}
@@ -89,3 +115,38 @@
 	}
 	return s
 }
+
+// mistakeColumn finds the place of a mistake in a message.
+var mistakeColumn = regexp.MustCompile(`^column (\d+): `)
+
+// pointer returns the sentence with a mark below the word that the error names, or "" when it names none.
+func pointer(text string, err error) string {
+	p, _ := basilapi.AsProblem(err)
+	found := mistakeColumn.FindStringSubmatch(p.Message)
+	if p.Code != basilapi.CodeMalformed || found == nil || strings.Contains(text, "\n") {
+		return ""
+	}
+	column, err := strconv.Atoi(found[1])
+	if err != nil || column < 1 || column > len(text)+1 {
+		return ""
+	}
+	return "\n  " + text + "\n  " + strings.Repeat(" ", column-1) + "^"
+}
+
+// Formats of answers.
+const (
+	formatTable = "table"
+	formatJSON  = "json"
+)
+
+func formatFlag(flags *flag.FlagSet) *string {
+	return flags.String("format", formatTable, "table or json")
+}
+
+// checkFormat fails with ErrUsage.
+func checkFormat(format string) error {
+	if format == formatTable || format == formatJSON {
+		return nil
+	}
+	return errors.WithStack(ErrUsage{Detail: fmt.Sprintf("format %q is neither table nor json", format)})
+}
