Believe "not started" from the worker's same boot only

Cause: a worker that started a job, lost the answer, restarted and forgot said "not started", and was believed: a cancel was told "not run" of a job that ran, and the job was started a second time.

Change: TaskStatus.Boot and Task.Boot. The boot is asked by a Status call before `started` is recorded, and stored in the record; a worker of another boot refuses the start. A worker that gives no answer to the question is avoided, without an attempt or a write. The stand-in takes a fresh boot at Restart. Ruled out: the host epoch, which changes with reboots that waves order, not with crashes. It costs one Status call to the worker for each start.

--- a/internal/basiljob/long_cancel.go
+++ b/internal/basiljob/long_cancel.go
@@ -140,7 +140,7 @@
 	if err == nil && s.State == basilplatform.TaskStateAbsent {
 		s, err = l.tasks.Stop(ctx, j.Address, j.ID.String(), j.Attempt)
 	}
-	if err != nil || s.State != basilplatform.TaskStateNotStarted {
+	if err != nil || !j.neverStarted(s) {
 		return errors.WithStack(ErrTooLate{ID: j.ID})
 	}
 	return nil
--- a/internal/basiljob/long_job_record.go
+++ b/internal/basiljob/long_job_record.go
@@ -43,6 +43,7 @@
 	Host       string `json:"host,omitempty"`
 	Address    string `json:"address,omitempty"`
 	HostEpoch  int64  `json:"host_epoch,omitempty"`
+	Boot       string `json:"boot,omitempty"` // of the worker, as it was before the attempt was recorded
 	Seen       bool   `json:"seen,omitempty"` // the attempt is known to have started
 	Ran        bool   `json:"ran,omitempty"`  // an earlier attempt may have started
 	Checkpoint uint64 `json:"checkpoint,omitempty"`
@@ -62,6 +63,13 @@
 	token   string
 }
 
+// neverStarted tells whether the worker's word proves that the recorded attempt never started.
+//
+// A worker of another boot, or one that doesn't tell its boot, may have forgotten it.
+func (r LongJobRecord) neverStarted(s basilplatform.TaskStatus) bool {
+	return s.State == basilplatform.TaskStateNotStarted && s.Boot != "" && s.Boot == r.Boot
+}
+
 func (r LongJobRecord) final() bool {
 	return r.State != basilapi.JobStateAccepted && r.State != basilapi.JobStateStarted
 }
--- a/internal/basiljob/long_property_test.go
+++ b/internal/basiljob/long_property_test.go
@@ -249,6 +249,7 @@
 		"down":    flip(m.tasks.down),
 		"failing": flip(m.tasks.failing),
 		"full":    flip(m.tasks.full),
+		"restart": func(*rapid.T) { m.tasks.forget() },
 	}
 }
 
--- a/internal/basiljob/long_start.go
+++ b/internal/basiljob/long_start.go
@@ -78,15 +78,28 @@
 		o.reload = basilplatform.IsErrItemNotExist(err) // ended by another entry host
 		return err
 	}
+	t.Boot, err = l.bootOf(ctx, p, t)
+	if err != nil {
+		o.avoid = append(o.avoid, p.Host)
+		return err
+	}
 	j := o.job
 	j.State, j.Attempt, j.Seen = basilapi.JobStateStarted, t.Attempt, false
-	j.Host, j.Address, j.HostEpoch = p.Host, p.Address, p.HostEpoch
+	j.Host, j.Address, j.HostEpoch, j.Boot = p.Host, p.Address, p.HostEpoch, t.Boot
 	if err := l.save(ctx, o, j); err != nil {
 		return err
 	}
 	return l.send(ctx, o, t)
 }
 
+// bootOf asks the worker for its boot, without which its later word could not be believed.
+func (l *LongJobs) bootOf(ctx context.Context, p Placement, t basilplatform.Task) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
+	defer cancel()
+	s, err := l.tasks.Status(ctx, p.Address, t.Job, t.Attempt)
+	return s.Boot, err
+}
+
 func (l *LongJobs) placement(o *ownedJob) PlacementRequest {
 	j := o.job
 	return PlacementRequest{
@@ -178,7 +191,7 @@
 		return l.endWith(ctx, o, l.impossible(j, "too many attempts"))
 	}
 	j.State, j.Seen = basilapi.JobStateAccepted, false
-	j.Host, j.Address, j.HostEpoch = "", "", 0
+	j.Host, j.Address, j.HostEpoch, j.Boot = "", "", 0, ""
 	o.due = time.Now()
 	return l.save(ctx, o, j)
 }
--- a/internal/basiljob/long_watch.go
+++ b/internal/basiljob/long_watch.go
@@ -101,10 +101,9 @@
 		return l.done(ctx, o, s)
 	case basilplatform.TaskStateFailed:
 		return l.failed(ctx, o, s)
-	case basilplatform.TaskStateNotStarted, basilplatform.TaskStateAbsent:
-		if !o.hasStarted() && s.State == basilplatform.TaskStateNotStarted {
-			return l.release(ctx, o, o.job)
-		}
+	}
+	if !o.hasStarted() && o.job.neverStarted(s) {
+		return l.release(ctx, o, o.job)
 	}
 	return l.cutOff(ctx, o)
 }
--- a/internal/basiljob/world_test.go
+++ b/internal/basiljob/world_test.go
@@ -48,6 +48,7 @@
 	down    map[string]bool // workers that give no answer, though they work
 	failing map[string]bool // workers that fail all that they start
 	full    map[string]bool // workers that refuse
+	boots   int             // how often all workers restarted
 }
 
 func (f *fakeTasks) sent(id basilapi.JobID, attempt int) basilplatform.Task {
@@ -86,6 +87,15 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	clear(f.tasks)
+	f.boots++
+}
+
+func (f *fakeTasks) boot() string { return fmt.Sprint("boot ", f.boots) }
+
+// signed adds the boot that the status holds for.
+func (f *fakeTasks) signed(s basilplatform.TaskStatus) basilplatform.TaskStatus {
+	s.Boot = f.boot()
+	return s
 }
 
 // arrive starts the attempt unless it is known; it also serves calls that were under way for long.
@@ -93,6 +103,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	k := attemptKey{t.Job, t.Attempt}
+	if t.Boot != "" && t.Boot != f.boot() {
+		return basilplatform.ErrRefused{Operation: "start", Reason: "another boot"}
+	}
 	if f.tasks[k] != nil && f.tasks[k].status.State == basilplatform.TaskStateNotStarted || f.full[address] {
 		return basilplatform.ErrRefused{Operation: "start", Reason: "voided or full"}
 	}
@@ -161,9 +174,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if n := f.tick(attemptKey{job, attempt}); n != nil {
-		return n.status, nil
+		return f.signed(n.status), nil
 	}
-	return basilplatform.TaskStatus{}, nil
+	return f.signed(basilplatform.TaskStatus{}), nil
 }
 
 func (f *fakeTasks) Stop(_ context.Context, address, job string, attempt int) (basilplatform.TaskStatus, error) {
@@ -181,7 +194,7 @@
 	case n.status.State == basilplatform.TaskStateRunning:
 		n.status = basilplatform.TaskStatus{State: basilplatform.TaskStateStopped, Message: "stopped"}
 	}
-	return n.status, nil
+	return f.signed(n.status), nil
 }
 
 func (f *fakeTasks) Checkpoint(context.Context, string, string, int) error { return nil }
--- a/internal/basilplatform/fleet.go
+++ b/internal/basilplatform/fleet.go
@@ -55,6 +55,7 @@
 	Service       string `json:"service"`
 	Host          string `json:"host"`
 	HostEpoch     int64  `json:"host_epoch"`
+	Boot          string `json:"boot,omitempty"` // the worker's boot that the start is for
 	LeaseMillis   int64  `json:"lease_ms"`
 	Cores         int    `json:"cores"`
 	MemoryMB      int    `json:"memory_mb"`
@@ -71,10 +72,14 @@
 	Message    string    `json:"message,omitempty"`
 	Checkpoint []byte    `json:"checkpoint,omitempty"`
 	UsageCores float64   `json:"usage_cores,omitempty"` // lags
+	Boot       string    `json:"boot,omitempty"`        // of the worker, fresh whenever it may have forgotten tasks
 }
 
 // Tasks runs tasks on workers under leases.
 //
+// A worker refuses a start that is for another boot than its own. Its word that
+// an attempt is absent or was voided holds for its present boot only.
+//
 // Each call fails with ErrUnavailable (it had no effect), ErrRefused (it never
 // will) or ErrOutcomeUnknown (it may take effect, now or later).
 type Tasks interface {
--- a/internal/basilstandin/backend.go
+++ b/internal/basilstandin/backend.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilplatform/basilfleet"
 	"basilstage.example/basilstage/pkg/basilapi"
@@ -55,6 +57,7 @@
 	readyAt   time.Time
 	tasks     map[basilfleet.AttemptRequest]*task
 	hostEpoch int64 // the highest seen
+	boot      string
 }
 
 // NewBackend returns an idle backend server.
@@ -73,6 +76,7 @@
 	}
 	return &Backend{
 		options: o,
+		boot:    ulid.Make().String(),
 		starts:  make(map[string]map[int]int),
 		tasks:   make(map[basilfleet.AttemptRequest]*task),
 	}
@@ -236,7 +240,7 @@
 	answerJSON(w, http.StatusOK, b.Status())
 }
 
-// Restart forgets all tasks, takes nothing for the time given and is then no longer leaving.
+// Restart forgets all tasks under a fresh boot, takes nothing for the time given and is then no longer leaving.
 func (b *Backend) Restart(d time.Duration, hostEpoch int64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -244,6 +248,7 @@
 		t.stopTimers()
 	}
 	clear(b.tasks)
+	b.boot = ulid.Make().String()
 	b.leaving = false
 	b.readyAt = time.Now().Add(d)
 	b.hostEpoch = max(b.hostEpoch, hostEpoch)
--- a/internal/basilstandin/backend_task.go
+++ b/internal/basilstandin/backend_task.go
@@ -62,6 +62,9 @@
 	} else if t != nil {
 		return nil
 	}
+	if x.Boot != "" && x.Boot != b.boot {
+		return refusedTask("the start is for another boot")
+	}
 	if x.HostEpoch < b.hostEpoch {
 		return refusedTask("the host has a later epoch")
 	}
@@ -186,7 +189,13 @@
 	case t.status.State == basilplatform.TaskStateRunning:
 		t.stop("stopped")
 	}
-	return t.status
+	return b.signed(t.status)
+}
+
+// signed adds the boot that the status holds for; the caller holds the mutex.
+func (b *Backend) signed(s basilplatform.TaskStatus) basilplatform.TaskStatus {
+	s.Boot = b.boot
+	return s
 }
 
 // TaskStatus returns what is known of an attempt.
@@ -195,9 +204,9 @@
 	defer b.mutex.Unlock()
 	t := b.tasks[key]
 	if t == nil {
-		return basilplatform.TaskStatus{}
+		return b.signed(basilplatform.TaskStatus{})
 	}
-	s := t.status
+	s := b.signed(t.status)
 	if s.State == basilplatform.TaskStateRunning {
 		s.UsageCores = float64(t.cores) * t.share
 	}
