Start urgent long jobs past a pass that waits, and tell the placer what became of its choices

Cause: Step waits for all its jobs, so one worker that gives no answer held up each later job for up to 2 s; urgent ones must start within 1.3 s. The placer heard nothing of tasks that failed, ended or were refused.

Change: StepUrgent works on urgent accepted jobs beside Step; a job is claimed by one pass at a time. The first question to a worker has 400 ms for an urgent job, and a retry comes after 200 ms at most. A Placer that is an Observer is told of running, done, failed, refused and ended attempts.

--- a/internal/basiljob/errors.go
+++ b/internal/basiljob/errors.go
@@ -62,13 +62,16 @@
 
 // ErrFitsNoHost says that no host of the fleet could ever take the job.
 type ErrFitsNoHost struct {
-	Service  string
-	Cores    int
-	MemoryMB int
+	Service       string
+	Cores         int
+	MemoryMB      int
+	LargestCores  int // of any host that runs the service
+	LargestMemory int // MB, of any host that runs the service
 }
 
 func (e ErrFitsNoHost) Error() string {
-	return fmt.Sprintf("job fits no host [service: %s, cores: %d, memory: %d MB]", e.Service, e.Cores, e.MemoryMB)
+	return fmt.Sprintf("job fits no host [service: %s, cores: %d of %d, memory: %d of %d MB]",
+		e.Service, e.Cores, e.LargestCores, e.MemoryMB, e.LargestMemory)
 }
 
 // IsErrFitsNoHost tells whether the error is an ErrFitsNoHost.
--- a/internal/basiljob/long_start.go
+++ b/internal/basiljob/long_start.go
@@ -11,6 +11,12 @@
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
+// Limits of urgent jobs, of which several fit into the time in which they must start.
+const (
+	urgentPatience = 400 * time.Millisecond // for a worker's first answer
+	urgentRetry    = 200 * time.Millisecond // when no host is free
+)
+
 // advance takes one job a step further.
 func (l *LongJobs) advance(ctx context.Context, o *ownedJob) error {
 	if o.reload {
@@ -78,9 +84,10 @@
 		o.reload = basilplatform.IsErrItemNotExist(err) // ended by another entry host
 		return err
 	}
-	t.Boot, err = l.bootOf(ctx, p, t)
+	t.Boot, err = l.bootOf(ctx, p, t, o.job.Urgent)
 	if err != nil {
 		o.avoid = append(o.avoid, p.Host)
+		l.tell(Observation{ID: o.job.ID, Event: TaskEventRefused, Service: o.job.Service, Host: p.Host})
 		return err
 	}
 	j := o.job
@@ -93,8 +100,12 @@
 }
 
 // bootOf asks the worker for its boot, without which its later word could not be believed.
-func (l *LongJobs) bootOf(ctx context.Context, p Placement, t basilplatform.Task) (string, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.options.CallTimeout)
+func (l *LongJobs) bootOf(ctx context.Context, p Placement, t basilplatform.Task, urgent bool) (string, error) {
+	patience := l.options.CallTimeout
+	if urgent {
+		patience = min(patience, urgentPatience)
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	s, err := l.tasks.Status(ctx, p.Address, t.Job, t.Attempt)
 	return s.Boot, err
@@ -114,7 +125,7 @@
 	switch {
 	case errors.As(err, &busy):
 		o.avoid = nil // better a host that refused it than none
-		o.due = time.Now().Add(min(busy.RetryAfter, l.options.ScanEvery))
+		o.due = time.Now().Add(l.retryAfter(o.job, busy))
 		return nil
 	case !IsErrFitsNoHost(err):
 		return err
@@ -127,6 +138,13 @@
 	return l.endWith(ctx, o, l.impossible(o.job, err.Error()))
 }
 
+func (l *LongJobs) retryAfter(j longJob, e ErrNothingFree) time.Duration {
+	if j.Urgent {
+		return min(e.RetryAfter, urgentRetry)
+	}
+	return min(e.RetryAfter, l.options.ScanEvery)
+}
+
 // impossible is the end of a job that can't be run.
 func (l *LongJobs) impossible(j longJob, reason string) ending {
 	e := ending{code: basilapi.CodeJobImpossible, reason: reason}
@@ -176,6 +194,7 @@
 
 // refusedBy takes back an attempt that its only send proved not to have started.
 func (l *LongJobs) refusedBy(ctx context.Context, o *ownedJob, err error) error {
+	l.observe(o.job, TaskEventRefused, 0)
 	o.avoid = append(o.avoid, o.job.Host)
 	j := o.job
 	j.Refusals++
@@ -190,6 +209,7 @@
 	if j.Attempt >= l.options.MaxAttempts {
 		return l.endWith(ctx, o, l.impossible(j, "too many attempts"))
 	}
+	l.tell(Observation{ID: j.ID, Event: TaskEventEnded})
 	j.State, j.Seen = basilapi.JobStateAccepted, false
 	j.Host, j.Address, j.HostEpoch, j.Boot = "", "", 0, ""
 	o.due = time.Now()
--- a/internal/basiljob/long_step.go
+++ b/internal/basiljob/long_step.go
@@ -22,24 +22,50 @@
 	l.stepping.Lock()
 	defer l.stepping.Unlock()
 	err := l.search(ctx)
-	var group errgroup.Group
-	group.SetLimit(l.options.Parallel)
-	for _, o := range l.dueJobs(time.Now()) {
-		group.Go(func() error { return l.advance(ctx, o) })
-	}
-	if e := group.Wait(); e != nil && err == nil {
+	e := l.advanceAll(ctx, l.claim(func(o *ownedJob) bool { return true }))
+	if err == nil {
 		err = e
 	}
 	return err
 }
 
-// dueJobs returns the jobs to look at, in the order of their ids.
-func (l *LongJobs) dueJobs(now time.Time) []*ownedJob {
+// StepUrgent starts the urgent jobs that are due, whatever a Step waits for.
+//
+// It returns the first error it met; the other jobs are worked on all the same.
+func (l *LongJobs) StepUrgent(ctx context.Context) error {
+	return l.advanceAll(ctx, l.claim(func(o *ownedJob) bool {
+		return o.job.Urgent && o.job.State == basilapi.JobStateAccepted
+	}))
+}
+
+func (l *LongJobs) advanceAll(ctx context.Context, all []*ownedJob) error {
+	var group errgroup.Group
+	group.SetLimit(l.options.Parallel)
+	for _, o := range all {
+		group.Go(func() error {
+			defer l.leave(o)
+			return l.advance(ctx, o)
+		})
+	}
+	return group.Wait()
+}
+
+// leave lets other passes work on the job again.
+func (l *LongJobs) leave(o *ownedJob) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	o.busy = false
+}
+
+// claim returns the jobs that are due and that no other pass works on, in the order of their ids.
+func (l *LongJobs) claim(is func(*ownedJob) bool) []*ownedJob {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	now := time.Now()
 	var due []*ownedJob
 	for _, o := range l.owned {
-		if !o.due.After(now) {
+		if !o.busy && !o.due.After(now) && is(o) {
+			o.busy = true
 			due = append(due, o)
 		}
 	}
--- a/internal/basiljob/long_watch.go
+++ b/internal/basiljob/long_watch.go
@@ -96,10 +96,13 @@
 func (l *LongJobs) heard(ctx context.Context, o *ownedJob, s basilplatform.TaskStatus) error {
 	switch s.State {
 	case basilplatform.TaskStateRunning:
+		l.observe(o.job, TaskEventRunning, s.UsageCores)
 		return l.running(ctx, o, s)
 	case basilplatform.TaskStateDone:
+		l.observe(o.job, TaskEventDone, 0)
 		return l.done(ctx, o, s)
 	case basilplatform.TaskStateFailed:
+		l.observe(o.job, TaskEventFailed, 0)
 		return l.failed(ctx, o, s)
 	}
 	if !o.hasStarted() && o.job.neverStarted(s) {
--- a/internal/basiljob/owned_job.go
+++ b/internal/basiljob/owned_job.go
@@ -6,7 +6,7 @@
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
-// ownedJob is what an owner knows of one of its open jobs; only Step changes it.
+// ownedJob is what an owner knows of one of its open jobs; only the pass that made it busy changes it.
 type ownedJob struct {
 	job     longJob
 	due     time.Time // when to look at it next
@@ -14,6 +14,7 @@
 	lost    time.Time // since when the worker gives no answer; zero when it does
 	kept    time.Time // when a checkpoint was last stored
 	misfits int
+	busy    bool     // a pass works on it; the jobs' mutex guards it
 	avoid   []string // hosts that refused it
 	reload  bool     // the record may have moved on
 	started bool     // the worker took the attempt, whether or not that is recorded
@@ -41,8 +42,23 @@
 
 func (l *LongJobs) disown(id basilapi.JobID) {
 	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	delete(l.owned, id)
+	l.mutex.Unlock()
+	l.tell(Observation{ID: id, Event: TaskEventEnded})
+}
+
+// observe tells the placer what became of the job's attempt.
+func (l *LongJobs) observe(j longJob, e TaskEvent, usageCores float64) {
+	l.tell(Observation{
+		ID: j.ID, Event: e, Service: j.Service, Host: j.Host,
+		Cores: j.Cores, MemoryMB: j.MemoryMB, Urgent: j.Urgent, UsageCores: usageCores,
+	})
+}
+
+func (l *LongJobs) tell(x Observation) {
+	if o, ok := l.options.Placer.(Observer); ok {
+		o.Observe(x)
+	}
 }
 
 func (l *LongJobs) owns(id basilapi.JobID) bool {
--- a/internal/basiljob/placer.go
+++ b/internal/basiljob/placer.go
@@ -20,6 +20,37 @@
 	Exclude  []string // hosts that must not be chosen
 }
 
+//go:generate go tool -modfile=../../tools/go.mod enumer -type=TaskEvent -trimprefix=TaskEvent -transform=kebab -json -text -output=task_event_enumer.go
+
+// TaskEvent is what became of an attempt at the host that was chosen for it.
+type TaskEvent int
+
+// The events.
+const (
+	TaskEventRunning TaskEvent = iota // runs there
+	TaskEventDone                     // ended there with a result
+	TaskEventFailed                   // ended there with an error
+	TaskEventRefused                  // never started there
+	TaskEventEnded                    // holds nothing there, whatever became of it
+)
+
+// Observation reports an event to a Placer.
+type Observation struct {
+	ID         basilapi.JobID
+	Event      TaskEvent
+	Service    string
+	Host       string // "" for TaskEventEnded
+	Cores      int    // declared
+	MemoryMB   int    // declared
+	Urgent     bool
+	UsageCores float64 // as reported, with a lag; 0 when it is not
+}
+
+// Observer is a Placer that follows what becomes of its choices; Observe must not block.
+type Observer interface {
+	Observe(x Observation)
+}
+
 // Placement is the host that an attempt is sent to.
 type Placement struct {
 	Host      string
