Choose workers for long jobs by size, rack, health and urgency

Cause: the first choice was the least recently chosen worker, which knew neither sizes nor bad workers nor urgency.

Change: package basilplacement. Choose is the pure decision; Placer holds room for own tasks, learns sizes per service from usage, ejects workers on which several jobs fail, keeps one worker in 16 of a data centre for urgent work, and says at once when no host fits.

--- a/internal/basilentry/entry.go
+++ b/internal/basilentry/entry.go
@@ -15,6 +15,7 @@
 	"basilstage.example/basilstage/internal/basiljob"
 	"basilstage.example/basilstage/internal/basilkeys"
 	"basilstage.example/basilstage/internal/basilpeer"
+	"basilstage.example/basilstage/internal/basilplacement"
 	"basilstage.example/basilstage/internal/basilpool"
 	"basilstage.example/basilstage/internal/basilquery"
 	"basilstage.example/basilstage/internal/basilrouter"
@@ -37,6 +38,7 @@
 	registry *basiljob.Registry
 	copier   *basiljob.TableCopier
 	long     *basiljob.LongJobs
+	placer   *basilplacement.Placer
 	mesh     *basilpeer.Mesh
 	peers    *peerService
 	jobs     *jobService
@@ -88,6 +90,9 @@
 		OnLeaving:  e.leaving,
 	})
 	e.routes = newRoutes(e.router, s.DataCentre())
+	e.placer = basilplacement.NewPlacer(workerFleet{
+		view: func() *basilview.View { return e.control.View() }, dataCentre: s.DataCentre(),
+	}, s.DataCentre())
 	e.control = basilview.NewControl(basilview.Options{
 		Member: basilview.MemberRecord{
 			ID: s.Member(), DataCentre: s.DataCentre(), Incarnation: incarnation,
@@ -95,7 +100,7 @@
 		},
 		Trail:   e.trail,
 		Hosts:   e.pools,
-		List:    e.ports.List,
+		List:    taughtList{HostList: e.ports.List, learn: e.placer.Learn},
 		Publish: e.publish,
 		Learnt:  e.relay,
 	})
@@ -109,7 +114,7 @@
 	})
 	e.long = basiljob.NewLongJobs(e.ports.Table, e.ports.Tasks, basiljob.LongOptions{
 		DataCentre: e.settings.DataCentre(), Incarnation: incarnation, Neighbours: neighbours(e.settings),
-		Placer: newPlacement(e.control, e.settings.DataCentre()), Members: members{control: e.control},
+		Placer: e.placer, Members: members{control: e.control},
 	})
 	e.jobs = &jobService{
 		control: e.control, registry: e.registry, copies: copies, long: e.long, table: e.ports.Table,
@@ -118,6 +123,18 @@
 	}
 }
 
+// workUrgent starts urgent long jobs, which wait for no other pass, until the context ends.
+func (e *Entry) workUrgent(ctx context.Context) {
+	every(ctx, urgentPeriod, func(ctx context.Context) {
+		if e.control.Check(time.Now()) != nil {
+			return
+		}
+		if err := e.long.StepUrgent(ctx); err != nil {
+			e.log.WithError(err).Debug("pass of the urgent jobs failed")
+		}
+	})
+}
+
 // neighbours returns the other data centres, whose long jobs are adopted when their entry hosts are gone.
 func neighbours(s basilsettings.Settings) []string {
 	var all []string
--- a/internal/basilentry/placement.go
+++ b/internal/basilentry/placement.go
@@ -2,70 +2,44 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
-	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"basilstage.example/basilstage/internal/basiljob"
 	"basilstage.example/basilstage/internal/basilmodel"
+	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilview"
 )
 
-// retryPlacement is when to look again for a free host.
-const retryPlacement = 2 * time.Second
-
-// placement chooses workers for long jobs: of the own data centre first, the least recently chosen one.
-type placement struct {
-	control    *basilview.Control
+// workerFleet tells the placer which workers the newest view holds.
+type workerFleet struct {
+	view       func() *basilview.View
 	dataCentre string
-
-	mutex  sync.Mutex
-	chosen map[string]time.Time
 }
 
-func newPlacement(c *basilview.Control, dataCentre string) *placement {
-	return &placement{control: c, dataCentre: dataCentre, chosen: make(map[string]time.Time)}
+// Usable returns the hosts that may be sent work of the service now.
+func (f workerFleet) Usable(service string, now time.Time) []basilmodel.Host {
+	v := f.view()
+	declared, _ := v.Configuration().Service(service)
+	return v.Usable(declared.Pool, f.dataCentre, now)
 }
 
-// Place returns the worker for the next attempt; it fails with basiljob.ErrNothingFree.
-func (p *placement) Place(_ context.Context, r basiljob.PlacementRequest) (basiljob.Placement, error) {
-	now := time.Now()
-	v := p.control.View()
-	declared, _ := v.Configuration().Service(r.Service)
-	var candidates []basilmodel.Host
-	for _, h := range v.Usable(declared.Pool, p.dataCentre, now) {
-		if !slices.Contains(r.Exclude, h.ID()) {
-			candidates = append(candidates, h)
-		}
-	}
-	if len(candidates) == 0 {
-		return basiljob.Placement{}, errors.WithStack(basiljob.ErrNothingFree{RetryAfter: retryPlacement})
-	}
-	h := p.leastRecent(candidates, now)
-	return basiljob.Placement{Host: h.ID(), Address: h.Address(), HostEpoch: h.Epoch()}, nil
+// All returns the hosts of the service's pool, whatever their state.
+func (f workerFleet) All(service string) []basilmodel.Host {
+	v := f.view()
+	declared, _ := v.Configuration().Service(service)
+	return v.HostsIn(declared.Pool)
 }
 
-func (p *placement) leastRecent(candidates []basilmodel.Host, now time.Time) basilmodel.Host {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	rand.Shuffle(len(candidates), func(a, b int) { candidates[a], candidates[b] = candidates[b], candidates[a] })
-	best := slices.MinFunc(candidates, func(a, b basilmodel.Host) int {
-		if c := p.distance(a) - p.distance(b); c != 0 {
-			return c
-		}
-		return p.chosen[a.ID()].Compare(p.chosen[b.ID()])
-	})
-	p.chosen[best.ID()] = now
-	return best
+// taughtList is a host list of which each reading is learnt from.
+type taughtList struct {
+	basilplatform.HostList
+	learn func([]basilplatform.ListedHost)
 }
 
-// distance is 0 for hosts of the own data centre.
-func (p *placement) distance(h basilmodel.Host) int {
-	if h.DataCentre() == p.dataCentre {
-		return 0
+// List returns the platform's list of live and leaving hosts.
+func (l taughtList) List(ctx context.Context) ([]basilplatform.ListedHost, error) {
+	listed, err := l.HostList.List(ctx)
+	if err == nil {
+		l.learn(listed)
 	}
-	return 1
+	return listed, err
 }
--- a/internal/basilentry/run.go
+++ b/internal/basilentry/run.go
@@ -15,6 +15,7 @@
 // Periods of the entry host's background work, and limits of its stop.
 const (
 	longPeriod     = 500 * time.Millisecond
+	urgentPeriod   = 100 * time.Millisecond
 	fleetPeriod    = time.Second
 	sweepPeriod    = time.Minute
 	copyRetention  = 24 * time.Hour         // of short jobs' answers in the table
@@ -38,6 +39,7 @@
 	group.Go(func() { e.sweep(background) })
 	group.Go(func() { e.peers.run(background) })
 	group.Go(func() { e.workLong(background) })
+	group.Go(func() { e.workUrgent(background) })
 	group.Go(func() { e.fleet.run(background) })
 	e.log.WithField("http", e.settings.HTTPAddress()).WithField("incarnation", e.registry.Incarnation().String()).Info("entry host serves")
 	select {
--- /dev/null
+++ b/internal/basilplacement/placer.go
@@ -0,0 +1,262 @@
+package basilplacement
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"basilstage.example/basilstage/internal/basiljob"
+	"basilstage.example/basilstage/internal/basilmodel"
+	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/pkg/basilapi"
+)
+
+// Limits of a Placer.
+const (
+	retryPlacement = 2 * time.Second
+	reserveOneIn   = 16              // workers, one of which is kept for urgent tasks
+	reserveFrom    = 8               // workers of a data centre, below which none is kept
+	refusedFor     = 5 * time.Second // that a worker counts as full
+	jobsBlamed     = 10_000          // jobs whose failures are remembered
+)
+
+// Fleet tells which workers there are for a service.
+type Fleet interface {
+	// Usable returns the hosts that may be sent work now, in a slice that the caller may change.
+	Usable(service string, now time.Time) []basilmodel.Host
+	// All returns the hosts that could ever run the service.
+	All(service string) []basilmodel.Host
+}
+
+// held is the room that an own task takes.
+type held struct {
+	host string
+	size Size
+}
+
+// Placer chooses workers by what it was told of them and of its own tasks.
+type Placer struct {
+	fleet      Fleet
+	dataCentre string
+
+	mutex      sync.Mutex
+	capacities map[string]Size
+	services   map[string]*learned
+	tasks      map[basilapi.JobID]held
+	used       map[string]Size
+	refused    map[string]time.Time
+	health     map[string]*health
+	failedOn   map[basilapi.JobID][]string
+	pool       int // workers for the service placed last
+}
+
+var _ basiljob.Observer = (*Placer)(nil)
+
+// NewPlacer returns a Placer for an entry host of the data centre.
+func NewPlacer(f Fleet, dataCentre string) *Placer {
+	return &Placer{
+		fleet: f, dataCentre: dataCentre,
+		capacities: make(map[string]Size), services: make(map[string]*learned),
+		tasks: make(map[basilapi.JobID]held), used: make(map[string]Size),
+		refused: make(map[string]time.Time), health: make(map[string]*health),
+		failedOn: make(map[basilapi.JobID][]string),
+	}
+}
+
+// Learn takes the capacities of the hosts from the platform's list.
+func (p *Placer) Learn(listed []basilplatform.ListedHost) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, l := range listed {
+		p.capacities[l.ID] = Size{Cores: float64(l.Cores), MemoryMB: l.MemoryMB}
+	}
+}
+
+// Place returns the worker for the next attempt, and holds the room there until the task ends.
+//
+// It fails with basiljob.ErrNothingFree or basiljob.ErrFitsNoHost.
+func (p *Placer) Place(_ context.Context, r basiljob.PlacementRequest) (basiljob.Placement, error) {
+	now := time.Now()
+	usable := p.fleet.Usable(r.Service, now)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.pool = len(usable)
+	p.release(r.ID)
+	size, err := p.expect(usable, r)
+	if err != nil {
+		return basiljob.Placement{}, err
+	}
+	usable = slices.DeleteFunc(usable, func(h basilmodel.Host) bool { return slices.Contains(r.Exclude, h.ID()) })
+	n := Choose(p.workers(usable, now), size, r.Urgent, rand.IntN)
+	if n < 0 {
+		return basiljob.Placement{}, errors.WithStack(basiljob.ErrNothingFree{RetryAfter: retryPlacement})
+	}
+	h := usable[n]
+	p.hold(r.ID, held{host: h.ID(), size: size})
+	p.probe(h.ID(), now)
+	return basiljob.Placement{Host: h.ID(), Address: h.Address(), HostEpoch: h.Epoch()}, nil
+}
+
+// expect returns the size to place the task by: the learned one, or the declared one where only that fits a host.
+//
+// It fails with ErrFitsNoHost when no host could ever take either.
+func (p *Placer) expect(usable []basilmodel.Host, r basiljob.PlacementRequest) (Size, error) {
+	declared := (*learned)(nil).size(r.Cores, r.MemoryMB)
+	expected := p.services[r.Service].size(r.Cores, r.MemoryMB)
+	for _, s := range []Size{expected, declared} {
+		if p.fitsAny(usable, s) {
+			return s, nil
+		}
+	}
+	all := p.fleet.All(r.Service)
+	for _, s := range []Size{expected, declared} {
+		if len(all) == 0 || p.fitsAny(all, s) { // with no host the fleet is not known yet
+			return s, nil
+		}
+	}
+	e := basiljob.ErrFitsNoHost{Service: r.Service, Cores: r.Cores, MemoryMB: r.MemoryMB}
+	for _, h := range all {
+		c := p.capacities[h.ID()]
+		e.LargestCores = max(e.LargestCores, int(c.Cores))
+		e.LargestMemory = max(e.LargestMemory, c.MemoryMB)
+	}
+	return Size{}, errors.WithStack(e)
+}
+
+// fitsAny tells whether a host, were it empty, could take the size; one of unknown capacity might.
+func (p *Placer) fitsAny(hosts []basilmodel.Host, s Size) bool {
+	return slices.ContainsFunc(hosts, func(h basilmodel.Host) bool {
+		c := p.capacities[h.ID()]
+		return c.Cores == 0 || c.holds(s)
+	})
+}
+
+// workers returns the hosts as the decision sees them; the caller holds the mutex.
+func (p *Placer) workers(usable []basilmodel.Host, now time.Time) []Worker {
+	racks := make(map[string]int)
+	for _, h := range usable {
+		if p.used[h.ID()].Cores > 0 {
+			racks[h.Rack()]++
+		}
+	}
+	reserved := reserve(usable)
+	all := make([]Worker, len(usable))
+	for n, h := range usable {
+		capacity := p.capacities[h.ID()]
+		w := Worker{
+			Capacity: capacity, Free: capacity.less(p.used[h.ID()]), OnRack: racks[h.Rack()],
+			Remote: h.DataCentre() != p.dataCentre, Reserved: reserved[h.ID()],
+		}
+		if s := p.health[h.ID()]; s != nil {
+			w.Ejected = now.Before(s.until)
+		}
+		w.Ejected = w.Ejected || now.Before(p.refused[h.ID()])
+		all[n] = w
+	}
+	return all
+}
+
+// reserve returns the workers that are kept for urgent tasks, the same ones at each entry host.
+func reserve(usable []basilmodel.Host) map[string]bool {
+	byCentre := make(map[string][]uint64)
+	for _, h := range usable {
+		byCentre[h.DataCentre()] = append(byCentre[h.DataCentre()], xxhash.Sum64String(h.ID()))
+	}
+	limits := make(map[string]uint64, len(byCentre))
+	for d, sums := range byCentre {
+		if len(sums) < reserveFrom {
+			continue
+		}
+		slices.Sort(sums)
+		limits[d] = sums[(len(sums)-1)/reserveOneIn]
+	}
+	kept := make(map[string]bool)
+	for _, h := range usable {
+		if limit, ok := limits[h.DataCentre()]; ok && xxhash.Sum64String(h.ID()) <= limit {
+			kept[h.ID()] = true
+		}
+	}
+	return kept
+}
+
+// probe lets an ejected worker whose time is over have one task, and no more until it ends.
+func (p *Placer) probe(host string, now time.Time) {
+	if s := p.health[host]; s != nil && s.probing(now) {
+		s.until = now.Add(s.backoff)
+	}
+}
+
+func (p *Placer) hold(id basilapi.JobID, t held) {
+	p.tasks[id] = t
+	p.used[t.host] = p.used[t.host].add(t.size)
+}
+
+func (p *Placer) release(id basilapi.JobID) {
+	t, ok := p.tasks[id]
+	if !ok {
+		return
+	}
+	delete(p.tasks, id)
+	p.used[t.host] = p.used[t.host].less(t.size)
+	if p.used[t.host].Cores < 1e-9 && p.used[t.host].MemoryMB == 0 {
+		delete(p.used, t.host)
+	}
+}
+
+// Observe takes what became of an attempt.
+func (p *Placer) Observe(x basiljob.Observation) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	switch x.Event {
+	case basiljob.TaskEventRunning:
+		p.running(x)
+		return
+	case basiljob.TaskEventRefused:
+		p.refused[x.Host] = now.Add(refusedFor)
+	case basiljob.TaskEventDone:
+		p.ended(x, false, now)
+	case basiljob.TaskEventFailed:
+		p.ended(x, true, now)
+	}
+	p.release(x.ID)
+}
+
+// running learns from the usage, and holds the room of a task that another entry host placed.
+func (p *Placer) running(x basiljob.Observation) {
+	l := p.services[x.Service]
+	if l == nil {
+		l = new(learned)
+		p.services[x.Service] = l
+	}
+	l.take(x.Cores, x.UsageCores)
+	if t, ok := p.tasks[x.ID]; !ok || t.host != x.Host {
+		p.release(x.ID)
+		p.hold(x.ID, held{host: x.Host, size: l.size(x.Cores, x.MemoryMB)})
+	}
+}
+
+// ended judges the worker; a job that failed on several workers is at fault itself.
+func (p *Placer) ended(x basiljob.Observation, failed bool, now time.Time) {
+	h := p.health[x.Host]
+	if h == nil {
+		h = new(health)
+		p.health[x.Host] = h
+	}
+	h.take(x.ID, failed, now)
+	if !failed {
+		return
+	}
+	if len(p.failedOn) >= jobsBlamed {
+		clear(p.failedOn)
+	}
+	if !slices.Contains(p.failedOn[x.ID], x.Host) {
+		p.failedOn[x.ID] = append(p.failedOn[x.ID], x.Host)
+	}
+	judge(p.health, x.Host, p.pool, func(id basilapi.JobID) bool { return len(p.failedOn[id]) < 2 }, now)
+}
