--- a/internal/basilentry/entry.go
+++ b/internal/basilentry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -92,7 +93,7 @@
 	e.routes = newRoutes(e.router, s.DataCentre())
 	e.placer = basilplacement.NewPlacer(workerFleet{
 		view: func() *basilview.View { return e.control.View() }, dataCentre: s.DataCentre(),
-	}, s.DataCentre())
+	}, s.DataCentre(), rand.IntN)
 	e.control = basilview.NewControl(basilview.Options{
 		Member: basilview.MemberRecord{
 			ID: s.Member(), DataCentre: s.DataCentre(), Incarnation: incarnation,
--- a/internal/basilplacement/choose.go
+++ b/internal/basilplacement/choose.go
@@ -3,6 +3,9 @@
 // bestFew is how many of the best workers one is drawn from, so that entry hosts seldom meet.
 const bestFew = 4
 
+// rackWeight is the free share of a worker that another busy worker on its rack outweighs.
+const rackWeight = 0.02
+
 // Worker is a candidate as the decision sees it.
 type Worker struct {
 	Capacity Size
@@ -10,7 +13,8 @@
 	Remote   bool // in another data centre
 	Reserved bool // kept for urgent tasks
 	Ejected  bool
-	OnRack   int // workers on its rack that have own tasks
+	Refused  Size // it refused a task of that size of late; zero for none
+	OnRack   int  // workers on its rack that have own tasks
 }
 
 // knows tells whether the worker's capacity is known.
@@ -21,32 +25,35 @@
 	if w.Ejected || w.Reserved && !urgent {
 		return false
 	}
+	if w.Refused.Cores > 0 && s.holds(w.Refused) {
+		return false
+	}
 	return !w.knows() || w.Free.holds(s)
 }
 
 // before tells whether the worker is better than the other.
 //
-// Own data centre, known capacity and unreserved workers come first; then racks
-// with fewer busy workers; then workers that are left with less room, which keeps whole workers free.
-func (w *Worker) before(o *Worker) bool {
-	if a, b := w.class(), o.class(); a != b {
+// Own data centre, workers that are kept for urgent tasks (for these) and known
+// capacity come first; then those with more room, since others' tasks on them are
+// not known, on racks with fewer busy workers.
+func (w *Worker) before(o *Worker, urgent bool) bool {
+	if a, b := w.class(urgent), o.class(urgent); a != b {
 		return a < b
 	}
-	if w.OnRack != o.OnRack {
-		return w.OnRack < o.OnRack
-	}
-	if !w.knows() {
-		return w.Free.Cores > o.Free.Cores
-	}
-	return w.Free.Cores < o.Free.Cores
+	return w.room() > o.room()
+}
+
+// room is the free share of the worker, less something for each busy worker on its rack.
+func (w *Worker) room() float64 {
+	return w.Free.Cores/max(w.Capacity.Cores, 1) - rackWeight*float64(w.OnRack)
 }
 
-func (w *Worker) class() int {
+func (w *Worker) class(urgent bool) int {
 	var c int
 	if !w.knows() {
 		c++
 	}
-	if w.Reserved {
+	if urgent && !w.Reserved {
 		c += 2
 	}
 	if w.Remote {
@@ -62,11 +69,11 @@
 	best := make([]int, 0, bestFew+1)
 	for n := range workers {
 		w := &workers[n]
-		if !w.takes(s, urgent) || len(best) == bestFew && !w.before(&workers[best[bestFew-1]]) {
+		if !w.takes(s, urgent) || len(best) == bestFew && !w.before(&workers[best[bestFew-1]], urgent) {
 			continue
 		}
 		at := len(best)
-		for at > 0 && w.before(&workers[best[at-1]]) {
+		for at > 0 && w.before(&workers[best[at-1]], urgent) {
 			at--
 		}
 		best = append(best, 0)
@@ -78,7 +85,7 @@
 		return -1
 	}
 	same := 1
-	for same < len(best) && workers[best[same]].class() == workers[best[0]].class() {
+	for same < len(best) && workers[best[same]].class(urgent) == workers[best[0]].class(urgent) {
 		same++
 	}
 	return best[random(same)]
--- a/internal/basilplacement/placer.go
+++ b/internal/basilplacement/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -21,8 +20,9 @@
 	retryPlacement = 2 * time.Second
 	reserveOneIn   = 16              // workers, one of which is kept for urgent tasks
 	reserveFrom    = 8               // workers of a data centre, below which none is kept
-	refusedFor     = 5 * time.Second // that a worker counts as full
-	jobsBlamed     = 10_000          // jobs whose failures are remembered
+	refusedFirst   = 5 * time.Second // that a worker counts as full for what it refused, doubled each time
+	refusedLongest = 80 * time.Second
+	jobsBlamed     = 10_000 // jobs whose failures are remembered
 )
 
 // Fleet tells which workers there are for a service.
@@ -39,17 +39,25 @@
 	size Size
 }
 
+// refusal is the smallest size that a worker refused of late.
+type refusal struct {
+	size    Size
+	until   time.Time
+	backoff time.Duration
+}
+
 // Placer chooses workers by what it was told of them and of its own tasks.
 type Placer struct {
 	fleet      Fleet
 	dataCentre string
+	random     func(n int) int
 
 	mutex      sync.Mutex
 	capacities map[string]Size
 	services   map[string]*learned
 	tasks      map[basilapi.JobID]held
 	used       map[string]Size
-	refused    map[string]time.Time
+	refused    map[string]refusal
 	health     map[string]*health
 	failedOn   map[basilapi.JobID][]string
 	pool       int // workers for the service placed last
@@ -57,13 +65,13 @@
 
 var _ basiljob.Observer = (*Placer)(nil)
 
-// NewPlacer returns a Placer for an entry host of the data centre.
-func NewPlacer(f Fleet, dataCentre string) *Placer {
+// NewPlacer returns a Placer for an entry host of the data centre; random returns a number below its argument.
+func NewPlacer(f Fleet, dataCentre string, random func(n int) int) *Placer {
 	return &Placer{
-		fleet: f, dataCentre: dataCentre,
+		fleet: f, dataCentre: dataCentre, random: random,
 		capacities: make(map[string]Size), services: make(map[string]*learned),
 		tasks: make(map[basilapi.JobID]held), used: make(map[string]Size),
-		refused: make(map[string]time.Time), health: make(map[string]*health),
+		refused: make(map[string]refusal), health: make(map[string]*health),
 		failedOn: make(map[basilapi.JobID][]string),
 	}
 }
@@ -92,7 +100,7 @@
 		return basiljob.Placement{}, err
 	}
 	usable = slices.DeleteFunc(usable, func(h basilmodel.Host) bool { return slices.Contains(r.Exclude, h.ID()) })
-	n := Choose(p.workers(usable, now), size, r.Urgent, rand.IntN)
+	n := Choose(p.workers(usable, now), size, r.Urgent, p.random)
 	if n < 0 {
 		return basiljob.Placement{}, errors.WithStack(basiljob.ErrNothingFree{RetryAfter: retryPlacement})
 	}
@@ -155,7 +163,9 @@
 		if s := p.health[h.ID()]; s != nil {
 			w.Ejected = now.Before(s.until)
 		}
-		w.Ejected = w.Ejected || now.Before(p.refused[h.ID()])
+		if r := p.refused[h.ID()]; now.Before(r.until) {
+			w.Refused = r.size
+		}
 		all[n] = w
 	}
 	return all
@@ -218,7 +228,7 @@
 		p.running(x)
 		return
 	case basiljob.TaskEventRefused:
-		p.refused[x.Host] = now.Add(refusedFor)
+		p.refuse(x, now)
 	case basiljob.TaskEventDone:
 		p.ended(x, false, now)
 	case basiljob.TaskEventFailed:
@@ -227,6 +237,20 @@
 	p.release(x.ID)
 }
 
+// refuse counts the worker as full for what it refused.
+func (p *Placer) refuse(x basiljob.Observation, now time.Time) {
+	r := p.refused[x.Host]
+	size := (*learned)(nil).size(x.Cores, x.MemoryMB)
+	if t, ok := p.tasks[x.ID]; ok {
+		size = t.size
+	}
+	if now.Before(r.until) && size.holds(r.size) {
+		size = r.size
+	}
+	backoff := min(max(2*r.backoff, refusedFirst), refusedLongest)
+	p.refused[x.Host] = refusal{size: size, backoff: backoff, until: now.Add(backoff)}
+}
+
 // running learns from the usage, and holds the room of a task that another entry host placed.
 func (p *Placer) running(x basiljob.Observation) {
 	l := p.services[x.Service]
@@ -235,6 +259,9 @@
 		p.services[x.Service] = l
 	}
 	l.take(x.Cores, x.UsageCores)
+	if r, ok := p.refused[x.Host]; ok && time.Now().After(r.until) {
+		delete(p.refused, x.Host)
+	}
 	if t, ok := p.tasks[x.ID]; !ok || t.host != x.Host {
 		p.release(x.ID)
 		p.hold(x.ID, held{host: x.Host, size: l.size(x.Cores, x.MemoryMB)})
@@ -260,3 +287,16 @@
 	}
 	judge(p.health, x.Host, p.pool, func(id basilapi.JobID) bool { return len(p.failedOn[id]) < 2 }, now)
 }
+
+// Ejected returns how many workers get no tasks because those of several jobs failed on them.
+func (p *Placer) Ejected() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var n int
+	for _, h := range p.health {
+		if h.backoff > 0 {
+			n++
+		}
+	}
+	return n
+}
