Rank workers that fail last, and blame jobs only where others succeed

The median was also taken over workers with tasks alone, all of them bad. Change: a job is blamed only when it failed on a worker where others succeed; the median counts workers not known to fail; a worker on which several jobs failed comes last, also when no more may be ejected; one whose ejection is over but that has not proved itself counts as out, since a probe beyond the share was possible (5 of 20 seen where 4 are allowed).

--- a/internal/basilplacement/choose.go
+++ b/internal/basilplacement/choose.go
@@ -13,6 +13,7 @@
 	Remote   bool // in another data centre
 	Reserved bool // kept for urgent tasks
 	Ejected  bool
+	Suspect  bool // several jobs failed on it
 	Refused  Size // it refused a task of that size of late; zero for none
 	OnRack   int  // workers on its rack that have own tasks
 }
@@ -33,7 +34,7 @@
 
 // before tells whether the worker is better than the other.
 //
-// Own data centre, workers that are kept for urgent tasks (for these) and known
+// Workers that don't fail, own data centre, workers that are kept for urgent tasks (for these) and known
 // capacity come first; then those with more room, since others' tasks on them are
 // not known, on racks with fewer busy workers.
 func (w *Worker) before(o *Worker, urgent bool) bool {
@@ -59,6 +60,9 @@
 	if w.Remote {
 		c += 4
 	}
+	if w.Suspect {
+		c += 8
+	}
 	return c
 }
 
--- a/internal/basilplacement/health.go
+++ b/internal/basilplacement/health.go
@@ -29,6 +29,7 @@
 	outcomes map[basilapi.JobID]outcome
 	until    time.Time     // ejected
 	backoff  time.Duration // of the last ejection
+	suspect  time.Time     // until then it comes last
 }
 
 // take notes how a job ended, and forgets old outcomes.
@@ -39,7 +40,7 @@
 	maps.DeleteFunc(h.outcomes, func(_ basilapi.JobID, o outcome) bool { return now.Sub(o.at) > failWindow })
 	h.outcomes[id] = outcome{at: now, failed: failed}
 	if !failed {
-		h.backoff, h.until = 0, time.Time{}
+		h.backoff, h.until, h.suspect = 0, time.Time{}, time.Time{}
 	}
 }
 
@@ -61,6 +62,16 @@
 	return float64(failed) / float64(all), failed
 }
 
+// succeeds tells whether jobs ended well on the worker of late.
+func (h *health) succeeds() bool {
+	for _, o := range h.outcomes {
+		if !o.failed {
+			return true
+		}
+	}
+	return false
+}
+
 // probing tells whether the worker was ejected and has not proved itself since.
 func (h *health) probing(now time.Time) bool { return h.backoff > 0 && !now.Before(h.until) }
 
@@ -68,6 +79,7 @@
 func (h *health) eject(now time.Time) {
 	h.backoff = min(max(2*h.backoff, ejectFirst), ejectLongest)
 	h.until = now.Add(h.backoff)
+	h.suspect = h.until // then it is probed
 	clear(h.outcomes)
 }
 
@@ -89,16 +101,20 @@
 	if failed == 0 || failed < failJobs && h.backoff == 0 { // a probe has one try
 		return
 	}
+	h.suspect = now.Add(failWindow)
 	var out int
 	var rates []float64
 	for name, o := range all {
-		if name != host && now.Before(o.until) {
+		if name != host && o.backoff > 0 { // also one that is yet to be probed
 			out++
 		}
 		if r, _ := o.rate(blame); name != host && len(o.outcomes) > 0 {
 			rates = append(rates, r)
 		}
 	}
+	for len(rates) < pool-1 { // of workers that are not known to fail
+		rates = append(rates, 0)
+	}
 	if float64(out+1) > ejectShare*float64(pool) || rate < median(rates)+failMargin {
 		return
 	}
--- a/internal/basilplacement/placer.go
+++ b/internal/basilplacement/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	retryPlacement = 2 * time.Second
 	reserveOneIn   = 16              // workers, one of which is kept for urgent tasks
 	reserveFrom    = 8               // workers of a data centre, below which none is kept
+	reserveByShare = 500             // from where a share of the ranks is as good as a count
 	refusedFirst   = 5 * time.Second // that a worker counts as full for what it refused, doubled each time
 	refusedLongest = 80 * time.Second
 	jobsBlamed     = 10_000 // jobs whose failures are remembered
@@ -152,16 +154,16 @@
 			racks[h.Rack()]++
 		}
 	}
-	reserved := reserve(usable)
+	limits := reserve(usable)
 	all := make([]Worker, len(usable))
 	for n, h := range usable {
 		capacity := p.capacities[h.ID()]
 		w := Worker{
 			Capacity: capacity, Free: capacity.less(p.used[h.ID()]), OnRack: racks[h.Rack()],
-			Remote: h.DataCentre() != p.dataCentre, Reserved: reserved[h.ID()],
+			Remote: h.DataCentre() != p.dataCentre, Reserved: rank(h) < limits[h.DataCentre()],
 		}
 		if s := p.health[h.ID()]; s != nil {
-			w.Ejected = now.Before(s.until)
+			w.Ejected, w.Suspect = now.Before(s.until), now.Before(s.suspect)
 		}
 		if r := p.refused[h.ID()]; now.Before(r.until) {
 			w.Refused = r.size
@@ -171,27 +173,26 @@
 	return all
 }
 
-// reserve returns the workers that are kept for urgent tasks, the same ones at each entry host.
-func reserve(usable []basilmodel.Host) map[string]bool {
-	byCentre := make(map[string][]uint64)
+// rank orders workers alike at each entry host.
+func rank(h basilmodel.Host) uint64 { return xxhash.Sum64String(h.ID()) }
+
+// reserve returns, by data centre, the rank below which workers are kept for urgent tasks.
+func reserve(usable []basilmodel.Host) map[string]uint64 {
+	ranks := make(map[string][]uint64)
 	for _, h := range usable {
-		byCentre[h.DataCentre()] = append(byCentre[h.DataCentre()], xxhash.Sum64String(h.ID()))
-	}
-	limits := make(map[string]uint64, len(byCentre))
-	for d, sums := range byCentre {
-		if len(sums) < reserveFrom {
-			continue
-		}
-		slices.Sort(sums)
-		limits[d] = sums[(len(sums)-1)/reserveOneIn]
+		ranks[h.DataCentre()] = append(ranks[h.DataCentre()], rank(h))
 	}
-	kept := make(map[string]bool)
-	for _, h := range usable {
-		if limit, ok := limits[h.DataCentre()]; ok && xxhash.Sum64String(h.ID()) <= limit {
-			kept[h.ID()] = true
+	limits := make(map[string]uint64, len(ranks))
+	for d, all := range ranks {
+		switch {
+		case len(all) >= reserveByShare:
+			limits[d] = math.MaxUint64 / reserveOneIn
+		case len(all) >= reserveFrom:
+			slices.Sort(all)
+			limits[d] = all[(len(all)+reserveOneIn-1)/reserveOneIn]
 		}
 	}
-	return kept
+	return limits
 }
 
 // probe lets an ejected worker whose time is over have one task, and no more until it ends.
@@ -268,7 +269,7 @@
 	}
 }
 
-// ended judges the worker; a job that failed on several workers is at fault itself.
+// ended judges the worker; a job that fails where others succeed is at fault itself.
 func (p *Placer) ended(x basiljob.Observation, failed bool, now time.Time) {
 	h := p.health[x.Host]
 	if h == nil {
@@ -285,10 +286,15 @@
 	if !slices.Contains(p.failedOn[x.ID], x.Host) {
 		p.failedOn[x.ID] = append(p.failedOn[x.ID], x.Host)
 	}
-	judge(p.health, x.Host, p.pool, func(id basilapi.JobID) bool { return len(p.failedOn[id]) < 2 }, now)
+	judge(p.health, x.Host, p.pool, p.blames, now)
+}
+
+// blames tells whether a job's failures are its workers': it failed on none where others succeed.
+func (p *Placer) blames(id basilapi.JobID) bool {
+	return !slices.ContainsFunc(p.failedOn[id], func(host string) bool { return p.health[host].succeeds() })
 }
 
-// Ejected returns how many workers get no tasks because those of several jobs failed on them.
+// Ejected returns how many workers are ejected and have not proved themselves since.
 func (p *Placer) Ejected() int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
