--- /dev/null
+++ b/internal/basiljob/long_restart_test.go
@@ -0,0 +1,57 @@
+package basiljob_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basiljob"
+	"basilstage.example/basilstage/pkg/basilapi"
+)
+
+// TestWorkerRestartsAroundTheStart restarts workers, which forget their tasks, at the worst moments.
+func TestWorkerRestartsAroundTheStart(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		faults     []linkFault // of the owner's calls that change something
+		takenOver  bool
+		state      basilapi.JobState
+		starts     int
+	}{
+		{"started, its answer lost", false, []linkFault{linkWorks, linkAnswerLost}, false, basilapi.JobStateUnknown, 1},
+		{"started, its answer lost, taken over", false, []linkFault{linkWorks, linkAnswerLost}, true, basilapi.JobStateUnknown, 1},
+		{"idempotent, its answer lost", true, []linkFault{linkWorks, linkAnswerLost}, false, basilapi.JobStateDone, 2},
+		{"start under way", false, []linkFault{linkWorks, linkLate}, false, basilapi.JobStateUnknown, 0},
+		{"recorded, not sent", false, []linkFault{linkWorks, linkFrozen}, false, basilapi.JobStateDone, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(1, shortLease)
+				o := w.owners[0]
+				a, err := o.jobs.Accept(t.Context(), long("boots", tt.idempotent))
+				must.NoError(t, err)
+				o.link.inject(tt.faults...)
+				w.stepFor(time.Second)
+				w.tasks.forget()
+				if tt.takenOver {
+					o.link.setCut(true)
+					w.members.declare(o.incarnation)
+					w.owners = append(w.owners, w.newOwner())
+				}
+				_, err = w.newOwner().jobs.Cancel(t.Context(), a.ID)
+				must.True(t, basiljob.IsErrTooLate(err))
+				o.link.wake()
+				o.link.release()
+				w.stepFor(time.Minute)
+				must.Eq(t, tt.starts, w.tasks.starts(a.ID))
+				a, err = w.newOwner().jobs.Get(t.Context(), a.ID)
+				must.NoError(t, err)
+				must.Eq(t, tt.state, a.State, must.Sprint(a.Reason))
+			})
+		})
+	}
+}
