--- a/internal/basiljob/long_jobs.go
+++ b/internal/basiljob/long_jobs.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/oklog/ulid/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/singleflight"
@@ -27,6 +28,7 @@
 	defaultCallTimeout   = 2 * time.Second
 	defaultMaxFailed     = 3
 	defaultMaxRefusals   = 10
+	defaultRefusedFor    = time.Hour
 	defaultMaxAttempts   = 50
 	defaultMaxMisfits    = 3
 	defaultParallel      = 16
@@ -53,11 +55,12 @@
 	Retention   time.Duration // how long ended jobs are kept
 	CallTimeout time.Duration // of one call to a worker
 	MaxFailed   int           // hosts that a job may fail on
-	MaxRefusals int           // refusals by hosts
-	MaxAttempts int
-	MaxMisfits  int // findings in a row that the job fits no host
-	Parallel    int // jobs worked on at once
-	CancelRate  int // cancels a second
+	MaxRefusals int           // refusals by hosts that end a job
+	RefusedFor  time.Duration // age below which refusals end no job: the hosts may just be full
+	MaxAttempts int           // that were not refused
+	MaxMisfits  int           // findings in a row that the job fits no host
+	Parallel    int           // jobs worked on at once
+	CancelRate  int           // cancels a second
 }
 
 func orDefault[T int | time.Duration](v *T, d T) {
@@ -81,6 +84,7 @@
 	orDefault(&o.CallTimeout, defaultCallTimeout)
 	orDefault(&o.MaxFailed, defaultMaxFailed)
 	orDefault(&o.MaxRefusals, defaultMaxRefusals)
+	orDefault(&o.RefusedFor, defaultRefusedFor)
 	orDefault(&o.MaxAttempts, defaultMaxAttempts)
 	orDefault(&o.MaxMisfits, defaultMaxMisfits)
 	orDefault(&o.Parallel, defaultParallel)
@@ -102,7 +106,9 @@
 	widened  time.Time  // the neighbours
 
 	cancels     singleflight.Group
+	turning     sync.Mutex
 	cancelTurns *rate.Limiter
+	cancelled   *lru.Cache[basilapi.JobID, basilapi.JobAnswer] // "not run" is final
 
 	mutex sync.Mutex
 	owned map[basilapi.JobID]*ownedJob
@@ -111,12 +117,14 @@
 // NewLongJobs returns the long jobs of one incarnation of an entry host.
 func NewLongJobs(t basilplatform.Table, tasks basilplatform.Tasks, o LongOptions) *LongJobs {
 	o = o.withDefaults()
+	cancelled, _ := lru.New[basilapi.JobID, basilapi.JobAnswer](maxCancelled) // fails only for sizes below 1
 	return &LongJobs{
 		store:   longJobStore{table: t, jitter: o.Jitter},
 		tasks:   tasks,
 		options: o,
 
 		cancelTurns: rate.NewLimiter(rate.Limit(o.CancelRate), o.CancelRate),
+		cancelled:   cancelled,
 
 		owned: make(map[basilapi.JobID]*ownedJob),
 	}
--- a/internal/basiljob/long_start.go
+++ b/internal/basiljob/long_start.go
@@ -5,12 +5,26 @@
 	"slices"
 	"time"
 
+	"github.com/oklog/ulid/v2"
 	"github.com/pkg/errors"
 
 	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
+// Limits of urgent jobs, of which several fit into the time in which they must start.
+const (
+	urgentPatience = 400 * time.Millisecond // for a worker's first answer
+	urgentRetry    = 200 * time.Millisecond // when no host is free
+)
+
+// Pauses of a job that workers refuse.
+const (
+	quickRefusals    = 3 // after which it waits
+	refusalPause     = 500 * time.Millisecond
+	refusalDoublings = 6 // to 32 s
+)
+
 // advance takes one job a step further.
 func (l *LongJobs) advance(ctx context.Context, o *ownedJob) error {
 	if o.reload {
@@ -66,6 +80,10 @@
 		})
 	}
 	p, err := l.options.Placer.Place(ctx, l.placement(o))
+	if IsErrNothingFree(err) && l.evict(ctx, o) {
+		p, err = l.options.Placer.Place(ctx, l.placement(o))
+	}
+	o.prefer = ""
 	if err != nil {
 		return l.unplaced(ctx, o, err)
 	}
@@ -78,20 +96,38 @@
 		o.reload = basilplatform.IsErrItemNotExist(err) // ended by another entry host
 		return err
 	}
+	t.Boot, err = l.bootOf(ctx, p, t, o.job.Urgent)
+	if err != nil {
+		o.avoid = append(o.avoid, p.Host)
+		l.tell(Observation{ID: o.job.ID, Event: TaskEventRefused, Service: o.job.Service, Host: p.Host})
+		return err
+	}
 	j := o.job
 	j.State, j.Attempt, j.Seen = basilapi.JobStateStarted, t.Attempt, false
-	j.Host, j.Address, j.HostEpoch = p.Host, p.Address, p.HostEpoch
+	j.Host, j.Address, j.HostEpoch, j.Boot = p.Host, p.Address, p.HostEpoch, t.Boot
 	if err := l.save(ctx, o, j); err != nil {
 		return err
 	}
 	return l.send(ctx, o, t)
 }
 
+// bootOf asks the worker for its boot, without which its later word could not be believed.
+func (l *LongJobs) bootOf(ctx context.Context, p Placement, t basilplatform.Task, urgent bool) (string, error) {
+	patience := l.options.CallTimeout
+	if urgent {
+		patience = min(patience, urgentPatience)
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	s, err := l.tasks.Status(ctx, p.Address, t.Job, t.Attempt)
+	return s.Boot, err
+}
+
 func (l *LongJobs) placement(o *ownedJob) PlacementRequest {
 	j := o.job
 	return PlacementRequest{
 		ID: j.ID, Service: j.Service, Cores: j.Cores, MemoryMB: j.MemoryMB, GuessMS: j.GuessMS,
-		Urgent: j.Urgent, Attempt: j.Attempt + 1, Exclude: slices.Concat(j.FailedOn, o.avoid),
+		Urgent: j.Urgent, Attempt: j.Attempt + 1, Exclude: slices.Concat(j.FailedOn, o.avoid), Prefer: o.prefer,
 	}
 }
 
@@ -101,7 +137,7 @@
 	switch {
 	case errors.As(err, &busy):
 		o.avoid = nil // better a host that refused it than none
-		o.due = time.Now().Add(min(busy.RetryAfter, l.options.ScanEvery))
+		o.due = time.Now().Add(l.retryAfter(o.job, busy))
 		return nil
 	case !IsErrFitsNoHost(err):
 		return err
@@ -114,6 +150,13 @@
 	return l.endWith(ctx, o, l.impossible(o.job, err.Error()))
 }
 
+func (l *LongJobs) retryAfter(j longJob, e ErrNothingFree) time.Duration {
+	if j.Urgent {
+		return min(e.RetryAfter, urgentRetry)
+	}
+	return min(e.RetryAfter, l.options.ScanEvery)
+}
+
 // impossible is the end of a job that can't be run.
 func (l *LongJobs) impossible(j longJob, reason string) ending {
 	e := ending{code: basilapi.CodeJobImpossible, reason: reason}
@@ -163,22 +206,44 @@
 
 // refusedBy takes back an attempt that its only send proved not to have started.
 func (l *LongJobs) refusedBy(ctx context.Context, o *ownedJob, err error) error {
+	l.observe(o.job, TaskEventRefused, 0)
 	o.avoid = append(o.avoid, o.job.Host)
 	j := o.job
 	j.Refusals++
-	if j.Refusals >= l.options.MaxRefusals {
+	if j.Refusals >= l.options.MaxRefusals && ageOf(j.ID) >= l.options.RefusedFor {
 		return l.endWith(ctx, o, l.impossible(j, err.Error()))
 	}
-	return l.release(ctx, o, j)
+	saved := l.release(ctx, o, j)
+	o.due = time.Now().Add(pauseAfter(j.LongJobRecord))
+	if saved == nil && j.Refusals >= evictAfter && l.evict(ctx, o) {
+		o.due = time.Now()
+	}
+	return saved
+}
+
+// ageOf returns the time since the id was minted.
+func ageOf(id basilapi.JobID) time.Duration { return time.Since(ulid.Time(id.Serial().Time())) }
+
+// pauseAfter returns how long a refused job waits: a full pool must not cost writes without end.
+func pauseAfter(j LongJobRecord) time.Duration {
+	if j.Refusals <= quickRefusals {
+		return 0
+	}
+	pause := refusalPause << min(j.Refusals-quickRefusals-1, refusalDoublings)
+	if j.Urgent {
+		return min(pause, urgentRetry)
+	}
+	return pause
 }
 
 // release makes the job ready for its next attempt.
 func (l *LongJobs) release(ctx context.Context, o *ownedJob, j longJob) error {
-	if j.Attempt >= l.options.MaxAttempts {
+	if j.Attempt-j.Refusals >= l.options.MaxAttempts {
 		return l.endWith(ctx, o, l.impossible(j, "too many attempts"))
 	}
+	l.tell(Observation{ID: j.ID, Event: TaskEventEnded})
 	j.State, j.Seen = basilapi.JobStateAccepted, false
-	j.Host, j.Address, j.HostEpoch = "", "", 0
+	j.Host, j.Address, j.HostEpoch, j.Boot = "", "", 0, ""
 	o.due = time.Now()
 	return l.save(ctx, o, j)
 }
--- a/internal/basiljob/long_watch.go
+++ b/internal/basiljob/long_watch.go
@@ -96,15 +96,17 @@
 func (l *LongJobs) heard(ctx context.Context, o *ownedJob, s basilplatform.TaskStatus) error {
 	switch s.State {
 	case basilplatform.TaskStateRunning:
+		l.observe(o.job, TaskEventRunning, s.UsageCores)
 		return l.running(ctx, o, s)
 	case basilplatform.TaskStateDone:
+		l.observe(o.job, TaskEventDone, 0)
 		return l.done(ctx, o, s)
 	case basilplatform.TaskStateFailed:
+		l.observe(o.job, TaskEventFailed, 0)
 		return l.failed(ctx, o, s)
-	case basilplatform.TaskStateNotStarted, basilplatform.TaskStateAbsent:
-		if !o.hasStarted() && s.State == basilplatform.TaskStateNotStarted {
-			return l.release(ctx, o, o.job)
-		}
+	}
+	if !o.hasStarted() && o.job.neverStarted(s) {
+		return l.release(ctx, o, o.job)
 	}
 	return l.cutOff(ctx, o)
 }
