--- a/internal/basiljob/long_evict.go
+++ b/internal/basiljob/long_evict.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 
 	"basilstage.example/basilstage/internal/basilplatform"
@@ -36,7 +37,7 @@
 	return true
 }
 
-// evictable returns the own jobs that may be stopped.
+// evictable returns the own jobs that may be stopped, in the order of their ids.
 func (l *LongJobs) evictable() []basilapi.JobID {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -46,6 +47,7 @@
 			ids = append(ids, id)
 		}
 	}
+	sort.Slice(ids, func(a, b int) bool { return ids[a].Serial().Compare(ids[b].Serial()) < 0 })
 	return ids
 }
 
