Let a bootstrap token give the first configuration

Ruled out: anonymous operators off loopback; a team in the settings for good. Change: the settings may hold the hash of a token that is taken as an operator's while no team is declared, and never after. Before/after: TestBootstrapToken's first row could not pass before (there was no such token); all five rows pass.

--- a/internal/basilentry/caller.go
+++ b/internal/basilentry/caller.go
@@ -8,7 +8,6 @@
 	"strings"
 
 	"basilstage.example/basilstage/internal/basilmodel"
-	"basilstage.example/basilstage/internal/basilview"
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
@@ -21,15 +20,24 @@
 	operator bool
 }
 
+// bootstrap is the operators' team while no team is declared.
+const bootstrap = "bootstrap"
+
+// access tells who is let in while the configuration declares no team.
+type access struct {
+	open          bool   // anyone, which the settings allow on loopback only
+	bootstrapHash string // an operator with the token of this SHA-256
+}
+
 // authenticate finds the team whose token the request bears.
-//
-// While the configuration declares no team, the entry host serves anyone, which
-// the settings allow on loopback only.
-func authenticate(v *basilview.View, open bool, r *http.Request) (caller, error) {
-	teams := v.Configuration().Teams()
-	if len(teams) == 0 && open {
+func authenticate(c basilmodel.Configuration, a access, r *http.Request) (caller, error) {
+	teams := c.Teams()
+	if len(teams) == 0 && a.open {
 		return caller{team: anonymous, operator: true}, nil
 	}
+	if len(teams) == 0 && a.bootstrapHash != "" {
+		teams = []basilmodel.Team{{Name: bootstrap, TokenHash: a.bootstrapHash, Operator: true}}
+	}
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return caller{}, refuse(basilapi.CodeUnauthenticated, "the request bears no token", "send Authorization: Bearer TOKEN", 0)
--- a/internal/basilentry/entry_test.go
+++ b/internal/basilentry/entry_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/oklog/ulid/v2"
@@ -17,6 +18,7 @@
 	"basilstage.example/basilstage/internal/basilentry"
 	"basilstage.example/basilstage/internal/basilkeys"
 	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilmodel"
 	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilsettings"
 	"basilstage.example/basilstage/internal/basilstandin"
@@ -92,3 +94,29 @@
 		})
 	}
 }
+
+// TestBootstrapToken lets the first configuration in where the settings allow no anonymous callers, and nothing after it.
+func TestBootstrapToken(t *testing.T) {
+	const hash = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08" // of "test"
+	team := basilmodel.Team{Name: "keepers", TokenHash: hash, Operator: true}
+	declared := basilmodel.NewConfiguration(basilmodel.ConfigurationRecord{Teams: []basilmodel.Team{{Name: "clerks", TokenHash: strings.Repeat("0", 64)}}})
+	tests := []struct {
+		name          string
+		configuration basilmodel.Configuration
+		token         string
+		team          string
+	}{
+		{"no team declared, the bootstrap token", basilmodel.Configuration{}, "test", "bootstrap"},
+		{"no team declared, another token", basilmodel.Configuration{}, "guess", ""},
+		{"no team declared, no token", basilmodel.Configuration{}, "", ""},
+		{"teams declared, the bootstrap token", declared, "test", ""},
+		{"the team's own token", basilmodel.NewConfiguration(basilmodel.ConfigurationRecord{Teams: []basilmodel.Team{team}}), "test", "keepers"},
+	}
+	for _, tt := range tests {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		if tt.token != "" {
+			r.Header.Set("Authorization", "Bearer "+tt.token)
+		}
+		must.EqOp(t, tt.team, basilentry.TeamOf(tt.configuration, false, hash, r), must.Sprint(tt.name))
+	}
+}
--- a/internal/basilentry/http_server.go
+++ b/internal/basilentry/http_server.go
@@ -105,7 +105,7 @@
 
 func (e *Entry) authenticated(serve known) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		c, err := authenticate(e.control.View(), e.settings.PlainText(), r)
+		c, err := authenticate(e.control.View().Configuration(), access{open: e.settings.PlainText(), bootstrapHash: e.settings.BootstrapHash()}, r)
 		if err != nil {
 			writeError(w, err)
 			return
--- a/internal/basilsettings/record.go
+++ b/internal/basilsettings/record.go
@@ -10,6 +10,8 @@
 	TLS        TLSRecord      `yaml:"tls"`
 	Log        LogRecord      `yaml:"log"`
 	Limits     LimitsRecord   `yaml:"limits"`
+
+	BootstrapTokenHash string `yaml:"bootstrap_token_hash" validate:"omitempty,len=64,hexadecimal"`
 }
 
 // ListenRecord holds the addresses that the entry host listens on.
--- a/internal/basilsettings/table_keys.go
+++ b/internal/basilsettings/table_keys.go
@@ -17,6 +17,9 @@
 	return access, secret, err
 }
 
+// BootstrapHash returns the SHA-256, in hex, of the operators' token that is taken while no team is declared, or "".
+func (s Settings) BootstrapHash() string { return s.record.BootstrapTokenHash }
+
 func keyOf(value, file string) (string, error) {
 	if file == "" {
 		return value, nil
