--- a/failure_test.go
+++ b/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
@@ -110,9 +111,34 @@
 	})
 	s.awaitRows(e3, "audit where command = drain-once", 1)
 
+	s.note("both entry hosts of fukuoka are told to stop, twice, while each awaits a slow answer")
+	s.stopBothUnderLoad(e1, e2, runners)
+	must.EqOp(t, 0, s.stop("e3"), must.Sprint(s.logged("e3")))
 	for _, m := range members {
-		must.EqOp(t, 0, s.stop(m.id), must.Sprint(s.logged(m.id)))
 		must.StrNotContains(t, s.logged(m.id), "DATA RACE")
 	}
 	goldie.New(t).Assert(t, "failures", []byte(normal(s.text.String())))
 }
+
+// stopBothUnderLoad stops two entry hosts at once; what each awaits must come whole.
+func (s *session) stopBothUnderLoad(a, b member, runners []string) {
+	s.t.Helper()
+	for _, r := range runners {
+		must.EqOp(s.t, 200, post(s.t, "http://"+r+"/v1/faults", `{"slow_factor": 200}`))
+	}
+	answered := make(chan bool, 2)
+	for _, m := range []member{a, b} {
+		go func() {
+			out, status := s.run("submit", "--address", m.url(), "--service", "receipt", "last duvet of "+m.id)
+			answered <- status == 0 && strings.Contains(out, "answer to last duvet of "+m.id)
+		}()
+	}
+	s.await("two jobs in progress", func() bool { return s.inProgress(runners) == 2 })
+	for _, m := range []member{a, b} {
+		must.NoError(s.t, s.running[m.id].Process.Signal(syscall.SIGTERM))
+	}
+	for _, m := range []member{a, b} {
+		must.EqOp(s.t, 0, s.stop(m.id), must.Sprint(s.logged(m.id)))
+	}
+	s.note("both left with exit status 0; answers whole: %t, %t", <-answered, <-answered)
+}
--- a/session_test.go
+++ b/session_test.go
@@ -10,6 +10,7 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/shoenig/test/must"
 
+	"basilstage.example/basilstage/internal/basilstandin"
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
@@ -212,14 +213,20 @@
 // awaitInProgress waits until one of the runners works on a job.
 func (s *session) awaitInProgress(runners []string) {
 	s.t.Helper()
-	s.await("a job in progress", func() bool {
-		for _, r := range runners {
-			if _, body := get("http://" + r + "/v1/status"); strings.Contains(body, `"in_progress":1`) {
-				return true
-			}
+	s.await("a job in progress", func() bool { return s.inProgress(runners) == 1 })
+}
+
+// inProgress adds up the jobs that the runners work on.
+func (s *session) inProgress(runners []string) int {
+	total := 0
+	for _, r := range runners {
+		_, body := get("http://" + r + "/v1/status")
+		var status basilstandin.BackendStatus
+		if json.Unmarshal([]byte(body), &status) == nil {
+			total += status.InProgress
 		}
-		return false
-	})
+	}
+	return total
 }
 
 // startsOf adds up how often the job was started.
