--- a/internal/basilpeer/mesh_test.go
+++ b/internal/basilpeer/mesh_test.go
@@ -41,7 +41,7 @@
 	b := m.start("b", "kumamoto", h, nil)
 	sent := Delta{
 		Sequence: 7, Revision: 3, Entries: [][]byte{[]byte("entry")}, Answers: [][]byte{[]byte("answer")},
-		Leaving: []LeavingHost{{Host: "h1", Epoch: 4}}, Load: []RunnerLoad{{Host: "h2", InFlight: 5}},
+		Leaving: []LeavingHost{{Host: "h1", Epoch: 4}}, Load: []PoolLoad{{Pool: "p2", Slots: 5}},
 		Ready: true, Stopping: true,
 	}
 	a.SetPeers([]Peer{b.peer})
