Keep the signal handler until the process ends

Nothing was cut off: the entry host had left, but a supervisor would have seen a crash. Ruled out: the stop itself (the log ends with its requests answered). Change: the handler stays.

--- a/cmd/main.go
+++ b/cmd/main.go
@@ -24,8 +24,8 @@
 
 // Main runs the subcommand that the arguments name and returns the exit status.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	// The handler stays until the process ends: a second signal must not kill it in its last moments.
+	ctx, _ = signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	root := newRootCommand(stdout, stderr)
 	if err := root.Parse(args); err != nil {
 		if !errors.Is(err, flag.ErrHelp) {
