--- a/cost_bench_test.go
+++ b/cost_bench_test.go
@@ -48,7 +48,7 @@
 	})
 	for b.Loop() {
 		cpu, out := l.processorTime("e1"), l.peerBytes(members[0])
-		time.Sleep(restPeriod)
+		<-time.After(restPeriod)
 		b.ReportMetric(100*(l.processorTime("e1")-cpu).Seconds()/restPeriod.Seconds(), "%-of-a-core")
 		b.ReportMetric((l.peerBytes(members[0])-out)/restPeriod.Seconds(), "peer-B/s")
 		b.ReportMetric(l.residentMiB("e1"), "resident-MiB")
