Collect garbage less often in entry hosts

Cause: with 64 callers and jobs of 5 ms the entry hop's p99 was 2.4 to 3.9 ms above direct calls, bound 1 ms. An entry host's heap is some 10 MB, so the default collector runs many times a second under load. Ruled out: the queue's timer and refusals by runners (p50 is 0.0 to 0.3 ms above, no answer was refused). Change: basilstage entry sets GOGC 400 and a memory limit of 112 MiB, unless the environment does.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 	"io"
+	"os"
+	"runtime/debug"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -41,7 +43,27 @@
 	return flags
 }
 
+// Settings of the garbage collector: an entry host's heap is small, so that with
+// the default it would collect many times a second under load.
+const (
+	gcPercent     = 400
+	gcMemoryLimit = 112 << 20 // bytes; above it the collector works harder
+	gcPercentName = "GOGC"
+	gcMemoryName  = "GOMEMLIMIT"
+)
+
+// tuneCollector sets the garbage collector unless the environment does.
+func tuneCollector() {
+	if os.Getenv(gcPercentName) == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	if os.Getenv(gcMemoryName) == "" {
+		debug.SetMemoryLimit(gcMemoryLimit)
+	}
+}
+
 func runEntry(ctx context.Context, file string, logs io.Writer) error {
+	tuneCollector()
 	s, err := basilsettings.Load(file)
 	if err != nil {
 		return err
