Find out about a freeze before any other event is acted on

Cause: found on the read-through. Only the tick looked for a gap, but any event set the time that traffic checks: a process that woke could handle a waiting event first and pass for fresh, and a heartbeat sent before the freeze confirmed it after. TestWokenLoopTrustsNoHeartbeatOfBefore failed first: "expected unconfirmed, got member; any event finds out, not the tick alone". Ruled out: the check before each send (it compares with that same time). Change: each step looks for the gap first; a heartbeat confirms only if it was sent after the last freeze was found. TestFrozenLoopNeedsANewConfirmation now gives its heartbeat that time; its expectations are the same.

--- a/internal/basilview/control.go
+++ b/internal/basilview/control.go
@@ -110,8 +110,10 @@
 }
 
 // step applies one event and those that wait behind it, then publishes.
-func (c *Control) step(s *state, e event) {
-	now := time.Now()
+func (c *Control) step(s *state, e event) { c.stepAt(s, e, time.Now()) }
+
+func (c *Control) stepAt(s *state, e event, now time.Time) {
+	tickEvent{}.apply(s, now) // first of all: a process that was frozen finds out before it acts on anything
 	e.apply(s, now)
 	for range len(c.events) {
 		(<-c.events).apply(s, now)
--- a/internal/basilview/event.go
+++ b/internal/basilview/event.go
@@ -31,8 +31,11 @@
 // membersEvent carries one whole read of the member list.
 type membersEvent struct{ members []Member }
 
-// beatEvent carries the result of one heartbeat.
-type beatEvent struct{ err error }
+// beatEvent carries the result of one heartbeat, which was sent after the time.
+type beatEvent struct {
+	began time.Time
+	err   error
+}
 
 // leavingEvent says that a host was seen leaving at an epoch.
 type leavingEvent struct {
--- a/internal/basilview/poll.go
+++ b/internal/basilview/poll.go
@@ -96,7 +96,9 @@
 	m := c.options.Member
 	m.Applied = c.applied.Load()
 	m.Revision = c.View().configuration.Revision()
-	c.post(beatEvent{err: c.registration.Beat(ctx, m)})
+	began := time.Now()
+	err := c.registration.Beat(ctx, m)
+	c.post(beatEvent{began: began, err: err})
 }
 
 func (c *Control) pollMembers(ctx context.Context) {
--- a/internal/basilview/state.go
+++ b/internal/basilview/state.go
@@ -23,8 +23,9 @@
 	silence       map[string]silence
 	storeSeen     time.Time
 	ticked        time.Time
-	registered    bool // a heartbeat has succeeded
-	confirmed     bool // and since the last freeze
+	registered    bool      // a heartbeat has succeeded
+	confirmed     bool      // and one that was sent since the last freeze
+	woken         time.Time // when the last freeze was found
 	fenced        bool
 	sponsor       string
 	sponsorSeen   time.Time
@@ -175,8 +176,10 @@
 	switch {
 	case e.err == nil:
 		s.registered = true
-		s.confirmed = true
-		s.sponsor = ""
+		if !e.began.Before(s.woken) {
+			s.confirmed = true
+			s.sponsor = ""
+		}
 	case IsErrFenced(e.err):
 		s.fenced = true
 	}
@@ -222,6 +225,7 @@
 	if !s.ticked.IsZero() && now.Sub(s.ticked) > freezeLimit {
 		s.confirmed = false
 		s.sponsor = ""
+		s.woken = now
 	}
 	s.ticked = now
 	for key, m := range s.sponsored {
--- a/internal/basilview/state_test.go
+++ b/internal/basilview/state_test.go
@@ -68,7 +68,7 @@
 	woken := now.Add(freezeLimit + time.Second)
 	tickEvent{}.apply(s, woken)
 	must.EqOp(t, StandingUnconfirmed, s.standing(woken))
-	beatEvent{}.apply(s, woken)
+	beatEvent{began: woken}.apply(s, woken)
 	must.EqOp(t, StandingMember, s.standing(woken))
 	beatEvent{err: ErrFenced{Member: "e1"}}.apply(s, woken)
 	must.EqOp(t, StandingFenced, s.standing(woken))
@@ -105,3 +105,18 @@
 		}
 	})
 }
+
+func TestWokenLoopTrustsNoHeartbeatOfBefore(t *testing.T) {
+	now := time.Now()
+	c := NewControl(Options{Trail: basilaudit.NewTrail(nil), Publish: func(*View) {}})
+	s := loaded(1)
+	c.stepAt(s, beatEvent{began: now}, now)
+	must.EqOp(t, StandingMember, c.View().Standing())
+	woken := now.Add(freezeLimit + time.Second)
+	c.stepAt(s, headEvent{at: now}, woken)
+	must.EqOp(t, StandingUnconfirmed, c.View().Standing(), must.Sprint("any event finds out, not the tick alone"))
+	c.stepAt(s, beatEvent{began: now.Add(time.Second)}, woken)
+	must.EqOp(t, StandingUnconfirmed, c.View().Standing(), must.Sprint("it was sent before the freeze"))
+	c.stepAt(s, beatEvent{began: woken}, woken)
+	must.EqOp(t, StandingMember, c.View().Standing())
+}
