--- a/cmd/client.go
+++ b/cmd/client.go
@@ -1,6 +1,8 @@
 package cmd
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"flag"
 	"fmt"
 	"net/http"
@@ -26,12 +28,14 @@
 type connection struct {
 	addresses string
 	tokenFile string
+	caFile    string
 	timeout   time.Duration
 }
 
 func (c *connection) register(flags *flag.FlagSet) {
 	flags.StringVar(&c.addresses, "address", defaultAddress, "base `URLs` of entry hosts, comma-separated, tried in order")
 	flags.StringVar(&c.tokenFile, "token-file", "", "`FILE` with the bearer token")
+	flags.StringVar(&c.caFile, "ca", "", "PEM `FILE` of the authority that signs the entry hosts' certificates; none: the system's")
 	flags.DurationVar(&c.timeout, "timeout", defaultTimeout, "longest wait for the answer of one entry host, which may be frozen")
 }
 
@@ -44,11 +48,39 @@
 		}
 		token = strings.TrimSpace(string(b))
 	}
+	transport, err := c.transport()
+	if err != nil {
+		return nil, err
+	}
 	return basilclient.NewClient(basilclient.Options{
-		Addresses: strings.Split(c.addresses, ","), Token: token, HTTP: &http.Client{Timeout: c.timeout},
+		Addresses: strings.Split(c.addresses, ","), Token: token, HTTP: &http.Client{Timeout: c.timeout, Transport: transport},
 	}), nil
 }
 
+// transport trusts the authority of the flag, or the system's; it fails with ErrFileUnreadable.
+func (c *connection) transport() (http.RoundTripper, error) {
+	if c.caFile == "" {
+		return http.DefaultTransport, nil
+	}
+	b, err := os.ReadFile(c.caFile)
+	if err != nil {
+		return nil, errors.WithStack(ErrFileUnreadable{File: c.caFile, Cause: err})
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(b) {
+		return nil, errors.WithStack(ErrFileUnreadable{File: c.caFile, Cause: ErrNoCertificate{}})
+	}
+	return &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}}, nil
+}
+
+// ErrNoCertificate says that a PEM file holds no certificate.
+type ErrNoCertificate struct{}
+
+func (ErrNoCertificate) Error() string { return "no certificate in PEM form" }
+
+// IsErrNoCertificate tells whether the error is an ErrNoCertificate.
+func IsErrNoCertificate(err error) bool { return errors.As(err, new(ErrNoCertificate)) }
+
 // ErrFileUnreadable says that a file that a flag names can't be read.
 type ErrFileUnreadable struct {
 	File  string
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -4,11 +4,13 @@
 	"context"
 	"flag"
 	"io"
+	stdlog "log"
 	"os"
 	"runtime/debug"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/sirupsen/logrus"
 
 	"basilstage.example/basilstage/internal/basilentry"
 	"basilstage.example/basilstage/internal/basillog"
@@ -72,6 +74,8 @@
 	if err != nil {
 		return err
 	}
+	stdlog.SetFlags(0) // libraries that print for themselves become JSON lines too
+	stdlog.SetOutput(log.WriterLevel(logrus.DebugLevel))
 	ports, err := basilentry.NewPorts(s)
 	if err != nil {
 		return err
