Refuse a configuration whose teams hold no operator

Cause: tried as a new operator: "add team keepers token-hash …" as the first team was accepted, and from then on nobody could give a command ("team keepers may not give queries and commands"). TestTeamsNeedAnOperator failed first. Ruled out: taking the bootstrap token for good (a key to everything in a file). Change: the check of a configuration asks for an operators' team with a token as soon as any team is declared. The cost test's record gains one operator. Before/after: red, then the package passes; basilcommand and the others too.

--- a/internal/basilconfig/configuration_check.go
+++ b/internal/basilconfig/configuration_check.go
@@ -38,5 +38,18 @@
 		}
 		teams[t.Name] = true
 	}
-	return nil
+	return checkOperators(r.Teams)
+}
+
+// checkOperators refuses teams of which none could give the next command.
+func checkOperators(teams []basilmodel.Team) error {
+	for _, t := range teams {
+		if t.Operator && t.TokenHash != "" {
+			return nil
+		}
+	}
+	if len(teams) == 0 {
+		return nil
+	}
+	return errors.WithStack(ErrConfigurationInvalid{Detail: "no team is an operator with a token", Hint: "declare one first: add team NAME operator yes token-hash HEX"})
 }
--- a/internal/basilconfig/configuration_cost_test.go
+++ b/internal/basilconfig/configuration_cost_test.go
@@ -37,7 +37,7 @@
 	}
 	for n := range targetTeams {
 		r.Teams = append(r.Teams, basilmodel.Team{
-			Name: fmt.Sprintf("team-%03d", n), TokenHash: strings.Repeat("ab", 32), RatePerSecond: 50, Burst: 100,
+			Name: fmt.Sprintf("team-%03d", n), TokenHash: strings.Repeat("ab", 32), Operator: n == 0, RatePerSecond: 50, Burst: 100,
 		})
 	}
 	return r
--- a/internal/basilconfig/revision_test.go
+++ b/internal/basilconfig/revision_test.go
@@ -82,3 +82,13 @@
 	must.NoError(t, err)
 	must.Eq(t, first.Record(), again.Record())
 }
+
+// TestTeamsNeedAnOperator keeps operators from locking themselves out: with a team declared, only operators' tokens give commands.
+func TestTeamsNeedAnOperator(t *testing.T) {
+	r := basilmodel.ConfigurationRecord{Pools: []basilmodel.Pool{{Name: "p"}}, Services: []basilmodel.Service{{Name: "s", Pool: "p"}}}
+	must.NoError(t, basilconfig.Check(r))
+	r.Teams = []basilmodel.Team{{Name: "clerks", TokenHash: "ab"}, {Name: "keepers", Operator: true}}
+	must.True(t, basilconfig.IsErrConfigurationInvalid(basilconfig.Check(r)), must.Sprint("the operators have no token"))
+	r.Teams[1].TokenHash = "cd"
+	must.NoError(t, basilconfig.Check(r))
+}
