Show host states, budgets left and the table's breaker among the figures

Cause: the users asked for a figure for each promise; budgets, host states and the breaker had none. Change: hosts, budgets and table in expvar, on the operators' page.

--- a/internal/basilentry/metrics.go
+++ b/internal/basilentry/metrics.go
@@ -26,6 +26,9 @@
 	m.all.Set("store_age_ms", expvar.Func(func() any { return e.control.View().StoreAge(time.Now()).Milliseconds() }))
 	m.all.Set("jobs_in_progress", expvar.Func(func() any { return e.registry.InFlight() }))
 	m.all.Set("queues", expvar.Func(func() any { return e.queues.Status() }))
+	m.all.Set("hosts", expvar.Func(func() any { return hostStates(e.control.View()) }))
+	m.all.Set("budgets", expvar.Func(func() any { return budgetsLeft(e.control.View()) }))
+	m.all.Set("table", expvar.Func(func() any { return tableFigures(e.ports.Table) }))
 	m.all.Set("peers", expvar.Func(func() any { return e.mesh.Status() }))
 	name := "basilstage." + e.settings.Member()
 	if expvar.Get(name) == nil {
