Send a heartbeat at once after a freeze

Cause: by hand, a process that was stopped for 8 s was ready again at once, but only if its heartbeat's timer fired after the loop had found the freeze; otherwise it would stay unready for up to 3 s. The test's new line failed first ("a new one is due at once"). Change: finding a freeze asks for a heartbeat. Before/after: red, then green; the process tests pass.

--- a/internal/basilview/state.go
+++ b/internal/basilview/state.go
@@ -31,7 +31,7 @@
 	sponsorSeen   time.Time
 	sponsored     map[string]sponsored
 	gap           bool // an entry is missing: the trail has to be read
-	asked         bool // a heartbeat is due at once: the view is loaded or a host of this data centre is asked away
+	asked         bool // a heartbeat is due at once: the view is loaded, a freeze was found, or a host of this data centre is asked away
 }
 
 // silence counts the reads in a row in which a member's heartbeat stood still.
@@ -226,6 +226,7 @@
 		s.confirmed = false
 		s.sponsor = ""
 		s.woken = now
+		s.asked = true
 	}
 	s.ticked = now
 	for key, m := range s.sponsored {
--- a/internal/basilview/state_test.go
+++ b/internal/basilview/state_test.go
@@ -111,12 +111,14 @@
 	c := NewControl(Options{Trail: basilaudit.NewTrail(nil), Publish: func(*View) {}})
 	s := loaded(1)
 	c.stepAt(s, beatEvent{began: now}, now)
+	<-c.kickBeat // the one for the loaded view
 	must.EqOp(t, StandingMember, c.View().Standing())
 	woken := now.Add(freezeLimit + time.Second)
 	c.stepAt(s, headEvent{at: now}, woken)
 	must.EqOp(t, StandingUnconfirmed, c.View().Standing(), must.Sprint("any event finds out, not the tick alone"))
 	c.stepAt(s, beatEvent{began: now.Add(time.Second)}, woken)
 	must.EqOp(t, StandingUnconfirmed, c.View().Standing(), must.Sprint("it was sent before the freeze"))
+	must.EqOp(t, 1, len(c.kickBeat), must.Sprint("a new one is due at once"))
 	c.stepAt(s, beatEvent{began: woken}, woken)
 	must.EqOp(t, StandingMember, c.View().Standing())
 }
