Wait with a context in one place

Cause: the read-through found the same wait (a timer against a context) six times over: trail, table meter, job store, entry host, and twice in the stand-ins. Change: basiltimer.Wait. What the look still lists is generated enum code, alike error types and imports.

--- a/internal/basilaudit/trail.go
+++ b/internal/basilaudit/trail.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basiltimer"
 )
 
 // Limits of one commit.
@@ -189,14 +190,11 @@
 		return nil
 	}
 	ceiling := min(commitBackoff<<attempt, commitBackoffMax)
-	timer := time.NewTimer(time.Duration(rand.Int64N(int64(ceiling)) + 1)) // full jitter
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return basilplatform.ErrUnavailable{Operation: "commit", Cause: ctx.Err()}
-	case <-timer.C:
-		return nil
+	jittered := time.Duration(rand.Int64N(int64(ceiling)) + 1)
+	if err := basiltimer.Wait(ctx, jittered); err != nil {
+		return basilplatform.ErrUnavailable{Operation: "commit", Cause: err}
 	}
+	return nil
 }
 
 // Head returns the sequence of the newest entry, or 0.
--- a/internal/basilentry/run.go
+++ b/internal/basilentry/run.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"basilstage.example/basilstage/internal/basilkeys"
+	"basilstage.example/basilstage/internal/basiltimer"
 )
 
 // Periods of the entry host's background work, and limits of its stop.
@@ -63,7 +64,7 @@
 	e.stopping.Store(true)
 	e.peers.announceStopping()
 	e.log.Info("entry host stops")
-	wait(ctx, unreadyPeriod)
+	_ = basiltimer.Wait(ctx, unreadyPeriod) // the context has no end here
 	ctx, cancel := context.WithTimeout(ctx, e.settings.StopGrace())
 	defer cancel()
 	var group sync.WaitGroup
@@ -138,20 +139,8 @@
 func every(ctx context.Context, period time.Duration, f func(context.Context)) {
 	for {
 		f(ctx)
-		if !wait(ctx, period) {
+		if basiltimer.Wait(ctx, period) != nil {
 			return
 		}
 	}
 }
-
-// wait returns false when the context ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/basiljob/long_job_store.go
+++ b/internal/basiljob/long_job_store.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basiltimer"
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
@@ -102,14 +103,7 @@
 		return ctx.Err()
 	}
 	ceiling := min(resolveBackoff<<n, resolveBackoffMax)
-	timer := time.NewTimer(s.jitter(ceiling))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return basiltimer.Wait(ctx, s.jitter(ceiling))
 }
 
 // fullJitter returns a random wait up to the ceiling.
--- a/internal/basilplatform/meter.go
+++ b/internal/basilplatform/meter.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
+
+	"basilstage.example/basilstage/internal/basiltimer"
 )
 
 // Budgets of the whole platform, which all entry hosts share.
@@ -59,7 +61,7 @@
 		m.shed.Add(1)
 		return ErrUnavailable{Operation: operation, RetryAfter: min(d, burstTime), Cause: ErrOverBudget{Cost: cost}}
 	}
-	if err := sleep(ctx, d); err != nil {
+	if err := basiltimer.Wait(ctx, d); err != nil {
 		r.Cancel()
 		return ErrUnavailable{Operation: operation, Cause: err}
 	}
@@ -77,17 +79,3 @@
 		cost -= step
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/basilstandin/backend_runner.go
+++ b/internal/basilstandin/backend_runner.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"basilstage.example/basilstage/internal/basiltimer"
 	"basilstage.example/basilstage/pkg/basilapi"
 )
 
@@ -65,7 +66,7 @@
 		b.mutex.Lock()
 		d := b.slowed(b.options.RunTime(payload))
 		b.mutex.Unlock()
-		_ = pause(context.WithoutCancel(ctx), d)
+		_ = basiltimer.Wait(context.WithoutCancel(ctx), d)
 	}
 }
 
--- a/internal/basilstandin/network.go
+++ b/internal/basilstandin/network.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"basilstage.example/basilstage/internal/basiltimer"
 )
 
 // NetworkFaults switches the faults on the way to one address; the zero value has none.
@@ -74,7 +76,7 @@
 		return nil, err
 	}
 	reportConnection(ctx)
-	if err := pause(ctx, faults.Latency); err != nil {
+	if err := basiltimer.Wait(ctx, faults.Latency); err != nil {
 		return nil, err
 	}
 	if faults.LoseRequests {
@@ -96,7 +98,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if err := pause(ctx, f.Latency); err != nil {
+	if err := basiltimer.Wait(ctx, f.Latency); err != nil {
 		return nil, err
 	}
 	return answer.response(r)
--- a/internal/basilstandin/table.go
+++ b/internal/basilstandin/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basiltimer"
 )
 
 const reasonTokenReused = "token was used for other writes"
@@ -77,24 +78,10 @@
 	return faults
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // enter delays a read or fails it as the faults say.
 func (t *Table) enter(ctx context.Context, operation string) error {
 	f := t.current()
-	if err := pause(ctx, f.Delay); err != nil {
+	if err := basiltimer.Wait(ctx, f.Delay); err != nil {
 		return basilplatform.ErrUnavailable{Operation: operation, Cause: err}
 	}
 	if f.Down {
@@ -152,7 +139,7 @@
 	}
 	if f.Delay > 0 {
 		arrived := time.Now()
-		if err := pause(ctx, f.Delay); err != nil {
+		if err := basiltimer.Wait(ctx, f.Delay); err != nil {
 			t.applyLater(f.Delay-time.Since(arrived), f, x)
 			return unknownError(x, err)
 		}
