--- /dev/null
+++ b/cmd/basilnode/run.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilnode"
+	"basilstage.example/basilstage/internal/basilshard"
+	"basilstage.example/basilstage/platform"
+)
+
+// Exit statuses.
+const (
+	exitOK      = 0
+	exitFailure = 1
+)
+
+const (
+	metricsPort      = 9464                    // of the deployment's metrics address
+	storeTimeout     = 1200 * time.Millisecond // of one call; a slow store answers in some 400 ms
+	lease            = 3 * time.Second         // the platform's least time between holders of a host
+	holdLimit        = 8 * time.Second         // longer store outages than that are rare, and lost work is dear
+	noticeDrain      = 2500 * time.Millisecond // the balancer needs two looks, a second apart
+	closeTime        = 1500 * time.Millisecond
+	headerTime       = 3 * time.Second  // where the configuration does not tell
+	idleTime         = 15 * time.Second // as above
+	collectPercent   = 60               // memory is dearer than processor time
+	defaultBodyLimit = 16 << 10
+)
+
+// run works until SIGTERM and returns the exit status.
+func run(ctx context.Context, env func(string) string, stdout io.Writer) int {
+	debug.SetGCPercent(collectPercent)
+	queue := basillog.NewQueue(stdout)
+	log, err := basillog.New(queue, "info")
+	if err != nil {
+		return exitFailure
+	}
+	err = serve(ctx, env(basilsite.SettingsVariable), log)
+	if err != nil {
+		log.WithError(err).Error("stopped by an error")
+	}
+	select {
+	case <-queue.Close():
+	case <-time.After(closeTime):
+	}
+	if err != nil {
+		return exitFailure
+	}
+	return exitOK
+}
+
+// serve runs the entry host with the settings of the file.
+func serve(ctx context.Context, path string, log *logrus.Logger) error {
+	settings, err := basilsite.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	log.WithFields(logrus.Fields{basillog.FieldMember: settings.Node, basillog.FieldDataCentre: settings.Zone}).Info("started")
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	node := basilnode.New(options(settings, log))
+	servers, err := listen(settings, node, log)
+	if err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		node.Run(ctx)
+	}()
+	wait(ctx, signals, path, settings, log)
+	shutDown(node, servers, settings, log)
+	cancel()
+	<-done
+	return nil
+}
+
+// wait returns when the process is to stop; it takes up changes of the settings file until then.
+func wait(ctx context.Context, signals <-chan os.Signal, path string, settings *basilsite.Settings, log *logrus.Logger) {
+	w := basilsite.NewWatcher(path, settings)
+	ticker := time.NewTicker(basilsite.ReloadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				log.WithField("signal", s.String()).Info("stopping")
+				return
+			}
+		case <-ticker.C:
+		}
+		switch changed, err := w.Check(); {
+		case err != nil:
+			log.WithError(err).Warn("settings not read again")
+		case changed:
+			log.Info("settings read again")
+		}
+	}
+}
+
+func options(s *basilsite.Settings, log *logrus.Logger) basilnode.Options {
+	client := basilsite.NewClient()
+	store := basilsite.NewStore(client, func() string { return s.Addresses().Store }, storeTimeout)
+	return basilnode.Options{
+		Self: basilshard.Member{
+			Node: s.Node, Incarnation: ulid.Make().String(), Zone: s.Zone, Address: s.IP, Weight: s.Limits.CPUShare,
+		},
+		Clock: basilshard.BootClock(), Lease: lease, HoldLimit: holdLimit,
+		MaxHold:   basilsite.Milliseconds(s.Bounds.MaxHoldMS),
+		Early:     basilsite.Milliseconds(s.Bounds.EarlyMS),
+		Far:       s.Bounds.FarFactor,
+		Status:    basilsite.Seconds(s.Bounds.StatusS),
+		Notice:    basilsite.Milliseconds(s.Bounds.NoticeMS),
+		Order:     basilsite.Milliseconds(s.Bounds.LeaseMS),
+		Migrate:   basilsite.Seconds(s.Bounds.MigrateS),
+		Maintain:  basilsite.Seconds(s.Bounds.MaintenanceS),
+		Store:     store,
+		Directory: basilsite.NewDirectory(store),
+		Commander: basilsite.NewCommander(client),
+		Advisor:   basilsite.NewAdvisor(client, func() string { return s.Addresses().Advisor }),
+		Machines:  basilsite.NewMachines(client, func() string { return s.Addresses().Machines }, storeTimeout),
+		Codec:     basilsite.Codec{}, Log: log,
+	}
+}
+
+// listen opens the front, the readiness address and the metrics.
+func listen(s *basilsite.Settings, n *basilnode.Node, log *logrus.Logger) ([]*http.Server, error) {
+	ready := http.NewServeMux()
+	ready.Handle(basilsite.ReadinessPath, n.Readiness())
+	metrics := http.NewServeMux()
+	metrics.Handle("/metrics", n.Metrics())
+	addresses := []struct {
+		address string
+		handler http.Handler
+	}{
+		{s.Listen.Front, n.Front()},
+		{s.Listen.Readiness, ready},
+		{net.JoinHostPort(s.IP, strconv.Itoa(metricsPort)), metrics},
+	}
+	var servers []*http.Server
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a.address)
+		if err != nil {
+			return nil, errors.WithStack(basilsite.ErrNotListening{Address: a.address, Cause: err})
+		}
+		server := &http.Server{Handler: a.handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: defaultBodyLimit}
+		servers = append(servers, server)
+		go func() {
+			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				log.WithError(err).WithField(basillog.FieldAddress, a.address).Error("no longer listening")
+			}
+		}()
+	}
+	return servers, nil
+}
+
+// shutDown hands over the work, serves callers until the balancer has noticed, and closes.
+func shutDown(n *basilnode.Node, servers []*http.Server, s *basilsite.Settings, log *logrus.Logger) {
+	grace := basilsite.Seconds(s.Bounds.GraceS)
+	ctx, cancel := context.WithTimeout(context.Background(), grace*4/5)
+	defer cancel()
+	noticed := time.After(min(noticeDrain, grace/2))
+	n.Stop(ctx)
+	log.Info("shards handed over")
+	<-noticed
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			log.WithError(err).Warn("connections cut off at the stop")
+		}
+	}
+	log.Info("stopped")
+}
--- /dev/null
+++ b/internal/basilledger/ledger.go
@@ -0,0 +1,137 @@
+package basilledger
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+const (
+	tablePrefix        = "jobs-"
+	waitingTablePrefix = "waiting-"
+	maxCounted         = 5000 // waiting jobs of a queue that a request counts
+	conflictTries      = 5
+)
+
+// Table returns the name of a service's table of jobs.
+func Table(service string) string { return tablePrefix + service }
+
+// Partition returns the partition of a service's jobs.
+func Partition(service string) string { return Table(service) + "/" + service }
+
+// Key returns the key of a job.
+func Key(service, id string) basilplatform.Key {
+	return basilplatform.Key{Partition: Partition(service), Sort: id}
+}
+
+// WaitingKey returns the key of the mark that a job has not begun.
+func WaitingKey(service, queue, id string) basilplatform.Key {
+	return basilplatform.Key{Partition: waitingTablePrefix + service + "/" + service, Sort: queue + "/" + id}
+}
+
+// Ledger reads and writes jobs; its zero value needs a store.
+type Ledger struct{ store basilwork.Store }
+
+// New returns a ledger on the store.
+func New(s basilwork.Store) *Ledger { return &Ledger{store: s} }
+
+// Decode reads a stored record; it fails with ErrRecordUnreadable.
+func Decode(i basilplatform.Item) (basilwork.Record, error) {
+	var r basilwork.Record
+	if err := json.Unmarshal(i.Body, &r); err != nil {
+		return r, errors.WithStack(ErrRecordUnreadable{Key: i.Key.Sort, Cause: err})
+	}
+	return r, nil
+}
+
+func put(k basilplatform.Key, version int64, r *basilwork.Record) (basilplatform.Write, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return basilplatform.Write{}, errors.WithStack(ErrRecordUnreadable{Key: k.Sort, Cause: err})
+	}
+	w := basilplatform.Write{
+		Kind: basilplatform.WriteKindPut, Key: k, Precondition: basilplatform.PreconditionVersion, Version: version, Body: body,
+	}
+	if version == 0 {
+		w.Precondition = basilplatform.PreconditionAbsent
+	}
+	return w, nil
+}
+
+// Accept stores a new job; a job that is there already under its id is the same one.
+//
+// It fails with ErrUnavailable when the job is not stored and never will be, and
+// with ErrOutcomeUnknown when it may be.
+func (l *Ledger) Accept(ctx context.Context, service string, r *basilwork.Record) error {
+	w, err := put(Key(service, r.Job.ID), 0, r)
+	if err != nil {
+		return err
+	}
+	mark := basilplatform.Write{
+		Kind: basilplatform.WriteKindPut, Key: WaitingKey(service, r.Job.Queue, r.Job.ID),
+		Precondition: basilplatform.PreconditionNone, Body: []byte("1"),
+	}
+	err = l.store.Transact(ctx, basilplatform.Transaction{Writes: []basilplatform.Write{w, mark}})
+	if basilplatform.IsErrConditionFailed(err) {
+		return nil
+	}
+	return err
+}
+
+// Find returns a job and its version; it fails with ErrJobNotExist or ErrUnavailable.
+func (l *Ledger) Find(ctx context.Context, service, id string) (basilwork.Record, int64, error) {
+	i, err := l.store.Get(ctx, Key(service, id))
+	if basilplatform.IsErrItemNotExist(err) {
+		return basilwork.Record{}, 0, errors.WithStack(ErrJobNotExist{ID: id})
+	}
+	if err != nil {
+		return basilwork.Record{}, 0, err
+	}
+	r, err := Decode(i)
+	return r, i.Version, err
+}
+
+// Cancel stores that a job is cancelled, unless it is final already; it fails with
+// ErrJobNotExist, ErrUnavailable or ErrOutcomeUnknown.
+func (l *Ledger) Cancel(ctx context.Context, service, queue, id string) error {
+	var err error
+	for range conflictTries {
+		var r basilwork.Record
+		var version int64
+		r, version, err = l.Find(ctx, service, id)
+		if err != nil {
+			return err
+		}
+		if r.Job.Queue != queue {
+			return errors.WithStack(ErrJobNotExist{ID: id})
+		}
+		if r.State.Final() {
+			return nil
+		}
+		r.State = basilwork.JobStateCanceled
+		r.Finished = time.Now().UnixMilli()
+		r.Progress = nil
+		r.Writer = ""
+		var w basilplatform.Write
+		if w, err = put(Key(service, id), version, &r); err != nil {
+			return err
+		}
+		unmark := basilplatform.Write{Kind: basilplatform.WriteKindDelete, Key: WaitingKey(service, queue, id), Precondition: basilplatform.PreconditionNone}
+		err = l.store.Transact(ctx, basilplatform.Transaction{Writes: []basilplatform.Write{w, unmark}})
+		if err == nil || !basilplatform.IsErrConditionFailed(err) {
+			return err
+		}
+	}
+	return err
+}
+
+// Waiting returns how many jobs of the queue have not begun.
+func (l *Ledger) Waiting(ctx context.Context, service, queue string) (int, error) {
+	k := WaitingKey(service, queue, "")
+	return l.store.Count(ctx, k.Partition, k.Sort, queue+"0", maxCounted) // "0" follows "/"
+}
--- /dev/null
+++ b/internal/basilnode/node.go
@@ -0,0 +1,315 @@
+package basilnode
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"basilstage.example/basilstage/internal/basilledger"
+	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basilshard"
+	"basilstage.example/basilstage/internal/basiltimer"
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+const (
+	fleetShard    = "fleet"
+	backendsEvery = 400 * time.Millisecond // between reads of the list of backend servers; they write every 1.5 s
+	configRetry   = 200 * time.Millisecond
+	renewEvery    = 800 * time.Millisecond // a quarter of the lease leaves room for two lost renewals
+	leaseMargin   = 500 * time.Millisecond
+	stopCommit    = 1200 * time.Millisecond // that a stopping owner has for its last commit
+)
+
+// Options are what an entry host is made with.
+type Options struct {
+	Self      basilshard.Member
+	Clock     basilshard.Clock
+	Lease     time.Duration // that a member's row may stand still before its shards are taken over
+	MaxHold   time.Duration // the longest lease that a backend server grants
+	HoldLimit time.Duration // without a renewal after which leases are not extended any more
+	Early     time.Duration
+	Far       float64
+	Status    time.Duration // that a finished job's state is kept
+	Notice    time.Duration
+	Order     time.Duration // between orders of different holders for one host
+	Migrate   time.Duration // of a host's move
+	Maintain  time.Duration // of a host's maintenance
+	Store     basilwork.Store
+	Directory basilwork.Directory
+	Commander basilwork.Commander
+	Advisor   basilwork.Advisor
+	Machines  basilwork.Machines
+	Codec     Codec
+	Log       *logrus.Logger
+}
+
+// Node is one entry host.
+type Node struct {
+	options   Options
+	log       *logrus.Logger
+	store     basilwork.Store
+	ledger    *basilledger.Ledger
+	commander basilwork.Commander
+	advisor   basilwork.Advisor
+	keeper    *basilshard.Keeper
+	metrics   *metrics
+	ctx       context.Context
+	current   atomic.Pointer[basilwork.Configuration]
+	stopping  atomic.Bool
+	mutex     sync.Mutex // guards what follows
+	owners    map[string]*owner
+	fleet     *fleet
+	listed    []basilwork.Backend
+	former    map[string][]string // services that queues had before, by queue
+}
+
+// New returns an entry host.
+func New(o Options) *Node {
+	n := &Node{
+		options: o, log: o.Log, store: o.Store, ledger: basilledger.New(o.Store), commander: o.Commander, advisor: o.Advisor,
+		metrics: newMetrics(), owners: make(map[string]*owner), former: make(map[string][]string),
+	}
+	n.keeper = basilshard.New(basilshard.Options{
+		Self: o.Self, Store: o.Store, Clock: o.Clock, Log: o.Log,
+		Lease: o.Lease, Margin: leaseMargin, Renew: renewEvery, Owned: n.owned, Lost: n.lost,
+	})
+	return n
+}
+
+// Run works until the context ends; Stop is called first for a graceful stop.
+func (n *Node) Run(ctx context.Context) {
+	n.ctx = ctx
+	var group sync.WaitGroup
+	group.Go(func() { n.followConfiguration(ctx) })
+	group.Go(func() { n.followBackends(ctx) })
+	group.Go(func() { n.keeper.Run(ctx) })
+	group.Wait()
+}
+
+func (n *Node) configuration() *basilwork.Configuration {
+	if c := n.current.Load(); c != nil {
+		return c
+	}
+	return &basilwork.Configuration{}
+}
+
+// Ready tells whether callers should be sent here.
+func (n *Node) Ready() bool {
+	return !n.stopping.Load() && n.current.Load() != nil && !n.storeAway()
+}
+
+// storeAway tells whether the store has not answered for longer than a renewal should take.
+func (n *Node) storeAway() bool {
+	return n.keeper.SinceRenewal() > n.options.Lease-leaseMargin
+}
+
+// followConfiguration takes up configurations as operators write them.
+func (n *Node) followConfiguration(ctx context.Context) {
+	for ctx.Err() == nil {
+		version, ok := n.loadConfiguration(ctx)
+		if !ok {
+			_ = basiltimer.Wait(ctx, configRetry) // an ended context ends the loop
+			continue
+		}
+		for ctx.Err() == nil {
+			next, err := n.options.Directory.WatchOperator(ctx, version, watchWait)
+			if err != nil {
+				n.log.WithError(err).Debug("watch of the configuration ended")
+				_ = basiltimer.Wait(ctx, configRetry) // as above
+				break
+			}
+			if next != version {
+				version = next
+				if _, ok := n.loadConfiguration(ctx); !ok {
+					break
+				}
+			}
+		}
+	}
+}
+
+func (n *Node) loadConfiguration(ctx context.Context) (int64, bool) {
+	c, version, err := n.options.Directory.Configuration(ctx)
+	if basilplatform.IsErrItemNotExist(err) {
+		return version, version > 0
+	}
+	if err != nil {
+		n.log.WithError(err).Warn("configuration not read")
+		return 0, false
+	}
+	before := n.current.Load()
+	if before == nil || before.Version < c.Version {
+		n.takeConfiguration(before, c)
+	}
+	if f := n.fleetOwner(); f != nil {
+		f.poke()
+	}
+	return version, true
+}
+
+func (n *Node) takeConfiguration(before, c *basilwork.Configuration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if before != nil {
+		n.noteFormer(before, c)
+	}
+	n.current.Store(c)
+	n.log.WithFields(logrus.Fields{basillog.FieldRevision: c.Version, "queues": len(c.Queues)}).Info("configuration in force")
+	shards := append(c.Pools(), fleetShard)
+	slices.Sort(shards)
+	n.keeper.SetShards(shards)
+	for _, o := range n.owners {
+		go o.send(func(time.Time) { o.pool.SetConfiguration(c) })
+	}
+}
+
+// noteFormer remembers which services queues were sent to before.
+func (n *Node) noteFormer(before, c *basilwork.Configuration) {
+	for i := range before.Queues {
+		q := &before.Queues[i]
+		if next := c.Queue(q.Name); next != nil && next.Service != q.Service && !slices.Contains(n.former[q.Name], q.Service) {
+			n.former[q.Name] = append(n.former[q.Name], q.Service)
+		}
+	}
+}
+
+func (n *Node) formerServices(queue string) []string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.former[queue]
+}
+
+// followBackends reads the list of backend servers while this entry host owns pools.
+func (n *Node) followBackends(ctx context.Context) {
+	for ctx.Err() == nil {
+		if owners := n.poolOwners(); len(owners) > 0 {
+			n.readBackends(ctx, owners)
+		}
+		_ = basiltimer.Wait(ctx, backendsEvery) // an ended context ends the loop
+	}
+}
+
+func (n *Node) readBackends(ctx context.Context, owners []*owner) {
+	list, err := n.options.Directory.Backends(ctx)
+	if err != nil {
+		n.log.WithError(err).Debug("backend servers not read")
+		return
+	}
+	n.mutex.Lock()
+	n.listed = list
+	n.mutex.Unlock()
+	for _, o := range owners {
+		mine := n.backends(o.service)
+		o.send(func(now time.Time) { o.setBackends(mine, now) })
+	}
+}
+
+func (n *Node) backends(service string) []basilwork.Backend {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	var list []basilwork.Backend
+	for _, b := range n.listed {
+		if b.Service == service {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+func (n *Node) poolOwners() []*owner {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	owners := make([]*owner, 0, len(n.owners))
+	for _, o := range n.owners {
+		owners = append(owners, o)
+	}
+	return owners
+}
+
+func (n *Node) fleetOwner() *fleet {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.fleet
+}
+
+// owned starts a shard's work.
+func (n *Node) owned(shard string, row basilshard.OwnerRow) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.stopping.Load() {
+		return
+	}
+	if shard == fleetShard {
+		n.fleet = newFleet(n, row)
+		go n.fleet.run()
+		return
+	}
+	o := newOwner(n, shard, row)
+	n.owners[shard] = o
+	go o.run()
+}
+
+// lost ends a shard's work.
+func (n *Node) lost(shard string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if shard == fleetShard {
+		if n.fleet != nil {
+			n.fleet.cancel()
+			n.fleet = nil
+		}
+		return
+	}
+	if o := n.owners[shard]; o != nil {
+		o.cancel()
+		delete(n.owners, shard)
+	}
+}
+
+// Stop hands over the shards; callers are still served.
+func (n *Node) Stop(ctx context.Context) {
+	n.stopping.Store(true)
+	n.keeper.Stopping()
+	var group sync.WaitGroup
+	for _, o := range n.poolOwners() {
+		group.Go(func() { o.stop(ctx) })
+	}
+	if f := n.fleetOwner(); f != nil {
+		f.cancel()
+	}
+	group.Wait()
+	n.keeper.Release(ctx)
+}
+
+// stop ends the starting of work, waits for orders in flight and stores what is known.
+func (o *owner) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopCommit)
+	defer cancel()
+	o.send(func(time.Time) { o.stopping = true })
+	for ctx.Err() == nil {
+		clean := make(chan bool, 1)
+		o.send(func(time.Time) {
+			ids, _ := o.pool.Dirty()
+			clean <- len(ids) == 0 && !o.commit.inFlight && len(o.commit.entries) == 0 && len(o.orders) == 0
+		})
+		select {
+		case done := <-clean:
+			if done {
+				o.cancel()
+				<-o.done
+				return
+			}
+		case <-o.ctx.Done():
+			return
+		case <-ctx.Done():
+		}
+		_ = basiltimer.Wait(ctx, renewEvery/40) // an ended context ends the loop
+	}
+	o.cancel()
+}
--- /dev/null
+++ b/internal/basilnode/owner.go
@@ -0,0 +1,312 @@
+package basilnode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"basilstage.example/basilstage/internal/basilledger"
+	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basilrunner"
+	"basilstage.example/basilstage/internal/basilscheduler"
+	"basilstage.example/basilstage/internal/basilshard"
+	"basilstage.example/basilstage/internal/basiltimer"
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+const (
+	eventQueue   = 1024
+	commitGather = 150 * time.Millisecond // in which changes that aren't urgent gather
+	commitRetry  = 150 * time.Millisecond
+	storeRetry   = 200 * time.Millisecond
+	watchWait    = 20 * time.Second
+	watchGather  = 15 * time.Millisecond // between reads of a busy table's changes
+	startsAtOnce = 64                    // orders in flight; each is a connection
+)
+
+// owner runs one pool while this entry host owns its shard.
+type owner struct {
+	node     *Node
+	service  string
+	row      basilshard.OwnerRow
+	log      *logrus.Entry
+	pool     *basilscheduler.Pool // of the control goroutine, as all below
+	lines    map[string]*line
+	versions map[string]int64
+	records  recorder
+	commit   committer
+	plan     evacuation
+	events   chan func(now time.Time)
+	orders   chan struct{} // a place per order in flight
+	inFlight sync.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
+	stopping bool
+	done     chan struct{}
+}
+
+// line is a connection to a backend server and what ends it.
+type line struct {
+	*basilrunner.Line
+	cancel context.CancelFunc
+}
+
+func newOwner(n *Node, service string, row basilshard.OwnerRow) *owner {
+	ctx, cancel := context.WithCancel(n.ctx)
+	o := &owner{
+		node: n, service: service, row: row,
+		log:   n.log.WithFields(logrus.Fields{basillog.FieldPool: service, basillog.FieldEpoch: row.Epoch}),
+		lines: make(map[string]*line), versions: make(map[string]int64),
+		events: make(chan func(time.Time), eventQueue), orders: make(chan struct{}, startsAtOnce),
+		ctx: ctx, cancel: cancel, done: make(chan struct{}),
+	}
+	o.pool = basilscheduler.New(basilscheduler.Options{
+		Service: service, Epoch: row.Epoch, Early: n.options.Early, Grace: n.options.HoldLimit + n.options.MaxHold, Far: n.options.Far,
+	}, time.Now())
+	return o
+}
+
+// send gives an event to the control goroutine, unless the owner has ended.
+func (o *owner) send(f func(now time.Time)) {
+	select {
+	case o.events <- f:
+	case <-o.ctx.Done():
+	}
+}
+
+// run takes up the stored jobs and schedules them until the shard is lost.
+func (o *owner) run() {
+	defer close(o.done)
+	version, ok := o.load()
+	if !ok {
+		return
+	}
+	go o.watch(version)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case f := <-o.events:
+			f(time.Now())
+			o.drain()
+		case <-timer.C:
+		}
+		timer.Reset(o.step(time.Now()))
+	}
+}
+
+func (o *owner) drain() {
+	for {
+		select {
+		case f := <-o.events:
+			f(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// step decides and carries out, and returns in what time to do so again.
+func (o *owner) step(now time.Time) time.Duration {
+	if o.pool.Fenced() {
+		o.log.Warn("fenced by a newer owner")
+		o.cancel()
+		return time.Second
+	}
+	if !o.stopping {
+		o.evacuate(now)
+		o.execute(o.pool.Decide(now))
+	}
+	o.record()
+	wait := o.store(now)
+	o.updateLines()
+	return max(time.Millisecond, min(wait, o.pool.Wake().Sub(now)))
+}
+
+// load reads the shard's jobs and what a predecessor left.
+func (o *owner) load() (version int64, ok bool) {
+	for o.ctx.Err() == nil {
+		items, version, err := o.node.store.Snapshot(o.ctx, basilledger.Partition(o.service))
+		if err == nil {
+			err = o.loadRecorded()
+		}
+		if err != nil {
+			o.log.WithError(err).Warn("jobs not read")
+			_ = basiltimer.Wait(o.ctx, storeRetry) // an ended context ends the loop
+			continue
+		}
+		o.pool.SetConfiguration(o.node.configuration())
+		for _, i := range items {
+			o.takeItem(i)
+		}
+		o.setBackends(o.node.backends(o.service), time.Now())
+		o.log.WithField("jobs", len(items)).Info("jobs loaded")
+		return version, true
+	}
+	return 0, false
+}
+
+// takeItem takes up a stored job that is new, was cancelled, or was written by this owner.
+func (o *owner) takeItem(i basilplatform.Item) {
+	id := i.Key.Sort
+	if i.Version <= o.versions[id] {
+		return
+	}
+	r, err := basilledger.Decode(i)
+	if err != nil {
+		o.log.WithError(err).Error("job skipped")
+		return
+	}
+	_, known := o.versions[id]
+	o.versions[id] = i.Version
+	switch {
+	case r.State == basilwork.JobStateCanceled:
+		if known {
+			o.log.WithField(basillog.FieldJob, id).Info("job cancelled")
+		}
+		o.pool.Cancel(id, time.Now())
+	case !known && !r.State.Final():
+		adopted := i.Version < o.row.Version
+		o.pool.AddJob(r, adopted)
+		o.log.WithFields(logrus.Fields{basillog.FieldJob: id, "adopted": adopted, "version": i.Version}).Info("job taken up")
+	}
+}
+
+// watch follows the shard's jobs.
+func (o *owner) watch(after int64) {
+	for o.ctx.Err() == nil {
+		changes, err := o.node.store.Watch(o.ctx, basilledger.Table(o.service), after, watchWait)
+		if err != nil {
+			if basilwork.IsErrHistoryGone(err) {
+				after = o.resync(after)
+			}
+			_ = basiltimer.Wait(o.ctx, storeRetry) // an ended context ends the loop
+			continue
+		}
+		after = changes.Version
+		if len(changes.Rows) > 0 {
+			o.send(func(time.Time) {
+				for _, c := range changes.Rows {
+					if !c.Deleted {
+						o.takeItem(c.Item)
+					}
+				}
+			})
+			_ = basiltimer.Wait(o.ctx, watchGather) // as above
+		}
+	}
+}
+
+// resync reads all jobs after the history was dropped, and returns the version to go on from.
+func (o *owner) resync(after int64) int64 {
+	items, version, err := o.node.store.Snapshot(o.ctx, basilledger.Partition(o.service))
+	if err != nil {
+		o.log.WithError(err).Warn("jobs not read")
+		return after
+	}
+	o.log.WithField("jobs", len(items)).Info("jobs read again, history was dropped")
+	o.send(func(time.Time) {
+		for _, i := range items {
+			o.takeItem(i)
+		}
+	})
+	return version
+}
+
+// execute carries out what the pool decided.
+func (o *owner) execute(a basilscheduler.Actions) {
+	for _, s := range a.Starts {
+		o.start(s)
+	}
+	for _, s := range a.Stops {
+		o.stopRun(s)
+	}
+	for _, p := range a.Paces {
+		o.pace(p)
+	}
+	for _, r := range a.Advice {
+		o.advise(r)
+	}
+}
+
+// order runs an order to a backend server beside the control goroutine.
+func (o *owner) order(id string, f func(l *line), missing func(now time.Time)) {
+	l := o.lines[id]
+	if l == nil {
+		if missing != nil {
+			missing(time.Now())
+		}
+		return
+	}
+	o.inFlight.Add(1)
+	go func() {
+		defer o.inFlight.Done()
+		o.orders <- struct{}{}
+		defer func() { <-o.orders }()
+		f(l)
+	}()
+}
+
+func (o *owner) logRun(r basilscheduler.Ref) *logrus.Entry {
+	return o.log.WithFields(logrus.Fields{
+		basillog.FieldJob: r.Task.Job, "task": r.Task.String(), basillog.FieldAttempt: r.Attempt, basillog.FieldHost: r.Backend,
+	})
+}
+
+func (o *owner) start(s basilscheduler.Start) {
+	order := basilwork.StartOrder{
+		Task: s.Task.String(), Attempt: s.Attempt, Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+	}
+	o.order(s.Backend, func(l *line) {
+		sent := time.Now()
+		refusal, answered := l.Start(o.ctx, order)
+		entry := o.logRun(s.Ref).WithField(basillog.FieldDuration, time.Since(sent).Milliseconds())
+		switch {
+		case !answered:
+			entry.Warn("start unanswered")
+		case refusal != basilwork.RefusalNone:
+			entry.WithField(basillog.FieldReason, refusal.String()).Info("start refused")
+		default:
+			entry.Debug("started")
+		}
+		o.node.metrics.started(refusal, answered, time.Since(sent))
+		o.send(func(now time.Time) { o.pool.Started(s.Ref, refusal, answered, now) })
+	}, func(now time.Time) { o.pool.Started(s.Ref, basilwork.RefusalBusy, true, now) })
+}
+
+func (o *owner) stopRun(s basilscheduler.Stop) {
+	order := basilwork.StopOrder{Task: s.Task.String(), Attempt: s.Attempt}
+	o.order(s.Backend, func(l *line) {
+		answered := l.Stop(o.ctx, order)
+		o.logRun(s.Ref).WithFields(logrus.Fields{basillog.FieldReason: s.Reason, "answered": answered}).Info("stop ordered")
+		o.send(func(now time.Time) { o.pool.Stopped(s.Ref, answered, now) })
+	}, nil)
+}
+
+func (o *owner) pace(p basilscheduler.Pace) {
+	order := basilwork.PaceOrder{Task: p.Task.String(), Attempt: p.Attempt, Percent: p.Percent}
+	o.order(p.Backend, func(l *line) {
+		answered := l.Pace(o.ctx, order)
+		o.logRun(p.Ref).WithFields(logrus.Fields{"percent": p.Percent, "answered": answered}).Info("pace ordered")
+	}, nil)
+}
+
+func (o *owner) advise(r basilscheduler.AdviceRequest) {
+	go func() {
+		tickets, valid, err := o.node.advisor.Advise(o.ctx, r.Step, r.Backends)
+		if err != nil {
+			o.log.WithError(err).WithField("step", r.Step).Warn("no advice")
+			return
+		}
+		o.send(func(now time.Time) { o.pool.Advised(r.Step, tickets, valid, now) })
+	}()
+}
+
+type evacuation struct{}
+
+func (o *owner) evacuate(time.Time) {}
--- /dev/null
+++ b/internal/basilnode/owner_lines.go
@@ -0,0 +1,195 @@
+package basilnode
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basilrunner"
+	"basilstage.example/basilstage/internal/basilshard"
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// recorder keeps the stored list of backend servers that may have runs, for a successor.
+type recorder struct {
+	stored   map[string]basilwork.Backend
+	version  int64
+	inFlight bool
+	after    time.Time // no try before
+}
+
+func recordKey(service string) basilplatform.Key {
+	return basilplatform.Key{Partition: "backends/" + service, Sort: "used"}
+}
+
+// loadRecorded reads which backend servers a predecessor used.
+func (o *owner) loadRecorded() error {
+	i, err := o.node.store.Get(o.ctx, recordKey(o.service))
+	if basilplatform.IsErrItemNotExist(err) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	o.records.version = i.Version
+	stored := make(map[string]basilwork.Backend)
+	if err := json.Unmarshal(i.Body, &stored); err != nil {
+		return basilplatform.ErrRefused{Operation: "read backends", Reason: err.Error()}
+	}
+	o.records.stored = stored
+	for id, b := range stored {
+		o.pool.Predecessor(id)
+		o.openLine(b)
+	}
+	return nil
+}
+
+// record stores the list of backend servers when it has new ones, before anything runs there.
+func (o *owner) record() {
+	if o.records.inFlight || o.stopping || time.Now().Before(o.records.after) {
+		return
+	}
+	list := make(map[string]basilwork.Backend)
+	missing := false
+	for _, b := range o.pool.Backends() {
+		list[b.ID] = basilwork.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Rack: b.Rack, Born: b.Born}
+		if _, ok := o.records.stored[b.ID]; !ok {
+			missing = true
+		}
+	}
+	if !missing {
+		for id := range list {
+			o.pool.Recorded(id)
+		}
+		return
+	}
+	o.writeRecord(list)
+}
+
+func (o *owner) writeRecord(list map[string]basilwork.Backend) {
+	body, err := json.Marshal(list)
+	if err != nil {
+		o.log.WithError(err).Error("list of backend servers not encoded")
+		return
+	}
+	o.records.inFlight = true
+	w := basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: recordKey(o.service), Precondition: basilplatform.PreconditionNone, Body: body}
+	check := basilplatform.Write{
+		Kind: basilplatform.WriteKindCheck, Key: basilshard.OwnerKey(o.service),
+		Precondition: basilplatform.PreconditionVersion, Version: o.row.Version,
+	}
+	go func() {
+		err := o.node.store.Transact(o.ctx, basilplatform.Transaction{Writes: []basilplatform.Write{check, w}})
+		o.send(func(now time.Time) {
+			o.records.inFlight = false
+			if err != nil {
+				o.log.WithError(err).Warn("list of backend servers not stored")
+				o.records.after = now.Add(storeRetry)
+				return
+			}
+			o.records.stored = list
+		})
+	}()
+}
+
+// setBackends takes up the listed backend servers.
+func (o *owner) setBackends(list []basilwork.Backend, now time.Time) {
+	o.pool.SetBackends(list, now)
+	listed := make(map[string]bool, len(list))
+	for _, b := range list {
+		listed[b.ID] = true
+		o.openLine(b)
+	}
+	for id, l := range o.lines {
+		if _, kept := o.records.stored[id]; !listed[id] && !o.pool.Busy(id) && !kept {
+			l.cancel()
+			delete(o.lines, id)
+		}
+	}
+}
+
+func (o *owner) openLine(b basilwork.Backend) {
+	if o.lines[b.ID] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(o.ctx)
+	l := &line{cancel: cancel, Line: basilrunner.NewLine(b, basilrunner.Options{
+		Commander: o.node.commander, Sink: o, Fence: o.row.Epoch, MaxHold: o.node.options.MaxHold,
+		MayStart: o.node.keeper.MayStart,
+		MayHold:  func() bool { return o.node.keeper.SinceRenewal() < o.node.options.HoldLimit },
+	})}
+	o.lines[b.ID] = l
+	go l.Run(ctx)
+}
+
+func (o *owner) closeLine(id string) {
+	if l := o.lines[id]; l != nil {
+		l.cancel()
+		delete(o.lines, id)
+	}
+}
+
+// updateLines tells the lines which backend servers are busy and what is stored of their ends.
+func (o *owner) updateLines() {
+	for id, l := range o.lines {
+		l.SetBusy(o.pool.Busy(id), o.commit.acked[id])
+	}
+}
+
+// Report takes in a backend server's answer to a hold.
+func (o *owner) Report(id string, r basilwork.Report, sent time.Time, reborn bool) {
+	o.send(func(now time.Time) {
+		if reborn {
+			o.log.WithFields(logrus.Fields{basillog.FieldHost: id, "born": r.Born}).Info("backend server started again")
+			o.pool.Reborn(id, now)
+			delete(o.commit.acked, id)
+			delete(o.commit.snapshot, id)
+		}
+		o.logEnds(id, r)
+		o.pool.Report(id, r, sent, now)
+	})
+}
+
+func (o *owner) logEnds(id string, r basilwork.Report) {
+	for _, e := range r.Ended {
+		if e.End == basilwork.RunEndDone || e.Number <= o.commit.logged[id] {
+			continue
+		}
+		o.commit.noteLogged(id, e.Number)
+		o.log.WithFields(logrus.Fields{
+			"task": e.Task, basillog.FieldAttempt: e.Attempt, basillog.FieldHost: id, basillog.FieldOutcome: e.End.String(), "number": e.Number,
+		}).Info("run ended")
+	}
+}
+
+// Attached notes that a backend server has answered under the owner's epoch.
+func (o *owner) Attached(id string) { o.send(func(time.Time) { o.pool.Attached(id) }) }
+
+// Reachable notes whether a backend server answers.
+func (o *owner) Reachable(id string, reachable bool) {
+	o.send(func(time.Time) {
+		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, "reachable": reachable}).Info("backend server's answers changed")
+		o.pool.SetReachable(id, reachable)
+	})
+}
+
+// Lost notes that nothing runs on an incarnation of a backend server any more.
+func (o *owner) Lost(id, reason string) {
+	o.send(func(now time.Time) {
+		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, basillog.FieldReason: reason}).Warn("backend server lost")
+		o.pool.Lost(id, now)
+		o.closeLine(id)
+		delete(o.commit.acked, id)
+		delete(o.commit.snapshot, id)
+	})
+}
+
+// Fenced notes that a backend server has seen a newer owner.
+func (o *owner) Fenced(id string) {
+	o.log.WithField(basillog.FieldHost, id).Warn("backend server has seen a newer owner")
+	o.cancel()
+}
--- /dev/null
+++ b/internal/basilnode/owner_store.go
@@ -0,0 +1,147 @@
+package basilnode
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"basilstage.example/basilstage/internal/basilledger"
+	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilshard"
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// committer keeps what is being stored and which ends that covers.
+type committer struct {
+	inFlight bool
+	entries  []basilledger.Entry // of the transaction in flight or to be repeated
+	states   map[string]basilwork.JobState
+	writer   string
+	sequence int64
+	snapshot map[string]int64 // ends that the transaction covers, by backend server
+	acked    map[string]int64 // ends that are stored
+	logged   map[string]int64
+	since    time.Time // of the oldest change that waits
+	after    time.Time // no try before
+}
+
+func (c *committer) noteLogged(id string, number int64) {
+	if c.logged == nil {
+		c.logged = make(map[string]int64)
+	}
+	c.logged[id] = number
+}
+
+func (c *committer) acknowledge(numbers map[string]int64) {
+	if c.acked == nil {
+		c.acked = make(map[string]int64)
+	}
+	for id, n := range numbers {
+		c.acked[id] = max(c.acked[id], n)
+	}
+}
+
+// store starts a group commit when one is due, and returns in what time to look again.
+func (o *owner) store(now time.Time) time.Duration {
+	c := &o.commit
+	if c.inFlight {
+		return time.Second
+	}
+	if now.Before(c.after) {
+		return c.after.Sub(now)
+	}
+	if len(c.entries) > 0 {
+		o.sendCommit()
+		return time.Second
+	}
+	ids, urgent := o.pool.Dirty()
+	if len(ids) == 0 {
+		c.acknowledge(o.pool.Processed())
+		c.since = time.Time{}
+		return time.Second
+	}
+	if c.since.IsZero() {
+		c.since = now
+	}
+	if !urgent && !o.stopping && now.Sub(c.since) < commitGather {
+		return c.since.Add(commitGather).Sub(now)
+	}
+	o.encode(ids)
+	if len(c.entries) > 0 {
+		o.sendCommit()
+	}
+	return time.Second
+}
+
+// encode takes the changed records for a transaction.
+func (o *owner) encode(ids []string) {
+	c := &o.commit
+	c.sequence++
+	c.writer = basilledger.Writer(o.node.options.Self.Incarnation, c.sequence)
+	c.states = make(map[string]basilwork.JobState)
+	c.since = time.Time{}
+	for _, id := range ids[:min(len(ids), basilledger.MaxCommitRecords)] {
+		r, ok := o.pool.Take(id)
+		if !ok {
+			continue
+		}
+		e, err := basilledger.NewEntry(r, o.versions[id], c.writer)
+		if err != nil {
+			o.log.WithError(err).WithField(basillog.FieldJob, id).Error("record not encoded")
+			continue
+		}
+		c.states[id] = r.State
+		c.entries = append(c.entries, e)
+	}
+	c.snapshot = nil
+	if len(ids) <= basilledger.MaxCommitRecords {
+		c.snapshot = o.pool.Processed()
+	}
+}
+
+func (o *owner) sendCommit() {
+	c := &o.commit
+	c.inFlight = true
+	entries, writer := c.entries, c.writer
+	row := basilledger.Owner{Shard: o.service, Key: basilshard.OwnerKey(o.service), Version: o.row.Version}
+	go func() {
+		sent := time.Now()
+		result, err := o.node.ledger.Commit(o.ctx, row, writer, entries)
+		o.node.metrics.committed(len(entries), err, time.Since(sent))
+		o.send(func(now time.Time) { o.committed(result, err, now) })
+	}()
+}
+
+// committed takes in the outcome of a group commit; one without an answer is sent again as it was.
+func (o *owner) committed(r basilledger.Result, err error, now time.Time) {
+	c := &o.commit
+	c.inFlight = false
+	for id, v := range r.Versions {
+		o.versions[id] = max(o.versions[id], v)
+	}
+	for _, id := range r.Cancelled {
+		o.pool.Cancel(id, now)
+	}
+	for _, id := range r.Missing {
+		o.log.WithField(basillog.FieldJob, id).Warn("job's row is gone")
+		o.pool.Cancel(id, now)
+	}
+	if basilledger.IsErrDeposed(err) {
+		o.log.Warn("shard has another owner")
+		o.cancel()
+		return
+	}
+	if err != nil {
+		o.log.WithError(err).WithField("records", len(c.entries)).Warn("commit repeated")
+		c.after = now.Add(commitRetry)
+		return
+	}
+	for id := range r.Versions {
+		o.pool.Stored(id, now)
+		if s := c.states[id]; s.Final() {
+			o.log.WithFields(logrus.Fields{basillog.FieldJob: id, basillog.FieldOutcome: s.String()}).Info("job finished")
+		}
+	}
+	c.entries = nil
+	c.acknowledge(c.snapshot)
+}
--- /dev/null
+++ b/internal/basilscheduler/action.go
@@ -0,0 +1,49 @@
+package basilscheduler
+
+import "basilstage.example/basilstage/internal/basilwork"
+
+// Ref names one run of a task on a backend server.
+type Ref struct {
+	Backend string
+	Task    basilwork.TaskID
+	Attempt int
+}
+
+// Start asks for a run to be started.
+type Start struct {
+	Ref
+	Payload    string
+	Checkpoint string
+	Ticket     string
+}
+
+// Stop asks for a run to be stopped.
+type Stop struct {
+	Ref
+	Reason string
+}
+
+// Pace asks for a run to work at a share.
+type Pace struct {
+	Ref
+	Percent int
+}
+
+// AdviceRequest asks which backend servers may run a step.
+type AdviceRequest struct {
+	Step     string
+	Backends []string
+}
+
+// Actions is what a decision asks for.
+type Actions struct {
+	Starts []Start
+	Stops  []Stop
+	Paces  []Pace
+	Advice []AdviceRequest
+}
+
+// Empty tells whether nothing is asked for.
+func (a *Actions) Empty() bool {
+	return len(a.Starts)+len(a.Stops)+len(a.Paces)+len(a.Advice) == 0
+}
--- /dev/null
+++ b/internal/basilscheduler/job.go
@@ -0,0 +1,210 @@
+package basilscheduler
+
+import (
+	"time"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// phase tells how far a run is.
+type phase int
+
+const (
+	phaseStarting phase = iota // ordered, not answered
+	phaseRunning
+	phaseUnsure   // the start got no answer: to be stopped
+	phaseStopping // a stop was ordered
+)
+
+// run is one run of a task that may exist on a backend server.
+type run struct {
+	task      *task
+	backend   *backend
+	attempt   int
+	phase     phase
+	reason    string    // of the stop
+	since     time.Time // of the order
+	answered  time.Time // when the newest order was answered
+	stopSent  time.Time // when the newest stop was asked for; zero for none
+	stopped   time.Time // when a stop was answered
+	percent   int
+	moved     time.Time // when percent last changed
+	saved     string
+	usage     int
+	pace      int
+	overSince time.Time // since when the serving task misses its target
+}
+
+func (r *run) ref() Ref { return Ref{Backend: r.backend.ID, Task: r.task.id, Attempt: r.attempt} }
+
+// working tells whether the run is known to be there and is not being stopped.
+func (r *run) working() bool { return r.phase == phaseRunning }
+
+// atWork tells whether a serving run is past its startup.
+func (r *run) atWork() bool { return r.phase == phaseRunning && r.percent >= 100 }
+
+// task is one task of an occurrence's step.
+type task struct {
+	id        basilwork.TaskID
+	step      *step
+	done      bool
+	attempt   int // the highest known
+	saved     string
+	runs      []*run
+	notBefore time.Time
+	readyAt   time.Time
+	avoid     map[string]time.Time // backend servers to avoid until a time
+}
+
+func (t *task) idle() bool { return !t.done && len(t.runs) == 0 }
+
+func (t *task) runOn(backend string, attempt int) *run {
+	for _, r := range t.runs {
+		if r.backend.ID == backend && r.attempt == attempt {
+			return r
+		}
+	}
+	return nil
+}
+
+func (t *task) shun(backend string, until time.Time) {
+	if t.avoid == nil {
+		t.avoid = make(map[string]time.Time)
+	}
+	t.avoid[backend] = until
+}
+
+// step is the state of one step of an occurrence.
+type step struct {
+	spec       *basilwork.Step
+	occurrence *occurrence
+	number     int
+	tasks      []*task
+	left       int // tasks not done
+	progress   *basilwork.StepProgress
+}
+
+func (s *step) ready() bool {
+	for _, a := range s.spec.After {
+		if s.occurrence.steps[a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// onBackend returns how many live runs of the step the backend server may have.
+func (s *step) onBackend(b *backend) int {
+	var count int
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if r.backend == b {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// occurrence is one time that a job's steps run.
+type occurrence struct {
+	job    *job
+	number int
+	due    time.Time
+	steps  []*step
+	left   int // steps not done
+}
+
+// job is the state of one accepted job.
+type job struct {
+	record      basilwork.Record
+	queue       *basilwork.Queue // may be nil when no configuration names it any more
+	occurrences map[int]*occurrence
+	finished    int // occurrences done
+	accepted    time.Time
+	began       bool
+	adopted     bool // may have runs that a predecessor started
+	dirty       bool
+	urgent      bool
+}
+
+func (j *job) id() string { return j.record.Job.ID }
+
+func (j *job) maxAttempts() int {
+	if j.queue == nil || j.queue.MaxAttempts <= 0 {
+		return defaultMaxAttempts
+	}
+	return j.queue.MaxAttempts
+}
+
+// open creates the occurrence's state from its progress.
+func (j *job) open(number int) *occurrence {
+	p := j.record.Progress[number]
+	if p == nil {
+		p = &basilwork.OccurrenceProgress{}
+		if j.record.Progress == nil {
+			j.record.Progress = make(map[int]*basilwork.OccurrenceProgress)
+		}
+		j.record.Progress[number] = p
+	}
+	for len(p.Steps) < len(j.record.Job.Steps) {
+		p.Steps = append(p.Steps, basilwork.StepProgress{})
+	}
+	o := &occurrence{job: j, number: number, due: j.record.Job.Due(number)}
+	for n := range j.record.Job.Steps {
+		s := &step{spec: &j.record.Job.Steps[n], occurrence: o, number: n, progress: &p.Steps[n]}
+		for i := range s.spec.Count {
+			s.tasks = append(s.tasks, s.newTask(i))
+		}
+		if s.left > 0 {
+			o.left++
+		}
+		o.steps = append(o.steps, s)
+	}
+	return o
+}
+
+func (s *step) newTask(index int) *task {
+	j := s.occurrence.job
+	t := &task{
+		id:    basilwork.TaskID{Job: j.id(), Occurrence: s.occurrence.number, Step: s.number, Index: index},
+		step:  s,
+		done:  s.progress.IsDone(index),
+		saved: s.progress.Saved[index],
+	}
+	for _, a := range s.progress.Failed[index] {
+		t.attempt = max(t.attempt, a)
+	}
+	if !t.done {
+		s.left++
+	}
+	return t
+}
+
+// remaining returns the run time of the longest chain of steps that is not done.
+func (o *occurrence) remaining(now time.Time, length func(s *step) time.Duration) time.Duration {
+	return o.job.record.Job.Chain(func(n int) time.Duration {
+		s := o.steps[n]
+		if s.left == 0 {
+			return 0
+		}
+		full := length(s)
+		return max(full-s.worked(now, full), 0)
+	})
+}
+
+// worked returns how much of the step's length has passed for its least advanced task.
+func (s *step) worked(now time.Time, full time.Duration) time.Duration {
+	least := full
+	for _, t := range s.tasks {
+		if t.done {
+			continue
+		}
+		var best time.Duration
+		for _, r := range t.runs {
+			best = max(best, full*time.Duration(r.percent)/100, min(now.Sub(r.since), full/2))
+		}
+		least = min(least, best)
+	}
+	return least
+}
--- /dev/null
+++ b/internal/basilscheduler/pool.go
@@ -0,0 +1,321 @@
+package basilscheduler
+
+import (
+	"sort"
+	"time"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+const (
+	defaultMaxAttempts = 3                      // where no configuration tells
+	suspectFailures    = 3                      // runs in a row; one job's bad tasks fail everywhere
+	suspectJobs        = 2                      // different jobs among them
+	suspectPause       = 3 * time.Second        // before a suspect backend server is tried again
+	busyPause          = 400 * time.Millisecond // after a backend server said that it is unhealthy
+	roomPause          = 150 * time.Millisecond // after a backend server had less room than counted
+	retryPause         = 200 * time.Millisecond // between a task's failed run and the next
+	stopRepeat         = 500 * time.Millisecond // between unanswered stops
+	stallFactor        = 3                      // times the expected run time without progress
+	stallFloor         = 2 * time.Second        // least time without progress; reports come every second
+	avoidTime          = 4 * time.Second        // that a task keeps off a backend server where it stalled
+	epochAttempts      = 100                    // attempts reserved to each owner of a task
+)
+
+// Options are what a pool is made with.
+type Options struct {
+	Service string
+	Epoch   int64 // of the owner; the first is 1
+	Early   time.Duration
+	Grace   time.Duration // how long a predecessor's unseen runs may last
+	Far     float64       // how much longer tasks take away from their data
+}
+
+// Pool is the state of one service's jobs and backend servers. One goroutine uses it.
+type Pool struct {
+	options   Options
+	jobs      map[string]*job
+	backends  map[string]*backend
+	started   time.Time
+	unsettled map[string]time.Time // backend servers that may hold a predecessor's runs, and until when
+	queues    map[string]*basilwork.Queue
+	times     map[timeKey]*learned
+	tickets   map[string]*stepTickets
+	actions   Actions
+	wake      time.Time
+	fenced    bool
+}
+
+// New returns an empty pool.
+func New(o Options, now time.Time) *Pool {
+	return &Pool{
+		options: o, started: now,
+		jobs:      make(map[string]*job),
+		backends:  make(map[string]*backend),
+		unsettled: make(map[string]time.Time),
+		queues:    make(map[string]*basilwork.Queue),
+		times:     make(map[timeKey]*learned),
+		tickets:   make(map[string]*stepTickets),
+	}
+}
+
+// Fenced tells whether a backend server has seen a newer owner.
+func (p *Pool) Fenced() bool { return p.fenced }
+
+// SetConfiguration takes up the queues.
+func (p *Pool) SetConfiguration(c *basilwork.Configuration) {
+	for n := range c.Queues {
+		q := c.Queues[n]
+		p.queues[q.Name] = &q
+	}
+	for _, j := range p.jobs {
+		j.queue = p.queues[j.record.Job.Queue]
+	}
+}
+
+// Predecessor notes a backend server that may hold runs of an earlier owner.
+//
+// Until it has answered, or the options' grace is over, tasks of adopted jobs that
+// it might run are not started.
+func (p *Pool) Predecessor(backend string) {
+	p.unsettled[backend] = p.started.Add(p.options.Grace)
+}
+
+// AddJob takes up a stored job; adopted says that an earlier owner may have started tasks of it.
+func (p *Pool) AddJob(r basilwork.Record, adopted bool) {
+	if p.jobs[r.Job.ID] != nil || r.State.Final() {
+		return
+	}
+	j := &job{
+		record: r, queue: p.queues[r.Job.Queue], occurrences: make(map[int]*occurrence),
+		accepted: time.UnixMilli(r.Accepted), adopted: adopted, began: r.State != basilwork.JobStatePending,
+	}
+	for n := range j.record.Job.Occurrences() {
+		if q := r.Progress[n]; q != nil && q.Done {
+			j.finished++
+		}
+	}
+	p.jobs[r.Job.ID] = j
+}
+
+// Cancel stops what runs of a job that was cancelled.
+func (p *Pool) Cancel(id string, now time.Time) {
+	if j := p.jobs[id]; j != nil {
+		j.record.State = basilwork.JobStateCanceled
+		j.dirty = false
+		p.endJob(j, "canceled", now)
+	}
+}
+
+// endJob stops all runs of a job and forgets it once none is left.
+func (p *Pool) endJob(j *job, reason string, now time.Time) {
+	var live int
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				for _, r := range t.runs {
+					live++
+					p.stop(r, reason, now)
+				}
+			}
+		}
+	}
+	if live == 0 && !j.dirty {
+		delete(p.jobs, j.id())
+	}
+}
+
+// SetBackends replaces the list of backend servers; those that left it get no new work.
+func (p *Pool) SetBackends(list []basilwork.Backend, now time.Time) {
+	listed := make(map[string]bool, len(list))
+	for _, b := range list {
+		listed[b.ID] = true
+		p.setBackend(b)
+	}
+	for id, b := range p.backends {
+		if listed[id] {
+			continue
+		}
+		b.present = false
+		if len(b.runs) == 0 && p.unsettled[id].IsZero() {
+			delete(p.backends, id)
+		}
+	}
+	_ = now
+}
+
+func (p *Pool) setBackend(entry basilwork.Backend) {
+	b := p.backends[entry.ID]
+	if b == nil {
+		b = &backend{runs: make(map[*run]bool), reachable: true}
+		p.backends[entry.ID] = b
+	}
+	b.Backend = entry
+	b.present = true
+}
+
+// Attached notes that the backend server has answered under the owner's fencing token.
+func (p *Pool) Attached(id string) {
+	if b := p.backends[id]; b != nil {
+		b.attached = true
+	}
+	delete(p.unsettled, id)
+}
+
+// Recorded notes that the backend server is stored as one that may have runs.
+func (p *Pool) Recorded(id string) {
+	if b := p.backends[id]; b != nil {
+		b.recorded = true
+	}
+}
+
+// Backends returns the backend servers that are listed or may have runs.
+func (p *Pool) Backends() []basilwork.Backend {
+	list := make([]basilwork.Backend, 0, len(p.backends))
+	for _, id := range p.backendIDs() {
+		list = append(list, p.backends[id].Backend)
+	}
+	return list
+}
+
+// SetReachable notes whether the backend server answers.
+func (p *Pool) SetReachable(id string, reachable bool) {
+	if b := p.backends[id]; b != nil {
+		b.reachable = reachable
+	}
+}
+
+// Evacuate keeps new work off a backend server and moves away what it has, or ends that.
+func (p *Pool) Evacuate(id string, on bool) {
+	if b := p.backends[id]; b != nil {
+		b.evacuating = on
+	}
+}
+
+// Evacuating tells whether the backend server is being emptied, and how many runs it may have.
+func (p *Pool) Evacuating(id string) (on bool, runs int) {
+	b := p.backends[id]
+	if b == nil {
+		return false, 0
+	}
+	return b.evacuating, len(b.runs)
+}
+
+// Lost notes that nothing runs any more on an incarnation of a backend server.
+func (p *Pool) Lost(id string, now time.Time) {
+	delete(p.unsettled, id)
+	b := p.backends[id]
+	if b == nil {
+		return
+	}
+	for r := range b.runs {
+		p.endRun(r, basilwork.RunEndLost, now)
+	}
+	delete(p.backends, id)
+}
+
+// Reborn forgets what was known of a backend server that started again under its id.
+func (p *Pool) Reborn(id string, now time.Time) {
+	b := p.backends[id]
+	if b == nil {
+		return
+	}
+	for r := range b.runs {
+		p.endRun(r, basilwork.RunEndLost, now)
+	}
+	b.processed = 0
+	b.attached = false
+}
+
+// Processed returns up to which number the ends of a backend server were taken in.
+func (p *Pool) Processed() map[string]int64 {
+	numbers := make(map[string]int64, len(p.backends))
+	for id, b := range p.backends {
+		numbers[id] = b.processed
+	}
+	return numbers
+}
+
+// Busy tells whether the backend server may have runs.
+func (p *Pool) Busy(id string) bool {
+	b := p.backends[id]
+	return b != nil && len(b.runs) > 0
+}
+
+// Dirty returns the records that changed since they were last taken, and whether one is urgent.
+func (p *Pool) Dirty() (ids []string, urgent bool) {
+	for id, j := range p.jobs {
+		if j.dirty {
+			ids = append(ids, id)
+			urgent = urgent || j.urgent
+		}
+	}
+	sort.Strings(ids)
+	return ids, urgent
+}
+
+// Take returns the job's record to be stored and marks it clean.
+func (p *Pool) Take(id string) (basilwork.Record, bool) {
+	j := p.jobs[id]
+	if j == nil || !j.dirty {
+		return basilwork.Record{}, false
+	}
+	j.dirty = false
+	j.urgent = false
+	return j.record, true
+}
+
+// Dirtied marks a record to be stored again.
+func (p *Pool) Dirtied(id string) {
+	if j := p.jobs[id]; j != nil {
+		j.dirty = true
+		j.urgent = true
+	}
+}
+
+// Stored forgets a job whose final state is stored and that has no runs.
+func (p *Pool) Stored(id string, now time.Time) {
+	if j := p.jobs[id]; j != nil && j.record.State.Final() {
+		p.endJob(j, "job "+j.record.State.String(), now)
+	}
+}
+
+// Load is how much a pool has to do.
+type Load struct {
+	Jobs     int
+	Waiting  int // tasks ready and not started
+	Running  int
+	Backends int
+	Used     basilwork.Room
+	Room     basilwork.Room
+	Wanted   basilwork.Room // of the waiting tasks
+}
+
+// Load returns how much the pool has to do.
+func (p *Pool) Load() Load {
+	l := Load{Jobs: len(p.jobs)}
+	for _, b := range p.backends {
+		if b.present && b.attached && !b.Draining {
+			l.Backends++
+			l.Room = l.Room.Add(b.Room)
+		}
+		l.Used = l.Used.Add(b.used)
+		l.Running += len(b.runs)
+	}
+	for _, j := range p.jobs {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.left == 0 || !s.ready() || j.record.State.Final() {
+					continue
+				}
+				for _, t := range s.tasks {
+					if t.idle() {
+						l.Waiting++
+						l.Wanted = l.Wanted.Add(s.spec.Demand())
+					}
+				}
+			}
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/internal/basilscheduler/tend.go
@@ -0,0 +1,165 @@
+package basilscheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	fullPace     = 100
+	paceDown     = 0.85                   // of the target: fillers beside are slowed down
+	paceUp       = 0.6                    // of the target: fillers beside are let work again
+	paceStep     = 25                     // percent
+	moveWorth    = time.Second            // least run time left for which a checkpoint and restart pays
+	paceInterval = 500 * time.Millisecond // usage covers the last half second
+)
+
+// tend looks after what runs: repeats stops, empties backend servers, finds stalled runs, paces fillers.
+func (p *Pool) tend(now time.Time) {
+	for _, id := range p.backendIDs() {
+		b := p.backends[id]
+		p.pace(b, now)
+		for _, r := range b.sortedRuns() {
+			p.tendRun(r, now)
+		}
+	}
+}
+
+func (p *Pool) backendIDs() []string {
+	ids := make([]string, 0, len(p.backends))
+	for id := range p.backends {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (b *backend) sortedRuns() []*run {
+	runs := make([]*run, 0, len(b.runs))
+	for r := range b.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, c *run) int {
+		x, y := a.task.id, c.task.id
+		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Occurrence, y.Occurrence),
+			cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index), cmp.Compare(a.attempt, c.attempt))
+	})
+	return runs
+}
+
+func (p *Pool) tendRun(r *run, now time.Time) {
+	j := r.task.step.occurrence.job
+	switch {
+	case r.phase == phaseUnsure, r.phase == phaseStopping, r.reason != "" && r.phase == phaseRunning:
+		p.stop(r, r.reason, now)
+		if r.stopped.IsZero() {
+			p.wakeAt(r.stopSent.Add(stopRepeat))
+		}
+	case r.phase != phaseRunning:
+	case j.record.State.Final():
+		p.stop(r, "job "+j.record.State.String(), now)
+	case r.task.done && !r.task.step.spec.Gang:
+		p.stop(r, "another copy finished", now)
+	case r.backend.evacuating, r.backend.Draining:
+		p.evacuateRun(r, now)
+	case p.stalled(r, now):
+		r.task.shun(r.backend.ID, now.Add(avoidTime))
+		r.backend.noteFailure(j.id(), now)
+		p.stop(r, "no progress", now)
+	}
+}
+
+// stalled tells whether a short task has made no progress for far longer than its run time explains.
+func (p *Pool) stalled(r *run, now time.Time) bool {
+	s := r.task.step
+	if s.spec.LongRunning || s.spec.Gang || r.pace < fullPace || r.moved.IsZero() {
+		return false
+	}
+	return now.Sub(r.moved) > max(stallFloor, stallFactor*p.length(s))
+}
+
+// evacuateRun moves a run off a backend server that is to be emptied, where that breaks nothing.
+func (p *Pool) evacuateRun(r *run, now time.Time) {
+	s := r.task.step
+	if s.spec.LongRunning {
+		if p.elsewhere(r, now) && (r.backend.Draining || p.mayLeave(r)) {
+			p.stop(r, "moved to another backend server", now)
+		}
+		return
+	}
+	if !s.spec.Checkpointing || s.spec.Gang {
+		return
+	}
+	left := p.length(s) * time.Duration(100-r.percent) / 100
+	if left > moveWorth && p.elsewhere(r, now) {
+		p.stop(r, "checkpointed for a move", now)
+	}
+}
+
+// elsewhere tells whether another backend server has room for the run's task.
+func (p *Pool) elsewhere(r *run, now time.Time) bool {
+	for _, b := range p.backends {
+		if b != r.backend && p.fits(r.task, b, nil, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayLeave tells whether the task may stop working for a while without breaking its step's availability.
+func (p *Pool) mayLeave(r *run) bool {
+	s := r.task.step
+	allowed := 1
+	if s.spec.LimitsAway {
+		allowed = s.spec.MaxUnavailable
+	}
+	var away int
+	for _, t := range s.tasks {
+		if t != r.task && !t.atWork() {
+			away++
+		}
+	}
+	return away < allowed
+}
+
+func (t *task) atWork() bool {
+	for _, r := range t.runs {
+		if r.atWork() {
+			return true
+		}
+	}
+	return false
+}
+
+// pace slows tasks that fill beside a serving task that nears its target, and lets them work again.
+func (p *Pool) pace(b *backend, now time.Time) {
+	if now.Sub(b.paced) < paceInterval {
+		return
+	}
+	b.paced = now
+	var worst float64
+	for r := range b.runs {
+		if target := r.task.step.spec.Target; target > 0 && r.atWork() {
+			worst = max(worst, float64(r.usage)/float64(target.Milliseconds()))
+		}
+	}
+	for _, r := range b.sortedRuns() {
+		if !r.task.step.spec.Fills || !r.working() {
+			continue
+		}
+		percent := r.pace
+		switch {
+		case worst > 1:
+			percent = max(0, r.pace-2*paceStep)
+		case worst > paceDown:
+			percent = max(0, r.pace-paceStep)
+		case worst < paceUp:
+			percent = min(fullPace, r.pace+paceStep)
+		}
+		if percent != r.pace {
+			r.pace = percent
+			p.actions.Paces = append(p.actions.Paces, Pace{Ref: r.ref(), Percent: percent})
+		}
+	}
+}
--- /dev/null
+++ b/internal/basilshard/keeper.go
@@ -0,0 +1,359 @@
+package basilshard
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basiltimer"
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+const (
+	memberPartition = "members/"
+	ownerTable      = "owners"
+	ownerSort       = "owner"
+	watchWait       = 20 * time.Second // a longer one gains nothing: a change ends it at once
+	retryPause      = 300 * time.Millisecond
+)
+
+// OwnerKey returns the key of a shard's owner row, in the part of its jobs.
+func OwnerKey(shard string) basilplatform.Key {
+	return basilplatform.Key{Partition: ownerTable + "/" + shard, Sort: ownerSort}
+}
+
+// Options are what a keeper is made with.
+type Options struct {
+	Self   Member
+	Store  basilwork.Store
+	Clock  Clock
+	Log    *logrus.Logger
+	Lease  time.Duration // that a member's row may stand still
+	Margin time.Duration // before the lease ends, in which no work is started any more
+	Renew  time.Duration // between renewals
+	// Owned and Lost are called from the keeper's goroutine.
+	Owned func(shard string, row OwnerRow)
+	Lost  func(shard string)
+}
+
+// Keeper renews this entry host's row, claims shards and tells which ones it owns.
+type Keeper struct {
+	options Options
+	mutex   sync.Mutex // guards shards and state
+	shards  []string
+	state   *State
+	owned   map[string]OwnerRow
+	changed chan struct{}
+	until   atomic.Int64 // on the clock, in nanoseconds: work may be started before
+	renewed atomic.Int64 // on the clock: the newest answered renewal
+	stop    atomic.Bool
+	started time.Duration
+}
+
+// New returns a keeper.
+func New(o Options) *Keeper {
+	return &Keeper{
+		options: o, state: NewState(o.Self, o.Lease, o.Renew), owned: make(map[string]OwnerRow),
+		changed: make(chan struct{}, 1), started: o.Clock(),
+	}
+}
+
+// SetShards replaces the shards that have to have owners.
+func (k *Keeper) SetShards(shards []string) {
+	k.mutex.Lock()
+	same := slices.Equal(k.shards, shards)
+	k.shards = slices.Clone(shards)
+	k.mutex.Unlock()
+	if !same {
+		k.poke()
+	}
+}
+
+func (k *Keeper) poke() {
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+// MayStart tells whether an owner may start work: its lease holds.
+func (k *Keeper) MayStart() bool {
+	return int64(k.options.Clock()) < k.until.Load()
+}
+
+// SinceRenewal returns how long ago the newest answered renewal was sent.
+func (k *Keeper) SinceRenewal() time.Duration {
+	return k.options.Clock() - time.Duration(k.renewed.Load())
+}
+
+// Live returns the members that renew.
+func (k *Keeper) Live() []Member {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.state.Live()
+}
+
+// Holder returns the node that owns a shard and its address, or empty texts.
+func (k *Keeper) Holder(shard string) (node, address string) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	row := k.state.Owner(shard)
+	if m := k.state.members[row.Node]; m != nil && m.member.Incarnation == row.Incarnation {
+		return row.Node, m.member.Address
+	}
+	return row.Node, ""
+}
+
+// Run keeps membership and ownership until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	go k.watch(ctx)
+	for ctx.Err() == nil {
+		k.round(ctx)
+		timer := time.NewTimer(k.options.Renew)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-k.changed:
+		}
+		timer.Stop()
+	}
+}
+
+// round renews the member's row, reads the others' and claims what has no owner.
+func (k *Keeper) round(ctx context.Context) {
+	asked := k.options.Clock()
+	if time.Duration(k.renewed.Load())+k.options.Renew/2 <= asked || k.renewed.Load() == 0 {
+		if !k.renew(ctx, asked) {
+			k.missed()
+			return
+		}
+	}
+	if !k.observe(ctx) {
+		k.missed()
+		return
+	}
+	k.claim(ctx)
+}
+
+func (k *Keeper) missed() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.state.Missed()
+}
+
+// renew writes the member's row. After a lapse, ownership is read again before any work is started.
+func (k *Keeper) renew(ctx context.Context, asked time.Duration) bool {
+	self := k.options.Self
+	self.Stopping = k.stop.Load()
+	body, err := json.Marshal(self)
+	if err != nil {
+		k.options.Log.WithError(err).Error("member row not encoded")
+		return false
+	}
+	w := basilplatform.Write{
+		Kind: basilplatform.WriteKindPut, Key: basilplatform.Key{Partition: memberPartition, Sort: self.Node},
+		Precondition: basilplatform.PreconditionNone, Body: body,
+	}
+	if err := k.options.Store.Transact(ctx, basilplatform.Transaction{Writes: []basilplatform.Write{w}}); err != nil {
+		k.options.Log.WithError(err).Warn("lease not renewed")
+		return false
+	}
+	if !k.MayStart() && !k.readOwners(ctx) {
+		return false
+	}
+	k.renewed.Store(int64(asked))
+	k.until.Store(int64(asked + k.options.Lease - k.options.Margin))
+	return true
+}
+
+func (k *Keeper) observe(ctx context.Context) bool {
+	asked := k.options.Clock()
+	items, _, err := k.options.Store.Snapshot(ctx, memberPartition)
+	if err != nil {
+		k.options.Log.WithError(err).Warn("members not read")
+		return false
+	}
+	var rows []Observed
+	for _, i := range items {
+		var m Member
+		if err := json.Unmarshal(i.Body, &m); err != nil {
+			k.options.Log.WithError(err).WithField(basillog.FieldMember, i.Key.Sort).Warn("member row unreadable")
+			continue
+		}
+		rows = append(rows, Observed{Member: m, Version: i.Version})
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.state.Observe(rows, asked)
+	return true
+}
+
+// readOwners reads the owner rows of all shards.
+func (k *Keeper) readOwners(ctx context.Context) bool {
+	k.mutex.Lock()
+	shards := slices.Clone(k.shards)
+	k.mutex.Unlock()
+	for _, shard := range shards {
+		if !k.readOwner(ctx, shard) {
+			return false
+		}
+	}
+	return true
+}
+
+func (k *Keeper) readOwner(ctx context.Context, shard string) bool {
+	i, err := k.options.Store.Get(ctx, OwnerKey(shard))
+	if basilplatform.IsErrItemNotExist(err) {
+		k.setOwner(shard, OwnerRow{})
+		return true
+	}
+	if err != nil {
+		k.options.Log.WithError(err).Warn("owner not read")
+		return false
+	}
+	k.takeOwner(shard, i)
+	return true
+}
+
+func (k *Keeper) takeOwner(shard string, i basilplatform.Item) {
+	var row OwnerRow
+	if err := json.Unmarshal(i.Body, &row); err != nil {
+		k.options.Log.WithError(err).WithField(basillog.FieldPool, shard).Error("owner row unreadable")
+		return
+	}
+	row.Version = i.Version
+	k.setOwner(shard, row)
+}
+
+// setOwner takes in an owner row and tells when this entry host gains or loses the shard.
+func (k *Keeper) setOwner(shard string, row OwnerRow) {
+	k.mutex.Lock()
+	if row.Version < k.state.Owner(shard).Version {
+		k.mutex.Unlock()
+		return
+	}
+	k.state.SetOwner(shard, row)
+	before, had := k.owned[shard]
+	has := row.Incarnation == k.options.Self.Incarnation
+	if has {
+		k.owned[shard] = row
+	} else {
+		delete(k.owned, shard)
+	}
+	k.mutex.Unlock()
+	if had && (!has || before.Version != row.Version) {
+		k.logOwner(shard, row, "shard lost")
+		k.options.Lost(shard)
+	}
+	if has && (!had || before.Version != row.Version) {
+		k.logOwner(shard, row, "shard owned")
+		k.options.Owned(shard, row)
+	}
+	if row.Incarnation == "" {
+		k.poke()
+	}
+}
+
+func (k *Keeper) logOwner(shard string, row OwnerRow, message string) {
+	k.options.Log.WithFields(logrus.Fields{
+		basillog.FieldPool: shard, basillog.FieldEpoch: row.Epoch, basillog.FieldMember: row.Node, basillog.FieldIncarnation: row.Incarnation,
+	}).Info(message)
+}
+
+func (k *Keeper) claim(ctx context.Context) {
+	now := k.options.Clock()
+	if k.stop.Load() || !k.MayStart() || now-k.started < k.options.Renew {
+		return
+	}
+	k.mutex.Lock()
+	claims := k.state.Claims(k.shards, now)
+	k.mutex.Unlock()
+	for _, shard := range claims {
+		if !k.claimOne(ctx, shard) {
+			return
+		}
+	}
+}
+
+func (k *Keeper) claimOne(ctx context.Context, shard string) bool {
+	k.mutex.Lock()
+	row := k.state.Owner(shard)
+	k.mutex.Unlock()
+	self := k.options.Self
+	next := OwnerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: row.Epoch + 1}
+	if err := k.write(ctx, shard, next, row.Version); err != nil {
+		k.options.Log.WithError(err).WithField(basillog.FieldPool, shard).Info("shard not claimed")
+	}
+	return k.readOwner(ctx, shard)
+}
+
+func (k *Keeper) write(ctx context.Context, shard string, row OwnerRow, version int64) error {
+	body, err := json.Marshal(row)
+	if err != nil {
+		return err
+	}
+	w := basilplatform.Write{
+		Kind: basilplatform.WriteKindPut, Key: OwnerKey(shard), Precondition: basilplatform.PreconditionVersion, Version: version, Body: body,
+	}
+	if version == 0 {
+		w.Precondition = basilplatform.PreconditionAbsent
+	}
+	return k.options.Store.Transact(ctx, basilplatform.Transaction{Writes: []basilplatform.Write{w}})
+}
+
+// Release hands over all shards; the caller has stopped their work.
+func (k *Keeper) Release(ctx context.Context) {
+	k.stop.Store(true)
+	k.mutex.Lock()
+	owned := maps.Clone(k.owned)
+	k.mutex.Unlock()
+	for shard, row := range owned {
+		if err := k.write(ctx, shard, OwnerRow{Epoch: row.Epoch}, row.Version); err != nil {
+			k.options.Log.WithError(err).WithField(basillog.FieldPool, shard).Warn("shard not handed over")
+		}
+	}
+	k.renew(ctx, k.options.Clock())
+}
+
+// Stopping makes this entry host claim nothing any more.
+func (k *Keeper) Stopping() { k.stop.Store(true) }
+
+// watch follows the owner rows.
+func (k *Keeper) watch(ctx context.Context) {
+	var after int64
+	for ctx.Err() == nil {
+		changes, err := k.options.Store.Watch(ctx, ownerTable, after, watchWait)
+		if err != nil {
+			after = 0
+			if basilwork.IsErrHistoryGone(err) {
+				after = k.resync(ctx)
+			}
+			_ = basiltimer.Wait(ctx, retryPause) // an ended context ends the loop
+			continue
+		}
+		after = changes.Version
+		for _, c := range changes.Rows {
+			shard := c.Item.Key.Partition[len(ownerTable)+1:]
+			if !c.Deleted {
+				k.takeOwner(shard, c.Item)
+			}
+		}
+	}
+}
+
+// resync reads all owners and returns the version to watch from, 0 when that failed.
+func (k *Keeper) resync(ctx context.Context) int64 {
+	_, version, err := k.options.Store.Snapshot(ctx, ownerTable+"/")
+	if err != nil || !k.readOwners(ctx) {
+		return 0
+	}
+	return version
+}
--- /dev/null
+++ b/internal/basilshard/state.go
@@ -0,0 +1,180 @@
+package basilshard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is what an entry host tells of itself.
+type Member struct {
+	Node        string  `json:"node"`
+	Incarnation string  `json:"incarnation"`
+	Address     string  `json:"address"`
+	Zone        string  `json:"zone"`
+	Weight      float64 `json:"weight"`
+	Stopping    bool    `json:"stopping,omitempty"`
+}
+
+// OwnerRow is the stored owner of a shard; no holder means that it was released.
+type OwnerRow struct {
+	Node        string `json:"node,omitempty"`
+	Incarnation string `json:"incarnation,omitempty"`
+	Epoch       int64  `json:"epoch"`
+	Version     int64  `json:"-"`
+}
+
+// seen is a member's row as it was observed.
+type seen struct {
+	member  Member
+	version int64
+	first   time.Duration // when this version was first read
+	last    time.Duration // when it was last read
+}
+
+// State is what an entry host knows of members and owners. One goroutine uses it.
+type State struct {
+	self    Member
+	lease   time.Duration
+	rank    time.Duration // that each lower rank waits longer before it claims
+	members map[string]*seen
+	owners  map[string]OwnerRow
+	vacant  map[string]time.Duration // since when shards were seen without a live owner
+	gap     bool                     // a read failed since the last good one
+}
+
+// NewState returns what a starting entry host knows: nothing.
+func NewState(self Member, lease, rank time.Duration) *State {
+	return &State{
+		self: self, lease: lease, rank: rank,
+		members: make(map[string]*seen), owners: make(map[string]OwnerRow), vacant: make(map[string]time.Duration),
+	}
+}
+
+// Observed is a member's row as read.
+type Observed struct {
+	Member  Member
+	Version int64
+}
+
+// Observe takes in a read of all members that was asked for at the time.
+func (s *State) Observe(rows []Observed, asked time.Duration) {
+	found := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		found[r.Member.Node] = true
+		m := s.members[r.Member.Node]
+		if m == nil || m.version != r.Version || s.gap {
+			m = &seen{member: r.Member, version: r.Version, first: asked}
+			s.members[r.Member.Node] = m
+		}
+		m.last = asked
+	}
+	for node := range s.members {
+		if !found[node] {
+			delete(s.members, node)
+		}
+	}
+	s.gap = false
+}
+
+// Missed notes that members could not be read: what stood still meanwhile may have done so for that reason.
+func (s *State) Missed() { s.gap = true }
+
+// SetOwner takes in the row of a shard.
+func (s *State) SetOwner(shard string, row OwnerRow) { s.owners[shard] = row }
+
+// Owner returns the stored owner of a shard.
+func (s *State) Owner(shard string) OwnerRow { return s.owners[shard] }
+
+// dead tells whether the holder of the row certainly started no work any more.
+func (s *State) dead(row OwnerRow) bool {
+	if row.Incarnation == "" {
+		return true
+	}
+	m := s.members[row.Node]
+	if m == nil || m.member.Incarnation != row.Incarnation {
+		return true
+	}
+	return m.last-m.first >= s.lease
+}
+
+// live tells whether a member renews and takes shards.
+func (s *State) live(m *seen) bool {
+	return !m.member.Stopping && m.last-m.first < s.lease*2/3
+}
+
+// Live returns the members that renew, in the order of their nodes.
+func (s *State) Live() []Member {
+	var list []Member
+	for _, m := range s.members {
+		if s.live(m) {
+			list = append(list, m.member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Node, b.Node) })
+	return list
+}
+
+// Claims returns the shards that this entry host is to claim now.
+func (s *State) Claims(shards []string, now time.Duration) []string {
+	var claims []string
+	loads := s.loads(shards)
+	live := s.Live()
+	for _, shard := range shards {
+		if !s.dead(s.owners[shard]) {
+			delete(s.vacant, shard)
+			continue
+		}
+		since, ok := s.vacant[shard]
+		if !ok {
+			since = now
+			s.vacant[shard] = now
+		}
+		order := candidates(shard, live, loads)
+		loads[first(order)]++
+		rank := slices.IndexFunc(order, func(m Member) bool { return m.Node == s.self.Node })
+		if rank >= 0 && now-since >= time.Duration(rank)*s.rank {
+			claims = append(claims, shard)
+		}
+	}
+	return claims
+}
+
+func first(order []Member) string {
+	if len(order) == 0 {
+		return ""
+	}
+	return order[0].Node
+}
+
+// loads returns how many of the shards each live owner has.
+func (s *State) loads(shards []string) map[string]int {
+	loads := make(map[string]int)
+	for _, shard := range shards {
+		if row := s.owners[shard]; !s.dead(row) {
+			loads[row.Node]++
+		}
+	}
+	return loads
+}
+
+// candidates orders members for a shard: those with least to do, then by rendezvous hashing.
+func candidates(shard string, live []Member, loads map[string]int) []Member {
+	order := slices.Clone(live)
+	slices.SortStableFunc(order, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(float64(loads[a.Node])/weight(a), float64(loads[b.Node])/weight(b)),
+			cmp.Compare(hash(shard, b.Node), hash(shard, a.Node)))
+	})
+	return order
+}
+
+func weight(m Member) float64 {
+	if m.Weight <= 0 {
+		return 1
+	}
+	return m.Weight
+}
+
+func hash(shard, node string) uint64 { return xxhash.Sum64String(shard + "\x00" + node) }
