Know a predecessor's backend servers before they answer

Ruled out: the lease and the fencing token; both logged as held. Change: Predecessor takes the stored entry and opens it; a run counts as stalled only while reports list it.

--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -206,7 +206,7 @@
 	n.mutex.Unlock()
 	for _, o := range owners {
 		mine := n.backends(o.service)
-		o.send(func(now time.Time) { o.setBackends(mine, now) })
+		o.send(func(time.Time) { o.setBackends(mine) })
 	}
 }
 
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -144,7 +144,7 @@
 		for _, i := range items {
 			o.takeItem(i)
 		}
-		o.setBackends(o.node.backends(o.service), time.Now())
+		o.setBackends(o.node.backends(o.service))
 		o.log.WithField("jobs", len(items)).Info("jobs loaded")
 		return version, true
 	}
--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -41,8 +41,8 @@
 		return basilplatform.ErrRefused{Operation: "read backends", Reason: err.Error()}
 	}
 	o.records.stored = stored
-	for id, b := range stored {
-		o.pool.Predecessor(id)
+	for _, b := range stored {
+		o.pool.Predecessor(b)
 		o.openLine(b)
 	}
 	return nil
@@ -97,8 +97,8 @@
 }
 
 // setBackends takes up the listed backend servers.
-func (o *owner) setBackends(list []basilwork.Backend, now time.Time) {
-	o.pool.SetBackends(list, now)
+func (o *owner) setBackends(list []basilwork.Backend) {
+	o.pool.SetBackends(list)
 	listed := make(map[string]bool, len(list))
 	for _, b := range list {
 		listed[b.ID] = true
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -194,6 +194,7 @@
 		r.saved = s.Saved
 	}
 	r.usage = s.Usage
+	r.listed = now
 	return r
 }
 
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -29,6 +29,7 @@
 	stopped   time.Time // when a stop was answered
 	percent   int
 	moved     time.Time // when percent last changed
+	listed    time.Time // when a report last listed it
 	saved     string
 	usage     int
 	pace      int
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -77,8 +77,10 @@
 //
 // Until it has answered, or the options' grace is over, tasks of adopted jobs that
 // it might run are not started.
-func (p *Pool) Predecessor(backend string) {
-	p.unsettled[backend] = p.started.Add(p.options.Grace)
+func (p *Pool) Predecessor(entry basilwork.Backend) {
+	p.unsettled[entry.ID] = p.started.Add(p.options.Grace)
+	p.setBackend(entry)
+	p.backends[entry.ID].present = false
 }
 
 // AddJob takes up a stored job; adopted says that an earlier owner may have started tasks of it.
@@ -126,7 +128,7 @@
 }
 
 // SetBackends replaces the list of backend servers; those that left it get no new work.
-func (p *Pool) SetBackends(list []basilwork.Backend, now time.Time) {
+func (p *Pool) SetBackends(list []basilwork.Backend) {
 	listed := make(map[string]bool, len(list))
 	for _, b := range list {
 		listed[b.ID] = true
@@ -141,7 +143,6 @@
 			delete(p.backends, id)
 		}
 	}
-	_ = now
 }
 
 func (p *Pool) setBackend(entry basilwork.Backend) {
--- a/internal/basilscheduler/tend.go
+++ b/internal/basilscheduler/tend.go
@@ -63,7 +63,7 @@
 		p.stop(r, "another copy finished", now)
 	case r.backend.evacuating, r.backend.Draining:
 		p.evacuateRun(r, now)
-	case p.stalled(r, now):
+	case p.stalled(r):
 		r.task.shun(r.backend.ID, now.Add(avoidTime))
 		r.backend.noteFailure(j.id(), now)
 		p.stop(r, "no progress", now)
@@ -71,12 +71,12 @@
 }
 
 // stalled tells whether a short task has made no progress for far longer than its run time explains.
-func (p *Pool) stalled(r *run, now time.Time) bool {
+func (p *Pool) stalled(r *run) bool {
 	s := r.task.step
 	if s.spec.LongRunning || s.spec.Gang || r.pace < fullPace || r.moved.IsZero() {
 		return false
 	}
-	return now.Sub(r.moved) > max(stallFloor, stallFactor*p.length(s))
+	return r.listed.Sub(r.moved) > max(stallFloor, stallFactor*p.length(s))
 }
 
 // evacuateRun moves a run off a backend server that is to be emptied, where that breaks nothing.
