Let hosts follow demand over the standby pool

Cause: each queue peaks in turn for some eight seconds and asks more than its pool holds, while the other pools stand idle. Change: pools tell load, idle hosts and what is missing; the fleet's owner forecasts by the learned change and moves idle hosts directly or over the standby pool; a pool learns at once which hosts were ordered away (their entries last some heartbeats, and starts there waited for leases to run out).

--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -8,6 +8,10 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
+// goneTime is how long a pool is told of backend servers that are gone: their entries last for some
+// heartbeats, or longer while the store is away.
+const goneTime = 20 * time.Second
+
 // machine is what the fleet knows of one host.
 type machine struct {
 	basilwork.Machine
@@ -42,16 +46,17 @@
 type Ask struct {
 	Serial   int64            `json:"serial"`
 	Backends map[string]int64 `json:"backends,omitempty"`
+	Due      []string         `json:"due,omitempty"`  // backend servers whose hosts are to be maintained soon
+	Gone     map[string]int64 `json:"gone,omitempty"` // backend servers whose hosts were ordered away, and when (Unix milliseconds)
 }
 
 // Load is what a pool tells of its work.
 type Load struct {
-	Used     int     `json:"used"`               // processor in use, thousandths of a core
-	Room     int     `json:"room"`               // processor of its backend servers
-	Wanted   int     `json:"wanted"`             // of the tasks that wait
-	Serving  int     `json:"serving"`            // processor of long-running tasks
-	Peak     int     `json:"peak"`               // the most that was wanted at once lately
-	Pressure float64 `json:"pressure,omitempty"` // share of the jobs that were late lately
+	Used    int      `json:"used"`             // processor in use, thousandths of a core
+	Wanted  int      `json:"wanted,omitempty"` // of the tasks that wait
+	Serving int      `json:"serving,omitempty"`
+	Least   int      `json:"least,omitempty"` // hosts that long-running tasks need
+	Idle    []string `json:"idle,omitempty"`  // backend servers without runs
 }
 
 // Pool is what a pool answers: which of the asked backend servers are empty.
@@ -93,6 +98,7 @@
 func New(o Options) *Fleet {
 	return &Fleet{
 		options: o, machines: make(map[string]*machine), waves: make(map[string]*wave),
+		mover:   mover{demands: make(map[string]*demand)},
 		records: make(map[string]WaveRecord), pools: make(map[string]Pool), asks: make(map[string]Ask),
 		changed: make(map[string]bool), off: func(string) bool { return false },
 	}
@@ -124,7 +130,10 @@
 func (f *Fleet) SetAsk(pool string, a Ask) { f.asks[pool] = a }
 
 // SetPool takes in a pool's answer.
-func (f *Fleet) SetPool(pool string, p Pool) { f.pools[pool] = p }
+func (f *Fleet) SetPool(pool string, p Pool, now time.Time) {
+	f.pools[pool] = p
+	f.mover.note(pool, p.Load, now)
+}
 
 // SetWaves takes in the operators' waves and what is written of them.
 func (f *Fleet) SetWaves(waves []basilwork.Wave, states map[string]basilwork.WaveState, now time.Time) {
@@ -272,10 +281,52 @@
 		}
 	} else {
 		m.moving = true
+		m.target = o.Pool
+	}
+	m.asked, m.reason = false, ""
+	if o.Backend != "" && !f.off(m.Pool) {
+		f.noteGone(m.Pool, o.Backend, now)
 	}
-	if m.asked {
-		m.asked, m.reason = false, ""
-		f.unask(m.Pool, o.Backend)
+}
+
+// noteGone tells a pool that nothing runs on a backend server any more.
+func (f *Fleet) noteGone(pool, backend string, now time.Time) {
+	f.unask(pool, backend)
+	a := f.asks[pool]
+	gone := map[string]int64{backend: now.UnixMilli()}
+	for id, at := range a.Gone {
+		if now.Sub(time.UnixMilli(at)) < goneTime {
+			gone[id] = at
+		}
+	}
+	a.Gone = gone
+	f.asks[pool] = a
+}
+
+// due tells whether the host waits for its upkeep.
+func (f *Fleet) due(m *machine) bool {
+	for _, w := range f.waves {
+		if !w.complete && !w.done[m.ID] && slices.Contains(w.Machines, m.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// noteDue tells the pools which of their hosts wait for upkeep.
+func (f *Fleet) noteDue() {
+	due := make(map[string][]string)
+	for _, m := range f.sorted() {
+		if m.Backend != "" && f.due(m) && !f.off(m.Pool) {
+			due[m.Pool] = append(due[m.Pool], m.Backend)
+		}
+	}
+	for pool := range f.pools {
+		if a := f.asks[pool]; !slices.Equal(a.Due, due[pool]) {
+			a.Due = due[pool]
+			f.asks[pool] = a
+			f.changed[pool] = true
+		}
 	}
 }
 
@@ -292,6 +343,7 @@
 		}
 	}
 	f.move(now, &plan)
+	f.noteDue()
 	for pool := range f.changed {
 		plan.Asks[pool] = f.asks[pool]
 	}
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -1,9 +1,265 @@
 package basilcapacity
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	moveReason    = "move"
+	leastHosts    = 3                       // of a pool: one may fail and one be maintained
+	headroom      = 1.15                    // hosts beyond what is asked for, for fragments of room
+	lookAhead     = 1800 * time.Millisecond // a move, and the time until its host is found
+	keepTime      = 1500 * time.Millisecond // that a pool keeps hosts that it does not need: two moves cost some 2.6 s of a host
+	waitingWeight = 0.7                     // of the waiting work: it need not all run at once to be on time
+	slopeMemory   = 700 * time.Millisecond  // of the learned change: a peak rises within some two seconds
+	maxGrowth     = 1.0                     // of the level within lookAhead
+	movesAtOnce   = 48                      // asks and moves in flight; a third of what the platform takes in the time of a move
+	defaultHostMC = 64000                   // thousandths of a core, until a host is listed
+)
+
+// demand is what a pool asks for, and how that changes.
+type demand struct {
+	level  float64 // processor used and wanted, thousandths of a core
+	slope  float64 // per second
+	at     time.Time
+	recent []sample // needs of the last keepTime
+}
+
+type sample struct {
+	at   time.Time
+	need int
+}
 
 // mover keeps what is needed to choose moves between pools.
-type mover struct{}
+type mover struct {
+	demands map[string]*demand
+	missing bool // whether a pool had too few hosts when last looked at
+}
+
+// note takes in a pool's load.
+func (m *mover) note(pool string, l Load, now time.Time) {
+	d := m.demands[pool]
+	if d == nil {
+		d = &demand{}
+		m.demands[pool] = d
+	}
+	level := float64(l.Used) + waitingWeight*float64(l.Wanted)
+	if passed := now.Sub(d.at).Seconds(); !d.at.IsZero() && passed > 0 {
+		weight := 1 - math.Exp(-passed/slopeMemory.Seconds())
+		d.slope += weight * ((level-d.level)/passed - d.slope)
+	}
+	d.level, d.at = level, now
+}
+
+// need returns how many hosts a pool is to have.
+func (f *Fleet) need(pool string, now time.Time) int {
+	d := f.mover.demands[pool]
+	if d == nil {
+		return 0
+	}
+	l := f.pools[pool].Load
+	ahead := min(max(0, d.slope)*lookAhead.Seconds(), maxGrowth*d.level)
+	if now.Sub(d.at) > lookAhead {
+		ahead = 0
+	}
+	hosts := int(math.Ceil((d.level + ahead) * headroom / float64(f.hostSize(pool))))
+	hosts = max(hosts, l.Least, leastHosts)
+	d.recent = slices.DeleteFunc(d.recent, func(s sample) bool { return now.Sub(s.at) > keepTime })
+	d.recent = append(d.recent, sample{now, hosts})
+	return hosts
+}
+
+// keep returns the most hosts that the pool needed lately.
+func (f *Fleet) keep(pool string) int {
+	var most int
+	for _, s := range f.mover.demands[pool].recent {
+		most = max(most, s.need)
+	}
+	return most
+}
+
+func (f *Fleet) hostSize(pool string) int {
+	var total, count int
+	for _, m := range f.machines {
+		if m.Pool == pool && m.Room.CPU > 0 {
+			total += m.Room.CPU
+			count++
+		}
+	}
+	if count == 0 {
+		return defaultHostMC
+	}
+	return total / count
+}
+
+// idle tells whether the host's pool says that nothing runs there.
+func (f *Fleet) idle(m *machine) bool {
+	return m.Backend != "" && slices.Contains(f.pools[m.Pool].Load.Idle, m.Backend)
+}
+
+// Standing is how many hosts a pool has and should have.
+type Standing struct {
+	Pool    string `json:"pool"`
+	Size    int    `json:"size"`
+	Need    int    `json:"need"`
+	Keep    int    `json:"keep"`
+	Idle    int    `json:"idle"`
+	Asked   int    `json:"asked"`
+	Demand  int    `json:"demand"` // thousandths of a core
+	Missing int    `json:"missing"`
+}
+
+// Standings tells how the pools stand, for logs.
+func (f *Fleet) Standings(now time.Time) []Standing {
+	var list []Standing
+	for _, b := range f.balances(now) {
+		s := Standing{Pool: b.pool, Size: b.size, Need: f.need(b.pool, now), Keep: f.keep(b.pool), Missing: b.missing}
+		s.Idle, s.Asked = len(f.pools[b.pool].Load.Idle), f.evacuating(b.pool)
+		s.Demand = int(f.mover.demands[b.pool].level)
+		list = append(list, s)
+	}
+	return list
+}
+
+// balance is how many hosts a pool has and should have.
+type balance struct {
+	pool    string
+	size    int // hosts that serve the pool or are on their way to it
+	missing int
+	spare   int
+}
+
+func (f *Fleet) balances(now time.Time) []*balance {
+	var list []*balance
+	for _, pool := range slices.Sorted(maps.Keys(f.mover.demands)) {
+		if f.off(pool) {
+			continue
+		}
+		b := &balance{pool: pool}
+		for _, m := range f.machines {
+			if f.serves(m, pool) {
+				b.size++
+			}
+		}
+		need := f.need(pool, now)
+		b.missing = max(0, need-b.size)
+		b.spare = max(0, b.size-f.keep(pool))
+		list = append(list, b)
+	}
+	return list
+}
+
+// serves tells whether the host is the pool's, or will be soon.
+func (f *Fleet) serves(m *machine, pool string) bool {
+	if m.moving {
+		return m.target == pool
+	}
+	return m.Pool == pool && !m.asked && m.Up && !m.maintained && (!m.ordering || m.target == pool)
+}
+
+// pressed tells whether hosts are wanted more than their upkeep.
+func (f *Fleet) pressed() bool { return f.mover.missing }
+
+// move orders the moves that are due and asks for hosts to be emptied for others.
+func (f *Fleet) move(now time.Time, plan *Plan) {
+	if f.standby == "" {
+		return
+	}
+	balances := f.balances(now)
+	f.mover.missing = wanting(balances) != nil
+	slices.SortStableFunc(balances, func(a, b *balance) int { return cmp.Compare(b.missing, a.missing) })
+	f.sendEmptied(balances, now, plan)
+	f.sendStandby(balances, now, plan)
+	f.askSpare(balances)
+}
+
+// wanting returns the pool that misses most hosts, or nil.
+func wanting(balances []*balance) *balance {
+	var most *balance
+	for _, b := range balances {
+		if b.missing > 0 && (most == nil || b.missing > most.missing) {
+			most = b
+		}
+	}
+	return most
+}
+
+// sendEmptied moves hosts that were emptied for a move to the pool that misses most, or to the standby pool.
+func (f *Fleet) sendEmptied(balances []*balance, now time.Time, plan *Plan) {
+	for _, m := range f.sorted() {
+		if !m.asked || m.reason != moveReason || !f.empty(m) || !m.Up || m.ordering || now.Before(m.after) {
+			continue
+		}
+		target := f.standby
+		if b := wanting(balances); b != nil && b.pool != m.Pool {
+			target = b.pool
+			b.missing--
+		}
+		f.orderMove(m, target, plan)
+	}
+}
+
+// sendStandby moves hosts that are off to pools that miss some.
+func (f *Fleet) sendStandby(balances []*balance, now time.Time, plan *Plan) {
+	for _, m := range f.byDue(false) {
+		if m.Pool != f.standby || !m.Up || m.moving || m.maintained || m.ordering || now.Before(m.after) {
+			continue
+		}
+		b := wanting(balances)
+		if b == nil {
+			return
+		}
+		b.missing--
+		f.orderMove(m, b.pool, plan)
+	}
+}
+
+func (f *Fleet) orderMove(m *machine, target string, plan *Plan) {
+	m.ordering = true
+	m.target = target
+	plan.Orders = append(plan.Orders, Order{Machine: m.ID, Backend: m.Backend, Pool: target})
+}
+
+// askSpare has pools empty hosts that they do not need; idle ones, of which emptying costs nothing.
+func (f *Fleet) askSpare(balances []*balance) {
+	inFlight := 0
+	for _, m := range f.machines {
+		if m.moving || m.asked && m.reason == moveReason {
+			inFlight++
+		}
+	}
+	for _, m := range f.byDue(true) {
+		if inFlight >= movesAtOnce {
+			return
+		}
+		n := slices.IndexFunc(balances, func(b *balance) bool { return b.pool == m.Pool })
+		if n < 0 || balances[n].spare <= 0 || !f.idle(m) || m.asked || !m.Up || m.maintained || m.moving || m.ordering {
+			continue
+		}
+		balances[n].spare--
+		inFlight++
+		f.ask(m, moveReason)
+	}
+}
+
+// byDue returns the hosts with those that wait for upkeep first, or last.
+func (f *Fleet) byDue(dueFirst bool) []*machine {
+	list := f.sorted()
+	slices.SortStableFunc(list, func(a, b *machine) int {
+		if dueFirst {
+			return compareBool(f.due(b), f.due(a))
+		}
+		return compareBool(f.due(a), f.due(b))
+	})
+	return list
+}
 
-// move orders the moves that are due.
-func (f *Fleet) move(time.Time, *Plan) {}
+func (f *Fleet) sorted() []*machine {
+	list := slices.Collect(maps.Values(f.machines))
+	slices.SortFunc(list, func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
--- a/internal/basilcapacity/wave.go
+++ b/internal/basilcapacity/wave.go
@@ -57,7 +57,7 @@
 func (f *Fleet) away(w *wave) int {
 	var count int
 	for _, id := range w.Machines {
-		if m := f.machines[id]; m != nil && m.maintained {
+		if m := f.machines[id]; m != nil && (m.maintained || m.ordering) {
 			count++
 		}
 	}
@@ -80,10 +80,17 @@
 	}
 	f.sortForWave(left)
 	away := f.away(w)
+	limit := w.MaxCount
+	if f.pressed() {
+		limit = min(limit, f.pace(w, left, now))
+	}
 	for _, m := range left {
-		if away >= w.MaxCount {
+		if away >= limit {
 			break
 		}
+		if m.asked && m.reason != w.ID {
+			continue // on its way to another pool
+		}
 		if f.empty(m) && m.Up && !now.Before(m.after) && !m.ordering {
 			m.ordering = true
 			away++
@@ -100,7 +107,7 @@
 		sizes[m.Pool]++
 	}
 	slices.SortStableFunc(left, func(a, b *machine) int {
-		return cmp.Or(compareBool(f.empty(b), f.empty(a)), compareBool(b.asked, a.asked),
+		return cmp.Or(compareBool(f.empty(b), f.empty(a)), compareBool(b.asked, a.asked), compareBool(f.idle(b), f.idle(a)),
 			cmp.Compare(f.evacuating(a.Pool)*sizes[b.Pool], f.evacuating(b.Pool)*sizes[a.Pool]), cmp.Compare(a.ID, b.ID))
 	})
 }
@@ -128,12 +135,7 @@
 
 // chooseForWave asks for as many hosts to be emptied as the time that is left needs.
 func (f *Fleet) chooseForWave(w *wave, left []*machine, away int, now time.Time) {
-	timeLeft := w.started.Add(w.Within - spareTime).Sub(now)
-	parallel := w.MaxCount
-	if timeLeft > cycleTime {
-		parallel = int(math.Ceil(float64(len(left)) * float64(cycleTime) / float64(timeLeft)))
-	}
-	parallel = min(parallel, w.MaxCount) - away
+	parallel := f.pace(w, left, now) - away
 	for _, m := range left {
 		if m.asked && m.reason == w.ID {
 			parallel--
@@ -155,6 +157,15 @@
 	}
 }
 
+// pace returns how many hosts have to be away at once so that the wave ends in time.
+func (f *Fleet) pace(w *wave, left []*machine, now time.Time) int {
+	timeLeft := w.started.Add(w.Within - spareTime).Sub(now)
+	if timeLeft <= cycleTime {
+		return w.MaxCount
+	}
+	return min(w.MaxCount, int(math.Ceil(float64(len(left))*float64(cycleTime)/float64(timeLeft))))
+}
+
 func (f *Fleet) poolSizes() map[string]int {
 	sizes := make(map[string]int)
 	for _, m := range f.machines {
--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -7,17 +7,24 @@
 	"time"
 
 	"basilstage.example/basilstage/internal/basilcapacity"
+	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilshard"
 	"basilstage.example/basilstage/internal/basiltimer"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
+const (
+	tellEvery  = 250 * time.Millisecond // between reports of a pool's load; each is a priced write
+	tellChange = 20000                  // thousandths of a core: a third of a large host
+)
+
 // evacuation is what the fleet's owner asked of a pool, and what it was told.
 type evacuation struct {
 	ask      basilcapacity.Ask
 	version  int64 // of the ask's row
 	told     basilcapacity.Pool
+	toldAt   time.Time
 	inFlight bool
 	after    time.Time // no try before
 }
@@ -34,6 +41,14 @@
 	}
 	o.log.WithField("backends", slices.Sorted(maps.Keys(a.Backends))).Info("asked to empty backend servers")
 	o.plan.ask, o.plan.version = a, i.Version
+	now := time.Now()
+	for id := range a.Gone {
+		if o.pool.Knows(id) {
+			o.log.WithField(basillog.FieldHost, id).Info("backend server's host was ordered away")
+			o.pool.Lost(id, now)
+		}
+		o.closeLine(id)
+	}
 }
 
 // loadAsk reads what the fleet's owner has asked.
@@ -91,26 +106,38 @@
 		_, asked := e.ask.Backends[b.ID]
 		o.pool.Evacuate(b.ID, asked)
 	}
-	answer := basilcapacity.Pool{Serial: e.ask.Serial, Load: o.load2()}
+	o.pool.SetDue(e.ask.Due)
+	answer := basilcapacity.Pool{Serial: e.ask.Serial, Load: o.load(now)}
 	for id := range e.ask.Backends {
 		if on, runs := o.pool.Evacuating(id); on && runs == 0 {
 			answer.Empty = append(answer.Empty, id)
 		}
 	}
 	slices.Sort(answer.Empty)
-	if !o.worthTelling(answer) || e.inFlight || now.Before(e.after) {
+	if !o.worthTelling(answer, now) || e.inFlight || now.Before(e.after) {
 		return
 	}
 	o.tell(answer)
 }
 
 // worthTelling tells whether the answer differs enough from the one that was told.
-func (o *owner) worthTelling(answer basilcapacity.Pool) bool {
+func (o *owner) worthTelling(answer basilcapacity.Pool, now time.Time) bool {
 	told := o.plan.told
-	return answer.Serial != told.Serial || !slices.Equal(answer.Empty, told.Empty)
+	if answer.Serial != told.Serial || !slices.Equal(answer.Empty, told.Empty) {
+		return true
+	}
+	if now.Sub(o.plan.toldAt) < tellEvery {
+		return false
+	}
+	change := answer.Load.Used + answer.Load.Wanted - told.Load.Used - told.Load.Wanted
+	return max(change, -change) > tellChange || !slices.Equal(answer.Load.Idle, told.Load.Idle) || answer.Load.Least != told.Load.Least
 }
 
-func (o *owner) load2() basilcapacity.Load { return basilcapacity.Load{} }
+// load returns what the fleet's owner has to know of the pool's work.
+func (o *owner) load(now time.Time) basilcapacity.Load {
+	l := o.pool.Load(now)
+	return basilcapacity.Load{Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Idle: l.Idle}
+}
 
 func (o *owner) tell(answer basilcapacity.Pool) {
 	body, err := json.Marshal(answer)
@@ -135,7 +162,7 @@
 				o.plan.after = now.Add(storeRetry)
 				return
 			}
-			o.plan.told = answer
+			o.plan.told, o.plan.toldAt = answer, now
 		})
 	}()
 }
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -39,6 +39,8 @@
 	listedAt time.Time
 	listing  bool
 	since    time.Time
+	logged   time.Time
+	rows     map[basilplatform.Key]*rowWrite
 	ctx      context.Context
 	cancel   context.CancelFunc
 }
@@ -49,6 +51,7 @@
 		node: n, row: row, log: n.log.WithFields(logrus.Fields{basillog.FieldPool: fleetShard, basillog.FieldEpoch: row.Epoch}),
 		state:  basilcapacity.New(basilcapacity.Options{Maintain: n.options.Maintain, Migrate: n.options.Migrate}),
 		events: make(chan func(time.Time), eventQueue), ctx: ctx, cancel: cancel, since: time.Now(),
+		rows: make(map[basilplatform.Key]*rowWrite),
 	}
 }
 
@@ -131,7 +134,7 @@
 	case answerSort:
 		var p basilcapacity.Pool
 		if err = json.Unmarshal(i.Body, &p); err == nil {
-			f.state.SetPool(part, p)
+			f.state.SetPool(part, p, time.Now())
 		}
 	}
 	if err != nil {
@@ -207,6 +210,7 @@
 		return // an earlier owner's orders may be less than a lease old
 	}
 	plan := f.state.Decide(now)
+	f.logStandings(now)
 	for pool, a := range plan.Asks {
 		f.write(pool, askSort, a)
 	}
@@ -218,6 +222,15 @@
 	}
 }
 
+// logStandings writes a line of how the pools stand, once per loadEvery.
+func (f *fleet) logStandings(now time.Time) {
+	if now.Sub(f.logged) < loadEvery {
+		return
+	}
+	f.logged = now
+	f.log.WithField("pools", f.state.Standings(now)).Info("pools stand")
+}
+
 // list reads the hosts, often while some are away.
 func (f *fleet) list(now time.Time) {
 	every := machinesQuiet
@@ -242,27 +255,54 @@
 	}()
 }
 
+// rowWrite is what waits to be written to a row; one write of it is in flight at a time.
+type rowWrite struct {
+	body     []byte
+	waits    bool
+	inFlight bool
+}
+
 // write stores a row of the fleet's shard or of a pool's, if this entry host still owns the fleet.
+// Of writes that wait for an earlier one only the newest is made.
 func (f *fleet) write(part, sort string, value any) {
 	body, err := json.Marshal(value)
 	if err != nil {
 		f.log.WithError(err).Error("row not encoded")
 		return
 	}
+	k := fleetKey(part, sort)
+	w := f.rows[k]
+	if w == nil {
+		w = &rowWrite{}
+		f.rows[k] = w
+	}
+	w.body, w.waits = body, true
+	f.flush(k, w)
+}
+
+func (f *fleet) flush(k basilplatform.Key, w *rowWrite) {
+	if w.inFlight || !w.waits {
+		return
+	}
+	w.inFlight, w.waits = true, false
 	check := basilplatform.Write{
 		Kind: basilplatform.WriteKindCheck, Key: basilshard.OwnerKey(fleetShard),
 		Precondition: basilplatform.PreconditionVersion, Version: f.row.Version,
 	}
-	w := basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: fleetKey(part, sort), Precondition: basilplatform.PreconditionNone, Body: body}
+	put := basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: k, Precondition: basilplatform.PreconditionNone, Body: w.body}
 	go func() {
-		for f.ctx.Err() == nil {
-			err := f.node.store.Transact(f.ctx, basilplatform.Transaction{Writes: []basilplatform.Write{check, w}})
-			if err == nil || basilplatform.IsErrConditionFailed(err) {
-				return // an owner that was replaced leaves the row to its successor
-			}
-			f.log.WithError(err).WithField("row", sort).Warn("row not stored")
-			_ = basiltimer.Wait(f.ctx, storeRetry) // an ended context ends the loop
+		err := f.node.store.Transact(f.ctx, basilplatform.Transaction{Writes: []basilplatform.Write{check, put}})
+		if err != nil && !basilplatform.IsErrConditionFailed(err) {
+			f.log.WithError(err).WithField("row", k.Sort).Warn("row not stored")
+			_ = basiltimer.Wait(f.ctx, storeRetry) // an ended context ends the owner
 		}
+		f.send(func(time.Time) {
+			w.inFlight = false
+			if err != nil && !basilplatform.IsErrConditionFailed(err) {
+				w.waits = true // an owner that was replaced leaves the row to its successor
+			}
+			f.flush(k, w)
+		})
 	}()
 }
 
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -19,7 +19,7 @@
 
 const (
 	fleetShard    = "fleet"
-	backendsEvery = 400 * time.Millisecond // between reads of the list of backend servers; they write every 1.5 s
+	backendsEvery = 250 * time.Millisecond // between reads of the list of backend servers; they write every 1.5 s
 	configRetry   = 200 * time.Millisecond
 	renewEvery    = 800 * time.Millisecond // a quarter of the lease leaves room for two lost renewals
 	leaseMargin   = 500 * time.Millisecond
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -24,28 +24,30 @@
 	storeRetry   = 200 * time.Millisecond
 	watchWait    = 20 * time.Second
 	watchGather  = 15 * time.Millisecond // between reads of a busy table's changes
-	startsAtOnce = 64                    // orders in flight; each is a connection
+	loadEvery    = time.Second
+	startsAtOnce = 64 // orders in flight; each is a connection
 )
 
 // owner runs one pool while this entry host owns its shard.
 type owner struct {
-	node     *Node
-	service  string
-	row      basilshard.OwnerRow
-	log      *logrus.Entry
-	pool     *basilscheduler.Pool // of the control goroutine, as all below
-	lines    map[string]*line
-	versions map[string]int64
-	records  recorder
-	commit   committer
-	plan     evacuation
-	events   chan func(now time.Time)
-	orders   chan struct{} // a place per order in flight
-	inFlight sync.WaitGroup
-	ctx      context.Context
-	cancel   context.CancelFunc
-	stopping bool
-	done     chan struct{}
+	node       *Node
+	service    string
+	row        basilshard.OwnerRow
+	log        *logrus.Entry
+	pool       *basilscheduler.Pool // of the control goroutine, as all below
+	lines      map[string]*line
+	versions   map[string]int64
+	records    recorder
+	commit     committer
+	plan       evacuation
+	events     chan func(now time.Time)
+	loadLogged time.Time
+	orders     chan struct{} // a place per order in flight
+	inFlight   sync.WaitGroup
+	ctx        context.Context
+	cancel     context.CancelFunc
+	stopping   bool
+	done       chan struct{}
 }
 
 // line is a connection to a backend server and what ends it.
@@ -80,7 +82,7 @@
 // run takes up the stored jobs and schedules them until the shard is lost.
 func (o *owner) run() {
 	defer close(o.done)
-	version, ok := o.load()
+	version, ok := o.loadJobs()
 	if !ok {
 		return
 	}
@@ -123,14 +125,28 @@
 		o.evacuate(now)
 		o.execute(o.pool.Decide(now))
 	}
+	o.logLoad(now)
 	o.record()
 	wait := o.store(now)
 	o.updateLines()
 	return max(time.Millisecond, min(wait, o.pool.Wake().Sub(now)))
 }
 
-// load reads the shard's jobs and what a predecessor left.
-func (o *owner) load() (version int64, ok bool) {
+// logLoad writes a line of what the pool has to do, once per loadEvery.
+func (o *owner) logLoad(now time.Time) {
+	if now.Sub(o.loadLogged) < loadEvery {
+		return
+	}
+	o.loadLogged = now
+	l := o.pool.Load(now)
+	o.log.WithFields(logrus.Fields{
+		"jobs": l.Jobs, "waiting": l.Waiting, "running": l.Running, "backends": l.Backends,
+		"used_cpu": l.Used.CPU, "room_cpu": l.Room.CPU, "wanted_cpu": l.Wanted.CPU, "used_mb": l.Used.Memory, "room_mb": l.Room.Memory,
+	}).Info("pool load")
+}
+
+// loadJobs reads the shard's jobs and what a predecessor left.
+func (o *owner) loadJobs() (version int64, ok bool) {
 	for o.ctx.Err() == nil {
 		items, version, err := o.node.store.Snapshot(o.ctx, basilledger.Partition(o.service))
 		if err == nil {
--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -98,6 +99,10 @@
 
 // setBackends takes up the listed backend servers.
 func (o *owner) setBackends(list []basilwork.Backend) {
+	list = slices.DeleteFunc(list, func(b basilwork.Backend) bool {
+		_, gone := o.plan.ask.Gone[b.ID]
+		return gone
+	})
 	o.pool.SetBackends(list)
 	listed := make(map[string]bool, len(list))
 	for _, b := range list {
--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -14,6 +14,7 @@
 	attached   bool // has answered under the owner's fencing token
 	reachable  bool
 	evacuating bool // gets no new work and gives up what it has
+	due        bool // is to be emptied before long
 	processed  int64
 	runs       map[*run]bool
 	used       basilwork.Room
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -207,7 +207,7 @@
 // reserve keeps the backend server that will soonest have room from lesser work, so that a
 // large task isn't passed by small ones for ever.
 func (p *Pool) reserve(c *candidate, t *task, reserved map[*backend]bool, now time.Time) {
-	if c.rank > rankOnTime || len(reserved) >= len(p.backends)/reservedPart {
+	if c.rank != rankOnTime || len(reserved) >= len(p.backends)/reservedPart {
 		return
 	}
 	var best *backend
@@ -215,6 +215,9 @@
 		if !b.usable(now) || reserved[b] || !b.hasLabel(t.step.spec.Label) || !b.Room.Holds(t.step.spec.Demand()) {
 			continue
 		}
+		if b.free().Holds(t.step.spec.Demand()) {
+			return // it isn't room that the task waits for
+		}
 		if best == nil || b.free().CPU > best.free().CPU || b.free().CPU == best.free().CPU && b.ID < best.ID {
 			best = b
 		}
@@ -348,12 +351,20 @@
 	return cmp.Or(cmp.Compare(s.first, o.first), cmp.Compare(s.second, o.second), cmp.Compare(s.third, o.third)) < 0
 }
 
-// scoreOf spreads serving tasks and those that fill, keeps them apart, and packs the rest.
+// servingTogether is how many long-running tasks are packed on a backend server before others are tried:
+// few enough that one lost server leaves most of a service at work.
+const servingTogether = 6
+
+// scoreOf packs tasks, so that some backend servers stay empty and may leave, and keeps those that
+// fill away from those that serve.
 func scoreOf(s *step, b *backend) score {
 	away := 0
 	if s.spec.Affinity != "" && b.Rack != s.spec.Affinity {
 		away = 1
 	}
+	if s.spec.LongRunning && b.due {
+		away++
+	}
 	var serving, filling int
 	for r := range b.runs {
 		if r.task.step.spec.Fills {
@@ -365,8 +376,10 @@
 	switch {
 	case s.spec.Fills:
 		return score{away, serving, filling - b.free().CPU}
+	case s.spec.LongRunning && serving >= servingTogether:
+		return score{away, 1 + filling, serving}
 	case s.spec.LongRunning:
-		return score{away, serving + filling/1000, -b.free().CPU}
+		return score{away, filling, -serving}
 	}
 	return score{away, b.free().CPU, b.free().Memory}
 }
--- /dev/null
+++ b/internal/basilscheduler/load.go
@@ -0,0 +1,70 @@
+package basilscheduler
+
+import (
+	"time"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// Load is how much a pool has to do.
+type Load struct {
+	Jobs     int
+	Waiting  int // tasks ready and not started
+	Running  int
+	Backends int
+	Used     basilwork.Room
+	Room     basilwork.Room
+	Wanted   basilwork.Room // of the waiting tasks
+	Serving  basilwork.Room // of the long-running tasks
+	Least    int            // backend servers that anti-affinity needs
+	Idle     []string       // usable backend servers without runs
+}
+
+// Load returns how much the pool has to do.
+func (p *Pool) Load(now time.Time) Load {
+	l := Load{Jobs: len(p.jobs)}
+	for _, id := range p.backendIDs() {
+		b := p.backends[id]
+		if b.present && b.attached && !b.Draining {
+			l.Backends++
+			l.Room = l.Room.Add(b.Room)
+		}
+		l.Used = l.Used.Add(b.used)
+		l.Running += len(b.runs)
+		if len(b.runs) == 0 && b.usable(now) {
+			l.Idle = append(l.Idle, id)
+		}
+	}
+	for _, j := range p.jobs {
+		if j.record.State.Final() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				l.addStep(s)
+			}
+		}
+	}
+	return l
+}
+
+func (l *Load) addStep(s *step) {
+	if s.left == 0 || !s.ready() {
+		return
+	}
+	if s.spec.LongRunning && s.spec.AntiAffinity > 0 {
+		l.Least = max(l.Least, (s.spec.Count+s.spec.AntiAffinity-1)/s.spec.AntiAffinity)
+	}
+	for _, t := range s.tasks {
+		if t.done {
+			continue
+		}
+		if s.spec.LongRunning {
+			l.Serving = l.Serving.Add(s.spec.Demand())
+		}
+		if len(t.runs) == 0 {
+			l.Waiting++
+			l.Wanted = l.Wanted.Add(s.spec.Demand())
+		}
+	}
+}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -1,6 +1,7 @@
 package basilscheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -170,6 +171,9 @@
 	}
 }
 
+// Knows tells whether the backend server is listed or may have runs.
+func (p *Pool) Knows(id string) bool { return p.backends[id] != nil }
+
 // Backends returns the backend servers that are listed or may have runs.
 func (p *Pool) Backends() []basilwork.Backend {
 	list := make([]basilwork.Backend, 0, len(p.backends))
@@ -193,6 +197,13 @@
 	}
 }
 
+// SetDue notes the backend servers that are to be emptied before long; tasks that last keep off them.
+func (p *Pool) SetDue(ids []string) {
+	for id, b := range p.backends {
+		b.due = slices.Contains(ids, id)
+	}
+}
+
 // Evacuating tells whether the backend server is being emptied, and how many runs it may have.
 func (p *Pool) Evacuating(id string) (on bool, runs int) {
 	b := p.backends[id]
@@ -280,43 +291,3 @@
 		p.endJob(j, "job "+j.record.State.String(), now)
 	}
 }
-
-// Load is how much a pool has to do.
-type Load struct {
-	Jobs     int
-	Waiting  int // tasks ready and not started
-	Running  int
-	Backends int
-	Used     basilwork.Room
-	Room     basilwork.Room
-	Wanted   basilwork.Room // of the waiting tasks
-}
-
-// Load returns how much the pool has to do.
-func (p *Pool) Load() Load {
-	l := Load{Jobs: len(p.jobs)}
-	for _, b := range p.backends {
-		if b.present && b.attached && !b.Draining {
-			l.Backends++
-			l.Room = l.Room.Add(b.Room)
-		}
-		l.Used = l.Used.Add(b.used)
-		l.Running += len(b.runs)
-	}
-	for _, j := range p.jobs {
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.left == 0 || !s.ready() || j.record.State.Final() {
-					continue
-				}
-				for _, t := range s.tasks {
-					if t.idle() {
-						l.Waiting++
-						l.Wanted = l.Wanted.Add(s.spec.Demand())
-					}
-				}
-			}
-		}
-	}
-	return l
-}
