Never take a backend server for empty that has not answered its owner

Ruled out: late orders; the stop was answered within 2 ms. Change: Emptied asks for an answer under the owner's epoch; a task is at work only as far as a fresh report of a reachable host tells.

--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -109,7 +109,7 @@
 	o.pool.SetDue(e.ask.Due)
 	answer := basilcapacity.Pool{Serial: e.ask.Serial, Load: o.load(now)}
 	for id := range e.ask.Backends {
-		if on, runs := o.pool.Evacuating(id); on && runs == 0 {
+		if o.pool.Emptied(id) {
 			answer.Empty = append(answer.Empty, id)
 		}
 	}
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -41,8 +41,10 @@
 // working tells whether the run is known to be there and is not being stopped.
 func (r *run) working() bool { return r.phase == phaseRunning }
 
-// atWork tells whether a serving run is past its startup.
-func (r *run) atWork() bool { return r.phase == phaseRunning && r.percent >= 100 }
+// atWork tells whether a serving run is past its startup, as far as a fresh report tells.
+func (r *run) atWork(now time.Time) bool {
+	return r.phase == phaseRunning && r.percent >= 100 && r.backend.reachable && now.Sub(r.listed) < reportAge
+}
 
 // task is one task of an occurrence's step.
 type task struct {
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -20,6 +20,7 @@
 	stallFactor        = 3                      // times the expected run time without progress
 	stallFloor         = 2 * time.Second        // least time without progress; reports come every second
 	avoidTime          = 4 * time.Second        // that a task keeps off a backend server where it stalled
+	reportAge          = 2 * time.Second        // of a report that still tells what runs; they come every second
 	epochAttempts      = 100                    // attempts reserved to each owner of a task
 )
 
@@ -204,13 +205,12 @@
 	}
 }
 
-// Evacuating tells whether the backend server is being emptied, and how many runs it may have.
-func (p *Pool) Evacuating(id string) (on bool, runs int) {
+// Emptied tells whether the backend server is being emptied and certainly has no runs.
+//
+// One that has not answered this owner may have a predecessor's.
+func (p *Pool) Emptied(id string) bool {
 	b := p.backends[id]
-	if b == nil {
-		return false, 0
-	}
-	return b.evacuating, len(b.runs)
+	return b != nil && b.evacuating && b.attached && len(b.runs) == 0
 }
 
 // Lost notes that nothing runs any more on an incarnation of a backend server.
--- a/internal/basilscheduler/tend.go
+++ b/internal/basilscheduler/tend.go
@@ -83,7 +83,7 @@
 func (p *Pool) evacuateRun(r *run, now time.Time) {
 	s := r.task.step
 	if s.spec.LongRunning {
-		if p.elsewhere(r, now) && (r.backend.Draining || p.mayLeave(r)) {
+		if p.elsewhere(r, now) && (r.backend.Draining || p.mayLeave(r, now)) {
 			p.stop(r, "moved to another backend server", now)
 		}
 		return
@@ -108,7 +108,7 @@
 }
 
 // mayLeave tells whether the task may stop working for a while without breaking its step's availability.
-func (p *Pool) mayLeave(r *run) bool {
+func (p *Pool) mayLeave(r *run, now time.Time) bool {
 	s := r.task.step
 	allowed := 1
 	if s.spec.LimitsAway {
@@ -116,16 +116,16 @@
 	}
 	var away int
 	for _, t := range s.tasks {
-		if t != r.task && !t.atWork() {
+		if t != r.task && !t.atWork(now) {
 			away++
 		}
 	}
 	return away < allowed
 }
 
-func (t *task) atWork() bool {
+func (t *task) atWork(now time.Time) bool {
 	for _, r := range t.runs {
-		if r.atWork() {
+		if r.atWork(now) {
 			return true
 		}
 	}
@@ -140,7 +140,7 @@
 	b.paced = now
 	var worst float64
 	for r := range b.runs {
-		if target := r.task.step.spec.Target; target > 0 && r.atWork() {
+		if target := r.task.step.spec.Target; target > 0 && r.atWork(now) {
 			worst = max(worst, float64(r.usage)/float64(target.Milliseconds()))
 		}
 	}
