--- /dev/null
+++ b/internal/basilnode/cluster_test.go
@@ -0,0 +1,250 @@
+package basilnode_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilnode"
+	"basilstage.example/basilstage/internal/basilshard"
+	"basilstage.example/basilstage/internal/basilstandin"
+	"basilstage.example/basilstage/platform"
+	"basilstage.example/basilstage/platform/basilfake"
+)
+
+const (
+	quoteHost   = "shop.example"
+	quotePrefix = "/quote/"
+	longPrefix  = "/long/"
+	maxAttempts = 3
+)
+
+const configuration = `{"version":%d,"routes":[
+ {"name":"quote","host":"shop.example","path_prefix":"/quote/","service":"stretch","timeout_ms":3000,"slo_ms":600,"stretch":1.6,"max_attempts":3%s},
+ {"name":"long","host":"shop.example","path_prefix":"/long/","service":"stretch","timeout_ms":3000,"slo_ms":2500,"stretch":2.2,"max_attempts":3}],
+ "services":[{"name":"stretch","enforces_capacity":true},{"name":"spare","standby":true}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":8192}}`
+
+// link carries one entry host's calls, unless they are cut.
+type link struct {
+	network *basilstandin.Network
+	cut     atomic.Bool
+}
+
+func (l *link) RoundTrip(r *http.Request) (*http.Response, error) {
+	if l.cut.Load() {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return l.network.RoundTrip(r)
+}
+
+// entryHost is one running entry host of a cluster.
+type entryHost struct {
+	name   string
+	node   *basilnode.Node
+	link   *link
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// cluster is a site with entry hosts, in one bubble of paused time.
+type cluster struct {
+	t       *testing.T
+	network *basilstandin.Network
+	site    *basilfake.Site
+	hosts   map[string]*entryHost
+	starts  int
+	began   time.Time
+	due     []string   // entry hosts to be started again
+	mutex   sync.Mutex // guards due and what callers' goroutines were told
+}
+
+// newCluster returns a running site of the number of hosts and entry hosts.
+func newCluster(t *testing.T, entryHosts, hosts int, work basilfake.Work) *cluster {
+	t.Helper()
+	network := &basilstandin.Network{}
+	c := &cluster{t: t, network: network, site: basilfake.NewSite(network, work), hosts: make(map[string]*entryHost), began: time.Now()}
+	c.site.Configure(fmt.Sprintf(configuration, 1, ""))
+	c.site.AddPool("stretch", hosts, 16000, 65536, false)
+	c.site.AddPool("spare", 2, 16000, 65536, true)
+	for n := range entryHosts {
+		c.start(fmt.Sprintf("entry-%d", n+1))
+	}
+	time.Sleep(3 * time.Second)
+	return c
+}
+
+// run runs a test in a bubble with a cluster, and checks at the end that no promise was broken.
+func run(t *testing.T, entryHosts, hosts int, work basilfake.Work, f func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, entryHosts, hosts, work)
+		defer c.close()
+		f(c)
+		must.Eq(t, nil, c.site.Broken())
+	})
+}
+
+// startLater has an entry host started again after a time.
+func (c *cluster) startLater(name string, after time.Duration) {
+	time.AfterFunc(after, func() {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		c.due = append(c.due, name)
+	})
+}
+
+// close ends all entry hosts and the site.
+func (c *cluster) close() {
+	for name := range c.hosts {
+		c.kill(name)
+	}
+	c.site.Close()
+}
+
+func (c *cluster) start(name string) {
+	c.starts++
+	l := &link{network: c.network}
+	client := basilsite.NewClientOn(l)
+	store := basilsite.NewStore(client, func() string { return basilfake.StoreAddress }, time.Second)
+	began := c.began
+	node := basilnode.New(basilnode.Options{
+		Self:  basilshard.Member{Node: name, Incarnation: fmt.Sprintf("%s.%d", name, c.starts), Zone: "north", Weight: 1},
+		Clock: func() time.Duration { return time.Since(began) + time.Second },
+		Lease: 3 * time.Second, MaxHold: 6 * time.Second, HoldLimit: 8 * time.Second, Early: 250 * time.Millisecond,
+		Status: 2 * time.Minute, Order: 3 * time.Second, Migrate: 1500 * time.Millisecond, Maintain: 2 * time.Second,
+		Store: store, Directory: basilsite.NewDirectory(store), Commander: basilsite.NewCommander(client),
+		Advisor:  basilsite.NewAdvisor(client, func() string { return basilfake.AdviceAddress }),
+		Machines: basilsite.NewMachines(client, func() string { return basilfake.MachinesAddress }, time.Second),
+		Codec:    basilsite.Codec{}, Log: basillog.Discard(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &entryHost{name: name, node: node, link: l, cancel: cancel, done: make(chan struct{})}
+	c.hosts[name] = h
+	go func() {
+		defer close(h.done)
+		node.Run(ctx)
+	}()
+}
+
+// kill ends an entry host at once.
+func (c *cluster) kill(name string) {
+	h := c.hosts[name]
+	delete(c.hosts, name)
+	h.cancel()
+	<-h.done
+}
+
+// stop ends an entry host gracefully.
+func (c *cluster) stop(name string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	c.hosts[name].node.Stop(ctx)
+	c.kill(name)
+}
+
+// owner returns the name of the entry host that owns the shard.
+func (c *cluster) owner(shard string) string {
+	for _, h := range c.hosts {
+		if node, _ := h.node.Holder(shard); node != "" {
+			return node
+		}
+	}
+	return ""
+}
+
+// other returns the name of an entry host that does not own the shard.
+func (c *cluster) other(shard string) string {
+	owner := c.owner(shard)
+	for n := 1; ; n++ {
+		name := fmt.Sprintf("entry-%d", n)
+		if name != owner && c.hosts[name] != nil {
+			return name
+		}
+	}
+}
+
+// call makes a caller's request at an entry host and returns its status and body.
+func (c *cluster) call(name, method, path, body string) (int, string) {
+	return c.callHost(c.hosts[name], method, path, body)
+}
+
+func (c *cluster) callHost(h *entryHost, method, path, body string) (int, string) {
+	r := httptest.NewRequest(method, "http://"+quoteHost+path, strings.NewReader(body))
+	r.Header.Set(basilsite.HeaderDeadline, "2500")
+	w := httptest.NewRecorder()
+	if h == nil {
+		return http.StatusBadGateway, ""
+	}
+	h.node.Front().ServeHTTP(w, r)
+	read, err := io.ReadAll(w.Result().Body)
+	must.NoError(c.t, err)
+	if w.Code == http.StatusServiceUnavailable || w.Code == http.StatusTooManyRequests {
+		must.NotEq(c.t, "", w.Header().Get("Retry-After"))
+	}
+	return w.Code, string(read)
+}
+
+// submit hands in a job and returns the status.
+func (c *cluster) submit(name, prefix, id, body string) int {
+	c.site.Submitted(id, body, maxAttempts)
+	status, _ := c.call(name, http.MethodPost, prefix+id, body)
+	return status
+}
+
+// state returns the state of a job as an entry host tells it.
+func (c *cluster) state(name, prefix, id string) string {
+	status, body := c.call(name, http.MethodGet, prefix+id, "")
+	if status != http.StatusOK {
+		return http.StatusText(status)
+	}
+	return strings.Trim(strings.TrimPrefix(body, `{"state":`), `"}`)
+}
+
+// await waits until the job has the state, asking any entry host.
+func (c *cluster) await(prefix, id, state string, within time.Duration) {
+	c.t.Helper()
+	deadline := time.Now().Add(within)
+	last := ""
+	for time.Now().Before(deadline) {
+		for name := range c.hosts {
+			last = c.state(name, prefix, id)
+			break
+		}
+		if last == state {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	must.Eq(c.t, state, last, must.Sprintf("job %s", id))
+}
+
+// constant is work that always takes the time.
+func constant(d time.Duration) basilfake.Work {
+	return func(task string, _ int) (time.Duration, bool) {
+		if strings.HasPrefix(task, "f") { // ids of long-running jobs begin so in these tests
+			return -1, false
+		}
+		return d, false
+	}
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
+// Jobs that the tests hand in.
+const (
+	twoSteps = `{"spec":"boot","steps":[{"count":3,"cpu":2000,"mem_mb":512,"estimate_ms":500},{"count":2,"cpu":1000,"mem_mb":512,"estimate_ms":500,"after":[0]}]}`
+	lasting  = `{"spec":"night","steps":[{"count":3,"cpu":2000,"mem_mb":512,"long_running":true,"anti_affinity":1,"max_unavailable":1}]}`
+	lastID   = "f000000000000001"
+)
--- /dev/null
+++ b/internal/basilnode/failure_test.go
@@ -0,0 +1,231 @@
+package basilnode_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/platform/basilfake"
+)
+
+// TestFailures brings about one failure each while a job runs; it is completed all the same, once.
+func TestFailures(t *testing.T) {
+	cases := []struct {
+		name   string
+		within time.Duration
+		fail   func(c *cluster)
+	}{
+		{"owner killed", 12 * time.Second, func(c *cluster) { c.kill(c.owner("stretch")) }},
+		{"owner killed and started again", 9 * time.Second, func(c *cluster) {
+			name := c.owner("stretch")
+			c.kill(name)
+			c.start(name)
+		}},
+		{"owner stopped", 5 * time.Second, func(c *cluster) { c.stop(c.owner("stretch")) }},
+		{"owner cut off from everything", 15 * time.Second, func(c *cluster) {
+			h := c.hosts[c.owner("stretch")]
+			h.link.cut.Store(true)
+			time.AfterFunc(8*time.Second, func() { h.link.cut.Store(false) })
+		}},
+		{"all killed and started again", 9 * time.Second, func(c *cluster) {
+			for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+				c.kill(name)
+			}
+			for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+				c.start(name)
+			}
+		}},
+		{"store silent", 12 * time.Second, func(c *cluster) { c.storeFault(5*time.Second, basilfake.StoreFaults{Silent: true}) }},
+		{"store busy", 12 * time.Second, func(c *cluster) { c.storeFault(5*time.Second, basilfake.StoreFaults{Busy: true}) }},
+		{"store silent for long", 30 * time.Second, func(c *cluster) { c.storeFault(14*time.Second, basilfake.StoreFaults{Silent: true}) }},
+		{"store's answers lost", 12 * time.Second, func(c *cluster) { c.storeFault(4*time.Second, basilfake.StoreFaults{LoseAnswers: true}) }},
+		{"store's writes late", 14 * time.Second, func(c *cluster) { c.storeFault(4*time.Second, basilfake.StoreFaults{LateBy: 2 * time.Second}) }},
+		{"store slow", 12 * time.Second, func(c *cluster) { c.storeFault(5*time.Second, basilfake.StoreFaults{Delay: 300 * time.Millisecond}) }},
+		{"history dropped", 6 * time.Second, func(c *cluster) { c.site.Store.DropHistory() }},
+		{"backend server crashed", 14 * time.Second, func(c *cluster) { c.site.Crash(c.busiest(), 20*time.Second) }},
+		{"backend server started again under its id", 6 * time.Second, func(c *cluster) { c.site.Reborn(c.busiest()) }},
+		{"backend server silent", 16 * time.Second, func(c *cluster) {
+			b := c.busiest()
+			c.site.SetFaults(b, basilfake.BackendFaults{Silent: true})
+			time.AfterFunc(9*time.Second, func() { c.site.SetFaults(b, basilfake.BackendFaults{}) })
+		}},
+		{"starts carried out late", 20 * time.Second, func(c *cluster) {
+			for _, b := range c.site.Backends("stretch") {
+				c.site.SetFaults(b, basilfake.BackendFaults{LateBy: 2500 * time.Millisecond})
+				time.AfterFunc(3*time.Second, func() { c.site.SetFaults(b, basilfake.BackendFaults{}) })
+			}
+		}},
+		{"store silent and owner killed", 18 * time.Second, func(c *cluster) {
+			c.storeFault(4*time.Second, basilfake.StoreFaults{Silent: true})
+			c.kill(c.owner("stretch"))
+		}},
+		{"backend server crashed and owner killed", 28 * time.Second, func(c *cluster) {
+			c.site.Crash(c.busiest(), 20*time.Second)
+			c.kill(c.owner("stretch"))
+		}},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			run(t, 3, 4, constant(900*time.Millisecond), func(c *cluster) {
+				must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+				must.Eq(c.t, http.StatusOK, c.submit("entry-2", longPrefix, lastID, lasting))
+				time.Sleep(400 * time.Millisecond)
+				x.fail(c)
+				c.await(quotePrefix, jobID(1), "completed", x.within)
+				time.Sleep(8 * time.Second)
+				must.Eq(c.t, 3, c.site.Running(lastID))
+			})
+		})
+	}
+}
+
+// storeFault puts the store's faults in force for a time.
+func (c *cluster) storeFault(d time.Duration, f basilfake.StoreFaults) {
+	c.site.Store.SetFaults(f)
+	time.AfterFunc(d, func() { c.site.Store.SetFaults(basilfake.StoreFaults{}) })
+}
+
+// busiest returns a backend server of the pool that has runs.
+func (c *cluster) busiest() *basilfake.Backend {
+	var found *basilfake.Backend
+	most := 0
+	for _, b := range c.site.Backends("stretch") {
+		if n := c.site.RunsOn(b); found == nil || n > most {
+			found, most = b, n
+		}
+	}
+	return found
+}
+
+// TestRefusedWhileStoreAway refuses at once, with when to come back, and never runs what it refused.
+func TestRefusedWhileStoreAway(t *testing.T) {
+	run(t, 2, 3, constant(200*time.Millisecond), func(c *cluster) {
+		c.storeFault(8*time.Second, basilfake.StoreFaults{Silent: true})
+		time.Sleep(4 * time.Second)
+		asked := time.Now()
+		must.Eq(c.t, http.StatusServiceUnavailable, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+		must.Less(c.t, 50*time.Millisecond, time.Since(asked))
+		time.Sleep(15 * time.Second)
+		must.Eq(c.t, "Gone", c.state("entry-2", quotePrefix, jobID(1)))
+	})
+}
+
+// TestUnknownAcceptance answers 504 when it can't tell whether a job is stored, and runs it once if it is.
+func TestUnknownAcceptance(t *testing.T) {
+	run(t, 2, 3, constant(200*time.Millisecond), func(c *cluster) {
+		c.storeFault(4*time.Second, basilfake.StoreFaults{LateBy: 3500 * time.Millisecond})
+		must.Eq(c.t, http.StatusGatewayTimeout, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+		time.Sleep(4 * time.Second)
+		must.Eq(c.t, http.StatusOK, c.submit("entry-2", quotePrefix, jobID(1), twoSteps))
+		c.await(quotePrefix, jobID(1), "completed", 5*time.Second)
+	})
+}
+
+// TestCancelOfRunningJob ends all its runs soon and shows it as cancelled from then on.
+func TestCancelOfRunningJob(t *testing.T) {
+	run(t, 3, 3, constant(20*time.Second), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+		time.Sleep(time.Second)
+		must.Eq(c.t, 3, c.site.Running(jobID(1)))
+		status, _ := c.call(c.other("stretch"), http.MethodDelete, quotePrefix+jobID(1), "")
+		must.Eq(c.t, http.StatusOK, status)
+		must.Eq(c.t, "canceled", c.state("entry-2", quotePrefix, jobID(1)))
+		time.Sleep(time.Second)
+		must.Eq(c.t, 0, c.site.Running(jobID(1)))
+	})
+}
+
+// TestWaiting counts the jobs that have not begun, also while nobody owns their shard.
+func TestWaiting(t *testing.T) {
+	run(t, 3, 1, constant(30*time.Second), func(c *cluster) {
+		large := `{"spec":"x","steps":[{"count":1,"cpu":16000,"mem_mb":512,"estimate_ms":500}]}`
+		for n := range 6 {
+			must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(n), large))
+		}
+		time.Sleep(5 * time.Second) // by now both spare hosts have come
+		_, body := c.call("entry-2", http.MethodGet, quotePrefix, "")
+		must.Eq(c.t, `{"waiting":3}`, body)
+		c.kill(c.owner("stretch"))
+		for name := range c.hosts {
+			must.Eq(c.t, http.StatusOK, c.submit(name, quotePrefix, jobID(9), large))
+			_, body = c.call(name, http.MethodGet, quotePrefix, "")
+			must.Eq(c.t, `{"waiting":4}`, body)
+		}
+	})
+}
+
+// TestWave maintains every host of a wave without ending what runs long, also when owners change meanwhile.
+func TestWave(t *testing.T) {
+	for _, kill := range []string{"", "fleet", "stretch"} {
+		t.Run("kill "+kill, func(t *testing.T) {
+			run(t, 3, 5, constant(500*time.Millisecond), func(c *cluster) {
+				must.Eq(c.t, http.StatusOK, c.submit("entry-1", longPrefix, lastID, lasting))
+				time.Sleep(2 * time.Second)
+				c.site.AskWave(1, append(c.site.Machines("stretch"), c.site.Machines("spare")...), 40, 2)
+				time.Sleep(3 * time.Second)
+				if kill != "" {
+					c.kill(c.owner(kill))
+				}
+				for n := range 30 {
+					for name := range c.hosts {
+						must.Eq(c.t, http.StatusOK, c.submit(name, quotePrefix, jobID(100+n), twoSteps))
+						break
+					}
+					time.Sleep(time.Second)
+				}
+				time.Sleep(12 * time.Second)
+				must.Eq(c.t, `{"state":"completed"}`, c.site.WaveState(1))
+				must.Eq(c.t, 3, c.site.Running(lastID))
+				for n := range 30 {
+					c.await(quotePrefix, jobID(100+n), "completed", time.Second)
+				}
+			})
+		})
+	}
+}
+
+// TestPeak brings hosts from the standby pool while work waits, and sends them back.
+func TestPeak(t *testing.T) {
+	run(t, 3, 4, constant(900*time.Millisecond), func(c *cluster) {
+		time.Sleep(8 * time.Second)
+		before := len(c.site.Backends("stretch"))
+		wide := `{"spec":"x","steps":[{"count":8,"cpu":4000,"mem_mb":512,"estimate_ms":900}]}`
+		for n := range 12 {
+			must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(n), wide))
+			time.Sleep(150 * time.Millisecond)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		must.Greater(c.t, before, len(c.site.Backends("stretch")))
+		for n := range 12 {
+			c.await(quotePrefix, jobID(n), "completed", 10*time.Second)
+		}
+		time.Sleep(10 * time.Second)
+		must.Eq(c.t, before, len(c.site.Backends("stretch")))
+	})
+}
+
+// TestRollingStop restarts all entry hosts in turn while jobs come in; each is run once.
+func TestRollingStop(t *testing.T) {
+	run(t, 3, 4, constant(700*time.Millisecond), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", longPrefix, lastID, lasting))
+		for n := range 3 {
+			name := fmt.Sprintf("entry-%d", n+1)
+			for i := range 5 {
+				must.Eq(c.t, http.StatusOK, c.submit(name, quotePrefix, jobID(10*n+i), twoSteps))
+			}
+			c.stop(name)
+			time.Sleep(500 * time.Millisecond)
+			c.start(name)
+			time.Sleep(2 * time.Second)
+		}
+		for n := range 3 {
+			for i := range 5 {
+				c.await(quotePrefix, jobID(10*n+i), "completed", 8*time.Second)
+			}
+		}
+		must.Eq(c.t, 3, c.site.Running(lastID))
+	})
+}
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -313,3 +313,6 @@
 	}
 	o.cancel()
 }
+
+// Holder returns the entry host that owns a shard, as this one knows it.
+func (n *Node) Holder(shard string) (node, address string) { return n.keeper.Holder(shard) }
--- /dev/null
+++ b/internal/basilnode/property_test.go
@@ -0,0 +1,178 @@
+package basilnode_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"basilstage.example/basilstage/platform/basilfake"
+)
+
+// blow is one failure of a random plan.
+type blow struct {
+	at    time.Duration
+	lasts time.Duration
+	kind  int
+	host  int
+}
+
+func (b blow) String() string {
+	return fmt.Sprintf("%s at %s for %s on %d", blowNames[b.kind], b.at, b.lasts, b.host)
+}
+
+var blowNames = []string{
+	"kill", "stop", "cut", "store silent", "store busy", "answers lost", "writes late", "history dropped",
+	"backend crash", "backend reborn", "backend silent", "starts late", "kill owner", "kill fleet",
+}
+
+// strike brings the failure about, and mends it after its time.
+func (c *cluster) strike(b blow) {
+	name := fmt.Sprintf("entry-%d", b.host%3+1)
+	switch blowNames[b.kind] {
+	case "kill":
+		c.restart(name, b.lasts)
+	case "stop":
+		if c.hosts[name] != nil {
+			c.stop(name)
+			c.startLater(name, b.lasts)
+		}
+	case "cut":
+		if h := c.hosts[name]; h != nil {
+			h.link.cut.Store(true)
+			time.AfterFunc(b.lasts, func() { h.link.cut.Store(false) })
+		}
+	case "store silent":
+		c.storeFault(b.lasts, basilfake.StoreFaults{Silent: true})
+	case "store busy":
+		c.storeFault(b.lasts, basilfake.StoreFaults{Busy: true})
+	case "answers lost":
+		c.storeFault(b.lasts, basilfake.StoreFaults{LoseAnswers: true})
+	case "writes late":
+		c.storeFault(b.lasts, basilfake.StoreFaults{LateBy: 1500 * time.Millisecond})
+	case "history dropped":
+		c.site.Store.DropHistory()
+	case "kill owner":
+		c.restart(c.owner("stretch"), b.lasts)
+	case "kill fleet":
+		c.restart(c.owner("fleet"), b.lasts)
+	default:
+		c.strikeBackend(b)
+	}
+}
+
+func (c *cluster) strikeBackend(b blow) {
+	list := c.site.Backends("stretch")
+	if len(list) == 0 {
+		return
+	}
+	x := list[b.host%len(list)]
+	switch blowNames[b.kind] {
+	case "backend crash":
+		c.site.Crash(x, b.lasts)
+	case "backend reborn":
+		c.site.Reborn(x)
+	case "backend silent":
+		c.site.SetFaults(x, basilfake.BackendFaults{Silent: true})
+		time.AfterFunc(b.lasts, func() { c.site.SetFaults(x, basilfake.BackendFaults{}) })
+	case "starts late":
+		c.site.SetFaults(x, basilfake.BackendFaults{LateBy: 2 * time.Second})
+		time.AfterFunc(b.lasts, func() { c.site.SetFaults(x, basilfake.BackendFaults{}) })
+	}
+}
+
+// restart kills an entry host and has it started again after a time.
+func (c *cluster) restart(name string, after time.Duration) {
+	if c.hosts[name] == nil {
+		return
+	}
+	c.kill(name)
+	c.startLater(name, after)
+}
+
+// startDue starts the entry hosts whose time has come.
+func (c *cluster) startDue() {
+	c.mutex.Lock()
+	due := c.due
+	c.due = nil
+	c.mutex.Unlock()
+	for _, name := range due {
+		if c.hosts[name] == nil {
+			c.start(name)
+		}
+	}
+}
+
+// play runs a plan of failures under load and returns what went wrong.
+func (c *cluster) play(plan []blow) []string {
+	answers := make(map[string]int)
+	began := time.Now()
+	for n := 0; n < 60; n++ {
+		for len(plan) > 0 && time.Since(began) >= plan[0].at {
+			c.strike(plan[0])
+			plan = plan[1:]
+		}
+		c.startDue()
+		for name := range c.hosts {
+			id := jobID(n)
+			c.site.Submitted(id, twoSteps, maxAttempts)
+			go func(h *entryHost) {
+				status, _ := c.callHost(h, http.MethodPost, quotePrefix+id, twoSteps)
+				c.mutex.Lock()
+				defer c.mutex.Unlock()
+				answers[id] = status
+			}(c.hosts[name])
+			break
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	for range 90 {
+		time.Sleep(500 * time.Millisecond)
+		c.startDue()
+	}
+	return append(c.site.Broken(), c.wrongOutcomes(answers)...)
+}
+
+// wrongOutcomes compares what callers were told with what became of their jobs.
+func (c *cluster) wrongOutcomes(answers map[string]int) []string {
+	var wrong []string
+	for id, status := range answers {
+		last := c.state("entry-1", quotePrefix, id)
+		switch {
+		case status == http.StatusOK && last != "completed":
+			wrong = append(wrong, fmt.Sprintf("%s was accepted and is %s", id, last))
+		case status == http.StatusServiceUnavailable && last != "Gone":
+			wrong = append(wrong, fmt.Sprintf("%s was refused and is %s", id, last))
+		}
+	}
+	return wrong
+}
+
+// TestPropertyFailures plays random series of failures: accepted jobs are completed, refused ones never
+// run, no task runs twice, no end is acknowledged before it is stored, and fences never fall.
+func TestPropertyFailures(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var plan []blow
+		at := time.Duration(0)
+		for range rapid.IntRange(1, 6).Draw(rt, "blows") {
+			at += time.Duration(rapid.IntRange(0, 3000).Draw(rt, "gap")) * time.Millisecond
+			plan = append(plan, blow{
+				at: at, lasts: time.Duration(rapid.IntRange(200, 9000).Draw(rt, "lasts")) * time.Millisecond,
+				kind: rapid.IntRange(0, len(blowNames)-1).Draw(rt, "kind"), host: rapid.IntRange(0, 11).Draw(rt, "host"),
+			})
+		}
+		var wrong []string
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 3, 4, constant(700*time.Millisecond))
+			defer c.close()
+			wrong = c.play(plan)
+		})
+		if len(wrong) > 0 {
+			rt.Fatalf("plan %v: %s", plan, strings.Join(wrong, "; "))
+		}
+	})
+}
