Draw incarnations from the operating system's entropy

Change: the incarnation carries the node and draws from crypto/rand; ownership asks for the node too.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"io"
 	"net"
 	"net/http"
@@ -121,7 +122,7 @@
 	store := basilsite.NewStore(client, func() string { return s.Addresses().Store }, storeTimeout)
 	return basilnode.Options{
 		Self: basilshard.Member{
-			Node: s.Node, Incarnation: ulid.Make().String(), Zone: s.Zone, Address: s.IP, Weight: s.Limits.CPUShare,
+			Node: s.Node, Incarnation: incarnation(s.Node), Zone: s.Zone, Address: s.IP, Weight: s.Limits.CPUShare,
 		},
 		Clock: basilshard.BootClock(), Lease: lease, HoldLimit: holdLimit,
 		MaxHold:   basilsite.Milliseconds(s.Bounds.MaxHoldMS),
@@ -138,9 +139,18 @@
 		Advisor:   basilsite.NewAdvisor(client, func() string { return s.Addresses().Advisor }),
 		Machines:  basilsite.NewMachines(client, func() string { return s.Addresses().Machines }, storeTimeout),
 		Codec:     basilsite.Codec{}, Log: log,
+		Calls: func() any { return client.Calls() },
 	}
 }
 
+// incarnation returns a name that no other process has had.
+//
+// The entropy is the operating system's: processes that start at the same instant would draw alike
+// from a source that is seeded by the time.
+func incarnation(node string) string {
+	return node + "." + ulid.MustNew(ulid.Now(), rand.Reader).String()
+}
+
 // listen opens the front, the readiness address and the metrics.
 func listen(s *basilsite.Settings, n *basilnode.Node, log *logrus.Logger) ([]*http.Server, error) {
 	ready := http.NewServeMux()
--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -82,6 +82,7 @@
 				o.send(func(time.Time) { o.takeAsk(c.Item) })
 			}
 		}
+		_ = basiltimer.Wait(o.ctx, watchGather) // an ended context ends the loop
 	}
 }
 
@@ -151,7 +152,7 @@
 		Precondition: basilplatform.PreconditionVersion, Version: o.row.Version,
 	}
 	w := basilplatform.Write{
-		Kind: basilplatform.WriteKindPut, Key: fleetKey(o.service, answerSort), Precondition: basilplatform.PreconditionNone, Body: body,
+		Kind: basilplatform.WriteKindPut, Key: answerKey(o.service), Precondition: basilplatform.PreconditionNone, Body: body,
 	}
 	go func() {
 		err := o.node.store.Transact(o.ctx, basilplatform.Transaction{Writes: []basilplatform.Write{check, w}})
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	fleetTable    = "fleet"
+	fleetTable    = "fleet"   // what the fleet's owner asks of pools
+	answerTable   = "answers" // what pools answer; apart, so that pools don't follow each other's
 	askSort       = "ask"
 	answerSort    = "answer"
 	recordSort    = "waves"
@@ -29,6 +30,10 @@
 	return basilplatform.Key{Partition: fleetTable + "/" + part, Sort: sort}
 }
 
+func answerKey(pool string) basilplatform.Key {
+	return basilplatform.Key{Partition: answerTable + "/" + pool, Sort: answerSort}
+}
+
 // fleet runs waves and moves while this entry host owns the fleet's shard.
 type fleet struct {
 	node     *Node
@@ -106,12 +111,14 @@
 		f.take(fleetShard, i)
 	}
 	for _, pool := range f.node.configuration().Pools() {
-		items, _, err := f.node.store.Snapshot(f.ctx, fleetTable+"/"+pool)
-		if err != nil {
-			return 0, err
-		}
-		for _, i := range items {
-			f.take(pool, i)
+		for _, table := range []string{fleetTable, answerTable} {
+			items, _, err := f.node.store.Snapshot(f.ctx, table+"/"+pool)
+			if err != nil {
+				return 0, err
+			}
+			for _, i := range items {
+				f.take(pool, i)
+			}
 		}
 	}
 	return version, nil
@@ -145,7 +152,7 @@
 // watch follows the pools' answers.
 func (f *fleet) watch(after int64) {
 	for f.ctx.Err() == nil {
-		changes, err := f.node.store.Watch(f.ctx, fleetTable, after, watchWait)
+		changes, err := f.node.store.Watch(f.ctx, answerTable, after, watchWait)
 		if err != nil {
 			if basilwork.IsErrHistoryGone(err) {
 				after = f.resync(after)
@@ -156,27 +163,26 @@
 		after = changes.Version
 		f.send(func(time.Time) {
 			for _, c := range changes.Rows {
-				if c.Item.Key.Sort == answerSort && !c.Deleted {
-					f.take(c.Item.Key.Partition[len(fleetTable)+1:], c.Item)
+				if !c.Deleted {
+					f.take(c.Item.Key.Partition[len(answerTable)+1:], c.Item)
 				}
 			}
 		})
+		_ = basiltimer.Wait(f.ctx, watchGather) // an ended context ends the loop
 	}
 }
 
 // resync reads the pools' answers after the history was dropped.
 func (f *fleet) resync(after int64) int64 {
 	for _, pool := range f.node.configuration().Pools() {
-		items, version, err := f.node.store.Snapshot(f.ctx, fleetTable+"/"+pool)
+		items, version, err := f.node.store.Snapshot(f.ctx, answerTable+"/"+pool)
 		if err != nil {
 			return after
 		}
 		after = version
 		f.send(func(time.Time) {
 			for _, i := range items {
-				if i.Key.Sort == answerSort {
-					f.take(pool, i)
-				}
+				f.take(pool, i)
 			}
 		})
 	}
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -20,6 +20,7 @@
 const (
 	fleetShard    = "fleet"
 	backendsEvery = 250 * time.Millisecond // between reads of the list of backend servers; they write every 1.5 s
+	callsEvery    = 10 * time.Second
 	configRetry   = 200 * time.Millisecond
 	renewEvery    = 800 * time.Millisecond // a quarter of the lease leaves room for two lost renewals
 	leaseMargin   = 500 * time.Millisecond
@@ -46,6 +47,7 @@
 	Advisor   basilwork.Advisor
 	Machines  basilwork.Machines
 	Codec     Codec
+	Calls     func() any // counts of the platform's calls, for logs and metrics; may be nil
 	Log       *logrus.Logger
 }
 
@@ -89,9 +91,17 @@
 	group.Go(func() { n.followConfiguration(ctx) })
 	group.Go(func() { n.followBackends(ctx) })
 	group.Go(func() { n.keeper.Run(ctx) })
+	group.Go(func() { n.logCalls(ctx) })
 	group.Wait()
 }
 
+// logCalls writes a line of how many calls were made, once per callsEvery.
+func (n *Node) logCalls(ctx context.Context) {
+	for n.options.Calls != nil && basiltimer.Wait(ctx, callsEvery) == nil {
+		n.log.WithField("calls", n.options.Calls()).Info("platform calls")
+	}
+}
+
 func (n *Node) configuration() *basilwork.Configuration {
 	if c := n.current.Load(); c != nil {
 		return c
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -23,7 +23,7 @@
 	commitRetry  = 150 * time.Millisecond
 	storeRetry   = 200 * time.Millisecond
 	watchWait    = 20 * time.Second
-	watchGather  = 15 * time.Millisecond // between reads of a busy table's changes
+	watchGather  = 30 * time.Millisecond // between reads of a busy table's changes
 	loadEvery    = time.Second
 	startsAtOnce = 64 // orders in flight; each is a connection
 )
--- a/internal/basilrunner/line.go
+++ b/internal/basilrunner/line.go
@@ -13,7 +13,7 @@
 const (
 	answerTime    = 900 * time.Millisecond // in which an order is answered; a path takes single milliseconds
 	holdWait      = 800 * time.Millisecond // that a hold waits for an end
-	gatherTime    = 30 * time.Millisecond  // between holds, so that ends come together
+	gatherTime    = 40 * time.Millisecond  // between holds, so that ends come together
 	lostAfter     = 1500 * time.Millisecond
 	probePause    = 300 * time.Millisecond // between holds that get no answer
 	leaseMargin   = 300 * time.Millisecond // below the longest lease that a backend server grants
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -242,7 +242,7 @@
 	}
 	k.state.SetOwner(shard, row)
 	before, had := k.owned[shard]
-	has := row.Incarnation == k.options.Self.Incarnation
+	has := row.Incarnation == k.options.Self.Incarnation && row.Node == k.options.Self.Node
 	if has {
 		k.owned[shard] = row
 	} else {
--- /dev/null
+++ b/internal/basilshard/keeper_test.go
@@ -0,0 +1,30 @@
+package basilshard
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilplatform"
+)
+
+// TestOwnerOfSameIncarnation does not take another node's shard for its own, even if both drew the same incarnation.
+func TestOwnerOfSameIncarnation(t *testing.T) {
+	var owned []string
+	k := New(Options{
+		Self: Member{Node: "entry-1", Incarnation: "x"}, Clock: BootClock(), Log: basillog.Discard(),
+		Owned: func(shard string, _ OwnerRow) { owned = append(owned, shard) },
+		Lost:  func(string) {},
+	})
+	row := func(node string, version int64) basilplatform.Item {
+		body, err := json.Marshal(OwnerRow{Node: node, Incarnation: "x", Epoch: 1})
+		must.NoError(t, err)
+		return basilplatform.Item{Version: version, Body: body}
+	}
+	k.takeOwner("stretch", row("entry-2", 5))
+	must.Eq(t, nil, owned)
+	k.takeOwner("stretch", row("entry-1", 6))
+	must.Eq(t, []string{"stretch"}, owned)
+}
