Stop runs that may have been ordered from a reborn backend server

Cause: a run that was started on a backend server's new incarnation before the rebirth was noticed was taken for ended with the old one, and its task started elsewhere (property over random failures: one task twice at a time). Ruled out: a lost answer; the start was answered at once. Change: a rebirth settles only the runs that the answer must list; later ones are stopped first.

--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilnode"
@@ -127,7 +129,7 @@
 		Store: store, Directory: basilsite.NewDirectory(store), Commander: basilsite.NewCommander(client),
 		Advisor:  basilsite.NewAdvisor(client, func() string { return basilfake.AdviceAddress }),
 		Machines: basilsite.NewMachines(client, func() string { return basilfake.MachinesAddress }, time.Second),
-		Codec:    basilsite.Codec{}, Log: basillog.Discard(),
+		Codec:    basilsite.Codec{}, Log: testLog(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &entryHost{name: name, node: node, link: l, cancel: cancel, done: make(chan struct{})}
@@ -248,3 +250,11 @@
 	lasting  = `{"spec":"night","steps":[{"count":3,"cpu":2000,"mem_mb":512,"long_running":true,"anti_affinity":1,"max_unavailable":1}]}`
 	lastID   = "f000000000000001"
 )
+
+func testLog() *logrus.Logger {
+	if os.Getenv("BASIL_TEST_LOG") == "" {
+		return basillog.Discard()
+	}
+	l, _ := basillog.New(os.Stderr, "debug")
+	return l
+}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -226,17 +226,24 @@
 	delete(p.backends, id)
 }
 
-// Reborn forgets what was known of a backend server that started again under its id.
-func (p *Pool) Reborn(id string, now time.Time) {
+// Reborn forgets what was known of a backend server that started again under its id, as the answer
+// to a hold asked for at sent told; Report is to follow with that answer.
+//
+// Runs that the answer must list are settled by it. Of those ordered since, nobody knows which
+// incarnation has them: they are stopped.
+func (p *Pool) Reborn(id string, sent, now time.Time) {
 	b := p.backends[id]
 	if b == nil {
 		return
 	}
-	for r := range b.runs {
-		p.endRun(r, basilwork.RunEndLost, now)
-	}
 	b.processed = 0
 	b.attached = false
+	for _, r := range b.sortedRuns() {
+		if r.phase == phaseRunning && !r.settled(sent) {
+			r.phase = phaseUnsure
+			p.stop(r, "backend server started again", now)
+		}
+	}
 }
 
 // Processed returns up to which number the ends of a backend server were taken in.
