--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -24,7 +24,7 @@
 	fleetTick     = 250 * time.Millisecond // between decisions; hosts take seconds
 	machinesBusy  = 700 * time.Millisecond // between reads of the hosts while some are away; each read is priced
 	machinesQuiet = 4 * time.Second
-	orderTime     = 1500 * time.Millisecond // in which a predecessor's last order is carried out, if it ever is
+	orderTime     = 300 * time.Millisecond // in which an order is carried out; a predecessor gave none in the last part of its lease
 )
 
 func fleetKey(part, sort string) basilplatform.Key {
@@ -213,8 +213,8 @@
 func (f *fleet) step(now time.Time) {
 	f.state.SetConfiguration(f.node.configuration())
 	f.list(now)
-	if now.Sub(f.since) < f.node.options.Order+orderTime && f.row.Epoch > 1 || !f.node.keeper.MayStart() {
-		return // an earlier owner's orders may be less than a lease old
+	if now.Sub(f.since) < f.node.options.Order+orderTime && f.row.Before != "" && f.row.Before != f.row.Node || !f.node.keeper.MayStart() {
+		return // another owner's orders may be less than a lease old
 	}
 	plan := f.state.Decide(now)
 	f.logStandings(now)
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -22,8 +22,9 @@
 	backendsEvery = 250 * time.Millisecond // between reads of the list of backend servers; they write every 1.5 s
 	callsEvery    = 10 * time.Second
 	configRetry   = 200 * time.Millisecond
-	renewEvery    = 800 * time.Millisecond // a quarter of the lease leaves room for two lost renewals
-	leaseMargin   = 500 * time.Millisecond
+	renewEvery    = 550 * time.Millisecond // a quarter of the lease leaves room for two lost renewals
+	leaseMargin   = 400 * time.Millisecond
+	stopPoll      = 20 * time.Millisecond
 	stopCommit    = 1200 * time.Millisecond // that a stopping owner has for its last commit
 )
 
@@ -297,6 +298,23 @@
 	n.keeper.Release(ctx)
 }
 
+// handOver gives a shard to another entry host, for this one is short of processor time.
+func (n *Node) handOver(o *owner) {
+	o.log.Warn("short of processor time, shard handed over")
+	o.stop(n.ctx)
+	n.keeper.ReleaseSlow(n.ctx, o.service)
+}
+
+// others tells whether another entry host could take a shard.
+func (n *Node) others() bool {
+	for _, m := range n.keeper.Live() {
+		if m.Node != n.options.Self.Node && !m.Slow {
+			return true
+		}
+	}
+	return false
+}
+
 // stop ends the starting of work, waits for orders in flight and stores what is known.
 func (o *owner) stop(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, stopCommit)
@@ -319,7 +337,7 @@
 			return
 		case <-ctx.Done():
 		}
-		_ = basiltimer.Wait(ctx, renewEvery/40) // an ended context ends the loop
+		_ = basiltimer.Wait(ctx, stopPoll) // an ended context ends the loop
 	}
 	o.cancel()
 }
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -40,6 +40,7 @@
 	records    recorder
 	commit     committer
 	plan       evacuation
+	work       workload
 	events     chan func(now time.Time)
 	loadLogged time.Time
 	orders     chan struct{} // a place per order in flight
@@ -95,11 +96,17 @@
 		case <-o.ctx.Done():
 			return
 		case f := <-o.events:
+			o.work.begin(time.Now())
 			f(time.Now())
 			o.drain()
 		case <-timer.C:
+			o.work.begin(time.Now())
 		}
 		timer.Reset(o.step(time.Now()))
+		if o.work.end(time.Now()) && !o.stopping && !o.node.stopping.Load() && o.node.others() {
+			o.stopping = true
+			go o.node.handOver(o)
+		}
 	}
 }
 
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -23,6 +23,8 @@
 	ownerSort       = "owner"
 	watchWait       = 20 * time.Second // a longer one gains nothing: a change ends it at once
 	retryPause      = 300 * time.Millisecond
+	slowTime        = 6 * time.Second        // slow spells last some seconds
+	callTime        = 700 * time.Millisecond // of a renewal or a read of members; a slow store takes some 400 ms
 )
 
 // OwnerKey returns the key of a shard's owner row, in the part of its jobs.
@@ -46,16 +48,17 @@
 
 // Keeper renews this entry host's row, claims shards and tells which ones it owns.
 type Keeper struct {
-	options Options
-	mutex   sync.Mutex // guards shards and state
-	shards  []string
-	state   *State
-	owned   map[string]OwnerRow
-	changed chan struct{}
-	until   atomic.Int64 // on the clock, in nanoseconds: work may be started before
-	renewed atomic.Int64 // on the clock: the newest answered renewal
-	stop    atomic.Bool
-	started time.Duration
+	options   Options
+	mutex     sync.Mutex // guards shards and state
+	shards    []string
+	state     *State
+	owned     map[string]OwnerRow
+	changed   chan struct{}
+	until     atomic.Int64 // on the clock, in nanoseconds: work may be started before
+	renewed   atomic.Int64 // on the clock: the newest answered renewal
+	stop      atomic.Bool
+	slowUntil atomic.Int64 // on the clock
+	started   time.Duration
 }
 
 // New returns a keeper.
@@ -151,8 +154,11 @@
 
 // renew writes the member's row. After a lapse, ownership is read again before any work is started.
 func (k *Keeper) renew(ctx context.Context, asked time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
 	self := k.options.Self
 	self.Stopping = k.stop.Load()
+	self.Slow = k.Slow()
 	body, err := json.Marshal(self)
 	if err != nil {
 		k.options.Log.WithError(err).Error("member row not encoded")
@@ -175,6 +181,8 @@
 }
 
 func (k *Keeper) observe(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
 	asked := k.options.Clock()
 	items, _, err := k.options.Store.Snapshot(ctx, memberPartition)
 	if err != nil {
@@ -288,7 +296,7 @@
 	row := k.state.Owner(shard)
 	k.mutex.Unlock()
 	self := k.options.Self
-	next := OwnerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: row.Epoch + 1}
+	next := OwnerRow{Node: self.Node, Before: row.Node, Incarnation: self.Incarnation, Epoch: row.Epoch + 1}
 	if err := k.write(ctx, shard, next, row.Version); err != nil {
 		k.options.Log.WithError(err).WithField(basillog.FieldPool, shard).Info("shard not claimed")
 	}
@@ -309,20 +317,39 @@
 	return k.options.Store.Transact(ctx, basilplatform.Transaction{Writes: []basilplatform.Write{w}})
 }
 
-// Release hands over all shards; the caller has stopped their work.
+// Release hands over all shards for good; the caller has stopped their work.
 func (k *Keeper) Release(ctx context.Context) {
 	k.stop.Store(true)
 	k.mutex.Lock()
 	owned := maps.Clone(k.owned)
 	k.mutex.Unlock()
 	for shard, row := range owned {
-		if err := k.write(ctx, shard, OwnerRow{Epoch: row.Epoch}, row.Version); err != nil {
-			k.options.Log.WithError(err).WithField(basillog.FieldPool, shard).Warn("shard not handed over")
-		}
+		k.release(ctx, shard, row)
 	}
 	k.renew(ctx, k.options.Clock())
 }
 
+// ReleaseSlow hands over one shard, and has others claim shards before this entry host for a while.
+func (k *Keeper) ReleaseSlow(ctx context.Context, shard string) {
+	k.slowUntil.Store(int64(k.options.Clock() + slowTime))
+	k.renew(ctx, k.options.Clock())
+	k.mutex.Lock()
+	row, ok := k.owned[shard]
+	k.mutex.Unlock()
+	if ok {
+		k.release(ctx, shard, row)
+	}
+}
+
+func (k *Keeper) release(ctx context.Context, shard string, row OwnerRow) {
+	if err := k.write(ctx, shard, OwnerRow{Node: row.Node, Epoch: row.Epoch}, row.Version); err != nil {
+		k.options.Log.WithError(err).WithField(basillog.FieldPool, shard).Warn("shard not handed over")
+	}
+}
+
+// Slow tells whether this entry host has lately handed over a shard for want of processor time.
+func (k *Keeper) Slow() bool { return int64(k.options.Clock()) < k.slowUntil.Load() }
+
 // Stopping makes this entry host claim nothing any more.
 func (k *Keeper) Stopping() { k.stop.Store(true) }
 
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -16,11 +16,13 @@
 	Zone        string  `json:"zone"`
 	Weight      float64 `json:"weight"`
 	Stopping    bool    `json:"stopping,omitempty"`
+	Slow        bool    `json:"slow,omitempty"` // short of processor time: takes shards only when nobody else does
 }
 
-// OwnerRow is the stored owner of a shard; no holder means that it was released.
+// OwnerRow is the stored owner of a shard; no incarnation means that it was released.
 type OwnerRow struct {
 	Node        string `json:"node,omitempty"`
+	Before      string `json:"before,omitempty"` // node of the owner before
 	Incarnation string `json:"incarnation,omitempty"`
 	Epoch       int64  `json:"epoch"`
 	Version     int64  `json:"-"`
@@ -132,7 +134,7 @@
 			since = now
 			s.vacant[shard] = now
 		}
-		order := candidates(shard, live, loads)
+		order := candidates(shard, s.owners[shard].Node, live, loads)
 		loads[first(order)]++
 		rank := slices.IndexFunc(order, func(m Member) bool { return m.Node == s.self.Node })
 		if rank >= 0 && now-since >= time.Duration(rank)*s.rank {
@@ -160,16 +162,28 @@
 	return loads
 }
 
-// candidates orders members for a shard: those with least to do, then by rendezvous hashing.
-func candidates(shard string, live []Member, loads map[string]int) []Member {
+// candidates orders members for a shard: slow ones last, its last owner first if that started again,
+// then those with least to do, then by rendezvous hashing.
+func candidates(shard, last string, live []Member, loads map[string]int) []Member {
 	order := slices.Clone(live)
 	slices.SortStableFunc(order, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(float64(loads[a.Node])/weight(a), float64(loads[b.Node])/weight(b)),
+		return cmp.Or(compareBool(a.Slow, b.Slow), compareBool(b.Node == last, a.Node == last),
+			cmp.Compare(float64(loads[a.Node])/weight(a), float64(loads[b.Node])/weight(b)),
 			cmp.Compare(hash(shard, b.Node), hash(shard, a.Node)))
 	})
 	return order
 }
 
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 func weight(m Member) float64 {
 	if m.Weight <= 0 {
 		return 1
