Bring another host where long-running tasks find none

Ruled out: stops; none was ordered. Change: a pool asks for one more host than it can use while that lasts.

--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -33,6 +33,7 @@
 // Decide returns what is to be done now.
 func (p *Pool) Decide(now time.Time) Actions {
 	p.wake = now.Add(idleWake)
+	p.cramped = false
 	p.settle(now)
 	candidates := p.collect(now)
 	p.tend(now)
@@ -196,6 +197,7 @@
 		for _, t := range c.tasks {
 			b := p.choose(t, tickets, reserved, "", now)
 			if b == nil {
+				p.cramped = p.cramped || c.rank == rankServing
 				p.reserve(c, t, reserved, now)
 				break
 			}
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -16,13 +16,14 @@
 	Room     basilwork.Room
 	Wanted   basilwork.Room // of the waiting tasks
 	Serving  basilwork.Room // of the long-running tasks
-	Least    int            // backend servers that anti-affinity needs
+	Least    int            // backend servers that long-running tasks need
 	Idle     []string       // usable backend servers without runs
 }
 
 // Load returns how much the pool has to do.
 func (p *Pool) Load(now time.Time) Load {
 	l := Load{Jobs: len(p.jobs)}
+	usable := 0
 	for _, id := range p.backendIDs() {
 		b := p.backends[id]
 		if b.present && b.attached && !b.Draining {
@@ -31,7 +32,11 @@
 		}
 		l.Used = l.Used.Add(b.used)
 		l.Running += len(b.runs)
-		if len(b.runs) == 0 && b.usable(now) {
+		if !b.usable(now) {
+			continue
+		}
+		usable++
+		if len(b.runs) == 0 {
 			l.Idle = append(l.Idle, id)
 		}
 	}
@@ -45,6 +50,9 @@
 			}
 		}
 	}
+	if p.cramped {
+		l.Least = max(l.Least, usable+1)
+	}
 	return l
 }
 
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -46,6 +46,7 @@
 	actions   Actions
 	wake      time.Time
 	fenced    bool
+	cramped   bool // a long-running task found no backend server at the last decision
 }
 
 // New returns an empty pool.
--- a/internal/basilscheduler/tend.go
+++ b/internal/basilscheduler/tend.go
@@ -83,7 +83,9 @@
 func (p *Pool) evacuateRun(r *run, now time.Time) {
 	s := r.task.step
 	if s.spec.LongRunning {
-		if p.elsewhere(r, now) && (r.backend.Draining || p.mayLeave(r, now)) {
+		room := p.elsewhere(r, now)
+		p.cramped = p.cramped || !room
+		if room && (r.backend.Draining || p.mayLeave(r, now)) {
 			p.stop(r, "moved to another backend server", now)
 		}
 		return
