Move long-running tasks off hosts that a wave is to maintain, before they are asked for

Ruled out: asking for hosts with work first in each pool; during a pool's peak these are hosts with short tasks (kept all the same). Change: a pool moves long-running tasks to hosts that the wave leaves, one of a step at a time, as soon as there is room.

--- a/internal/basilcapacity/wave.go
+++ b/internal/basilcapacity/wave.go
@@ -133,7 +133,8 @@
 	return count
 }
 
-// chooseForWave asks for as many hosts to be emptied as the time that is left needs.
+// chooseForWave asks for hosts to be emptied: in each pool one with work at least, for those take longest,
+// and as many as the time that is left needs.
 func (f *Fleet) chooseForWave(w *wave, left []*machine, away int, now time.Time) {
 	parallel := f.pace(w, left, now) - away
 	for _, m := range left {
@@ -142,14 +143,10 @@
 		}
 	}
 	sizes := f.poolSizes()
-	for _, m := range left {
-		if parallel <= 0 {
-			return
-		}
-		if m.asked || !m.Up || m.Backend == "" || f.off(m.Pool) {
-			continue
-		}
-		if f.evacuating(m.Pool) >= max(1, sizes[m.Pool]/poolShare) {
+	occupied, idle := f.split(left)
+	for _, m := range append(occupied, idle...) {
+		busy := f.evacuating(m.Pool)
+		if busy >= max(1, sizes[m.Pool]/poolShare) || parallel <= 0 && (busy > 0 || f.idle(m)) {
 			continue
 		}
 		f.ask(m, w.ID)
@@ -157,6 +154,20 @@
 	}
 }
 
+// split returns the hosts that may be asked for, those with work apart from idle ones.
+func (f *Fleet) split(left []*machine) (occupied, idle []*machine) {
+	for _, m := range left {
+		switch {
+		case m.asked || !m.Up || m.Backend == "" || f.off(m.Pool):
+		case f.idle(m):
+			idle = append(idle, m)
+		default:
+			occupied = append(occupied, m)
+		}
+	}
+	return occupied, idle
+}
+
 // pace returns how many hosts have to be away at once so that the wave ends in time.
 func (f *Fleet) pace(w *wave, left []*machine, now time.Time) int {
 	timeLeft := w.started.Add(w.Within - spareTime).Sub(now)
--- a/internal/basilscheduler/tend.go
+++ b/internal/basilscheduler/tend.go
@@ -63,6 +63,10 @@
 		p.stop(r, "another copy finished", now)
 	case r.backend.evacuating, r.backend.Draining:
 		p.evacuateRun(r, now)
+	case r.backend.due && r.task.step.spec.LongRunning:
+		if p.mayLeave(r, now) && p.elsewhere(r, true, now) {
+			p.stop(r, "its host is to be maintained", now)
+		}
 	case p.stalled(r):
 		r.task.shun(r.backend.ID, now.Add(avoidTime))
 		r.backend.noteFailure(j.id(), now)
@@ -83,7 +87,7 @@
 func (p *Pool) evacuateRun(r *run, now time.Time) {
 	s := r.task.step
 	if s.spec.LongRunning {
-		room := p.elsewhere(r, now)
+		room := p.elsewhere(r, false, now)
 		p.cramped = p.cramped || !room
 		if room && (r.backend.Draining || p.mayLeave(r, now)) {
 			p.stop(r, "moved to another backend server", now)
@@ -94,15 +98,16 @@
 		return
 	}
 	left := p.length(s) * time.Duration(100-r.percent) / 100
-	if left > moveWorth && p.elsewhere(r, now) {
+	if left > moveWorth && p.elsewhere(r, false, now) {
 		p.stop(r, "checkpointed for a move", now)
 	}
 }
 
-// elsewhere tells whether another backend server has room for the run's task.
-func (p *Pool) elsewhere(r *run, now time.Time) bool {
+// elsewhere tells whether another backend server has room for the run's task; lasting ones are those
+// that need not be emptied before long.
+func (p *Pool) elsewhere(r *run, lasting bool, now time.Time) bool {
 	for _, b := range p.backends {
-		if b != r.backend && p.fits(r.task, b, nil, now) {
+		if b != r.backend && !(lasting && b.due) && p.fits(r.task, b, nil, now) {
 			return true
 		}
 	}
