Finish what a predecessor had hosts emptied for; forecast by arrivals; know dead owners

Cause: a new owner of the fleet inherited asks without their reason and neither ordered nor took back such hosts (test of a wave with the fleet's owner killed: never completed). After a restart of all, adopted jobs waited 14 s for hosts that were gone. Ruled out: the wave's record; it was stored and read. Change: inherited asks get the wave or a move as their reason; owner rows tell whether the owner before had ended, so only leases are waited for; lists of used backend servers leave out those that are gone; pools tell arriving work, and need is at least what that keeps busy.

--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -16,6 +16,7 @@
 type machine struct {
 	basilwork.Machine
 	asked      bool // its pool was asked to empty it
+	inherited  bool // by a predecessor
 	serial     int64
 	reason     string // a wave, or moveReason
 	target     string // of a move
@@ -55,8 +56,9 @@
 	Used    int      `json:"used"`             // processor in use, thousandths of a core
 	Wanted  int      `json:"wanted,omitempty"` // of the tasks that wait
 	Serving int      `json:"serving,omitempty"`
-	Least   int      `json:"least,omitempty"` // hosts that long-running tasks need
-	Idle    []string `json:"idle,omitempty"`  // backend servers without runs
+	Least   int      `json:"least,omitempty"`   // hosts that long-running tasks need
+	Arrived int64    `json:"arrived,omitempty"` // estimated work of the jobs so far, thousandths of core-seconds
+	Idle    []string `json:"idle,omitempty"`    // backend servers without runs
 }
 
 // Pool is what a pool answers: which of the asked backend servers are empty.
@@ -156,6 +158,11 @@
 			known.complete = s.Completed
 		}
 	}
+	for _, m := range f.machines {
+		if m.asked && m.inherited {
+			m.reason = f.reasonFor(m)
+		}
+	}
 }
 
 // SetMachines takes in the list of hosts.
@@ -209,12 +216,22 @@
 				continue
 			}
 			if !m.asked { // a predecessor's
-				m.asked, m.serial = true, a.Backends[backend]
+				m.asked, m.inherited, m.serial, m.reason = true, true, a.Backends[backend], f.reasonFor(m)
 			}
 		}
 	}
 }
 
+// reasonFor returns why a predecessor had a host emptied: a wave that it is part of, or else a move.
+func (f *Fleet) reasonFor(m *machine) string {
+	for id, w := range f.waves {
+		if !w.complete && !w.done[m.ID] && slices.Contains(w.Machines, m.ID) {
+			return id
+		}
+	}
+	return moveReason
+}
+
 // ask has a host's pool empty it.
 func (f *Fleet) ask(m *machine, reason string) {
 	a := f.asks[m.Pool]
@@ -226,7 +243,7 @@
 	a.Backends[m.Backend] = a.Serial
 	f.asks[m.Pool] = a
 	f.changed[m.Pool] = true
-	m.asked, m.serial, m.reason = true, a.Serial, reason
+	m.asked, m.inherited, m.serial, m.reason = true, false, a.Serial, reason
 }
 
 func (f *Fleet) unask(pool, backend string) {
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -15,6 +15,7 @@
 	lookAhead     = 1800 * time.Millisecond // a move, and the time until its host is found
 	keepTime      = 1500 * time.Millisecond // that a pool keeps hosts that it does not need: two moves cost some 2.6 s of a host
 	waitingWeight = 0.7                     // of the waiting work: it need not all run at once to be on time
+	rateMemory    = 600 * time.Millisecond  // of the rate at which work arrives
 	slopeMemory   = 700 * time.Millisecond  // of the learned change: a peak rises within some two seconds
 	maxGrowth     = 1.0                     // of the level within lookAhead
 	movesAtOnce   = 48                      // asks and moves in flight; a third of what the platform takes in the time of a move
@@ -24,6 +25,8 @@
 // demand is what a pool asks for, and how that changes.
 type demand struct {
 	level  float64 // processor used and wanted, thousandths of a core
+	rate   float64 // processor that arriving work keeps busy, thousandths of a core
+	total  int64   // of the work that has arrived
 	slope  float64 // per second
 	at     time.Time
 	recent []sample // needs of the last keepTime
@@ -52,9 +55,19 @@
 		weight := 1 - math.Exp(-passed/slopeMemory.Seconds())
 		d.slope += weight * ((level-d.level)/passed - d.slope)
 	}
+	d.noteArrived(l.Arrived, now)
 	d.level, d.at = level, now
 }
 
+// noteArrived learns how fast work arrives. A new owner counts from zero again.
+func (d *demand) noteArrived(total int64, now time.Time) {
+	if passed := now.Sub(d.at).Seconds(); !d.at.IsZero() && passed > 0 && total >= d.total {
+		weight := 1 - math.Exp(-passed/rateMemory.Seconds())
+		d.rate += weight * (float64(total-d.total)/passed - d.rate)
+	}
+	d.total = total
+}
+
 // need returns how many hosts a pool is to have.
 func (f *Fleet) need(pool string, now time.Time) int {
 	d := f.mover.demands[pool]
@@ -66,7 +79,8 @@
 	if now.Sub(d.at) > lookAhead {
 		ahead = 0
 	}
-	hosts := int(math.Ceil((d.level + ahead) * headroom / float64(f.hostSize(pool))))
+	steady := float64(l.Serving) + d.rate*math.Exp(-now.Sub(d.at).Seconds()/rateMemory.Seconds()) + waitingWeight*float64(l.Wanted)
+	hosts := int(math.Ceil(max(d.level+ahead, steady) * headroom / float64(f.hostSize(pool))))
 	hosts = max(hosts, l.Least, leastHosts)
 	d.recent = slices.DeleteFunc(d.recent, func(s sample) bool { return now.Sub(s.at) > keepTime })
 	d.recent = append(d.recent, sample{now, hosts})
--- a/internal/basilcapacity/wave.go
+++ b/internal/basilcapacity/wave.go
@@ -88,7 +88,7 @@
 		if away >= limit {
 			break
 		}
-		if m.asked && m.reason != w.ID {
+		if m.asked && m.reason == moveReason && !f.off(m.Pool) {
 			continue // on its way to another pool
 		}
 		if f.empty(m) && m.Up && !now.Before(m.after) && !m.ordering {
--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -131,13 +131,16 @@
 		return false
 	}
 	change := answer.Load.Used + answer.Load.Wanted - told.Load.Used - told.Load.Wanted
+	if answer.Load.Arrived-told.Load.Arrived > tellChange {
+		return true
+	}
 	return max(change, -change) > tellChange || !slices.Equal(answer.Load.Idle, told.Load.Idle) || answer.Load.Least != told.Load.Least
 }
 
 // load returns what the fleet's owner has to know of the pool's work.
 func (o *owner) load(now time.Time) basilcapacity.Load {
 	l := o.pool.Load(now)
-	return basilcapacity.Load{Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Idle: l.Idle}
+	return basilcapacity.Load{Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Arrived: l.Arrived, Idle: l.Idle}
 }
 
 func (o *owner) tell(answer basilcapacity.Pool) {
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -24,6 +24,8 @@
 	configRetry   = 200 * time.Millisecond
 	renewEvery    = 550 * time.Millisecond // a quarter of the lease leaves room for two lost renewals
 	leaseMargin   = 400 * time.Millisecond
+	slowestClock  = 0.98 // the least rate of a backend server's clock
+	graceSlack    = 400 * time.Millisecond
 	stopPoll      = 20 * time.Millisecond
 	stopCommit    = 1200 * time.Millisecond // that a stopping owner has for its last commit
 )
@@ -298,6 +300,16 @@
 	n.keeper.Release(ctx)
 }
 
+// grace returns how long runs of a shard's earlier owner may go on unseen: as long as their leases, and
+// if that owner may still live, as long as it may extend them.
+func (n *Node) grace(row basilshard.OwnerRow) time.Duration {
+	leases := time.Duration(float64(n.options.MaxHold)/slowestClock) + graceSlack
+	if row.Dead {
+		return leases
+	}
+	return leases + n.options.HoldLimit
+}
+
 // handOver gives a shard to another entry host, for this one is short of processor time.
 func (n *Node) handOver(o *owner) {
 	o.log.Warn("short of processor time, shard handed over")
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -67,7 +67,7 @@
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
 	o.pool = basilscheduler.New(basilscheduler.Options{
-		Service: service, Epoch: row.Epoch, Early: n.options.Early, Grace: n.options.HoldLimit + n.options.MaxHold, Far: n.options.Far,
+		Service: service, Epoch: row.Epoch, Early: n.options.Early, Grace: n.grace(row), Far: n.options.Far,
 	}, time.Now())
 	return o
 }
--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -20,9 +20,13 @@
 	stored   map[string]basilwork.Backend
 	version  int64
 	inFlight bool
+	written  time.Time
 	after    time.Time // no try before
 }
 
+// recordEvery is the time between writes that only leave out backend servers that are gone.
+const recordEvery = 2 * time.Second
+
 func recordKey(service string) basilplatform.Key {
 	return basilplatform.Key{Partition: "backends/" + service, Sort: "used"}
 }
@@ -66,9 +70,10 @@
 		for id := range list {
 			o.pool.Recorded(id)
 		}
-		return
 	}
-	o.writeRecord(list)
+	if missing || len(list) < len(o.records.stored) && time.Since(o.records.written) > recordEvery {
+		o.writeRecord(list)
+	}
 }
 
 func (o *owner) writeRecord(list map[string]basilwork.Backend) {
@@ -92,7 +97,7 @@
 				o.records.after = now.Add(storeRetry)
 				return
 			}
-			o.records.stored = list
+			o.records.stored, o.records.written = list, now
 		})
 	}()
 }
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -17,12 +17,13 @@
 	Wanted   basilwork.Room // of the waiting tasks
 	Serving  basilwork.Room // of the long-running tasks
 	Least    int            // backend servers that long-running tasks need
+	Arrived  int64          // estimated work of the jobs so far, thousandths of core-seconds
 	Idle     []string       // usable backend servers without runs
 }
 
 // Load returns how much the pool has to do.
 func (p *Pool) Load(now time.Time) Load {
-	l := Load{Jobs: len(p.jobs)}
+	l := Load{Jobs: len(p.jobs), Arrived: p.arrived}
 	usable := 0
 	for _, id := range p.backendIDs() {
 		b := p.backends[id]
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -46,7 +46,8 @@
 	actions   Actions
 	wake      time.Time
 	fenced    bool
-	cramped   bool // a long-running task found no backend server at the last decision
+	arrived   int64 // work of the jobs taken up, thousandths of core-seconds
+	cramped   bool  // a long-running task found no backend server at the last decision
 }
 
 // New returns an empty pool.
@@ -101,6 +102,20 @@
 		}
 	}
 	p.jobs[r.Job.ID] = j
+	if !adopted {
+		p.arrived += workOf(&r.Job)
+	}
+}
+
+// workOf returns the estimated work of a job's short tasks, in thousandths of core-seconds.
+func workOf(j *basilwork.Job) int64 {
+	var work int64
+	for n := range j.Steps {
+		if s := &j.Steps[n]; !s.LongRunning && !s.Fills {
+			work += int64(s.Count) * int64(s.Room.CPU) * s.Estimate.Milliseconds() / 1000
+		}
+	}
+	return work
 }
 
 // Cancel stops what runs of a job that was cancelled.
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -294,9 +294,10 @@
 func (k *Keeper) claimOne(ctx context.Context, shard string) bool {
 	k.mutex.Lock()
 	row := k.state.Owner(shard)
+	ended := k.state.ended(row)
 	k.mutex.Unlock()
 	self := k.options.Self
-	next := OwnerRow{Node: self.Node, Before: row.Node, Incarnation: self.Incarnation, Epoch: row.Epoch + 1}
+	next := OwnerRow{Node: self.Node, Before: row.Node, Incarnation: self.Incarnation, Epoch: row.Epoch + 1, Dead: ended}
 	if err := k.write(ctx, shard, next, row.Version); err != nil {
 		k.options.Log.WithError(err).WithField(basillog.FieldPool, shard).Info("shard not claimed")
 	}
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -25,6 +25,7 @@
 	Before      string `json:"before,omitempty"` // node of the owner before
 	Incarnation string `json:"incarnation,omitempty"`
 	Epoch       int64  `json:"epoch"`
+	Dead        bool   `json:"dead,omitempty"` // the owner before had ended when this one took over
 	Version     int64  `json:"-"`
 }
 
@@ -102,6 +103,12 @@
 	return m.last-m.first >= s.lease
 }
 
+// ended tells whether the holder of the row has released it, or its process has ended.
+func (s *State) ended(row OwnerRow) bool {
+	m := s.members[row.Node]
+	return row.Incarnation == "" || m != nil && m.member.Incarnation != row.Incarnation
+}
+
 // live tells whether a member renews and takes shards.
 func (s *State) live(m *seen) bool {
 	return !m.member.Stopping && m.last-m.first < s.lease*2/3
