Count hosts whose move is ordered, and only upkeep against a wave

Cause: until the platform had answered, a host that was ordered from the standby pool counted for no pool, so each decision of those milliseconds ordered another; and a move on its way counted as one of a wave's hosts away (both found by the fleet's tests). Ruled out: the forecast; it did not change between the decisions. Change: an ordered host serves its target; only upkeep counts as away.

--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -287,7 +287,7 @@
 	}
 	m.ordering = false
 	if err != nil {
-		m.after = now.Add(orderRetry)
+		m.after, m.target = now.Add(orderRetry), ""
 		return
 	}
 	m.before, m.ordered = o.Backend, now
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -169,10 +169,10 @@
 
 // serves tells whether the host is the pool's, or will be soon.
 func (f *Fleet) serves(m *machine, pool string) bool {
-	if m.moving {
+	if m.moving || m.ordering && m.target != "" {
 		return m.target == pool
 	}
-	return m.Pool == pool && !m.asked && m.Up && !m.maintained && (!m.ordering || m.target == pool)
+	return m.Pool == pool && !m.asked && m.Up && !m.maintained && !m.ordering
 }
 
 // pressed tells whether hosts are wanted more than their upkeep.
--- a/internal/basilcapacity/wave.go
+++ b/internal/basilcapacity/wave.go
@@ -57,7 +57,7 @@
 func (f *Fleet) away(w *wave) int {
 	var count int
 	for _, id := range w.Machines {
-		if m := f.machines[id]; m != nil && (m.maintained || m.ordering) {
+		if m := f.machines[id]; m != nil && (m.maintained || m.ordering && m.target == "") {
 			count++
 		}
 	}
@@ -92,7 +92,7 @@
 			continue // on its way to another pool
 		}
 		if f.empty(m) && m.Up && !now.Before(m.after) && !m.ordering {
-			m.ordering = true
+			m.ordering, m.target = true, ""
 			away++
 			plan.Orders = append(plan.Orders, Order{Machine: m.ID, Wave: w.ID, Backend: m.Backend})
 		}
