--- a/internal/basilnode/failure_test.go
+++ b/internal/basilnode/failure_test.go
@@ -138,6 +138,23 @@
 	})
 }
 
+// TestCancelWhileStoreSilent never says that a job does not exist because the store does not answer.
+func TestCancelWhileStoreSilent(t *testing.T) {
+	run(t, 2, 3, constant(20*time.Second), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+		time.Sleep(time.Second)
+		c.storeFault(4*time.Second, basilfake.StoreFaults{Silent: true})
+		for _, method := range []string{http.MethodDelete, http.MethodGet} {
+			status, _ := c.call("entry-2", method, quotePrefix+jobID(1), "")
+			must.Eq(c.t, http.StatusServiceUnavailable, status, must.Sprint(method))
+		}
+		time.Sleep(5 * time.Second)
+		must.Eq(c.t, "active", c.state("entry-2", quotePrefix, jobID(1)))
+		status, _ := c.call("entry-2", http.MethodDelete, quotePrefix+jobID(1), "")
+		must.Eq(c.t, http.StatusOK, status)
+	})
+}
+
 // TestWaiting counts the jobs that have not begun, also while nobody owns their shard.
 func TestWaiting(t *testing.T) {
 	run(t, 3, 1, constant(30*time.Second), func(c *cluster) {
--- a/internal/basilnode/front.go
+++ b/internal/basilnode/front.go
@@ -225,17 +225,12 @@
 // cancel answers once the cancelling is stored.
 func (c *call) cancel() {
 	_, service, err := c.find()
-	for err == nil || basilplatform.IsErrOutcomeUnknown(err) {
-		err = c.node.ledger.Cancel(c.ctx, service, c.queue.Name, c.id)
-		if err == nil {
-			c.answer(http.StatusOK, "cancelled")
-			return
-		}
-		if basilplatform.IsErrOutcomeUnknown(err) && basiltimer.Wait(c.ctx, readBackPause) != nil {
-			break
-		}
+	if err == nil {
+		err = c.cancelIn(service)
 	}
 	switch {
+	case err == nil:
+		c.answer(http.StatusOK, "cancelled")
 	case basilledger.IsErrJobNotExist(err):
 		c.answer(http.StatusGone, "no such job")
 	case basilplatform.IsErrOutcomeUnknown(err):
@@ -245,6 +240,16 @@
 	}
 }
 
+// cancelIn stores the cancelling; an outcome that is unknown is tried again until the time is over.
+func (c *call) cancelIn(service string) error {
+	for {
+		err := c.node.ledger.Cancel(c.ctx, service, c.queue.Name, c.id)
+		if !basilplatform.IsErrOutcomeUnknown(err) || basiltimer.Wait(c.ctx, readBackPause) != nil {
+			return err
+		}
+	}
+}
+
 func (c *call) waiting() {
 	count, err := c.node.ledger.Waiting(c.ctx, c.queue.Service, c.queue.Name)
 	for _, service := range c.node.formerServices(c.queue.Name) {
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -307,7 +307,7 @@
 	if row.Dead {
 		return leases
 	}
-	return leases + n.options.HoldLimit
+	return leases + max(0, n.options.HoldLimit-n.options.Lease) // the lease had passed when the shard was taken over
 }
 
 // handOver gives a shard to another entry host, for this one is short of processor time.
