--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -13,7 +13,7 @@
 	leastHosts    = 3                       // of a pool: one may fail and one be maintained
 	headroom      = 1.15                    // hosts beyond what is asked for, for fragments of room
 	lookAhead     = 1800 * time.Millisecond // a move, and the time until its host is found
-	keepTime      = 1500 * time.Millisecond // that a pool keeps hosts that it does not need: two moves cost some 2.6 s of a host
+	keepTime      = 700 * time.Millisecond  // that a pool keeps hosts that it does not need: the next peak needs them at once
 	waitingWeight = 0.7                     // of the waiting work: it need not all run at once to be on time
 	rateMemory    = 600 * time.Millisecond  // of the rate at which work arrives
 	slopeMemory   = 700 * time.Millisecond  // of the learned change: a peak rises within some two seconds
--- a/internal/basilnode/front.go
+++ b/internal/basilnode/front.go
@@ -168,14 +168,15 @@
 	return false, nil
 }
 
-// accept stores the job; an outcome that is unknown is read back until the time is over.
+// accept stores the job; an outcome that is unknown is read back until the time is over or the store is
+// known to be away.
 func (c *call) accept(record *basilwork.Record) error {
 	err := c.node.ledger.Accept(c.ctx, c.queue.Service, record)
 	for basilplatform.IsErrOutcomeUnknown(err) {
 		if _, _, found := c.node.ledger.Find(c.ctx, c.queue.Service, c.id); found == nil {
 			return nil
 		}
-		if basiltimer.Wait(c.ctx, readBackPause) != nil {
+		if c.node.storeAway() || basiltimer.Wait(c.ctx, readBackPause) != nil {
 			return err
 		}
 	}
@@ -240,11 +241,12 @@
 	}
 }
 
-// cancelIn stores the cancelling; an outcome that is unknown is tried again until the time is over.
+// cancelIn stores the cancelling; an outcome that is unknown is tried again until the time is over or the
+// store is known to be away.
 func (c *call) cancelIn(service string) error {
 	for {
 		err := c.node.ledger.Cancel(c.ctx, service, c.queue.Name, c.id)
-		if !basilplatform.IsErrOutcomeUnknown(err) || basiltimer.Wait(c.ctx, readBackPause) != nil {
+		if !basilplatform.IsErrOutcomeUnknown(err) || c.node.storeAway() || basiltimer.Wait(c.ctx, readBackPause) != nil {
 			return err
 		}
 	}
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -247,6 +247,7 @@
 
 // execute carries out what the pool decided.
 func (o *owner) execute(a basilscheduler.Actions) {
+	o.logPlaced(a.Starts)
 	for _, s := range a.Starts {
 		o.start(s)
 	}
@@ -261,6 +262,24 @@
 	}
 }
 
+// logPlaced writes a line for each step of which tasks are started, with what decided it.
+func (o *owner) logPlaced(starts []basilscheduler.Start) {
+	for len(starts) > 0 {
+		step := starts[0].Task.StepName()
+		var hosts []string
+		n := 0
+		for n < len(starts) && starts[n].Task.StepName() == step {
+			hosts = append(hosts, starts[n].Backend)
+			n++
+		}
+		o.log.WithFields(logrus.Fields{
+			basillog.FieldJob: starts[0].Task.Job, "step": step, basillog.FieldAttempt: starts[0].Attempt, "hosts": hosts,
+			"rank": starts[0].Rank, "slack_ms": starts[0].Slack.Milliseconds(), "waited_ms": starts[0].Waited.Milliseconds(),
+		}).Info("tasks placed")
+		starts = starts[n:]
+	}
+}
+
 // order runs an order to a backend server beside the control goroutine.
 func (o *owner) order(id string, f func(l *line), missing func(now time.Time)) {
 	l := o.lines[id]
--- a/internal/basilscheduler/action.go
+++ b/internal/basilscheduler/action.go
@@ -1,6 +1,10 @@
 package basilscheduler
 
-import "basilstage.example/basilstage/internal/basilwork"
+import (
+	"time"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
 
 // Ref names one run of a task on a backend server.
 type Ref struct {
@@ -15,6 +19,9 @@
 	Payload    string
 	Checkpoint string
 	Ticket     string
+	Rank       string        // class of the waiting work
+	Slack      time.Duration // to the objective, or the work left when that can't be met
+	Waited     time.Duration // since the task could have been started
 }
 
 // Stop asks for a run to be stopped.
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -12,6 +12,8 @@
 	reservedPart = 3           // at most one in so many backend servers is kept for a task that waits for room
 )
 
+//go:generate go tool -modfile=../../tools/go.mod enumer -type=rank -trimprefix=rank -transform=snake -output=rank_enumer.go
+
 // rank is the class of waiting work; lower ones are placed first.
 type rank int
 
@@ -201,7 +203,7 @@
 				p.reserve(c, t, reserved, now)
 				break
 			}
-			p.start(t, b, p.nextAttempt(t), tickets, now)
+			p.start(c, t, b, p.nextAttempt(t), tickets, now)
 		}
 	}
 }
@@ -236,13 +238,14 @@
 	return t.attempt + 1
 }
 
-func (p *Pool) start(t *task, b *backend, attempt int, tickets map[string]string, now time.Time) {
+func (p *Pool) start(c *candidate, t *task, b *backend, attempt int, tickets map[string]string, now time.Time) {
 	r := &run{task: t, backend: b, attempt: attempt, phase: phaseStarting, since: now, pace: fullPace}
 	t.attempt = attempt
 	t.runs = append(t.runs, r)
 	b.add(r)
 	p.actions.Starts = append(p.actions.Starts, Start{
 		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.saved, Ticket: tickets[b.ID],
+		Rank: c.rank.String(), Slack: c.key, Waited: now.Sub(t.readyAt),
 	})
 }
 
@@ -296,7 +299,7 @@
 		return false
 	}
 	for n, t := range c.tasks {
-		p.start(t, chosen[n], attempt, tickets, now)
+		p.start(c, t, chosen[n], attempt, tickets, now)
 	}
 	return true
 }
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -272,9 +272,7 @@
 	if t.step.spec.Gang && end != basilwork.RunEndDone {
 		p.stopOthers(t, now)
 	}
-	if t.step.spec.LongRunning {
-		t.readyAt = now
-	}
+	t.readyAt = now
 }
 
 // finish notes that a task is done; one member's end is its gang's.
