Remove finished jobs after their time; keep sums per backend server

Cause: rows of finished jobs stayed for ever; placing looked at every run of every backend server (takeover of 10,000 jobs and 600 backend servers did not end in 100 s). Ruled out: decoding; it takes a twentieth of the time.

--- a/internal/basilledger/commit.go
+++ b/internal/basilledger/commit.go
@@ -132,3 +132,14 @@
 func Writer(incarnation string, sequence int64) string {
 	return incarnation + "." + strconv.FormatInt(sequence, 10)
 }
+
+// Remove removes jobs; it fails as Transact of the store does.
+func (l *Ledger) Remove(ctx context.Context, o Owner, ids []string) error {
+	t := basilplatform.Transaction{Writes: []basilplatform.Write{o.check()}}
+	for _, id := range ids {
+		t.Writes = append(t.Writes, basilplatform.Write{
+			Kind: basilplatform.WriteKindDelete, Key: Key(o.Shard, id), Precondition: basilplatform.PreconditionNone,
+		})
+	}
+	return l.store.Transact(ctx, t)
+}
--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -124,7 +124,7 @@
 	node := basilnode.New(basilnode.Options{
 		Self:  basilshard.Member{Node: name, Incarnation: fmt.Sprintf("%s.%d", name, c.starts), Zone: "north", Weight: 1},
 		Clock: func() time.Duration { return time.Since(began) + time.Second },
-		Lease: 2200 * time.Millisecond, MaxHold: 6 * time.Second, HoldLimit: 3500 * time.Millisecond, Early: 250 * time.Millisecond,
+		Lease: 2200 * time.Millisecond, MaxHold: 6 * time.Second, HoldLimit: 3500 * time.Millisecond,
 		Status: 2 * time.Minute, Order: 3 * time.Second, Migrate: 1500 * time.Millisecond, Maintain: 2 * time.Second,
 		Store: store, Directory: basilsite.NewDirectory(store), Commander: basilsite.NewCommander(client),
 		Advisor:  basilsite.NewAdvisor(client, func() string { return basilfake.AdviceAddress }),
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -37,10 +37,7 @@
 	Lease     time.Duration // that a member's row may stand still before its shards are taken over
 	MaxHold   time.Duration // the longest lease that a backend server grants
 	HoldLimit time.Duration // without a renewal after which leases are not extended any more
-	Early     time.Duration
-	Far       float64
 	Status    time.Duration // that a finished job's state is kept
-	Notice    time.Duration
 	Order     time.Duration // between orders of different holders for one host
 	Migrate   time.Duration // of a host's move
 	Maintain  time.Duration // of a host's maintenance
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -37,6 +37,8 @@
 	pool       *basilscheduler.Pool // of the control goroutine, as all below
 	lines      map[string]*line
 	versions   map[string]int64
+	finished   map[string]time.Time // jobs whose final state is stored, and since when
+	forgot     time.Time            // when finished jobs were last looked at
 	records    recorder
 	commit     committer
 	plan       evacuation
@@ -62,12 +64,12 @@
 	o := &owner{
 		node: n, service: service, row: row,
 		log:   n.log.WithFields(logrus.Fields{basillog.FieldPool: service, basillog.FieldEpoch: row.Epoch}),
-		lines: make(map[string]*line), versions: make(map[string]int64),
+		lines: make(map[string]*line), versions: make(map[string]int64), finished: make(map[string]time.Time),
 		events: make(chan func(time.Time), eventQueue), orders: make(chan struct{}, startsAtOnce),
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
 	o.pool = basilscheduler.New(basilscheduler.Options{
-		Service: service, Epoch: row.Epoch, Early: n.options.Early, Grace: n.grace(row), Far: n.options.Far,
+		Epoch: row.Epoch, Grace: n.grace(row),
 	}, time.Now())
 	return o
 }
@@ -134,6 +136,7 @@
 	}
 	o.logLoad(now)
 	o.record()
+	o.forget(now)
 	wait := o.store(now)
 	o.updateLines()
 	return max(time.Millisecond, min(wait, o.pool.Wake().Sub(now)))
@@ -191,6 +194,9 @@
 	}
 	_, known := o.versions[id]
 	o.versions[id] = i.Version
+	if r.State.Final() {
+		o.finished[id] = time.UnixMilli(r.Finished)
+	}
 	switch {
 	case r.State == basilwork.JobStateCanceled:
 		if known {
--- a/internal/basilnode/owner_store.go
+++ b/internal/basilnode/owner_store.go
@@ -139,9 +139,48 @@
 	for id := range r.Versions {
 		o.pool.Stored(id, now)
 		if s := c.states[id]; s.Final() {
+			o.finished[id] = now
 			o.log.WithFields(logrus.Fields{basillog.FieldJob: id, basillog.FieldOutcome: s.String()}).Info("job finished")
 		}
 	}
 	c.entries = nil
 	c.acknowledge(c.snapshot)
 }
+
+const (
+	forgetEvery = 10 * time.Second // between removals of finished jobs
+	forgetExtra = 30 * time.Second // beyond the time that states are kept, for clocks that differ
+	forgetMost  = 90               // rows of one transaction, out of 100 entries
+)
+
+// forget removes jobs whose state was kept for long enough.
+func (o *owner) forget(now time.Time) {
+	if now.Sub(o.forgot) < forgetEvery || o.stopping {
+		return
+	}
+	o.forgot = now
+	row := basilledger.Owner{Shard: o.service, Key: basilshard.OwnerKey(o.service), Version: o.row.Version}
+	var ids []string
+	for id, at := range o.finished {
+		if now.Sub(at) > o.node.options.Status+forgetExtra && len(ids) < forgetMost {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return
+	}
+	go func() {
+		err := o.node.ledger.Remove(o.ctx, row, ids)
+		o.send(func(time.Time) {
+			if err != nil {
+				o.log.WithError(err).Warn("finished jobs not removed")
+				return
+			}
+			for _, id := range ids {
+				delete(o.finished, id)
+				delete(o.versions, id)
+			}
+			o.log.WithField("jobs", len(ids)).Info("finished jobs removed")
+		})
+	}()
+}
--- a/internal/basilnode/session_test.go
+++ b/internal/basilnode/session_test.go
@@ -109,3 +109,17 @@
 		c.await("/price/", jobID(1), "completed", 4*time.Second)
 	})
 }
+
+// TestFinishedJobsAreForgotten keeps a finished job's state for as long as promised, and its row not for ever.
+func TestFinishedJobsAreForgotten(t *testing.T) {
+	run(t, 2, 3, constant(300*time.Millisecond), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", longPrefix, lastID, lasting))
+		c.await(quotePrefix, jobID(1), "completed", 4*time.Second)
+		time.Sleep(2 * time.Minute)
+		must.Eq(c.t, "completed", c.state("entry-2", quotePrefix, jobID(1)))
+		time.Sleep(50 * time.Second)
+		must.Eq(c.t, "Gone", c.state("entry-2", quotePrefix, jobID(1)))
+		must.Eq(c.t, "active", c.state("entry-2", longPrefix, lastID))
+	})
+}
--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -18,10 +18,12 @@
 	processed  int64
 	runs       map[*run]bool
 	used       basilwork.Room
+	serving    int       // long-running runs
+	filling    int       // processor of runs that fill, thousandths of a core
+	until      time.Time // when the last run is expected to end
 	blocked    time.Time // no starts until then
 	failures   int       // in a row, of different jobs
 	failedJobs map[string]bool
-	successes  int
 	paced      time.Time // when fillers were last looked at
 	recorded   bool      // a successor would know of it
 }
@@ -33,9 +35,21 @@
 
 func (b *backend) free() basilwork.Room { return b.Room.Sub(b.used) }
 
-func (b *backend) add(r *run) {
+// add counts a run that may be there; until is when it is expected to end.
+func (b *backend) add(r *run, until time.Time) {
 	b.runs[r] = true
-	b.used = b.used.Add(r.task.step.spec.Demand())
+	r.until = until
+	spec := r.task.step.spec
+	b.used = b.used.Add(spec.Demand())
+	switch {
+	case spec.Fills:
+		b.filling += spec.Room.CPU
+	case spec.LongRunning:
+		b.serving++
+	}
+	if until.After(b.until) {
+		b.until = until
+	}
 }
 
 func (b *backend) remove(r *run) {
@@ -43,7 +57,23 @@
 		return
 	}
 	delete(b.runs, r)
-	b.used = b.used.Sub(r.task.step.spec.Demand())
+	spec := r.task.step.spec
+	b.used = b.used.Sub(spec.Demand())
+	switch {
+	case spec.Fills:
+		b.filling -= spec.Room.CPU
+	case spec.LongRunning:
+		b.serving--
+	}
+	if r.until.Before(b.until) {
+		return
+	}
+	b.until = time.Time{}
+	for o := range b.runs {
+		if o.until.After(b.until) {
+			b.until = o.until
+		}
+	}
 }
 
 func (b *backend) hasLabel(label string) bool {
@@ -66,7 +96,6 @@
 func (b *backend) noteSuccess() {
 	b.failures = 0
 	b.failedJobs = nil
-	b.successes++
 }
 
 // servesTarget tells whether a serving task with a target works there.
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -242,7 +242,7 @@
 	r := &run{task: t, backend: b, attempt: attempt, phase: phaseStarting, since: now, pace: fullPace}
 	t.attempt = attempt
 	t.runs = append(t.runs, r)
-	b.add(r)
+	b.add(r, p.ends(t.step, now))
 	p.actions.Starts = append(p.actions.Starts, Start{
 		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.saved, Ticket: tickets[b.ID],
 		Rank: c.rank.String(), Slack: c.key, Waited: now.Sub(t.readyAt),
@@ -360,6 +360,9 @@
 // few enough that one lost server leaves most of a service at work.
 const servingTogether = 6
 
+// longStay stands for the time that a long-running task stays, longer than any short one.
+const longStay = 24 * time.Hour
+
 // stayUnit is how finely expected ends are told apart.
 const stayUnit = 400 * time.Millisecond
 
@@ -373,32 +376,22 @@
 	if s.spec.LongRunning && b.due {
 		away++
 	}
-	var serving, filling int
-	var stays time.Duration
-	for r := range b.runs {
-		stays = max(stays, p.stays(r, now))
-		if r.task.step.spec.Fills {
-			filling += r.task.step.spec.Room.CPU
-		} else if r.task.step.spec.LongRunning {
-			serving++
-		}
-	}
 	switch {
 	case s.spec.Fills:
-		return score{away, serving, filling - b.free().CPU}
-	case s.spec.LongRunning && serving >= servingTogether:
-		return score{away, 1 + filling, serving}
+		return score{away, b.serving, b.filling - b.free().CPU}
+	case s.spec.LongRunning && b.serving >= servingTogether:
+		return score{away, 1 + b.filling, b.serving}
 	case s.spec.LongRunning:
-		return score{away, filling, -serving}
+		return score{away, b.filling, -b.serving}
 	}
-	longer := max(0, p.length(s)-stays) / stayUnit
+	longer := max(0, p.length(s)-b.until.Sub(now)) / stayUnit
 	return score{away, int(longer), b.free().CPU}
 }
 
-// stays returns how long the run is expected to go on.
-func (p *Pool) stays(r *run, now time.Time) time.Duration {
-	if r.task.step.spec.LongRunning {
-		return time.Hour // until it is cancelled
+// ends returns when a run of the step that starts now is expected to end.
+func (p *Pool) ends(s *step, now time.Time) time.Time {
+	if s.spec.LongRunning {
+		return now.Add(longStay)
 	}
-	return p.length(r.task.step) - now.Sub(r.since)
+	return now.Add(p.length(s))
 }
--- /dev/null
+++ b/internal/basilscheduler/decide_test.go
@@ -0,0 +1,240 @@
+package basilscheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+func end(task string, number int64, attempt int, how basilwork.RunEnd) basilwork.EndStatus {
+	return basilwork.EndStatus{Number: number, Task: task, Attempt: attempt, End: how}
+}
+
+// TestRoomIsNeverExceeded counts what is starting, running and being stopped.
+func TestRoomIsNeverExceeded(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000))
+	f.add("j", stepOf(20, 1500))
+	must.Len(t, 4, f.begin())
+	must.SliceEmpty(t, f.begin())
+	f.Cancel("j", f.now)
+	must.Len(t, 4, f.Decide(f.now).Stops)
+	f.add("k", stepOf(1, 1500))
+	must.SliceEmpty(t, f.begin(), must.Sprint("what is being stopped still counts"))
+	f.pass(time.Second)
+	f.report("b1", 0, end("j.0.0.0", 1, 1, basilwork.RunEndStopped))
+	must.Len(t, 1, f.begin())
+}
+
+// TestStepsInOrder starts a step only when all it comes after has ended as done.
+func TestStepsInOrder(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 8000))
+	second := stepOf(1, 1000)
+	second.After = []int{0}
+	f.add("j", stepOf(2, 1000), second)
+	must.Len(t, 2, f.begin())
+	f.pass(time.Second)
+	f.report("b1", 50, end("j.0.0.0", 1, 1, basilwork.RunEndDone))
+	must.SliceEmpty(t, f.begin())
+	f.report("b1", 50, end("j.0.0.1", 2, 1, basilwork.RunEndDone))
+	starts := f.begin()
+	must.Len(t, 1, starts)
+	must.Eq(t, 1, starts[0].Task.Step)
+	f.pass(time.Second)
+	f.report("b1", 50, end("j.0.1.0", 3, 1, basilwork.RunEndDone))
+	ids, urgent := f.Dirty()
+	must.Eq(t, []string{"j"}, ids)
+	must.True(t, urgent)
+	r, _ := f.Take("j")
+	must.Eq(t, basilwork.JobStateCompleted, r.State)
+}
+
+// TestFailuresOnce counts each failed attempt once, also when it is listed again, and stops at the limit.
+func TestFailuresOnce(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000))
+	f.add("j", stepOf(1, 1000))
+	for n := range 3 {
+		starts := f.begin()
+		must.Len(t, 1, starts, must.Sprintf("attempt %d", n+1))
+		id := starts[0].Backend
+		f.pass(time.Second)
+		e := end("j.0.0.0", int64(n+1), starts[0].Attempt, basilwork.RunEndFailed)
+		f.report(id, 0, e)
+		f.report(id, 0, e)
+		f.pass(5 * time.Second)
+	}
+	must.SliceEmpty(t, f.begin())
+	r, ok := f.Take("j")
+	must.True(t, ok)
+	must.Eq(t, basilwork.JobStateFailed, r.State)
+}
+
+// TestUnansweredStart runs nowhere else before the stop of it is answered and a later report lacks it.
+func TestUnansweredStart(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000))
+	f.add("j", stepOf(1, 1000))
+	s := f.Decide(f.now).Starts[0]
+	f.pass(time.Second)
+	f.Started(s.Ref, basilwork.RefusalNone, false, f.now)
+	a := f.Decide(f.now)
+	must.Len(t, 1, a.Stops)
+	must.SliceEmpty(t, a.Starts)
+	f.pass(time.Second)
+	f.Report(s.Backend, basilwork.Report{}, f.now, f.now)
+	must.SliceEmpty(t, f.Decide(f.now).Starts, must.Sprint("the start may still be on its way"))
+	f.Stopped(s.Ref, true, f.now)
+	f.pass(time.Millisecond)
+	f.Report(s.Backend, basilwork.Report{}, f.now, f.now)
+	starts := f.begin()
+	must.Len(t, 1, starts)
+	must.Eq(t, 2, starts[0].Attempt)
+	must.NotEq(t, s.Backend, starts[0].Backend)
+}
+
+// TestSlackOrder lets the job that can still make its objective go before one that can't, and the one
+// with least slack first: a burst behind a long job.
+func TestSlackOrder(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 1000))
+	long := stepOf(1, 1000)
+	long.Estimate = 8 * time.Second
+	f.add("long", long)
+	f.pass(100 * time.Millisecond)
+	f.add("tight", stepOf(1, 1000))
+	f.pass(7 * time.Second)
+	f.add("fresh", stepOf(1, 1000))
+	var order []string
+	for n := range 3 {
+		starts := f.begin()
+		must.Len(t, 1, starts)
+		order = append(order, starts[0].Task.Job)
+		f.pass(100 * time.Millisecond)
+		f.report("b1", 100, end(starts[0].Task.String(), int64(n+1), 1, basilwork.RunEndDone))
+	}
+	must.Eq(t, "fresh", order[0], must.Sprint("tight and long are late"))
+}
+
+// serving returns a pool whose long-running step of three tasks is at work on hosts of its own.
+func serving(t *testing.T) *fixture {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000), backendOf("b3", 4000), backendOf("b4", 4000))
+	f.add("long", longStep(3, 1000))
+	starts := f.begin()
+	must.Len(t, 3, starts)
+	f.pass(time.Second)
+	for _, s := range starts {
+		f.report(s.Backend, 100)
+	}
+	return f
+}
+
+// TestOneOfAStepAway moves one task of a step at a time, and none while another is away or its host silent.
+func TestOneOfAStepAway(t *testing.T) {
+	f := serving(t)
+	var busy []string
+	for _, b := range []string{"b1", "b2", "b3", "b4"} {
+		if f.Busy(b) {
+			busy = append(busy, b)
+		}
+	}
+	f.Evacuate(busy[0], true)
+	f.Evacuate(busy[1], true)
+	must.Len(t, 1, f.Decide(f.now).Stops)
+
+	f = serving(t)
+	f.SetReachable(busy[2], false)
+	f.Evacuate(busy[0], true)
+	must.SliceEmpty(t, f.Decide(f.now).Stops, must.Sprint("a task on a silent host is away"))
+
+	f = serving(t)
+	f.pass(reportAge)
+	f.Evacuate(busy[0], true)
+	must.SliceEmpty(t, f.Decide(f.now).Stops, must.Sprint("reports are too old to tell"))
+}
+
+// TestNotEmptyBeforeAnswer does not call a backend server empty that may have a predecessor's runs.
+func TestNotEmptyBeforeAnswer(t *testing.T) {
+	f := newFixture(t)
+	f.Predecessor(backendOf("b1", 4000))
+	f.Evacuate("b1", true)
+	must.False(t, f.Emptied("b1"))
+	f.Attached("b1")
+	must.True(t, f.Emptied("b1"))
+}
+
+// TestAdoptionBeforeListing adopts runs of a backend server that answers before the list names it.
+func TestAdoptionBeforeListing(t *testing.T) {
+	f := newFixture(t)
+	f.AddJob(basilwork.Record{Job: basilwork.Job{ID: "j", Queue: "quote", Steps: []basilwork.Step{stepOf(2, 1000)}}, Accepted: f.now.UnixMilli()}, true)
+	f.Predecessor(backendOf("b1", 4000))
+	f.Predecessor(backendOf("b2", 4000))
+	f.Report("b1", basilwork.Report{Running: []basilwork.RunStatus{{Task: "j.0.0.0", Attempt: 3, Percent: 20}}}, f.now, f.now)
+	f.Attached("b1")
+	f.list(backendOf("b1", 4000))
+	must.SliceEmpty(t, f.begin(), must.Sprint("b2 may run the other task"))
+	f.pass(15 * time.Second)
+	f.report("b1", 40)
+	starts := f.begin()
+	must.Len(t, 1, starts)
+	must.Eq(t, "j.0.0.1", starts[0].Task.String())
+}
+
+// TestHostsBecomeEmptyAfterAPeak packs short tasks where others run as long, so that hosts may leave soon.
+func TestHostsBecomeEmptyAfterAPeak(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000))
+	long, short := stepOf(1, 1000), stepOf(1, 1000)
+	long.Estimate, short.Estimate = 9*time.Second, 500*time.Millisecond
+	f.add("long", long)
+	where := f.begin()[0].Backend
+	for n := range 3 {
+		f.add(fmt.Sprintf("short%d", n), short)
+		must.Eq(t, where, f.begin()[0].Backend)
+	}
+	must.Len(t, 1, f.Load(f.now).Idle)
+}
+
+// TestCrampedPoolAsksForAHost asks for one more host than it can use while a long-running task finds none.
+func TestCrampedPoolAsksForAHost(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000))
+	f.add("long", longStep(3, 1000))
+	must.Len(t, 2, f.begin())
+	must.Eq(t, 3, f.Load(f.now).Least)
+	f.list(backendOf("b1", 4000), backendOf("b2", 4000), backendOf("b3", 4000))
+	must.Len(t, 1, f.begin())
+}
+
+// TestGangAllOrNone starts a gang only when all of it has room, with one attempt number.
+func TestGangAllOrNone(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 2000))
+	gang := stepOf(3, 1000)
+	gang.Gang = true
+	f.add("j", gang)
+	must.SliceEmpty(t, f.begin())
+	f.list(backendOf("b1", 2000), backendOf("b2", 2000))
+	starts := f.begin()
+	must.Len(t, 3, starts)
+	f.pass(time.Second)
+	f.report("b1", 50, end(starts[0].Task.String(), 1, 1, basilwork.RunEndBroken))
+	must.SliceEmpty(t, f.begin(), must.Sprint("the others have to end first"))
+}
+
+// TestBadHostIsLeftOut tells a host that fails everything from a job that fails everywhere.
+func TestBadHostIsLeftOut(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 8000))
+	for n := range 4 {
+		f.add(fmt.Sprintf("j%d", n), stepOf(1, 1000))
+	}
+	starts := f.begin()
+	f.pass(time.Second)
+	var ends []basilwork.EndStatus
+	for n, s := range starts {
+		ends = append(ends, end(s.Task.String(), int64(n+1), 1, basilwork.RunEndFailed))
+	}
+	f.report("b1", 0, ends...)
+	f.list(backendOf("b1", 8000), backendOf("b2", 8000))
+	f.pass(retryPause)
+	for _, s := range f.begin() {
+		must.Eq(t, "b2", s.Backend)
+	}
+}
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -203,7 +203,7 @@
 	r := &run{task: t, backend: b, attempt: s.Attempt, phase: phaseRunning, since: now, answered: now, moved: now, pace: fullPace}
 	t.attempt = max(t.attempt, s.Attempt)
 	t.runs = append(t.runs, r)
-	b.add(r)
+	b.add(r, p.ends(t.step, now))
 	p.begin(t.step.occurrence.job)
 	if t.done || t.step.occurrence.job.record.State.Final() {
 		p.stop(r, "task already done", now)
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -18,22 +18,22 @@
 
 // run is one run of a task that may exist on a backend server.
 type run struct {
-	task      *task
-	backend   *backend
-	attempt   int
-	phase     phase
-	reason    string    // of the stop
-	since     time.Time // of the order
-	answered  time.Time // when the newest order was answered
-	stopSent  time.Time // when the newest stop was asked for; zero for none
-	stopped   time.Time // when a stop was answered
-	percent   int
-	moved     time.Time // when percent last changed
-	listed    time.Time // when a report last listed it
-	saved     string
-	usage     int
-	pace      int
-	overSince time.Time // since when the serving task misses its target
+	task     *task
+	backend  *backend
+	attempt  int
+	phase    phase
+	reason   string    // of the stop
+	since    time.Time // of the order
+	until    time.Time // when it is expected to end
+	answered time.Time // when the newest order was answered
+	stopSent time.Time // when the newest stop was asked for; zero for none
+	stopped  time.Time // when a stop was answered
+	percent  int
+	moved    time.Time // when percent last changed
+	listed   time.Time // when a report last listed it
+	saved    string
+	usage    int
+	pace     int
 }
 
 func (r *run) ref() Ref { return Ref{Backend: r.backend.ID, Task: r.task.id, Attempt: r.attempt} }
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -26,11 +26,8 @@
 
 // Options are what a pool is made with.
 type Options struct {
-	Service string
-	Epoch   int64 // of the owner; the first is 1
-	Early   time.Duration
-	Grace   time.Duration // how long a predecessor's unseen runs may last
-	Far     float64       // how much longer tasks take away from their data
+	Epoch int64         // of the owner; the first is 1
+	Grace time.Duration // how long a predecessor's unseen runs may last
 }
 
 // Pool is the state of one service's jobs and backend servers. One goroutine uses it.
@@ -300,14 +297,6 @@
 	return j.record, true
 }
 
-// Dirtied marks a record to be stored again.
-func (p *Pool) Dirtied(id string) {
-	if j := p.jobs[id]; j != nil {
-		j.dirty = true
-		j.urgent = true
-	}
-}
-
 // Stored forgets a job whose final state is stored and that has no runs.
 func (p *Pool) Stored(id string, now time.Time) {
 	if j := p.jobs[id]; j != nil && j.record.State.Final() {
--- a/internal/basilscheduler/reborn_test.go
+++ b/internal/basilscheduler/reborn_test.go
@@ -18,7 +18,7 @@
 func newFixture(t *testing.T, backends ...basilwork.Backend) *fixture {
 	t.Helper()
 	f := &fixture{now: time.Unix(1000, 0)}
-	f.Pool = New(Options{Service: "stretch", Epoch: 1, Grace: 14 * time.Second}, f.now)
+	f.Pool = New(Options{Epoch: 1, Grace: 14 * time.Second}, f.now)
 	f.SetConfiguration(&basilwork.Configuration{Queues: []basilwork.Queue{
 		{Name: "quote", Service: "stretch", MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond},
 	}})
