Make two scheduler tests fail without the mend that they are for

Cause: taking back each mend showed that the tests of the cramped pool and of lifetimes in placing passed without it. Ruled out: the mends; both change what the tests now ask for. Change: a pool cramped by room instead of anti-affinity; a host that is fuller but soon empty beside one that stays busy.

--- a/internal/basilscheduler/decide_test.go
+++ b/internal/basilscheduler/decide_test.go
@@ -180,28 +180,35 @@
 	must.Eq(t, "j.0.0.1", starts[0].Task.String())
 }
 
-// TestHostsBecomeEmptyAfterAPeak packs short tasks where others run as long, so that hosts may leave soon.
+// TestHostsBecomeEmptyAfterAPeak places a long task where another is expected to run as long, though a
+// host that is fuller would be empty soon.
 func TestHostsBecomeEmptyAfterAPeak(t *testing.T) {
 	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000))
-	long, short := stepOf(1, 1000), stepOf(1, 1000)
-	long.Estimate, short.Estimate = 9*time.Second, 500*time.Millisecond
+	wide, long, next := stepOf(1, 3000), stepOf(1, 2000), stepOf(1, 500)
+	wide.Estimate, long.Estimate, next.Estimate = 500*time.Millisecond, 9*time.Second, 8*time.Second
+	f.add("wide", wide)
+	soonEmpty := f.begin()[0].Backend
 	f.add("long", long)
-	where := f.begin()[0].Backend
-	for n := range 3 {
-		f.add(fmt.Sprintf("short%d", n), short)
-		must.Eq(t, where, f.begin()[0].Backend)
-	}
-	must.Len(t, 1, f.Load(f.now).Idle)
+	stays := f.begin()[0].Backend
+	must.NotEq(t, soonEmpty, stays)
+	f.add("next", next)
+	must.Eq(t, stays, f.begin()[0].Backend)
+	f.pass(time.Second)
+	f.report(soonEmpty, 0, end("wide.0.0.0", 1, 1, basilwork.RunEndDone))
+	must.Eq(t, []string{soonEmpty}, f.Load(f.now).Idle)
 }
 
-// TestCrampedPoolAsksForAHost asks for one more host than it can use while a long-running task finds none.
+// TestCrampedPoolAsksForAHost asks for one more host than it can use while a long-running task finds no room.
 func TestCrampedPoolAsksForAHost(t *testing.T) {
 	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000))
-	f.add("long", longStep(3, 1000))
+	step := longStep(3, 3000)
+	step.AntiAffinity = 0
+	f.add("long", step)
 	must.Len(t, 2, f.begin())
 	must.Eq(t, 3, f.Load(f.now).Least)
 	f.list(backendOf("b1", 4000), backendOf("b2", 4000), backendOf("b3", 4000))
 	must.Len(t, 1, f.begin())
+	must.Eq(t, 0, f.Load(f.now).Least)
 }
 
 // TestGangAllOrNone starts a gang only when all of it has room, with one attempt number.
