Write a shard's rows under the version that they replace

Cause: the list of used backend servers, the fleet's asks and records and the pools' answers were written under the owner's row alone. A write whose answer was lost could take effect after a later one of the same owner and put an older list back: a successor would not know of a backend server in use, a pool would empty a host that was no longer asked for.

Ruled out: comparing serial numbers in the reader, which leaves a successor's load of the row wrong; waiting out late writes, which has no bound.

Change: one type, shardRow, for the three places that each wrote such rows. Each write names the version that it replaces; on a conflict of the row itself the version is read again.

--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -9,7 +9,6 @@
 	"basilstage.example/basilstage/internal/basilcapacity"
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
-	"basilstage.example/basilstage/internal/basilshard"
 	"basilstage.example/basilstage/internal/basiltimer"
 	"basilstage.example/basilstage/internal/basilwork"
 )
@@ -22,7 +21,8 @@
 // evacuation is what the fleet's owner asked of a pool, and what it was told.
 type evacuation struct {
 	ask      basilcapacity.Ask
-	version  int64 // of the ask's row
+	version  int64     // of the ask's row
+	row      *shardRow // of the answer
 	told     basilcapacity.Pool
 	toldAt   time.Time
 	inFlight bool
@@ -150,15 +150,8 @@
 		return
 	}
 	o.plan.inFlight = true
-	check := basilplatform.Write{
-		Kind: basilplatform.WriteKindCheck, Key: basilshard.OwnerKey(o.service),
-		Precondition: basilplatform.PreconditionVersion, Version: o.row.Version,
-	}
-	w := basilplatform.Write{
-		Kind: basilplatform.WriteKindPut, Key: answerKey(o.service), Precondition: basilplatform.PreconditionNone, Body: body,
-	}
 	go func() {
-		err := o.node.store.Transact(o.ctx, basilplatform.Transaction{Writes: []basilplatform.Write{check, w}})
+		err := o.plan.row.write(o.ctx, body)
 		o.send(func(now time.Time) {
 			o.plan.inFlight = false
 			if err != nil {
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -110,6 +110,7 @@
 	}
 	for _, i := range items {
 		f.take(fleetShard, i)
+		f.rowOf(i.Key).version = i.Version
 	}
 	for _, pool := range f.node.configuration().Pools() {
 		for _, table := range []string{fleetTable, answerTable} {
@@ -119,6 +120,7 @@
 			}
 			for _, i := range items {
 				f.take(pool, i)
+				f.rowOf(i.Key).version = i.Version
 			}
 		}
 	}
@@ -264,6 +266,7 @@
 
 // rowWrite is what waits to be written to a row; one write of it is in flight at a time.
 type rowWrite struct {
+	*shardRow
 	body     []byte
 	waits    bool
 	inFlight bool
@@ -277,30 +280,30 @@
 		f.log.WithError(err).Error("row not encoded")
 		return
 	}
-	k := fleetKey(part, sort)
+	w := f.rowOf(fleetKey(part, sort))
+	w.body, w.waits = body, true
+	f.flush(w)
+}
+
+func (f *fleet) rowOf(k basilplatform.Key) *rowWrite {
 	w := f.rows[k]
 	if w == nil {
-		w = &rowWrite{}
+		w = &rowWrite{shardRow: newShardRow(f.node.store, k, fleetShard, f.row)}
 		f.rows[k] = w
 	}
-	w.body, w.waits = body, true
-	f.flush(k, w)
+	return w
 }
 
-func (f *fleet) flush(k basilplatform.Key, w *rowWrite) {
+func (f *fleet) flush(w *rowWrite) {
 	if w.inFlight || !w.waits {
 		return
 	}
 	w.inFlight, w.waits = true, false
-	check := basilplatform.Write{
-		Kind: basilplatform.WriteKindCheck, Key: basilshard.OwnerKey(fleetShard),
-		Precondition: basilplatform.PreconditionVersion, Version: f.row.Version,
-	}
-	put := basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: k, Precondition: basilplatform.PreconditionNone, Body: w.body}
+	body := w.body
 	go func() {
-		err := f.node.store.Transact(f.ctx, basilplatform.Transaction{Writes: []basilplatform.Write{check, put}})
+		err := w.shardRow.write(f.ctx, body)
 		if err != nil && !basilplatform.IsErrConditionFailed(err) {
-			f.log.WithError(err).WithField("row", k.Sort).Warn("row not stored")
+			f.log.WithError(err).WithField("row", w.key.Sort).Warn("row not stored")
 			_ = basiltimer.Wait(f.ctx, storeRetry) // an ended context ends the owner
 		}
 		f.send(func(time.Time) {
@@ -308,7 +311,7 @@
 			if err != nil && !basilplatform.IsErrConditionFailed(err) {
 				w.waits = true // an owner that was replaced leaves the row to its successor
 			}
-			f.flush(k, w)
+			f.flush(w)
 		})
 	}()
 }
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -68,6 +68,8 @@
 		events: make(chan func(time.Time), eventQueue), orders: make(chan struct{}, startsAtOnce),
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
+	o.records.row = newShardRow(n.store, recordKey(service), service, row)
+	o.plan.row = newShardRow(n.store, answerKey(service), service, row)
 	o.pool = basilscheduler.New(basilscheduler.Options{
 		Epoch: row.Epoch, Grace: n.grace(row),
 	}, time.Now())
--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -11,14 +11,13 @@
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilrunner"
-	"basilstage.example/basilstage/internal/basilshard"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
 // recorder keeps the stored list of backend servers that may have runs, for a successor.
 type recorder struct {
 	stored   map[string]basilwork.Backend
-	version  int64
+	row      *shardRow
 	inFlight bool
 	written  time.Time
 	after    time.Time // no try before
@@ -40,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	o.records.version = i.Version
+	o.records.row.version = i.Version
 	stored := make(map[string]basilwork.Backend)
 	if err := json.Unmarshal(i.Body, &stored); err != nil {
 		return basilplatform.ErrRefused{Operation: "read backends", Reason: err.Error()}
@@ -83,13 +82,8 @@
 		return
 	}
 	o.records.inFlight = true
-	w := basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: recordKey(o.service), Precondition: basilplatform.PreconditionNone, Body: body}
-	check := basilplatform.Write{
-		Kind: basilplatform.WriteKindCheck, Key: basilshard.OwnerKey(o.service),
-		Precondition: basilplatform.PreconditionVersion, Version: o.row.Version,
-	}
 	go func() {
-		err := o.node.store.Transact(o.ctx, basilplatform.Transaction{Writes: []basilplatform.Write{check, w}})
+		err := o.records.row.write(o.ctx, body)
 		o.send(func(now time.Time) {
 			o.records.inFlight = false
 			if err != nil {
