End open watches when a renewal fails, and follow tables in one place

Cause: a store that falls silent, or loses an answer, never answers a watch that was open then.

Ruled out: short watches alone, of 1 s, which cost as many calls as everything else together; a second connection that is asked in turn.

Change: Keeper.Follow is the one loop that follows a table, where five stood. A renewal that fails ends all open watches; those of the next 5 s are short. A watch waits 5 s at most. The stand-in's store loses the answers of waiting reads when it falls silent, as the users' does.

Measured: TestNoticesAfterStoreSilent failed and passes.

--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -1,6 +1,7 @@
 package basilnode
 
 import (
+	"context"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -9,7 +10,7 @@
 	"basilstage.example/basilstage/internal/basilcapacity"
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
-	"basilstage.example/basilstage/internal/basiltimer"
+	"basilstage.example/basilstage/internal/basilshard"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
@@ -65,39 +66,32 @@
 
 // watchAsks follows what the fleet's owner asks.
 func (o *owner) watchAsks() {
-	after := o.row.Version
 	key := fleetKey(o.service, askSort)
-	for o.ctx.Err() == nil {
-		changes, err := o.node.store.Watch(o.ctx, fleetTable, after, watchWait)
-		if err != nil {
-			if basilwork.IsErrHistoryGone(err) {
-				after = o.reloadAsk(after)
+	o.node.keeper.Follow(o.ctx, o.row.Version, basilshard.Following{
+		Watch: o.node.keeper.Table(fleetTable), Reload: o.reloadAsk, Gather: watchGather,
+		Take: func(changes basilwork.Changes) bool {
+			for _, c := range changes.Rows {
+				if c.Item.Key == key && !c.Deleted {
+					o.send(func(time.Time) { o.takeAsk(c.Item) })
+				}
 			}
-			_ = basiltimer.Wait(o.ctx, storeRetry) // an ended context ends the loop
-			continue
-		}
-		after = changes.Version
-		for _, c := range changes.Rows {
-			if c.Item.Key == key && !c.Deleted {
-				o.send(func(time.Time) { o.takeAsk(c.Item) })
-			}
-		}
-		_ = basiltimer.Wait(o.ctx, watchGather) // an ended context ends the loop
-	}
+			return true
+		},
+	})
 }
 
 // reloadAsk reads the ask after the history was dropped, and returns the version to go on from.
-func (o *owner) reloadAsk(after int64) int64 {
-	items, version, err := o.node.store.Snapshot(o.ctx, fleetTable+"/"+o.service)
+func (o *owner) reloadAsk(ctx context.Context) (version int64, ok bool) {
+	items, version, err := o.node.store.Snapshot(ctx, fleetTable+"/"+o.service)
 	if err != nil {
-		return after
+		return 0, false
 	}
 	for _, i := range items {
 		if i.Key.Sort == askSort {
 			o.send(func(time.Time) { o.takeAsk(i) })
 		}
 	}
-	return version
+	return version, true
 }
 
 // evacuate empties the backend servers that the fleet's owner asked for, and tells it which ones are.
--- a/internal/basilnode/failure_test.go
+++ b/internal/basilnode/failure_test.go
@@ -246,3 +246,46 @@
 		must.Eq(c.t, 3, c.site.Running(lastID))
 	})
 }
+
+// TestNoticesAfterStoreSilent takes up jobs, peaks and configurations soon after the store answers again,
+// though the watches that were open when it fell silent are never answered.
+func TestNoticesAfterStoreSilent(t *testing.T) {
+	for _, f := range []basilfake.StoreFaults{{Silent: true}, {LoseAnswers: true}} {
+		t.Run(fmt.Sprintf("%+v", f), func(t *testing.T) {
+			run(t, 3, 3, constant(900*time.Millisecond), func(c *cluster) {
+				time.Sleep(5 * time.Second)
+				c.storeFault(2*time.Second, f)
+				time.Sleep(2100 * time.Millisecond)
+				before := len(c.site.Backends("stretch"))
+				wide := `{"spec":"x","steps":[{"count":8,"cpu":6000,"mem_mb":512,"estimate_ms":900}]}`
+				for n := range 6 {
+					c.submitUntilTaken(quotePrefix, jobID(n), wide)
+				}
+				time.Sleep(4500 * time.Millisecond)
+				must.Greater(c.t, before, len(c.site.Backends("stretch")))
+				c.site.Configure(fmt.Sprintf(configuration, 2, `},{"name":"new","host":"shop.example","path_prefix":"/new/","service":"stretch","timeout_ms":3000,"max_attempts":3`))
+				time.Sleep(1500 * time.Millisecond)
+				for name := range c.hosts {
+					must.Eq(c.t, http.StatusOK, c.submit(name, "/new/", jobID(20), twoSteps))
+				}
+				for n := range 6 {
+					c.await(quotePrefix, jobID(n), "completed", 2*time.Second)
+				}
+			})
+		})
+	}
+}
+
+// submitUntilTaken hands a job in at each entry host in turn until it is accepted.
+func (c *cluster) submitUntilTaken(prefix, id, body string) {
+	c.t.Helper()
+	for range 30 {
+		for name := range c.hosts {
+			if c.submit(name, prefix, id, body) == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.t.Fatalf("job %s not accepted", id)
+}
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -154,42 +154,38 @@
 
 // watch follows the pools' answers.
 func (f *fleet) watch(after int64) {
-	for f.ctx.Err() == nil {
-		changes, err := f.node.store.Watch(f.ctx, answerTable, after, watchWait)
-		if err != nil {
-			if basilwork.IsErrHistoryGone(err) {
-				after = f.resync(after)
-			}
-			_ = basiltimer.Wait(f.ctx, storeRetry) // an ended context ends the loop
-			continue
-		}
-		after = changes.Version
-		f.send(func(time.Time) {
-			for _, c := range changes.Rows {
-				if !c.Deleted {
-					f.take(c.Item.Key.Partition[len(answerTable)+1:], c.Item)
+	f.node.keeper.Follow(f.ctx, after, basilshard.Following{
+		Watch: f.node.keeper.Table(answerTable), Reload: f.resync, Gather: watchGather,
+		Take: func(changes basilwork.Changes) bool {
+			f.send(func(time.Time) {
+				for _, c := range changes.Rows {
+					if !c.Deleted {
+						f.take(c.Item.Key.Partition[len(answerTable)+1:], c.Item)
+					}
 				}
-			}
-		})
-		_ = basiltimer.Wait(f.ctx, watchGather) // an ended context ends the loop
-	}
+			})
+			return true
+		},
+	})
 }
 
 // resync reads the pools' answers after the history was dropped.
-func (f *fleet) resync(after int64) int64 {
+func (f *fleet) resync(ctx context.Context) (version int64, ok bool) {
 	for _, pool := range f.node.configuration().Pools() {
-		items, version, err := f.node.store.Snapshot(f.ctx, answerTable+"/"+pool)
+		items, read, err := f.node.store.Snapshot(ctx, answerTable+"/"+pool)
 		if err != nil {
-			return after
+			return 0, false
+		}
+		if !ok {
+			version, ok = read, true // later reads may have seen changes of pools read before
 		}
-		after = version
 		f.send(func(time.Time) {
 			for _, i := range items {
 				f.take(pool, i)
 			}
 		})
 	}
-	return after
+	return version, ok
 }
 
 // poke reads the operators' waves.
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -121,27 +121,19 @@
 
 // followConfiguration takes up configurations as operators write them.
 func (n *Node) followConfiguration(ctx context.Context) {
-	for ctx.Err() == nil {
-		version, ok := n.loadConfiguration(ctx)
-		if !ok {
-			_ = basiltimer.Wait(ctx, configRetry) // an ended context ends the loop
-			continue
-		}
-		for ctx.Err() == nil {
-			next, err := n.options.Directory.WatchOperator(ctx, version, watchWait)
-			if err != nil {
-				n.log.WithError(err).Debug("watch of the configuration ended")
-				_ = basiltimer.Wait(ctx, configRetry) // as above
-				break
-			}
-			if next != version {
-				version = next
-				if _, ok := n.loadConfiguration(ctx); !ok {
-					break
-				}
-			}
-		}
+	version, ok := n.loadConfiguration(ctx)
+	for !ok && ctx.Err() == nil {
+		_ = basiltimer.Wait(ctx, configRetry) // an ended context ends the loop
+		version, ok = n.loadConfiguration(ctx)
 	}
+	n.keeper.Follow(ctx, version, basilshard.Following{
+		Reload: n.loadConfiguration,
+		Watch:  n.options.Directory.WatchOperator,
+		Take: func(basilwork.Changes) bool {
+			_, ok := n.loadConfiguration(ctx)
+			return ok
+		},
+	})
 }
 
 func (n *Node) loadConfiguration(ctx context.Context) (int64, bool) {
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -22,7 +22,6 @@
 	commitGather = 150 * time.Millisecond // in which changes that aren't urgent gather
 	commitRetry  = 150 * time.Millisecond
 	storeRetry   = 200 * time.Millisecond
-	watchWait    = 20 * time.Second
 	watchGather  = 30 * time.Millisecond // between reads of a busy table's changes
 	loadEvery    = time.Second
 	startsAtOnce = 64 // orders in flight; each is a connection
@@ -214,17 +213,9 @@
 
 // watch follows the shard's jobs.
 func (o *owner) watch(after int64) {
-	for o.ctx.Err() == nil {
-		changes, err := o.node.store.Watch(o.ctx, basilledger.Table(o.service), after, watchWait)
-		if err != nil {
-			if basilwork.IsErrHistoryGone(err) {
-				after = o.resync(after)
-			}
-			_ = basiltimer.Wait(o.ctx, storeRetry) // an ended context ends the loop
-			continue
-		}
-		after = changes.Version
-		if len(changes.Rows) > 0 {
+	o.node.keeper.Follow(o.ctx, after, basilshard.Following{
+		Watch: o.node.keeper.Table(basilledger.Table(o.service)), Reload: o.resync, Gather: watchGather,
+		Take: func(changes basilwork.Changes) bool {
 			o.send(func(time.Time) {
 				for _, c := range changes.Rows {
 					if !c.Deleted {
@@ -232,17 +223,17 @@
 					}
 				}
 			})
-			_ = basiltimer.Wait(o.ctx, watchGather) // as above
-		}
-	}
+			return true
+		},
+	})
 }
 
 // resync reads all jobs after the history was dropped, and returns the version to go on from.
-func (o *owner) resync(after int64) int64 {
-	items, version, err := o.node.store.Snapshot(o.ctx, basilledger.Partition(o.service))
+func (o *owner) resync(ctx context.Context) (version int64, ok bool) {
+	items, version, err := o.node.store.Snapshot(ctx, basilledger.Partition(o.service))
 	if err != nil {
 		o.log.WithError(err).Warn("jobs not read")
-		return after
+		return 0, false
 	}
 	o.log.WithField("jobs", len(items)).Info("jobs read again, history was dropped")
 	o.send(func(time.Time) {
@@ -250,7 +241,7 @@
 			o.takeItem(i)
 		}
 	})
-	return version
+	return version, true
 }
 
 // execute carries out what the pool decided.
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -13,7 +13,6 @@
 
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
-	"basilstage.example/basilstage/internal/basiltimer"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
@@ -21,7 +20,6 @@
 	memberPartition = "members/"
 	ownerTable      = "owners"
 	ownerSort       = "owner"
-	watchWait       = 20 * time.Second // a longer one gains nothing: a change ends it at once
 	retryPause      = 300 * time.Millisecond
 	slowTime        = 6 * time.Second        // slow spells last some seconds
 	callTime        = 700 * time.Millisecond // of a renewal or a read of members; a slow store takes some 400 ms
@@ -49,7 +47,7 @@
 // Keeper renews this entry host's row, claims shards and tells which ones it owns.
 type Keeper struct {
 	options   Options
-	mutex     sync.Mutex // guards shards and state
+	mutex     sync.Mutex // guards shards, state, open and watches
 	shards    []string
 	state     *State
 	owned     map[string]OwnerRow
@@ -58,6 +56,9 @@
 	renewed   atomic.Int64 // on the clock: the newest answered renewal
 	stop      atomic.Bool
 	slowUntil atomic.Int64 // on the clock
+	failed    atomic.Int64 // on the clock: the newest failed renewal, 0 for none
+	open      map[int64]context.CancelFunc
+	watches   int64 // so far
 	started   time.Duration
 }
 
@@ -65,7 +66,7 @@
 func New(o Options) *Keeper {
 	return &Keeper{
 		options: o, state: NewState(o.Self, o.Lease, o.Renew), owned: make(map[string]OwnerRow),
-		changed: make(chan struct{}, 1), started: o.Clock(),
+		changed: make(chan struct{}, 1), started: o.Clock(), open: make(map[int64]context.CancelFunc),
 	}
 }
 
@@ -147,6 +148,7 @@
 }
 
 func (k *Keeper) missed() {
+	k.interrupt()
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.state.Missed()
@@ -356,32 +358,18 @@
 
 // watch follows the owner rows.
 func (k *Keeper) watch(ctx context.Context) {
-	var after int64
-	for ctx.Err() == nil {
-		changes, err := k.options.Store.Watch(ctx, ownerTable, after, watchWait)
-		if err != nil {
-			after = 0
-			if basilwork.IsErrHistoryGone(err) {
-				after = k.resync(ctx)
-			}
-			_ = basiltimer.Wait(ctx, retryPause) // an ended context ends the loop
-			continue
-		}
-		after = changes.Version
+	k.Follow(ctx, 0, Following{Watch: k.Table(ownerTable), Reload: k.resync, Take: func(changes basilwork.Changes) bool {
 		for _, c := range changes.Rows {
-			shard := c.Item.Key.Partition[len(ownerTable)+1:]
 			if !c.Deleted {
-				k.takeOwner(shard, c.Item)
+				k.takeOwner(c.Item.Key.Partition[len(ownerTable)+1:], c.Item)
 			}
 		}
-	}
+		return true
+	}})
 }
 
-// resync reads all owners and returns the version to watch from, 0 when that failed.
-func (k *Keeper) resync(ctx context.Context) int64 {
+// resync reads all owners and returns the version to watch from.
+func (k *Keeper) resync(ctx context.Context) (version int64, ok bool) {
 	_, version, err := k.options.Store.Snapshot(ctx, ownerTable+"/")
-	if err != nil || !k.readOwners(ctx) {
-		return 0
-	}
-	return version
+	return version, err == nil && k.readOwners(ctx)
 }
--- a/internal/basilwork/port.go
+++ b/internal/basilwork/port.go
@@ -178,7 +178,7 @@
 	// Configuration returns the newest configuration and the version it was read at.
 	Configuration(ctx context.Context) (*Configuration, int64, error)
 	// WatchOperator waits until the operator may have changed anything.
-	WatchOperator(ctx context.Context, after int64, wait time.Duration) (int64, error)
+	WatchOperator(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 	// Backends returns the valid entries of backend servers.
 	Backends(ctx context.Context) ([]Backend, error)
 	Waves(ctx context.Context) ([]Wave, error)
