Empty hosts that still have work when a pool has too many

Cause: after a peak a pool gave up only hosts that happened to be idle when it told of them.

Change: a pool tells which backend servers have short runs only, soonest ends first, and which have long-running tasks that fit beside others. The fleet asks for the former at once and, when a pool has had hosts to spare for 3 s, for one of the latter at a time. A pool that needs hosts again gets the asks taken back, without a move.

--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -59,6 +59,8 @@
 	Least   int      `json:"least,omitempty"`   // hosts that long-running tasks need
 	Arrived int64    `json:"arrived,omitempty"` // estimated work of the jobs so far, thousandths of core-seconds
 	Idle    []string `json:"idle,omitempty"`    // backend servers without runs
+	Brief   []string `json:"brief,omitempty"`   // with short runs only, those that end first at the front
+	Movable []string `json:"movable,omitempty"` // with long-running runs that fit elsewhere, the least occupied first
 }
 
 // Pool is what a pool answers: which of the asked backend servers are empty.
--- a/internal/basilcapacity/fleet_test.go
+++ b/internal/basilcapacity/fleet_test.go
@@ -36,7 +36,7 @@
 	w.SetMachines(w.list, w.now)
 }
 
-// idle returns the backend servers of the pool's last hosts.
+// idleOf returns the backend servers of the pool's last hosts.
 func (w *world) idleOf(pool string, count int) []string {
 	var ids []string
 	for n := len(w.list) - 1; n >= 0 && len(ids) < count; n-- {
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -9,17 +9,18 @@
 )
 
 const (
-	moveReason    = "move"
-	leastHosts    = 3                       // of a pool: one may fail and one be maintained
-	headroom      = 1.15                    // hosts beyond what is asked for, for fragments of room
-	lookAhead     = 1800 * time.Millisecond // a move, and the time until its host is found
-	keepTime      = 700 * time.Millisecond  // that a pool keeps hosts that it does not need: the next peak needs them at once
-	waitingWeight = 0.7                     // of the waiting work: it need not all run at once to be on time
-	rateMemory    = 600 * time.Millisecond  // of the rate at which work arrives
-	slopeMemory   = 700 * time.Millisecond  // of the learned change: a peak rises within some two seconds
-	maxGrowth     = 1.0                     // of the level within lookAhead
-	movesAtOnce   = 48                      // asks and moves in flight; a third of what the platform takes in the time of a move
-	defaultHostMC = 64000                   // thousandths of a core, until a host is listed
+	moveReason       = "move"
+	leastHosts       = 3                       // of a pool: one may fail and one be maintained
+	headroom         = 1.15                    // hosts beyond what is asked for, for fragments of room
+	lookAhead        = 1800 * time.Millisecond // a move, and the time until its host is found
+	keepTime         = 700 * time.Millisecond  // that a pool keeps hosts that it does not need: the next peak needs them at once
+	waitingWeight    = 0.7                     // of the waiting work: it need not all run at once to be on time
+	rateMemory       = 600 * time.Millisecond  // of the rate at which work arrives
+	slopeMemory      = 700 * time.Millisecond  // of the learned change: a peak rises within some two seconds
+	maxGrowth        = 1.0                     // of the level within lookAhead
+	movesAtOnce      = 48                      // asks and moves in flight; a third of what the platform takes in the time of a move
+	consolidateAfter = 3 * time.Second         // of hosts to spare: longer than a dip between jobs
+	defaultHostMC    = 64000                   // thousandths of a core, until a host is listed
 )
 
 // demand is what a pool asks for, and how that changes.
@@ -30,6 +31,8 @@
 	slope  float64 // per second
 	at     time.Time
 	recent []sample // needs of the last keepTime
+
+	spareSince time.Time // since when the pool has had hosts to spare; zero for not now
 }
 
 type sample struct {
@@ -186,9 +189,10 @@
 	balances := f.balances(now)
 	f.mover.missing = wanting(balances) != nil
 	slices.SortStableFunc(balances, func(a, b *balance) int { return cmp.Compare(b.missing, a.missing) })
+	f.keepAsked(balances)
 	f.sendEmptied(balances, now, plan)
 	f.sendStandby(balances, now, plan)
-	f.askSpare(balances)
+	f.askSpare(balances, now)
 }
 
 // wanting returns the pool that misses most hosts, or nil.
@@ -238,25 +242,78 @@
 	plan.Orders = append(plan.Orders, Order{Machine: m.ID, Backend: m.Backend, Pool: target})
 }
 
-// askSpare has pools empty hosts that they do not need; idle ones, of which emptying costs nothing.
-func (f *Fleet) askSpare(balances []*balance) {
+// askSpare has pools empty hosts that they do not need: idle ones, then those whose runs are short, and once a
+// pool has had too many for a while, those whose long-running tasks fit elsewhere.
+func (f *Fleet) askSpare(balances []*balance, now time.Time) {
 	inFlight := 0
 	for _, m := range f.machines {
 		if m.moving || m.asked && m.reason == moveReason {
 			inFlight++
 		}
 	}
-	for _, m := range f.byDue(true) {
-		if inFlight >= movesAtOnce {
-			return
+	byBackend := make(map[string]*machine, len(f.machines))
+	for _, m := range f.machines {
+		byBackend[m.Backend] = m
+	}
+	for _, b := range balances {
+		for _, id := range f.spareOf(b, now) {
+			m := byBackend[id]
+			if b.spare <= 0 || inFlight >= movesAtOnce {
+				break
+			}
+			if m == nil || m.Pool != b.pool || m.asked || !m.Up || m.maintained || m.moving || m.ordering {
+				continue
+			}
+			b.spare--
+			inFlight++
+			f.ask(m, moveReason)
 		}
+	}
+}
+
+// spareOf returns the backend servers that a pool gives up first to last, of hosts without work those first that wait for upkeep.
+func (f *Fleet) spareOf(b *balance, now time.Time) []string {
+	d, l := f.mover.demands[b.pool], f.pools[b.pool].Load
+	if b.spare <= 0 {
+		d.spareSince = time.Time{}
+		return nil
+	}
+	if d.spareSince.IsZero() {
+		d.spareSince = now
+	}
+	idle := slices.Clone(l.Idle)
+	due := f.asks[b.pool].Due
+	slices.SortStableFunc(idle, func(x, y string) int {
+		return compareBool(slices.Contains(due, y), slices.Contains(due, x))
+	})
+	list := append(idle, l.Brief...)
+	if len(list) == 0 && len(l.Movable) > 0 && now.Sub(d.spareSince) > consolidateAfter && f.asked(b.pool) == 0 {
+		return l.Movable[:1]
+	}
+	return list
+}
+
+// asked returns how many hosts of the pool are being emptied.
+func (f *Fleet) asked(pool string) int {
+	var count int
+	for _, m := range f.machines {
+		if m.Pool == pool && m.asked {
+			count++
+		}
+	}
+	return count
+}
+
+// keepAsked takes back asks for hosts that their pool needs again; that costs nothing.
+func (f *Fleet) keepAsked(balances []*balance) {
+	for _, m := range f.sorted() {
 		n := slices.IndexFunc(balances, func(b *balance) bool { return b.pool == m.Pool })
-		if n < 0 || balances[n].spare <= 0 || !f.idle(m) || m.asked || !m.Up || m.maintained || m.moving || m.ordering {
+		if n < 0 || balances[n].missing <= 0 || !m.asked || m.reason != moveReason || m.ordering {
 			continue
 		}
-		balances[n].spare--
-		inFlight++
-		f.ask(m, moveReason)
+		balances[n].missing--
+		f.unask(m.Pool, m.Backend)
+		m.asked, m.reason, m.target = false, "", ""
 	}
 }
 
--- /dev/null
+++ b/internal/basilcapacity/move_test.go
@@ -0,0 +1,62 @@
+package basilcapacity
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// askedOf returns how many backend servers of the pool are to be emptied.
+func (w *world) askedOf(pool string) int { return len(w.asks[pool].Backends) }
+
+// TestPeakOverEmptiesHostsWithShortRuns has a pool empty hosts after its peak, before they happen to be idle.
+func TestPeakOverEmptiesHostsWithShortRuns(t *testing.T) {
+	w := newWorld(t)
+	w.hosts("a", 12)
+	w.tell("a", Load{Used: 600000})
+	w.decide(time.Second)
+	for range 3 {
+		w.tell("a", Load{Used: 200000, Brief: w.idleOf("a", 6)})
+		w.decide(250 * time.Millisecond)
+	}
+	must.Eq(t, 6, w.askedOf("a"))
+	for _, id := range w.idleOf("a", 6) {
+		must.MapContainsKey(t, w.asks["a"].Backends, id)
+	}
+}
+
+// TestPeakAgainTakesBackAsks keeps hosts that were being emptied when the pool needs them again, without a move.
+func TestPeakAgainTakesBackAsks(t *testing.T) {
+	w := newWorld(t)
+	w.hosts("a", 12)
+	w.hosts("spare", 4)
+	for range 4 {
+		w.tell("a", Load{Used: 200000, Brief: w.idleOf("a", 6)})
+		w.decide(250 * time.Millisecond)
+	}
+	must.Eq(t, 6, w.askedOf("a"))
+	w.tell("a", Load{Used: 400000, Wanted: 150000})
+	p := w.decide(0)
+	must.Eq(t, 0, w.askedOf("a"))
+	for _, o := range p.Orders {
+		must.Eq(t, "", o.Backend, must.Sprint("only hosts of the standby pool move"))
+	}
+}
+
+// TestSpreadServiceIsPacked empties one host at a time of a pool whose long-running tasks need fewer, once it has
+// had too many for longer than a dip.
+func TestSpreadServiceIsPacked(t *testing.T) {
+	w := newWorld(t)
+	w.hosts("a", 5)
+	load := Load{Used: 70000, Serving: 70000, Least: 3, Movable: w.idleOf("a", 3)}
+	for range 10 {
+		w.tell("a", load)
+		must.MapEmpty(t, w.decide(250*time.Millisecond).Asks)
+	}
+	for range 12 {
+		w.tell("a", load)
+		w.decide(250 * time.Millisecond)
+	}
+	must.Eq(t, 1, w.askedOf("a"))
+}
--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -16,6 +16,7 @@
 
 const (
 	tellEvery  = 250 * time.Millisecond // between reports of a pool's load; each is a priced write
+	toldMost   = 8                      // backend servers of a kind in a report; a row has room for many more, and each report is paid for by size
 	tellChange = 20000                  // thousandths of a core: a third of a large host
 )
 
@@ -134,7 +135,10 @@
 // load returns what the fleet's owner has to know of the pool's work.
 func (o *owner) load(now time.Time) basilcapacity.Load {
 	l := o.pool.Load(now)
-	return basilcapacity.Load{Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Arrived: l.Arrived, Idle: l.Idle}
+	return basilcapacity.Load{
+		Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Arrived: l.Arrived,
+		Idle: l.Idle, Brief: l.Brief[:min(len(l.Brief), toldMost)], Movable: l.Movable[:min(len(l.Movable), toldMost)],
+	}
 }
 
 func (o *owner) tell(answer basilcapacity.Pool) {
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -1,6 +1,8 @@
 package basilscheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"basilstage.example/basilstage/internal/basilwork"
@@ -19,6 +21,8 @@
 	Least    int            // backend servers that long-running tasks need
 	Arrived  int64          // estimated work of the jobs so far, thousandths of core-seconds
 	Idle     []string       // usable backend servers without runs
+	Brief    []string       // usable backend servers with short runs only, those that end first at the front
+	Movable  []string       // usable backend servers whose long-running runs fit elsewhere, the least occupied first
 }
 
 // Load returns how much the pool has to do.
@@ -37,10 +41,17 @@
 			continue
 		}
 		usable++
-		if len(b.runs) == 0 {
+		switch {
+		case len(b.runs) == 0:
 			l.Idle = append(l.Idle, id)
+		case b.serving == 0:
+			l.Brief = append(l.Brief, id)
+		case p.movable(b, now):
+			l.Movable = append(l.Movable, id)
 		}
 	}
+	slices.SortStableFunc(l.Brief, func(a, b string) int { return p.backends[a].until.Compare(p.backends[b].until) })
+	slices.SortStableFunc(l.Movable, func(a, b string) int { return cmp.Compare(p.backends[a].used.CPU, p.backends[b].used.CPU) })
 	for _, j := range p.jobs {
 		if j.record.State.Final() {
 			continue
@@ -57,6 +68,27 @@
 	return l
 }
 
+// movable tells whether all long-running runs of the backend server may be moved to others that have such, as
+// far as each by itself tells.
+func (p *Pool) movable(b *backend, now time.Time) bool {
+	for r := range b.runs {
+		if r.task.step.spec.LongRunning && !p.joins(r, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// joins tells whether the run fits beside other long-running ones.
+func (p *Pool) joins(r *run, now time.Time) bool {
+	for _, b := range p.backends {
+		if b != r.backend && b.serving > 0 && !b.due && p.fits(r.task, b, nil, now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Load) addStep(s *step) {
 	if s.left == 0 || !s.ready() {
 		return
--- /dev/null
+++ b/internal/basilscheduler/load_test.go
@@ -0,0 +1,39 @@
+package basilscheduler
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestLoadTellsWhatMayLeave sorts backend servers by what emptying them takes.
+func TestLoadTellsWhatMayLeave(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000), backendOf("b3", 4000), backendOf("b4", 4000))
+	lasting := stepOf(2, 2000)
+	lasting.LongRunning = true
+	lasting.AntiAffinity = 1
+	f.add("last", lasting)
+	must.Len(t, 2, f.begin())
+	f.add("quote", stepOf(1, 3000))
+	must.Len(t, 1, f.begin())
+	l := f.Load(f.now)
+	must.Len(t, 1, l.Idle)
+	must.Len(t, 1, l.Brief)
+	must.SliceEmpty(t, l.Movable, must.Sprint("one of the step at a backend server"))
+	must.Eq(t, 2, l.Least)
+}
+
+// TestLoadMovable names backend servers whose long-running tasks fit beside others.
+func TestLoadMovable(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 8000))
+	for id, cpu := range map[string]int{"first": 3000, "second": 2000} {
+		lasting := stepOf(1, cpu)
+		lasting.LongRunning = true
+		f.add(id, lasting)
+	}
+	must.Len(t, 2, f.begin())
+	l := f.Load(f.now)
+	must.Eq(t, []string{"b1"}, l.Movable, must.Sprint("what runs on the larger one does not fit the smaller one"))
+	f.list(backendOf("b1", 4000))
+	must.SliceEmpty(t, f.Load(f.now).Movable)
+}
