Add an experiment tool that plays loads in event time

Change: basilstage experiment plays the first users' loads (peaks by turns, tails, poison, uneven sizes, bad estimates, cancelled jobs, slow and failing hosts, a wave) against the real scheduler and capacity planner in event time: work by slack, by arrival and shortest first; pools that give up idle hosts only, as before; pools that stay. The pools' standings in the log tell both forecasts.

--- a/cmd/main.go
+++ b/cmd/main.go
@@ -53,6 +53,7 @@
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
 			newDemoCommand(stdout, stderr),
+			newExperimentCommand(stdout, stderr),
 			newEntryCommand(stdout, stderr),
 			newMintCommand(stdout, stderr),
 			newSubmitCommand(stdout, stderr),
--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -81,6 +81,7 @@
 type Options struct {
 	Maintain time.Duration // of a host's upkeep
 	Migrate  time.Duration // of a move
+	IdleOnly bool          // give up idle hosts only; a baseline of experiments
 }
 
 // Fleet is the state of hosts, waves and moves. One goroutine uses it.
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -78,18 +78,27 @@
 		return 0
 	}
 	l := f.pools[pool].Load
-	ahead := min(max(0, d.slope)*lookAhead.Seconds(), maxGrowth*d.level)
-	if now.Sub(d.at) > lookAhead {
-		ahead = 0
-	}
-	steady := float64(l.Serving) + d.rate*math.Exp(-now.Sub(d.at).Seconds()/rateMemory.Seconds()) + waitingWeight*float64(l.Wanted)
-	hosts := int(math.Ceil(max(d.level+ahead, steady) * headroom / float64(f.hostSize(pool))))
+	hosts := int(math.Ceil(max(d.level+d.ahead(now), d.steady(l, now)) * headroom / float64(f.hostSize(pool))))
 	hosts = max(hosts, l.Least, leastHosts)
 	d.recent = slices.DeleteFunc(d.recent, func(s sample) bool { return now.Sub(s.at) > keepTime })
 	d.recent = append(d.recent, sample{now, hosts})
 	return hosts
 }
 
+// ahead returns what the level is expected to rise by until a host that is sent for now would come.
+func (d *demand) ahead(now time.Time) float64 {
+	if now.Sub(d.at) > lookAhead {
+		return 0
+	}
+	return min(max(0, d.slope)*lookAhead.Seconds(), maxGrowth*d.level)
+}
+
+// steady returns the processor that work keeps busy if it goes on to arrive as it does.
+func (d *demand) steady(l Load, now time.Time) float64 {
+	rate := d.rate * math.Exp(-now.Sub(d.at).Seconds()/rateMemory.Seconds())
+	return float64(l.Serving) + rate + waitingWeight*float64(l.Wanted)
+}
+
 // keep returns the most hosts that the pool needed lately.
 func (f *Fleet) keep(pool string) int {
 	var most int
@@ -127,6 +136,8 @@
 	Idle    int    `json:"idle"`
 	Asked   int    `json:"asked"`
 	Demand  int    `json:"demand"` // thousandths of a core
+	Ahead   int    `json:"ahead"`  // what that is expected to change by until a host would come
+	Steady  int    `json:"steady"` // what arriving work would keep busy
 	Missing int    `json:"missing"`
 }
 
@@ -136,7 +147,8 @@
 	for _, b := range f.balances(now) {
 		s := Standing{Pool: b.pool, Size: b.size, Need: f.need(b.pool, now), Keep: f.keep(b.pool), Missing: b.missing}
 		s.Idle, s.Asked = len(f.pools[b.pool].Load.Idle), f.evacuating(b.pool)
-		s.Demand = int(f.mover.demands[b.pool].level)
+		d := f.mover.demands[b.pool]
+		s.Demand, s.Ahead, s.Steady = int(d.level), int(d.ahead(now)), int(d.steady(f.pools[b.pool].Load, now))
 		list = append(list, s)
 	}
 	return list
@@ -286,6 +298,9 @@
 	slices.SortStableFunc(idle, func(x, y string) int {
 		return compareBool(slices.Contains(due, y), slices.Contains(due, x))
 	})
+	if f.options.IdleOnly {
+		return idle
+	}
 	list := append(idle, l.Brief...)
 	if len(list) == 0 && len(l.Movable) > 0 && now.Sub(d.spareSince) > consolidateAfter && f.asked(b.pool) == 0 {
 		return l.Movable[:1]
--- /dev/null
+++ b/internal/basilexperiment/policy.go
@@ -0,0 +1,30 @@
+package basilexperiment
+
+import (
+	"basilstage.example/basilstage/internal/basilscheduler"
+)
+
+//go:generate go tool -modfile=../../tools/go.mod enumer -type=Policy -trimprefix=Policy -transform=snake -output=policy_enumer.go
+
+// Policy is a set of decisions to be compared.
+type Policy int
+
+// Policies; the first is the product's.
+const (
+	PolicyProduct  Policy = iota // work by slack, hosts follow the demand
+	PolicyArrival                // as the product, work in the order of its arrival
+	PolicyShortest               // as the product, the least work first
+	PolicyIdleOnly               // as the product, pools give up idle hosts only: its version before
+	PolicyStatic                 // work by slack, all hosts up and shared out for good
+)
+
+// order returns how waiting work is placed.
+func (p Policy) order() basilscheduler.Order {
+	switch p {
+	case PolicyArrival:
+		return basilscheduler.OrderArrival
+	case PolicyShortest:
+		return basilscheduler.OrderShortest
+	}
+	return basilscheduler.OrderSlack
+}
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -82,7 +82,7 @@
 		}
 	}
 	slices.SortFunc(found, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.key, b.key),
+		return cmp.Or(p.options.Order.compare(&a, &b),
 			cmp.Compare(a.step.occurrence.job.id(), b.step.occurrence.job.id()),
 			cmp.Compare(a.step.occurrence.number, b.step.occurrence.number), cmp.Compare(a.step.number, b.step.number))
 	})
--- /dev/null
+++ b/internal/basilscheduler/order.go
@@ -0,0 +1,34 @@
+package basilscheduler
+
+import (
+	"cmp"
+	"time"
+)
+
+//go:generate go tool -modfile=../../tools/go.mod enumer -type=Order -trimprefix=Order -transform=snake -output=order_enumer.go
+
+// Order is how waiting work is placed; the others than the first are baselines of experiments.
+type Order int
+
+// Orders.
+const (
+	OrderSlack    Order = iota // by class, then by slack to the objective
+	OrderArrival               // first come, first served
+	OrderShortest              // least work left first
+)
+
+// compare orders two candidates of short work; those that serve always come first.
+func (o Order) compare(a, b *candidate) int {
+	if o == OrderSlack || a.rank == rankServing || b.rank == rankServing {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.key, b.key))
+	}
+	if o == OrderArrival {
+		return a.step.occurrence.job.accepted.Compare(b.step.occurrence.job.accepted)
+	}
+	return cmp.Compare(a.work(), b.work())
+}
+
+// work returns the estimated work of the waiting tasks, in core-seconds.
+func (c *candidate) work() float64 {
+	return float64(len(c.tasks)*c.step.spec.Room.CPU) / 1000 * c.step.spec.Estimate.Round(time.Millisecond).Seconds()
+}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -28,6 +28,7 @@
 type Options struct {
 	Epoch int64         // of the owner; the first is 1
 	Grace time.Duration // how long a predecessor's unseen runs may last
+	Order Order         // of waiting work
 }
 
 // Pool is the state of one service's jobs and backend servers. One goroutine uses it.
