Tell slow backend servers apart, and use slow hosts last

Cause: a backend server that takes four times as long got as much work as any other, and its runs were waited for.

Ruled out: comparing the tasks of a step with each other, for a step is mostly packed on one backend server; a fixed factor over the estimate, for estimates of wide jobs are off by 0.9 of a logarithm.

Change: of each step one run at a backend server, finished or projected from its progress, is compared with the queue's learned spread of run time over estimate; the odds of being slow against sound add up. From 12 to 1 on short work keeps off for 6 s, and runs that would end sooner elsewhere are moved. The fleet gets a host in its place, gives the slow one up first and takes it back last.

--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -26,6 +26,7 @@
 	ordered    time.Time
 	before     string    // its backend server before the order
 	after      time.Time // no order before
+	slow       time.Time // taken to be slow until then
 }
 
 // Order is an order for a host: upkeep for a wave, or a move to a pool.
@@ -60,6 +61,7 @@
 	Arrived int64    `json:"arrived,omitempty"` // estimated work of the jobs so far, thousandths of core-seconds
 	Idle    []string `json:"idle,omitempty"`    // backend servers without runs
 	Brief   []string `json:"brief,omitempty"`   // with short runs only, those that end first at the front
+	Slow    []string `json:"slow,omitempty"`    // that take far longer than others
 	Movable []string `json:"movable,omitempty"` // with long-running runs that fit elsewhere, the least occupied first
 }
 
@@ -138,6 +140,11 @@
 func (f *Fleet) SetPool(pool string, p Pool, now time.Time) {
 	f.pools[pool] = p
 	f.mover.note(pool, p.Load, now)
+	for _, m := range f.machines {
+		if m.Pool == pool && slices.Contains(p.Load.Slow, m.Backend) {
+			m.slow = now.Add(slowTime)
+		}
+	}
 }
 
 // SetWaves takes in the operators' waves and what is written of them.
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -19,6 +19,7 @@
 	slopeMemory      = 700 * time.Millisecond  // of the learned change: a peak rises within some two seconds
 	maxGrowth        = 1.0                     // of the level within lookAhead
 	movesAtOnce      = 48                      // asks and moves in flight; a third of what the platform takes in the time of a move
+	slowTime         = 15 * time.Second        // that a slow host is used last: slow spells last some seconds, and worn hosts stay slow
 	consolidateAfter = 3 * time.Second         // of hosts to spare: longer than a dip between jobs
 	defaultHostMC    = 64000                   // thousandths of a core, until a host is listed
 )
@@ -175,8 +176,9 @@
 			}
 		}
 		need := f.need(pool, now)
-		b.missing = max(0, need-b.size)
-		b.spare = max(0, b.size-f.keep(pool))
+		slow := len(f.pools[pool].Load.Slow)
+		b.missing = max(0, need+slow-b.size)
+		b.spare = max(0, b.size-f.keep(pool)-slow)
 		list = append(list, b)
 	}
 	return list
@@ -235,7 +237,9 @@
 
 // sendStandby moves hosts that are off to pools that miss some.
 func (f *Fleet) sendStandby(balances []*balance, now time.Time, plan *Plan) {
-	for _, m := range f.byDue(false) {
+	list := f.byDue(false)
+	slices.SortStableFunc(list, func(a, b *machine) int { return compareBool(now.Before(a.slow), now.Before(b.slow)) })
+	for _, m := range list {
 		if m.Pool != f.standby || !m.Up || m.moving || m.maintained || m.ordering || now.Before(m.after) {
 			continue
 		}
@@ -296,7 +300,8 @@
 	idle := slices.Clone(l.Idle)
 	due := f.asks[b.pool].Due
 	slices.SortStableFunc(idle, func(x, y string) int {
-		return compareBool(slices.Contains(due, y), slices.Contains(due, x))
+		return cmp.Or(compareBool(slices.Contains(l.Slow, y), slices.Contains(l.Slow, x)),
+			compareBool(slices.Contains(due, y), slices.Contains(due, x)))
 	})
 	if f.options.IdleOnly {
 		return idle
--- a/internal/basilcapacity/move_test.go
+++ b/internal/basilcapacity/move_test.go
@@ -60,3 +60,29 @@
 	}
 	must.Eq(t, 1, w.askedOf("a"))
 }
+
+// TestSlowHostsLeaveFirst replaces a slow host, gives it up before sound ones and takes it back last.
+func TestSlowHostsLeaveFirst(t *testing.T) {
+	w := newWorld(t)
+	w.hosts("a", 8)
+	w.hosts("spare", 2)
+	idle := w.idleOf("a", 8)
+	slow := idle[len(idle)-1]
+	load := Load{Used: 400000, Slow: []string{slow}}
+	w.tell("a", load)
+	must.Len(t, 1, w.decide(time.Second).Orders, must.Sprint("another host in its place"))
+	w.list[8].Pool, w.list[8].Backend = "a", "i-new"
+	w.SetMachines(w.list, w.now)
+	for range 4 {
+		w.tell("a", Load{Used: 380000, Idle: idle[len(idle)-2:], Slow: []string{slow}})
+		w.decide(250 * time.Millisecond)
+	}
+	must.Eq(t, 1, w.askedOf("a"))
+	must.MapContainsKey(t, w.asks["a"].Backends, slow)
+	w.list[0].Pool, w.list[0].Backend = "spare", ""
+	w.SetMachines(w.list, w.now)
+	w.tell("a", Load{Used: 450000, Wanted: 20000})
+	orders := w.decide(0).Orders
+	must.Positive(t, len(orders))
+	must.NotEq(t, w.list[0].ID, orders[0].Machine)
+}
--- a/internal/basilexperiment/pool.go
+++ b/internal/basilexperiment/pool.go
@@ -105,7 +105,7 @@
 	l := p.Load(w.time())
 	answer := basilcapacity.Pool{Serial: p.ask.Serial, Empty: empty, Load: basilcapacity.Load{
 		Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Arrived: l.Arrived,
-		Idle: l.Idle, Brief: l.Brief, Movable: l.Movable,
+		Idle: l.Idle, Brief: l.Brief, Movable: l.Movable, Slow: l.Slow,
 	}}
 	w.after(tellTime, func() { w.fleet.SetPool(p.name, answer, w.time()) })
 }
--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -137,7 +137,7 @@
 	l := o.pool.Load(now)
 	return basilcapacity.Load{
 		Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Arrived: l.Arrived,
-		Idle: l.Idle, Brief: l.Brief[:min(len(l.Brief), toldMost)], Movable: l.Movable[:min(len(l.Movable), toldMost)],
+		Idle: l.Idle, Brief: l.Brief[:min(len(l.Brief), toldMost)], Movable: l.Movable[:min(len(l.Movable), toldMost)], Slow: l.Slow[:min(len(l.Slow), toldMost)],
 	}
 }
 
--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -24,6 +24,8 @@
 	blocked    time.Time // no starts until then
 	failures   int       // in a row, of different jobs
 	failedJobs map[string]bool
+	odds       float64   // logarithm, that it is slow
+	slowUntil  time.Time // taken to be slow until then
 	paced      time.Time // when fillers were last looked at
 	recorded   bool      // a successor would know of it
 }
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -239,7 +239,7 @@
 }
 
 func (p *Pool) start(c *candidate, t *task, b *backend, attempt int, tickets map[string]string, now time.Time) {
-	r := &run{task: t, backend: b, attempt: attempt, phase: phaseStarting, since: now, pace: fullPace}
+	r := &run{task: t, backend: b, attempt: attempt, phase: phaseStarting, since: now, pace: fullPace, resumed: t.saved != ""}
 	t.attempt = attempt
 	t.runs = append(t.runs, r)
 	b.add(r, p.ends(t.step, now))
@@ -343,6 +343,9 @@
 	if tickets != nil && tickets[b.ID] == "" {
 		return false
 	}
+	if b.slow(now) && !s.spec.LongRunning {
+		return false
+	}
 	if until, ok := t.avoid[b.ID]; ok && now.Before(until) && len(p.backends) > 1 {
 		return false
 	}
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -195,12 +195,13 @@
 	}
 	r.usage = s.Usage
 	r.listed = now
+	p.observe(r, r.projected(), now)
 	return r
 }
 
 // adopt takes over a run that an earlier owner started.
 func (p *Pool) adopt(b *backend, t *task, s basilwork.RunStatus, now time.Time) *run {
-	r := &run{task: t, backend: b, attempt: s.Attempt, phase: phaseRunning, since: now, answered: now, moved: now, pace: fullPace}
+	r := &run{task: t, backend: b, attempt: s.Attempt, phase: phaseRunning, since: now, answered: now, moved: now, pace: fullPace, resumed: true}
 	t.attempt = max(t.attempt, s.Attempt)
 	t.runs = append(t.runs, r)
 	b.add(r, p.ends(t.step, now))
@@ -229,7 +230,7 @@
 		return
 	}
 	if r == nil {
-		r = &run{task: t, backend: b, attempt: e.Attempt, since: now}
+		r = &run{task: t, backend: b, attempt: e.Attempt, since: now, resumed: true}
 	}
 	p.endRun(r, e.End, now)
 }
@@ -261,6 +262,9 @@
 	case basilwork.RunEndDone:
 		b.noteSuccess()
 		p.learn(t.step, now.Sub(r.since))
+		if !r.resumed {
+			p.observe(r, now.Sub(r.since), now)
+		}
 		p.finish(t, now)
 	case basilwork.RunEndFailed:
 		b.noteFailure(j.id(), now)
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -34,6 +34,7 @@
 	saved    string
 	usage    int
 	pace     int
+	resumed  bool // from a checkpoint, or its start was not seen
 }
 
 func (r *run) ref() Ref { return Ref{Backend: r.backend.ID, Task: r.task.id, Attempt: r.attempt} }
@@ -85,6 +86,7 @@
 	tasks      []*task
 	left       int // tasks not done
 	progress   *basilwork.StepProgress
+	observed   map[string]bool // backend servers of which a run of the step has told how fast they are
 }
 
 func (s *step) ready() bool {
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -22,6 +22,7 @@
 	Arrived  int64          // estimated work of the jobs so far, thousandths of core-seconds
 	Idle     []string       // usable backend servers without runs
 	Brief    []string       // usable backend servers with short runs only, those that end first at the front
+	Slow     []string       // usable backend servers that take far longer than others
 	Movable  []string       // usable backend servers whose long-running runs fit elsewhere, the least occupied first
 }
 
@@ -41,6 +42,9 @@
 			continue
 		}
 		usable++
+		if b.slow(now) {
+			l.Slow = append(l.Slow, id)
+		}
 		switch {
 		case len(b.runs) == 0:
 			l.Idle = append(l.Idle, id)
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -40,6 +40,7 @@
 	unsettled map[string]time.Time // backend servers that may hold a predecessor's runs, and until when
 	queues    map[string]*basilwork.Queue
 	times     map[timeKey]*learned
+	spreads   map[string]*spread // by queue
 	tickets   map[string]*stepTickets
 	actions   Actions
 	wake      time.Time
@@ -57,6 +58,7 @@
 		unsettled: make(map[string]time.Time),
 		queues:    make(map[string]*basilwork.Queue),
 		times:     make(map[timeKey]*learned),
+		spreads:   make(map[string]*spread),
 		tickets:   make(map[string]*stepTickets),
 	}
 }
--- a/internal/basilscheduler/tend.go
+++ b/internal/basilscheduler/tend.go
@@ -67,6 +67,8 @@
 		if p.mayLeave(r, now) && p.elsewhere(r, true, now) {
 			p.stop(r, "its host is to be maintained", now)
 		}
+	case p.crawls(r, now):
+		p.stop(r, "backend server is slow", now)
 	case p.stalled(r):
 		r.task.shun(r.backend.ID, now.Add(avoidTime))
 		r.backend.noteFailure(j.id(), now)
