Replace hosts that are leaving before they are gone; test leaving, freezes, holders and acknowledgements

Cause: a pool of three hosts whose long-running tasks take one each asked for no other host while one of the three was leaving: the fleet counted it as serving until it was gone, and a task was away for 1.5 s and longer.

Ruled out: counting only what the scheduler may use, which would bring hosts for each short pause of a backend server.

Change: a pool tells how many of its backend servers are leaving, and the fleet counts as many hosts more. Entry hosts' calls can be made late, as those of a process that was frozen, and the store can turn one entry host away.

Measured: TestLeavingBackendServer failed and passes. With the wait between holders taken back TestHoldersTakeTurnsSlowly fails (orders 2.05 s apart); with ends acknowledged when taken in TestEndsAcknowledgedOnceStored fails.

--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -58,6 +58,7 @@
 	Wanted  int      `json:"wanted,omitempty"` // of the tasks that wait
 	Serving int      `json:"serving,omitempty"`
 	Least   int      `json:"least,omitempty"`   // hosts that long-running tasks need
+	Leaving int      `json:"leaving,omitempty"` // backend servers that end before long
 	Arrived int64    `json:"arrived,omitempty"` // estimated work of the jobs so far, thousandths of core-seconds
 	Idle    []string `json:"idle,omitempty"`    // backend servers without runs
 	Brief   []string `json:"brief,omitempty"`   // with short runs only, those that end first at the front
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -176,9 +176,10 @@
 			}
 		}
 		need := f.need(pool, now)
-		slow := len(f.pools[pool].Load.Slow)
-		b.missing = max(0, need+slow-b.size)
-		b.spare = max(0, b.size-f.keep(pool)-slow)
+		l := f.pools[pool].Load
+		unfit := len(l.Slow) + l.Leaving
+		b.missing = max(0, need+unfit-b.size)
+		b.spare = max(0, b.size-f.keep(pool)-unfit)
 		list = append(list, b)
 	}
 	return list
--- a/internal/basilexperiment/pool.go
+++ b/internal/basilexperiment/pool.go
@@ -104,7 +104,7 @@
 	p.toldAt = w.now
 	l := p.Load(w.time())
 	answer := basilcapacity.Pool{Serial: p.ask.Serial, Empty: empty, Load: basilcapacity.Load{
-		Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Arrived: l.Arrived,
+		Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Arrived: l.Arrived, Leaving: l.Leaving,
 		Idle: l.Idle, Brief: l.Brief, Movable: l.Movable, Slow: l.Slow,
 	}}
 	w.after(tellTime, func() { w.fleet.SetPool(p.name, answer, w.time()) })
--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -1,6 +1,7 @@
 package basilnode_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -30,6 +31,7 @@
 	quotePrefix = "/quote/"
 	longPrefix  = "/long/"
 	maxAttempts = 3
+	lateCall    = 3 * time.Second // that a call made late may take
 )
 
 const configuration = `{"version":%d,"routes":[
@@ -42,6 +44,8 @@
 type link struct {
 	network *basilstandin.Network
 	cut     atomic.Bool
+	refused atomic.Bool  // by the store
+	held    atomic.Int64 // Unix nanoseconds until which calls wait, whatever their callers do
 }
 
 func (l *link) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -49,9 +53,42 @@
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
+	if l.refused.Load() && r.URL.Host == basilfake.StoreAddress {
+		return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, Request: r}, nil
+	}
+	if wait := time.Until(time.Unix(0, l.held.Load())); wait > 0 {
+		return l.deliverLate(r, wait)
+	}
 	return l.network.RoundTrip(r)
 }
 
+// deliverLate makes the call after a while even when its caller has given up, as a frozen process does that wakes.
+func (l *link) deliverLate(r *http.Request, wait time.Duration) (*http.Response, error) {
+	var body []byte
+	if r.Body != nil {
+		var err error
+		if body, err = io.ReadAll(r.Body); err != nil {
+			return nil, err
+		}
+	}
+	late := r.Clone(context.WithoutCancel(r.Context()))
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	answer := make(chan *http.Response, 1)
+	time.AfterFunc(wait, func() {
+		ctx, cancel := context.WithTimeout(late.Context(), lateCall)
+		defer cancel()
+		if a, err := l.network.RoundTrip(late.WithContext(ctx)); err == nil {
+			answer <- a
+		}
+	})
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
+
 // entryHost is one running entry host of a cluster.
 type entryHost struct {
 	name   string
@@ -140,6 +177,11 @@
 	}()
 }
 
+// hold has an entry host's calls made only after a while.
+func (c *cluster) hold(name string, d time.Duration) {
+	c.hosts[name].link.held.Store(time.Now().Add(d).UnixNano())
+}
+
 // kill ends an entry host at once.
 func (c *cluster) kill(name string) {
 	h := c.hosts[name]
--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -129,14 +129,14 @@
 	if answer.Load.Arrived-told.Load.Arrived > tellChange {
 		return true
 	}
-	return max(change, -change) > tellChange || !slices.Equal(answer.Load.Idle, told.Load.Idle) || answer.Load.Least != told.Load.Least
+	return max(change, -change) > tellChange || !slices.Equal(answer.Load.Idle, told.Load.Idle) || answer.Load.Least != told.Load.Least || answer.Load.Leaving != told.Load.Leaving
 }
 
 // load returns what the fleet's owner has to know of the pool's work.
 func (o *owner) load(now time.Time) basilcapacity.Load {
 	l := o.pool.Load(now)
 	return basilcapacity.Load{
-		Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Arrived: l.Arrived,
+		Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Arrived: l.Arrived, Leaving: l.Leaving,
 		Idle: l.Idle, Brief: l.Brief[:min(len(l.Brief), toldMost)], Movable: l.Movable[:min(len(l.Movable), toldMost)], Slow: l.Slow[:min(len(l.Slow), toldMost)],
 	}
 }
--- a/internal/basilnode/failure_test.go
+++ b/internal/basilnode/failure_test.go
@@ -58,6 +58,19 @@
 				time.AfterFunc(3*time.Second, func() { c.site.SetFaults(b, basilfake.BackendFaults{}) })
 			}
 		}},
+		{"owner turned away by the store", 15 * time.Second, func(c *cluster) {
+			h := c.hosts[c.owner("stretch")]
+			h.link.refused.Store(true)
+			time.AfterFunc(8*time.Second, func() { h.link.refused.Store(false) })
+		}},
+		{"owner's calls made late", 15 * time.Second, func(c *cluster) { c.hold(c.owner("stretch"), 7*time.Second) }},
+		{"hosts' owner's calls made late", 9 * time.Second, func(c *cluster) { c.hold(c.owner("fleet"), 7*time.Second) }},
+		{"all calls made late", 20 * time.Second, func(c *cluster) {
+			for name := range c.hosts {
+				c.hold(name, 5*time.Second)
+			}
+		}},
+		{"backend server leaves", 9 * time.Second, func(c *cluster) { c.site.Drain(c.busiest(), 9*time.Second) }},
 		{"store silent and owner killed", 18 * time.Second, func(c *cluster) {
 			c.storeFault(4*time.Second, basilfake.StoreFaults{Silent: true})
 			c.kill(c.owner("stretch"))
@@ -289,3 +302,63 @@
 	}
 	c.t.Fatalf("job %s not accepted", id)
 }
+
+// TestLeavingBackendServer starts nothing there any more and moves what runs long, while work goes on to come.
+func TestLeavingBackendServer(t *testing.T) {
+	run(t, 3, 4, constant(700*time.Millisecond), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", longPrefix, lastID, lasting))
+		time.Sleep(2 * time.Second)
+		c.site.Drain(c.busiest(), 8*time.Second)
+		for n := range 20 {
+			must.Eq(c.t, http.StatusOK, c.submit("entry-2", quotePrefix, jobID(n), twoSteps))
+			time.Sleep(300 * time.Millisecond)
+		}
+		must.Eq(c.t, 3, c.site.Running(lastID))
+		time.Sleep(4 * time.Second)
+		for n := range 20 {
+			c.await(quotePrefix, jobID(n), "completed", time.Second)
+		}
+		must.Eq(c.t, 3, c.site.Running(lastID))
+	})
+}
+
+// TestHoldersTakeTurnsSlowly gives a host no order of a new owner of the hosts soon after one of the last owner.
+func TestHoldersTakeTurnsSlowly(t *testing.T) {
+	run(t, 3, 3, constant(300*time.Millisecond), func(c *cluster) {
+		wide := `{"spec":"x","steps":[{"count":8,"cpu":6000,"mem_mb":512,"estimate_ms":300}]}`
+		for round := range 6 {
+			before := len(c.site.Backends("stretch"))
+			for n := range 6 {
+				must.Eq(c.t, http.StatusOK, c.submit("entry-2", quotePrefix, jobID(10*round+n), wide))
+			}
+			for range 40 {
+				if len(c.site.Machines("stretch")) != before {
+					break
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			name := c.owner("fleet")
+			c.stop(name)
+			c.start(name)
+			time.Sleep(6 * time.Second)
+		}
+	})
+}
+
+// TestEndsAcknowledgedOnceStored leaves ends listed while the store does not answer, and acknowledges them after.
+func TestEndsAcknowledgedOnceStored(t *testing.T) {
+	for _, f := range []basilfake.StoreFaults{{Silent: true}, {Busy: true}, {LateBy: 2500 * time.Millisecond}} {
+		t.Run(fmt.Sprintf("%+v", f), func(t *testing.T) {
+			run(t, 3, 3, constant(900*time.Millisecond), func(c *cluster) {
+				must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+				time.Sleep(600 * time.Millisecond)
+				c.storeFault(2*time.Second, f)
+				time.Sleep(1900 * time.Millisecond)
+				must.Positive(c.t, c.site.EndsListed("stretch"))
+				c.await(quotePrefix, jobID(1), "completed", 9*time.Second)
+				time.Sleep(3 * time.Second)
+				must.Eq(c.t, 0, c.site.EndsListed("stretch"))
+			})
+		})
+	}
+}
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -14,6 +14,7 @@
 	Waiting  int // tasks ready and not started
 	Running  int
 	Backends int
+	Leaving  int // backend servers that are listed and end before long
 	Used     basilwork.Room
 	Room     basilwork.Room
 	Wanted   basilwork.Room // of the waiting tasks
@@ -32,6 +33,9 @@
 	usable := 0
 	for _, id := range p.backendIDs() {
 		b := p.backends[id]
+		if b.present && b.Draining {
+			l.Leaving++
+		}
 		if b.present && b.attached && !b.Draining {
 			l.Backends++
 			l.Room = l.Room.Add(b.Room)
