Test a holder that renews before a claim at eight moments

Change: TestHolderRenewsBeforeClaim holds the claim back until the holder has renewed, while the holder hears of claims late, at eight moments of its renewals.

--- a/internal/basilshard/property_test.go
+++ b/internal/basilshard/property_test.go
@@ -1,10 +1,14 @@
 package basilshard_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,12 +36,21 @@
 type keeperHost struct {
 	*basilshard.Keeper
 	link   *basilstandin.Link
+	before atomic.Pointer[func(r *http.Request)] // called before each call, unless nil
 	cancel context.CancelFunc
 	done   chan struct{}
 	mutex  sync.Mutex // guards owned
 	owned  map[string]int64
 }
 
+// RoundTrip makes a call over the entry host's link.
+func (h *keeperHost) RoundTrip(r *http.Request) (*http.Response, error) {
+	if before := h.before.Load(); before != nil {
+		(*before)(r)
+	}
+	return h.link.RoundTrip(r)
+}
+
 // owns returns the epoch under which the entry host may start work of a shard, 0 for none.
 func (h *keeperHost) owns(shard string) int64 {
 	h.mutex.Lock()
@@ -72,7 +85,7 @@
 	r.starts++
 	h := &keeperHost{link: &basilstandin.Link{Network: r.network}, done: make(chan struct{}), owned: make(map[string]int64)}
 	name := fmt.Sprintf("entry-%d", n)
-	store := basilsite.NewStore(basilsite.NewClientOn(h.link), func() string { return basilfake.StoreAddress }, time.Second)
+	store := basilsite.NewStore(basilsite.NewClientOn(h), func() string { return basilfake.StoreAddress }, time.Second)
 	began := r.began
 	h.Keeper = basilshard.New(basilshard.Options{
 		Self:  basilshard.Member{Node: name, Incarnation: fmt.Sprintf("%s.%d", name, r.starts), Weight: 1},
@@ -227,18 +240,77 @@
 			{1189 * ms, 783 * ms, 0, 1},
 			{0, 100 * ms, 0, 2},
 		},
-		"a holder renewed between the read that it stood still in and the claim": {
-			{2208 * ms, 1871 * ms, 3, 0},
-			{5 * ms, 106 * ms, 4, 0},
-			{3000 * ms, 101 * ms, 6, 0},
-			{0, 1287 * ms, 2, 1},
-			{1 * ms, 4878 * ms, 8, 1},
-			{1 * ms, 7000 * ms, 7, 2},
-			{3 * ms, 114 * ms, 2, 2},
-			{0, 101 * ms, 0, 1},
-		},
 	}
 	for name, plan := range plans {
 		t.Run(name, func(t *testing.T) { must.SliceEmpty(t, play(t, plan)) })
 	}
 }
+
+// TestHolderRenewsBeforeClaim lets a holder come back after its row was seen to stand still and before the claim
+// based on that: the claim fails.
+func TestHolderRenewsBeforeClaim(t *testing.T) {
+	for n := range 8 {
+		t.Run(fmt.Sprint(n), func(t *testing.T) { holderRenewsBeforeClaim(t, time.Duration(n)*renew/8) })
+	}
+}
+
+// holderRenewsBeforeClaim has the holder go away at a moment of its renewals.
+func holderRenewsBeforeClaim(t *testing.T, moment time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRing()
+		time.Sleep(3*time.Second + moment)
+		holder := r.holder("a")
+		var done atomic.Bool // not sync.Once, whose waiters would keep the bubble's time from passing
+		back := func(q *http.Request) {
+			if q.Method == http.MethodGet {
+				return
+			}
+			body := must1(io.ReadAll(q.Body))
+			q.Body = io.NopCloser(bytes.NewReader(body))
+			if bytes.Contains(body, []byte(`"owners"`)) {
+				if done.CompareAndSwap(false, true) {
+					holder.link.Refuse("")
+					time.Sleep(renew + renew/4) // less than the call may take
+				}
+			}
+		}
+		for _, h := range r.hosts {
+			if h != holder {
+				h.before.Store(&back)
+			}
+		}
+		blind := func(q *http.Request) {
+			if strings.HasSuffix(q.URL.Path, "/rows-feed") {
+				<-q.Context().Done() // it hears of a claim late
+			}
+		}
+		holder.before.Store(&blind)
+		holder.link.Refuse(basilfake.StoreAddress)
+		for range 300 {
+			time.Sleep(20 * time.Millisecond)
+			r.check()
+		}
+		must.SliceEmpty(t, r.wrong)
+		must.True(t, r.owned())
+		for n := range r.hosts {
+			r.kill(n)
+		}
+	})
+}
+
+// holder returns the entry host that owns the shard.
+func (r *ring) holder(shard string) *keeperHost {
+	for _, h := range r.hosts {
+		if h.owns(shard) != 0 {
+			return h
+		}
+	}
+	return nil
+}
+
+func must1[V any](v V, err error) V {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
