Judge slowness against other backend servers, and by more than one job

Cause, found on reading the change again: (1) one job of the few that take far longer than their estimates had its backend server taken to be slow for 6 s; (2) a queue whose estimates are all too low had every one taken to be slow, was never learned from, and its work waited while backend servers were free.

Ruled out: a share of slow backend servers above which none counts, which still excludes some while the estimates are learned.

Change: a job counts for 1.5 at most, so that two to four must agree; odds count against those that most backend servers have; what lies off by more than two standard deviations is learned as that. The log says when a backend server is taken to be slow, and why. The loads of the experiment tool no longer tell tails by their estimates.

Measured: TestWrongEstimatesAreNotSlowness and TestOneLongJobIsNotSlowness failed and pass.

--- a/internal/basilexperiment/load.go
+++ b/internal/basilexperiment/load.go
@@ -133,7 +133,7 @@
 		s := basilwork.Step{
 			Count:    max(1, int(math.Round(q.Width*spread(r, q.Spread)))),
 			Room:     basilwork.Room{CPU: int(q.CPU * spread(r, q.Spread/2)), Memory: max(tailMemoryMB, int(q.Memory*spread(r, q.Spread)))},
-			Estimate: seconds(work.Seconds() * spread(r, q.EstimateBy)), Checkpointing: q.Saves,
+			Estimate: seconds(work.Seconds() / tail * spread(r, q.EstimateBy)), Checkpointing: q.Saves,
 		}
 		if n > 0 {
 			s.After = []int{n - 1}
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -247,6 +247,11 @@
 // execute carries out what the pool decided.
 func (o *owner) execute(a basilscheduler.Actions) {
 	o.logPlaced(a.Starts)
+	for _, s := range a.Slow {
+		o.log.WithFields(logrus.Fields{
+			basillog.FieldHost: s.Backend, "odds": s.Odds, "took_ms": s.Took.Milliseconds(), "estimate_ms": s.Estimate.Milliseconds(),
+		}).Info("backend server taken to be slow")
+	}
 	for _, s := range a.Starts {
 		o.start(s)
 	}
--- a/internal/basilscheduler/action.go
+++ b/internal/basilscheduler/action.go
@@ -42,12 +42,21 @@
 	Backends []string
 }
 
+// Slowness tells that a backend server is taken to be slow, and the newest of the runs that say so.
+type Slowness struct {
+	Backend  string
+	Odds     float64       // logarithm
+	Took     time.Duration // in all, as far as is known
+	Estimate time.Duration
+}
+
 // Actions is what a decision asks for.
 type Actions struct {
 	Starts []Start
 	Stops  []Stop
 	Paces  []Pace
 	Advice []AdviceRequest
+	Slow   []Slowness // nothing is to be done about these
 }
 
 // Empty tells whether nothing is asked for.
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -37,6 +37,7 @@
 	p.wake = now.Add(idleWake)
 	p.cramped = false
 	p.settle(now)
+	p.compareSpeeds(now)
 	candidates := p.collect(now)
 	p.tend(now)
 	p.place(candidates, now)
@@ -343,7 +344,7 @@
 	if tickets != nil && tickets[b.ID] == "" {
 		return false
 	}
-	if b.slow(now) && !s.spec.LongRunning {
+	if !s.spec.LongRunning && p.slow(b, now) {
 		return false
 	}
 	if until, ok := t.avoid[b.ID]; ok && now.Before(until) && len(p.backends) > 1 {
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		usable++
-		if b.slow(now) {
+		if p.slow(b, now) {
 			l.Slow = append(l.Slow, id)
 		}
 		switch {
--- a/internal/basilscheduler/order.go
+++ b/internal/basilscheduler/order.go
@@ -1,9 +1,6 @@
 package basilscheduler
 
-import (
-	"cmp"
-	"time"
-)
+import "cmp"
 
 //go:generate go tool -modfile=../../tools/go.mod enumer -type=Order -trimprefix=Order -transform=snake -output=order_enumer.go
 
@@ -30,5 +27,5 @@
 
 // work returns the estimated work of the waiting tasks, in core-seconds.
 func (c *candidate) work() float64 {
-	return float64(len(c.tasks)*c.step.spec.Room.CPU) / 1000 * c.step.spec.Estimate.Round(time.Millisecond).Seconds()
+	return float64(len(c.tasks)*c.step.spec.Room.CPU) / 1000 * c.step.spec.Estimate.Seconds()
 }
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -33,20 +33,21 @@
 
 // Pool is the state of one service's jobs and backend servers. One goroutine uses it.
 type Pool struct {
-	options   Options
-	jobs      map[string]*job
-	backends  map[string]*backend
-	started   time.Time
-	unsettled map[string]time.Time // backend servers that may hold a predecessor's runs, and until when
-	queues    map[string]*basilwork.Queue
-	times     map[timeKey]*learned
-	spreads   map[string]*spread // by queue
-	tickets   map[string]*stepTickets
-	actions   Actions
-	wake      time.Time
-	fenced    bool
-	arrived   int64 // work of the jobs taken up, thousandths of core-seconds
-	cramped   bool  // a long-running task found no backend server at the last decision
+	options     Options
+	jobs        map[string]*job
+	backends    map[string]*backend
+	started     time.Time
+	unsettled   map[string]time.Time // backend servers that may hold a predecessor's runs, and until when
+	queues      map[string]*basilwork.Queue
+	times       map[timeKey]*learned
+	spreads     map[string]*spread // by queue
+	tickets     map[string]*stepTickets
+	actions     Actions
+	wake        time.Time
+	fenced      bool
+	arrived     int64   // work of the jobs taken up, thousandths of core-seconds
+	typicalOdds float64 // of being slow, that most backend servers do not exceed
+	cramped     bool    // a long-running task found no backend server at the last decision
 }
 
 // New returns an empty pool.
--- a/internal/basilscheduler/speed.go
+++ b/internal/basilscheduler/speed.go
@@ -2,13 +2,17 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
 const (
 	slowTimes      = 4.0                    // as long as on a sound backend server: the users' slow ones
 	slowSure       = 2.5                    // logarithm of the odds from which a backend server is taken to be slow
+	oddsOnce       = 1.5                    // most that one job counts: 3 in 100 take far longer wherever they run
 	oddsMost       = 4.0                    // so that a few sound runs clear a backend server again
+	oddsLeast      = -1.0                   // so that a spell of slowness shows within a few jobs
+	learnWithin    = 2.0                    // standard deviations; what lies farther off counts as that
 	slowPause      = 6 * time.Second        // before a slow backend server is tried again
 	spreadAtFirst  = 0.5                    // of the logarithm of run time over estimate, until it is learned
 	spreadLeast    = 0.15                   // likewise; uneven tasks alone make as much
@@ -28,7 +32,8 @@
 	if !s.known {
 		s.known, s.variance = true, spreadAtFirst*spreadAtFirst
 	}
-	d := x - s.mean
+	most := learnWithin * math.Sqrt(s.variance)
+	d := min(max(x-s.mean, -most), most)
 	s.mean += spreadWeight * d
 	s.variance += spreadWeight * (d*d - s.variance)
 }
@@ -40,11 +45,29 @@
 		variance = max(s.variance, spreadLeast*spreadLeast)
 	}
 	shift := math.Log(slowTimes)
-	return ((x-s.mean)*shift - shift*shift/2) / variance
+	return min(max(((x-s.mean)*shift-shift*shift/2)/variance, -oddsOnce), oddsOnce)
 }
 
-// slow tells whether runs take far longer at the backend server than at others.
-func (b *backend) slow(now time.Time) bool { return now.Before(b.slowUntil) }
+// slow tells whether runs take far longer at the backend server than at most others. Where they do at all, it is the
+// estimates that are wrong.
+func (p *Pool) slow(b *backend, now time.Time) bool {
+	return now.Before(b.slowUntil) && b.odds-p.typicalOdds > slowSure
+}
+
+// compareSpeeds works out the odds that most backend servers do not exceed.
+func (p *Pool) compareSpeeds(now time.Time) {
+	var odds []float64
+	for _, b := range p.backends {
+		if b.usable(now) {
+			odds = append(odds, b.odds)
+		}
+	}
+	p.typicalOdds = 0
+	if len(odds) > 0 {
+		slices.Sort(odds)
+		p.typicalOdds = odds[(len(odds)-1)/2]
+	}
+}
 
 // observe takes in how long a run takes in all, as far as is known. Of a step's tasks at a backend server only the
 // first one counts, for one estimate is of all of them.
@@ -64,15 +87,15 @@
 		p.spreads[queue] = known
 	}
 	x := math.Log(float64(took) / float64(s.spec.Estimate))
-	b.odds = min(max(b.odds+known.odds(x), -oddsMost), oddsMost)
-	if b.odds > slowSure {
+	b.odds = min(max(b.odds+known.odds(x), oddsLeast), oddsMost)
+	known.learn(x)
+	switch {
+	case b.odds > slowSure:
 		b.slowUntil = now.Add(slowPause)
-		return
-	}
-	if b.odds < 0 {
+		p.actions.Slow = append(p.actions.Slow, Slowness{Backend: b.ID, Odds: b.odds, Took: took, Estimate: s.spec.Estimate})
+	case b.odds < 0:
 		b.slowUntil = time.Time{}
 	}
-	known.learn(x)
 }
 
 // projected returns how long the run is going to take in all if it goes on as it did, zero when that is not known.
@@ -87,7 +110,7 @@
 // crawls tells whether the run, at a slow backend server, would end sooner if it were started anew elsewhere.
 func (p *Pool) crawls(r *run, now time.Time) bool {
 	s := r.task.step
-	if !r.backend.slow(now) || s.spec.LongRunning || s.spec.Gang || r.pace < fullPace {
+	if !p.slow(r.backend, now) || s.spec.LongRunning || s.spec.Gang || r.pace < fullPace {
 		return false
 	}
 	whole := r.projected()
