Answer the fleet in one place, for the program and the experiment tool

What a pool empties, what it tells of its load and when that is worth telling stood in internal/basilnode and again, without the limits, in the experiment tool. It is pure and now stands in internal/basilcapacity. Names in the experiment tool that said something else than they held.

--- a/internal/basilexperiment/figures.go
+++ b/internal/basilexperiment/figures.go
@@ -102,8 +102,8 @@
 	q.count(a, state == basilwork.JobStateCompleted && took <= objective, state == basilwork.JobStateCompleted && took <= lateTimes*objective)
 }
 
-// unfinished notes the jobs that never ended.
-func (f *Figures) unfinished(l *Load, jobs map[string]*arrival) {
+// close counts the jobs that never ended, and works out shares and means.
+func (f *Figures) close(l *Load, jobs map[string]*arrival) {
 	for id, a := range jobs {
 		if a.queue != nil && !f.finished[id] && !a.cancelled && !a.poisoned {
 			f.queues[a.queue.Name].count(a, false, false)
--- a/internal/basilexperiment/load.go
+++ b/internal/basilexperiment/load.go
@@ -62,12 +62,12 @@
 }
 
 const (
-	slowTimes    = 4.0                   // as the users' slow workers
-	errorShare   = 0.002                 // of runs that fail on a sound backend server, as the users' sheets say
-	cancelAfter  = 2 * time.Second       // from a job's arrival to its cancellation
-	leastWork    = 20 * time.Millisecond // of a task
-	tailMemoryMB = 64                    // least of a task
-	rampShare    = 0.25                  // of a turn, in which its peak rises, and again in which it falls
+	slowTimes     = 4.0                   // as the users' slow workers
+	errorShare    = 0.002                 // of runs that fail on a sound backend server, as the users' sheets say
+	cancelAfter   = 2 * time.Second       // from a job's arrival to its cancellation
+	leastWork     = 20 * time.Millisecond // of a task
+	leastMemoryMB = 64                    // least of a task
+	rampShare     = 0.25                  // of a turn, in which its peak rises, and again in which it falls
 )
 
 // net returns what is left of the earned share after the prices.
@@ -132,7 +132,7 @@
 		work := max(leastWork, seconds(q.Work.Seconds()*tail*spread(r, q.Spread)))
 		s := basilwork.Step{
 			Count:    max(1, int(math.Round(q.Width*spread(r, q.Spread)))),
-			Room:     basilwork.Room{CPU: int(q.CPU * spread(r, q.Spread/2)), Memory: max(tailMemoryMB, int(q.Memory*spread(r, q.Spread)))},
+			Room:     basilwork.Room{CPU: int(q.CPU * spread(r, q.Spread/2)), Memory: max(leastMemoryMB, int(q.Memory*spread(r, q.Spread)))},
 			Estimate: seconds(work.Seconds() / tail * spread(r, q.EstimateBy)), Checkpointing: q.Saves,
 		}
 		if n > 0 {
--- a/internal/basilexperiment/pool.go
+++ b/internal/basilexperiment/pool.go
@@ -29,6 +29,7 @@
 	world  *world
 	name   string
 	ask    basilcapacity.Ask
+	told   basilcapacity.Pool
 	toldAt time.Duration
 	poked  bool
 }
@@ -88,25 +89,13 @@
 
 // evacuate empties what the fleet asked for, and tells it how the pool stands.
 func (p *pool) evacuate() {
-	var empty []string
-	for _, b := range p.Backends() {
-		_, asked := p.ask.Backends[b.ID]
-		p.Evacuate(b.ID, asked)
-		if asked && p.Emptied(b.ID) {
-			empty = append(empty, b.ID)
-		}
-	}
-	p.SetDue(p.ask.Due)
 	w := p.world
-	if w.fleet == nil || w.now-p.toldAt < tellEvery {
+	answer := p.ask.Answer(p.Pool, w.time())
+	worth := answer.Acknowledges(p.told) || w.now-p.toldAt >= tellEvery && answer.Load.Differs(p.told.Load)
+	if w.fleet == nil || !worth {
 		return
 	}
-	p.toldAt = w.now
-	l := p.Load(w.time())
-	answer := basilcapacity.Pool{Serial: p.ask.Serial, Empty: empty, Load: basilcapacity.Load{
-		Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Arrived: l.Arrived, Leaving: l.Leaving,
-		Idle: l.Idle, Brief: l.Brief, Movable: l.Movable, Slow: l.Slow,
-	}}
+	p.told, p.toldAt = answer, w.now
 	w.after(tellTime, func() { w.fleet.SetPool(p.name, answer, w.time()) })
 }
 
--- a/internal/basilexperiment/world.go
+++ b/internal/basilexperiment/world.go
@@ -19,7 +19,7 @@
 	listTime     = 250 * time.Millisecond // from a backend server's start until its pool lists it
 	standby      = "standby"
 	maxAttempts  = 4
-	failingHosts = 3 // parts of the time: hosts fail in the middle one
+	failingParts = 3 // of the time: hosts fail in the middle one
 )
 
 // world is one play of a load under one policy.
@@ -61,7 +61,7 @@
 	}
 	w.plan()
 	w.run(warmUp + length + drainTime)
-	w.figures.unfinished(l, w.jobs)
+	w.figures.close(l, w.jobs)
 	return w.figures
 }
 
@@ -77,7 +77,7 @@
 	}
 	failing := int(w.load.Failing * float64(len(w.hosts)))
 	for n, fails := range []bool{true, false} {
-		w.after(warmUp+w.length*time.Duration(n+1)/failingHosts, func() {
+		w.after(warmUp+w.length*time.Duration(n+1)/failingParts, func() {
 			for _, h := range w.hosts[:failing] {
 				h.failing = fails
 			}
--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -14,11 +14,7 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
-const (
-	tellEvery  = 250 * time.Millisecond // between reports of a pool's load; each is a priced write
-	toldMost   = 8                      // backend servers of a kind in a report; a row has room for many more, and each report is paid for by size
-	tellChange = 20000                  // thousandths of a core: a third of a large host
-)
+const tellEvery = 250 * time.Millisecond // between reports of a pool's load; each is a priced write
 
 // evacuation is what the fleet's owner asked of a pool, and what it was told.
 type evacuation struct {
@@ -95,49 +91,13 @@
 	return version, true
 }
 
-// evacuate empties the backend servers that the fleet's owner asked for, and tells it which ones are.
+// evacuate empties the backend servers that the fleet's owner asked for, and tells it how the pool stands.
 func (o *owner) evacuate(now time.Time) {
 	e := &o.plan
-	for _, b := range o.pool.Backends() {
-		_, asked := e.ask.Backends[b.ID]
-		o.pool.Evacuate(b.ID, asked)
-	}
-	o.pool.SetDue(e.ask.Due)
-	answer := basilcapacity.Pool{Serial: e.ask.Serial, Load: o.load(now)}
-	for id := range e.ask.Backends {
-		if o.pool.Emptied(id) {
-			answer.Empty = append(answer.Empty, id)
-		}
-	}
-	slices.Sort(answer.Empty)
-	if !o.worthTelling(answer, now) || e.inFlight || now.Before(e.after) {
-		return
-	}
-	o.tell(answer)
-}
-
-// worthTelling tells whether the answer differs enough from the one that was told.
-func (o *owner) worthTelling(answer basilcapacity.Pool, now time.Time) bool {
-	told := o.plan.told
-	if answer.Serial != told.Serial || !slices.Equal(answer.Empty, told.Empty) {
-		return true
-	}
-	if now.Sub(o.plan.toldAt) < tellEvery {
-		return false
-	}
-	change := answer.Load.Used + answer.Load.Wanted - told.Load.Used - told.Load.Wanted
-	if answer.Load.Arrived-told.Load.Arrived > tellChange {
-		return true
-	}
-	return max(change, -change) > tellChange || !slices.Equal(answer.Load.Idle, told.Load.Idle) || answer.Load.Least != told.Load.Least || answer.Load.Leaving != told.Load.Leaving
-}
-
-// load returns what the fleet's owner has to know of the pool's work.
-func (o *owner) load(now time.Time) basilcapacity.Load {
-	l := o.pool.Load(now)
-	return basilcapacity.Load{
-		Used: l.Used.CPU, Wanted: l.Wanted.CPU, Serving: l.Serving.CPU, Least: l.Least, Arrived: l.Arrived, Leaving: l.Leaving,
-		Idle: l.Idle, Brief: l.Brief[:min(len(l.Brief), toldMost)], Movable: l.Movable[:min(len(l.Movable), toldMost)], Slow: l.Slow[:min(len(l.Slow), toldMost)],
+	answer := e.ask.Answer(o.pool, now)
+	worth := answer.Acknowledges(e.told) || now.Sub(e.toldAt) >= tellEvery && answer.Load.Differs(e.told.Load)
+	if worth && !e.inFlight && !now.Before(e.after) {
+		o.tell(answer)
 	}
 }
 
