Tell of gained and lost shards in the order of their rows

Cause, found on reading: owner rows are taken in by the watch, by renewals after a lapse and by claims. Each decides under a lock and tells after it, so that a loss could be told before the gain that it ends; an owner of an older epoch would then have been started, with nothing to end it before its first commit failed.

Ruled out: telling under the state's lock, which callbacks need.

Change: a lock of its own from the taking of a row to the return of the callbacks.

Measured: TestLostAfterOwned failed and passes.

--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -40,7 +40,7 @@
 	Lease  time.Duration // that a member's row may stand still
 	Margin time.Duration // before the lease ends, in which no work is started any more
 	Renew  time.Duration // between renewals
-	// Owned and Lost are called from the keeper's goroutine.
+	// Owned and Lost are called one at a time, in the order of the owner rows.
 	Owned func(shard string, row OwnerRow)
 	Lost  func(shard string)
 }
@@ -49,6 +49,7 @@
 type Keeper struct {
 	options   Options
 	mutex     sync.Mutex // guards shards, state, open and watches
+	telling   sync.Mutex // held from the taking of an owner row to the return of Owned and Lost
 	shards    []string
 	state     *State
 	owned     map[string]OwnerRow
--- a/internal/basilshard/keeper_test.go
+++ b/internal/basilshard/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -28,3 +29,23 @@
 	k.takeOwner("stretch", row("entry-1", 6))
 	must.Eq(t, []string{"stretch"}, owned)
 }
+
+// TestLostAfterOwned tells of a shard's loss only after it has told of its gain, whichever goroutines read the rows.
+func TestLostAfterOwned(t *testing.T) {
+	entered, release, told := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	k := New(Options{
+		Self: Member{Node: "entry-1", Incarnation: "x"}, Clock: BootClock(), Log: basillog.Discard(),
+		Owned: func(string, OwnerRow) { close(entered); <-release },
+		Lost:  func(string) { close(told) },
+	})
+	go k.setOwner("stretch", OwnerRow{Node: "entry-1", Incarnation: "x", Epoch: 1, Version: 5})
+	<-entered
+	go k.setOwner("stretch", OwnerRow{Node: "entry-2", Incarnation: "y", Epoch: 2, Version: 6})
+	select {
+	case <-told:
+		t.Error("the loss was told first")
+	case <-time.After(20 * time.Millisecond): // nothing more is to come
+	}
+	close(release)
+	<-told
+}
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -71,6 +71,8 @@
 
 // setOwner takes in an owner row and tells when this entry host gains or loses the shard.
 func (k *Keeper) setOwner(shard string, row OwnerRow) {
+	k.telling.Lock()
+	defer k.telling.Unlock()
 	k.mutex.Lock()
 	if row.Version < k.state.Owner(shard).Version {
 		k.mutex.Unlock()
