--- a/internal/basilnode/property_test.go
+++ b/internal/basilnode/property_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
 	"basilstage.example/basilstage/platform/basilfake"
@@ -200,3 +201,26 @@
 		}
 	})
 }
+
+// TestFailureRegressions plays plans that once went wrong, a few times each: what happens first at one instant differs.
+func TestFailureRegressions(t *testing.T) {
+	const ms = time.Millisecond
+	plans := map[string][]blow{
+		"ends from before a lapse of the leases were judged as acknowledged in time": {
+			{8 * ms, 200 * ms, 0, 2}, {11 * ms, 8281 * ms, 5, 1}, {253 * ms, 9000 * ms, 2, 1}, {296 * ms, 236 * ms, 2, 11}, {575 * ms, 232 * ms, 8, 7},
+		},
+	}
+	for name, plan := range plans {
+		for n := range 12 {
+			t.Run(fmt.Sprint(name, n), func(t *testing.T) {
+				var wrong []string
+				synctest.Test(t, func(t *testing.T) {
+					c := newCluster(t, 3, 4, constant(700*time.Millisecond))
+					defer c.close()
+					wrong = c.play(plan)
+				})
+				must.SliceEmpty(t, wrong)
+			})
+		}
+	}
+}
