Acknowledge nothing to an incarnation that the owner has not taken in

Cause: a line notices that a backend server was born again and forgets what is stored of its ends. Until the owner has taken that in, it tells the line the old number again, and the next hold acknowledged as many ends of the new incarnation, which nobody had stored; their tasks ran again.

Ruled out: waiting in the line until the owner has taken the report in, which a full queue would make the line's silence.

Change: what is stored goes with the birth of the incarnation that it is of.

--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -141,7 +141,7 @@
 // updateLines tells the lines which backend servers are busy and what is stored of their ends.
 func (o *owner) updateLines() {
 	for id, l := range o.lines {
-		l.SetBusy(o.pool.Busy(id), o.commit.acked[id])
+		l.SetBusy(o.pool.Busy(id), o.commit.born[id], o.commit.acked[id])
 	}
 }
 
@@ -154,6 +154,7 @@
 			delete(o.commit.acked, id)
 			delete(o.commit.snapshot, id)
 		}
+		o.commit.noteBorn(id, r.Born)
 		o.logEnds(id, r)
 		o.pool.Report(id, r, sent, now)
 	})
--- a/internal/basilnode/owner_store.go
+++ b/internal/basilnode/owner_store.go
@@ -20,6 +20,7 @@
 	sequence int64
 	snapshot map[string]int64 // ends that the transaction covers, by backend server
 	acked    map[string]int64 // ends that are stored
+	born     map[string]int64 // Unix milliseconds: incarnations of backend servers that the numbers are of
 	logged   map[string]int64
 	since    time.Time // of the oldest change that waits
 	after    time.Time // no try before
@@ -32,6 +33,13 @@
 	c.logged[id] = number
 }
 
+func (c *committer) noteBorn(id string, born int64) {
+	if c.born == nil {
+		c.born = make(map[string]int64)
+	}
+	c.born[id] = born
+}
+
 func (c *committer) acknowledge(numbers map[string]int64) {
 	if c.acked == nil {
 		c.acked = make(map[string]int64)
--- a/internal/basilrunner/line.go
+++ b/internal/basilrunner/line.go
@@ -68,9 +68,13 @@
 	return l.backend
 }
 
-// SetBusy tells whether the backend server may have runs, and up to which number its ends are stored.
-func (l *Line) SetBusy(busy bool, acked int64) {
+// SetBusy tells whether the backend server may have runs, and up to which number the ends of the incarnation that
+// was born then are stored; of another one's that says nothing.
+func (l *Line) SetBusy(busy bool, born, acked int64) {
 	l.mutex.Lock()
+	if born != l.backend.Born {
+		acked = 0
+	}
 	wake := busy && !l.busy || acked > l.acked
 	l.busy = busy
 	l.acked = max(l.acked, acked)
