Keep the waiting steps in order instead of collecting them at each decision

Callers saw their jobs wait on grown deployments while backend servers had room: an owner with thousands of waiting tasks hardly started any.

Cause: each decision visited all tasks of all jobs, worked out the rank of each waiting step, sorted them, and tried each against all backend servers. A decision cost in proportion to the backlog, so a backlog fed itself.

The pool now keeps the steps that wait, and changes them where a run ends, a step is done or a job comes. They are ranked as of one time and put in order anew from time to time, so that this takes a bounded share of the time. Placement looks only at backend servers with room for the least waiting demand, and ends when there is none.

--- a/internal/basilscheduler/advice.go
+++ b/internal/basilscheduler/advice.go
@@ -1,6 +1,7 @@
 package basilscheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -46,20 +47,12 @@
 // advisable returns the backend servers worth asking for, those with most room first.
 func (p *Pool) advisable(s *step, now time.Time) []string {
 	var list []*backend
-	for _, b := range p.backends {
-		if b.usable(now) && b.hasLabel(s.spec.Label) && b.Room.Holds(s.spec.Demand()) {
+	for _, b := range p.list {
+		if b.usable(now) && b.hasLabel(s.spec.Label) && b.Room.Holds(s.demand) {
 			list = append(list, b)
 		}
 	}
-	slices.SortFunc(list, func(a, b *backend) int {
-		if d := b.free().CPU - a.free().CPU; d != 0 {
-			return d
-		}
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortStableFunc(list, func(a, b *backend) int { return cmp.Compare(b.free().CPU, a.free().CPU) })
 	ids := make([]string, 0, maxAdviceList)
 	for _, b := range list[:min(len(list), maxAdviceList)] {
 		ids = append(ids, b.ID)
--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -28,6 +28,7 @@
 	slowUntil  time.Time // taken to be slow until then
 	paced      time.Time // when fillers were last looked at
 	recorded   bool      // a successor would know of it
+	kept       bool      // from lesser work, at this decision
 }
 
 // usable tells whether new runs may be placed there.
@@ -42,7 +43,7 @@
 	b.runs[r] = true
 	r.until = until
 	spec := r.task.step.spec
-	b.used = b.used.Add(spec.Demand())
+	b.used = b.used.Add(r.task.step.demand)
 	switch {
 	case spec.Fills:
 		b.filling += spec.Room.CPU
@@ -60,7 +61,7 @@
 	}
 	delete(b.runs, r)
 	spec := r.task.step.spec
-	b.used = b.used.Sub(spec.Demand())
+	b.used = b.used.Sub(r.task.step.demand)
 	switch {
 	case spec.Fills:
 		b.filling -= spec.Room.CPU
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -1,7 +1,6 @@
 package basilscheduler
 
 import (
-	"slices"
 	"time"
 
 	"basilstage.example/basilstage/internal/basilwork"
@@ -23,8 +22,7 @@
 		if q := j.record.Progress[id.Occurrence]; q != nil && q.Done {
 			return nil
 		}
-		o = j.open(id.Occurrence)
-		j.occurrences[id.Occurrence] = o
+		o = p.open(j, id.Occurrence)
 	}
 	if id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
 		return nil
@@ -121,7 +119,11 @@
 // drop removes a run that certainly does not exist.
 func (p *Pool) drop(r *run) {
 	r.backend.remove(r)
-	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
+	s := r.task.step
+	if r.task.remove(r) {
+		p.refresh(s)
+	}
+	p.noteDone(s.occurrence)
 }
 
 // Report takes in what a backend server runs and what has ended there, as asked at sent.
@@ -203,7 +205,7 @@
 func (p *Pool) adopt(b *backend, t *task, s basilwork.RunStatus, now time.Time) *run {
 	r := &run{task: t, backend: b, attempt: s.Attempt, phase: phaseRunning, since: now, answered: now, moved: now, pace: fullPace, resumed: true}
 	t.attempt = max(t.attempt, s.Attempt)
-	t.runs = append(t.runs, r)
+	t.add(r)
 	b.add(r, p.ends(t.step, now))
 	p.begin(t.step.occurrence.job)
 	if t.done || t.step.occurrence.job.record.State.Final() {
@@ -296,6 +298,9 @@
 		return
 	}
 	s, o := t.step, t.step.occurrence
+	if t.idle() {
+		s.idle--
+	}
 	t.done = true
 	s.progress.SetDone(t.id.Index)
 	delete(s.progress.Saved, t.id.Index)
@@ -312,8 +317,10 @@
 	}
 	o.left--
 	if o.left > 0 {
+		p.refresh(o.steps...)
 		return
 	}
+	p.noteDone(o)
 	j.record.Progress[o.number] = &basilwork.OccurrenceProgress{Done: true}
 	j.finished++
 	if j.finished < j.record.Job.Occurrences() {
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -1,6 +1,7 @@
 package basilscheduler
 
 import (
+	"slices"
 	"time"
 
 	"basilstage.example/basilstage/internal/basilwork"
@@ -62,6 +63,31 @@
 
 func (t *task) idle() bool { return !t.done && len(t.runs) == 0 }
 
+// add counts a run of the task.
+func (t *task) add(r *run) {
+	if t.idle() {
+		t.step.idle--
+	}
+	t.runs = append(t.runs, r)
+	t.step.occurrence.live++
+}
+
+// remove forgets a run of the task, and tells whether the task has become idle.
+func (t *task) remove(r *run) bool {
+	n := slices.Index(t.runs, r)
+	if n < 0 {
+		return false
+	}
+	t.runs = slices.Delete(t.runs, n, n+1)
+	t.step.occurrence.live--
+	if !t.idle() {
+		return false
+	}
+	t.step.idle++
+	t.step.first = min(t.step.first, t.id.Index)
+	return true
+}
+
 func (t *task) runOn(backend string, attempt int) *run {
 	for _, r := range t.runs {
 		if r.backend.ID == backend && r.attempt == attempt {
@@ -84,7 +110,12 @@
 	occurrence *occurrence
 	number     int
 	tasks      []*task
-	left       int // tasks not done
+	demand     basilwork.Room // of one task
+	left       int            // tasks not done
+	idle       int            // tasks not done and without runs
+	first      int            // no task before this one is idle
+	queued     bool           // among the waiting steps
+	fresh      bool           // to be looked at by the next decision
 	progress   *basilwork.StepProgress
 	observed   map[string]bool // backend servers of which a run of the step has told how fast they are
 }
@@ -98,6 +129,11 @@
 	return true
 }
 
+// waits tells whether a task of the step, once that is ready, is to be placed.
+func (s *step) waits() bool {
+	return s.idle > 0 && !s.occurrence.job.record.State.Final()
+}
+
 // onBackend returns how many live runs of the step the backend server may have.
 func (s *step) onBackend(b *backend) int {
 	var count int
@@ -118,6 +154,7 @@
 	due    time.Time
 	steps  []*step
 	left   int // steps not done
+	live   int // runs
 }
 
 // job is the state of one accepted job.
@@ -125,6 +162,7 @@
 	record      basilwork.Record
 	queue       *basilwork.Queue // may be nil when no configuration names it any more
 	occurrences map[int]*occurrence
+	opened      int // occurrences before this one have been opened
 	finished    int // occurrences done
 	accepted    time.Time
 	began       bool
@@ -157,7 +195,8 @@
 	}
 	o := &occurrence{job: j, number: number, due: j.record.Job.Due(number)}
 	for n := range j.record.Job.Steps {
-		s := &step{spec: &j.record.Job.Steps[n], occurrence: o, number: n, progress: &p.Steps[n]}
+		spec := &j.record.Job.Steps[n]
+		s := &step{spec: spec, occurrence: o, number: n, progress: &p.Steps[n], demand: spec.Demand()}
 		for i := range s.spec.Count {
 			s.tasks = append(s.tasks, s.newTask(i))
 		}
@@ -182,6 +221,7 @@
 	}
 	if !t.done {
 		s.left++
+		s.idle++
 	}
 	return t
 }
@@ -200,6 +240,9 @@
 
 // worked returns how much of the step's length has passed for its least advanced task.
 func (s *step) worked(now time.Time, full time.Duration) time.Duration {
+	if s.idle > 0 {
+		return 0
+	}
 	least := full
 	for _, t := range s.tasks {
 		if t.done {
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -31,8 +31,8 @@
 func (p *Pool) Load(now time.Time) Load {
 	l := Load{Jobs: len(p.jobs), Arrived: p.arrived}
 	usable := 0
-	for _, id := range p.backendIDs() {
-		b := p.backends[id]
+	for _, b := range p.list {
+		id := b.ID
 		if b.present && b.Draining {
 			l.Leaving++
 		}
@@ -89,7 +89,7 @@
 
 // joins tells whether the run fits beside other long-running ones.
 func (p *Pool) joins(r *run, now time.Time) bool {
-	for _, b := range p.backends {
+	for _, b := range p.list {
 		if b != r.backend && b.serving > 0 && !b.due && p.fits(r.task, b, nil, now) {
 			return true
 		}
--- a/internal/basilscheduler/order.go
+++ b/internal/basilscheduler/order.go
@@ -22,10 +22,5 @@
 	if o == OrderArrival {
 		return a.step.occurrence.job.accepted.Compare(b.step.occurrence.job.accepted)
 	}
-	return cmp.Compare(a.work(), b.work())
-}
-
-// work returns the estimated work of the waiting tasks, in core-seconds.
-func (c *candidate) work() float64 {
-	return float64(len(c.tasks)*c.step.spec.Room.CPU) / 1000 * c.step.spec.Estimate.Seconds()
+	return cmp.Compare(a.work, b.work)
 }
--- /dev/null
+++ b/internal/basilscheduler/place.go
@@ -0,0 +1,143 @@
+package basilscheduler
+
+import (
+	"time"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// reservedPart says that at most one in so many backend servers is kept for a task that waits for room.
+const reservedPart = 3
+
+// room is where a decision may place tasks.
+type room struct {
+	open []*backend     // usable and with room for the least task that waits, by id
+	most basilwork.Room // no open backend server that isn't kept has more free of anything
+	kept int            // from lesser work
+}
+
+// findRoom looks where tasks may be placed.
+func (p *Pool) findRoom(now time.Time) {
+	p.room.open = p.room.open[:0]
+	p.room.kept = 0
+	for _, b := range p.list {
+		if b.free().Holds(p.waiting.least) && b.usable(now) {
+			b.kept = false
+			p.room.open = append(p.room.open, b)
+		}
+	}
+	p.room.measure()
+}
+
+// measure works out the most room that is left.
+func (r *room) measure() {
+	r.most = basilwork.Room{CPU: -1, Memory: -1, GPU: -1}
+	for _, b := range r.open {
+		if b.kept {
+			continue
+		}
+		f := b.free()
+		r.most = basilwork.Room{CPU: max(r.most.CPU, f.CPU), Memory: max(r.most.Memory, f.Memory), GPU: max(r.most.GPU, f.GPU)}
+	}
+}
+
+// place gives waiting tasks to backend servers, until there is no room for any that waits.
+func (p *Pool) place(now time.Time) {
+	p.findRoom(now)
+	for n := range p.waiting.list {
+		c := &p.waiting.list[n]
+		switch {
+		case c.rank == rankServing, c.advised, p.room.most.Holds(c.demand):
+			p.placeStep(c, now)
+		case p.waiting.advised == 0 && !p.room.most.Holds(p.waiting.least):
+			return
+		case c.rank == rankOnTime && p.mayKeep():
+			p.placeStep(c, now)
+		}
+	}
+}
+
+// placeStep places the step's tasks as far as there is room; a gang waits until all of it can start.
+func (p *Pool) placeStep(c *candidate, now time.Time) {
+	s := c.step
+	if !s.waits() || s.occurrence.job.adopted && len(p.unsettled) > 0 || s.spec.Gang && !p.gangWaits(s, now) {
+		return
+	}
+	var tickets map[string]string
+	asked := false
+	for n := s.first; n < len(s.tasks); n++ {
+		t := s.tasks[n]
+		if !t.idle() {
+			if n == s.first {
+				s.first++
+			}
+			continue
+		}
+		if now.Before(t.notBefore) {
+			p.wakeAt(t.notBefore)
+			continue
+		}
+		if !asked {
+			var ok bool
+			if tickets, ok = p.ticketsFor(s, now); !ok {
+				return
+			}
+			asked = true
+		}
+		if s.spec.Gang {
+			p.placeGang(c, tickets, now)
+			return
+		}
+		b := p.choose(t, tickets, "", now)
+		if b == nil {
+			p.cramped = p.cramped || c.rank == rankServing
+			if p.room.most.Holds(c.demand) {
+				p.room.measure()
+			}
+			p.reserve(c)
+			return
+		}
+		p.start(c, t, b, p.nextAttempt(t), tickets, now)
+	}
+}
+
+// gangWaits tells whether all of the gang may be started now.
+func (p *Pool) gangWaits(s *step, now time.Time) bool {
+	if s.idle < len(s.tasks) {
+		return false
+	}
+	for _, t := range s.tasks {
+		if now.Before(t.notBefore) {
+			p.wakeAt(t.notBefore)
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Pool) mayKeep() bool { return p.room.kept < len(p.list)/reservedPart }
+
+// reserve keeps the backend server that will soonest have room from lesser work, so that a
+// large task isn't passed by small ones for ever.
+func (p *Pool) reserve(c *candidate) {
+	if c.rank != rankOnTime || !p.mayKeep() {
+		return
+	}
+	var best *backend
+	for _, b := range p.room.open {
+		if b.kept || !b.hasLabel(c.step.spec.Label) || !b.Room.Holds(c.demand) {
+			continue
+		}
+		if b.free().Holds(c.demand) {
+			return // it isn't room that the task waits for
+		}
+		if best == nil || b.free().CPU > best.free().CPU {
+			best = b
+		}
+	}
+	if best != nil {
+		best.kept = true
+		p.room.kept++
+		p.room.measure()
+	}
+}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -1,6 +1,7 @@
 package basilscheduler
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -36,6 +37,10 @@
 	options     Options
 	jobs        map[string]*job
 	backends    map[string]*backend
+	list        []*backend // the same, by id
+	waiting     waiting
+	room        room
+	done        []*occurrence // whose steps are done and that have no runs
 	started     time.Time
 	unsettled   map[string]time.Time // backend servers that may hold a predecessor's runs, and until when
 	queues      map[string]*basilwork.Queue
@@ -103,6 +108,8 @@
 		}
 	}
 	p.jobs[r.Job.ID] = j
+	p.waiting.openings = append(p.waiting.openings, opening{job: j})
+	p.waiting.openAt = time.Time{}
 	if !adopted {
 		p.arrived += workOf(&r.Job)
 	}
@@ -159,7 +166,7 @@
 		}
 		b.present = false
 		if len(b.runs) == 0 && p.unsettled[id].IsZero() {
-			delete(p.backends, id)
+			p.forgetBackend(id)
 		}
 	}
 }
@@ -169,11 +176,25 @@
 	if b == nil {
 		b = &backend{runs: make(map[*run]bool), reachable: true}
 		p.backends[entry.ID] = b
+		n, _ := p.findBackend(entry.ID)
+		p.list = slices.Insert(p.list, n, b)
 	}
 	b.Backend = entry
 	b.present = true
 }
 
+// findBackend returns where the backend server is or belongs in the list.
+func (p *Pool) findBackend(id string) (int, bool) {
+	return slices.BinarySearchFunc(p.list, id, func(b *backend, id string) int { return cmp.Compare(b.ID, id) })
+}
+
+func (p *Pool) forgetBackend(id string) {
+	delete(p.backends, id)
+	if n, ok := p.findBackend(id); ok {
+		p.list = slices.Delete(p.list, n, n+1)
+	}
+}
+
 // Attached notes that the backend server has answered under the owner's fencing token.
 func (p *Pool) Attached(id string) {
 	if b := p.backends[id]; b != nil {
@@ -195,8 +216,8 @@
 // Backends returns the backend servers that are listed or may have runs.
 func (p *Pool) Backends() []basilwork.Backend {
 	list := make([]basilwork.Backend, 0, len(p.backends))
-	for _, id := range p.backendIDs() {
-		list = append(list, p.backends[id].Backend)
+	for _, b := range p.list {
+		list = append(list, b.Backend)
 	}
 	return list
 }
@@ -237,10 +258,10 @@
 	if b == nil {
 		return
 	}
-	for r := range b.runs {
+	for _, r := range b.sortedRuns() {
 		p.endRun(r, basilwork.RunEndLost, now)
 	}
-	delete(p.backends, id)
+	p.forgetBackend(id)
 }
 
 // Reborn forgets what was known of a backend server that started again under its id, as the answer
--- a/internal/basilscheduler/speed.go
+++ b/internal/basilscheduler/speed.go
@@ -57,7 +57,7 @@
 // compareSpeeds works out the odds that most backend servers do not exceed.
 func (p *Pool) compareSpeeds(now time.Time) {
 	var odds []float64
-	for _, b := range p.backends {
+	for _, b := range p.list {
 		if b.usable(now) {
 			odds = append(odds, b.odds)
 		}
--- a/internal/basilscheduler/tend.go
+++ b/internal/basilscheduler/tend.go
@@ -17,8 +17,7 @@
 
 // tend looks after what runs: repeats stops, empties backend servers, finds stalled runs, paces fillers.
 func (p *Pool) tend(now time.Time) {
-	for _, id := range p.backendIDs() {
-		b := p.backends[id]
+	for _, b := range p.list {
 		p.pace(b, now)
 		for _, r := range b.sortedRuns() {
 			p.tendRun(r, now)
@@ -26,15 +25,6 @@
 	}
 }
 
-func (p *Pool) backendIDs() []string {
-	ids := make([]string, 0, len(p.backends))
-	for id := range p.backends {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 func (b *backend) sortedRuns() []*run {
 	runs := make([]*run, 0, len(b.runs))
 	for r := range b.runs {
@@ -108,7 +98,7 @@
 // elsewhere tells whether another backend server has room for the run's task; lasting ones are those
 // that need not be emptied before long.
 func (p *Pool) elsewhere(r *run, lasting bool, now time.Time) bool {
-	for _, b := range p.backends {
+	for _, b := range p.list {
 		if b != r.backend && !(lasting && b.due) && p.fits(r.task, b, nil, now) {
 			return true
 		}
--- /dev/null
+++ b/internal/basilscheduler/waiting_test.go
@@ -0,0 +1,93 @@
+package basilscheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// decisionsTime returns how long a hundred decisions take, each after the end of a run: the least of some tries.
+func decisionsTime(waiting int) time.Duration {
+	p := newPeak(waiting, 20)
+	least := time.Hour
+	for range 5 {
+		var took time.Duration
+		for range 100 {
+			took += p.end()
+		}
+		least = min(least, took)
+	}
+	return least
+}
+
+// TestDecisionCostDoesNotGrowWithWaitingTasks has twenty times the tasks wait for the same backend servers.
+func TestDecisionCostDoesNotGrowWithWaitingTasks(t *testing.T) {
+	few, many := decisionsTime(200), decisionsTime(4000)
+	t.Logf("%v for 200 waiting tasks, %v for 4000", few, many)
+	must.Less(t, 5*few, many)
+}
+
+// TestWaitingStepsAreKept compares what the pool keeps of waiting steps with a count of all tasks, whatever happens.
+func TestWaitingStepsAreKept(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 8000), backendOf("b2", 8000), backendOf("b3", 8000))
+	r := rand.New(rand.NewPCG(2, 3))
+	numbers := make(map[string]int64)
+	ends := []basilwork.RunEnd{basilwork.RunEndDone, basilwork.RunEndDone, basilwork.RunEndFailed, basilwork.RunEndLost}
+	for n := range 400 {
+		f.pass(time.Duration(r.IntN(100)) * time.Millisecond)
+		if n%6 == 0 {
+			second := stepOf(1+r.IntN(3), 1000)
+			second.After = []int{0}
+			f.add(fmt.Sprintf("j%04d", n), stepOf(1+r.IntN(3), 2000), second)
+		}
+		if n%97 == 0 {
+			f.Cancel(fmt.Sprintf("j%04d", n/6*6), f.now)
+		}
+		f.begin()
+		f.checkWaiting(t)
+		b := f.Pool.list[r.IntN(len(f.Pool.list))]
+		if runs := b.sortedRuns(); len(runs) > 0 {
+			x := runs[r.IntN(len(runs))]
+			numbers[b.ID]++
+			f.report(b.ID, 50, end(x.task.id.String(), numbers[b.ID], x.attempt, ends[r.IntN(len(ends))]))
+		}
+		ids, _ := f.Dirty()
+		for _, id := range ids {
+			f.Take(id)
+			f.Stored(id, f.now)
+		}
+	}
+}
+
+func (f *fixture) checkWaiting(t *testing.T) {
+	t.Helper()
+	queued := make(map[*step]bool)
+	for _, c := range f.waiting.list {
+		must.False(t, queued[c.step])
+		queued[c.step] = true
+	}
+	for _, j := range f.jobs {
+		for _, o := range j.occurrences {
+			live := 0
+			for _, s := range o.steps {
+				idle := 0
+				for _, x := range s.tasks {
+					live += len(x.runs)
+					if x.idle() {
+						idle++
+						must.LessEq(t, x.id.Index, s.first)
+					}
+				}
+				must.Eq(t, idle, s.idle)
+				must.Eq(t, queued[s], s.queued)
+				must.True(t, s.queued || !s.startable(f.now), must.Sprint(s.tasks[0].id))
+			}
+			must.Eq(t, live, o.live)
+		}
+	}
+}
