Tell an owner that is behind from a pool without room

On-call engineers could not see from logs or metrics whether a pool's owner was slow to take in what had happened or had no room for work. The line of a pool's load and the metrics now tell how long events wait in the owner's queue (oldest and p99), how many were taken in, the time of decisions and whole steps, and the processor time of the process.

--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -23,6 +23,10 @@
 	startLatency   = "start_latency_ms"
 	commitLatency  = "commit_latency_ms"
 	commitsRecords = "commit_records"
+	eventWait      = "event_wait_ms" // in the queue of a pool's control goroutine
+	decisionTime   = "decision_ms"
+	stepTime       = "step_ms"
+	processorUsed  = "processor_ms_total"
 )
 
 // metrics counts what an entry host does.
@@ -80,6 +84,7 @@
 	write := func(name, value string) {
 		_, _ = w.Write([]byte(metricsPrefix + name + " " + value + "\n")) // a reader that left needs no more
 	}
+	write(processorUsed, strconv.FormatInt(processorTime().Milliseconds(), 10))
 	m.counts.Do(func(v expvar.KeyValue) { write(v.Key, v.Value.String()) })
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -42,7 +42,8 @@
 	commit     committer
 	plan       evacuation
 	work       workload
-	events     chan func(now time.Time)
+	pulse      pulse
+	events     chan event
 	loadLogged time.Time
 	orders     chan struct{} // a place per order in flight
 	inFlight   sync.WaitGroup
@@ -64,7 +65,7 @@
 		node: n, service: service, row: row,
 		log:   n.log.WithFields(logrus.Fields{basillog.FieldPool: service, basillog.FieldEpoch: row.Epoch}),
 		lines: make(map[string]*line), versions: make(map[string]int64), finished: make(map[string]time.Time),
-		events: make(chan func(time.Time), eventQueue), orders: make(chan struct{}, startsAtOnce),
+		pulse: newPulse(n.metrics), events: make(chan event, eventQueue), orders: make(chan struct{}, startsAtOnce),
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
 	o.records.row = basilshard.NewRow(n.store, recordKey(service), row.Check(service))
@@ -78,7 +79,7 @@
 // send gives an event to the control goroutine, unless the owner has ended.
 func (o *owner) send(f func(now time.Time)) {
 	select {
-	case o.events <- f:
+	case o.events <- event{take: f, sent: time.Now()}:
 	case <-o.ctx.Done():
 	}
 }
@@ -98,14 +99,16 @@
 		select {
 		case <-o.ctx.Done():
 			return
-		case f := <-o.events:
+		case e := <-o.events:
 			o.work.begin(time.Now())
-			f(time.Now())
+			o.take(e)
 			o.drain()
 		case <-timer.C:
 			o.work.begin(time.Now())
 		}
-		timer.Reset(o.step(time.Now()))
+		began := time.Now()
+		timer.Reset(o.step(began))
+		o.pulse.stepped(time.Since(began))
 		if o.work.end(time.Now()) && !o.stopping && !o.node.stopping.Load() && o.node.others() {
 			o.stopping = true
 			go o.node.handOver(o)
@@ -113,11 +116,17 @@
 	}
 }
 
+func (o *owner) take(e event) {
+	now := time.Now()
+	o.pulse.waited(now.Sub(e.sent))
+	e.take(now)
+}
+
 func (o *owner) drain() {
 	for {
 		select {
-		case f := <-o.events:
-			f(time.Now())
+		case e := <-o.events:
+			o.take(e)
 		default:
 			return
 		}
@@ -133,7 +142,10 @@
 	}
 	if !o.stopping {
 		o.evacuate(now)
-		o.execute(o.pool.Decide(now))
+		began := time.Now()
+		actions := o.pool.Decide(now)
+		o.pulse.decided(time.Since(began))
+		o.execute(actions)
 	}
 	o.logLoad(now)
 	o.record()
@@ -153,7 +165,7 @@
 	o.log.WithFields(logrus.Fields{
 		"jobs": l.Jobs, "waiting": l.Waiting, "running": l.Running, "backends": l.Backends,
 		"used_cpu": l.Used.CPU, "room_cpu": l.Room.CPU, "wanted_cpu": l.Wanted.CPU, "used_mb": l.Used.Memory, "room_mb": l.Room.Memory,
-	}).Info("pool load")
+	}).WithFields(o.pulse.fields()).Info("pool load")
 }
 
 // loadJobs reads the shard's jobs and what a predecessor left.
