--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -29,6 +29,7 @@
 	quotePrefix = "/quote/"
 	longPrefix  = "/long/"
 	maxAttempts = 3
+	lateCalls   = 10 * time.Second // in which calls that a link held are made and end: 7 s held, 3 s a call
 )
 
 const configuration = `{"version":%d,"routes":[
@@ -98,6 +99,7 @@
 		c.kill(name)
 	}
 	c.site.Close()
+	time.Sleep(lateCalls) // they outlive their callers, and must not outlive the bubble
 }
 
 func (c *cluster) start(name string) {
