Serve many events with one step of a pool's owner

What callers saw: at the peak too little was started. Cause: the owner's control goroutine made a whole step (decision, load of the pool, list of backend servers, lines, store) for nearly every event; each costs in proportion to all jobs and backend servers. A step is now followed by a pause of three times what it took, 5 to 50 ms, in which events are taken in but not acted upon; a first event after a pause is served at once, as before. The list of backend servers is stored before the decision and not after it, since a decision needs what was stored, and no other may follow soon. TestOwnerKeepsUpWithManyEvents failed before with 1,270 steps for 2,434 events.

--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -43,6 +43,7 @@
 	plan       evacuation
 	work       workload
 	pulse      pulse
+	pacer      pacer
 	events     chan event
 	loadLogged time.Time
 	orders     chan struct{} // a place per order in flight
@@ -96,6 +97,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
+		stepping := true
 		select {
 		case <-o.ctx.Done():
 			return
@@ -103,12 +105,15 @@
 			o.work.begin(time.Now())
 			o.take(e)
 			o.drain()
+			wait := o.pacer.wait(time.Now())
+			stepping = wait == 0
+			timer.Reset(wait)
 		case <-timer.C:
 			o.work.begin(time.Now())
 		}
-		began := time.Now()
-		timer.Reset(o.step(began))
-		o.pulse.stepped(time.Since(began))
+		if stepping {
+			timer.Reset(o.pacedStep())
+		}
 		if o.work.end(time.Now()) && !o.stopping && !o.node.stopping.Load() && o.node.others() {
 			o.stopping = true
 			go o.node.handOver(o)
@@ -116,6 +121,16 @@
 	}
 }
 
+// pacedStep makes a step, and returns in what time to make another if nothing happens.
+func (o *owner) pacedStep() time.Duration {
+	began := time.Now()
+	wait := o.step(began)
+	ended := time.Now()
+	o.pulse.stepped(ended.Sub(began))
+	o.pacer.stepped(began, ended)
+	return max(wait, o.pacer.wait(ended))
+}
+
 func (o *owner) take(e event) {
 	now := time.Now()
 	o.pulse.waited(now.Sub(e.sent))
@@ -140,6 +155,7 @@
 		o.cancel()
 		return time.Second
 	}
+	o.record()
 	if !o.stopping {
 		o.evacuate(now)
 		began := time.Now()
@@ -148,7 +164,6 @@
 		o.execute(actions)
 	}
 	o.logLoad(now)
-	o.record()
 	o.forget(now)
 	wait := o.store(now)
 	o.updateLines()
--- a/internal/basilnode/pulse_test.go
+++ b/internal/basilnode/pulse_test.go
@@ -1,6 +1,7 @@
 package basilnode_test
 
 import (
+	"hash/fnv"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -38,3 +39,26 @@
 		}
 	})
 }
+
+// TestOwnerKeepsUpWithManyEvents takes in events that come one by one with far fewer steps than events.
+func TestOwnerKeepsUpWithManyEvents(t *testing.T) {
+	const jobs, spread = 100, 100 * time.Millisecond
+	work := func(task string, _ int) (time.Duration, bool) {
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(task))
+		return 500*time.Millisecond + time.Duration(h.Sum32())%spread, false
+	}
+	run(t, 1, 100, work, func(c *cluster) {
+		events, steps := c.metric("event_wait_ms_count"), c.metric("step_ms_count")
+		for n := range jobs {
+			body := `{"spec":"boot","steps":[{"count":16,"cpu":1000,"mem_mb":512,"estimate_ms":500}]}`
+			must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(n+1), body))
+		}
+		for n := range jobs {
+			c.await(quotePrefix, jobID(n+1), "completed", 3*time.Second)
+		}
+		events, steps = c.metric("event_wait_ms_count")-events, c.metric("step_ms_count")-steps
+		must.Greater(c.t, 16*jobs, events, must.Sprint("the answer to each start"))
+		must.Less(c.t, events/4, steps, must.Sprintf("%d events", events))
+	})
+}
