Tell how old the fleet owner's events, answers and lists are

"pools stand" and the metrics now tell the age of events when taken in, the longest decision, the age of the list of hosts and, for each pool, the age of its answer and of the asks that it has not carried out.

--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -18,6 +18,7 @@
 	asked      bool // its pool was asked to empty it
 	inherited  bool // by a predecessor
 	serial     int64
+	askedAt    time.Time
 	reason     string // a wave, or moveReason
 	target     string // of a move
 	ordering   bool   // an order is on its way
@@ -95,6 +96,7 @@
 	waves    map[string]*wave
 	records  map[string]WaveRecord
 	pools    map[string]Pool
+	answered map[string]time.Time // when pools answered last
 	asks     map[string]Ask
 	off      func(pool string) bool
 	standby  string
@@ -107,7 +109,7 @@
 	return &Fleet{
 		options: o, machines: make(map[string]*machine), waves: make(map[string]*wave),
 		mover:   mover{demands: make(map[string]*demand)},
-		records: make(map[string]WaveRecord), pools: make(map[string]Pool), asks: make(map[string]Ask),
+		records: make(map[string]WaveRecord), pools: make(map[string]Pool), answered: make(map[string]time.Time), asks: make(map[string]Ask),
 		changed: make(map[string]bool), off: func(string) bool { return false },
 	}
 }
@@ -139,7 +141,7 @@
 
 // SetPool takes in a pool's answer.
 func (f *Fleet) SetPool(pool string, p Pool, now time.Time) {
-	f.pools[pool] = p
+	f.pools[pool], f.answered[pool] = p, now
 	f.mover.note(pool, p.Load, now)
 	for _, m := range f.machines {
 		if m.Pool == pool && slices.Contains(p.Load.Slow, m.Backend) {
@@ -244,7 +246,7 @@
 }
 
 // ask has a host's pool empty it.
-func (f *Fleet) ask(m *machine, reason string) {
+func (f *Fleet) ask(m *machine, reason string, now time.Time) {
 	a := f.asks[m.Pool]
 	a.Serial++
 	a.Backends = maps.Clone(a.Backends)
@@ -254,7 +256,7 @@
 	a.Backends[m.Backend] = a.Serial
 	f.asks[m.Pool] = a
 	f.changed[m.Pool] = true
-	m.asked, m.inherited, m.serial, m.reason = true, false, a.Serial, reason
+	m.asked, m.inherited, m.serial, m.reason, m.askedAt = true, false, a.Serial, reason, now
 }
 
 func (f *Fleet) unask(pool, backend string) {
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -140,6 +140,12 @@
 	Ahead   int    `json:"ahead"`  // what that is expected to change by until a host would come
 	Steady  int    `json:"steady"` // what arriving work would keep busy
 	Missing int    `json:"missing"`
+
+	AnswerAge  int64 `json:"answer_age_ms"`
+	Unanswered int   `json:"unanswered"`      // asks that the pool has not seen
+	Waiting    int64 `json:"waiting_ms"`      // since the oldest ask that is not carried out
+	Serial     int64 `json:"serial"`          // of the newest ask
+	Known      int64 `json:"serial_answered"` // of the newest ask that the pool has seen
 }
 
 // Standings tells how the pools stand, for logs.
@@ -150,11 +156,29 @@
 		s.Idle, s.Asked = len(f.pools[b.pool].Load.Idle), f.evacuating(b.pool)
 		d := f.mover.demands[b.pool]
 		s.Demand, s.Ahead, s.Steady = int(d.level), int(d.ahead(now)), int(d.steady(f.pools[b.pool].Load, now))
+		f.tellAsks(&s, now)
 		list = append(list, s)
 	}
 	return list
 }
 
+// tellAsks notes how the pool follows what it is asked.
+func (f *Fleet) tellAsks(s *Standing, now time.Time) {
+	s.AnswerAge = now.Sub(f.answered[s.Pool]).Milliseconds()
+	s.Serial, s.Known = f.asks[s.Pool].Serial, f.pools[s.Pool].Serial
+	for _, m := range f.machines {
+		if m.Pool != s.Pool || !m.asked {
+			continue
+		}
+		if m.serial > s.Known {
+			s.Unanswered++
+		}
+		if !m.inherited {
+			s.Waiting = max(s.Waiting, now.Sub(m.askedAt).Milliseconds())
+		}
+	}
+}
+
 // balance is how many hosts a pool has and should have.
 type balance struct {
 	pool    string
@@ -283,7 +307,7 @@
 			}
 			b.spare--
 			inFlight++
-			f.ask(m, moveReason)
+			f.ask(m, moveReason, now)
 		}
 	}
 }
--- a/internal/basilcapacity/move_test.go
+++ b/internal/basilcapacity/move_test.go
@@ -86,3 +86,18 @@
 	must.Positive(t, len(orders))
 	must.NotEq(t, w.list[0].ID, orders[0].Machine)
 }
+
+// TestStandingsTellUnansweredAsks shows a pool that does not follow what it is asked.
+func TestStandingsTellUnansweredAsks(t *testing.T) {
+	w := newWorld(t)
+	w.hosts("a", 12)
+	w.tell("a", Load{Used: 600000})
+	w.decide(time.Second)
+	w.tell("a", Load{Used: 200000, Idle: w.idleOf("a", 6)})
+	w.decide(3 * time.Second)
+	s := w.Standings(w.now)[0]
+	must.Eq(t, 6, s.Unanswered)
+	must.Eq(t, 3000, s.Waiting)
+	must.Eq(t, 3000, s.AnswerAge)
+	must.Less(t, s.Serial, s.Known)
+}
--- a/internal/basilcapacity/wave.go
+++ b/internal/basilcapacity/wave.go
@@ -149,7 +149,7 @@
 		if busy >= max(1, sizes[m.Pool]/poolShare) || parallel <= 0 && (busy > 0 || f.idle(m)) {
 			continue
 		}
-		f.ask(m, w.ID)
+		f.ask(m, w.ID, now)
 		parallel--
 	}
 }
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -24,6 +24,7 @@
 	fleetTick     = 250 * time.Millisecond // between decisions; hosts take seconds
 	machinesBusy  = 700 * time.Millisecond // between reads of the hosts while some are away; each read is priced
 	machinesQuiet = 4 * time.Second
+	listLate      = 5 * time.Second        // beyond the time between reads, from which on a list of hosts is said to be old
 	orderTime     = 300 * time.Millisecond // in which an order is carried out; a predecessor gave none in the last part of its lease
 )
 
@@ -41,8 +42,9 @@
 	row      basilshard.OwnerRow
 	log      *logrus.Entry
 	state    *basilcapacity.Fleet // of the control goroutine, as all below
-	events   chan func(now time.Time)
-	listedAt time.Time
+	events   chan fleetEvent
+	listedAt time.Time // when the last list was asked for
+	lag      fleetLag
 	listing  bool
 	since    time.Time
 	logged   time.Time
@@ -51,19 +53,33 @@
 	cancel   context.CancelFunc
 }
 
+// fleetEvent is what another goroutine has the control goroutine take in.
+type fleetEvent struct {
+	take func(now time.Time)
+	sent time.Time
+}
+
+// fleetLag tells how far the control goroutine was behind since the last line about it.
+type fleetLag struct {
+	event  time.Duration // longest from sending to taking in
+	step   time.Duration // longest decision
+	asked  time.Time     // when the list that was taken in last was asked for
+	warned time.Time
+}
+
 func newFleet(n *Node, row basilshard.OwnerRow) *fleet {
 	ctx, cancel := context.WithCancel(n.ctx)
 	return &fleet{
 		node: n, row: row, log: n.log.WithFields(logrus.Fields{basillog.FieldPool: fleetShard, basillog.FieldEpoch: row.Epoch}),
 		state:  basilcapacity.New(basilcapacity.Options{Maintain: n.options.Maintain, Migrate: n.options.Migrate}),
-		events: make(chan func(time.Time), eventQueue), ctx: ctx, cancel: cancel, since: time.Now(),
+		events: make(chan fleetEvent, eventQueue), ctx: ctx, cancel: cancel, since: time.Now(),
 		rows: make(map[basilplatform.Key]*rowWrite),
 	}
 }
 
-func (f *fleet) send(e func(now time.Time)) {
+func (f *fleet) send(take func(now time.Time)) {
 	select {
-	case f.events <- e:
+	case f.events <- fleetEvent{take: take, sent: time.Now()}:
 	case <-f.ctx.Done():
 	}
 }
@@ -83,13 +99,21 @@
 		case <-f.ctx.Done():
 			return
 		case e := <-f.events:
-			e(time.Now())
+			f.takeIn(e)
 		case <-ticker.C:
 		}
 		f.step(time.Now())
 	}
 }
 
+func (f *fleet) takeIn(e fleetEvent) {
+	now := time.Now()
+	age := now.Sub(e.sent)
+	f.lag.event = max(f.lag.event, age)
+	f.node.metrics.took(fleetEventAge, age)
+	e.take(now)
+}
+
 // load reads what a predecessor left.
 func (f *fleet) load() (version int64, ok bool) {
 	for f.ctx.Err() == nil {
@@ -212,10 +236,14 @@
 func (f *fleet) step(now time.Time) {
 	f.state.SetConfiguration(f.node.configuration())
 	f.list(now)
+	f.warnList(now)
 	if now.Sub(f.since) < f.node.options.Order+orderTime && f.row.Before != "" && f.row.Before != f.row.Node || !f.node.keeper.MayStart() {
 		return // another owner's orders may be less than a lease old
 	}
 	plan := f.state.Decide(now)
+	took := time.Since(now)
+	f.lag.step = max(f.lag.step, took)
+	f.node.metrics.took(fleetStepTime, took)
 	f.logStandings(now)
 	for pool, a := range plan.Asks {
 		f.write(pool, askSort, a)
@@ -234,7 +262,28 @@
 		return
 	}
 	f.logged = now
-	f.log.WithField("pools", f.state.Standings(now)).Info("pools stand")
+	f.log.WithFields(logrus.Fields{
+		"pools": f.state.Standings(now), "event_age_ms": f.lag.event.Milliseconds(), "step_us": f.lag.step.Microseconds(),
+		"list_age_ms": f.listAge(now).Milliseconds(), "queued": len(f.events),
+	}).Info("pools stand")
+	f.lag.event, f.lag.step = 0, 0
+}
+
+// listAge returns how long ago the newest list of hosts that was taken in was asked for.
+func (f *fleet) listAge(now time.Time) time.Duration {
+	if f.lag.asked.IsZero() {
+		return now.Sub(f.since)
+	}
+	return now.Sub(f.lag.asked)
+}
+
+// warnList complains about an old list of hosts, once per loadEvery.
+func (f *fleet) warnList(now time.Time) {
+	if age := f.listAge(now); age > machinesQuiet+listLate && now.Sub(f.lag.warned) >= loadEvery {
+		f.lag.warned = now
+		f.log.WithFields(logrus.Fields{"list_age_ms": age.Milliseconds(), "asked_for": f.listing, "queued": len(f.events)}).
+			Warn("list of hosts is old")
+	}
 }
 
 // list reads the hosts, often while some are away.
@@ -256,6 +305,8 @@
 				f.log.WithError(err).Warn("hosts not listed")
 				return
 			}
+			f.lag.asked = f.listedAt
+			f.node.metrics.took(fleetListAge, now.Sub(f.listedAt))
 			f.state.SetMachines(list, now)
 		})
 	}()
--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -27,6 +27,9 @@
 	decisionTime   = "decision_ms"
 	stepTime       = "step_ms"
 	processorUsed  = "processor_ms_total"
+	fleetEventAge  = "fleet_event_age_ms"
+	fleetStepTime  = "fleet_step_ms"
+	fleetListAge   = "fleet_list_age_ms"
 )
 
 // metrics counts what an entry host does.
