Tell what an entry host uses and what each table costs

What callers saw: little is served on the grown deployments, and the logs do not tell which calls, bytes and processor time an entry host spends.

Change: calls are counted by path and table, with the bytes of their bodies; the line "platform calls" and the metrics tell them, the processor time, memory and goroutines.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -136,7 +136,7 @@
 		Advisor:   basilsite.NewAdvisor(client, func() string { return s.Addresses().Advisor }),
 		Machines:  basilsite.NewMachines(client, func() string { return s.Addresses().Machines }, storeTimeout),
 		Codec:     basilsite.Codec{}, Log: log,
-		Calls: func() any { return client.Calls() },
+		Calls: client.Calls,
 	}
 }
 
--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -34,13 +34,14 @@
 
 // metrics counts what an entry host does.
 type metrics struct {
+	calls      func() map[string]basilwork.CallCount // may be nil
 	counts     expvar.Map
 	mutex      sync.Mutex
 	histograms map[string]*hdrhistogram.Histogram
 }
 
-func newMetrics() *metrics {
-	m := &metrics{histograms: make(map[string]*hdrhistogram.Histogram)}
+func newMetrics(calls func() map[string]basilwork.CallCount) *metrics {
+	m := &metrics{calls: calls, histograms: make(map[string]*hdrhistogram.Histogram)}
 	m.counts.Init()
 	return m
 }
@@ -89,6 +90,20 @@
 	}
 	write(processorUsed, strconv.FormatInt(processorTime().Milliseconds(), 10))
 	m.counts.Do(func(v expvar.KeyValue) { write(v.Key, v.Value.String()) })
+	number := func(name string, n int64) { write(name, strconv.FormatInt(n, 10)) }
+	u := readUsage()
+	number("cpu_ms", u.processor.Milliseconds())
+	number("memory_bytes", int64(u.memory))
+	number("goroutines", int64(u.goroutines))
+	if m.calls != nil {
+		for kind, c := range m.calls() {
+			label := `{kind="` + kind + `"}`
+			number("calls"+label, c.Made)
+			number("calls_unanswered"+label, c.Unanswered)
+			number("sent_bytes"+label, c.Sent)
+			number("received_bytes"+label, c.Received)
+		}
+	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for name, h := range m.histograms {
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -47,7 +47,7 @@
 	Advisor   basilwork.Advisor
 	Machines  basilwork.Machines
 	Codec     Codec
-	Calls     func() any // counts of the platform's calls, for logs and metrics; may be nil
+	Calls     func() map[string]basilwork.CallCount // by kind, for logs and metrics; may be nil
 	Log       *logrus.Logger
 }
 
@@ -75,7 +75,7 @@
 func New(o Options) *Node {
 	n := &Node{
 		options: o, log: o.Log, store: o.Store, ledger: basilledger.New(o.Store), commander: o.Commander, advisor: o.Advisor,
-		metrics: newMetrics(), owners: make(map[string]*owner), former: make(map[string][]string),
+		metrics: newMetrics(o.Calls), owners: make(map[string]*owner), former: make(map[string][]string),
 	}
 	n.keeper = basilshard.New(basilshard.Options{
 		Self: o.Self, Store: o.Store, Clock: o.Clock, Log: o.Log,
@@ -95,10 +95,13 @@
 	group.Wait()
 }
 
-// logCalls writes a line of how many calls were made, once per callsEvery.
+// logCalls writes a line of what was called and used so far, once per callsEvery.
 func (n *Node) logCalls(ctx context.Context) {
 	for n.options.Calls != nil && basiltimer.Wait(ctx, callsEvery) == nil {
-		n.log.WithField("calls", n.options.Calls()).Info("platform calls")
+		u := readUsage()
+		n.log.WithFields(logrus.Fields{
+			"calls": n.options.Calls(), "cpu_ms": u.processor.Milliseconds(), "memory_kb": u.memory >> 10, "goroutines": u.goroutines,
+		}).Info("platform calls")
 	}
 }
 
--- a/internal/basilwork/port.go
+++ b/internal/basilwork/port.go
@@ -185,3 +185,18 @@
 	WaveStates(ctx context.Context) (map[string]WaveState, error)
 	SetWaveState(ctx context.Context, wave string, completed bool, version int64) error
 }
+
+// CallCount is how many calls of a kind were made, and how many bytes their bodies had.
+type CallCount struct {
+	Made       int64 `json:"made"`
+	Unanswered int64 `json:"unanswered,omitempty"` // without a whole answer
+	Sent       int64 `json:"sent,omitempty"`       // bytes
+	Received   int64 `json:"received,omitempty"`   // bytes
+}
+
+// Add returns the sum of both counts.
+func (c CallCount) Add(d CallCount) CallCount {
+	return CallCount{
+		Made: c.Made + d.Made, Unanswered: c.Unanswered + d.Unanswered, Sent: c.Sent + d.Sent, Received: c.Received + d.Received,
+	}
+}
