Look after runs where something changed, not after all at each decision

Callers saw less served the more backend servers a pool had.

Cause: each decision sorted the runs of every backend server and looked whether each is to be stopped, moved or paced.

What decides about a run changes with a report, an answer, its job, its backend server's state, or, for moves, with what goes on elsewhere. The pool marks the backend server in the first cases, looks again after 100 ms in the last, and repeats unanswered stops when that is due. Runs are kept in order.

--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -16,7 +16,7 @@
 	evacuating bool // gets no new work and gives up what it has
 	due        bool // is to be emptied before long
 	processed  int64
-	runs       map[*run]bool
+	runs       []*run // by task and attempt
 	used       basilwork.Room
 	serving    int       // long-running runs
 	filling    int       // processor of runs that fill, thousandths of a core
@@ -29,6 +29,10 @@
 	paced      time.Time // when fillers were last looked at
 	recorded   bool      // a successor would know of it
 	kept       bool      // from lesser work, at this decision
+	touched    bool      // what decides about its runs changed since they were looked after
+	tendAt     time.Time // when to look after its runs all the same; zero is not
+	cramped    bool      // a long-running task cannot leave it for want of room
+	fillers    int       // runs that fill
 }
 
 // usable tells whether new runs may be placed there.
@@ -40,13 +44,15 @@
 
 // add counts a run that may be there; until is when it is expected to end.
 func (b *backend) add(r *run, until time.Time) {
-	b.runs[r] = true
+	n, _ := slices.BinarySearchFunc(b.runs, r, compareRuns)
+	b.runs = slices.Insert(b.runs, n, r)
 	r.until = until
 	spec := r.task.step.spec
 	b.used = b.used.Add(r.task.step.demand)
 	switch {
 	case spec.Fills:
 		b.filling += spec.Room.CPU
+		b.fillers++
 	case spec.LongRunning:
 		b.serving++
 	}
@@ -56,15 +62,17 @@
 }
 
 func (b *backend) remove(r *run) {
-	if !b.runs[r] {
+	n := slices.Index(b.runs, r)
+	if n < 0 {
 		return
 	}
-	delete(b.runs, r)
+	b.runs = slices.Delete(b.runs, n, n+1)
 	spec := r.task.step.spec
 	b.used = b.used.Sub(r.task.step.demand)
 	switch {
 	case spec.Fills:
 		b.filling -= spec.Room.CPU
+		b.fillers--
 	case spec.LongRunning:
 		b.serving--
 	}
@@ -72,7 +80,7 @@
 		return
 	}
 	b.until = time.Time{}
-	for o := range b.runs {
+	for _, o := range b.runs {
 		if o.until.After(b.until) {
 			b.until = o.until
 		}
@@ -103,7 +111,7 @@
 
 // servesTarget tells whether a serving task with a target works there.
 func (b *backend) servesTarget() bool {
-	for r := range b.runs {
+	for _, r := range b.runs {
 		if r.task.step.spec.Target > 0 {
 			return true
 		}
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -44,6 +44,7 @@
 	if r == nil || r.phase != phaseStarting {
 		return
 	}
+	r.backend.touched = true
 	switch {
 	case !answered:
 		r.phase = phaseUnsure
@@ -101,7 +102,11 @@
 
 // stop asks for a run to be stopped, once per stopRepeat until an answer comes.
 func (p *Pool) stop(r *run, reason string, now time.Time) {
-	if !r.stopped.IsZero() || !r.stopSent.IsZero() && now.Sub(r.stopSent) < stopRepeat {
+	if !r.stopped.IsZero() {
+		return
+	}
+	if !r.stopSent.IsZero() && now.Sub(r.stopSent) < stopRepeat {
+		r.backend.tendLater(r.stopSent.Add(stopRepeat))
 		return
 	}
 	if r.phase == phaseStarting {
@@ -113,6 +118,7 @@
 	}
 	r.reason = reason
 	r.stopSent = now
+	r.backend.tendLater(now.Add(stopRepeat))
 	p.actions.Stops = append(p.actions.Stops, Stop{Ref: r.ref(), Reason: reason})
 }
 
@@ -135,6 +141,7 @@
 	if b == nil {
 		return
 	}
+	b.touched = true
 	for _, e := range report.Ended {
 		if e.Number <= b.processed {
 			continue
@@ -151,7 +158,7 @@
 	if len(report.Ended) >= fullReport {
 		return
 	}
-	for r := range b.runs {
+	for _, r := range b.sortedRuns() {
 		if !seen[r] && r.settled(sent) {
 			p.endRun(r, basilwork.RunEndLost, now)
 		}
@@ -326,11 +333,25 @@
 	if j.finished < j.record.Job.Occurrences() {
 		return
 	}
+	j.touchRuns()
 	j.record.State = basilwork.JobStateCompleted
 	j.record.Finished = now.UnixMilli()
 	j.urgent = true
 }
 
+// touchRuns has the next decision look after the runs of the job.
+func (j *job) touchRuns() {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				for _, r := range t.runs {
+					r.backend.touched = true
+				}
+			}
+		}
+	}
+}
+
 // fail notes a failed attempt, and fails the job when it was the last one allowed.
 func (p *Pool) fail(t *task, attempt int, now time.Time) {
 	s, j := t.step, t.step.occurrence.job
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -79,7 +79,7 @@
 // movable tells whether all long-running runs of the backend server may be moved to others that have such, as
 // far as each by itself tells.
 func (p *Pool) movable(b *backend, now time.Time) bool {
-	for r := range b.runs {
+	for _, r := range b.runs {
 		if r.task.step.spec.LongRunning && !p.joins(r, now) {
 			return false
 		}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -174,11 +174,12 @@
 func (p *Pool) setBackend(entry basilwork.Backend) {
 	b := p.backends[entry.ID]
 	if b == nil {
-		b = &backend{runs: make(map[*run]bool), reachable: true}
+		b = &backend{reachable: true}
 		p.backends[entry.ID] = b
 		n, _ := p.findBackend(entry.ID)
 		p.list = slices.Insert(p.list, n, b)
 	}
+	b.touched = b.touched || b.Draining != entry.Draining
 	b.Backend = entry
 	b.present = true
 }
@@ -231,15 +232,21 @@
 
 // Evacuate keeps new work off a backend server and moves away what it has, or ends that.
 func (p *Pool) Evacuate(id string, on bool) {
-	if b := p.backends[id]; b != nil {
+	if b := p.backends[id]; b != nil && b.evacuating != on {
 		b.evacuating = on
+		b.touched = true
 	}
 }
 
 // SetDue notes the backend servers that are to be emptied before long; tasks that last keep off them.
 func (p *Pool) SetDue(ids []string) {
-	for id, b := range p.backends {
-		b.due = slices.Contains(ids, id)
+	due := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		due[id] = true
+	}
+	for _, b := range p.list {
+		b.touched = b.touched || b.due != due[b.ID]
+		b.due = due[b.ID]
 	}
 }
 
--- a/internal/basilscheduler/speed.go
+++ b/internal/basilscheduler/speed.go
@@ -110,7 +110,11 @@
 // crawls tells whether the run, at a slow backend server, would end sooner if it were started anew elsewhere.
 func (p *Pool) crawls(r *run, now time.Time) bool {
 	s := r.task.step
-	if !p.slow(r.backend, now) || s.spec.LongRunning || s.spec.Gang || r.pace < fullPace {
+	if !p.slow(r.backend, now) {
+		return false
+	}
+	r.backend.tendLater(now.Add(tendEvery))
+	if s.spec.LongRunning || s.spec.Gang || r.pace < fullPace {
 		return false
 	}
 	whole := r.projected()
--- a/internal/basilscheduler/tend.go
+++ b/internal/basilscheduler/tend.go
@@ -12,30 +12,50 @@
 	paceUp       = 0.6                    // of the target: fillers beside are let work again
 	paceStep     = 25                     // percent
 	moveWorth    = time.Second            // least run time left for which a checkpoint and restart pays
+	tendEvery    = 100 * time.Millisecond // between looks whether runs can leave their backend server
 	paceInterval = 500 * time.Millisecond // usage covers the last half second
 )
 
 // tend looks after what runs: repeats stops, empties backend servers, finds stalled runs, paces fillers.
+//
+// It does so where something changed, and again where it depends on what goes on at other backend servers.
 func (p *Pool) tend(now time.Time) {
 	for _, b := range p.list {
-		p.pace(b, now)
-		for _, r := range b.sortedRuns() {
-			p.tendRun(r, now)
+		if b.fillers > 0 {
+			p.pace(b, now)
 		}
+		if b.touched || !b.tendAt.IsZero() && !now.Before(b.tendAt) {
+			b.touched, b.tendAt, b.cramped = false, time.Time{}, false
+			for _, r := range b.runs {
+				p.tendRun(r, now)
+			}
+		}
+		if !b.tendAt.IsZero() {
+			p.wakeAt(b.tendAt)
+		}
+		p.cramped = p.cramped || b.cramped
+	}
+}
+
+// tendLater has the runs looked after at the time, if nothing changes before.
+func (b *backend) tendLater(at time.Time) {
+	if b.tendAt.IsZero() || at.Before(b.tendAt) {
+		b.tendAt = at
 	}
 }
 
+// sortedRuns returns a copy of the runs, for loops that end some.
 func (b *backend) sortedRuns() []*run {
-	runs := make([]*run, 0, len(b.runs))
-	for r := range b.runs {
-		runs = append(runs, r)
+	return slices.Clone(b.runs)
+}
+
+func compareRuns(a, b *run) int {
+	x, y := &a.task.id, &b.task.id
+	if d := cmp.Compare(x.Job, y.Job); d != 0 {
+		return d
 	}
-	slices.SortFunc(runs, func(a, c *run) int {
-		x, y := a.task.id, c.task.id
-		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Occurrence, y.Occurrence),
-			cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index), cmp.Compare(a.attempt, c.attempt))
-	})
-	return runs
+	return cmp.Or(cmp.Compare(x.Occurrence, y.Occurrence),
+		cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index), cmp.Compare(a.attempt, b.attempt))
 }
 
 func (p *Pool) tendRun(r *run, now time.Time) {
@@ -43,9 +63,6 @@
 	switch {
 	case r.phase == phaseUnsure, r.phase == phaseStopping, r.reason != "" && r.phase == phaseRunning:
 		p.stop(r, r.reason, now)
-		if r.stopped.IsZero() {
-			p.wakeAt(r.stopSent.Add(stopRepeat))
-		}
 	case r.phase != phaseRunning:
 	case j.record.State.Final():
 		p.stop(r, "job "+j.record.State.String(), now)
@@ -54,6 +71,7 @@
 	case r.backend.evacuating, r.backend.Draining:
 		p.evacuateRun(r, now)
 	case r.backend.due && r.task.step.spec.LongRunning:
+		r.backend.tendLater(now.Add(tendEvery))
 		if p.mayLeave(r, now) && p.elsewhere(r, true, now) {
 			p.stop(r, "its host is to be maintained", now)
 		}
@@ -78,17 +96,18 @@
 // evacuateRun moves a run off a backend server that is to be emptied, where that breaks nothing.
 func (p *Pool) evacuateRun(r *run, now time.Time) {
 	s := r.task.step
+	if !s.spec.LongRunning && (!s.spec.Checkpointing || s.spec.Gang) {
+		return
+	}
+	r.backend.tendLater(now.Add(tendEvery))
 	if s.spec.LongRunning {
 		room := p.elsewhere(r, false, now)
-		p.cramped = p.cramped || !room
+		r.backend.cramped = r.backend.cramped || !room
 		if room && (r.backend.Draining || p.mayLeave(r, now)) {
 			p.stop(r, "moved to another backend server", now)
 		}
 		return
 	}
-	if !s.spec.Checkpointing || s.spec.Gang {
-		return
-	}
 	left := p.length(s) * time.Duration(100-r.percent) / 100
 	if left > moveWorth && p.elsewhere(r, false, now) {
 		p.stop(r, "checkpointed for a move", now)
@@ -138,7 +157,7 @@
 	}
 	b.paced = now
 	var worst float64
-	for r := range b.runs {
+	for _, r := range b.runs {
 		if target := r.task.step.spec.Target; target > 0 && r.atWork(now) {
 			worst = max(worst, float64(r.usage)/float64(target.Milliseconds()))
 		}
--- a/internal/basilscheduler/waiting_test.go
+++ b/internal/basilscheduler/waiting_test.go
@@ -12,8 +12,8 @@
 )
 
 // decisionsTime returns how long a hundred decisions take, each after the end of a run: the least of some tries.
-func decisionsTime(waiting int) time.Duration {
-	p := newPeak(waiting, 20)
+func decisionsTime(waiting, backends int) time.Duration {
+	p := newPeak(waiting, backends)
 	least := time.Hour
 	for range 5 {
 		var took time.Duration
@@ -27,11 +27,18 @@
 
 // TestDecisionCostDoesNotGrowWithWaitingTasks has twenty times the tasks wait for the same backend servers.
 func TestDecisionCostDoesNotGrowWithWaitingTasks(t *testing.T) {
-	few, many := decisionsTime(200), decisionsTime(4000)
+	few, many := decisionsTime(200, 20), decisionsTime(4000, 20)
 	t.Logf("%v for 200 waiting tasks, %v for 4000", few, many)
 	must.Less(t, 5*few, many)
 }
 
+// TestDecisionCostDoesNotGrowWithRuns has sixteen times the tasks run while as many wait.
+func TestDecisionCostDoesNotGrowWithRuns(t *testing.T) {
+	few, many := decisionsTime(200, 20), decisionsTime(200, 320)
+	t.Logf("%v beside the runs of 20 backend servers, %v of 320", few, many)
+	must.Less(t, 8*few, many)
+}
+
 // TestWaitingStepsAreKept compares what the pool keeps of waiting steps with a count of all tasks, whatever happens.
 func TestWaitingStepsAreKept(t *testing.T) {
 	f := newFixture(t, backendOf("b1", 8000), backendOf("b2", 8000), backendOf("b3", 8000))
