Keep running sums of what a pool has to do

The owner asks for the load at every event, to answer the fleet. Working it out visited all tasks of all jobs, tried each long-running run against all backend servers, and sorted the others by looking both up by id.

Sums of what waits and lasts are now changed where a task becomes idle or stops being so. Which backend servers could be left is kept for 200 ms unless backend servers or long-running runs change, and the order by end is kept from one call to the next. How often a spread step runs at a backend server is counted, too, instead of looked for among its tasks.

--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -32,7 +32,10 @@
 	touched    bool      // what decides about its runs changed since they were looked after
 	tendAt     time.Time // when to look after its runs all the same; zero is not
 	cramped    bool      // a long-running task cannot leave it for want of room
-	fillers    int       // runs that fill
+	movable    bool      // as found at movableAt, when the layout was movableOf
+	movableAt  time.Time
+	movableOf  int
+	fillers    int // runs that fill
 }
 
 // usable tells whether new runs may be placed there.
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -66,8 +66,7 @@
 func (p *Pool) start(c *candidate, t *task, b *backend, attempt int, tickets map[string]string, now time.Time) {
 	r := &run{task: t, backend: b, attempt: attempt, phase: phaseStarting, since: now, pace: fullPace, resumed: t.saved != ""}
 	t.attempt = attempt
-	t.add(r)
-	b.add(r, p.ends(t.step, now))
+	p.addRun(r, p.ends(t.step, now))
 	p.actions.Starts = append(p.actions.Starts, Start{
 		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.saved, Ticket: tickets[b.ID],
 		Rank: c.rank.String(), Slack: c.slack(now.Sub(p.waiting.ranked)), Waited: now.Sub(t.readyAt),
@@ -174,7 +173,7 @@
 	if until, ok := t.avoid[b.ID]; ok && now.Before(until) && len(p.backends) > 1 {
 		return false
 	}
-	return s.spec.AntiAffinity == 0 || s.onBackend(b) < s.spec.AntiAffinity
+	return s.spec.AntiAffinity == 0 || s.on[b] < s.spec.AntiAffinity
 }
 
 // score orders backend servers for a task; the least is best.
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -1,6 +1,7 @@
 package basilscheduler
 
 import (
+	"slices"
 	"time"
 
 	"basilstage.example/basilstage/internal/basilwork"
@@ -124,14 +125,48 @@
 
 // drop removes a run that certainly does not exist.
 func (p *Pool) drop(r *run) {
+	t, s := r.task, r.task.step
+	n := slices.Index(t.runs, r)
+	if n < 0 {
+		return
+	}
 	r.backend.remove(r)
-	s := r.task.step
-	if r.task.remove(r) {
+	t.runs = slices.Delete(t.runs, n, n+1)
+	s.occurrence.live--
+	if s.on != nil {
+		s.on[r.backend]--
+	}
+	if s.spec.LongRunning {
+		p.layout++
+	}
+	if t.idle() {
+		p.addIdle(s, 1)
+		s.first = min(s.first, t.id.Index)
 		p.refresh(s)
 	}
 	p.noteDone(s.occurrence)
 }
 
+// addRun counts a run that may be there; until is when it is expected to end.
+func (p *Pool) addRun(r *run, until time.Time) {
+	t, s := r.task, r.task.step
+	if t.idle() {
+		p.addIdle(s, -1)
+	}
+	r.backend.add(r, until)
+	t.runs = append(t.runs, r)
+	s.occurrence.live++
+	if s.spec.AntiAffinity > 0 {
+		if s.on == nil {
+			s.on = make(map[*backend]int)
+		}
+		s.on[r.backend]++
+	}
+	if s.spec.LongRunning {
+		p.layout++
+	}
+}
+
 // Report takes in what a backend server runs and what has ended there, as asked at sent.
 //
 // An end that was listed by a backend server whose leases had run out does not count
@@ -212,8 +247,7 @@
 func (p *Pool) adopt(b *backend, t *task, s basilwork.RunStatus, now time.Time) *run {
 	r := &run{task: t, backend: b, attempt: s.Attempt, phase: phaseRunning, since: now, answered: now, moved: now, pace: fullPace, resumed: true}
 	t.attempt = max(t.attempt, s.Attempt)
-	t.add(r)
-	b.add(r, p.ends(t.step, now))
+	p.addRun(r, p.ends(t.step, now))
 	p.begin(t.step.occurrence.job)
 	if t.done || t.step.occurrence.job.record.State.Final() {
 		p.stop(r, "task already done", now)
@@ -306,7 +340,7 @@
 	}
 	s, o := t.step, t.step.occurrence
 	if t.idle() {
-		s.idle--
+		p.addIdle(s, -1)
 	}
 	t.done = true
 	s.progress.SetDone(t.id.Index)
@@ -324,7 +358,7 @@
 	}
 	o.left--
 	if o.left > 0 {
-		p.refresh(o.steps...)
+		p.takeUp(o)
 		return
 	}
 	p.noteDone(o)
@@ -334,7 +368,7 @@
 		return
 	}
 	j.touchRuns()
-	j.record.State = basilwork.JobStateCompleted
+	p.conclude(j, basilwork.JobStateCompleted)
 	j.record.Finished = now.UnixMilli()
 	j.urgent = true
 }
@@ -367,7 +401,7 @@
 	if p.failures(t) < j.maxAttempts() {
 		return
 	}
-	j.record.State = basilwork.JobStateFailed
+	p.conclude(j, basilwork.JobStateFailed)
 	j.record.Finished = now.UnixMilli()
 	j.urgent = true
 	p.endJob(j, "job failed", now)
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -1,7 +1,6 @@
 package basilscheduler
 
 import (
-	"slices"
 	"time"
 
 	"basilstage.example/basilstage/internal/basilwork"
@@ -63,31 +62,6 @@
 
 func (t *task) idle() bool { return !t.done && len(t.runs) == 0 }
 
-// add counts a run of the task.
-func (t *task) add(r *run) {
-	if t.idle() {
-		t.step.idle--
-	}
-	t.runs = append(t.runs, r)
-	t.step.occurrence.live++
-}
-
-// remove forgets a run of the task, and tells whether the task has become idle.
-func (t *task) remove(r *run) bool {
-	n := slices.Index(t.runs, r)
-	if n < 0 {
-		return false
-	}
-	t.runs = slices.Delete(t.runs, n, n+1)
-	t.step.occurrence.live--
-	if !t.idle() {
-		return false
-	}
-	t.step.idle++
-	t.step.first = min(t.step.first, t.id.Index)
-	return true
-}
-
 func (t *task) runOn(backend string, attempt int) *run {
 	for _, r := range t.runs {
 		if r.backend.ID == backend && r.attempt == attempt {
@@ -110,12 +84,14 @@
 	occurrence *occurrence
 	number     int
 	tasks      []*task
-	demand     basilwork.Room // of one task
-	left       int            // tasks not done
-	idle       int            // tasks not done and without runs
-	first      int            // no task before this one is idle
-	queued     bool           // among the waiting steps
-	fresh      bool           // to be looked at by the next decision
+	demand     basilwork.Room   // of one task
+	left       int              // tasks not done
+	idle       int              // tasks not done and without runs
+	first      int              // no task before this one is idle
+	queued     bool             // among the waiting steps
+	fresh      bool             // to be looked at by the next decision
+	counted    bool             // in the pool's backlog
+	on         map[*backend]int // runs by backend server, of a step that is spread
 	progress   *basilwork.StepProgress
 	observed   map[string]bool // backend servers of which a run of the step has told how fast they are
 }
@@ -134,19 +110,6 @@
 	return s.idle > 0 && !s.occurrence.job.record.State.Final()
 }
 
-// onBackend returns how many live runs of the step the backend server may have.
-func (s *step) onBackend(b *backend) int {
-	var count int
-	for _, t := range s.tasks {
-		for _, r := range t.runs {
-			if r.backend == b {
-				count++
-			}
-		}
-	}
-	return count
-}
-
 // occurrence is one time that a job's steps run.
 type occurrence struct {
 	job    *job
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -8,6 +8,10 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
+// movableAge is how long it lasts what was found of moves, unless backend servers or long-running runs change; short
+// runs come and go all the time.
+const movableAge = 200 * time.Millisecond
+
 // Load is how much a pool has to do.
 type Load struct {
 	Jobs     int
@@ -27,12 +31,60 @@
 	Movable  []string       // usable backend servers whose long-running runs fit elsewhere, the least occupied first
 }
 
+// backlog is what waits and what lasts, of the ready steps of all jobs.
+type backlog struct {
+	waiting int // tasks not started
+	wanted  basilwork.Room
+	serving basilwork.Room
+	spread  map[*step]bool // long-running, and kept apart
+}
+
+// count counts a ready step, or no longer does.
+func (l *backlog) count(s *step, sign int) {
+	l.addWaiting(s, sign*s.idle)
+	if !s.spec.LongRunning || s.left == 0 {
+		return
+	}
+	l.serving = l.serving.Add(times(s.demand, sign*s.left))
+	if s.spec.AntiAffinity == 0 {
+		return
+	}
+	if sign < 0 {
+		delete(l.spread, s)
+		return
+	}
+	if l.spread == nil {
+		l.spread = make(map[*step]bool)
+	}
+	l.spread[s] = true
+}
+
+func (l *backlog) addWaiting(s *step, count int) {
+	l.waiting += count
+	l.wanted = l.wanted.Add(times(s.demand, count))
+}
+
+// least returns how many backend servers the long-running steps need.
+func (l *backlog) least() int {
+	var least int
+	for s := range l.spread {
+		least = max(least, (s.spec.Count+s.spec.AntiAffinity-1)/s.spec.AntiAffinity)
+	}
+	return least
+}
+
+func times(r basilwork.Room, count int) basilwork.Room {
+	return basilwork.Room{CPU: r.CPU * count, Memory: r.Memory * count, GPU: r.GPU * count}
+}
+
 // Load returns how much the pool has to do.
 func (p *Pool) Load(now time.Time) Load {
-	l := Load{Jobs: len(p.jobs), Arrived: p.arrived}
+	l := Load{
+		Jobs: len(p.jobs), Arrived: p.arrived,
+		Waiting: p.backlog.waiting, Wanted: p.backlog.wanted, Serving: p.backlog.serving, Least: p.backlog.least(),
+	}
 	usable := 0
 	for _, b := range p.list {
-		id := b.ID
 		if b.present && b.Draining {
 			l.Leaving++
 		}
@@ -47,73 +99,62 @@
 		}
 		usable++
 		if p.slow(b, now) {
-			l.Slow = append(l.Slow, id)
+			l.Slow = append(l.Slow, b.ID)
 		}
-		switch {
-		case len(b.runs) == 0:
-			l.Idle = append(l.Idle, id)
-		case b.serving == 0:
-			l.Brief = append(l.Brief, id)
-		case p.movable(b, now):
-			l.Movable = append(l.Movable, id)
-		}
-	}
-	slices.SortStableFunc(l.Brief, func(a, b string) int { return p.backends[a].until.Compare(p.backends[b].until) })
-	slices.SortStableFunc(l.Movable, func(a, b string) int { return cmp.Compare(p.backends[a].used.CPU, p.backends[b].used.CPU) })
-	for _, j := range p.jobs {
-		if j.record.State.Final() {
-			continue
-		}
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				l.addStep(s)
-			}
+		if len(b.runs) == 0 {
+			l.Idle = append(l.Idle, b.ID)
 		}
 	}
+	l.Brief = p.brief(now)
+	l.Movable = p.movable(now)
 	if p.cramped {
 		l.Least = max(l.Least, usable+1)
 	}
 	return l
 }
 
-// movable tells whether all long-running runs of the backend server may be moved to others that have such, as
-// far as each by itself tells.
-func (p *Pool) movable(b *backend, now time.Time) bool {
-	for _, r := range b.runs {
-		if r.task.step.spec.LongRunning && !p.joins(r, now) {
-			return false
+func (p *Pool) brief(now time.Time) []string {
+	slices.SortFunc(p.byEnd, func(a, b *backend) int { return cmp.Or(a.until.Compare(b.until), cmp.Compare(a.ID, b.ID)) })
+	ids := make([]string, 0, len(p.byEnd))
+	for _, b := range p.byEnd {
+		if b.serving == 0 && len(b.runs) > 0 && b.usable(now) {
+			ids = append(ids, b.ID)
 		}
 	}
-	return true
+	return ids
 }
 
-// joins tells whether the run fits beside other long-running ones.
-func (p *Pool) joins(r *run, now time.Time) bool {
+func (p *Pool) movable(now time.Time) []string {
+	var list []*backend
 	for _, b := range p.list {
-		if b != r.backend && b.serving > 0 && !b.due && p.fits(r.task, b, nil, now) {
-			return true
+		if b.serving > 0 && b.usable(now) && p.mayMove(b, now) {
+			list = append(list, b)
 		}
 	}
-	return false
+	slices.SortStableFunc(list, func(a, b *backend) int { return cmp.Compare(a.used.CPU, b.used.CPU) })
+	ids := make([]string, 0, len(list))
+	for _, b := range list {
+		ids = append(ids, b.ID)
+	}
+	return ids
 }
 
-func (l *Load) addStep(s *step) {
-	if s.left == 0 || !s.ready() {
-		return
-	}
-	if s.spec.LongRunning && s.spec.AntiAffinity > 0 {
-		l.Least = max(l.Least, (s.spec.Count+s.spec.AntiAffinity-1)/s.spec.AntiAffinity)
+// mayMove tells whether all long-running runs of the backend server may be moved to others that have such, as
+// far as each by itself tells.
+func (p *Pool) mayMove(b *backend, now time.Time) bool {
+	if b.movableOf != p.layout || now.Sub(b.movableAt) >= movableAge {
+		b.movableOf, b.movableAt = p.layout, now
+		b.movable = !slices.ContainsFunc(b.runs, func(r *run) bool { return r.task.step.spec.LongRunning && !p.joins(r, now) })
 	}
-	for _, t := range s.tasks {
-		if t.done {
-			continue
-		}
-		if s.spec.LongRunning {
-			l.Serving = l.Serving.Add(s.spec.Demand())
-		}
-		if len(t.runs) == 0 {
-			l.Waiting++
-			l.Wanted = l.Wanted.Add(s.spec.Demand())
+	return b.movable
+}
+
+// joins tells whether the run fits beside other long-running ones.
+func (p *Pool) joins(r *run, now time.Time) bool {
+	for _, b := range p.list {
+		if b.serving > 0 && b != r.backend && !b.due && p.fits(r.task, b, nil, now) {
+			return true
 		}
 	}
+	return false
 }
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -40,6 +40,9 @@
 	list        []*backend // the same, by id
 	waiting     waiting
 	room        room
+	backlog     backlog
+	byEnd       []*backend    // all, by when their last runs are expected to end
+	layout      int           // changes with the backend servers and with what lasts on them
 	done        []*occurrence // whose steps are done and that have no runs
 	started     time.Time
 	unsettled   map[string]time.Time // backend servers that may hold a predecessor's runs, and until when
@@ -129,7 +132,7 @@
 // Cancel stops what runs of a job that was cancelled.
 func (p *Pool) Cancel(id string, now time.Time) {
 	if j := p.jobs[id]; j != nil {
-		j.record.State = basilwork.JobStateCanceled
+		p.conclude(j, basilwork.JobStateCanceled)
 		j.dirty = false
 		p.endJob(j, "canceled", now)
 	}
@@ -164,6 +167,9 @@
 		if listed[id] {
 			continue
 		}
+		if b.present {
+			p.layout++
+		}
 		b.present = false
 		if len(b.runs) == 0 && p.unsettled[id].IsZero() {
 			p.forgetBackend(id)
@@ -178,6 +184,10 @@
 		p.backends[entry.ID] = b
 		n, _ := p.findBackend(entry.ID)
 		p.list = slices.Insert(p.list, n, b)
+		p.byEnd = append(p.byEnd, b)
+	}
+	if !b.present || b.Draining != entry.Draining || b.Room != entry.Room {
+		p.layout++
 	}
 	b.touched = b.touched || b.Draining != entry.Draining
 	b.Backend = entry
@@ -192,8 +202,10 @@
 func (p *Pool) forgetBackend(id string) {
 	delete(p.backends, id)
 	if n, ok := p.findBackend(id); ok {
+		p.byEnd = slices.DeleteFunc(p.byEnd, func(b *backend) bool { return b == p.list[n] })
 		p.list = slices.Delete(p.list, n, n+1)
 	}
+	p.layout++
 }
 
 // Attached notes that the backend server has answered under the owner's fencing token.
@@ -235,6 +247,7 @@
 	if b := p.backends[id]; b != nil && b.evacuating != on {
 		b.evacuating = on
 		b.touched = true
+		p.layout++
 	}
 }
 
@@ -245,8 +258,11 @@
 		due[id] = true
 	}
 	for _, b := range p.list {
-		b.touched = b.touched || b.due != due[b.ID]
-		b.due = due[b.ID]
+		if b.due != due[b.ID] {
+			b.due = due[b.ID]
+			b.touched = true
+			p.layout++
+		}
 	}
 }
 
--- a/internal/basilscheduler/waiting.go
+++ b/internal/basilscheduler/waiting.go
@@ -57,11 +57,43 @@
 func (p *Pool) open(j *job, number int) *occurrence {
 	o := j.open(number)
 	j.occurrences[number] = o
-	p.refresh(o.steps...)
+	p.takeUp(o)
 	p.noteDone(o)
 	return o
 }
 
+// takeUp counts the steps of the occurrence that have become ready, and has the next decision look at them.
+func (p *Pool) takeUp(o *occurrence) {
+	for _, s := range o.steps {
+		if !s.counted && s.ready() && !o.job.record.State.Final() {
+			s.counted = true
+			p.backlog.count(s, 1)
+		}
+	}
+	p.refresh(o.steps...)
+}
+
+// conclude gives the job a final state, from which on nothing of it waits.
+func (p *Pool) conclude(j *job, state basilwork.JobState) {
+	j.record.State = state
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.counted {
+				s.counted = false
+				p.backlog.count(s, -1)
+			}
+		}
+	}
+}
+
+// addIdle counts tasks of the step that have become idle, or no longer are.
+func (p *Pool) addIdle(s *step, count int) {
+	s.idle += count
+	if s.counted {
+		p.backlog.addWaiting(s, count)
+	}
+}
+
 // refresh has the next decision look whether the steps wait.
 func (p *Pool) refresh(steps ...*step) {
 	for _, s := range steps {
--- a/internal/basilscheduler/waiting_test.go
+++ b/internal/basilscheduler/waiting_test.go
@@ -32,6 +32,25 @@
 	must.Less(t, 5*few, many)
 }
 
+// TestLoadCostDoesNotGrowWithWaitingTasks has twenty times the tasks wait for the same backend servers.
+func TestLoadCostDoesNotGrowWithWaitingTasks(t *testing.T) {
+	loadsTime := func(waiting int) time.Duration {
+		p := newPeak(waiting, 20)
+		least := time.Hour
+		for range 5 {
+			began := time.Now()
+			for range 100 {
+				p.Load(p.now)
+			}
+			least = min(least, time.Since(began))
+		}
+		return least
+	}
+	few, many := loadsTime(200), loadsTime(4000)
+	t.Logf("%v for 200 waiting tasks, %v for 4000", few, many)
+	must.Less(t, 5*few, many)
+}
+
 // TestDecisionCostDoesNotGrowWithRuns has sixteen times the tasks run while as many wait.
 func TestDecisionCostDoesNotGrowWithRuns(t *testing.T) {
 	few, many := decisionsTime(200, 20), decisionsTime(200, 320)
@@ -78,6 +97,7 @@
 		must.False(t, queued[c.step])
 		queued[c.step] = true
 	}
+	var waiting, wanted int
 	for _, j := range f.jobs {
 		for _, o := range j.occurrences {
 			live := 0
@@ -91,10 +111,17 @@
 					}
 				}
 				must.Eq(t, idle, s.idle)
+				if s.ready() && !j.record.State.Final() {
+					waiting += idle
+					wanted += idle * s.spec.Room.CPU
+				}
 				must.Eq(t, queued[s], s.queued)
 				must.True(t, s.queued || !s.startable(f.now), must.Sprint(s.tasks[0].id))
 			}
 			must.Eq(t, live, o.live)
 		}
 	}
+	l := f.Load(f.now)
+	must.Eq(t, waiting, l.Waiting)
+	must.Eq(t, wanted, l.Wanted.CPU)
 }
