Tell the room for each label apart when placing

Cause: where backend servers without the label that waiting steps need stood empty, there seemed to be room, and each waiting step was tried against each of them at every decision.

The room that is left is now worked out for each label that is waited for. Placement ends when none of them has room for the least demand.

--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -106,7 +106,7 @@
 	attempt := 0
 	for _, t := range c.step.tasks {
 		attempt = max(attempt, p.nextAttempt(t))
-		b := p.choose(t, tickets, rack, now)
+		b := p.choose(c, t, tickets, rack, now)
 		if b == nil {
 			break
 		}
@@ -141,10 +141,10 @@
 }
 
 // choose returns the backend server to run a task, or nil when none has room.
-func (p *Pool) choose(t *task, tickets map[string]string, rack string, now time.Time) *backend {
+func (p *Pool) choose(c *candidate, t *task, tickets map[string]string, rack string, now time.Time) *backend {
 	var best *backend
 	var bestScore score
-	if !t.step.spec.LongRunning && !p.room.most.Holds(t.step.demand) {
+	if c.rank != rankServing && !p.most(c.label).Holds(c.demand) {
 		return nil
 	}
 	length := p.length(t.step)
--- a/internal/basilscheduler/decide_bench_test.go
+++ b/internal/basilscheduler/decide_bench_test.go
@@ -61,6 +61,7 @@
 	first.Estimate = time.Duration(1+p.jobs%5) * time.Second
 	second.Estimate = first.Estimate / 2
 	second.After = []int{0}
+	first.Label, second.Label = "a", "a"
 	if p.jobs%5 < 2 {
 		p.submit(first)
 		return
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -9,11 +9,20 @@
 // reservedPart says that at most one in so many backend servers is kept for a task that waits for room.
 const reservedPart = 3
 
+// noRoom holds nothing, not even what demands nothing.
+var noRoom = basilwork.Room{CPU: -1, Memory: -1, GPU: -1}
+
 // room is where a decision may place tasks.
 type room struct {
-	open []*backend     // usable and with room for the least task that waits, by id
-	most basilwork.Room // no open backend server that short tasks may go to has more free of anything
-	kept int            // from lesser work
+	open []*backend  // usable and with room for the least task that waits, by id
+	kept int         // from lesser work
+	most []labelRoom // by label, as numbered by the waiting steps
+}
+
+// labelRoom is the most room for short tasks that need a label: no open backend server for them has more free of anything.
+type labelRoom struct {
+	basilwork.Room
+	known bool
 }
 
 // findRoom looks where tasks may be placed.
@@ -26,19 +35,39 @@
 			p.room.open = append(p.room.open, b)
 		}
 	}
-	p.room.measure()
+	p.measure()
 }
 
-// measure works out the most room that is left for short tasks.
-func (r *room) measure() {
-	r.most = basilwork.Room{CPU: -1, Memory: -1, GPU: -1}
-	for _, b := range r.open {
-		if b.kept || b.avoided {
+// measure has the room that is left worked out anew.
+func (p *Pool) measure() {
+	p.room.most = append(p.room.most[:0], make([]labelRoom, len(p.waiting.labels))...)
+}
+
+// most returns the most room that is left for short tasks that need the label.
+func (p *Pool) most(label int) basilwork.Room {
+	r := &p.room.most[label]
+	if r.known {
+		return r.Room
+	}
+	r.Room, r.known = noRoom, true
+	for _, b := range p.room.open {
+		if b.kept || b.avoided || !b.hasLabel(p.waiting.labels[label]) {
 			continue
 		}
 		f := b.free()
-		r.most = basilwork.Room{CPU: max(r.most.CPU, f.CPU), Memory: max(r.most.Memory, f.Memory), GPU: max(r.most.GPU, f.GPU)}
+		r.Room = basilwork.Room{CPU: max(r.CPU, f.CPU), Memory: max(r.Memory, f.Memory), GPU: max(r.GPU, f.GPU)}
 	}
+	return r.Room
+}
+
+// full tells whether there is no room for any short task that waits.
+func (p *Pool) full() bool {
+	for label := range p.waiting.labels {
+		if p.most(label).Holds(p.waiting.least) {
+			return false
+		}
+	}
+	return true
 }
 
 // place gives waiting tasks to backend servers, until there is no room for any that waits.
@@ -47,9 +76,9 @@
 	for n := range p.waiting.list {
 		c := &p.waiting.list[n]
 		switch {
-		case c.rank == rankServing, c.advised, p.room.most.Holds(c.demand):
+		case c.rank == rankServing, c.advised, p.most(c.label).Holds(c.demand):
 			p.placeStep(c, now)
-		case p.waiting.advised == 0 && !p.room.most.Holds(p.waiting.least):
+		case p.waiting.advised == 0 && p.full():
 			return
 		case c.rank == rankOnTime && p.mayKeep():
 			p.placeStep(c, now)
@@ -88,11 +117,11 @@
 			p.placeGang(c, tickets, now)
 			return
 		}
-		b := p.choose(t, tickets, "", now)
+		b := p.choose(c, t, tickets, "", now)
 		if b == nil {
 			p.cramped = p.cramped || c.rank == rankServing
-			if p.room.most.Holds(c.demand) {
-				p.room.measure()
+			if p.most(c.label).Holds(c.demand) {
+				p.measure()
 			}
 			p.reserve(c)
 			return
@@ -120,7 +149,7 @@
 // reserve keeps the backend server that will soonest have room from lesser work, so that a
 // large task isn't passed by small ones for ever.
 func (p *Pool) reserve(c *candidate) {
-	if c.rank != rankOnTime || !p.mayKeep() {
+	if c.rank != rankOnTime || !p.mayKeep() || p.most(c.label) == noRoom {
 		return
 	}
 	var best *backend
@@ -138,6 +167,6 @@
 	if best != nil {
 		best.kept = true
 		p.room.kept++
-		p.room.measure()
+		p.measure()
 	}
 }
--- a/internal/basilscheduler/waiting.go
+++ b/internal/basilscheduler/waiting.go
@@ -25,6 +25,8 @@
 	ranked   time.Time
 	least    basilwork.Room // no step demands less of anything
 	advised  int            // steps that need tickets, or more
+	labels   []string       // that the steps need; none is one, too
+	numbers  map[string]int // of the labels
 	openings []opening
 	openAt   time.Time // when the first of the openings is due
 }
@@ -39,6 +41,7 @@
 type candidate struct {
 	step    *step
 	demand  basilwork.Room
+	label   int // number of the label that is needed
 	rank    rank
 	advised bool
 	key     time.Duration // slack to the objective when on time, work left when late
@@ -196,7 +199,8 @@
 // rankAnew ranks the steps that still wait, and forgets the others.
 func (p *Pool) rankAnew(now time.Time) {
 	w := &p.waiting
-	w.ranked, w.advised = now, 0
+	w.ranked, w.advised, w.labels = now, 0, w.labels[:0]
+	clear(w.numbers)
 	left := w.list[:0]
 	for n := range w.list {
 		s := w.list[n].step
@@ -225,6 +229,20 @@
 	}
 }
 
+// numberOf returns the number of a label that a step needs.
+func (w *waiting) numberOf(label string) int {
+	n, ok := w.numbers[label]
+	if !ok {
+		if w.numbers == nil {
+			w.numbers = make(map[string]int)
+		}
+		n = len(w.labels)
+		w.numbers[label] = n
+		w.labels = append(w.labels, label)
+	}
+	return n
+}
+
 // startable tells whether tasks of the step are to be placed now.
 func (s *step) startable(now time.Time) bool {
 	return s.waits() && s.ready() && !now.Before(s.occurrence.due)
@@ -241,7 +259,7 @@
 // candidateOf ranks a step as of the time of the newest order.
 func (p *Pool) candidateOf(s *step) candidate {
 	q := s.occurrence.job.queue
-	c := candidate{step: s, demand: s.demand, advised: q != nil && q.Advice != nil}
+	c := candidate{step: s, demand: s.demand, label: p.waiting.numberOf(s.spec.Label), advised: q != nil && q.Advice != nil}
 	c.rank, c.key = p.rankOf(s.occurrence, s, p.waiting.ranked)
 	c.work = float64(s.idle*s.spec.Room.CPU) / 1000 * s.spec.Estimate.Seconds()
 	return c
--- a/internal/basilscheduler/waiting_test.go
+++ b/internal/basilscheduler/waiting_test.go
@@ -59,24 +59,46 @@
 
 // TestDecisionCostDoesNotGrowWithSlowBackends has backend servers with room that are taken to be slow.
 func TestDecisionCostDoesNotGrowWithSlowBackends(t *testing.T) {
-	sound := newPeak(4000, 60)
-	slow := newPeak(4000, 60)
-	list := slow.Backends()
-	for n := range 40 {
-		list = append(list, backendOf(fmt.Sprintf("slow%02d", n), 64000))
+	few := decisionsTime(newPeak(4000, 60))
+	p := newPeak(4000, 60)
+	for _, b := range p.addIdle(40) {
+		b.odds = oddsMost
+		b.slowUntil = p.now.Add(time.Hour)
 	}
-	slow.SetBackends(list)
-	for _, b := range list[60:] {
-		slow.Recorded(b.ID)
-		slow.Attached(b.ID)
-		slow.backends[b.ID].odds = oddsMost
-		slow.backends[b.ID].slowUntil = slow.now.Add(time.Hour)
-	}
-	few, many := decisionsTime(sound), decisionsTime(slow)
+	many := decisionsTime(p)
 	t.Logf("%v without slow backend servers, %v with 40", few, many)
 	must.Less(t, 6*few, many)
 }
 
+// TestDecisionCostDoesNotGrowWithOtherLabels has backend servers with room that lack the label of what waits.
+func TestDecisionCostDoesNotGrowWithOtherLabels(t *testing.T) {
+	few := decisionsTime(newPeak(4000, 60))
+	p := newPeak(4000, 60)
+	for _, b := range p.addIdle(40) {
+		b.Labels = []string{"b"}
+	}
+	many := decisionsTime(p)
+	t.Logf("%v without other backend servers, %v with 40", few, many)
+	must.Less(t, 6*few, many)
+}
+
+// addIdle adds backend servers without runs.
+func (p *peak) addIdle(count int) []*backend {
+	list := p.Backends()
+	before := len(list)
+	for n := range count {
+		list = append(list, backendOf(fmt.Sprintf("idle%02d", n), 64000))
+	}
+	p.SetBackends(list)
+	var added []*backend
+	for _, b := range list[before:] {
+		p.Recorded(b.ID)
+		p.Attached(b.ID)
+		added = append(added, p.backends[b.ID])
+	}
+	return added
+}
+
 // TestWaitingStepsAreKept compares what the pool keeps of waiting steps with a count of all tasks, whatever happens.
 func TestWaitingStepsAreKept(t *testing.T) {
 	f := newFixture(t, backendOf("b1", 8000), backendOf("b2", 8000), backendOf("b3", 8000))
