Look at the list of used backend servers only when it may have changed

An owner built and compared maps of all backend servers at each step, though the list changes only with a reading of it or a finished write. It is looked at then. Evidence (an owner in a process of its own on one core, 200 backend servers of the stand-ins over loopback, 1,500 to 1,700 starts a second; trial harness, the last four of seven seconds): 384 us of processor time a start before, 348 us after, all included.

--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -155,7 +155,6 @@
 		o.cancel()
 		return time.Second
 	}
-	o.record()
 	if !o.stopping {
 		o.evacuate(now)
 		began := time.Now()
--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -53,7 +53,8 @@
 	return nil
 }
 
-// record stores the list of backend servers when it has new ones, before anything runs there.
+// record stores the list of backend servers when it has new ones, before anything runs there. Each reading of the
+// list comes here, so a write that failed is tried again before long.
 func (o *owner) record() {
 	if o.records.inFlight || o.stopping || time.Now().Before(o.records.after) {
 		return
@@ -93,6 +94,7 @@
 				return
 			}
 			o.records.stored, o.records.written = list, now
+			o.record()
 		})
 	}()
 }
@@ -104,6 +106,7 @@
 		return gone
 	})
 	o.pool.SetBackends(list)
+	o.record()
 	listed := make(map[string]bool, len(list))
 	for _, b := range list {
 		listed[b.ID] = true
