Give shards to the strongest entry hosts first

Cause: candidates were ordered by load divided by weight. No host has load at the start, so the hash alone decided, and most shards landed on the weakest hosts.

Change: candidates are ordered by what the shard more makes of their load, by weight; equal ones by the shards in their data centre. A host that started again gets its shard back unless another is clearly better. Each claim is logged with the candidates' weights and loads.

--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -13,6 +13,9 @@
 	"basilstage.example/basilstage/internal/basilplatform"
 )
 
+// candidatesLogged is how many of a claim's candidates are logged at least.
+const candidatesLogged = 3
+
 // readOwners reads the owner rows of all shards, at once: one after the other would outlast a lease on a slow store.
 func (k *Keeper) readOwners(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
@@ -114,8 +117,11 @@
 	k.mutex.Lock()
 	claims := k.state.Claims(k.shards, now)
 	k.mutex.Unlock()
-	for _, shard := range claims {
-		if !k.claimOne(ctx, shard) {
+	for _, c := range claims {
+		k.options.Log.WithFields(logrus.Fields{
+			basillog.FieldPool: c.Shard, "rank": c.Rank, "candidates": c.Order[:min(len(c.Order), max(c.Rank+1, candidatesLogged))],
+		}).Info("shard claimed")
+		if !k.claimOne(ctx, c.Shard) {
 			return
 		}
 		if k.SinceRenewal() > k.options.Lease/2 {
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -139,9 +139,28 @@
 	return list
 }
 
+// Claim is a shard that an entry host is to claim, with what decided it.
+type Claim struct {
+	Shard string
+	Order []Candidate // of members that may claim it, best first
+	Rank  int         // of this entry host in the order
+}
+
+// Candidate is a member that may own a shard, with its load before.
+type Candidate struct {
+	Node   string  `json:"node"`
+	Weight float64 `json:"weight"`
+	Load   int     `json:"load"`
+	Slow   bool    `json:"slow,omitempty"`
+	zone   string
+}
+
+// cost is what a shard more makes of the member's load, by its weight.
+func (c Candidate) cost() float64 { return float64(c.Load+1) / c.Weight }
+
 // Claims returns the shards that this entry host is to claim now.
-func (s *State) Claims(shards []string, now time.Duration) []string {
-	var claims []string
+func (s *State) Claims(shards []string, now time.Duration) []Claim {
+	var claims []Claim
 	loads := s.loads(shards)
 	live := s.Live()
 	for _, shard := range shards {
@@ -155,22 +174,17 @@
 			s.vacant[shard] = now
 		}
 		order := candidates(shard, s.owners[shard].Node, live, loads)
-		loads[first(order)]++
-		rank := slices.IndexFunc(order, func(m Member) bool { return m.Node == s.self.Node })
+		if len(order) > 0 {
+			loads[order[0].Node]++
+		}
+		rank := slices.IndexFunc(order, func(c Candidate) bool { return c.Node == s.self.Node })
 		if rank >= 0 && now-since >= time.Duration(rank)*s.rank {
-			claims = append(claims, shard)
+			claims = append(claims, Claim{Shard: shard, Order: order, Rank: rank})
 		}
 	}
 	return claims
 }
 
-func first(order []Member) string {
-	if len(order) == 0 {
-		return ""
-	}
-	return order[0].Node
-}
-
 // loads returns how many of the shards each live owner has.
 func (s *State) loads(shards []string) map[string]int {
 	loads := make(map[string]int)
@@ -182,15 +196,28 @@
 	return loads
 }
 
-// candidates orders members for a shard: slow ones last, its last owner first if that started again,
-// then those with least to do, then by rendezvous hashing.
-func candidates(shard, last string, live []Member, loads map[string]int) []Member {
-	order := slices.Clone(live)
-	slices.SortStableFunc(order, func(a, b Member) int {
-		return cmp.Or(compareBool(a.Slow, b.Slow), compareBool(b.Node == last, a.Node == last),
-			cmp.Compare(float64(loads[a.Node])/weight(a), float64(loads[b.Node])/weight(b)),
+// clearly is how many times the cost of one member is that of another that is clearly better.
+const clearly = 2
+
+// candidates orders members for a shard: slow ones last, then its last owner if that started again and no
+// other is clearly better, then those with the least load for their weight, then those in data centres with few
+// shards, then by rendezvous hashing.
+func candidates(shard, last string, live []Member, loads map[string]int) []Candidate {
+	order := make([]Candidate, 0, len(live))
+	zones := make(map[string]int)
+	for _, m := range live {
+		order = append(order, Candidate{Node: m.Node, Weight: weight(m), Load: loads[m.Node], Slow: m.Slow, zone: m.Zone})
+		zones[m.Zone] += loads[m.Node]
+	}
+	slices.SortFunc(order, func(a, b Candidate) int {
+		return cmp.Or(compareBool(a.Slow, b.Slow), cmp.Compare(a.cost(), b.cost()),
+			cmp.Compare(zones[a.zone], zones[b.zone]),
 			cmp.Compare(hash(shard, b.Node), hash(shard, a.Node)))
 	})
+	if n := slices.IndexFunc(order, func(c Candidate) bool { return c.Node == last && !c.Slow }); n > 0 && order[n].cost() < clearly*order[0].cost() {
+		c := order[n]
+		order = slices.Insert(slices.Delete(order, n, n+1), 0, c)
+	}
 	return order
 }
 
--- /dev/null
+++ b/internal/basilshard/state_test.go
@@ -0,0 +1,79 @@
+package basilshard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	testLease = 2200 * time.Millisecond
+	testRenew = 550 * time.Millisecond
+)
+
+var testShards = []string{"calf", "counter", "fleet", "instep", "riding", "toe"}
+
+// hostsOf returns the number of members of the weight in each of three data centres.
+func hostsOf(each int, weight float64) []Member {
+	var list []Member
+	for _, zone := range []string{"fukuoka", "kagoshima", "kumamoto"} {
+		for n := range each {
+			name := fmt.Sprintf("%s-%v-%d", zone, weight, n)
+			list = append(list, Member{Node: name, Incarnation: name + ".1", Zone: zone, Weight: weight})
+		}
+	}
+	return list
+}
+
+// observe has a state of one of the members see all of them renew until the time.
+func observe(s *State, members []Member, from, to time.Duration) {
+	for at := from; at <= to; at += testRenew {
+		var rows []Observed
+		for _, m := range members {
+			rows = append(rows, Observed{Member: m, Version: int64(at) + 1})
+		}
+		s.Observe(rows, at)
+	}
+}
+
+// owners plays all members' claims of the shards and returns who owns which.
+func owners(members []Member, shards []string, owned map[string]OwnerRow) map[string]Member {
+	claimed := make(map[string]Member)
+	for _, m := range members {
+		s := NewState(m, testLease, testRenew)
+		for shard, row := range owned {
+			s.SetOwner(shard, row)
+		}
+		observe(s, members, 0, testRenew)
+		for _, c := range s.Claims(shards, testRenew) {
+			claimed[c.Shard] = m
+		}
+	}
+	return claimed
+}
+
+// TestShardsGoToStrongHostsFirst leaves no shard to a weak host while a strong one has few.
+func TestShardsGoToStrongHostsFirst(t *testing.T) {
+	zones := make(map[string]int)
+	found := owners(append(hostsOf(8, 0.192), hostsOf(2, 0.8)...), testShards, nil)
+	must.MapLen(t, len(testShards), found)
+	for shard, m := range found {
+		must.Eq(t, 0.8, m.Weight, must.Sprint(shard, m))
+		zones[m.Zone]++
+	}
+	must.Eq(t, map[string]int{"fukuoka": 2, "kagoshima": 2, "kumamoto": 2}, zones)
+}
+
+// TestRestartedHostKeepsItsShard gives a host that started again its shard back, but not if it is weak and a strong one free.
+func TestRestartedHostKeepsItsShard(t *testing.T) {
+	for _, x := range []struct {
+		weight float64
+		keeps  bool
+	}{{0.4, true}, {0.192, false}} {
+		members := append(hostsOf(1, x.weight), hostsOf(1, 0.5)...)
+		owned := map[string]OwnerRow{"toe": {Node: members[0].Node, Incarnation: "before", Epoch: 1, Version: 1}}
+		must.Eq(t, x.keeps, owners(members, []string{"toe"}, owned)["toe"].Node == members[0].Node, must.Sprint(x.weight))
+	}
+}
