Hand shards over only to clearly better entry hosts

Cause: an owner that was short of processor time handed over to any entry host, just as weak and soon as short. An owner on a weak host kept its shard though strong ones were free.

Change: a busy owner hands over if its cost (shards by weight) is at least twice what the shard would make of another host's; or, where the process got less than half of its processor share, if another host is better off at all. Otherwise it works on. An owner hands over at the same ratio without being busy once owners and the better host have been steady for 5 s, one shard at a time, the owner of the highest cost first. The ratio holds for the one who hands over before and can't hold for the receiver after, so nothing goes back.

Ruled out: the time between begin and end of an event alone; it can't tell a slowed host from one that has much to do.

Measured: TestBusyOwnerKeepsShardWhenNoStrongerHostIsFree (the part with the whole share) and TestWeakOwnersHandOverToFreeStrongHost failed before; TestHandOversEnd is new.

--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,8 +56,10 @@
 	hosts   map[string]*entryHost
 	starts  int
 	began   time.Time
-	due     []string   // entry hosts to be started again
-	mutex   sync.Mutex // guards due and what callers' goroutines were told
+	weights map[string]float64 // of entry hosts, 1 where missing
+	share   atomic.Int64       // percent of a core that each entry host's process gets
+	due     []string           // entry hosts to be started again
+	mutex   sync.Mutex         // guards due and what callers' goroutines were told
 }
 
 // newCluster returns a running site of the number of hosts and entry hosts.
@@ -108,8 +111,12 @@
 	client := basilsite.NewClientOn(l)
 	store := basilsite.NewStore(client, func() string { return basilfake.StoreAddress }, time.Second)
 	began := c.began
+	weight := c.weights[name]
+	if weight == 0 {
+		weight = 1
+	}
 	node := basilnode.New(basilnode.Options{
-		Self:  basilshard.Member{Node: name, Incarnation: fmt.Sprintf("%s.%d", name, c.starts), Zone: "north", Weight: 1},
+		Self:  basilshard.Member{Node: name, Incarnation: fmt.Sprintf("%s.%d", name, c.starts), Zone: "north", Weight: weight},
 		Clock: func() time.Duration { return time.Since(began) + time.Second },
 		Lease: 2200 * time.Millisecond, MaxHold: 6 * time.Second, HoldLimit: 3500 * time.Millisecond,
 		Status: 2 * time.Minute, Order: 3 * time.Second, Migrate: 1500 * time.Millisecond, Maintain: 2 * time.Second,
@@ -117,6 +124,7 @@
 		Advisor:  basilsite.NewAdvisor(client, func() string { return basilfake.AdviceAddress }),
 		Machines: basilsite.NewMachines(client, func() string { return basilfake.MachinesAddress }, time.Second),
 		Codec:    basilsite.Codec{}, Log: testLog(),
+		Processor: func() time.Duration { return time.Duration(c.share.Load() * int64(time.Since(began)) / 100) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &entryHost{name: name, node: node, link: l, cancel: cancel, done: make(chan struct{})}
--- a/internal/basilnode/failure_test.go
+++ b/internal/basilnode/failure_test.go
@@ -362,3 +362,46 @@
 		})
 	}
 }
+
+// TestBusyOwnerKeepsShardWhenNoStrongerHostIsFree works on while the others are no stronger, for a takeover would not help;
+// one that gets a fraction of its processor share hands over.
+func TestBusyOwnerKeepsShardWhenNoStrongerHostIsFree(t *testing.T) {
+	for share, keeps := range map[int64]bool{100: true, 10: false} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			run(t, 3, 4, constant(300*time.Millisecond), func(c *cluster) {
+				c.share.Store(share)
+				name := c.owner("stretch")
+				for range 5 {
+					c.hosts[name].node.Occupy("stretch", 1400*time.Millisecond)
+					time.Sleep(1450 * time.Millisecond)
+					if c.owner("stretch") != name {
+						break
+					}
+				}
+				must.Eq(c.t, keeps, c.owner("stretch") == name)
+				must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+				c.await(quotePrefix, jobID(1), "completed", 6*time.Second)
+			})
+		})
+	}
+}
+
+// TestWeakOwnersHandOverToFreeStrongHost moves shards to a strong entry host that comes later, while jobs come in.
+func TestWeakOwnersHandOverToFreeStrongHost(t *testing.T) {
+	run(t, 3, 4, constant(300*time.Millisecond), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", longPrefix, lastID, lasting))
+		c.weights = map[string]float64{"entry-4": 6}
+		c.start("entry-4")
+		for n := range 60 {
+			must.Eq(c.t, http.StatusOK, c.submit("entry-2", quotePrefix, jobID(n), twoSteps))
+			time.Sleep(500 * time.Millisecond)
+		}
+		for _, shard := range []string{"fleet", "stretch"} {
+			must.Eq(c.t, "entry-4", c.owner(shard), must.Sprint(shard))
+		}
+		for n := range 60 {
+			c.await(quotePrefix, jobID(n), "completed", 4*time.Second)
+		}
+		must.Eq(c.t, 3, c.site.Running(lastID))
+	})
+}
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -48,6 +48,7 @@
 	Machines  basilwork.Machines
 	Codec     Codec
 	Calls     func() map[string]basilwork.CallCount // by kind, for logs and metrics; may be nil
+	Processor func() time.Duration                  // that the process has used so far; nil asks the system
 	Log       *logrus.Logger
 }
 
@@ -73,13 +74,16 @@
 
 // New returns an entry host.
 func New(o Options) *Node {
+	if o.Processor == nil {
+		o.Processor = func() time.Duration { return readUsage().processor }
+	}
 	n := &Node{
 		options: o, log: o.Log, store: o.Store, ledger: basilledger.New(o.Store), commander: o.Commander, advisor: o.Advisor,
 		metrics: newMetrics(o.Calls), owners: make(map[string]*owner), former: make(map[string][]string),
 	}
 	n.keeper = basilshard.New(basilshard.Options{
 		Self: o.Self, Store: o.Store, Clock: o.Clock, Log: o.Log,
-		Lease: o.Lease, Margin: leaseMargin, Renew: renewEvery, Owned: n.owned, Lost: n.lost,
+		Lease: o.Lease, Margin: leaseMargin, Renew: renewEvery, Owned: n.owned, Lost: n.lost, Better: n.better,
 	})
 	return n
 }
@@ -302,21 +306,26 @@
 	return leases + max(0, n.options.HoldLimit-n.options.Lease) // the lease had passed when the shard was taken over
 }
 
-// handOver gives a shard to another entry host, for this one is short of processor time.
-func (n *Node) handOver(o *owner) {
-	o.log.Warn("short of processor time, shard handed over")
-	o.stop(n.ctx)
-	n.keeper.ReleaseSlow(n.ctx, o.service)
+// handOver gives a shard to another entry host.
+func (n *Node) handOver(shard string, slow bool) {
+	n.mutex.Lock()
+	o, f := n.owners[shard], n.fleet
+	n.mutex.Unlock()
+	switch {
+	case n.stopping.Load():
+		return // all are handed over
+	case o != nil:
+		o.stop(n.ctx)
+	case shard == fleetShard && f != nil:
+		f.cancel()
+	}
+	n.keeper.HandOver(n.ctx, shard, slow)
 }
 
-// others tells whether another entry host could take a shard.
-func (n *Node) others() bool {
-	for _, m := range n.keeper.Live() {
-		if m.Node != n.options.Self.Node && !m.Slow {
-			return true
-		}
-	}
-	return false
+// better hands over a shard that a clearly better member is to have.
+func (n *Node) better(shard string) {
+	n.log.WithField(basillog.FieldPool, shard).Info("stronger entry host is free, shard handed over")
+	go n.handOver(shard, false)
 }
 
 // stop ends the starting of work, waits for orders in flight and stores what is known.
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -69,6 +69,7 @@
 		pulse: newPulse(n.metrics), events: make(chan event, eventQueue), orders: make(chan struct{}, startsAtOnce),
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
+	o.work.processor = n.options.Processor
 	o.records.row = basilshard.NewRow(n.store, recordKey(service), row.Check(service))
 	o.plan.row = basilshard.NewRow(n.store, answerKey(service), row.Check(service))
 	o.pool = basilscheduler.New(basilscheduler.Options{
@@ -114,9 +115,8 @@
 		if stepping {
 			timer.Reset(o.pacedStep())
 		}
-		if o.work.end(time.Now()) && !o.stopping && !o.node.stopping.Load() && o.node.others() {
-			o.stopping = true
-			go o.node.handOver(o)
+		if o.work.end(time.Now()) && !o.stopping && !o.node.stopping.Load() {
+			o.overloaded()
 		}
 	}
 }
@@ -137,6 +137,18 @@
 	e.take(now)
 }
 
+// overloaded hands the shard over if another entry host would do better with it, and goes on otherwise: a takeover
+// costs seconds without starts.
+func (o *owner) overloaded() {
+	rate := o.work.rate(o.node.options.Self.Weight)
+	over := o.node.keeper.Better(rate)
+	o.log.WithFields(logrus.Fields{"share": o.work.share, "rate": rate, "handed_over": over}).Warn("short of processor time")
+	if over {
+		o.stopping = true
+		go o.node.handOver(o.service, rate < 1)
+	}
+}
+
 func (o *owner) drain() {
 	for {
 		select {
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -43,6 +43,9 @@
 	// Owned and Lost are called one at a time, in the order of the owner rows.
 	Owned func(shard string, row OwnerRow)
 	Lost  func(shard string)
+	// Better is called when a clearly better member is to have a shard of this entry host; it leads to HandOver.
+	// It may be nil.
+	Better func(shard string)
 }
 
 // Keeper renews this entry host's row, claims shards and tells which ones it owns.
@@ -152,6 +155,27 @@
 		return
 	}
 	k.claim(ctx)
+	k.offer()
+}
+
+// offer tells of a shard that a clearly better member is to have.
+func (k *Keeper) offer() {
+	if k.options.Better == nil || k.stop.Load() || !k.MayStart() {
+		return
+	}
+	k.mutex.Lock()
+	shard, ok := k.state.HandOver(k.shards, k.options.Clock())
+	k.mutex.Unlock()
+	if ok {
+		k.options.Better(shard)
+	}
+}
+
+// Better tells whether another member would do better with a shard of this entry host, which works at the rate of its weight.
+func (k *Keeper) Better(rate float64) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.state.Better(k.shards, rate)
 }
 
 func (k *Keeper) missed() {
@@ -161,7 +185,7 @@
 	k.state.Missed()
 }
 
-// Slow tells whether this entry host has lately handed over a shard for want of processor time.
+// Slow tells whether this entry host has lately handed over a shard because it was slower than its weight says.
 func (k *Keeper) Slow() bool { return int64(k.options.Clock()) < k.slowUntil.Load() }
 
 // Stopping makes this entry host claim nothing any more.
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -177,10 +177,13 @@
 	k.renew(ctx)
 }
 
-// ReleaseSlow hands over one shard, and has others claim shards before this entry host for a while.
-func (k *Keeper) ReleaseSlow(ctx context.Context, shard string) {
-	k.slowUntil.Store(int64(k.options.Clock() + slowTime))
-	k.renew(ctx)
+// HandOver hands over one shard; the caller has stopped its work. One that is slow has others claim shards before it
+// for a while.
+func (k *Keeper) HandOver(ctx context.Context, shard string, slow bool) {
+	if slow {
+		k.slowUntil.Store(int64(k.options.Clock() + slowTime))
+		k.renew(ctx)
+	}
 	k.mutex.Lock()
 	row, ok := k.owned[shard]
 	k.mutex.Unlock()
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -33,6 +34,7 @@
 type seen struct {
 	member  Member
 	version int64
+	since   time.Duration // when this incarnation was first read, or renewed again after it stood still
 	first   time.Duration // when this version was first read
 	last    time.Duration // when it was last read
 }
@@ -46,6 +48,8 @@
 	owners  map[string]OwnerRow
 	vacant  map[string]time.Duration // since when shards were seen without a live owner
 	gap     bool                     // a read failed since the last good one
+	newest  int64                    // version of an owner row
+	settled time.Duration            // since when each shard has had its live owner
 }
 
 // NewState returns what a starting entry host knows: nothing.
@@ -69,7 +73,11 @@
 		found[r.Member.Node] = true
 		m := s.members[r.Member.Node]
 		if m == nil || m.version != r.Version || s.gap {
-			m = &seen{member: r.Member, version: r.Version, first: asked}
+			since := asked
+			if m != nil && m.member.Incarnation == r.Member.Incarnation && s.live(m) {
+				since = m.since
+			}
+			m = &seen{member: r.Member, version: r.Version, since: since, first: asked}
 			s.members[r.Member.Node] = m
 		}
 		m.last = asked
@@ -196,6 +204,10 @@
 	return loads
 }
 
+// steadyTime is how long owners and a better member are steady before a shard is handed over: some renewals, and the
+// takeover of the shard before.
+const steadyTime = 5 * time.Second
+
 // clearly is how many times the cost of one member is that of another that is clearly better.
 const clearly = 2
 
@@ -221,6 +233,64 @@
 	return order
 }
 
+// HandOver returns a shard of this entry host that a clearly better one is to take over.
+//
+// Of all owners the one with the highest cost hands over first, one shard at a time, and only once owners and the
+// better member have been steady for a while.
+func (s *State) HandOver(shards []string, now time.Duration) (string, bool) {
+	newest := int64(0)
+	vacant := len(shards) == 0
+	for _, shard := range shards {
+		newest = max(newest, s.owners[shard].Version)
+		vacant = vacant || s.dead(s.owners[shard])
+	}
+	if vacant || newest != s.newest {
+		s.newest, s.settled = newest, now
+	}
+	if now-s.settled < steadyTime || s.busiest(shards) != s.self.Node || !s.better(shards, weight(s.self), clearly, now-steadyTime) {
+		return "", false
+	}
+	s.settled = now // the next one not before this one has had its time
+	n := slices.IndexFunc(shards, func(shard string) bool { return s.owners[shard].Node == s.self.Node })
+	return shards[n], true
+}
+
+// busiest returns the owner that has the most shards for its weight.
+func (s *State) busiest(shards []string) string {
+	node, most := "", 0.0
+	for n, load := range s.loads(shards) {
+		if c := float64(load) / weight(s.members[n].member); c > most || c == most && n < node {
+			node, most = n, c
+		}
+	}
+	return node
+}
+
+// Better tells whether another member would do better with a shard of this entry host, which works at the rate of its
+// weight: clearly, or at all where it works at less.
+func (s *State) Better(shards []string, rate float64) bool {
+	if rate < 1 {
+		return s.better(shards, rate*weight(s.self), 1, math.MaxInt64)
+	}
+	return s.better(shards, weight(s.self), clearly, math.MaxInt64)
+}
+
+// better tells whether the cost of a member that has renewed since before the time is lower by the factor.
+func (s *State) better(shards []string, own, factor float64, before time.Duration) bool {
+	loads := s.loads(shards)
+	cost := float64(loads[s.self.Node]) / own
+	for node, m := range s.members {
+		if node == s.self.Node || !s.live(m) || m.member.Slow || m.since > before {
+			continue
+		}
+		c := Candidate{Weight: weight(m.member), Load: loads[node]}
+		if cost >= factor*c.cost() {
+			return true
+		}
+	}
+	return false
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/internal/basilshard/state_test.go
+++ b/internal/basilshard/state_test.go
@@ -77,3 +77,42 @@
 		must.Eq(t, x.keeps, owners(members, []string{"toe"}, owned)["toe"].Node == members[0].Node, must.Sprint(x.weight))
 	}
 }
+
+// TestHandOversEnd hands shards over from weak hosts to strong ones one at a time, and then none any more.
+func TestHandOversEnd(t *testing.T) {
+	members := append(hostsOf(2, 0.192), hostsOf(1, 0.8)...)
+	owned := make(map[string]OwnerRow)
+	for n, shard := range testShards {
+		m := members[n]
+		owned[shard] = OwnerRow{Node: m.Node, Incarnation: m.Incarnation, Epoch: 1, Version: int64(n + 1)}
+	}
+	states := make(map[string]*State)
+	for _, m := range members {
+		states[m.Node] = NewState(m, testLease, testRenew)
+	}
+	version, last := int64(100), time.Duration(0)
+	for now := testRenew; now < 2*time.Minute; now += testRenew {
+		for _, m := range members {
+			s := states[m.Node]
+			observe(s, members, now, now)
+			for shard, row := range owned {
+				s.SetOwner(shard, row)
+			}
+			shard, ok := s.HandOver(testShards, now)
+			if !ok {
+				continue
+			}
+			must.Eq(t, 0.192, m.Weight)
+			must.GreaterEq(t, steadyTime, now-last)
+			last = now
+			to := candidates(shard, m.Node, members, s.loads(testShards))[0].Node
+			version++
+			owned[shard] = OwnerRow{Node: to, Incarnation: to + ".1", Epoch: 2, Version: version}
+		}
+	}
+	must.Eq(t, 106, version)
+	must.Less(t, time.Minute, last)
+	for shard, row := range owned {
+		must.StrContains(t, row.Node, "-0.8-", must.Sprint(shard))
+	}
+}
