Decide on hosts in proportion to them, once for all events that wait

What callers saw: on grown deployments pools that missed a hundred hosts got none for seconds, and a wave was not done in time.

Cause: a decision compared each host with each of the wave, each idle backend server and each other host of its pool, and sorted all hosts several times; and each event had a decision of its own, those that came before a list that waited behind them included.

Now hosts are counted once a decision, kept in order and found by backend server, and answers and waves are sets; all events that wait are taken in before a decision, and decisions are 50 ms apart at least.

--- /dev/null
+++ b/internal/basilcapacity/decide_test.go
@@ -0,0 +1,75 @@
+package basilcapacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// largeFleet returns a fleet of so many hosts in four pools and the standby pool, with a wave of half of them.
+func largeFleet(hosts int) (*Fleet, time.Time) {
+	now := time.Unix(1000, 0)
+	f := New(Options{Maintain: 2 * time.Second, Migrate: 1500 * time.Millisecond})
+	pools := []string{"a", "b", "c", "d", "spare"}
+	services := make([]basilwork.Service, 0, len(pools))
+	for _, pool := range pools {
+		services = append(services, basilwork.Service{Name: pool, Standby: pool == "spare"})
+	}
+	f.SetConfiguration(&basilwork.Configuration{Services: services})
+	var list []basilwork.Machine
+	var wave []string
+	idle := make(map[string][]string)
+	for n := range hosts {
+		m := basilwork.Machine{ID: fmt.Sprintf("m%05d", n), Pool: pools[n%len(pools)], Up: true, Room: basilwork.Room{CPU: 64000}}
+		if m.Pool != "spare" {
+			m.Backend = "i-" + m.ID
+			if n%3 == 0 {
+				idle[m.Pool] = append(idle[m.Pool], m.Backend)
+			}
+		}
+		if n%2 == 0 {
+			wave = append(wave, m.ID)
+		}
+		list = append(list, m)
+	}
+	f.SetMachines(list, now)
+	f.SetWaves([]basilwork.Wave{{ID: "1", Machines: wave, Within: 10 * time.Hour, MaxCount: hosts / 5}}, nil, now)
+	for _, pool := range pools[:4] {
+		f.SetPool(pool, Pool{Load: Load{Used: hosts / 5 * 32000, Idle: idle[pool]}}, now)
+	}
+	return f, now
+}
+
+// BenchmarkDecide decides on hosts while a wave of half of them runs.
+func BenchmarkDecide(b *testing.B) {
+	for _, hosts := range []int{50, 350, 13000} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			f, now := largeFleet(hosts)
+			for b.Loop() {
+				f.Decide(now)
+				now = now.Add(50 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// TestDecideCostGrowsWithHosts bounds a decision during a wave: in proportion to the hosts, not to their square.
+func TestDecideCostGrowsWithHosts(t *testing.T) {
+	cost := func(hosts int) time.Duration {
+		f, now := largeFleet(hosts)
+		least := time.Hour
+		for range 20 {
+			began := time.Now()
+			f.Decide(now)
+			least = min(least, time.Since(began))
+			now = now.Add(50 * time.Millisecond)
+		}
+		return least
+	}
+	small, large := cost(300), cost(2400)
+	must.Less(t, 8*3, int(large/small), must.Sprintf("%v for 300 hosts, %v for 2400", small, large))
+}
--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -1,6 +1,7 @@
 package basilcapacity
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -15,6 +16,7 @@
 // machine is what the fleet knows of one host.
 type machine struct {
 	basilwork.Machine
+	place      int  // among the hosts by id
 	asked      bool // its pool was asked to empty it
 	inherited  bool // by a predecessor
 	serial     int64
@@ -28,6 +30,7 @@
 	before     string    // its backend server before the order
 	after      time.Time // no order before
 	slow       time.Time // taken to be slow until then
+	due        bool      // waits for its upkeep, as last counted
 }
 
 // Order is an order for a host: upkeep for a wave, or a move to a pool.
@@ -92,25 +95,46 @@
 type Fleet struct {
 	options  Options
 	machines map[string]*machine
+	sorted   []*machine          // by id
+	backends map[string]*machine // by backend server
 	listed   bool
 	waves    map[string]*wave
 	records  map[string]WaveRecord
-	pools    map[string]Pool
-	answered map[string]time.Time // when pools answered last
+	answers  map[string]answer
 	asks     map[string]Ask
+	tallies  map[string]*tally // as last counted
 	off      func(pool string) bool
 	standby  string
 	changed  map[string]bool // pools whose ask has changed
 	mover    mover
 }
 
+// answer is what a pool answered last.
+type answer struct {
+	Pool
+	at    time.Time
+	empty map[string]bool // backend servers, as Pool.Empty
+	idle  map[string]bool // as Load.Idle
+	slow  map[string]bool // as Load.Slow
+}
+
+// tally counts the hosts of a pool.
+type tally struct {
+	listed   int
+	serving  int // that serve the pool, or will soon
+	asked    int // that are being emptied
+	emptying int // that are being emptied or maintained
+	room     int // thousandths of a core
+	roomy    int // hosts whose room is known
+}
+
 // New returns a fleet that knows nothing.
 func New(o Options) *Fleet {
 	return &Fleet{
-		options: o, machines: make(map[string]*machine), waves: make(map[string]*wave),
+		options: o, machines: make(map[string]*machine), backends: make(map[string]*machine), waves: make(map[string]*wave),
 		mover:   mover{demands: make(map[string]*demand)},
-		records: make(map[string]WaveRecord), pools: make(map[string]Pool), answered: make(map[string]time.Time), asks: make(map[string]Ask),
-		changed: make(map[string]bool), off: func(string) bool { return false },
+		records: make(map[string]WaveRecord), answers: make(map[string]answer), asks: make(map[string]Ask),
+		tallies: make(map[string]*tally), changed: make(map[string]bool), off: func(string) bool { return false },
 	}
 }
 
@@ -141,15 +165,23 @@
 
 // SetPool takes in a pool's answer.
 func (f *Fleet) SetPool(pool string, p Pool, now time.Time) {
-	f.pools[pool], f.answered[pool] = p, now
+	f.answers[pool] = answer{Pool: p, at: now, empty: setOf(p.Empty), idle: setOf(p.Load.Idle), slow: setOf(p.Load.Slow)}
 	f.mover.note(pool, p.Load, now)
-	for _, m := range f.machines {
-		if m.Pool == pool && slices.Contains(p.Load.Slow, m.Backend) {
+	for _, id := range p.Load.Slow {
+		if m := f.backends[id]; m != nil && m.Pool == pool {
 			m.slow = now.Add(slowTime)
 		}
 	}
 }
 
+func setOf(ids []string) map[string]bool {
+	set := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		set[id] = true
+	}
+	return set
+}
+
 // SetWaves takes in the operators' waves and what is written of them.
 func (f *Fleet) SetWaves(waves []basilwork.Wave, states map[string]basilwork.WaveState, now time.Time) {
 	for _, w := range waves {
@@ -164,7 +196,7 @@
 			}
 			f.waves[w.ID] = known
 		}
-		known.Wave = w
+		known.Wave, known.members = w, setOf(w.Machines)
 		if s, ok := states[w.ID]; ok {
 			known.state = s
 			known.written = true
@@ -191,17 +223,35 @@
 		}
 		f.update(m, entry, now)
 	}
-	for id := range f.machines {
+	for id, m := range f.machines {
 		if !seen[id] {
 			delete(f.machines, id)
+			delete(f.backends, m.Backend)
 		}
 	}
+	if len(f.sorted) != len(f.machines) || slices.ContainsFunc(f.sorted, func(m *machine) bool { return f.machines[m.ID] != m }) {
+		f.sort()
+	}
 	f.prune()
 }
 
+// sort puts the hosts in order.
+func (f *Fleet) sort() {
+	f.sorted = slices.SortedFunc(maps.Values(f.machines), func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
+	for n, m := range f.sorted {
+		m.place = n
+	}
+}
+
 func (f *Fleet) update(m *machine, entry basilwork.Machine, now time.Time) {
 	replaced := m.Backend != entry.Backend
+	if replaced && f.backends[m.Backend] == m {
+		delete(f.backends, m.Backend)
+	}
 	m.Machine = entry
+	if m.Backend != "" {
+		f.backends[m.Backend] = m
+	}
 	if (m.maintained || m.moving) && entry.Up && (entry.Backend != m.before || now.Sub(m.ordered) > f.options.Maintain+f.options.Migrate) {
 		m.maintained, m.moving = false, false
 	}
@@ -215,15 +265,9 @@
 
 // prune takes back asks for backend servers that are gone.
 func (f *Fleet) prune() {
-	current := make(map[string]*machine, len(f.machines))
-	for _, m := range f.machines {
-		if m.Backend != "" {
-			current[m.Backend] = m
-		}
-	}
 	for pool, a := range f.asks {
 		for backend := range a.Backends {
-			m := current[backend]
+			m := f.backends[backend]
 			if m == nil || m.Pool != pool {
 				f.unask(pool, backend)
 				continue
@@ -238,7 +282,7 @@
 // reasonFor returns why a predecessor had a host emptied: a wave that it is part of, or else a move.
 func (f *Fleet) reasonFor(m *machine) string {
 	for id, w := range f.waves {
-		if !w.complete && !w.done[m.ID] && slices.Contains(w.Machines, m.ID) {
+		if w.waits(m) {
 			return id
 		}
 	}
@@ -249,7 +293,6 @@
 func (f *Fleet) ask(m *machine, reason string, now time.Time) {
 	a := f.asks[m.Pool]
 	a.Serial++
-	a.Backends = maps.Clone(a.Backends)
 	if a.Backends == nil {
 		a.Backends = make(map[string]int64)
 	}
@@ -257,12 +300,14 @@
 	f.asks[m.Pool] = a
 	f.changed[m.Pool] = true
 	m.asked, m.inherited, m.serial, m.reason, m.askedAt = true, false, a.Serial, reason, now
+	t := f.tallyOf(m.Pool)
+	t.asked++
+	t.emptying++
 }
 
 func (f *Fleet) unask(pool, backend string) {
 	a := f.asks[pool]
 	a.Serial++
-	a.Backends = maps.Clone(a.Backends)
 	delete(a.Backends, backend)
 	f.asks[pool] = a
 	f.changed[pool] = true
@@ -273,8 +318,8 @@
 	if f.off(m.Pool) || m.Backend == "" {
 		return true
 	}
-	p := f.pools[m.Pool]
-	return m.asked && p.Serial >= m.serial && slices.Contains(p.Empty, m.Backend)
+	a := f.answers[m.Pool]
+	return m.asked && a.Serial >= m.serial && a.empty[m.Backend]
 }
 
 // Busy tells whether hosts are to be looked at often.
@@ -336,7 +381,7 @@
 // due tells whether the host waits for its upkeep.
 func (f *Fleet) due(m *machine) bool {
 	for _, w := range f.waves {
-		if !w.complete && !w.done[m.ID] && slices.Contains(w.Machines, m.ID) {
+		if w.waits(m) {
 			return true
 		}
 	}
@@ -346,12 +391,12 @@
 // noteDue tells the pools which of their hosts wait for upkeep.
 func (f *Fleet) noteDue() {
 	due := make(map[string][]string)
-	for _, m := range f.sorted() {
-		if m.Backend != "" && f.due(m) && !f.off(m.Pool) {
+	for _, m := range f.sorted {
+		if m.Backend != "" && m.due && !f.off(m.Pool) {
 			due[m.Pool] = append(due[m.Pool], m.Backend)
 		}
 	}
-	for pool := range f.pools {
+	for pool := range f.answers {
 		if a := f.asks[pool]; !slices.Equal(a.Due, due[pool]) {
 			a.Due = due[pool]
 			f.asks[pool] = a
@@ -366,6 +411,7 @@
 	if !f.listed {
 		return plan
 	}
+	f.count()
 	ids := slices.Sorted(maps.Keys(f.waves))
 	for _, id := range ids {
 		if w := f.waves[id]; !w.complete {
@@ -375,8 +421,42 @@
 	f.move(now, &plan)
 	f.noteDue()
 	for pool := range f.changed {
-		plan.Asks[pool] = f.asks[pool]
+		a := f.asks[pool]
+		a.Backends, a.Gone = maps.Clone(a.Backends), maps.Clone(a.Gone)
+		plan.Asks[pool] = a
 	}
 	f.changed = make(map[string]bool)
 	return plan
 }
+
+// count counts the hosts of each pool.
+func (f *Fleet) count() {
+	f.tallies = make(map[string]*tally, len(f.answers))
+	for _, m := range f.sorted {
+		m.due = f.due(m)
+		t := f.tallyOf(m.Pool)
+		t.listed++
+		if m.Room.CPU > 0 {
+			t.room += m.Room.CPU
+			t.roomy++
+		}
+		if m.asked {
+			t.asked++
+		}
+		if m.asked || m.maintained {
+			t.emptying++
+		}
+		if pool, ok := m.serves(); ok {
+			f.tallyOf(pool).serving++
+		}
+	}
+}
+
+func (f *Fleet) tallyOf(pool string) *tally {
+	t := f.tallies[pool]
+	if t == nil {
+		t = &tally{}
+		f.tallies[pool] = t
+	}
+	return t
+}
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -78,7 +78,7 @@
 	if d == nil {
 		return 0
 	}
-	l := f.pools[pool].Load
+	l := f.answers[pool].Load
 	hosts := int(math.Ceil(max(d.level+d.ahead(now), d.steady(l, now)) * headroom / float64(f.hostSize(pool))))
 	hosts = max(hosts, l.Least, leastHosts)
 	d.recent = slices.DeleteFunc(d.recent, func(s sample) bool { return now.Sub(s.at) > keepTime })
@@ -110,22 +110,16 @@
 }
 
 func (f *Fleet) hostSize(pool string) int {
-	var total, count int
-	for _, m := range f.machines {
-		if m.Pool == pool && m.Room.CPU > 0 {
-			total += m.Room.CPU
-			count++
-		}
-	}
-	if count == 0 {
+	t := f.tallyOf(pool)
+	if t.roomy == 0 {
 		return defaultHostMC
 	}
-	return total / count
+	return t.room / t.roomy
 }
 
 // idle tells whether the host's pool says that nothing runs there.
 func (f *Fleet) idle(m *machine) bool {
-	return m.Backend != "" && slices.Contains(f.pools[m.Pool].Load.Idle, m.Backend)
+	return m.Backend != "" && f.answers[m.Pool].idle[m.Backend]
 }
 
 // Standing is how many hosts a pool has and should have.
@@ -153,9 +147,9 @@
 	var list []Standing
 	for _, b := range f.balances(now) {
 		s := Standing{Pool: b.pool, Size: b.size, Need: f.need(b.pool, now), Keep: f.keep(b.pool), Missing: b.missing}
-		s.Idle, s.Asked = len(f.pools[b.pool].Load.Idle), f.evacuating(b.pool)
+		s.Idle, s.Asked = len(f.answers[b.pool].Load.Idle), f.tallyOf(b.pool).emptying
 		d := f.mover.demands[b.pool]
-		s.Demand, s.Ahead, s.Steady = int(d.level), int(d.ahead(now)), int(d.steady(f.pools[b.pool].Load, now))
+		s.Demand, s.Ahead, s.Steady = int(d.level), int(d.ahead(now)), int(d.steady(f.answers[b.pool].Load, now))
 		f.tellAsks(&s, now)
 		list = append(list, s)
 	}
@@ -164,9 +158,9 @@
 
 // tellAsks notes how the pool follows what it is asked.
 func (f *Fleet) tellAsks(s *Standing, now time.Time) {
-	s.AnswerAge = now.Sub(f.answered[s.Pool]).Milliseconds()
-	s.Serial, s.Known = f.asks[s.Pool].Serial, f.pools[s.Pool].Serial
-	for _, m := range f.machines {
+	s.AnswerAge = now.Sub(f.answers[s.Pool].at).Milliseconds()
+	s.Serial, s.Known = f.asks[s.Pool].Serial, f.answers[s.Pool].Serial
+	for _, m := range f.sorted {
 		if m.Pool != s.Pool || !m.asked {
 			continue
 		}
@@ -188,19 +182,15 @@
 }
 
 func (f *Fleet) balances(now time.Time) []*balance {
+	f.count()
 	var list []*balance
 	for _, pool := range slices.Sorted(maps.Keys(f.mover.demands)) {
 		if f.off(pool) {
 			continue
 		}
-		b := &balance{pool: pool}
-		for _, m := range f.machines {
-			if f.serves(m, pool) {
-				b.size++
-			}
-		}
+		b := &balance{pool: pool, size: f.tallyOf(pool).serving}
 		need := f.need(pool, now)
-		l := f.pools[pool].Load
+		l := f.answers[pool].Load
 		unfit := len(l.Slow) + l.Leaving
 		b.missing = max(0, need+unfit-b.size)
 		b.spare = max(0, b.size-f.keep(pool)-unfit)
@@ -209,12 +199,12 @@
 	return list
 }
 
-// serves tells whether the host is the pool's, or will be soon.
-func (f *Fleet) serves(m *machine, pool string) bool {
+// serves returns the pool that the host serves, or will soon.
+func (m *machine) serves() (pool string, ok bool) {
 	if m.moving || m.ordering && m.target != "" {
-		return m.target == pool
+		return m.target, true
 	}
-	return m.Pool == pool && !m.asked && m.Up && !m.maintained && !m.ordering
+	return m.Pool, !m.asked && m.Up && !m.maintained && !m.ordering
 }
 
 // pressed tells whether hosts are wanted more than their upkeep.
@@ -247,7 +237,7 @@
 
 // sendEmptied moves hosts that were emptied for a move to the pool that misses most, or to the standby pool.
 func (f *Fleet) sendEmptied(balances []*balance, now time.Time, plan *Plan) {
-	for _, m := range f.sorted() {
+	for _, m := range f.sorted {
 		if !m.asked || m.reason != moveReason || !f.empty(m) || !m.Up || m.ordering || now.Before(m.after) {
 			continue
 		}
@@ -262,12 +252,19 @@
 
 // sendStandby moves hosts that are off to pools that miss some.
 func (f *Fleet) sendStandby(balances []*balance, now time.Time, plan *Plan) {
-	list := f.byDue(false)
-	slices.SortStableFunc(list, func(a, b *machine) int { return compareBool(now.Before(a.slow), now.Before(b.slow)) })
-	for _, m := range list {
-		if m.Pool != f.standby || !m.Up || m.moving || m.maintained || m.ordering || now.Before(m.after) {
-			continue
+	if wanting(balances) == nil {
+		return
+	}
+	var list []*machine
+	for _, m := range f.sorted {
+		if m.Pool == f.standby && m.Up && !m.moving && !m.maintained && !m.ordering && !now.Before(m.after) {
+			list = append(list, m)
 		}
+	}
+	slices.SortStableFunc(list, func(a, b *machine) int {
+		return cmp.Or(compareBool(now.Before(a.slow), now.Before(b.slow)), compareBool(a.due, b.due))
+	})
+	for _, m := range list {
 		b := wanting(balances)
 		if b == nil {
 			return
@@ -287,18 +284,14 @@
 // pool has had too many for a while, those whose long-running tasks fit elsewhere.
 func (f *Fleet) askSpare(balances []*balance, now time.Time) {
 	inFlight := 0
-	for _, m := range f.machines {
+	for _, m := range f.sorted {
 		if m.moving || m.asked && m.reason == moveReason {
 			inFlight++
 		}
 	}
-	byBackend := make(map[string]*machine, len(f.machines))
-	for _, m := range f.machines {
-		byBackend[m.Backend] = m
-	}
 	for _, b := range balances {
 		for _, id := range f.spareOf(b, now) {
-			m := byBackend[id]
+			m := f.backends[id]
 			if b.spare <= 0 || inFlight >= movesAtOnce {
 				break
 			}
@@ -314,7 +307,7 @@
 
 // spareOf returns the backend servers that a pool gives up first to last, of hosts without work those first that wait for upkeep.
 func (f *Fleet) spareOf(b *balance, now time.Time) []string {
-	d, l := f.mover.demands[b.pool], f.pools[b.pool].Load
+	d, answer := f.mover.demands[b.pool], f.answers[b.pool]
 	if b.spare <= 0 {
 		d.spareSince = time.Time{}
 		return nil
@@ -322,60 +315,34 @@
 	if d.spareSince.IsZero() {
 		d.spareSince = now
 	}
-	idle := slices.Clone(l.Idle)
-	due := f.asks[b.pool].Due
+	l, idle := answer.Load, slices.Clone(answer.Load.Idle)
+	due := func(id string) bool { return f.backends[id] != nil && f.backends[id].due }
 	slices.SortStableFunc(idle, func(x, y string) int {
-		return cmp.Or(compareBool(slices.Contains(l.Slow, y), slices.Contains(l.Slow, x)),
-			compareBool(slices.Contains(due, y), slices.Contains(due, x)))
+		return cmp.Or(compareBool(answer.slow[y], answer.slow[x]), compareBool(due(y), due(x)))
 	})
 	if f.options.IdleOnly {
 		return idle
 	}
 	list := append(idle, l.Brief...)
-	if len(list) == 0 && len(l.Movable) > 0 && now.Sub(d.spareSince) > consolidateAfter && f.asked(b.pool) == 0 {
+	if len(list) == 0 && len(l.Movable) > 0 && now.Sub(d.spareSince) > consolidateAfter && f.tallyOf(b.pool).asked == 0 {
 		return l.Movable[:1]
 	}
 	return list
 }
 
-// asked returns how many hosts of the pool are being emptied.
-func (f *Fleet) asked(pool string) int {
-	var count int
-	for _, m := range f.machines {
-		if m.Pool == pool && m.asked {
-			count++
-		}
-	}
-	return count
-}
-
 // keepAsked takes back asks for hosts that their pool needs again; that costs nothing.
 func (f *Fleet) keepAsked(balances []*balance) {
-	for _, m := range f.sorted() {
-		n := slices.IndexFunc(balances, func(b *balance) bool { return b.pool == m.Pool })
-		if n < 0 || balances[n].missing <= 0 || !m.asked || m.reason != moveReason || m.ordering {
+	byPool := make(map[string]*balance, len(balances))
+	for _, b := range balances {
+		byPool[b.pool] = b
+	}
+	for _, m := range f.sorted {
+		b := byPool[m.Pool]
+		if b == nil || b.missing <= 0 || !m.asked || m.reason != moveReason || m.ordering {
 			continue
 		}
-		balances[n].missing--
+		b.missing--
 		f.unask(m.Pool, m.Backend)
 		m.asked, m.reason, m.target = false, "", ""
 	}
 }
-
-// byDue returns the hosts with those that wait for upkeep first, or last.
-func (f *Fleet) byDue(dueFirst bool) []*machine {
-	list := f.sorted()
-	slices.SortStableFunc(list, func(a, b *machine) int {
-		if dueFirst {
-			return compareBool(f.due(b), f.due(a))
-		}
-		return compareBool(f.due(a), f.due(b))
-	})
-	return list
-}
-
-func (f *Fleet) sorted() []*machine {
-	list := slices.Collect(maps.Values(f.machines))
-	slices.SortFunc(list, func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
-	return list
-}
--- a/internal/basilcapacity/wave.go
+++ b/internal/basilcapacity/wave.go
@@ -19,6 +19,7 @@
 // wave is the state of one maintenance wave.
 type wave struct {
 	basilwork.Wave
+	members  map[string]bool // as Wave.Machines
 	started  time.Time
 	done     map[string]bool // hosts whose upkeep has begun
 	state    basilwork.WaveState
@@ -42,6 +43,9 @@
 	return WaveRecord{Started: w.started.UnixMilli(), Done: done}
 }
 
+// waits tells whether the host waits for the wave's upkeep.
+func (w *wave) waits(m *machine) bool { return !w.complete && w.members[m.ID] && !w.done[m.ID] }
+
 // left returns the wave's hosts that are listed and whose upkeep has not begun.
 func (f *Fleet) left(w *wave) []*machine {
 	var left []*machine
@@ -102,14 +106,23 @@
 
 // sortForWave puts hosts first that are off or empty, then those being emptied, then those of the fullest pools.
 func (f *Fleet) sortForWave(left []*machine) {
-	sizes := make(map[string]int)
-	for _, m := range f.machines {
-		sizes[m.Pool]++
+	type ranked struct {
+		*machine
+		empty, idle bool
+		emptying    float64 // share of its pool
+	}
+	list := make([]ranked, len(left))
+	for n, m := range left {
+		t := f.tallyOf(m.Pool)
+		list[n] = ranked{m, f.empty(m), f.idle(m), float64(t.emptying) / float64(max(1, t.listed))}
 	}
-	slices.SortStableFunc(left, func(a, b *machine) int {
-		return cmp.Or(compareBool(f.empty(b), f.empty(a)), compareBool(b.asked, a.asked), compareBool(f.idle(b), f.idle(a)),
-			cmp.Compare(f.evacuating(a.Pool)*sizes[b.Pool], f.evacuating(b.Pool)*sizes[a.Pool]), cmp.Compare(a.ID, b.ID))
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(compareBool(b.empty, a.empty), compareBool(b.asked, a.asked), compareBool(b.idle, a.idle),
+			cmp.Compare(a.emptying, b.emptying), cmp.Compare(a.place, b.place))
 	})
+	for n := range list {
+		left[n] = list[n].machine
+	}
 }
 
 func compareBool(a, b bool) int {
@@ -122,17 +135,6 @@
 	return -1
 }
 
-// evacuating returns how many hosts of the pool are being emptied or maintained.
-func (f *Fleet) evacuating(pool string) int {
-	var count int
-	for _, m := range f.machines {
-		if m.Pool == pool && (m.asked || m.maintained) {
-			count++
-		}
-	}
-	return count
-}
-
 // chooseForWave asks for hosts to be emptied: in each pool one with work at least, for those take longest,
 // and as many as the time that is left needs.
 func (f *Fleet) chooseForWave(w *wave, left []*machine, away int, now time.Time) {
@@ -142,11 +144,11 @@
 			parallel--
 		}
 	}
-	sizes := f.poolSizes()
 	occupied, idle := f.split(left)
 	for _, m := range append(occupied, idle...) {
-		busy := f.evacuating(m.Pool)
-		if busy >= max(1, sizes[m.Pool]/poolShare) || parallel <= 0 && (busy > 0 || f.idle(m)) {
+		t := f.tallyOf(m.Pool)
+		busy := t.emptying
+		if busy >= max(1, t.listed/poolShare) || parallel <= 0 && (busy > 0 || f.idle(m)) {
 			continue
 		}
 		f.ask(m, w.ID, now)
@@ -176,11 +178,3 @@
 	}
 	return min(w.MaxCount, int(math.Ceil(float64(len(left))*float64(cycleTime)/float64(timeLeft))))
 }
-
-func (f *Fleet) poolSizes() map[string]int {
-	sizes := make(map[string]int)
-	for _, m := range f.machines {
-		sizes[m.Pool]++
-	}
-	return sizes
-}
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -22,6 +22,7 @@
 	answerSort    = "answer"
 	recordSort    = "waves"
 	fleetTick     = 250 * time.Millisecond // between decisions; hosts take seconds
+	fleetPause    = 50 * time.Millisecond  // at least, between decisions, so that events are taken in together
 	machinesBusy  = 700 * time.Millisecond // between reads of the hosts while some are away; each read is priced
 	machinesQuiet = 4 * time.Second
 	listLate      = 5 * time.Second        // beyond the time between reads, from which on a list of hosts is said to be old
@@ -92,17 +93,35 @@
 	}
 	go f.watch(version)
 	f.poke()
-	ticker := time.NewTicker(fleetTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var last time.Time // decision
 	for {
 		select {
 		case <-f.ctx.Done():
 			return
 		case e := <-f.events:
 			f.takeIn(e)
-		case <-ticker.C:
+			f.drain()
+			timer.Reset(last.Add(fleetPause).Sub(time.Now()))
+		case <-timer.C:
+			f.drain()
+			last = time.Now()
+			f.step(last)
+			timer.Reset(fleetTick)
+		}
+	}
+}
+
+// drain takes in all events that wait: a decision on a part of them would be on what is known to be out of date.
+func (f *fleet) drain() {
+	for {
+		select {
+		case e := <-f.events:
+			f.takeIn(e)
+		default:
+			return
 		}
-		f.step(time.Now())
 	}
 }
 
