Leave a host alone from its order until a list that was asked for since

Cause: m-e001d was ordered from the standby pool to a service at 26.246 s. A list of hosts from before then was taken in more than 3.5 s later, which ended the wait for its arrival; by that list it still stood empty in the standby pool, and at 47.974 s it was ordered away for its upkeep with tasks on it. The refused ones were on their way as well: a wave did not look whether a host moves.

Now a list is judged by when it was asked for, not by when it is taken in. What it says of a host that was ordered since is left out, and moves and waves take only hosts that stand still and were listed since their last order, refused ones included.

--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -21,12 +21,13 @@
 	inherited  bool // by a predecessor
 	serial     int64
 	askedAt    time.Time
-	reason     string // a wave, or moveReason
-	target     string // of a move
-	ordering   bool   // an order is on its way
-	maintained bool   // away for its upkeep, or may be
-	moving     bool   // on its way to another pool
-	ordered    time.Time
+	reason     string    // a wave, or moveReason
+	target     string    // of a move
+	ordering   bool      // an order is on its way
+	maintained bool      // away for its upkeep, or may be
+	moving     bool      // on its way to another pool
+	ordered    time.Time // when the newest order was answered
+	heard      time.Time // when the list that tells where it stands was asked for
 	before     string    // its backend server before the order
 	after      time.Time // no order before
 	slow       time.Time // taken to be slow until then
@@ -210,8 +211,8 @@
 	}
 }
 
-// SetMachines takes in the list of hosts.
-func (f *Fleet) SetMachines(list []basilwork.Machine, now time.Time) {
+// SetMachines takes in the list of hosts as it was asked for at a time.
+func (f *Fleet) SetMachines(list []basilwork.Machine, asked time.Time) {
 	f.listed = true
 	seen := make(map[string]bool, len(list))
 	for _, entry := range list {
@@ -221,7 +222,9 @@
 			m = &machine{}
 			f.machines[entry.ID] = m
 		}
-		f.update(m, entry, now)
+		if !asked.Before(m.ordered) { // or else the host may have gone elsewhere since
+			f.update(m, entry, asked)
+		}
 	}
 	for id, m := range f.machines {
 		if !seen[id] {
@@ -243,7 +246,8 @@
 	}
 }
 
-func (f *Fleet) update(m *machine, entry basilwork.Machine, now time.Time) {
+func (f *Fleet) update(m *machine, entry basilwork.Machine, asked time.Time) {
+	m.heard = asked
 	replaced := m.Backend != entry.Backend
 	if replaced && f.backends[m.Backend] == m {
 		delete(f.backends, m.Backend)
@@ -252,11 +256,11 @@
 	if m.Backend != "" {
 		f.backends[m.Backend] = m
 	}
-	if (m.maintained || m.moving) && entry.Up && (entry.Backend != m.before || now.Sub(m.ordered) > f.options.Maintain+f.options.Migrate) {
+	if (m.maintained || m.moving) && entry.Up && (entry.Backend != m.before || asked.Sub(m.ordered) > f.options.Maintain+f.options.Migrate) {
 		m.maintained, m.moving = false, false
 	}
 	if !m.maintained && entry.State == "upkeep" {
-		m.maintained, m.before, m.ordered = true, entry.Backend, now
+		m.maintained, m.before, m.ordered = true, entry.Backend, asked
 	}
 	if replaced && m.asked {
 		m.asked, m.reason, m.target = false, "", ""
@@ -322,6 +326,11 @@
 	return m.asked && a.Serial >= m.serial && a.empty[m.Backend]
 }
 
+// free tells whether the host may be ordered elsewhere: it is up, on its way nowhere, and was listed since its last order.
+func (m *machine) free(now time.Time) bool {
+	return m.Up && !m.ordering && !m.moving && !m.maintained && !m.heard.Before(m.ordered) && !now.Before(m.after)
+}
+
 // Busy tells whether hosts are to be looked at often.
 func (f *Fleet) Busy() bool {
 	for _, w := range f.waves {
@@ -330,7 +339,7 @@
 		}
 	}
 	for _, m := range f.machines {
-		if m.maintained || m.moving || m.asked {
+		if m.maintained || m.moving || m.asked || m.heard.Before(m.ordered) {
 			return true
 		}
 	}
@@ -343,12 +352,12 @@
 	if m == nil {
 		return
 	}
-	m.ordering = false
+	m.ordering, m.ordered = false, now
 	if err != nil {
 		m.after, m.target = now.Add(orderRetry), ""
 		return
 	}
-	m.before, m.ordered = o.Backend, now
+	m.before = o.Backend
 	if o.Wave != "" {
 		m.maintained = true
 		if w := f.waves[o.Wave]; w != nil {
--- a/internal/basilcapacity/fleet_test.go
+++ b/internal/basilcapacity/fleet_test.go
@@ -190,3 +190,38 @@
 	w.SetPool("a", Pool{Serial: p.Asks["a"].Serial, Empty: []string{"i-m00"}, Load: Load{Used: 200000}}, w.now)
 	must.Len(t, 1, w.decide(0).Orders)
 }
+
+// TestHostOnItsWayIsNotOrderedAgain leaves a host that was ordered to a pool alone until a list that was asked for
+// afterwards tells where it is: by an older one it still stands empty, while it may have work by now.
+func TestHostOnItsWayIsNotOrderedAgain(t *testing.T) {
+	w := newWorld(t)
+	w.hosts("a", 3)
+	w.hosts("spare", 4)
+	w.tell("a", Load{Used: 180000, Wanted: 400000})
+	before, asked := w.list, w.now
+	moves := w.decide(100 * time.Millisecond).Orders
+	must.Len(t, 4, moves)
+	w.SetWaves([]basilwork.Wave{{ID: "1", Machines: []string{"m03", "m04", "m05", "m06"}, Within: 30 * time.Second, MaxCount: 4}}, nil, w.now)
+	for _, o := range moves {
+		w.Ordered(o, nil, w.now)
+	}
+	must.SliceEmpty(t, w.decide(20*time.Second).Orders, must.Sprint("they are on their way"))
+	w.SetMachines(before, asked)
+	must.SliceEmpty(t, w.decide(0).Orders, must.Sprint("the list is older than the orders"))
+}
+
+// TestRefusedHostIsListedBeforeTheNextOrder learns from a list where a host is that could not be ordered.
+func TestRefusedHostIsListedBeforeTheNextOrder(t *testing.T) {
+	w := newWorld(t)
+	w.hosts("a", 3)
+	w.hosts("spare", 1)
+	w.tell("a", Load{Used: 180000, Wanted: 20000})
+	moves := w.decide(100 * time.Millisecond).Orders
+	must.Len(t, 1, moves)
+	w.Ordered(moves[0], basilwork.ErrMachineRefused{Reason: "busy"}, w.now)
+	w.now = w.now.Add(5 * time.Second)
+	w.tell("a", Load{Used: 180000, Wanted: 20000})
+	must.SliceEmpty(t, w.decide(0).Orders)
+	w.SetMachines(w.list, w.now)
+	must.Len(t, 1, w.decide(0).Orders)
+}
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -238,7 +238,7 @@
 // sendEmptied moves hosts that were emptied for a move to the pool that misses most, or to the standby pool.
 func (f *Fleet) sendEmptied(balances []*balance, now time.Time, plan *Plan) {
 	for _, m := range f.sorted {
-		if !m.asked || m.reason != moveReason || !f.empty(m) || !m.Up || m.ordering || now.Before(m.after) {
+		if !m.asked || m.reason != moveReason || !f.empty(m) || !m.free(now) {
 			continue
 		}
 		target := f.standby
@@ -257,7 +257,7 @@
 	}
 	var list []*machine
 	for _, m := range f.sorted {
-		if m.Pool == f.standby && m.Up && !m.moving && !m.maintained && !m.ordering && !now.Before(m.after) {
+		if m.Pool == f.standby && m.free(now) {
 			list = append(list, m)
 		}
 	}
@@ -295,7 +295,7 @@
 			if b.spare <= 0 || inFlight >= movesAtOnce {
 				break
 			}
-			if m == nil || m.Pool != b.pool || m.asked || !m.Up || m.maintained || m.moving || m.ordering {
+			if m == nil || m.Pool != b.pool || m.asked || !m.free(now) {
 				continue
 			}
 			b.spare--
--- a/internal/basilcapacity/wave.go
+++ b/internal/basilcapacity/wave.go
@@ -95,7 +95,7 @@
 		if m.asked && m.reason == moveReason && !f.off(m.Pool) {
 			continue // on its way to another pool
 		}
-		if f.empty(m) && m.Up && !now.Before(m.after) && !m.ordering {
+		if f.empty(m) && m.free(now) {
 			m.ordering, m.target = true, ""
 			away++
 			plan.Orders = append(plan.Orders, Order{Machine: m.ID, Wave: w.ID, Backend: m.Backend})
@@ -144,7 +144,7 @@
 			parallel--
 		}
 	}
-	occupied, idle := f.split(left)
+	occupied, idle := f.split(left, now)
 	for _, m := range append(occupied, idle...) {
 		t := f.tallyOf(m.Pool)
 		busy := t.emptying
@@ -157,10 +157,10 @@
 }
 
 // split returns the hosts that may be asked for, those with work apart from idle ones.
-func (f *Fleet) split(left []*machine) (occupied, idle []*machine) {
+func (f *Fleet) split(left []*machine, now time.Time) (occupied, idle []*machine) {
 	for _, m := range left {
 		switch {
-		case m.asked || !m.Up || m.Backend == "" || f.off(m.Pool):
+		case m.asked || !m.free(now) || m.Backend == "" || f.off(m.Pool):
 		case f.idle(m):
 			idle = append(idle, m)
 		default:
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -326,7 +326,7 @@
 			}
 			f.lag.asked = f.listedAt
 			f.node.metrics.took(fleetListAge, now.Sub(f.listedAt))
-			f.state.SetMachines(list, now)
+			f.state.SetMachines(list, f.listedAt)
 		})
 	}()
 }
