Move as many hosts at once as the platform's rate of orders allows

Cause: at most 48 hosts were being emptied or moving at a time, which is half of what a platform that accepts 64 orders a second takes in the time of a move. These deployments accept 215, and a move with its ask and its listing takes some 2.5 s: some 20 hosts a second.

Now the number follows from the accepted rate (duty_per_s of the settings) and the time of a move; with 64 a second it is 48 as before. The list of asks that a pool may take back does not change.

TestLargeFleetMovesHostsAsFastAsThePlatformAccepts failed before: the option did not exist, and 48 were asked for.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -130,6 +130,7 @@
 		Order:     basilsite.Milliseconds(s.Bounds.LeaseMS),
 		Migrate:   basilsite.Seconds(s.Bounds.MigrateS),
 		Maintain:  basilsite.Seconds(s.Bounds.MaintenanceS),
+		Orders:    s.Cloud.DutyPerS,
 		Store:     store,
 		Directory: basilsite.NewDirectory(store),
 		Commander: basilsite.NewCommander(client),
--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -89,6 +89,7 @@
 type Options struct {
 	Maintain time.Duration // of a host's upkeep
 	Migrate  time.Duration // of a move
+	Orders   float64       // for hosts, per second, that the platform accepts; 0 for defaultOrders
 	IdleOnly bool          // give up idle hosts only; a baseline of experiments
 }
 
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -18,7 +18,8 @@
 	rateMemory       = 600 * time.Millisecond  // of the rate at which work arrives
 	slopeMemory      = 700 * time.Millisecond  // of the learned change: a peak rises within some two seconds
 	maxGrowth        = 1.0                     // of the level within lookAhead
-	movesAtOnce      = 48                      // asks and moves in flight; a third of what the platform takes in the time of a move
+	defaultOrders    = 64                      // per second, of a platform that does not tell what it accepts: the least of those that do
+	moveShare        = 0.5                     // of the orders that the platform accepts in the time of a move, for hosts that change between pools
 	slowTime         = 15 * time.Second        // that a slow host is used last: slow spells last some seconds, and worn hosts stay slow
 	consolidateAfter = 3 * time.Second         // of hosts to spare: longer than a dip between jobs
 	defaultHostMC    = 64000                   // thousandths of a core, until a host is listed
@@ -283,7 +284,7 @@
 // askSpare has pools empty hosts that they do not need: idle ones, then those whose runs are short, and once a
 // pool has had too many for a while, those whose long-running tasks fit elsewhere.
 func (f *Fleet) askSpare(balances []*balance, now time.Time) {
-	inFlight := 0
+	inFlight, most := 0, f.movesAtOnce()
 	for _, m := range f.sorted {
 		if m.moving || m.asked && m.reason == moveReason {
 			inFlight++
@@ -292,7 +293,7 @@
 	for _, b := range balances {
 		for _, id := range f.spareOf(b, now) {
 			m := f.backends[id]
-			if b.spare <= 0 || inFlight >= movesAtOnce {
+			if b.spare <= 0 || inFlight >= most {
 				break
 			}
 			if m == nil || m.Pool != b.pool || m.asked || !m.free(now) {
@@ -305,6 +306,15 @@
 	}
 }
 
+// movesAtOnce returns how many hosts may be emptied for moves or moving.
+func (f *Fleet) movesAtOnce() int {
+	orders := f.options.Orders
+	if orders <= 0 {
+		orders = defaultOrders
+	}
+	return max(1, int(orders*moveShare*f.options.Migrate.Seconds()))
+}
+
 // spareOf returns the backend servers that a pool gives up first to last, of hosts without work those first that wait for upkeep.
 func (f *Fleet) spareOf(b *balance, now time.Time) []string {
 	d, answer := f.mover.demands[b.pool], f.answers[b.pool]
--- a/internal/basilcapacity/move_test.go
+++ b/internal/basilcapacity/move_test.go
@@ -101,3 +101,21 @@
 	must.Eq(t, 3000, s.AnswerAge)
 	must.Less(t, s.Serial, s.Known)
 }
+
+// TestLargeFleetMovesHostsAsFastAsThePlatformAccepts empties as many hosts at once as the platform's rate allows: a
+// fixed number had a hundred idle hosts stay while another pool missed as many.
+func TestLargeFleetMovesHostsAsFastAsThePlatformAccepts(t *testing.T) {
+	for _, x := range []struct {
+		orders float64
+		asked  int
+	}{{0, 48}, {64, 48}, {200, 150}} {
+		w := newWorld(t)
+		w.options.Orders = x.orders
+		w.hosts("a", 200)
+		w.hosts("b", 3)
+		w.tell("a", Load{Used: 300000, Idle: w.idleOf("a", 180)})
+		w.tell("b", Load{Used: 180000, Wanted: 20000000})
+		w.decide(0)
+		must.Eq(t, x.asked, w.askedOf("a"))
+	}
+}
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	return &fleet{
 		node: n, row: row, log: n.log.WithFields(logrus.Fields{basillog.FieldPool: fleetShard, basillog.FieldEpoch: row.Epoch}),
-		state:  basilcapacity.New(basilcapacity.Options{Maintain: n.options.Maintain, Migrate: n.options.Migrate}),
+		state:  basilcapacity.New(basilcapacity.Options{Maintain: n.options.Maintain, Migrate: n.options.Migrate, Orders: n.options.Orders}),
 		events: make(chan fleetEvent, eventQueue), ctx: ctx, cancel: cancel, since: time.Now(),
 		rows: make(map[basilplatform.Key]*rowWrite),
 	}
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -41,6 +41,7 @@
 	Order     time.Duration // between orders of different holders for one host
 	Migrate   time.Duration // of a host's move
 	Maintain  time.Duration // of a host's maintenance
+	Orders    float64       // for hosts, per second, that the platform accepts; 0 if it does not tell
 	Store     basilwork.Store
 	Directory basilwork.Directory
 	Commander basilwork.Commander
