Follow the entries of backend servers instead of reading them all

What callers saw: little is served on the grown deployments; the link of most entry hosts has 10 Mbit/s, their processor 0.192 of a core.

Cause: each owner read and decoded the whole list of backend servers every 250 ms: 350 entries, 98 KB. An owner read 12.9 MB in 50 s.

Change: an entry host with owners reads the list once and follows its changes, which gather for 250 ms; the list is read anew after the history was dropped. Owners are told as often as before, and not while the store is away. Entries that lapsed are left out as before.

--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -44,6 +44,7 @@
 	name   string
 	node   *basilnode.Node
 	link   *basilstandin.Link
+	client *basilsite.Client
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -127,7 +128,7 @@
 		Processor: func() time.Duration { return time.Duration(c.share.Load() * int64(time.Since(began)) / 100) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &entryHost{name: name, node: node, link: l, cancel: cancel, done: make(chan struct{})}
+	h := &entryHost{name: name, node: node, link: l, client: client, cancel: cancel, done: make(chan struct{})}
 	c.hosts[name] = h
 	go func() {
 		defer close(h.done)
--- a/internal/basilnode/failure_test.go
+++ b/internal/basilnode/failure_test.go
@@ -405,3 +405,17 @@
 		must.Eq(c.t, 3, c.site.Running(lastID))
 	})
 }
+
+// TestBackendServersAreNotReadAgain follows the entries of backend servers, which change with every heartbeat, and reads
+// all of them only at the start and after the history was dropped.
+func TestBackendServersAreNotReadAgain(t *testing.T) {
+	run(t, 2, 6, constant(300*time.Millisecond), func(c *cluster) {
+		name := c.owner("stretch")
+		reads := func() int64 { return c.hosts[name].client.Calls()["/api/rows-get servers"].Made }
+		time.Sleep(10 * time.Second)
+		must.Eq(c.t, 1, reads())
+		c.site.Store.DropHistory()
+		time.Sleep(10 * time.Second)
+		must.Eq(c.t, 2, reads())
+	})
+}
--- a/internal/basilshard/follow.go
+++ b/internal/basilshard/follow.go
@@ -21,6 +21,8 @@
 	Watch func(ctx context.Context, after int64, wait time.Duration) (basilwork.Changes, error)
 	// Take takes in items that were stored, and no removals; false has them watched for again.
 	Take func(items []basilplatform.Item) bool
+	// TakeAll takes in items that were stored or removed, in their order, in place of Take, unless it is nil.
+	TakeAll func(rows []basilwork.Change) bool
 	// Reload reads everything after changes were missed, and returns the version to go on from.
 	Reload func(ctx context.Context) (version int64, ok bool)
 	// Gather is the time between reads of a busy table's changes.
@@ -46,7 +48,7 @@
 			if version, ok := f.Reload(ctx); ok {
 				after = version
 			}
-		case err == nil && (len(changes.Rows) == 0 || f.Take(stored(changes))):
+		case err == nil && (len(changes.Rows) == 0 || f.take(changes)):
 			after = changes.Version
 			_ = basiltimer.Wait(ctx, f.Gather) // an ended context ends the loop
 			continue
@@ -55,6 +57,13 @@
 	}
 }
 
+func (f *Following) take(changes basilwork.Changes) bool {
+	if f.TakeAll != nil {
+		return f.TakeAll(changes.Rows)
+	}
+	return f.Take(stored(changes))
+}
+
 func stored(changes basilwork.Changes) []basilplatform.Item {
 	items := make([]basilplatform.Item, 0, len(changes.Rows))
 	for _, c := range changes.Rows {
--- a/internal/basilwork/port.go
+++ b/internal/basilwork/port.go
@@ -179,8 +179,12 @@
 	Configuration(ctx context.Context) (*Configuration, int64, error)
 	// WatchOperator waits until the operator may have changed anything.
 	WatchOperator(ctx context.Context, after int64, wait time.Duration) (Changes, error)
-	// Backends returns the valid entries of backend servers.
-	Backends(ctx context.Context) ([]Backend, error)
+	// Backends returns the valid entries of backend servers and the store's version before the read began.
+	Backends(ctx context.Context) ([]Backend, int64, error)
+	// WatchBackends waits for changes of the entries after the version.
+	WatchBackends(ctx context.Context, after int64, wait time.Duration) (Changes, error)
+	// Backend reads an entry; false means that it names no backend server to use.
+	Backend(i basilplatform.Item) (Backend, bool)
 	Waves(ctx context.Context) ([]Wave, error)
 	WaveStates(ctx context.Context) (map[string]WaveState, error)
 	SetWaveState(ctx context.Context, wave string, completed bool, version int64) error
