Have orders to one backend server share few connections

What callers saw: at the peak too little was started. A part of the cause: all starts of a moment went to a backend server at once, each on a connection of its own, up to 24; an owner of 200 backend servers kept 4,800 goroutines and their buffers, which the collector scans each time. Four orders at a time now go to a backend server; one that finds no place until its deadline was certainly not sent, and says so.

--- a/internal/basilrunner/line.go
+++ b/internal/basilrunner/line.go
@@ -18,6 +18,7 @@
 	probePause    = 300 * time.Millisecond // between holds that get no answer
 	leaseMargin   = 300 * time.Millisecond // below the longest lease that a backend server grants
 	startDeadline = 4 * time.Second        // least lease that a start asks for
+	ordersAtOnce  = 4                      // to one backend server: each takes a connection and its buffers
 )
 
 // Sink takes in what a line learns; its methods are called from the line's goroutines.
@@ -54,11 +55,12 @@
 	reachable bool
 	firstMiss time.Time
 	kick      chan struct{}
+	orders    chan struct{} // a place per order in flight
 }
 
 // NewLine returns a line to the backend server.
 func NewLine(b basilwork.Backend, o Options) *Line {
-	return &Line{options: o, backend: b, reachable: true, kick: make(chan struct{}, 1)}
+	return &Line{options: o, backend: b, reachable: true, kick: make(chan struct{}, 1), orders: make(chan struct{}, ordersAtOnce)}
 }
 
 // Backend returns the backend server.
@@ -226,10 +228,26 @@
 	}
 }
 
+// enter waits for a place for an order; false means that none came in time, and that nothing may be sent.
+func (l *Line) enter(ctx context.Context) bool {
+	select {
+	case l.orders <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *Line) leave() { <-l.orders }
+
 // Start orders a run to be started.
 func (l *Line) Start(ctx context.Context, o basilwork.StartOrder) (refusal basilwork.Refusal, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
+	if !l.enter(ctx) {
+		return basilwork.RefusalBusy, true
+	}
+	defer l.leave()
 	l.mutex.Lock()
 	if !l.options.MayStart() || !l.lease.Known() {
 		l.mutex.Unlock()
@@ -247,6 +265,10 @@
 func (l *Line) Stop(ctx context.Context, o basilwork.StopOrder) bool {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
+	if !l.enter(ctx) {
+		return false
+	}
+	defer l.leave()
 	o.Fence = l.options.Fence
 	clock, err := l.options.Commander.Stop(ctx, l.Backend(), o)
 	refusal, answered := l.outcome(clock, err)
@@ -257,6 +279,10 @@
 func (l *Line) Pace(ctx context.Context, o basilwork.PaceOrder) bool {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
+	if !l.enter(ctx) {
+		return false
+	}
+	defer l.leave()
 	o.Fence = l.options.Fence
 	clock, err := l.options.Commander.Pace(ctx, l.Backend(), o)
 	refusal, answered := l.outcome(clock, err)
