Show that a cancelled job is started from the queue of orders

The stand-in answers starts late on demand, and judges starts of cancelled jobs as the platform does.

--- /dev/null
+++ b/internal/basilnode/cancel_test.go
@@ -0,0 +1,37 @@
+package basilnode_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/platform/basilfake"
+)
+
+// many is a job of more tasks than orders are sent at a time; all have room.
+const many = `{"spec":"boot","steps":[{"count":600,"cpu":100,"mem_mb":16,"estimate_ms":20000}]}`
+
+// cancel cancels a job and tells the judge of the answer.
+func (c *cluster) cancel(name, prefix, id string) {
+	c.t.Helper()
+	status, _ := c.call(name, http.MethodDelete, prefix+id, "")
+	must.Eq(c.t, http.StatusOK, status)
+	c.site.Cancelled(id)
+}
+
+// TestCancelledJobIsNotStartedFromTheQueueOfOrders starts nothing of a cancelled job that waits to be sent behind
+// orders that backend servers answer slowly.
+func TestCancelledJobIsNotStartedFromTheQueueOfOrders(t *testing.T) {
+	run(t, 3, 4, constant(20*time.Second), func(c *cluster) {
+		for _, b := range c.site.Backends("stretch") {
+			c.site.SetFaults(b, basilfake.BackendFaults{SlowBy: 600 * time.Millisecond})
+		}
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), many))
+		time.Sleep(800 * time.Millisecond)
+		c.cancel(c.other("stretch"), quotePrefix, jobID(1))
+		time.Sleep(2 * time.Second)
+		must.Eq(c.t, 0, c.site.Running(jobID(1)))
+	})
+}
