Look again at a start before it is sent, and send stops first

Cause: each order had a goroutine that waited for one of 64 places. A start that was decided was sent whenever it got one, however old the decision was and whatever had happened to the job since, and stops waited behind all starts.

Change: a queue of orders in place of the goroutines. Stops and paces go first. A start is looked at when its turn comes: when its job was cancelled, the decision is older than 0.5 s or the owner gives up the shard, it is not sent, and the scheduler has the task back as never sent, without blame for the backend server. Members of a gang of which one was sent follow it. A refused start of a job that has ended lets the job be forgotten.

In basilscheduler: Start.Gang, and refused forgets ended jobs without runs.

--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -387,11 +387,12 @@
 	ctx, cancel := context.WithTimeout(ctx, stopCommit)
 	defer cancel()
 	o.send(func(time.Time) { o.stopping = true })
+	o.orders.stop()
 	for ctx.Err() == nil {
 		clean := make(chan bool, 1)
 		o.send(func(time.Time) {
 			ids, _ := o.pool.Dirty()
-			clean <- len(ids) == 0 && !o.commit.inFlight && len(o.commit.entries) == 0 && len(o.orders) == 0
+			clean <- len(ids) == 0 && !o.commit.inFlight && len(o.commit.entries) == 0 && o.orders.idle()
 		})
 		select {
 		case done := <-clean:
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,7 +23,6 @@
 	storeRetry   = 200 * time.Millisecond
 	watchGather  = 30 * time.Millisecond // between reads of a busy table's changes
 	loadEvery    = time.Second
-	startsAtOnce = 64 // orders in flight; each is a connection
 )
 
 // owner runs one pool while this entry host owns its shard.
@@ -46,8 +44,7 @@
 	pacer      pacer
 	events     chan event
 	loadLogged time.Time
-	orders     chan struct{} // a place per order in flight
-	inFlight   sync.WaitGroup
+	orders     orders
 	ctx        context.Context
 	cancel     context.CancelFunc
 	stopping   bool
@@ -66,10 +63,11 @@
 		node: n, service: service, row: row,
 		log:   n.log.WithFields(logrus.Fields{basillog.FieldPool: service, basillog.FieldEpoch: row.Epoch}),
 		lines: make(map[string]*line), versions: make(map[string]int64), finished: make(map[string]time.Time),
-		pulse: newPulse(n.metrics), events: make(chan event, eventQueue), orders: make(chan struct{}, startsAtOnce),
+		pulse: newPulse(n.metrics), events: make(chan event, eventQueue),
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
 	o.work.processor = n.options.Processor
+	o.orders.withdraw = o.withdraw
 	o.records.row = basilshard.NewRow(n.store, recordKey(service), row.Check(service))
 	o.plan.row = basilshard.NewRow(n.store, answerKey(service), row.Check(service))
 	o.pool = basilscheduler.New(basilscheduler.Options{
@@ -172,7 +170,7 @@
 		began := time.Now()
 		actions := o.pool.Decide(now)
 		o.pulse.decided(time.Since(began))
-		o.execute(actions)
+		o.execute(actions, now)
 	}
 	o.logLoad(now)
 	o.forget(now)
@@ -245,6 +243,7 @@
 		if known {
 			o.log.WithField(basillog.FieldJob, id).Info("job cancelled")
 		}
+		o.orders.cancel(id)
 		o.pool.Cancel(id, time.Now())
 	case !known && !r.State.Final():
 		adopted := i.Version < o.row.Version
@@ -276,23 +275,23 @@
 	return version, true
 }
 
-// execute carries out what the pool decided.
-func (o *owner) execute(a basilscheduler.Actions) {
+// execute carries out what the pool decided at now.
+func (o *owner) execute(a basilscheduler.Actions, now time.Time) {
 	o.logPlaced(a.Starts)
 	for _, s := range a.Slow {
 		o.log.WithFields(logrus.Fields{
 			basillog.FieldHost: s.Backend, "odds": s.Odds, "took_ms": s.Took.Milliseconds(), "estimate_ms": s.Estimate.Milliseconds(),
 		}).Info("backend server taken to be slow")
 	}
-	for _, s := range a.Starts {
-		o.start(s)
-	}
 	for _, s := range a.Stops {
 		o.stopRun(s)
 	}
 	for _, p := range a.Paces {
 		o.pace(p)
 	}
+	for _, s := range a.Starts {
+		o.start(s, now)
+	}
 	for _, r := range a.Advice {
 		o.advise(r)
 	}
@@ -316,22 +315,36 @@
 	}
 }
 
-// order runs an order to a backend server beside the control goroutine.
-func (o *owner) order(id string, f func(l *line), missing func(now time.Time)) {
-	l := o.lines[id]
-	if l == nil {
-		if missing != nil {
-			missing(time.Now())
+// order has an order to a backend server sent beside the control goroutine, unless it is gone.
+func (o *owner) order(id string, f func(l *line)) {
+	if l := o.lines[id]; l != nil {
+		o.orders.put(func() { f(l) })
+	}
+}
+
+// withdraw gives the scheduler back what was not sent.
+func (o *owner) withdraw(list []withdrawn) {
+	o.send(func(now time.Time) {
+		o.logWithdrawn(list)
+		for _, w := range list {
+			o.pool.Started(w.Ref, basilwork.RefusalUnsent, true, now)
 		}
-		return
+	})
+}
+
+// logWithdrawn writes a line for each step of which starts were not sent.
+func (o *owner) logWithdrawn(list []withdrawn) {
+	for len(list) > 0 {
+		step, reason := list[0].Task.StepName(), list[0].reason
+		n := 0
+		for n < len(list) && list[n].Task.StepName() == step && list[n].reason == reason {
+			n++
+		}
+		o.log.WithFields(logrus.Fields{
+			basillog.FieldJob: list[0].Task.Job, "step": step, "starts": n, basillog.FieldReason: reason.String(),
+		}).Info("starts withdrawn")
+		list = list[n:]
 	}
-	o.inFlight.Add(1)
-	go func() {
-		defer o.inFlight.Done()
-		o.orders <- struct{}{}
-		defer func() { <-o.orders }()
-		f(l)
-	}()
 }
 
 func (o *owner) logRun(r basilscheduler.Ref) *logrus.Entry {
@@ -340,25 +353,31 @@
 	})
 }
 
-func (o *owner) start(s basilscheduler.Start) {
-	order := basilwork.StartOrder{
+func (o *owner) start(s basilscheduler.Start, decided time.Time) {
+	l := o.lines[s.Backend]
+	if l == nil {
+		o.pool.Started(s.Ref, basilwork.RefusalBusy, true, time.Now())
+		return
+	}
+	o.orders.putStart(s, decided, func() { o.sendStart(l, s) })
+}
+
+func (o *owner) sendStart(l *line, s basilscheduler.Start) {
+	sent := time.Now()
+	refusal, answered := l.Start(o.ctx, basilwork.StartOrder{
 		Task: s.Task.String(), Attempt: s.Attempt, Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+	})
+	entry := o.logRun(s.Ref).WithField(basillog.FieldDuration, time.Since(sent).Milliseconds())
+	switch {
+	case !answered:
+		entry.Warn("start unanswered")
+	case refusal != basilwork.RefusalNone:
+		entry.WithField(basillog.FieldReason, refusal.String()).Info("start refused")
+	default:
+		entry.Debug("started")
 	}
-	o.order(s.Backend, func(l *line) {
-		sent := time.Now()
-		refusal, answered := l.Start(o.ctx, order)
-		entry := o.logRun(s.Ref).WithField(basillog.FieldDuration, time.Since(sent).Milliseconds())
-		switch {
-		case !answered:
-			entry.Warn("start unanswered")
-		case refusal != basilwork.RefusalNone:
-			entry.WithField(basillog.FieldReason, refusal.String()).Info("start refused")
-		default:
-			entry.Debug("started")
-		}
-		o.node.metrics.started(refusal, answered, time.Since(sent))
-		o.send(func(now time.Time) { o.pool.Started(s.Ref, refusal, answered, now) })
-	}, func(now time.Time) { o.pool.Started(s.Ref, basilwork.RefusalBusy, true, now) })
+	o.node.metrics.started(refusal, answered, time.Since(sent))
+	o.send(func(now time.Time) { o.pool.Started(s.Ref, refusal, answered, now) })
 }
 
 func (o *owner) stopRun(s basilscheduler.Stop) {
@@ -367,7 +386,7 @@
 		answered := l.Stop(o.ctx, order)
 		o.logRun(s.Ref).WithFields(logrus.Fields{basillog.FieldReason: s.Reason, "answered": answered}).Info("stop ordered")
 		o.send(func(now time.Time) { o.pool.Stopped(s.Ref, answered, now) })
-	}, nil)
+	})
 }
 
 func (o *owner) pace(p basilscheduler.Pace) {
@@ -375,7 +394,7 @@
 	o.order(p.Backend, func(l *line) {
 		answered := l.Pace(o.ctx, order)
 		o.logRun(p.Ref).WithFields(logrus.Fields{"percent": p.Percent, "answered": answered}).Info("pace ordered")
-	}, nil)
+	})
 }
 
 func (o *owner) advise(r basilscheduler.AdviceRequest) {
--- a/internal/basilnode/owner_store.go
+++ b/internal/basilnode/owner_store.go
@@ -127,6 +127,7 @@
 	for id, v := range r.Versions {
 		o.versions[id] = max(o.versions[id], v)
 	}
+	o.orders.cancel(r.Cancelled...)
 	for _, id := range r.Cancelled {
 		o.pool.Cancel(id, now)
 	}
@@ -188,6 +189,7 @@
 				delete(o.finished, id)
 				delete(o.versions, id)
 			}
+			o.orders.forget(ids)
 			o.log.WithField("jobs", len(ids)).Info("finished jobs removed")
 		})
 	}()
--- a/internal/basilscheduler/action.go
+++ b/internal/basilscheduler/action.go
@@ -19,6 +19,7 @@
 	Payload    string
 	Checkpoint string
 	Ticket     string
+	Gang       bool          // one of several that work only together
 	Rank       string        // class of the waiting work
 	Slack      time.Duration // to the objective, or the work left when that can't be met
 	Waited     time.Duration // since the task could have been started
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -68,7 +68,7 @@
 	t.attempt = attempt
 	p.addRun(r, p.ends(t.step, now))
 	p.actions.Starts = append(p.actions.Starts, Start{
-		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.saved, Ticket: tickets[b.ID],
+		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.saved, Ticket: tickets[b.ID], Gang: t.step.spec.Gang,
 		Rank: c.rank.String(), Slack: c.slack(now.Sub(p.waiting.ranked)), Waited: now.Sub(t.readyAt),
 	})
 }
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -78,6 +78,9 @@
 	case basilwork.RefusalWrong:
 		r.task.notBefore = now.Add(time.Second)
 	}
+	if j := r.task.step.occurrence.job; j.record.State.Final() {
+		p.endJob(j, "job "+j.record.State.String(), now)
+	}
 }
 
 // begin notes that a task of the job has started.
--- a/internal/basilwork/enum.go
+++ b/internal/basilwork/enum.go
@@ -33,7 +33,7 @@
 	RunEndLost           // the backend server is gone, or knows nothing of it
 )
 
-// Refusal tells why a backend server did not start a run.
+// Refusal tells why a run was not started.
 type Refusal int
 
 // The refusals.
@@ -47,4 +47,5 @@
 	RefusalBusy           // it is unhealthy and did nothing
 	RefusalWrong          // the request is not valid
 	RefusalGone           // another incarnation lives at the address
+	RefusalUnsent         // the order was never sent
 )
--- a/internal/basilwork/refusal_enumer.go
+++ b/internal/basilwork/refusal_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _RefusalName = "nonefenceoldlateroomticketbusywronggone"
+const _RefusalName = "nonefenceoldlateroomticketbusywronggoneunsent"
 
-var _RefusalIndex = [...]uint8{0, 4, 9, 12, 16, 20, 26, 30, 35, 39}
+var _RefusalIndex = [...]uint8{0, 4, 9, 12, 16, 20, 26, 30, 35, 39, 45}
 
-const _RefusalLowerName = "nonefenceoldlateroomticketbusywronggone"
+const _RefusalLowerName = "nonefenceoldlateroomticketbusywronggoneunsent"
 
 func (i Refusal) String() string {
 	if i < 0 || i >= Refusal(len(_RefusalIndex)-1) {
@@ -33,9 +33,10 @@
 	_ = x[RefusalBusy-(6)]
 	_ = x[RefusalWrong-(7)]
 	_ = x[RefusalGone-(8)]
+	_ = x[RefusalUnsent-(9)]
 }
 
-var _RefusalValues = []Refusal{RefusalNone, RefusalFence, RefusalOld, RefusalLate, RefusalRoom, RefusalTicket, RefusalBusy, RefusalWrong, RefusalGone}
+var _RefusalValues = []Refusal{RefusalNone, RefusalFence, RefusalOld, RefusalLate, RefusalRoom, RefusalTicket, RefusalBusy, RefusalWrong, RefusalGone, RefusalUnsent}
 
 var _RefusalNameToValueMap = map[string]Refusal{
 	_RefusalName[0:4]:   RefusalNone,
@@ -47,6 +48,7 @@
 	_RefusalName[26:30]: RefusalBusy,
 	_RefusalName[30:35]: RefusalWrong,
 	_RefusalName[35:39]: RefusalGone,
+	_RefusalName[39:45]: RefusalUnsent,
 }
 
 var _RefusalLowerNameToValueMap = map[string]Refusal{
@@ -59,6 +61,7 @@
 	_RefusalLowerName[26:30]: RefusalBusy,
 	_RefusalLowerName[30:35]: RefusalWrong,
 	_RefusalLowerName[35:39]: RefusalGone,
+	_RefusalLowerName[39:45]: RefusalUnsent,
 }
 
 var _RefusalNames = []string{
@@ -71,6 +74,7 @@
 	_RefusalName[26:30],
 	_RefusalName[30:35],
 	_RefusalName[35:39],
+	_RefusalName[39:45],
 }
 
 // RefusalString retrieves an enum value from the enum constants string name.
