Keep long-running tasks off hosts that are due, also near their data

What callers saw: long-running tasks of a wave's hosts were stopped and started again on the same host, up to 22 times each, and away all the while; a duty of the wave that never ends.

Cause: a task is moved when a host that is not due has room for it, and then placed by a score in which a host that is due counted as much as one that is far from the task's data. With its data on the host that is due, the two were even, and the packing of long-running tasks chose that host again.

Change: a host that is due is worse than a far one.

In basilscheduler: scoreOf.

--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -201,7 +201,7 @@
 		away = 1
 	}
 	if s.spec.LongRunning && b.due {
-		away++
+		away += 2 // worse than far from the data: it would soon be moved again
 	}
 	switch {
 	case s.spec.Fills:
