Tell a lasting lack of processor time from a burst

An owner is now taken to be behind when its events wait for more than 200 ms on average in each of four seconds in a row, whether its own work or the rest of its host keeps it.

--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -101,19 +101,17 @@
 		case <-o.ctx.Done():
 			return
 		case e := <-o.events:
-			o.work.begin(time.Now())
 			o.take(e)
 			o.drain()
 			wait := o.pacer.wait(time.Now())
 			stepping = wait == 0
 			timer.Reset(wait)
 		case <-timer.C:
-			o.work.begin(time.Now())
 		}
 		if stepping {
 			timer.Reset(o.pacedStep())
 		}
-		if o.work.end(time.Now()) && !o.stopping && !o.node.stopping.Load() {
+		if o.work.lasts(time.Now()) && !o.stopping && !o.node.stopping.Load() {
 			o.overloaded()
 		}
 	}
@@ -132,6 +130,7 @@
 func (o *owner) take(e event) {
 	now := time.Now()
 	o.pulse.waited(now.Sub(e.sent))
+	o.work.waited(now.Sub(e.sent))
 	e.take(now)
 }
 
--- a/internal/basilnode/workload.go
+++ b/internal/basilnode/workload.go
@@ -3,41 +3,50 @@
 import "time"
 
 const (
-	workWindow = 1500 * time.Millisecond // over which a control goroutine's work is measured
-	workLimit  = 0.8                     // of the window: beyond it events wait for long
-	slowLimit  = 0.5                     // of the processor share: a busy process that gets less is slowed from outside
+	lagWindow  = time.Second            // over which the waits of events are averaged
+	lagLimit   = 200 * time.Millisecond // mean wait beyond which a window counts: a fifth of a short task's time
+	lagWindows = 4                      // in a row: a takeover costs two or three, so a shorter lack is better sat out
+	slowLimit  = 0.5                    // of the processor share: a busy process that gets less is slowed from outside
 )
 
-// workload measures how much of the time a control goroutine works; its zero value works.
+// workload tells whether a control goroutine is behind for good, by how long events wait for it; its zero value works.
+//
+// How much of the time it works says less: it may be busy and on time, or kept from working by the rest of its host.
 type workload struct {
 	since     time.Time // start of the window
-	began     time.Time
-	spent     time.Duration
+	waits     time.Duration
+	events    int
+	behind    int                  // windows in a row
 	processor func() time.Duration // that the process has used so far; nil where that is not known
 	used      time.Duration        // at the start of the window
 	share     float64              // of a core that the process got in the last full window
 }
 
-func (w *workload) begin(now time.Time) {
+// waited notes how long an event has waited.
+func (w *workload) waited(d time.Duration) {
+	w.waits += d
+	w.events++
+}
+
+// lasts tells, at the end of a window, whether events have waited for too long in enough windows.
+func (w *workload) lasts(now time.Time) bool {
 	if w.since.IsZero() {
 		w.since = now
 		w.used = w.processorTime()
 	}
-	w.began = now
-}
-
-// end notes the end of a piece of work, and tells whether the window that it closes was too full.
-func (w *workload) end(now time.Time) bool {
-	w.spent += now.Sub(w.began)
 	window := now.Sub(w.since)
-	if window < workWindow {
+	if window < lagWindow {
 		return false
 	}
-	full := float64(w.spent) > workLimit*float64(window)
+	if w.events > 0 && w.waits > time.Duration(w.events)*lagLimit {
+		w.behind++
+	} else {
+		w.behind = 0
+	}
 	used := w.processorTime()
 	w.share = float64(used-w.used) / float64(window)
-	w.since, w.spent, w.used = now, 0, used
-	return full
+	w.since, w.waits, w.events, w.used = now, 0, 0, used
+	return w.behind >= lagWindows
 }
 
 func (w *workload) processorTime() time.Duration {
@@ -47,7 +56,8 @@
 	return w.processor()
 }
 
-// rate returns how much of its processor share a process got in a window that was too full: all, unless that was far less.
+// rate returns how much of its processor share a process got in a window in which it was behind: all, unless that was
+// far less.
 func (w *workload) rate(own float64) float64 {
 	if own = min(own, 1); w.share > 0 && w.share < slowLimit*own {
 		return w.share / own
--- /dev/null
+++ b/internal/basilnode/workload_test.go
@@ -0,0 +1,36 @@
+package basilnode
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestBurstIsNoLackOfProcessorTime tells an owner that is behind for good from one that had a burst to take in.
+func TestBurstIsNoLackOfProcessorTime(t *testing.T) {
+	cases := []struct {
+		name  string
+		waits []time.Duration // of the events of each second
+		want  bool
+	}{
+		{"burst", []time.Duration{10 * time.Millisecond, time.Second, time.Second, 10 * time.Millisecond, 10 * time.Millisecond, time.Second, 0, 0}, false},
+		{"busy and on time", []time.Duration{90 * time.Millisecond, 90 * time.Millisecond, 90 * time.Millisecond, 90 * time.Millisecond, 90 * time.Millisecond}, false},
+		{"behind", []time.Duration{400 * time.Millisecond, 400 * time.Millisecond, 400 * time.Millisecond, 400 * time.Millisecond, 400 * time.Millisecond}, true},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			var w workload
+			now := time.Now()
+			behind := w.lasts(now)
+			for _, wait := range x.waits {
+				for range 10 {
+					now = now.Add(100 * time.Millisecond)
+					w.waited(wait)
+					behind = w.lasts(now) || behind
+				}
+			}
+			must.Eq(t, x.want, behind)
+		})
+	}
+}
