Ask for the tickets of the steps that come next, not of all that wait

Cause: where a queue's steps need tickets, each decision asked for those of all waiting steps and looked at each of them again, though there was room for none or a few: a request of a hundred ids for each waiting step every time that its tickets ran out.

At most 32 steps without room have or get tickets, and at most 64 wait for them at a time, so that those for which there is room get theirs, too.

--- a/internal/basilscheduler/advice.go
+++ b/internal/basilscheduler/advice.go
@@ -12,6 +12,8 @@
 	adviceRepeat  = time.Second            // after a request for advice without an answer
 	adviceMargin  = 300 * time.Millisecond // before tickets expire
 	maxAdviceList = 100                    // backend servers in one request
+	adviceAhead   = 32                     // steps that have or get tickets before there is room
+	adviceAsks    = 2 * adviceAhead        // steps that get tickets at a time, so that as many for which there is room do
 )
 
 // stepTickets are the answers of the recommendation service for one step.
@@ -21,7 +23,8 @@
 	asked   time.Time
 }
 
-// ticketsFor returns the tickets of a step, nil where its queue needs none; false means that it has to wait.
+// ticketsFor returns the tickets of a step, nil where its queue needs none; false means that it has to wait. It asks
+// for those of the steps that come next.
 func (p *Pool) ticketsFor(s *step, now time.Time) (map[string]string, bool) {
 	q := s.occurrence.job.queue
 	if q == nil || q.Advice == nil {
@@ -29,13 +32,17 @@
 	}
 	name := s.tasks[0].id.StepName()
 	t := p.tickets[name]
+	if t != nil && now.Before(t.expires) {
+		return t.values, true
+	}
+	if p.room.asks == 0 {
+		return nil, false
+	}
 	if t == nil {
 		t = &stepTickets{}
 		p.tickets[name] = t
 	}
-	if now.Before(t.expires) {
-		return t.values, true
-	}
+	p.room.asks--
 	if now.Sub(t.asked) >= adviceRepeat {
 		t.asked = now
 		p.actions.Advice = append(p.actions.Advice, AdviceRequest{Step: name, Backends: p.advisable(s, now)})
--- a/internal/basilscheduler/decide_bench_test.go
+++ b/internal/basilscheduler/decide_bench_test.go
@@ -24,9 +24,7 @@
 func newPeak(waiting, backends int) *peak {
 	p := &peak{now: time.Unix(1000, 0), runs: make(map[string][]Ref), ends: make(map[string]int64)}
 	p.Pool = New(Options{Epoch: 1}, p.now)
-	p.SetConfiguration(&basilwork.Configuration{Queues: []basilwork.Queue{
-		{Name: "quote", Service: "stretch", MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond},
-	}})
+	p.configure(nil)
 	var list []basilwork.Backend
 	for n := range backends {
 		list = append(list, backendOf(fmt.Sprintf("b%03d", n), 64000))
@@ -48,6 +46,12 @@
 	return p
 }
 
+func (p *peak) configure(advice *basilwork.Advice) {
+	p.SetConfiguration(&basilwork.Configuration{Queues: []basilwork.Queue{
+		{Name: "quote", Service: "stretch", MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond, Advice: advice},
+	}})
+}
+
 func (p *peak) submit(steps ...basilwork.Step) {
 	p.jobs++
 	p.AddJob(basilwork.Record{
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -14,9 +14,11 @@
 
 // room is where a decision may place tasks.
 type room struct {
-	open []*backend  // usable and with room for the least task that waits, by id
-	kept int         // from lesser work
-	most []labelRoom // by label, as numbered by the waiting steps
+	open  []*backend  // usable and with room for the least task that waits, by id
+	kept  int         // from lesser work
+	ahead int         // steps that may still be looked at for their tickets, without room for them
+	asks  int         // steps that may still wait for tickets
+	most  []labelRoom // by label, as numbered by the waiting steps
 }
 
 // labelRoom is the most room for short tasks that need a label: no open backend server for them has more free of anything.
@@ -29,6 +31,7 @@
 func (p *Pool) findRoom(now time.Time) {
 	p.room.open = p.room.open[:0]
 	p.room.kept = 0
+	p.room.ahead, p.room.asks = min(adviceAhead, p.waiting.advised), adviceAsks
 	for _, b := range p.list {
 		if b.free().Holds(p.waiting.least) && b.usable(now) {
 			b.kept, b.avoided = false, p.slow(b, now)
@@ -76,11 +79,14 @@
 	for n := range p.waiting.list {
 		c := &p.waiting.list[n]
 		switch {
-		case c.rank == rankServing, c.advised, p.most(c.label).Holds(c.demand):
+		case c.rank == rankServing, p.most(c.label).Holds(c.demand):
 			p.placeStep(c, now)
-		case p.waiting.advised == 0 && p.full():
+		case c.advised && p.room.ahead > 0:
+			p.room.ahead--
+			p.placeStep(c, now)
+		case p.room.ahead == 0 && p.full():
 			return
-		case c.rank == rankOnTime && p.mayKeep():
+		case c.rank == rankOnTime && !c.advised && p.mayKeep():
 			p.placeStep(c, now)
 		}
 	}
--- a/internal/basilscheduler/waiting_test.go
+++ b/internal/basilscheduler/waiting_test.go
@@ -110,6 +110,18 @@
 	return added
 }
 
+// TestTicketsAreAskedForWhatIsNext asks for tickets of the steps that come next, not of all that wait.
+func TestTicketsAreAskedForWhatIsNext(t *testing.T) {
+	p := newPeak(4000, 20)
+	p.configure(&basilwork.Advice{})
+	p.now = p.now.Add(time.Second)
+	asked := make(map[string]bool)
+	for _, a := range p.Decide(p.now).Advice {
+		asked[a.Step] = true
+	}
+	must.Between(t, 1, len(asked), 100)
+}
+
 // TestWaitingStepsAreKept compares what the pool keeps of waiting steps with a count of all tasks, whatever happens.
 func TestWaitingStepsAreKept(t *testing.T) {
 	f := newFixture(t, backendOf("b1", 8000), backendOf("b2", 8000), backendOf("b3", 8000))
