Forget the tickets of steps that are over

Cause: the pool kept the tickets of each step that ever asked for some, up to a hundred backend servers each, for as long as it owned the shard.

They are forgotten with the occurrence or the job.

Evidence: TestTicketsAreForgotten, which failed on the code before with 20 of 20 steps kept.

--- a/internal/basilscheduler/advice.go
+++ b/internal/basilscheduler/advice.go
@@ -80,6 +80,16 @@
 	t.expires = now.Add(max(valid-adviceMargin, valid/2))
 }
 
+// forgetTickets forgets the tickets of an occurrence of which nothing is left.
+func (p *Pool) forgetTickets(o *occurrence) {
+	if len(p.tickets) == 0 {
+		return
+	}
+	for _, s := range o.steps {
+		delete(p.tickets, basilwork.TaskID{Job: o.job.id(), Occurrence: o.number, Step: s.number}.StepName())
+	}
+}
+
 func (p *Pool) forgetTicket(step, backend string) {
 	if t := p.tickets[step]; t != nil {
 		delete(t.values, backend)
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -156,6 +156,9 @@
 	}
 	if live == 0 && !j.dirty {
 		delete(p.jobs, j.id())
+		for _, o := range j.occurrences {
+			p.forgetTickets(o)
+		}
 	}
 }
 
--- a/internal/basilscheduler/waiting.go
+++ b/internal/basilscheduler/waiting.go
@@ -160,6 +160,7 @@
 	for _, o := range p.done {
 		if j := o.job; o.live == 0 && !j.record.State.Final() && j.occurrences[o.number] == o {
 			delete(j.occurrences, o.number)
+			p.forgetTickets(o)
 		}
 	}
 	clear(p.done)
--- a/internal/basilscheduler/waiting_test.go
+++ b/internal/basilscheduler/waiting_test.go
@@ -122,6 +122,29 @@
 	must.Between(t, 1, len(asked), 100)
 }
 
+// TestTicketsAreForgotten keeps no tickets of jobs that are over.
+func TestTicketsAreForgotten(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	f.SetConfiguration(&basilwork.Configuration{Queues: []basilwork.Queue{{Name: "quote", Service: "stretch", Advice: &basilwork.Advice{}}}})
+	for n := range 20 {
+		id := fmt.Sprintf("j%02d", n)
+		f.add(id, stepOf(1, 1000))
+		asks := f.Decide(f.now).Advice
+		must.Len(t, 1, asks)
+		f.Advised(asks[0].Step, []basilwork.Ticket{{Backend: "b1", Value: "ticket"}}, time.Second, f.now)
+		if n%2 == 0 {
+			f.Cancel(id, f.now)
+			continue
+		}
+		s := f.begin()[0]
+		f.pass(time.Second)
+		f.report("b1", 100, end(s.Task.String(), int64(n+1), s.Attempt, basilwork.RunEndDone))
+		f.Take(id)
+		f.Stored(id, f.now)
+	}
+	must.MapEmpty(t, f.tickets)
+}
+
 // TestWaitingStepsAreKept compares what the pool keeps of waiting steps with a count of all tasks, whatever happens.
 func TestWaitingStepsAreKept(t *testing.T) {
 	f := newFixture(t, backendOf("b1", 8000), backendOf("b2", 8000), backendOf("b3", 8000))
