Read the members rarely on entry hosts that are far from owning a shard

What callers saw: calls and bytes at the store grow with the square of the entry hosts. At 30 of them the rows of members were a third of what is read from the store (25 of 73 MB) and a quarter of its calls.

Cause: every entry host read all members' rows every 0.55 s, whether or not it could have had to claim a shard.

Change: owners, the next four that would claim, and all while a shard has no owner or after a failed read go on so; the others read every 2.2 s. What a claim rests on is the same: two reads a lease apart that found one version, and the check of that version in the claim.

Ruled out: following the table's changes; each row changes between two reads, so that as many come.

Measured: TestIdleMembersAreReadRarely (new; the function did not exist before).

--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -19,6 +19,7 @@
 	ownerSort       = "owner"
 	retryPause      = 300 * time.Millisecond
 	slowTime        = 6 * time.Second        // slow spells last some seconds
+	idleRounds      = 4                      // rounds between reads of members by one that others would claim shards before
 	callTime        = 700 * time.Millisecond // of a renewal or a read of members; a slow store takes some 400 ms
 )
 
@@ -51,10 +52,11 @@
 // Keeper renews this entry host's row, claims shards and tells which ones it owns.
 type Keeper struct {
 	options   Options
-	mutex     sync.Mutex // guards shards, state, open and watches
+	mutex     sync.Mutex // guards shards, state, observed, open and watches
 	telling   sync.Mutex // held from the taking of an owner row to the return of Owned and Lost
 	shards    []string
 	state     *State
+	observed  time.Duration // on the clock: when members were last read
 	owned     map[string]OwnerRow
 	changed   chan struct{}
 	until     atomic.Int64  // on the clock, in nanoseconds: work may be started before
@@ -107,13 +109,6 @@
 	return k.options.Clock() - time.Duration(k.renewed.Load())
 }
 
-// Live returns the members that renew.
-func (k *Keeper) Live() []Member {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	return k.state.Live()
-}
-
 // Holder returns the node that owns a shard and its address, or empty texts.
 func (k *Keeper) Holder(shard string) (node, address string) {
 	k.mutex.Lock()
@@ -149,7 +144,7 @@
 	} else {
 		renewed <- true
 	}
-	observed := k.observe(ctx)
+	observed := !k.observes() || k.observe(ctx)
 	if !<-renewed || !observed {
 		k.missed()
 		return
@@ -158,6 +153,13 @@
 	k.offer()
 }
 
+// observes tells whether members are to be read in this round.
+func (k *Keeper) observes() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.state.Involved(k.shards) || k.options.Clock()-k.observed >= idleRounds*k.options.Renew
+}
+
 // offer tells of a shard that a clearly better member is to have.
 func (k *Keeper) offer() {
 	if k.options.Better == nil || k.stop.Load() || !k.MayStart() {
--- a/internal/basilshard/membership.go
+++ b/internal/basilshard/membership.go
@@ -54,5 +54,6 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.state.Observe(rows, asked)
+	k.observed = asked
 	return true
 }
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -255,6 +255,24 @@
 	return shards[n], true
 }
 
+// nearby is how many of the members that would claim a shard next follow the others closely; the rest take over later.
+const nearby = 4
+
+// Involved tells whether this entry host owns a shard or is soon to claim one, for which it has to follow the members closely.
+func (s *State) Involved(shards []string) bool {
+	loads := s.loads(shards)
+	if s.gap || len(shards) == 0 || loads[s.self.Node] > 0 {
+		return true
+	}
+	for _, shard := range shards {
+		if s.dead(s.owners[shard]) {
+			return true
+		}
+	}
+	order := candidates("", "", s.Live(), loads)
+	return slices.ContainsFunc(order[:min(len(order), nearby)], func(c Candidate) bool { return c.Node == s.self.Node })
+}
+
 // busiest returns the owner that has the most shards for its weight.
 func (s *State) busiest(shards []string) string {
 	node, most := "", 0.0
--- a/internal/basilshard/state_test.go
+++ b/internal/basilshard/state_test.go
@@ -116,3 +116,28 @@
 		must.StrContains(t, row.Node, "-0.8-", must.Sprint(shard))
 	}
 }
+
+// TestIdleMembersAreReadRarely has few members follow all others closely once each shard has an owner.
+func TestIdleMembersAreReadRarely(t *testing.T) {
+	members := append(hostsOf(8, 0.192), hostsOf(2, 0.8)...)
+	found := owners(members, testShards, nil)
+	closely, owning := 0, make(map[string]bool)
+	for _, m := range members {
+		s := NewState(m, testLease, testRenew)
+		observe(s, members, 0, testRenew)
+		must.True(t, s.Involved(testShards))
+		for shard, o := range found {
+			s.SetOwner(shard, OwnerRow{Node: o.Node, Incarnation: o.Incarnation, Epoch: 1, Version: 1})
+			owning[o.Node] = true
+		}
+		if s.Involved(testShards) {
+			closely++
+		}
+		if owning[m.Node] {
+			must.True(t, s.Involved(testShards))
+		}
+		s.Missed()
+		must.True(t, s.Involved(testShards))
+	}
+	must.LessEq(t, len(owning)+nearby, closely)
+}
