Decide no more starts than can be sent

What callers saw: hosts that had room stood idle while jobs waited; owners were short of processor time.

Cause: a decision places all that has room, hundreds of tasks, whatever became of the last ones. An owner whose lease does not allow starts placed them too, had them all refused by itself, and kept off the backend servers for 0.4 s.

Change: the scheduler is told how many starts a decision may ask for: as many as the queue of orders has room for (128 wait at most), none while the lease does not allow them. A gang that begins below the number is started whole.

In basilscheduler: Pool.Allow, and two checks in place.

--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -9,6 +9,7 @@
 
 const (
 	ordersAtOnce = 64                     // in flight; each is a connection
+	startsQueued = 128                    // that wait at most, but for whole gangs; as many as are sent within their age
 	startAge     = 500 * time.Millisecond // that a decision to start holds: room, hosts and jobs change meanwhile
 )
 
@@ -167,6 +168,13 @@
 	q.stopping = true
 }
 
+// room returns how many more starts may wait.
+func (q *orders) room() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return max(0, startsQueued-len(q.starts))
+}
+
 // idle tells whether no order waits or is in flight.
 func (q *orders) idle() bool {
 	q.mutex.Lock()
--- /dev/null
+++ b/internal/basilnode/orders_test.go
@@ -0,0 +1,65 @@
+package basilnode
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilscheduler"
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// sender is an owner whose orders are answered when release is closed, and what became of them.
+type sender struct {
+	owner
+	release chan struct{}
+	sent    []string
+	held    []withdrawal
+}
+
+func newSender() *sender {
+	s := &sender{release: make(chan struct{})}
+	s.orders.withdraw = func(list []withdrawn) {
+		for _, w := range list {
+			s.held = append(s.held, w.reason)
+		}
+	}
+	return s
+}
+
+func (s *sender) queue(job string, index int, gang bool) {
+	id := basilwork.TaskID{Job: job, Index: index}
+	s.orders.putStart(basilscheduler.Start{Ref: basilscheduler.Ref{Task: id, Attempt: 1}, Gang: gang}, time.Now(), func() {
+		s.orders.mutex.Lock()
+		s.sent = append(s.sent, id.String())
+		s.orders.mutex.Unlock()
+		<-s.release
+	})
+}
+
+// fill takes all places but as many as are to be left.
+func (s *sender) fill(left int) {
+	for range ordersAtOnce - left {
+		s.orders.put(func() { <-s.release })
+	}
+}
+
+// TestGangIsSentWholeOrNot sends the other members of a gang late rather than leave the first alone.
+func TestGangIsSentWholeOrNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSender()
+		s.fill(1)
+		for n := range 3 {
+			s.queue("a", n, true)
+		}
+		s.queue("b", 0, true)
+		s.queue("b", 1, true)
+		time.Sleep(2 * startAge)
+		close(s.release)
+		synctest.Wait()
+		must.Len(t, 3, s.sent)
+		must.Eq(t, []withdrawal{withdrawalLate, withdrawalLate}, s.held)
+	})
+}
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -23,6 +23,7 @@
 	storeRetry   = 200 * time.Millisecond
 	watchGather  = 30 * time.Millisecond // between reads of a busy table's changes
 	loadEvery    = time.Second
+	heldStep     = 100 * time.Millisecond // between looks whether starts are allowed again
 )
 
 // owner runs one pool while this entry host owns its shard.
@@ -164,18 +165,39 @@
 		o.cancel()
 		return time.Second
 	}
-	if !o.stopping {
-		o.evacuate(now)
-		began := time.Now()
-		actions := o.pool.Decide(now)
-		o.pulse.decided(time.Since(began))
-		o.execute(actions, now)
-	}
+	wake := o.decide(now)
 	o.logLoad(now)
 	o.forget(now)
 	wait := o.store(now)
 	o.updateLines()
-	return max(time.Millisecond, min(wait, o.pool.Wake().Sub(now)))
+	return max(time.Millisecond, min(wait, wake))
+}
+
+// decide has the scheduler decide and sends its orders, and returns in what time to do so again.
+func (o *owner) decide(now time.Time) time.Duration {
+	if o.stopping {
+		return time.Second
+	}
+	o.evacuate(now)
+	starts := o.startsNow()
+	o.pool.Allow(starts)
+	began := time.Now()
+	actions := o.pool.Decide(now)
+	o.pulse.decided(time.Since(began))
+	o.execute(actions, now)
+	wake := o.pool.Wake().Sub(now)
+	if starts == 0 {
+		return min(wake, heldStep)
+	}
+	return wake
+}
+
+// startsNow returns how many starts may be decided: none that would not be sent.
+func (o *owner) startsNow() int {
+	if !o.node.keeper.MayStart() {
+		return 0
+	}
+	return o.orders.room()
 }
 
 // logLoad writes a line of what the pool has to do, once per loadEvery.
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -79,6 +79,8 @@
 	for n := range p.waiting.list {
 		c := &p.waiting.list[n]
 		switch {
+		case len(p.actions.Starts) >= p.allowed:
+			return
 		case c.rank == rankServing, p.most(c.label).Holds(c.demand):
 			p.placeStep(c, now)
 		case c.advised && p.room.ahead > 0:
@@ -102,6 +104,9 @@
 	asked := false
 	for n := s.first; n < len(s.tasks); n++ {
 		t := s.tasks[n]
+		if len(p.actions.Starts) >= p.allowed {
+			return
+		}
 		if !t.idle() {
 			if n == s.first {
 				s.first++
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -58,12 +59,13 @@
 	typicalOdds float64   // of being slow, that most backend servers do not exceed
 	compared    time.Time // when those were worked out
 	cramped     bool      // a long-running task found no backend server at the last decision
+	allowed     int       // starts of one decision
 }
 
 // New returns an empty pool.
 func New(o Options, now time.Time) *Pool {
 	return &Pool{
-		options: o, started: now,
+		options: o, started: now, allowed: math.MaxInt,
 		jobs:      make(map[string]*job),
 		dirty:     make(map[string]*job),
 		backends:  make(map[string]*backend),
@@ -89,6 +91,9 @@
 	}
 }
 
+// Allow sets how many starts a decision may ask for; a gang that begins below the number is started whole.
+func (p *Pool) Allow(starts int) { p.allowed = starts }
+
 // Predecessor notes a backend server that may hold runs of an earlier owner.
 //
 // Until it has answered, or the options' grace is over, tasks of adopted jobs that
