Start nothing through a line that has told of its loss

Cause, found on reading: a start that waited in the queue of orders was sent to a backend server whose leases had run out meanwhile, for the order keeps the line. The owner is told that nothing runs there any more and starts the task elsewhere; a backend server that was only unreachable then runs it too (TWICE). The start also extended the lease after it had been taken for ended.

Change: a line that has told that its incarnation is lost answers a start as never sent.

Measured: TestStartThatWaitedIsNotSentOnceItsBackendServerIsLost failed and passes.

--- a/internal/basilrunner/line.go
+++ b/internal/basilrunner/line.go
@@ -53,6 +53,7 @@
 	busy      bool
 	attached  bool
 	reachable bool
+	lost      bool // the sink was told so: its tasks may run elsewhere
 	firstMiss time.Time
 	kick      chan struct{}
 	orders    chan struct{} // a place per order in flight
@@ -156,6 +157,9 @@
 	case err == nil:
 		return l.answered(r, sent, now)
 	case refusal == basilwork.RefusalGone:
+		l.mutex.Lock()
+		l.lost = true
+		l.mutex.Unlock()
 		l.options.Sink.Lost(l.backend.ID, "another incarnation lives there")
 		return false
 	case refusal == basilwork.RefusalFence:
@@ -205,6 +209,7 @@
 		l.reachable = false
 	}
 	lapsed := l.attached && now.After(l.lease.Ends())
+	l.lost = lapsed
 	l.mutex.Unlock()
 	if gone {
 		l.options.Sink.Reachable(id, false)
@@ -249,7 +254,11 @@
 	}
 	defer l.leave()
 	l.mutex.Lock()
-	if !l.options.MayStart() || !l.lease.Known() {
+	switch {
+	case l.lost:
+		l.mutex.Unlock()
+		return basilwork.RefusalUnsent, true
+	case !l.options.MayStart() || !l.lease.Known():
 		l.mutex.Unlock()
 		return basilwork.RefusalBusy, true
 	}
--- a/internal/basilrunner/line_test.go
+++ b/internal/basilrunner/line_test.go
@@ -66,3 +66,42 @@
 		}
 	})
 }
+
+// silence is a backend server that answers one hold and no more, and takes every start.
+type silence struct {
+	holds
+	started int
+	lost    func()
+}
+
+func (s *silence) Hold(ctx context.Context, b basilwork.Backend, o basilwork.HoldOrder) (basilwork.Report, error) {
+	if len(s.orders) > 1 {
+		return basilwork.Report{}, basilwork.ErrNoAnswer{Cause: context.DeadlineExceeded}
+	}
+	return s.holds.Hold(ctx, b, o)
+}
+
+func (s *silence) Start(context.Context, basilwork.Backend, basilwork.StartOrder) (int64, error) {
+	s.started++
+	return 1, nil
+}
+
+func (s *silence) Lost(string, string) { s.lost() }
+
+// TestStartThatWaitedIsNotSentOnceItsBackendServerIsLost sends nothing to an incarnation of which the owner was told
+// that nothing runs there: its tasks are started elsewhere.
+func TestStartThatWaitedIsNotSentOnceItsBackendServerIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &silence{holds: holds{answers: []basilwork.Report{{Born: 1, Clock: 1}}, sink: func(int64) {}}}
+		l := NewLine(basilwork.Backend{ID: "b1", Born: 1}, Options{
+			Commander: s, Sink: s, Fence: 1, MaxHold: 6 * time.Second,
+			MayStart: func() bool { return true }, MayHold: func() bool { return true },
+		})
+		l.SetBusy(true, 1, 0)
+		var refusal basilwork.Refusal
+		s.lost = func() { refusal, _ = l.Start(t.Context(), basilwork.StartOrder{Task: "a.0.0.0", Attempt: 1}) }
+		l.Run(t.Context())
+		must.Eq(t, 0, s.started)
+		must.Eq(t, basilwork.RefusalUnsent, refusal)
+	})
+}
