Start nothing on old knowledge of cancelled jobs

What callers saw: tasks of jobs started more than 4 s after their cancelling was answered (UNASKED).

Cause: cancellings reach an owner by its watch of jobs, then through the queue of events of its control goroutine, and nothing tells how old that knowledge is. A watch that is silent while the lease is renewed goes unnoticed for good.

Change: the goroutine that reads the watch marks cancelled jobs in the queue of orders, before the control goroutine gets to them. Each answer of the watch tells since when everything is known; when that is older than five eighths of cancel_ms, nothing is decided or sent. A watch of jobs waits for a fifth of cancel_ms at most, so that a quiet one stays young. Ruled out: a bound on renewals, which go on while a watch is silent.

Measured: TestOwnerStopsStartingWhenItsFeedIsStale failed with three tasks started 4.6 s after the answer, and passes; TestCancellingHoldsBeforeItIsTakenIn is the test of the mark.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -128,6 +128,7 @@
 		MaxHold:   basilsite.Milliseconds(s.Bounds.MaxHoldMS),
 		Status:    basilsite.Seconds(s.Bounds.StatusS),
 		Order:     basilsite.Milliseconds(s.Bounds.LeaseMS),
+		Cancel:    basilsite.Milliseconds(s.Bounds.CancelMS),
 		Migrate:   basilsite.Seconds(s.Bounds.MigrateS),
 		Maintain:  basilsite.Seconds(s.Bounds.MaintenanceS),
 		Orders:    s.Cloud.DutyPerS,
--- a/internal/basilnode/cancel_test.go
+++ b/internal/basilnode/cancel_test.go
@@ -35,3 +35,22 @@
 		must.Eq(c.t, 0, c.site.Running(jobID(1)))
 	})
 }
+
+// TestOwnerStopsStartingWhenItsFeedIsStale starts nothing of a job whose cancelling the owner could not learn of, for
+// its watch of jobs is silent, although it renews its lease.
+func TestOwnerStopsStartingWhenItsFeedIsStale(t *testing.T) {
+	run(t, 3, 4, constant(5*time.Second), func(c *cluster) {
+		whole := `{"spec":"boot","steps":[{"count":6,"cpu":16000,"mem_mb":16,"estimate_ms":5000}]}`
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), whole))
+		time.Sleep(200 * time.Millisecond)
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(2), whole))
+		time.Sleep(200 * time.Millisecond)
+		owner := c.owner("stretch")
+		c.storeFault(12*time.Second, basilfake.StoreFaults{SilentJobs: true})
+		c.cancel(c.other("stretch"), quotePrefix, jobID(2))
+		time.Sleep(10 * time.Second)
+		must.Eq(c.t, nil, c.site.Broken())
+		must.Eq(c.t, owner, c.owner("stretch"), must.Sprint("the lease is renewed all the while"))
+		c.await(quotePrefix, jobID(1), "completed", 14*time.Second)
+	})
+}
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -40,6 +40,7 @@
 	HoldLimit time.Duration // without a renewal after which leases are not extended any more
 	Status    time.Duration // that a finished job's state is kept
 	Order     time.Duration // between orders of different holders for one host
+	Cancel    time.Duration // after a cancelling was answered in which tasks may start; 0 is a usual time
 	Migrate   time.Duration // of a host's move
 	Maintain  time.Duration // of a host's maintenance
 	Orders    float64       // for hosts, per second, that the platform accepts; 0 if it does not tell
--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -22,6 +22,7 @@
 	withdrawalNone      withdrawal = iota
 	withdrawalCancelled            // its job was cancelled
 	withdrawalLate                 // the decision is too old
+	withdrawalStale                // what is known of jobs is too old
 	withdrawalStopping             // the owner gives up the shard
 )
 
@@ -52,6 +53,8 @@
 // orders are what an owner has to send to backend servers. Few are in flight; starts wait behind all others, and
 // each is looked at again when its turn comes.
 type orders struct {
+	// current tells whether what is known of jobs allows starts.
+	current func() bool
 	// withdraw is told of starts that are not sent.
 	withdraw  func(list []withdrawn)
 	mutex     sync.Mutex // guards all below
@@ -136,6 +139,8 @@
 		return withdrawalStopping
 	case now.Sub(s.decided) > startAge:
 		return withdrawalLate
+	case !q.current():
+		return withdrawalStale
 	}
 	return withdrawalNone
 }
--- a/internal/basilnode/orders_test.go
+++ b/internal/basilnode/orders_test.go
@@ -6,7 +6,10 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 
+	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilscheduler"
 	"basilstage.example/basilstage/internal/basilwork"
 )
@@ -21,6 +24,8 @@
 
 func newSender() *sender {
 	s := &sender{release: make(chan struct{})}
+	s.log = logrus.NewEntry(basillog.Discard())
+	s.orders.current = func() bool { return true }
 	s.orders.withdraw = func(list []withdrawn) {
 		for _, w := range list {
 			s.held = append(s.held, w.reason)
@@ -46,6 +51,21 @@
 	}
 }
 
+// TestCancellingHoldsBeforeItIsTakenIn sends nothing of a job once its cancelling was read, however long the control
+// goroutine is busy.
+func TestCancellingHoldsBeforeItIsTakenIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSender()
+		s.fill(0)
+		s.queue("a", 0, false)
+		s.decode([]basilplatform.Item{{Key: basilplatform.Key{Sort: "a"}, Body: []byte(`{"State":4}`)}})
+		close(s.release)
+		synctest.Wait()
+		must.SliceEmpty(t, s.sent)
+		must.Eq(t, []withdrawal{withdrawalCancelled}, s.held)
+	})
+}
+
 // TestGangIsSentWholeOrNot sends the other members of a gang late rather than leave the first alone.
 func TestGangIsSentWholeOrNot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -1,6 +1,7 @@
 package basilnode
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -46,6 +47,7 @@
 	events     chan event
 	loadLogged time.Time
 	orders     orders
+	feed       feed
 	ctx        context.Context
 	cancel     context.CancelFunc
 	stopping   bool
@@ -68,7 +70,8 @@
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
 	o.work.processor = n.options.Processor
-	o.orders.withdraw = o.withdraw
+	o.feed = feed{clock: n.options.Clock, bound: cmp.Or(n.options.Cancel, defaultCancel)}
+	o.orders.current, o.orders.withdraw = o.feed.fresh, o.withdraw
 	o.records.row = basilshard.NewRow(n.store, recordKey(service), row.Check(service))
 	o.plan.row = basilshard.NewRow(n.store, answerKey(service), row.Check(service))
 	o.pool = basilscheduler.New(basilscheduler.Options{
@@ -194,7 +197,7 @@
 
 // startsNow returns how many starts may be decided: none that would not be sent.
 func (o *owner) startsNow() int {
-	if !o.node.keeper.MayStart() {
+	if !o.node.keeper.MayStart() || !o.feed.fresh() {
 		return 0
 	}
 	return o.orders.room()
@@ -216,6 +219,7 @@
 // loadJobs reads the shard's jobs and what a predecessor left.
 func (o *owner) loadJobs() (version int64, ok bool) {
 	for o.ctx.Err() == nil {
+		asked := o.node.options.Clock()
 		items, version, err := o.node.store.Snapshot(o.ctx, basilledger.Partition(o.service))
 		if err == nil {
 			err = o.loadRecorded()
@@ -229,7 +233,8 @@
 			continue
 		}
 		o.pool.SetConfiguration(o.node.configuration())
-		o.takeItems(items)
+		o.takeJobs(o.decode(items))
+		o.feed.takenIn(asked)
 		o.setBackends(o.node.backends(o.service))
 		o.log.WithField("jobs", len(items)).Info("jobs loaded")
 		return version, true
@@ -237,39 +242,58 @@
 	return 0, false
 }
 
-func (o *owner) takeItems(items []basilplatform.Item) {
+// storedJob is a job as it was read.
+type storedJob struct {
+	basilwork.Record
+	id      string
+	version int64
+}
+
+// decode reads the jobs, and has nothing of those that are cancelled started any more: the control goroutine may
+// take them in late.
+func (o *owner) decode(items []basilplatform.Item) []storedJob {
+	list := make([]storedJob, 0, len(items))
 	for _, i := range items {
-		o.takeItem(i)
+		r, err := basilledger.Decode(i)
+		if err != nil {
+			o.log.WithError(err).Error("job skipped")
+			continue
+		}
+		if r.State == basilwork.JobStateCanceled {
+			o.orders.cancel(i.Key.Sort)
+		}
+		list = append(list, storedJob{Record: r, id: i.Key.Sort, version: i.Version})
 	}
+	return list
 }
 
-// takeItem takes up a stored job that is new, was cancelled, or was written by this owner.
-func (o *owner) takeItem(i basilplatform.Item) {
-	id := i.Key.Sort
-	if i.Version <= o.versions[id] {
-		return
+func (o *owner) takeJobs(list []storedJob) {
+	for n := range list {
+		o.takeJob(&list[n])
 	}
-	r, err := basilledger.Decode(i)
-	if err != nil {
-		o.log.WithError(err).Error("job skipped")
+}
+
+// takeJob takes up a stored job that is new, was cancelled, or was written by this owner.
+func (o *owner) takeJob(j *storedJob) {
+	id := j.id
+	if j.version <= o.versions[id] {
 		return
 	}
 	_, known := o.versions[id]
-	o.versions[id] = i.Version
-	if r.State.Final() {
-		o.finished[id] = time.UnixMilli(r.Finished)
+	o.versions[id] = j.version
+	if j.State.Final() {
+		o.finished[id] = time.UnixMilli(j.Finished)
 	}
 	switch {
-	case r.State == basilwork.JobStateCanceled:
+	case j.State == basilwork.JobStateCanceled:
 		if known {
 			o.log.WithField(basillog.FieldJob, id).Info("job cancelled")
 		}
-		o.orders.cancel(id)
 		o.pool.Cancel(id, time.Now())
-	case !known && !r.State.Final():
-		adopted := i.Version < o.row.Version
-		o.pool.AddJob(r, adopted)
-		o.log.WithFields(logrus.Fields{basillog.FieldJob: id, "adopted": adopted, "version": i.Version}).Info("job taken up")
+	case !known && !j.State.Final():
+		adopted := j.version < o.row.Version
+		o.pool.AddJob(j.Record, adopted)
+		o.log.WithFields(logrus.Fields{basillog.FieldJob: id, "adopted": adopted, "version": j.version}).Info("job taken up")
 	}
 }
 
@@ -277,8 +301,10 @@
 func (o *owner) watch(after int64) {
 	o.node.keeper.Follow(o.ctx, after, basilshard.Following{
 		Watch: o.node.keeper.Table(basilledger.Table(o.service)), Reload: o.resync, Gather: watchGather,
+		Wait: o.feed.wait(), Current: o.feed.takenIn,
 		Take: func(items []basilplatform.Item) bool {
-			o.send(func(time.Time) { o.takeItems(items) })
+			jobs := o.decode(items)
+			o.send(func(time.Time) { o.takeJobs(jobs) })
 			return true
 		},
 	})
@@ -292,7 +318,8 @@
 		return 0, false
 	}
 	o.log.WithField("jobs", len(items)).Info("jobs read again, history was dropped")
-	o.send(func(time.Time) { o.takeItems(items) })
+	jobs := o.decode(items)
+	o.send(func(time.Time) { o.takeJobs(jobs) })
 	return version, true
 }
 
--- a/internal/basilnode/withdrawal_enumer.go
+++ b/internal/basilnode/withdrawal_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _withdrawalName = "nonecancelledlatestopping"
+const _withdrawalName = "nonecancelledlatestalestopping"
 
-var _withdrawalIndex = [...]uint8{0, 4, 13, 17, 25}
+var _withdrawalIndex = [...]uint8{0, 4, 13, 17, 22, 30}
 
-const _withdrawalLowerName = "nonecancelledlatestopping"
+const _withdrawalLowerName = "nonecancelledlatestalestopping"
 
 func (i withdrawal) String() string {
 	if i < 0 || i >= withdrawal(len(_withdrawalIndex)-1) {
@@ -27,30 +27,34 @@
 	_ = x[withdrawalNone-(0)]
 	_ = x[withdrawalCancelled-(1)]
 	_ = x[withdrawalLate-(2)]
-	_ = x[withdrawalStopping-(3)]
+	_ = x[withdrawalStale-(3)]
+	_ = x[withdrawalStopping-(4)]
 }
 
-var _withdrawalValues = []withdrawal{withdrawalNone, withdrawalCancelled, withdrawalLate, withdrawalStopping}
+var _withdrawalValues = []withdrawal{withdrawalNone, withdrawalCancelled, withdrawalLate, withdrawalStale, withdrawalStopping}
 
 var _withdrawalNameToValueMap = map[string]withdrawal{
 	_withdrawalName[0:4]:   withdrawalNone,
 	_withdrawalName[4:13]:  withdrawalCancelled,
 	_withdrawalName[13:17]: withdrawalLate,
-	_withdrawalName[17:25]: withdrawalStopping,
+	_withdrawalName[17:22]: withdrawalStale,
+	_withdrawalName[22:30]: withdrawalStopping,
 }
 
 var _withdrawalLowerNameToValueMap = map[string]withdrawal{
 	_withdrawalLowerName[0:4]:   withdrawalNone,
 	_withdrawalLowerName[4:13]:  withdrawalCancelled,
 	_withdrawalLowerName[13:17]: withdrawalLate,
-	_withdrawalLowerName[17:25]: withdrawalStopping,
+	_withdrawalLowerName[17:22]: withdrawalStale,
+	_withdrawalLowerName[22:30]: withdrawalStopping,
 }
 
 var _withdrawalNames = []string{
 	_withdrawalName[0:4],
 	_withdrawalName[4:13],
 	_withdrawalName[13:17],
-	_withdrawalName[17:25],
+	_withdrawalName[17:22],
+	_withdrawalName[22:30],
 }
 
 // withdrawalString retrieves an enum value from the enum constants string name.
--- a/internal/basilshard/follow.go
+++ b/internal/basilshard/follow.go
@@ -1,6 +1,7 @@
 package basilshard
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -27,6 +28,10 @@
 	Reload func(ctx context.Context) (version int64, ok bool)
 	// Gather is the time between reads of a busy table's changes.
 	Gather time.Duration
+	// Wait is how long a watch waits at most; 0 is a usual time.
+	Wait time.Duration
+	// Current is told, on the clock, since when all that was stored before has been taken in; it may be nil.
+	Current func(at time.Duration)
 }
 
 // Table returns the watch of a table.
@@ -42,6 +47,7 @@
 // ends all open watches, and those that follow are short until the store answers again.
 func (k *Keeper) Follow(ctx context.Context, after int64, f Following) {
 	for ctx.Err() == nil {
+		asked := k.options.Clock()
 		changes, err := k.watchOnce(ctx, after, f)
 		switch {
 		case basilwork.IsErrHistoryGone(err):
@@ -50,6 +56,9 @@
 			}
 		case err == nil && (len(changes.Rows) == 0 || f.take(changes)):
 			after = changes.Version
+			if f.Current != nil {
+				f.Current(asked)
+			}
 			_ = basiltimer.Wait(ctx, f.Gather) // an ended context ends the loop
 			continue
 		}
@@ -78,9 +87,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer k.interrupts(cancel)()
-	wait := watchWait
+	wait := cmp.Or(f.Wait, watchWait)
 	if k.troubled() {
-		wait = troubleWait
+		wait = min(wait, troubleWait)
 	}
 	return f.Watch(ctx, after, wait)
 }
