Keep room that becomes free for tasks that are to be at work always

Cause: room is kept from lesser work only for short tasks that can be on time. A long-running task comes first in each decision, but needs much memory; short tasks take each part that becomes free before there is enough. Its pool may have a third of its processors and an eighth of its memory free all the while.

A backend server is now kept for it, of those that it may run on the one that lacks the smallest share. TestLongRunningTaskIsNotPassedByShortOnes failed before.

--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -170,9 +170,17 @@
 	if !s.spec.LongRunning && p.slow(b, now) {
 		return false
 	}
-	if until, ok := t.avoid[b.ID]; ok && now.Before(until) && len(p.backends) > 1 {
-		return false
-	}
+	return !p.avoids(t, b, now) && s.mayJoin(b)
+}
+
+// avoids tells whether the task is to keep off the backend server for a while.
+func (p *Pool) avoids(t *task, b *backend, now time.Time) bool {
+	until, ok := t.avoid[b.ID]
+	return ok && now.Before(until) && len(p.backends) > 1
+}
+
+// mayJoin tells whether one more task of the step may run on the backend server.
+func (s *step) mayJoin(b *backend) bool {
 	return s.spec.AntiAffinity == 0 || s.on[b] < s.spec.AntiAffinity
 }
 
--- a/internal/basilscheduler/decide_test.go
+++ b/internal/basilscheduler/decide_test.go
@@ -116,6 +116,26 @@
 	must.Eq(t, "fresh", order[0], must.Sprint("tight and long are late"))
 }
 
+// TestLongRunningTaskIsNotPassedByShortOnes keeps room that becomes free for a task that is to be at work always, where
+// short tasks would take each part of it.
+func TestLongRunningTaskIsNotPassedByShortOnes(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000))
+	f.add("short", stepOf(20, 1000))
+	running := f.begin()
+	must.Len(t, 8, running)
+	f.add("long", longStep(1, 3000))
+	for n, s := range running {
+		f.pass(100 * time.Millisecond)
+		f.report(s.Backend, 50, end(s.Task.String(), int64(n+1), 1, basilwork.RunEndDone))
+		for _, started := range f.begin() {
+			if started.Task.Job == "long" {
+				return
+			}
+		}
+	}
+	t.Fatal("the long-running task was not started")
+}
+
 // serving returns a pool whose long-running step of three tasks is at work on hosts of its own.
 func serving(t *testing.T) *fixture {
 	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000), backendOf("b3", 4000), backendOf("b4", 4000))
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -134,7 +134,7 @@
 			if p.most(c.label).Holds(c.demand) {
 				p.measure()
 			}
-			p.reserve(c)
+			p.reserve(c, t, now)
 			return
 		}
 		p.start(c, t, b, p.nextAttempt(t), tickets, now)
@@ -158,20 +158,21 @@
 func (p *Pool) mayKeep() bool { return p.room.kept < len(p.list)/reservedPart }
 
 // reserve keeps the backend server that will soonest have room from lesser work, so that a
-// large task isn't passed by small ones for ever.
-func (p *Pool) reserve(c *candidate) {
-	if c.rank != rankOnTime || !p.mayKeep() || p.most(c.label) == noRoom {
+// large task isn't passed by small ones for ever. For one that is to be at work always, a server is kept however many are.
+func (p *Pool) reserve(c *candidate, t *task, now time.Time) {
+	serving := c.rank == rankServing
+	if !serving && (c.rank != rankOnTime || !p.mayKeep()) || p.most(c.label) == noRoom {
 		return
 	}
 	var best *backend
 	for _, b := range p.room.open {
-		if b.kept || !b.hasLabel(c.step.spec.Label) || !b.Room.Holds(c.demand) {
+		if b.kept || !b.hasLabel(c.step.spec.Label) || !b.Room.Holds(c.demand) || !c.step.mayJoin(b) || p.avoids(t, b, now) {
 			continue
 		}
 		if b.free().Holds(c.demand) {
 			return // it isn't room that the task waits for
 		}
-		if best == nil || b.free().CPU > best.free().CPU {
+		if best == nil || b.lacks(c.demand) < best.lacks(c.demand) {
 			best = b
 		}
 	}
@@ -181,3 +182,10 @@
 		p.measure()
 	}
 }
+
+// lacks returns the largest share of the backend server's room of one kind that is to become free for the demand.
+func (b *backend) lacks(demand basilwork.Room) float64 {
+	missing := demand.Sub(b.free())
+	share := func(lacking, all int) float64 { return float64(max(lacking, 0)) / float64(max(all, 1)) }
+	return max(share(missing.CPU, b.Room.CPU), share(missing.Memory, b.Room.Memory), share(missing.GPU, b.Room.GPU))
+}
