Keep the list of backend servers that the owner asks for at every event

Cause: each answer to the fleet copied what is known of all backend servers.

The pool keeps the list until it changes.

TestBackendsAreThoseListed passes on both; no test was found that fails for the cost alone and is worth its time.

--- a/internal/basilscheduler/load_test.go
+++ b/internal/basilscheduler/load_test.go
@@ -1,6 +1,7 @@
 package basilscheduler
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -23,6 +24,24 @@
 	must.Eq(t, 2, l.Least)
 }
 
+// TestBackendsAreThoseListed follows the list of backend servers.
+func TestBackendsAreThoseListed(t *testing.T) {
+	f := newFixture(t, backendOf("b2", 4000), backendOf("b1", 4000))
+	ids := func() string {
+		var text string
+		for _, b := range f.Backends() {
+			text += fmt.Sprint(b.ID, " ", b.Room.CPU, " ")
+		}
+		return text
+	}
+	must.Eq(t, "b1 4000 b2 4000 ", ids())
+	f.list(backendOf("b1", 4000), backendOf("b3", 4000))
+	must.Eq(t, "b1 4000 b3 4000 ", ids())
+	f.list(backendOf("b1", 8000), backendOf("b3", 4000))
+	f.Lost("b3", f.now)
+	must.Eq(t, "b1 8000 ", ids())
+}
+
 // TestLoadMovable names backend servers whose long-running tasks fit beside others.
 func TestLoadMovable(t *testing.T) {
 	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 8000))
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -43,9 +43,10 @@
 	waiting     waiting
 	room        room
 	backlog     backlog
-	byEnd       []*backend    // all, by when their last runs are expected to end
-	layout      int           // changes with the backend servers and with what lasts on them
-	done        []*occurrence // whose steps are done and that have no runs
+	entries     []basilwork.Backend // of the list, as Backends returns them; nil until it is asked for
+	byEnd       []*backend          // all, by when their last runs are expected to end
+	layout      int                 // changes with the backend servers and with what lasts on them
+	done        []*occurrence       // whose steps are done and that have no runs
 	started     time.Time
 	unsettled   map[string]time.Time // backend servers that may hold a predecessor's runs, and until when
 	queues      map[string]*basilwork.Queue
@@ -203,6 +204,7 @@
 	b.touched = b.touched || b.Draining != entry.Draining
 	b.Backend = entry
 	b.present = true
+	p.entries = nil
 }
 
 // findBackend returns where the backend server is or belongs in the list.
@@ -212,6 +214,7 @@
 
 func (p *Pool) forgetBackend(id string) {
 	delete(p.backends, id)
+	p.entries = nil
 	if n, ok := p.findBackend(id); ok {
 		p.byEnd = slices.DeleteFunc(p.byEnd, func(b *backend) bool { return b == p.list[n] })
 		p.list = slices.Delete(p.list, n, n+1)
@@ -237,13 +240,15 @@
 // Knows tells whether the backend server is listed or may have runs.
 func (p *Pool) Knows(id string) bool { return p.backends[id] != nil }
 
-// Backends returns the backend servers that are listed or may have runs.
+// Backends returns the backend servers that are listed or may have runs, by id; the list is not to be changed.
 func (p *Pool) Backends() []basilwork.Backend {
-	list := make([]basilwork.Backend, 0, len(p.backends))
-	for _, b := range p.list {
-		list = append(list, b.Backend)
+	if p.entries == nil {
+		p.entries = make([]basilwork.Backend, 0, len(p.list))
+		for _, b := range p.list {
+			p.entries = append(p.entries, b.Backend)
+		}
 	}
-	return list
+	return p.entries
 }
 
 // SetReachable notes whether the backend server answers.
--- a/internal/basilscheduler/waiting_test.go
+++ b/internal/basilscheduler/waiting_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -95,7 +96,7 @@
 
 // addIdle adds backend servers without runs.
 func (p *peak) addIdle(count int) []*backend {
-	list := p.Backends()
+	list := slices.Clone(p.Backends())
 	before := len(list)
 	for n := range count {
 		list = append(list, backendOf(fmt.Sprintf("idle%02d", n), 64000))
