Keep tasks that run for long off hosts that are due

The estimate told it, and other hosts had room; only long-running tasks looked whether a host is due.

Now short tasks that are expected to run for more than 5 s, the time that a wave allows for a host, and cannot be moved take a host that is due only where no other has room.

TestLongTaskKeepsOffAHostThatIsDue failed before.

--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -202,6 +202,14 @@
 // stayUnit is how finely expected ends are told apart.
 const stayUnit = 400 * time.Millisecond
 
+// holdTime is how long a short task runs that keeps a host from being emptied in the time that a wave allows for it.
+const holdTime = 5 * time.Second
+
+// holds tells whether a task of the length keeps its host for long, and cannot be moved.
+func (s *step) holds(length time.Duration) bool {
+	return s.spec.LongRunning || length > holdTime && (!s.spec.Checkpointing || s.spec.Gang)
+}
+
 // scoreOf packs tasks, so that some backend servers become empty soon and may leave: a short task goes
 // where others are expected to run as long, its length. Those that fill are kept away from those that serve.
 func scoreOf(s *step, b *backend, length time.Duration, now time.Time) score {
@@ -209,8 +217,8 @@
 	if s.spec.Affinity != "" && b.Rack != s.spec.Affinity {
 		away = 1
 	}
-	if s.spec.LongRunning && b.due {
-		away += 2 // worse than far from the data: it would soon be moved again
+	if b.due && s.holds(length) {
+		away += 2 // worse than far from the data: it would soon be moved again, or have the host wait for it
 	}
 	switch {
 	case s.spec.Fills:
--- a/internal/basilscheduler/due_test.go
+++ b/internal/basilscheduler/due_test.go
@@ -31,3 +31,22 @@
 	must.Len(t, 1, starts)
 	must.Eq(t, "b2", starts[0].Backend)
 }
+
+// TestLongTaskKeepsOffAHostThatIsDue places a task that runs for long and cannot be moved where no upkeep waits for it.
+func TestLongTaskKeepsOffAHostThatIsDue(t *testing.T) {
+	long := stepOf(1, 1000)
+	long.Estimate = 14 * time.Second
+	movable := long
+	movable.Checkpointing = true
+	for _, x := range []struct {
+		step    basilwork.Step
+		backend string
+	}{{stepOf(1, 1000), "b1"}, {movable, "b1"}, {long, "b2"}} {
+		f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 8000)) // packed on the smaller one
+		f.SetDue([]string{"b1"})
+		f.add("j", x.step)
+		starts := f.begin()
+		must.Len(t, 1, starts)
+		must.Eq(t, x.backend, starts[0].Backend)
+	}
+}
