Have an entry host that stays slow claim last for longer each time

What callers would see: a host that is slowed for long hands its shard over, claims before others again after 6 s, is busy again and hands over again, each time with seconds without starts. Found on reading the handover rule; no run shows it.

Change: each spell soon after the last is twice as long, to one minute.

Measured: TestSlowHostStaysAwayLonger (new function; the spell was 6 s always).

--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -19,6 +19,7 @@
 	ownerSort       = "owner"
 	retryPause      = 300 * time.Millisecond
 	slowTime        = 6 * time.Second        // slow spells last some seconds
+	slowMost        = time.Minute            // that others claim first where a spell does not end
 	idleRounds      = 4                      // rounds between reads of members by one that others would claim shards before
 	callTime        = 700 * time.Millisecond // of a renewal or a read of members; a slow store takes some 400 ms
 )
@@ -52,7 +53,7 @@
 // Keeper renews this entry host's row, claims shards and tells which ones it owns.
 type Keeper struct {
 	options   Options
-	mutex     sync.Mutex // guards shards, state, observed, open and watches
+	mutex     sync.Mutex // guards shards, state, observed, slowFor, open and watches
 	telling   sync.Mutex // held from the taking of an owner row to the return of Owned and Lost
 	shards    []string
 	state     *State
@@ -65,6 +66,7 @@
 	writing   chan struct{} // held while the member's row is written
 	stop      atomic.Bool
 	slowUntil atomic.Int64 // on the clock
+	slowFor   time.Duration
 	failed    atomic.Int64 // on the clock: the newest failed renewal, 0 for none
 	open      map[int64]context.CancelFunc
 	watches   int64 // so far
--- a/internal/basilshard/keeper_test.go
+++ b/internal/basilshard/keeper_test.go
@@ -49,3 +49,24 @@
 	close(release)
 	<-told
 }
+
+// TestSlowHostStaysAwayLonger has a host that is slow for long claim last for longer and longer, and forgets that after.
+func TestSlowHostStaysAwayLonger(t *testing.T) {
+	now := time.Hour
+	k := New(Options{Clock: func() time.Duration { return now }, Log: basillog.Discard()})
+	slow := func() (spell time.Duration) {
+		k.beSlow()
+		for start := now; k.Slow(); now += time.Second {
+			spell = now + time.Second - start
+		}
+		return spell
+	}
+	var spells []time.Duration
+	for range 6 {
+		spells = append(spells, slow())
+		now += 5 * time.Second
+	}
+	must.Eq(t, []time.Duration{6 * time.Second, 12 * time.Second, 24 * time.Second, 48 * time.Second, time.Minute, time.Minute}, spells)
+	now += 2 * slowMost
+	must.Eq(t, slowTime, slow())
+}
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -181,7 +182,7 @@
 // for a while.
 func (k *Keeper) HandOver(ctx context.Context, shard string, slow bool) {
 	if slow {
-		k.slowUntil.Store(int64(k.options.Clock() + slowTime))
+		k.beSlow()
 		k.renew(ctx)
 	}
 	k.mutex.Lock()
@@ -192,6 +193,19 @@
 	}
 }
 
+// beSlow has others claim before this entry host for a while, and for twice as long each time that it turns out to be
+// slow again soon after.
+func (k *Keeper) beSlow() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	now := k.options.Clock()
+	if last := time.Duration(k.slowUntil.Load()); last == 0 || now > last+slowMost {
+		k.slowFor = 0
+	}
+	k.slowFor = min(max(slowTime, 2*k.slowFor), slowMost)
+	k.slowUntil.Store(int64(now + k.slowFor))
+}
+
 func (k *Keeper) release(ctx context.Context, shard string, row OwnerRow) {
 	if err := k.write(ctx, shard, OwnerRow{Node: row.Node, Epoch: row.Epoch}, row.Version); err != nil {
 		k.options.Log.WithError(err).WithField(basillog.FieldPool, shard).Warn("shard not handed over")
