Leave a successor the backend servers that may have runs

Cause: tasks of jobs that are taken over wait until each backend server that the predecessor ever listed as used has answered or the leases have run out, 7.8 s. On grown sites hosts move all the time, and some on the list are always gone; a shard that is handed over every few seconds never gets to its jobs.

Change: an owner that gives up its shard starts nothing any more and knows what it started. It stores the backend servers that may have runs, or ends that are not stored, in place of all that were used. After a crash the whole list and the wait stay.

Ruled out: to take a backend server for gone that refuses connections or has no entry any more; it may run on.

In basilscheduler: Pool.MayHaveRuns.

--- a/internal/basilnode/failure_test.go
+++ b/internal/basilnode/failure_test.go
@@ -95,6 +95,23 @@
 	}
 }
 
+// TestShardHandedOverDoesNotWaitForIdleBackendServers goes on with a job soon after its shard was handed over, though a
+// backend server that was used, but had no runs any more, never answers.
+func TestShardHandedOverDoesNotWaitForIdleBackendServers(t *testing.T) {
+	run(t, 3, 4, constant(900*time.Millisecond), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+		time.Sleep(400 * time.Millisecond)
+		for _, b := range c.site.Backends("stretch") {
+			if c.site.RunsOn(b) == 0 {
+				c.site.Crash(b, time.Minute)
+				break
+			}
+		}
+		c.stop(c.owner("stretch"))
+		c.await(quotePrefix, jobID(1), "completed", 3*time.Second)
+	})
+}
+
 // storeFault puts the store's faults in force for a time.
 func (c *cluster) storeFault(d time.Duration, f basilfake.StoreFaults) {
 	c.site.Store.SetFaults(f)
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -383,12 +383,20 @@
 	go n.handOver(shard, false)
 }
 
-// stop ends the starting of work, waits for orders in flight and stores what is known.
+// stop ends the starting of work, waits for orders in flight, stores what is known and ends the owner.
 func (o *owner) stop(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, stopCommit)
-	defer cancel()
 	o.send(func(time.Time) { o.stopping = true })
 	o.orders.stop()
+	o.finish(ctx)
+	o.leave(ctx)
+	o.cancel()
+	<-o.done
+}
+
+// finish waits until all orders are answered and all records are stored, for stopCommit at most.
+func (o *owner) finish(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopCommit)
+	defer cancel()
 	for ctx.Err() == nil {
 		clean := make(chan bool, 1)
 		o.send(func(time.Time) {
@@ -398,8 +406,6 @@
 		select {
 		case done := <-clean:
 			if done {
-				o.cancel()
-				<-o.done
 				return
 			}
 		case <-o.ctx.Done():
@@ -408,7 +414,6 @@
 		}
 		_ = basiltimer.Wait(ctx, stopPoll) // an ended context ends the loop
 	}
-	o.cancel()
 }
 
 // Holder returns the entry host that owns a shard, as this one knows it.
--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -62,7 +62,7 @@
 	list := make(map[string]basilwork.Backend)
 	missing := false
 	for _, b := range o.pool.Backends() {
-		list[b.ID] = basilwork.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Rack: b.Rack, Born: b.Born}
+		list[b.ID] = recorded(b)
 		if _, ok := o.records.stored[b.ID]; !ok {
 			missing = true
 		}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -338,6 +338,11 @@
 	return b != nil && len(b.runs) > 0
 }
 
+// MayHaveRuns tells whether the backend server may have runs of this owner, or of an earlier one that it has not told of.
+func (p *Pool) MayHaveRuns(id string) bool {
+	return p.Busy(id) || !p.unsettled[id].IsZero()
+}
+
 // Dirty returns the records that changed since they were last taken, and whether one is urgent.
 func (p *Pool) Dirty() (ids []string, urgent bool) {
 	for id, j := range p.dirty {
