Keep a task that was moved for maintenance off its old host for a while

Cause: a long-running task is stopped on a host that is due when another has room, and short tasks take that room before the stop is done.

Measured: TestTaskMovedOffAHostThatIsDueStaysOff failed and passes.

In basilscheduler: tendRun.

--- a/internal/basilscheduler/due_test.go
+++ b/internal/basilscheduler/due_test.go
@@ -50,3 +50,25 @@
 		must.Eq(t, x.backend, starts[0].Backend)
 	}
 }
+
+// TestTaskMovedOffAHostThatIsDueStaysOff waits for room elsewhere that short tasks took before it was stopped.
+func TestTaskMovedOffAHostThatIsDueStaysOff(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 2000))
+	f.add("long", longStep(1, 2000))
+	must.Len(t, 1, f.begin())
+	f.list(backendOf("b1", 2000), backendOf("b2", 2000))
+	f.pass(time.Second)
+	f.report("b1", 100)
+	f.SetDue([]string{"b1"})
+	stops := f.Decide(f.now).Stops
+	must.Len(t, 1, stops)
+	f.add("short", stepOf(1, 2000))
+	must.Eq(t, "b2", f.begin()[0].Backend)
+	f.Stopped(stops[0].Ref, true, f.now)
+	f.pass(100 * time.Millisecond)
+	f.report("b1", 100, end("long.0.0.0", 1, 1, basilwork.RunEndStopped))
+	must.SliceEmpty(t, f.begin())
+	f.pass(time.Second)
+	f.report("b2", 100, end("short.0.0.0", 1, 1, basilwork.RunEndDone))
+	must.Eq(t, "b2", f.begin()[0].Backend)
+}
--- a/internal/basilscheduler/tend.go
+++ b/internal/basilscheduler/tend.go
@@ -73,6 +73,7 @@
 	case r.backend.due && r.task.step.spec.LongRunning:
 		r.backend.tendLater(now.Add(tendEvery))
 		if p.mayLeave(r, now) && p.elsewhere(r, true, now) {
+			r.task.shun(r.backend.ID, now.Add(avoidTime)) // short tasks may take the room elsewhere first
 			p.stop(r, "its host is to be maintained", now)
 		}
 	case p.crawls(r, now):
