Store who gives orders for hosts, and wait a lease after another one's

Cause: a new owner of the fleet waits for a lease unless the shard's owner before was of the same node. A node that took the shard from another, was killed and started again within that lease found itself as the owner before, and gave orders at once, though it had never waited for the other one's.

The fleet's owner now stores its node before its first order, and a successor waits unless it is that node. The owner row tells nothing of that any more. A restarted node that had given orders still goes on without a wait, after one more write.

--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -21,6 +21,7 @@
 	askSort       = "ask"
 	answerSort    = "answer"
 	recordSort    = "waves"
+	holderSort    = "holder"               // who gives orders for hosts
 	fleetTick     = 250 * time.Millisecond // between decisions; hosts take seconds
 	fleetPause    = 50 * time.Millisecond  // at least, between decisions, so that events are taken in together
 	machinesBusy  = 700 * time.Millisecond // between reads of the hosts while some are away; each read is priced
@@ -41,6 +42,8 @@
 type fleet struct {
 	node     *Node
 	row      basilshard.OwnerRow
+	holder   string // node that may have given the newest orders, as stored
+	taking   bool   // it is being replaced by this entry host
 	log      *logrus.Entry
 	state    *basilcapacity.Fleet // of the control goroutine, as all below
 	events   chan fleetEvent
@@ -182,6 +185,8 @@
 		if err = json.Unmarshal(i.Body, &records); err == nil {
 			f.state.SetRecords(records)
 		}
+	case holderSort:
+		err = json.Unmarshal(i.Body, &f.holder)
 	case askSort:
 		var a basilcapacity.Ask
 		if err = json.Unmarshal(i.Body, &a); err == nil {
@@ -256,8 +261,8 @@
 	f.state.SetConfiguration(f.node.configuration())
 	f.list(now)
 	f.warnList(now)
-	if now.Sub(f.since) < f.node.options.Order+orderTime && f.row.Before != "" && f.row.Before != f.row.Node || !f.node.keeper.MayStart() {
-		return // another owner's orders may be less than a lease old
+	if !f.node.keeper.MayStart() || !f.holds(now) {
+		return
 	}
 	plan := f.state.Decide(now)
 	took := time.Since(now)
@@ -275,6 +280,39 @@
 	}
 }
 
+// holds tells whether this entry host may give orders: it is stored as the one that does.
+//
+// Another one's orders may be less than a lease old. That the node owned the shard before says nothing: it may have
+// owned it for a moment, without an order.
+func (f *fleet) holds(now time.Time) bool {
+	self := f.node.options.Self.Node
+	switch {
+	case f.holder == self:
+		return true
+	case f.taking, f.holder != "" && now.Sub(f.since) < f.node.options.Order+orderTime:
+		return false
+	}
+	body, err := json.Marshal(self)
+	if err != nil {
+		f.log.WithError(err).Error("holder not encoded")
+		return false
+	}
+	f.taking = true
+	row := f.rowOf(fleetKey(fleetShard, holderSort))
+	go func() {
+		err := row.Write(f.ctx, body)
+		f.send(func(time.Time) {
+			f.taking = false
+			if err != nil {
+				f.log.WithError(err).Warn("holder not stored")
+				return
+			}
+			f.holder = self
+		})
+	}()
+	return false
+}
+
 // logStandings writes a line of how the pools stand, once per loadEvery.
 func (f *fleet) logStandings(now time.Time) {
 	if now.Sub(f.logged) < loadEvery {
--- a/internal/basilnode/property_test.go
+++ b/internal/basilnode/property_test.go
@@ -209,6 +209,9 @@
 		"ends from before a lapse of the leases were judged as acknowledged in time": {
 			{8 * ms, 200 * ms, 0, 2}, {11 * ms, 8281 * ms, 5, 1}, {253 * ms, 9000 * ms, 2, 1}, {296 * ms, 236 * ms, 2, 11}, {575 * ms, 232 * ms, 8, 7},
 		},
+		"a restarted holder of the fleet gave orders within the lease of another one's": {
+			{761 * ms, 200 * ms, 1, 9}, {914 * ms, 201 * ms, 8, 9}, {1095 * ms, 256 * ms, 14, 3}, {2471 * ms, 589 * ms, 1, 2}, {3155 * ms, 226 * ms, 0, 5}, {3155 * ms, 201 * ms, 0, 9},
+		},
 	}
 	for name, plan := range plans {
 		for n := range 12 {
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -139,7 +139,7 @@
 	standing, rests := k.state.standing(row)
 	k.mutex.Unlock()
 	self := k.options.Self
-	next := OwnerRow{Node: self.Node, Before: row.Node, Incarnation: self.Incarnation, Epoch: row.Epoch + 1, Dead: ended}
+	next := OwnerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: row.Epoch + 1, Dead: ended}
 	var checks []basilplatform.Write
 	if rests { // a holder that renews meanwhile takes its shards for its own
 		checks = append(checks, basilplatform.Write{
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -23,7 +23,6 @@
 // OwnerRow is the stored owner of a shard; no incarnation means that it was released.
 type OwnerRow struct {
 	Node        string `json:"node,omitempty"`
-	Before      string `json:"before,omitempty"` // node of the owner before
 	Incarnation string `json:"incarnation,omitempty"`
 	Epoch       int64  `json:"epoch"`
 	Dead        bool   `json:"dead,omitempty"` // the owner before had ended when this one took over
