--- a/internal/basilnode/property_test.go
+++ b/internal/basilnode/property_test.go
@@ -212,6 +212,12 @@
 		"a restarted holder of the fleet gave orders within the lease of another one's": {
 			{761 * ms, 200 * ms, 1, 9}, {914 * ms, 201 * ms, 8, 9}, {1095 * ms, 256 * ms, 14, 3}, {2471 * ms, 589 * ms, 1, 2}, {3155 * ms, 226 * ms, 0, 5}, {3155 * ms, 201 * ms, 0, 9},
 		},
+		"a start that a backend server left unanswered was carried out by its next incarnation": {
+			{717 * ms, 4865 * ms, 11, 0}, {2003 * ms, 9000 * ms, 9, 0},
+		},
+		"a start that waited for a place was carried out by the backend server's next incarnation": {
+			{714 * ms, 200 * ms, 1, 11}, {717 * ms, 4865 * ms, 11, 0}, {1595 * ms, 9000 * ms, 9, 5}, {1595 * ms, 210 * ms, 1, 1}, {2003 * ms, 202 * ms, 7, 9}, {3228 * ms, 8321 * ms, 9, 0},
+		},
 	}
 	for name, plan := range plans {
 		for n := range 12 {
