Open a new line to a backend server that was forgotten and is listed again

Cause: entries of backend servers that are cut off lapse, and come back when the cut is over. One without runs is forgotten as soon as it is not listed; its line stays until the row of used backend servers is written without it, which takes up to 2 s. When it was listed again before, the pool waited to hear from the line that the backend server answers, and a line tells that once. No run was placed there any more; to the fleet the host was in use.

Now the line to a backend server that the pool does not know is closed when it is listed, and a new one asks it.

TestBackendServerWhoseEntryCameBackIsUsed failed before.

--- a/internal/basilnode/failure_test.go
+++ b/internal/basilnode/failure_test.go
@@ -436,3 +436,20 @@
 		must.Eq(c.t, 2, reads())
 	})
 }
+
+// TestBackendServerWhoseEntryCameBackIsUsed places tasks again on backend servers whose entries were away for a moment,
+// as after a cut: an owner that forgot them, but not its lines to them, never heard that they answer.
+func TestBackendServerWhoseEntryCameBackIsUsed(t *testing.T) {
+	run(t, 1, 3, constant(500*time.Millisecond), func(c *cluster) {
+		must.Eq(c.t, 200, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+		c.await(quotePrefix, jobID(1), "completed", 2*time.Second)
+		for range 2 { // the second time the row of used backend servers is too young to be written without them
+			for _, b := range c.site.Backends("stretch") {
+				c.site.Store.Remove("servers", b.ID())
+			}
+			time.Sleep(1500 * time.Millisecond) // they write again every 1.5 s
+		}
+		must.Eq(c.t, 200, c.submit("entry-1", quotePrefix, jobID(2), twoSteps))
+		c.await(quotePrefix, jobID(2), "completed", 2*time.Second)
+	})
+}
--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -105,6 +105,11 @@
 		_, gone := o.plan.ask.Gone[b.ID]
 		return gone
 	})
+	for _, b := range list {
+		if !o.pool.Knows(b.ID) {
+			o.closeLine(b.ID) // it was forgotten, and its line has told long ago that it answers
+		}
+	}
 	o.pool.SetBackends(list)
 	o.record()
 	listed := make(map[string]bool, len(list))
