Pass over orders to a backend server that has enough of them

What callers saw: while some backend servers were silent, starts on sound ones waited too.

Cause: 64 orders go out at a time, whatever backend servers they are for, and an order to a silent one takes its place for 0.9 s. Tasks are packed, so that a few silent backend servers, or one with many tasks, take all places; the others' starts wait for more than 0.5 s and are decided again.

Change: four orders go to a backend server at a time; the queue passes over the rest. Whoever sends one of the four looks at the queue again. Gangs of which a member was sent are kept apart by name, as several may be under way.

Measured: TestSilentBackendServerHoldsUpNoOthers failed without the limit and passes.

--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -1,6 +1,7 @@
 package basilnode
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 
 const (
 	ordersAtOnce = 64                     // in flight; each is a connection
+	ordersToOne  = 4                      // in flight to one backend server, lest a silent one take all places
 	startsQueued = 128                    // that wait at most, but for whole gangs; as many as are sent within their age
 	startAge     = 500 * time.Millisecond // that a decision to start holds: room, hosts and jobs change meanwhile
 )
@@ -26,6 +28,12 @@
 	withdrawalStopping             // the owner gives up the shard
 )
 
+// order is one that waits to be sent.
+type order struct {
+	backend string
+	send    func()
+}
+
 // waitingStart is a start that waits to be sent.
 type waitingStart struct {
 	basilscheduler.Start
@@ -58,19 +66,20 @@
 	// withdraw is told of starts that are not sent.
 	withdraw  func(list []withdrawn)
 	mutex     sync.Mutex // guards all below
-	first     []func()   // stops and paces
+	first     []order    // stops and paces
 	starts    []waitingStart
 	inFlight  int
-	cancelled map[string]bool // jobs
-	begun     gangStart       // the newest gang of which a start was sent
+	sending   map[string]int     // orders in flight, by backend server
+	cancelled map[string]bool    // jobs
+	begun     map[gangStart]bool // gangs of which a start was sent while others waited
 	stopping  bool
 }
 
 // put queues an order that waits for no start.
-func (q *orders) put(send func()) {
+func (q *orders) put(backend string, send func()) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.first = append(q.first, send)
+	q.first = append(q.first, order{backend: backend, send: send})
 	q.work()
 }
 
@@ -92,39 +101,80 @@
 
 func (q *orders) run() {
 	for {
-		send, list := q.next(time.Now())
+		o, list := q.next(time.Now())
 		if len(list) > 0 {
 			q.withdraw(list)
 		}
-		if send == nil {
+		if o.send == nil {
 			return
 		}
-		send()
+		o.send()
+		q.sent(o.backend)
 	}
 }
 
-// next takes the order whose turn it is, or nil, and the starts before it that are not to be sent.
-func (q *orders) next(now time.Time) (send func(), list []withdrawn) {
+// next takes the order whose turn it is, or none, and the starts before it that are not to be sent. Orders to backend
+// servers that have enough of them are passed over: what sends those looks again.
+func (q *orders) next(now time.Time) (order, []withdrawn) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if len(q.first) > 0 {
-		send, q.first = q.first[0], q.first[1:]
-		return send, nil
+	for n, o := range q.first {
+		if q.sending[o.backend] < ordersToOne {
+			q.first = slices.Delete(q.first, n, n+1)
+			return q.take(o), nil
+		}
 	}
-	for len(q.starts) > 0 {
-		s := q.starts[0]
-		q.starts = q.starts[1:]
+	var list []withdrawn
+	var passed []waitingStart
+	for n, s := range q.starts {
 		if reason := q.look(&s, now); reason != withdrawalNone {
 			list = append(list, withdrawn{Start: s.Start, reason: reason})
 			continue
 		}
-		if s.Gang {
-			q.begun = s.gang()
+		if q.sending[s.Backend] >= ordersToOne {
+			passed = append(passed, s)
+			continue
 		}
-		return s.send, list
+		q.starts = q.starts[n+1-len(passed):]
+		copy(q.starts, passed)
+		q.begin(&s)
+		return q.take(order{backend: s.Backend, send: s.send}), list
+	}
+	q.starts = passed
+	if len(passed) == 0 {
+		q.begun = nil
 	}
 	q.inFlight--
-	return nil, list
+	return order{}, list
+}
+
+// begin notes that the other members of the start's gang are to follow it.
+func (q *orders) begin(s *waitingStart) {
+	if !s.Gang {
+		return
+	}
+	if q.begun == nil {
+		q.begun = make(map[gangStart]bool)
+	}
+	q.begun[s.gang()] = true
+}
+
+// take notes that the order is sent; the caller holds the mutex.
+func (q *orders) take(o order) order {
+	if q.sending == nil {
+		q.sending = make(map[string]int)
+	}
+	q.sending[o.backend]++
+	return o
+}
+
+// sent notes that an order was answered, or will not be.
+func (q *orders) sent(backend string) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.sending[backend]--; q.sending[backend] == 0 {
+		delete(q.sending, backend)
+	}
 }
 
 // look tells why a start is not to be sent now. The members of a gang are sent together: one that is on its way
@@ -133,7 +183,7 @@
 	switch {
 	case q.cancelled[s.Task.Job]:
 		return withdrawalCancelled
-	case s.Gang && q.begun == s.gang():
+	case s.Gang && q.begun[s.gang()]:
 		return withdrawalNone
 	case q.stopping:
 		return withdrawalStopping
--- a/internal/basilnode/orders_test.go
+++ b/internal/basilnode/orders_test.go
@@ -1,6 +1,7 @@
 package basilnode
 
 import (
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,7 @@
 
 func (s *sender) queue(job string, index int, gang bool) {
 	id := basilwork.TaskID{Job: job, Index: index}
-	s.orders.putStart(basilscheduler.Start{Ref: basilscheduler.Ref{Task: id, Attempt: 1}, Gang: gang}, time.Now(), func() {
+	s.orders.putStart(basilscheduler.Start{Ref: basilscheduler.Ref{Backend: job, Task: id, Attempt: 1}, Gang: gang}, time.Now(), func() {
 		s.orders.mutex.Lock()
 		s.sent = append(s.sent, id.String())
 		s.orders.mutex.Unlock()
@@ -46,8 +47,8 @@
 
 // fill takes all places but as many as are to be left.
 func (s *sender) fill(left int) {
-	for range ordersAtOnce - left {
-		s.orders.put(func() { <-s.release })
+	for n := range ordersAtOnce - left {
+		s.orders.put(strconv.Itoa(n), func() { <-s.release })
 	}
 }
 
@@ -83,3 +84,22 @@
 		must.Eq(t, []withdrawal{withdrawalLate, withdrawalLate}, s.held)
 	})
 }
+
+// TestSilentBackendServerHoldsUpNoOthers sends to others what is decided while many orders wait for a silent one.
+func TestSilentBackendServerHoldsUpNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSender()
+		for n := range 2 * ordersAtOnce {
+			s.queue("silent", n, false)
+		}
+		s.queue("well", 0, false)
+		synctest.Wait()
+		must.SliceContains(t, s.sent, "well.0.0.0")
+		must.Len(t, ordersToOne+1, s.sent)
+		time.Sleep(2 * startAge)
+		close(s.release)
+		synctest.Wait()
+		must.Len(t, 2*ordersAtOnce-ordersToOne, s.held)
+		must.True(t, s.orders.idle())
+	})
+}
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -366,7 +366,7 @@
 // order has an order to a backend server sent beside the control goroutine, unless it is gone.
 func (o *owner) order(id string, f func(l *line)) {
 	if l := o.lines[id]; l != nil {
-		o.orders.put(func() { f(l) })
+		o.orders.put(id, func() { f(l) })
 	}
 }
 
