Hand over a shard once the store answers again

Cause: an owner that hands its shard over stops its work first and releases the row after. When that write failed, it was not repeated: the member went on to renew, so that nobody might take the shard, and nobody worked on it.

The release is repeated until it is stored or the shard is lost. TestShardIsHandedOverOnceTheStoreAnswers failed before: no owner 2 s after the store had come back.

--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -12,6 +12,7 @@
 
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basiltimer"
 )
 
 // candidatesLogged is how many of a claim's candidates are logged at least.
@@ -180,16 +181,20 @@
 
 // HandOver hands over one shard; the caller has stopped its work. One that is slow has others claim shards before it
 // for a while.
+//
+// It goes on until that is stored or the shard is lost: nobody else takes a shard from a member that renews.
 func (k *Keeper) HandOver(ctx context.Context, shard string, slow bool) {
 	if slow {
 		k.beSlow()
 		k.renew(ctx)
 	}
-	k.mutex.Lock()
-	row, ok := k.owned[shard]
-	k.mutex.Unlock()
-	if ok {
-		k.release(ctx, shard, row)
+	for !k.stop.Load() {
+		k.mutex.Lock()
+		row, ok := k.owned[shard]
+		k.mutex.Unlock()
+		if !ok || k.release(ctx, shard, row) || basiltimer.Wait(ctx, retryPause) != nil {
+			return
+		}
 	}
 }
 
@@ -206,10 +211,13 @@
 	k.slowUntil.Store(int64(now + k.slowFor))
 }
 
-func (k *Keeper) release(ctx context.Context, shard string, row OwnerRow) {
-	if err := k.write(ctx, shard, OwnerRow{Node: row.Node, Epoch: row.Epoch}, row.Version); err != nil {
+// release stores that a shard has no owner, and tells whether that is done.
+func (k *Keeper) release(ctx context.Context, shard string, row OwnerRow) bool {
+	err := k.write(ctx, shard, OwnerRow{Node: row.Node, Epoch: row.Epoch}, row.Version)
+	if err != nil {
 		k.options.Log.WithError(err).WithField(basillog.FieldPool, shard).Warn("shard not handed over")
 	}
+	return err == nil
 }
 
 // watch follows the owner rows.
--- a/internal/basilshard/property_test.go
+++ b/internal/basilshard/property_test.go
@@ -335,3 +335,23 @@
 		time.Sleep(time.Second) // calls that are under way end
 	})
 }
+
+// TestShardIsHandedOverOnceTheStoreAnswers goes on to hand over a shard while the store refuses calls: its owner has
+// stopped, and renews, so that nobody else may take it.
+func TestShardIsHandedOverOnceTheStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRing()
+		time.Sleep(3 * time.Second)
+		h := r.holder("a")
+		r.store.SetFaults(basilfake.StoreFaults{Busy: true})
+		time.AfterFunc(400*time.Millisecond, func() { r.store.SetFaults(basilfake.StoreFaults{}) })
+		h.HandOver(t.Context(), "a", true)
+		time.Sleep(2 * time.Second)
+		must.NotNil(t, r.holder("a"))
+		must.NotEq(t, h, r.holder("a"))
+		for n := range r.hosts {
+			r.kill(n)
+		}
+		time.Sleep(time.Second) // calls that are under way end
+	})
+}
