--- a/internal/basilnode/property_test.go
+++ b/internal/basilnode/property_test.go
@@ -209,6 +209,9 @@
 		"ends from before a lapse of the leases were judged as acknowledged in time": {
 			{8 * ms, 200 * ms, 0, 2}, {11 * ms, 8281 * ms, 5, 1}, {253 * ms, 9000 * ms, 2, 1}, {296 * ms, 236 * ms, 2, 11}, {575 * ms, 232 * ms, 8, 7},
 		},
+		"a start that may be carried out later was taken for one that was never sent": {
+			{1051 * ms, 337 * ms, 8, 3}, {1055 * ms, 201 * ms, 11, 9}, {2292 * ms, 2161 * ms, 1, 3}, {2293 * ms, 263 * ms, 1, 0}, {3187 * ms, 409 * ms, 9, 9}, {4672 * ms, 3328 * ms, 1, 11},
+		},
 		"a restarted holder of the fleet gave orders within the lease of another one's": {
 			{761 * ms, 200 * ms, 1, 9}, {914 * ms, 201 * ms, 8, 9}, {1095 * ms, 256 * ms, 14, 3}, {2471 * ms, 589 * ms, 1, 2}, {3155 * ms, 226 * ms, 0, 5}, {3155 * ms, 201 * ms, 0, 9},
 		},
