Keep the runs that a backend server lists after it started again

Cause: a line holds an idle backend server rarely, so a rebirth is often noticed by the first hold after new starts there. Those starts were answered after that hold was asked for, so the pool took it to be unknown which incarnation has them, and stopped them all, though the answer that told of the rebirth listed them as running.

What the answer lists is there. Only runs that it neither lists nor must list are stopped.

TestRebornStopsTheNewIncarnationsRuns failed before with 3 stops instead of 1. TestRebornSettles passes an empty answer, as its Report does; it checks what it did.

--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -158,7 +158,7 @@
 	o.send(func(now time.Time) {
 		if reborn {
 			o.log.WithFields(logrus.Fields{basillog.FieldHost: id, "born": r.Born}).Info("backend server started again")
-			o.pool.Reborn(id, sent, now)
+			o.pool.Reborn(id, r, sent, now)
 			delete(o.commit.acked, id)
 			delete(o.commit.snapshot, id)
 		}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -306,9 +306,9 @@
 // Reborn forgets what was known of a backend server that started again under its id, as the answer
 // to a hold asked for at sent told; Report is to follow with that answer.
 //
-// Runs that the answer must list are settled by it. Of those ordered since, nobody knows which
+// Runs that the answer lists or must list are settled by it. Of others ordered since, nobody knows which
 // incarnation has them: they are stopped.
-func (p *Pool) Reborn(id string, sent, now time.Time) {
+func (p *Pool) Reborn(id string, answer basilwork.Report, sent, now time.Time) {
 	b := p.backends[id]
 	if b == nil {
 		return
@@ -316,13 +316,18 @@
 	b.processed = 0
 	b.attached = false
 	for _, r := range b.sortedRuns() {
-		if r.phase == phaseRunning && !r.settled(sent) {
+		if r.phase == phaseRunning && !r.settled(sent) && !lists(answer.Running, r) {
 			r.phase = phaseUnsure
 			p.stop(r, "backend server started again", now)
 		}
 	}
 }
 
+func lists(running []basilwork.RunStatus, r *run) bool {
+	task := r.task.id.String()
+	return slices.ContainsFunc(running, func(s basilwork.RunStatus) bool { return s.Task == task && s.Attempt == r.attempt })
+}
+
 // Processed returns up to which number the ends of a backend server were taken in.
 func (p *Pool) Processed() map[string]int64 {
 	numbers := make(map[string]int64, len(p.backends))
--- a/internal/basilscheduler/reborn_test.go
+++ b/internal/basilscheduler/reborn_test.go
@@ -79,6 +79,25 @@
 
 func (f *fixture) pass(d time.Duration) { f.now = f.now.Add(d) }
 
+// TestRebornStopsTheNewIncarnationsRuns leaves alone what a backend server that started again lists as running there.
+func TestRebornStopsTheNewIncarnationsRuns(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	sent := f.now
+	f.pass(100 * time.Millisecond)
+	s := stepOf(3, 1000)
+	s.LongRunning = true
+	f.add("one", s)
+	must.Len(t, 3, f.begin())
+	f.pass(700 * time.Millisecond)
+	answer := basilwork.Report{Running: []basilwork.RunStatus{
+		{Task: "one.0.0.0", Attempt: 1, Percent: 100}, {Task: "one.0.0.1", Attempt: 2, Percent: 100}, {Task: "one.0.0.2", Attempt: 1, Percent: 100},
+	}}
+	f.Reborn("b1", answer, sent, f.now)
+	a := f.Decide(f.now)
+	must.Len(t, 1, a.Stops)
+	must.Eq(t, Ref{Backend: "b1", Task: basilwork.TaskID{Job: "one", Index: 1}, Attempt: 1}, a.Stops[0].Ref)
+}
+
 // TestRebornSettles restarts what a rebirth ended, and never what may have been ordered from the new incarnation.
 func TestRebornSettles(t *testing.T) {
 	f := newFixture(t, backendOf("b1", 4000))
@@ -91,7 +110,7 @@
 	must.Len(t, 1, f.begin())
 	f.pass(100 * time.Millisecond)
 	f.list(backendOf("b1", 4000), backendOf("b2", 4000))
-	f.Reborn("b1", sent, f.now)
+	f.Reborn("b1", basilwork.Report{}, sent, f.now)
 	f.Report("b1", basilwork.Report{}, sent, f.now)
 	f.Attached("b1")
 	a := f.Decide(f.now)
