Work on stores that keep each transaction to one part

Cause: asks to pools rest on the row of the fleet's owner, claims on the row of the holder's member, each in another part; the settings tell by cross_shard whether a store does that, and were not read.

Where it does not, an ask is written without the check, for a row's version already keeps an owner that was replaced from overwriting its successor's, and the holder's row is read right before a claim. A holder that renews in between and reads its owner rows before the claim is stored would work on until its watch tells it; its starts are fenced by then, those of new jobs are not. That is not proved by a property test.

--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -58,6 +58,7 @@
 	starts  int
 	began   time.Time
 	weights map[string]float64 // of entry hosts, 1 where missing
+	single  bool               // the store has no transactions over several partitions
 	share   atomic.Int64       // percent of a core that each entry host's process gets
 	due     []string           // entry hosts to be started again
 	mutex   sync.Mutex         // guards due and what callers' goroutines were told
@@ -120,7 +121,7 @@
 		Self:  basilshard.Member{Node: name, Incarnation: fmt.Sprintf("%s.%d", name, c.starts), Zone: "north", Weight: weight},
 		Clock: func() time.Duration { return time.Since(began) + time.Second },
 		Lease: 2200 * time.Millisecond, MaxHold: 6 * time.Second, HoldLimit: 3500 * time.Millisecond,
-		Status: 2 * time.Minute, Order: 3 * time.Second, Migrate: 1500 * time.Millisecond, Maintain: 2 * time.Second,
+		SinglePart: c.single, Status: 2 * time.Minute, Order: 3 * time.Second, Migrate: 1500 * time.Millisecond, Maintain: 2 * time.Second,
 		Store: store, Directory: basilsite.NewDirectory(store), Commander: basilsite.NewCommander(client),
 		Advisor:  basilsite.NewAdvisor(client, func() string { return basilfake.AdviceAddress }),
 		Machines: basilsite.NewMachines(client, func() string { return basilfake.MachinesAddress }, time.Second),
--- a/internal/basilnode/failure_test.go
+++ b/internal/basilnode/failure_test.go
@@ -234,6 +234,29 @@
 	}
 }
 
+// TestStoreWithoutTransactionsOverParts takes shards over, moves hosts and maintains them where the store keeps each
+// transaction to one part.
+func TestStoreWithoutTransactionsOverParts(t *testing.T) {
+	run(t, 0, 5, constant(500*time.Millisecond), func(c *cluster) {
+		c.site.Store.SetSinglePart()
+		c.single = true
+		for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+			c.start(name)
+		}
+		time.Sleep(3 * time.Second)
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", longPrefix, lastID, lasting))
+		time.Sleep(2 * time.Second)
+		c.site.AskWave(1, append(c.site.Machines("stretch"), c.site.Machines("spare")...), 40, 2)
+		for _, shard := range []string{"fleet", "stretch"} {
+			time.Sleep(3 * time.Second)
+			c.kill(c.owner(shard))
+		}
+		time.Sleep(35 * time.Second)
+		must.Eq(c.t, `{"state":"completed"}`, c.site.WaveState(1))
+		must.Eq(c.t, 3, c.site.Running(lastID))
+	})
+}
+
 // TestPeak brings hosts from the standby pool while work waits, and sends them back.
 func TestPeak(t *testing.T) {
 	run(t, 3, 4, constant(900*time.Millisecond), func(c *cluster) {
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -390,10 +390,19 @@
 	f.flush(w)
 }
 
+// checks returns what a write of the row rests on: that this entry host still owns the fleet. Where the store can't check
+// that beside a pool's row, an ask of an owner that was replaced replaces none of its successor's, for versions differ.
+func (f *fleet) checks(k basilplatform.Key) []basilplatform.Write {
+	if f.node.options.SinglePart && k.Partition != fleetKey(fleetShard, "").Partition {
+		return nil
+	}
+	return []basilplatform.Write{f.row.Check(fleetShard)}
+}
+
 func (f *fleet) rowOf(k basilplatform.Key) *rowWrite {
 	w := f.rows[k]
 	if w == nil {
-		w = &rowWrite{Row: basilshard.NewRow(f.node.store, k, f.row.Check(fleetShard))}
+		w = &rowWrite{Row: basilshard.NewRow(f.node.store, k, f.checks(k)...)}
 		f.rows[k] = w
 	}
 	return w
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -45,14 +45,16 @@
 	Maintain  time.Duration // of a host's maintenance
 	Orders    float64       // for hosts, per second, that the platform accepts; 0 if it does not tell
 	Store     basilwork.Store
-	Directory basilwork.Directory
-	Commander basilwork.Commander
-	Advisor   basilwork.Advisor
-	Machines  basilwork.Machines
-	Codec     Codec
-	Calls     func() map[string]basilwork.CallCount // by kind, for logs and metrics; may be nil
-	Processor func() time.Duration                  // that the process has used so far; nil asks the system
-	Log       *logrus.Logger
+	// SinglePart says that the store keeps no transaction over several partitions.
+	SinglePart bool
+	Directory  basilwork.Directory
+	Commander  basilwork.Commander
+	Advisor    basilwork.Advisor
+	Machines   basilwork.Machines
+	Codec      Codec
+	Calls      func() map[string]basilwork.CallCount // by kind, for logs and metrics; may be nil
+	Processor  func() time.Duration                  // that the process has used so far; nil asks the system
+	Log        *logrus.Logger
 }
 
 // Node is one entry host.
@@ -86,7 +88,7 @@
 	}
 	n.keeper = basilshard.New(basilshard.Options{
 		Self: o.Self, Store: o.Store, Clock: o.Clock, Log: o.Log,
-		Lease: o.Lease, Margin: leaseMargin, Renew: renewEvery, Owned: n.owned, Lost: n.lost, Better: n.better,
+		Lease: o.Lease, Margin: leaseMargin, Renew: renewEvery, SinglePart: o.SinglePart, Owned: n.owned, Lost: n.lost, Better: n.better,
 	})
 	return n
 }
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -42,6 +42,8 @@
 	Lease  time.Duration // that a member's row may stand still
 	Margin time.Duration // before the lease ends, in which no work is started any more
 	Renew  time.Duration // between renewals
+	// SinglePart says that the store keeps no transaction over several partitions.
+	SinglePart bool
 	// Owned and Lost are called one at a time, in the order of the owner rows.
 	Owned func(shard string, row OwnerRow)
 	Lost  func(shard string)
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -142,7 +142,12 @@
 	self := k.options.Self
 	next := OwnerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: row.Epoch + 1, Dead: ended}
 	var checks []basilplatform.Write
-	if rests { // a holder that renews meanwhile takes its shards for its own
+	switch { // a holder that renews meanwhile takes its shards for its own
+	case rests && k.options.SinglePart:
+		if !k.stands(ctx, row.Node, standing) {
+			return true
+		}
+	case rests:
 		checks = append(checks, basilplatform.Write{
 			Kind: basilplatform.WriteKindCheck, Key: memberKey(row.Node), Precondition: basilplatform.PreconditionVersion, Version: standing,
 		})
@@ -153,6 +158,19 @@
 	return k.readOwner(ctx, shard)
 }
 
+// stands tells whether a member's row still has the version. It is read right before a claim where the store can't check
+// it with the claim; what is left to a holder that renews in between is that its starts are fenced.
+func (k *Keeper) stands(ctx context.Context, node string, version int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	i, err := k.options.Store.Get(ctx, memberKey(node))
+	if err != nil && !basilplatform.IsErrItemNotExist(err) {
+		k.options.Log.WithError(err).WithField(basillog.FieldMember, node).Info("holder not read before a claim")
+		return false
+	}
+	return i.Version == version
+}
+
 func (k *Keeper) write(ctx context.Context, shard string, row OwnerRow, version int64, checks ...basilplatform.Write) error {
 	body, err := json.Marshal(row)
 	if err != nil {
