Take an owner that started again for dead only by a newer read of members

What callers would see: a shard that was just taken over is taken from its live owner, and tasks of it may run twice, as the next owner counts on the shorter grace after a process that has ended (row.Dead).

Cause: an owner row of an incarnation other than the one in the last read of members told that its holder had ended. Since entry hosts far from owning a shard read members only every fourth round (2.2 s), so the owner row of a host that has started again often arrives before the read that tells of its incarnation. Such a claim did not check the member's row, and the highest-ranked host claims at once.

TestOwnerThatStartedAgainIsNotTakenForDead failed before (one claim) and passes after.

Versions come from one counter of the store: a member's row that is older than the owner row cannot be of an incarnation that came after it. It is judged by standing still, as any other, until a newer one is read.

--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -104,7 +104,7 @@
 		return true
 	}
 	m := s.members[row.Node]
-	if m == nil || m.member.Incarnation != row.Incarnation {
+	if m == nil || m.succeeds(row) {
 		return true
 	}
 	return m.last-m.first >= s.lease
@@ -113,7 +113,13 @@
 // ended tells whether the holder of the row has released it, or its process has ended.
 func (s *State) ended(row OwnerRow) bool {
 	m := s.members[row.Node]
-	return row.Incarnation == "" || m != nil && m.member.Incarnation != row.Incarnation
+	return row.Incarnation == "" || m != nil && m.succeeds(row)
+}
+
+// succeeds tells whether the holder of the row has started again since. A read of the members that is older than the
+// row may tell of the incarnation before it.
+func (m *seen) succeeds(row OwnerRow) bool {
+	return m.member.Incarnation != row.Incarnation && m.version > row.Version
 }
 
 // standing returns the version that the row of the holder's member was seen to stand still at, 0 for no row.
--- a/internal/basilshard/state_test.go
+++ b/internal/basilshard/state_test.go
@@ -141,3 +141,20 @@
 	}
 	must.LessEq(t, len(owning)+nearby, closely)
 }
+
+// TestOwnerThatStartedAgainIsNotTakenForDead waits for a read of the members that is newer than the owner row: hosts that
+// read them rarely learn first from it that its holder has started again.
+func TestOwnerThatStartedAgainIsNotTakenForDead(t *testing.T) {
+	self, other := Member{Node: "a", Incarnation: "a.1", Weight: 2}, Member{Node: "b", Incarnation: "b.1"}
+	s := NewState(self, testLease, testRenew)
+	read := func(version int64, asked time.Duration) {
+		s.Observe([]Observed{{Member: self, Version: version}, {Member: other, Version: version}}, asked)
+	}
+	read(10, 0)
+	s.SetOwner("stretch", OwnerRow{Node: "b", Incarnation: "b.2", Epoch: 3, Version: 12})
+	must.SliceEmpty(t, s.Claims([]string{"stretch"}, time.Second))
+	other.Incarnation = "b.3"
+	read(14, 2*time.Second)
+	s.Claims([]string{"stretch"}, 2*time.Second)
+	must.Len(t, 1, s.Claims([]string{"stretch"}, 4*time.Second))
+}
