Keep asking for a host while starts are held back

What callers would see: hosts are taken from a pool whose long-running tasks find no room, whenever its queue of starts is full or its knowledge of jobs is old.

Cause: each decision forgets whether a long-running task found no backend server, and finds that out anew when placing. A decision that may start nothing places nothing, and so told the fleet's owner that the pool has enough hosts.

The answer of the last decision that could place is kept until one can again.

--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -24,7 +24,7 @@
 // Decide returns what is to be done now.
 func (p *Pool) Decide(now time.Time) Actions {
 	p.wake = now.Add(idleWake)
-	p.cramped = false
+	p.cramped = p.cramped && p.allowed == 0 // nothing is looked for then
 	p.settle(now)
 	p.compareSpeeds(now)
 	p.openDue(now)
--- a/internal/basilscheduler/decide_test.go
+++ b/internal/basilscheduler/decide_test.go
@@ -284,3 +284,16 @@
 		must.Eq(t, "b2", s.Backend)
 	}
 }
+
+// TestPoolStaysCrampedWhileNothingMayStart goes on to ask for a host while starts are held back.
+func TestPoolStaysCrampedWhileNothingMayStart(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	step := longStep(2, 3000)
+	step.AntiAffinity = 0
+	f.add("long", step)
+	must.Len(t, 1, f.begin())
+	must.Eq(t, 2, f.Load(f.now).Least)
+	f.Allow(0)
+	must.SliceEmpty(t, f.begin())
+	must.Eq(t, 2, f.Load(f.now).Least)
+}
