Store ended jobs first, then those that have waited for longest

What callers would see: a job that has ended is shown as running for as long as more than a commit's 30 records change, if its id sorts late; how long depends on the id alone.

Cause: a commit takes the first 30 changed records by id, and more change in its 150 ms or on a slow store on grown sites. Those that sort last are passed at each commit.

Changed records are handed out in the order of urgency and age. Ends of runs are still acknowledged only by a commit that takes all changed records.

--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -131,6 +131,7 @@
 	began       bool
 	adopted     bool // may have runs that a predecessor started
 	dirty       bool
+	soiled      int64 // number of the change that made it dirty
 	urgent      bool
 }
 
--- a/internal/basilscheduler/load_test.go
+++ b/internal/basilscheduler/load_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilwork"
 )
 
 // TestLoadTellsWhatMayLeave sorts backend servers by what emptying them takes.
@@ -56,3 +59,20 @@
 	f.list(backendOf("b1", 4000))
 	must.SliceEmpty(t, f.Load(f.now).Movable)
 }
+
+// TestUrgentRecordsAreTakenFirst tells of jobs that have ended, and then of those that wait for longest, before others: a
+// commit takes only some.
+func TestUrgentRecordsAreTakenFirst(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 8000))
+	for _, id := range []string{"c", "b", "a"} {
+		f.add(id, stepOf(1, 1000))
+		f.begin()
+	}
+	ids, _ := f.Dirty()
+	must.Eq(t, []string{"c", "b", "a"}, ids)
+	f.pass(time.Second)
+	f.report("b1", 50, end("b.0.0.0", 1, 1, basilwork.RunEndDone))
+	ids, urgent := f.Dirty()
+	must.True(t, urgent)
+	must.Eq(t, []string{"b", "c", "a"}, ids)
+}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -2,9 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
-	"sort"
 	"time"
 
 	"basilstage.example/basilstage/internal/basilwork"
@@ -38,6 +38,7 @@
 	options     Options
 	jobs        map[string]*job
 	dirty       map[string]*job // whose records changed since they were last taken
+	soils       int64           // records that became dirty so far
 	backends    map[string]*backend
 	list        []*backend // the same, by id
 	waiting     waiting
@@ -348,20 +349,30 @@
 	return p.Busy(id) || !p.unsettled[id].IsZero()
 }
 
-// Dirty returns the records that changed since they were last taken, and whether one is urgent.
+// Dirty returns the records that changed since they were last taken, and whether one is urgent. Those that are come
+// first, and then those that have waited for longest.
 func (p *Pool) Dirty() (ids []string, urgent bool) {
-	for id, j := range p.dirty {
-		ids = append(ids, id)
-		urgent = urgent || j.urgent
+	list := slices.SortedFunc(maps.Values(p.dirty), func(a, b *job) int {
+		if a.urgent != b.urgent {
+			if a.urgent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.soiled, b.soiled)
+	})
+	for _, j := range list {
+		ids = append(ids, j.id())
 	}
-	sort.Strings(ids)
-	return ids, urgent
+	return ids, len(list) > 0 && list[0].urgent
 }
 
 // soil notes that the job's record changed.
 func (p *Pool) soil(j *job) {
 	if !j.dirty {
 		j.dirty = true
+		p.soils++
+		j.soiled = p.soils
 		p.dirty[j.id()] = j
 	}
 }
