Release a shard only as it was when its work was stopped

What callers would see: a shard whose owner works is released under it: starts go on until the owner hears of it while the next one takes over as after an ended process.

Cause: the handover that goes on until the store answers reads the owner row anew at each try. If the first release took effect without an answer and this entry host claims the shard again meanwhile, the next try releases what was just started.

Evidence: found by reading; no play shows it. TestShardThatWasRegainedIsNotReleased failed before (11 releases instead of 1) and passes after.

The version of the first row is kept; a newer one is not given away.

--- a/internal/basilshard/keeper_test.go
+++ b/internal/basilshard/keeper_test.go
@@ -1,14 +1,17 @@
 package basilshard
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basilwork"
 )
 
 // TestOwnerOfSameIncarnation does not take another node's shard for its own, even if both drew the same incarnation.
@@ -70,3 +73,32 @@
 	now += 2 * slowMost
 	must.Eq(t, slowTime, slow())
 }
+
+// regaining is a store that does not answer the release of a shard, which the keeper meanwhile claims again.
+type regaining struct {
+	basilwork.Store
+	keeper   *Keeper
+	released int
+}
+
+func (s *regaining) Transact(context.Context, basilplatform.Transaction) error {
+	s.released++
+	s.keeper.setOwner("stretch", OwnerRow{Node: "entry-1", Incarnation: "x", Epoch: 2, Version: int64(6 + s.released)})
+	return basilplatform.ErrOutcomeUnknown{Operation: "write", Cause: context.DeadlineExceeded}
+}
+
+// TestShardThatWasRegainedIsNotReleased repeats the release of what was stopped only, not of what was started since.
+func TestShardThatWasRegainedIsNotReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &regaining{}
+		s.keeper = New(Options{
+			Self: Member{Node: "entry-1", Incarnation: "x"}, Clock: BootClock(), Log: basillog.Discard(), Store: s,
+			Owned: func(string, OwnerRow) {}, Lost: func(string) {},
+		})
+		s.keeper.setOwner("stretch", OwnerRow{Node: "entry-1", Incarnation: "x", Epoch: 1, Version: 5})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*retryPause)
+		defer cancel()
+		s.keeper.HandOver(ctx, "stretch", false)
+		must.Eq(t, 1, s.released)
+	})
+}
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -200,22 +200,29 @@
 // HandOver hands over one shard; the caller has stopped its work. One that is slow has others claim shards before it
 // for a while.
 //
-// It goes on until that is stored or the shard is lost: nobody else takes a shard from a member that renews.
+// It goes on until that is stored or the shard is lost: nobody else takes a shard from a member that renews. One that
+// this entry host has got anew meanwhile is not given away: its work is going on.
 func (k *Keeper) HandOver(ctx context.Context, shard string, slow bool) {
 	if slow {
 		k.beSlow()
 		k.renew(ctx)
 	}
-	for !k.stop.Load() {
-		k.mutex.Lock()
-		row, ok := k.owned[shard]
-		k.mutex.Unlock()
-		if !ok || k.release(ctx, shard, row) || basiltimer.Wait(ctx, retryPause) != nil {
+	row, ok := k.ownerRow(shard)
+	for held := row; ok && held.Version == row.Version && !k.stop.Load(); held, ok = k.ownerRow(shard) {
+		if k.release(ctx, shard, row) || basiltimer.Wait(ctx, retryPause) != nil {
 			return
 		}
 	}
 }
 
+// ownerRow returns the row by which this entry host owns the shard.
+func (k *Keeper) ownerRow(shard string) (OwnerRow, bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	row, ok := k.owned[shard]
+	return row, ok
+}
+
 // beSlow has others claim before this entry host for a while, and for twice as long each time that it turns out to be
 // slow again soon after.
 func (k *Keeper) beSlow() {
