--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -26,7 +26,6 @@
 	eventWait      = "event_wait_ms" // in the queue of a pool's control goroutine
 	decisionTime   = "decision_ms"
 	stepTime       = "step_ms"
-	processorUsed  = "processor_ms_total"
 	fleetEventAge  = "fleet_event_age_ms"
 	fleetStepTime  = "fleet_step_ms"
 	fleetListAge   = "fleet_list_age_ms"
@@ -88,11 +87,10 @@
 	write := func(name, value string) {
 		_, _ = w.Write([]byte(metricsPrefix + name + " " + value + "\n")) // a reader that left needs no more
 	}
-	write(processorUsed, strconv.FormatInt(processorTime().Milliseconds(), 10))
 	m.counts.Do(func(v expvar.KeyValue) { write(v.Key, v.Value.String()) })
 	number := func(name string, n int64) { write(name, strconv.FormatInt(n, 10)) }
 	u := readUsage()
-	number("cpu_ms", u.processor.Milliseconds())
+	number("processor_ms_total", u.processor.Milliseconds())
 	number("memory_bytes", int64(u.memory))
 	number("goroutines", int64(u.goroutines))
 	if m.calls != nil {
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -80,7 +80,7 @@
 // New returns an entry host.
 func New(o Options) *Node {
 	if o.Processor == nil {
-		o.Processor = func() time.Duration { return readUsage().processor }
+		o.Processor = processorTime
 	}
 	n := &Node{
 		options: o, log: o.Log, store: o.Store, ledger: basilledger.New(o.Store), commander: o.Commander, advisor: o.Advisor,
@@ -109,7 +109,7 @@
 	for n.options.Calls != nil && basiltimer.Wait(ctx, callsEvery) == nil {
 		u := readUsage()
 		n.log.WithFields(logrus.Fields{
-			"calls": n.options.Calls(), "cpu_ms": u.processor.Milliseconds(), "memory_kb": u.memory >> 10, "goroutines": u.goroutines,
+			"calls": n.options.Calls(), "processor_ms": u.processor.Milliseconds(), "memory_kb": u.memory >> 10, "goroutines": u.goroutines,
 		}).Info("platform calls")
 	}
 }
--- a/internal/basilnode/pulse.go
+++ b/internal/basilnode/pulse.go
@@ -5,7 +5,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -61,12 +60,3 @@
 	}
 	return f
 }
-
-// processorTime returns the user and system time of the process so far, or 0 when it isn't told.
-func processorTime() time.Duration {
-	var r unix.Rusage
-	if unix.Getrusage(unix.RUSAGE_SELF, &r) != nil {
-		return 0
-	}
-	return time.Duration(unix.TimevalToNsec(r.Utime) + unix.TimevalToNsec(r.Stime))
-}
--- a/internal/basilnode/usage.go
+++ b/internal/basilnode/usage.go
@@ -19,10 +19,16 @@
 		{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}, {Name: "/sched/goroutines:goroutines"},
 	}
 	runtimemetrics.Read(samples)
-	u := usage{memory: samples[0].Value.Uint64() - samples[1].Value.Uint64(), goroutines: samples[2].Value.Uint64()}
+	return usage{
+		processor: processorTime(), memory: samples[0].Value.Uint64() - samples[1].Value.Uint64(), goroutines: samples[2].Value.Uint64(),
+	}
+}
+
+// processorTime returns the user and system time of the process so far, or 0 when it isn't told.
+func processorTime() time.Duration {
 	var r unix.Rusage
-	if unix.Getrusage(unix.RUSAGE_SELF, &r) == nil {
-		u.processor = time.Duration(r.Utime.Nano() + r.Stime.Nano())
+	if unix.Getrusage(unix.RUSAGE_SELF, &r) != nil {
+		return 0
 	}
-	return u
+	return time.Duration(unix.TimevalToNsec(r.Utime) + unix.TimevalToNsec(r.Stime))
 }
