Acknowledge ends also while more records change than a commit takes

What callers would see: on busy grown sites backend servers list more and more ends with each answer, which the owner reads again each time; from 500 on it no longer finds runs that are gone, and their tasks wait for it.

Cause: ends were acknowledged only by a commit that took all changed records, 30 at most. While more than 30 change between two commits none does. Logs of both grown sites show full commits of 30 among those that were repeated.

What was taken in at a moment is covered once all records that had changed by then are stored, whatever changes after. Records are taken by age, so that this comes after a few commits.

--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -161,6 +161,7 @@
 			o.pool.Reborn(id, r, sent, now)
 			delete(o.commit.acked, id)
 			delete(o.commit.snapshot, id)
+			delete(o.commit.cover, id)
 		}
 		o.commit.noteBorn(id, r.Born)
 		o.logEnds(id, r)
@@ -199,6 +200,7 @@
 		o.closeLine(id)
 		delete(o.commit.acked, id)
 		delete(o.commit.snapshot, id)
+		delete(o.commit.cover, id)
 	})
 }
 
--- a/internal/basilnode/owner_store.go
+++ b/internal/basilnode/owner_store.go
@@ -19,6 +19,8 @@
 	writer   string
 	sequence int64
 	snapshot map[string]int64 // ends that the transaction covers, by backend server
+	cover    map[string]int64 // ends that will be covered once all records are stored that had changed then
+	changes  int64            // of records, then
 	acked    map[string]int64 // ends that are stored
 	born     map[string]int64 // Unix milliseconds: incarnations of backend servers that the numbers are of
 	logged   map[string]int64
@@ -65,7 +67,7 @@
 	ids, urgent := o.pool.Dirty()
 	if len(ids) == 0 {
 		c.acknowledge(o.pool.Processed())
-		c.since = time.Time{}
+		c.cover, c.since = nil, time.Time{}
 		return time.Second
 	}
 	if c.since.IsZero() {
@@ -88,6 +90,9 @@
 	c.writer = basilledger.Writer(o.node.options.Self.Incarnation, c.sequence)
 	c.states = make(map[string]basilwork.JobState)
 	c.since = time.Time{}
+	if c.cover == nil || len(ids) <= basilledger.MaxCommitRecords {
+		c.cover, c.changes = o.pool.Processed(), o.pool.Changes()
+	}
 	for _, id := range ids[:min(len(ids), basilledger.MaxCommitRecords)] {
 		r, ok := o.pool.Take(id)
 		if !ok {
@@ -102,8 +107,8 @@
 		c.entries = append(c.entries, e)
 	}
 	c.snapshot = nil
-	if len(ids) <= basilledger.MaxCommitRecords {
-		c.snapshot = o.pool.Processed()
+	if o.pool.TakenUpTo(c.changes) {
+		c.snapshot, c.cover = c.cover, nil
 	}
 }
 
--- /dev/null
+++ b/internal/basilnode/owner_store_test.go
@@ -0,0 +1,53 @@
+package basilnode
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"basilstage.example/basilstage/internal/basilledger"
+	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilscheduler"
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// TestEndsAreAcknowledgedWhileManyRecordsChange acknowledges an end once what it changed is stored, although more records
+// change all the time than a commit takes.
+func TestEndsAreAcknowledgedWhileManyRecordsChange(t *testing.T) {
+	now := time.Now()
+	b := basilwork.Backend{ID: "b1", Room: basilwork.Room{CPU: 1 << 20, Memory: 1 << 20}}
+	o := &owner{node: &Node{}, log: logrus.NewEntry(basillog.Discard()), pool: basilscheduler.New(basilscheduler.Options{Epoch: 1}, now)}
+	o.pool.SetBackends([]basilwork.Backend{b})
+	o.pool.Recorded(b.ID)
+	o.pool.Attached(b.ID)
+	jobs := 0
+	begin := func(count int) {
+		for range count {
+			jobs++
+			o.pool.AddJob(basilwork.Record{Job: basilwork.Job{
+				ID: strconv.Itoa(jobs), Steps: []basilwork.Step{{Count: 1, Room: basilwork.Room{CPU: 1}, Estimate: time.Second}},
+			}}, false)
+		}
+		for _, s := range o.pool.Decide(now).Starts {
+			o.pool.Started(s.Ref, basilwork.RefusalNone, true, now)
+		}
+	}
+	begin(2 * basilledger.MaxCommitRecords)
+	end := basilwork.EndStatus{Number: 1, Task: basilwork.TaskID{Job: "1"}.String(), Attempt: 1, End: basilwork.RunEndDone}
+	o.pool.Report(b.ID, basilwork.Report{Ended: []basilwork.EndStatus{end}}, now, now)
+	for range 3 {
+		must.Zero(t, o.commit.acked[b.ID])
+		ids, _ := o.pool.Dirty()
+		o.encode(ids)
+		begin(basilledger.MaxCommitRecords)
+		o.commit.entries = nil
+		o.commit.acknowledge(o.commit.snapshot)
+		if o.commit.acked[b.ID] == 1 {
+			return
+		}
+	}
+	t.Error("not acknowledged")
+}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -367,6 +367,19 @@
 	return ids, len(list) > 0 && list[0].urgent
 }
 
+// Changes returns how many times a record has begun to differ from what was taken of it.
+func (p *Pool) Changes() int64 { return p.soils }
+
+// TakenUpTo tells whether the records are taken that had changed when there were so many changes.
+func (p *Pool) TakenUpTo(changes int64) bool {
+	for _, j := range p.dirty {
+		if j.soiled <= changes {
+			return false
+		}
+	}
+	return true
+}
+
 // soil notes that the job's record changed.
 func (p *Pool) soil(j *job) {
 	if !j.dirty {
