Queue the starts of a decision at once, and stop an owner once

What callers would see: a member of a gang that waits alone until it ends so (GANG). Cause: starts were queued one by one; a sender that found the queue empty between two members forgot that the gang had begun, and the rest could be withdrawn as late or stopped. TestGangIsNotSentInPart plays the stop between two members; the function that it tests is new.

The review also found by reading that a handover and the stop of the process could write the list that is left to a successor at the same time; the second caller now waits for the first. No test shows that one.

--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -387,11 +387,13 @@
 
 // stop ends the starting of work, waits for orders in flight, stores what is known and ends the owner.
 func (o *owner) stop(ctx context.Context) {
-	o.send(func(time.Time) { o.stopping = true })
-	o.orders.stop()
-	o.finish(ctx)
-	o.leave(ctx)
-	o.cancel()
+	o.leaving.Do(func() {
+		o.send(func(time.Time) { o.stopping = true })
+		o.orders.stop()
+		o.finish(ctx)
+		o.leave(ctx)
+		o.cancel()
+	})
 	<-o.done
 }
 
--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -83,12 +83,14 @@
 	q.work()
 }
 
-// putStart queues a start.
-func (q *orders) putStart(s basilscheduler.Start, decided time.Time, send func()) {
+// putStarts queues the starts of one decision, all at once so that no sender sees a part of a gang.
+func (q *orders) putStarts(list []waitingStart) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.starts = append(q.starts, waitingStart{Start: s, decided: decided, send: send})
-	q.work()
+	q.starts = append(q.starts, list...)
+	for range list {
+		q.work()
+	}
 }
 
 // work has one more goroutine send orders, unless there are enough; the caller holds the mutex.
--- a/internal/basilnode/orders_test.go
+++ b/internal/basilnode/orders_test.go
@@ -36,13 +36,19 @@
 }
 
 func (s *sender) queue(job string, index int, gang bool) {
+	s.orders.putStarts([]waitingStart{s.waiting(job, index, gang)})
+}
+
+// waiting returns a start that is answered when release is closed.
+func (s *sender) waiting(job string, index int, gang bool) waitingStart {
 	id := basilwork.TaskID{Job: job, Index: index}
-	s.orders.putStart(basilscheduler.Start{Ref: basilscheduler.Ref{Backend: job, Task: id, Attempt: 1}, Gang: gang}, time.Now(), func() {
+	start := basilscheduler.Start{Ref: basilscheduler.Ref{Backend: job, Task: id, Attempt: 1}, Gang: gang}
+	return waitingStart{Start: start, decided: time.Now(), send: func() {
 		s.orders.mutex.Lock()
 		s.sent = append(s.sent, id.String())
 		s.orders.mutex.Unlock()
 		<-s.release
-	})
+	}}
 }
 
 // fill takes all places but as many as are to be left.
@@ -103,3 +109,22 @@
 		must.True(t, s.orders.idle())
 	})
 }
+
+// TestGangIsNotSentInPart sends a gang whole that was decided at once, though the owner gives up its shard when the
+// first member is sent.
+func TestGangIsNotSentInPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSender()
+		close(s.release)
+		first := s.waiting("a", 0, true)
+		send := first.send
+		first.send = func() {
+			s.orders.stop()
+			send()
+		}
+		s.orders.putStarts([]waitingStart{first, s.waiting("a", 1, true)})
+		synctest.Wait()
+		must.Len(t, 2, s.sent)
+		must.SliceEmpty(t, s.held)
+	})
+}
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -51,6 +52,7 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	stopping   bool
+	leaving    sync.Once // a handover and a stop of the process may meet
 	done       chan struct{}
 }
 
@@ -337,9 +339,7 @@
 	for _, p := range a.Paces {
 		o.pace(p)
 	}
-	for _, s := range a.Starts {
-		o.start(s, now)
-	}
+	o.start(a.Starts, now)
 	for _, r := range a.Advice {
 		o.advise(r)
 	}
@@ -401,13 +401,18 @@
 	})
 }
 
-func (o *owner) start(s basilscheduler.Start, decided time.Time) {
-	l := o.lines[s.Backend]
-	if l == nil {
-		o.pool.Started(s.Ref, basilwork.RefusalBusy, true, time.Now())
-		return
+// start queues the starts of one decision.
+func (o *owner) start(starts []basilscheduler.Start, decided time.Time) {
+	list := make([]waitingStart, 0, len(starts))
+	for _, s := range starts {
+		l := o.lines[s.Backend]
+		if l == nil {
+			o.pool.Started(s.Ref, basilwork.RefusalBusy, true, time.Now())
+			continue
+		}
+		list = append(list, waitingStart{Start: s, decided: decided, send: func() { o.sendStart(l, s) }})
 	}
-	o.orders.putStart(s, decided, func() { o.sendStart(l, s) })
+	o.orders.putStarts(list)
 }
 
 func (o *owner) sendStart(l *line, s basilscheduler.Start) {
