Keep a row of each backend server that may have runs, and use each once it is stored

Cause: one row listed all backend servers, and none became usable before a look at which none was missing from it. While hosts come faster than a write takes, one is always missing; a list of 700 outgrows a row, after which no new host is ever used. A write that the store takes for wrong is logged with its table, rows and bytes and counted; one wrong row holds up no other. The load line and a metric tell backend servers that are present, usable and not recorded.

--- a/internal/basilnode/leave.go
+++ b/internal/basilnode/leave.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"basilstage.example/basilstage/internal/basilwork"
+	"basilstage.example/basilstage/internal/basiltimer"
 )
 
 // leaveTime is how long an owner that gives up its shard tries to tell the next one what may run; a store call takes
@@ -13,49 +12,57 @@
 const leaveTime = 600 * time.Millisecond
 
 // leave stores which backend servers a successor has to hear of before it starts what this owner may have started.
-// Nothing is started any more; without this list the successor waits for every backend server that was ever used, or
+// Nothing is started any more; without this the successor waits for every backend server that was ever used, or
 // until the leases have run out.
 func (o *owner) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTime)
 	defer cancel()
-	lists := make(chan map[string]basilwork.Backend, 1)
-	o.send(func(time.Time) {
-		if !o.records.inFlight {
-			lists <- o.unfinished()
-		}
-	})
-	var list map[string]basilwork.Backend
-	select {
-	case list = <-lists:
-	case <-ctx.Done():
-		return
-	case <-o.ctx.Done():
+	unfinished, ok := o.awaitUnfinished(ctx)
+	if !ok {
 		return
 	}
-	body, err := json.Marshal(list)
-	if err == nil {
-		err = o.records.row.Write(ctx, body)
-	}
-	if err != nil {
-		o.log.WithError(err).Warn("list of backend servers not stored")
+	if err := o.records.leave(ctx, unfinished); err != nil {
+		o.log.WithError(err).Warn("rows of backend servers not removed")
 		return
 	}
-	o.log.WithField("backends", len(list)).Info("backend servers with runs left to a successor")
+	o.log.WithField("backends", len(unfinished)).Info("backend servers with runs left to a successor")
 }
 
-// unfinished returns the backend servers that may have runs, or ends that are not stored.
-func (o *owner) unfinished() map[string]basilwork.Backend {
-	list := make(map[string]basilwork.Backend)
+// awaitUnfinished returns the backend servers that may have runs, or ends that are not stored, once no row of one is
+// being written.
+func (o *owner) awaitUnfinished(ctx context.Context) (ids map[string]bool, ok bool) {
+	for ctx.Err() == nil {
+		found := make(chan map[string]bool, 1)
+		o.send(func(time.Time) {
+			if o.records.inFlight {
+				close(found)
+				return
+			}
+			o.records.inFlight = true // nothing else is to be written
+			found <- o.unfinished()
+		})
+		select {
+		case ids, ok := <-found:
+			if ok {
+				return ids, true
+			}
+		case <-ctx.Done():
+			return nil, false
+		case <-o.ctx.Done():
+			return nil, false
+		}
+		_ = basiltimer.Wait(ctx, stopPoll) // an ended context ends the loop
+	}
+	return nil, false
+}
+
+func (o *owner) unfinished() map[string]bool {
+	ids := make(map[string]bool)
 	ends := o.pool.Processed()
 	for _, b := range o.pool.Backends() {
 		if o.pool.MayHaveRuns(b.ID) || ends[b.ID] > o.commit.acked[b.ID] {
-			list[b.ID] = recorded(b)
+			ids[b.ID] = true
 		}
 	}
-	return list
-}
-
-// recorded returns what is stored of a backend server.
-func recorded(b basilwork.Backend) basilwork.Backend {
-	return basilwork.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Rack: b.Rack, Born: b.Born}
+	return ids
 }
--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"basilstage.example/basilstage/internal/basilscheduler"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
@@ -19,6 +20,8 @@
 	answersMetric  = "answers"
 	startsMetric   = "starts"
 	commitsMetric  = "commits"
+	backendsMetric = "backends"
+	refusedMetric  = "store_writes_refused"
 	answerLatency  = "answer_latency_ms"
 	startLatency   = "start_latency_ms"
 	commitLatency  = "commit_latency_ms"
@@ -70,6 +73,20 @@
 	m.took(startLatency, d)
 }
 
+// hasBackends notes how many backend servers of a pool are listed, take new runs, and have no row yet.
+func (m *metrics) hasBackends(pool string, l basilscheduler.Load) {
+	for state, count := range map[string]int{"present": l.Present, "usable": l.Usable, "not_recorded": l.Unstored} {
+		v := new(expvar.Int)
+		v.Set(int64(count))
+		m.counts.Set(backendsMetric+`{pool="`+pool+`",state="`+state+`"}`, v)
+	}
+}
+
+// refusedWrite counts a write that the store took for wrong, by table.
+func (m *metrics) refusedWrite(table string) {
+	m.counts.Add(refusedMetric+`{table="`+table+`"}`, 1)
+}
+
 func (m *metrics) committed(records int, err error, d time.Duration) {
 	outcome := "ok"
 	if err != nil {
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -82,9 +82,11 @@
 	if o.Processor == nil {
 		o.Processor = processorTime
 	}
+	m := newMetrics(o.Calls)
+	o.Store = checkedStore{Store: o.Store, log: o.Log, metrics: m}
 	n := &Node{
 		options: o, log: o.Log, store: o.Store, ledger: basilledger.New(o.Store), commander: o.Commander, advisor: o.Advisor,
-		metrics: newMetrics(o.Calls), owners: make(map[string]*owner), former: make(map[string][]string),
+		metrics: m, owners: make(map[string]*owner), former: make(map[string][]string),
 	}
 	n.keeper = basilshard.New(basilshard.Options{
 		Self: o.Self, Store: o.Store, Clock: o.Clock, Log: o.Log,
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -74,7 +74,7 @@
 	o.work.processor = n.options.Processor
 	o.feed = feed{clock: n.options.Clock, bound: cmp.Or(n.options.Cancel, defaultCancel)}
 	o.orders.current, o.orders.withdraw = o.feed.fresh, o.withdraw
-	o.records.row = basilshard.NewRow(n.store, recordKey(service), row.Check(service))
+	o.records = newRecorder(n.store, service, row.Check(service))
 	o.plan.row = basilshard.NewRow(n.store, answerKey(service), row.Check(service))
 	o.pool = basilscheduler.New(basilscheduler.Options{
 		Epoch: row.Epoch, Grace: n.grace(row),
@@ -212,8 +212,10 @@
 	}
 	o.loadLogged = now
 	l := o.pool.Load(now)
+	o.node.metrics.hasBackends(o.service, l)
 	o.log.WithFields(logrus.Fields{
-		"jobs": l.Jobs, "waiting": l.Waiting, "running": l.Running, "backends": l.Backends,
+		"jobs": l.Jobs, "waiting": l.Waiting, "running": l.Running,
+		"backends": l.Backends, "present": l.Present, "usable": l.Usable, "not_recorded": l.Unstored,
 		"used_cpu": l.Used.CPU, "room_cpu": l.Room.CPU, "wanted_cpu": l.Wanted.CPU, "used_mb": l.Used.Memory, "room_mb": l.Room.Memory,
 	}).WithFields(o.pulse.fields()).Info("pool load")
 }
--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -2,103 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"basilstage.example/basilstage/internal/basillog"
-	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilrunner"
-	"basilstage.example/basilstage/internal/basilshard"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
-// recorder keeps the stored list of backend servers that may have runs, for a successor.
-type recorder struct {
-	stored   map[string]basilwork.Backend
-	row      *basilshard.Row
-	inFlight bool
-	written  time.Time
-	after    time.Time // no try before
-}
-
-// recordEvery is the time between writes that only leave out backend servers that are gone.
-const recordEvery = 2 * time.Second
-
-func recordKey(service string) basilplatform.Key {
-	return basilplatform.Key{Partition: "backends/" + service, Sort: "used"}
-}
-
-// loadRecorded reads which backend servers a predecessor used.
-func (o *owner) loadRecorded() error {
-	i, err := o.node.store.Get(o.ctx, recordKey(o.service))
-	if basilplatform.IsErrItemNotExist(err) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	o.records.row.SetVersion(i.Version)
-	stored := make(map[string]basilwork.Backend)
-	if err := json.Unmarshal(i.Body, &stored); err != nil {
-		return basilplatform.ErrRefused{Operation: "read backends", Reason: err.Error()}
-	}
-	o.records.stored = stored
-	for _, b := range stored {
-		o.pool.Predecessor(b)
-		o.openLine(b)
-	}
-	return nil
-}
-
-// record stores the list of backend servers when it has new ones, before anything runs there. Each reading of the
-// list comes here, so a write that failed is tried again before long.
-func (o *owner) record() {
-	if o.records.inFlight || o.stopping || time.Now().Before(o.records.after) {
-		return
-	}
-	list := make(map[string]basilwork.Backend)
-	missing := false
-	for _, b := range o.pool.Backends() {
-		list[b.ID] = recorded(b)
-		if _, ok := o.records.stored[b.ID]; !ok {
-			missing = true
-		}
-	}
-	if !missing {
-		for id := range list {
-			o.pool.Recorded(id)
-		}
-	}
-	if missing || len(list) < len(o.records.stored) && time.Since(o.records.written) > recordEvery {
-		o.writeRecord(list)
-	}
-}
-
-func (o *owner) writeRecord(list map[string]basilwork.Backend) {
-	body, err := json.Marshal(list)
-	if err != nil {
-		o.log.WithError(err).Error("list of backend servers not encoded")
-		return
-	}
-	o.records.inFlight = true
-	go func() {
-		err := o.records.row.Write(o.ctx, body)
-		o.send(func(now time.Time) {
-			o.records.inFlight = false
-			if err != nil {
-				o.log.WithError(err).Warn("list of backend servers not stored")
-				o.records.after = now.Add(storeRetry)
-				return
-			}
-			o.records.stored, o.records.written = list, now
-			o.record()
-		})
-	}()
-}
-
 // setBackends takes up the listed backend servers.
 func (o *owner) setBackends(list []basilwork.Backend) {
 	list = slices.DeleteFunc(list, func(b basilwork.Backend) bool {
@@ -118,7 +31,7 @@
 		o.openLine(b)
 	}
 	for id, l := range o.lines {
-		if _, kept := o.records.stored[id]; !listed[id] && !o.pool.Busy(id) && !kept {
+		if !listed[id] && !o.pool.Busy(id) && !o.records.keeps(id) {
 			l.cancel()
 			delete(o.lines, id)
 		}
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -18,6 +18,9 @@
 	Waiting  int // tasks ready and not started
 	Running  int
 	Backends int
+	Present  int // backend servers that are listed
+	Usable   int // of which take new runs
+	Unstored int // of which no successor would know yet, so that nothing may run there
 	Leaving  int // backend servers that are listed and end before long
 	Used     basilwork.Room
 	Room     basilwork.Room
@@ -83,8 +86,13 @@
 		Jobs: len(p.jobs), Arrived: p.arrived,
 		Waiting: p.backlog.waiting, Wanted: p.backlog.wanted, Serving: p.backlog.serving, Least: p.backlog.least(),
 	}
-	usable := 0
 	for _, b := range p.list {
+		if b.present {
+			l.Present++
+		}
+		if b.present && !b.recorded {
+			l.Unstored++
+		}
 		if b.present && b.Draining {
 			l.Leaving++
 		}
@@ -97,7 +105,7 @@
 		if !b.usable(now) {
 			continue
 		}
-		usable++
+		l.Usable++
 		if p.slow(b, now) {
 			l.Slow = append(l.Slow, b.ID)
 		}
@@ -108,7 +116,7 @@
 	l.Brief = p.brief(now)
 	l.Movable = p.movable(now)
 	if p.cramped {
-		l.Least = max(l.Least, usable+1)
+		l.Least = max(l.Least, l.Usable+1)
 	}
 	return l
 }
