Let a new owner of the fleet order all hosts that its predecessor cannot have ordered

Cause: each new owner waited lease_ms and 0.3 s before its first order for any host, although orders of different holders have to keep apart by host only. A rolling restart made every pool wait for hosts for 3.5 s at each change, and the owner of the fleet kept its shard until all pools of its process were stopped. A stopping process hands over each shard as soon as its work has ended.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -127,6 +127,7 @@
 	return basilnode.Options{
 		Self: basilshard.Member{
 			Node: s.Node, Incarnation: incarnation(s.Node), Zone: s.Zone, Address: peerAddress(s), Weight: s.Limits.CPUShare,
+			Started: time.Now().UnixMilli(),
 		},
 		Clock: basilshard.BootClock(), Lease: lease, HoldLimit: holdLimit,
 		MaxHold:    basilsite.Milliseconds(s.Bounds.MaxHoldMS),
--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -30,6 +30,7 @@
 	heard      time.Time // when the list that tells where it stands was asked for
 	before     string    // its backend server before the order
 	after      time.Time // no order before
+	held       time.Time // another node may have ordered it: no order before
 	slow       time.Time // taken to be slow until then
 	due        bool      // waits for its upkeep, as last counted
 }
@@ -109,6 +110,8 @@
 	standby  string
 	changed  map[string]bool // pools whose ask has changed
 	mover    mover
+	held     map[string]time.Time // hosts that another node may have ordered, and until when they get no order
+	heldAll  time.Time
 }
 
 // answer is what a pool answered last.
@@ -220,7 +223,7 @@
 		seen[entry.ID] = true
 		m := f.machines[entry.ID]
 		if m == nil {
-			m = &machine{}
+			m = &machine{held: f.heldUntil(entry.ID)}
 			f.machines[entry.ID] = m
 		}
 		if !asked.Before(m.ordered) { // or else the host may have gone elsewhere since
@@ -239,6 +242,32 @@
 	f.prune()
 }
 
+// Hold keeps a host from orders until the time, and has it count as one that may be away for its upkeep.
+func (f *Fleet) Hold(host string, until time.Time) {
+	if f.held == nil {
+		f.held = make(map[string]time.Time)
+	}
+	f.held[host] = until
+	if m := f.machines[host]; m != nil {
+		m.held = until
+	}
+}
+
+// HoldAll keeps all hosts from orders until the time.
+func (f *Fleet) HoldAll(until time.Time) {
+	f.heldAll = until
+	for _, m := range f.machines {
+		m.held = until
+	}
+}
+
+func (f *Fleet) heldUntil(host string) time.Time {
+	if until := f.held[host]; until.After(f.heldAll) {
+		return until
+	}
+	return f.heldAll
+}
+
 // sort puts the hosts in order.
 func (f *Fleet) sort() {
 	f.sorted = slices.SortedFunc(maps.Values(f.machines), func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
@@ -329,7 +358,7 @@
 
 // free tells whether the host may be ordered elsewhere: it is up, on its way nowhere, and was listed since its last order.
 func (m *machine) free(now time.Time) bool {
-	return m.Up && !m.ordering && !m.moving && !m.maintained && !m.heard.Before(m.ordered) && !now.Before(m.after)
+	return m.Up && !m.ordering && !m.moving && !m.maintained && !m.heard.Before(m.ordered) && !now.Before(m.after) && !now.Before(m.held)
 }
 
 // Busy tells whether hosts are to be looked at often.
--- a/internal/basilcapacity/wave.go
+++ b/internal/basilcapacity/wave.go
@@ -58,10 +58,11 @@
 }
 
 // away returns how many of the wave's hosts are down for their upkeep, or may be.
-func (f *Fleet) away(w *wave) int {
+func (f *Fleet) away(w *wave, now time.Time) int {
 	var count int
 	for _, id := range w.Machines {
-		if m := f.machines[id]; m != nil && (m.maintained || m.ordering && m.target == "") {
+		m := f.machines[id]
+		if m != nil && (m.maintained || m.ordering && m.target == "" || !w.done[id] && now.Before(m.held)) {
 			count++
 		}
 	}
@@ -83,7 +84,7 @@
 		plan.WaveStates = append(plan.WaveStates, WaveUpdate{ID: w.ID, Version: w.state.Version})
 	}
 	f.sortForWave(left)
-	away := f.away(w)
+	away := f.away(w, now)
 	limit := w.MaxCount
 	if f.pressed() {
 		limit = min(limit, f.pace(w, left, now))
--- a/internal/basilnode/fleet_test.go
+++ b/internal/basilnode/fleet_test.go
@@ -1,6 +1,8 @@
 package basilnode_test
 
 import (
+	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -19,3 +21,56 @@
 		must.Between(t, 2000/250, c.metric("fleet_step_ms_count")-before, 2000/50+1) // both ends of the time count
 	})
 }
+
+// alternate has work for a pool come and go, so that hosts are ordered all the time.
+func (c *cluster) alternate(first int) {
+	wide := `{"spec":"x","steps":[{"count":10,"cpu":6000,"mem_mb":512,"estimate_ms":900}]}`
+	for n := range 4 {
+		for name := range c.hosts {
+			if c.submit(name, quotePrefix, jobID(first+n), wide) == http.StatusOK {
+				break
+			}
+		}
+	}
+}
+
+// TestFirstOrderAfterChangeOfHolder orders hosts soon after the owner of the fleet changed, but none within the time between
+// orders of different holders that the predecessor may have ordered.
+func TestFirstOrderAfterChangeOfHolder(t *testing.T) {
+	const takeover = 3200 * time.Millisecond // a lease, its last part that was not seen, and the claim
+	cases := []struct {
+		name   string
+		within time.Duration // from the change to the first order
+		change func(c *cluster, name string)
+	}{
+		{"stopped", 300 * time.Millisecond, func(c *cluster, name string) { go c.hosts[name].node.Stop(context.Background()) }},
+		{"killed", takeover, func(c *cluster, name string) { c.kill(name) }},
+		{"held up", takeover, func(c *cluster, name string) { c.hold(name, 6*time.Second) }},
+		{"cut off", takeover, func(c *cluster, name string) { c.hosts[name].link.SetCut(true) }},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			run(t, 3, 2, constant(900*time.Millisecond), func(c *cluster) {
+				c.site.AddPool("spare", 40, 16000, 65536, true)
+				time.Sleep(5 * time.Second)
+				c.alternate(1)
+				time.Sleep(700 * time.Millisecond)
+				must.Positive(t, len(c.site.Orders()))
+				name := c.owner("fleet")
+				changed := time.Now()
+				x.change(c, name)
+				for n := range 12 {
+					c.alternate(10 * (n + 1))
+					time.Sleep(400 * time.Millisecond)
+				}
+				for _, o := range c.site.Orders() {
+					if o.Holder != name {
+						must.LessEq(t, x.within, o.At.Sub(changed))
+						return
+					}
+				}
+				t.Fatal("no order")
+			})
+		})
+	}
+}
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -350,11 +350,16 @@
 	n.stopping.Store(true)
 	n.keeper.Stopping()
 	var group sync.WaitGroup
-	for _, o := range n.poolOwners() {
-		group.Go(func() { o.stop(ctx) })
-	}
+	group.Go(func() { n.keeper.Announce(ctx) })
 	if f := n.fleetOwner(); f != nil {
 		f.cancel()
+		group.Go(func() { n.keeper.ReleaseShard(ctx, fleetShard) })
+	}
+	for _, o := range n.poolOwners() {
+		group.Go(func() {
+			o.stop(ctx)
+			n.keeper.ReleaseShard(ctx, o.service)
+		})
 	}
 	group.Wait()
 	n.keeper.Release(ctx)
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -61,6 +61,7 @@
 	state     *State
 	observed  time.Duration // on the clock: when members were last read
 	owned     map[string]OwnerRow
+	given     map[string]int64 // versions of owner rows that this process has released while it stops
 	changed   chan struct{}
 	until     atomic.Int64  // on the clock, in nanoseconds: work may be started before
 	renewed   atomic.Int64  // on the clock: the newest answered renewal
@@ -80,7 +81,7 @@
 	member := NewRow(o.Store, memberKey(o.Self.Node))
 	member.limit = callTime
 	return &Keeper{
-		options: o, state: NewState(o.Self, o.Lease, o.Renew), owned: make(map[string]OwnerRow), member: member,
+		options: o, state: NewState(o.Self, o.Lease, o.Renew), owned: make(map[string]OwnerRow), given: make(map[string]int64), member: member,
 		changed: make(chan struct{}, 1), writing: make(chan struct{}, 1), started: o.Clock(), open: make(map[int64]context.CancelFunc),
 	}
 }
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -190,6 +190,7 @@
 	k.stop.Store(true)
 	k.mutex.Lock()
 	owned := maps.Clone(k.owned)
+	maps.DeleteFunc(owned, func(shard string, row OwnerRow) bool { return k.given[shard] == row.Version })
 	k.mutex.Unlock()
 	for shard, row := range owned {
 		k.release(ctx, shard, row)
@@ -197,6 +198,20 @@
 	k.renew(ctx)
 }
 
+// ReleaseShard hands over one shard of a process that stops, before the others; the caller has stopped its work.
+func (k *Keeper) ReleaseShard(ctx context.Context, shard string) {
+	row, ok := k.ownerRow(shard)
+	if !ok || !k.release(ctx, shard, row) {
+		return
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.given[shard] = row.Version
+}
+
+// Announce tells the others that this process stops; it claims nothing any more.
+func (k *Keeper) Announce(ctx context.Context) { k.renew(ctx) }
+
 // HandOver hands over one shard; the caller has stopped its work. One that is slow has others claim shards before it
 // for a while.
 //
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -17,7 +17,8 @@
 	Zone        string  `json:"zone"`
 	Weight      float64 `json:"weight"`
 	Stopping    bool    `json:"stopping,omitempty"`
-	Slow        bool    `json:"slow,omitempty"` // short of processor time: takes shards only when nobody else does
+	Slow        bool    `json:"slow,omitempty"`    // short of processor time: takes shards only when nobody else does
+	Started     int64   `json:"started,omitempty"` // Unix milliseconds
 }
 
 // OwnerRow is the stored owner of a shard; no incarnation means that it was released.
@@ -165,11 +166,19 @@
 	Weight float64 `json:"weight"`
 	Load   int     `json:"load"`
 	Slow   bool    `json:"slow,omitempty"`
+	Old    bool    `json:"old,omitempty"` // not restarted yet while members are restarted in turn
 	zone   string
 }
 
-// cost is what a shard more makes of the member's load, by its weight.
-func (c Candidate) cost() float64 { return float64(c.Load+1) / c.Weight }
+// cost is what a shard more makes of the member's load, by its weight. One that is likely to be restarted next is dearer:
+// a takeover costs seconds without starts.
+func (c Candidate) cost() float64 {
+	cost := float64(c.Load+1) / c.Weight
+	if c.Old {
+		cost *= clearly
+	}
+	return cost
+}
 
 // Claims returns the shards that this entry host is to claim now.
 func (s *State) Claims(shards []string, now time.Duration) []Claim {
@@ -222,8 +231,11 @@
 func candidates(shard, last string, live []Member, loads map[string]int) []Candidate {
 	order := make([]Candidate, 0, len(live))
 	zones := make(map[string]int)
+	since := rollingSince(live)
 	for _, m := range live {
-		order = append(order, Candidate{Node: m.Node, Weight: weight(m), Load: loads[m.Node], Slow: m.Slow, zone: m.Zone})
+		order = append(order, Candidate{
+			Node: m.Node, Weight: weight(m), Load: loads[m.Node], Slow: m.Slow, Old: m.Started < since, zone: m.Zone,
+		})
 		zones[m.Zone] += loads[m.Node]
 	}
 	slices.SortFunc(order, func(a, b Candidate) int {
@@ -238,6 +250,21 @@
 	return order
 }
 
+// rollingTime is how long after a start others are expected to be restarted too: some seconds for each stop and start.
+const rollingTime = 15 * time.Second
+
+// rollingSince returns when the restart of members in turn began that the newest start is a part of (Unix milliseconds).
+//
+// Members that all started together are all as new. Long after a restart the members that it came to last are still
+// preferred, which costs nothing.
+func rollingSince(live []Member) int64 {
+	var newest int64
+	for _, m := range live {
+		newest = max(newest, m.Started)
+	}
+	return newest - rollingTime.Milliseconds()
+}
+
 // HandOver returns a shard of this entry host that a clearly better one is to take over.
 //
 // Of all owners the one with the highest cost hands over first, one shard at a time, and only once owners and the
