Close the connection on which a backend server refused a job

Cause of the known red TestRunUnderFaults/typed_refusal_idempotent: the test's runner closes each connection after its answer without having said so. The connection went back to the pool; where the close came late, the next attempt was written to it and lost, and the outcome was unknown although nothing ran. Not the close that overtakes the answer, as suspected. Change: the dispatcher closes the connection after a refusal.

--- a/internal/basilrouter/run_test.go
+++ b/internal/basilrouter/run_test.go
@@ -278,3 +278,22 @@
 		})
 	}
 }
+
+// TestRefusalOnAConnectionThatIsClosedSoon tells that a job was not run although the runner closes the connection some time
+// after its refusal, without having said so: the next attempt may be on its way then.
+func TestRefusalOnAConnectionThatIsClosedSoon(t *testing.T) {
+	for _, later := range []time.Duration{5, 20, 40} {
+		t.Run((later * time.Millisecond).String(), func(t *testing.T) {
+			t.Parallel()
+			f := newFaultyRunner(t, func(c net.Conn, read func() string) {
+				read()
+				_, _ = c.Write([]byte("HTTP/1.1 503 Busy\r\nBasil-Not-Started: full\r\nContent-Length: 0\r\n\r\n"))
+				time.Sleep(later * time.Millisecond)
+			})
+			d := newDispatcher(t, basilrouter.RouterOptions{}, f.address(), f.address(), f.address())
+			for range 4 {
+				must.Eq(t, basilapi.OutcomeNotRun, d.Run(t.Context(), quote(true)).Outcome)
+			}
+		})
+	}
+}
--- a/internal/basilrouter/trial.go
+++ b/internal/basilrouter/trial.go
@@ -34,6 +34,9 @@
 	} else {
 		t = d.read(ctx, answer, q, attempt)
 	}
+	if t.report.Ending == EndingRefused {
+		w.untouched() // a backend server that refuses may close it, and the next attempt would be lost on the way
+	}
 	t.report.Latency = time.Since(begin)
 	return t
 }
