Have other entry hosts store a job while the store turns this one away

Change: it forwards the job to the shard's owner, or else to two others, chosen at random, that write it themselves. Only when none can, it refuses at once as before; a forward without an answer stays unknown.

--- a/internal/basilnode/accept.go
+++ b/internal/basilnode/accept.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"basilstage.example/basilstage/internal/basilledger"
 	"basilstage.example/basilstage/internal/basilplatform"
 )
@@ -18,20 +20,47 @@
 	if !unknown && !IsErrNotForwarded(err) {
 		return err
 	}
-	w := n.direct.of(shard)
-	if w.begin() {
-		began := time.Now()
-		err = n.ledger.Accept(ctx, shard, a)
-		w.end(time.Since(began), err)
-	} else {
-		err = basilledger.NewErrLineFull(shard)
-	}
+	err = n.write(ctx, shard, a)
 	if unknown && basilplatform.IsErrUnavailable(err) {
 		return basilledger.NewErrMayBeStored(err) // by the owner
 	}
 	return err
 }
 
+// relayTries is how many entry hosts beside the shard's owner are asked to store a job: half of them may be cut off too.
+const relayTries = 2
+
+// acceptByOthers has the shard's owner store a job, or another entry host, while the store does not answer this one. It fails
+// with ErrUnavailable when the job is not stored and never will be, and with ErrOutcomeUnknown when it may be.
+func (n *Node) acceptByOthers(ctx context.Context, shard string, a basilledger.Acceptance) error {
+	err := error(ErrNotForwarded{Shard: shard})
+	if n.owner(shard) == nil {
+		err = n.forward(ctx, shard, a)
+	}
+	for _, address := range n.keeper.Others(relayTries) {
+		if !IsErrNotForwarded(err) {
+			return err
+		}
+		err = n.sendTo(ctx, address, shard, true, a)
+	}
+	if IsErrNotForwarded(err) {
+		return errors.WithStack(basilplatform.ErrUnavailable{Operation: "accept", RetryAfter: retrySoon, Cause: ErrStoreAway{}})
+	}
+	return err
+}
+
+// write stores a new job by itself, within the window of its shard.
+func (n *Node) write(ctx context.Context, shard string, a basilledger.Acceptance) error {
+	w := n.direct.of(shard)
+	if !w.begin() {
+		return basilledger.NewErrLineFull(shard)
+	}
+	began := time.Now()
+	err := n.ledger.Accept(ctx, shard, a)
+	w.end(time.Since(began), err)
+	return err
+}
+
 const (
 	windowFirst = 8                      // writes in flight at the start; an entry host of thirty takes some six jobs a second at a peak
 	windowMost  = 32                     // as above, at most
--- a/internal/basilnode/accept_test.go
+++ b/internal/basilnode/accept_test.go
@@ -125,3 +125,41 @@
 		})
 	}
 }
+
+// TestHostWithoutStoreHasJobsStoredByOthers accepts jobs at an entry host that the store turns away, as long as another one
+// reaches both; the owner of the shard may be turned away too.
+func TestHostWithoutStoreHasJobsStoredByOthers(t *testing.T) {
+	for _, both := range []bool{false, true} {
+		t.Run(fmt.Sprint("owner too ", both), func(t *testing.T) {
+			run(t, 4, 4, constant(300*time.Millisecond), func(c *cluster) {
+				name := c.other("stretch")
+				c.hosts[name].link.Refuse(basilfake.StoreAddress)
+				if both {
+					c.hosts[c.owner("stretch")].link.Refuse(basilfake.StoreAddress)
+				}
+				time.Sleep(2500 * time.Millisecond) // by now it knows
+				accepted := 0
+				for n := range 20 {
+					asked := time.Now()
+					switch c.submit(name, quotePrefix, jobID(n), twoSteps) {
+					case http.StatusOK:
+						accepted++
+					case http.StatusGatewayTimeout: // the owner may store it yet
+					default:
+						t.Errorf("job %d refused", n)
+					}
+					must.Less(c.t, time.Second, time.Since(asked))
+					time.Sleep(100 * time.Millisecond)
+				}
+				must.GreaterEq(c.t, 18, accepted)
+				c.hosts[name].link.Refuse("")
+				time.Sleep(8 * time.Second)
+				for n := range 20 {
+					if state := c.state(name, quotePrefix, jobID(n)); state != "Gone" {
+						must.Eq(c.t, "completed", state)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/basilnode/front.go
+++ b/internal/basilnode/front.go
@@ -147,15 +147,15 @@
 		c.answer(http.StatusBadRequest, err.Error())
 		return
 	}
+	record := &basilwork.Record{Job: *job, Accepted: c.started.UnixMilli()}
 	if c.node.storeAway() {
-		c.refuse(http.StatusServiceUnavailable, retrySoon, "store away")
+		c.accepted(c.acceptAway(record))
 		return
 	}
 	if done, err := c.acceptedBefore(); done || err != nil {
 		c.accepted(err)
 		return
 	}
-	record := &basilwork.Record{Job: *job, Accepted: c.started.UnixMilli()}
 	c.accepted(c.accept(record))
 }
 
@@ -189,6 +189,27 @@
 	return err
 }
 
+// acceptAway has other entry hosts store the job while the store does not answer this one. A queue that was sent to another
+// service before is refused: nobody looks whether that has the job.
+func (c *call) acceptAway(record *basilwork.Record) error {
+	if len(c.node.formerServices(c.queue.Name)) > 0 {
+		return errors.WithStack(basilplatform.ErrUnavailable{Operation: "accept", RetryAfter: retrySoon, Cause: ErrStoreAway{}})
+	}
+	job, err := basilledger.NewAcceptance(record)
+	if err != nil {
+		return err
+	}
+	return c.node.acceptByOthers(c.ctx, c.queue.Service, job)
+}
+
+// ErrStoreAway says that the store does not answer this entry host, and no other one could help.
+type ErrStoreAway struct{}
+
+func (ErrStoreAway) Error() string { return "store away" }
+
+// IsErrStoreAway tells whether the error is an ErrStoreAway.
+func IsErrStoreAway(err error) bool { return errors.As(err, new(ErrStoreAway)) }
+
 func (c *call) accepted(err error) {
 	switch {
 	case err == nil:
--- a/internal/basilnode/peer.go
+++ b/internal/basilnode/peer.go
@@ -24,6 +24,7 @@
 	forwardTime    = 700 * time.Millisecond // of a forwarded job, on a slow store too, that answers in some 400 ms
 	forwardPause   = 2 * time.Second        // without forwarding to an entry host that did not answer
 	parameterShard = "service"
+	parameterRelay = "relay" // the receiver writes the job itself if it does not own the shard
 )
 
 // ErrNotForwarded says that no owner of the shard stores a job that was to be forwarded.
@@ -77,19 +78,27 @@
 		return err
 	}
 	_, address := n.keeper.Holder(shard)
+	return n.sendTo(ctx, address, shard, false, a)
+}
+
+// sendTo has the entry host at the address store a job: the shard's owner, or one that is to write it by itself.
+func (n *Node) sendTo(ctx context.Context, address, shard string, relay bool, a basilledger.Acceptance) error {
 	if !n.peers.answers(address) {
 		return ErrNotForwarded{Shard: shard}
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTime)
 	defer cancel()
-	err := n.peers.accept(ctx, address, shard, a)
+	err := n.peers.accept(ctx, address, shard, relay, a)
 	n.peers.note(address, !basilplatform.IsErrOutcomeUnknown(err) && !IsErrNotForwarded(err))
 	return err
 }
 
-// accept sends a job to the owner of the shard.
-func (p *peers) accept(ctx context.Context, address, shard string, a basilledger.Acceptance) error {
+// accept sends a job to another entry host.
+func (p *peers) accept(ctx context.Context, address, shard string, relay bool, a basilledger.Acceptance) error {
 	q := url.Values{parameterShard: {shard}}
+	if relay {
+		q.Set(parameterRelay, "1")
+	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+acceptPath+"?"+q.Encode(), bytes.NewReader(a.Body()))
 	if err != nil {
 		return ErrNotForwarded{Shard: shard}
@@ -131,10 +140,12 @@
 	return mux
 }
 
-// serveAccept stores a job that another entry host forwards, if this one owns its shard.
+// serveAccept stores a job that another entry host forwards, if this one owns its shard or is asked to all the same.
 func (n *Node) serveAccept(w http.ResponseWriter, r *http.Request) {
-	o := n.owner(r.URL.Query().Get(parameterShard))
-	if o == nil {
+	q := r.URL.Query()
+	shard, relay := q.Get(parameterShard), q.Get(parameterRelay) != ""
+	o := n.owner(shard)
+	if o == nil && (!relay || n.storeAway()) {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -148,7 +159,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest) // nothing was done
 		return
 	}
-	err = o.acceptor.Accept(r.Context(), job)
+	if o != nil {
+		err = o.acceptor.Accept(r.Context(), job)
+	} else {
+		err = n.write(r.Context(), shard, job)
+	}
 	switch {
 	case err == nil:
 	case basilledger.IsErrLineFull(err):
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -125,6 +126,20 @@
 	return row.Node, ""
 }
 
+// Others returns the addresses of some other members that renewed when last read, chosen at random.
+func (k *Keeper) Others(most int) []string {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	var list []string
+	for _, m := range k.state.Live() {
+		if m.Node != k.options.Self.Node && m.Address != "" {
+			list = append(list, m.Address)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(most, len(list))]
+}
+
 // Run keeps membership and ownership until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
 	go k.watch(ctx)
