--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -46,7 +46,7 @@
 	l := &line{cancel: cancel, Line: basilrunner.NewLine(b, basilrunner.Options{
 		Commander: o.node.commander, Sink: o, Fence: o.row.Epoch, MaxHold: o.node.options.MaxHold,
 		MayStart: o.node.keeper.MayStart, Gather: o.holds.between,
-		MayHold:  func() bool { return o.node.keeper.SinceRenewal() < o.node.options.HoldLimit },
+		MayHold: func() bool { return o.node.keeper.SinceRenewal() < o.node.options.HoldLimit },
 	})}
 	o.lines[b.ID] = l
 	go l.Run(ctx)
