--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -20,6 +20,7 @@
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilnode"
 	"basilstage.example/basilstage/internal/basilshard"
+	"basilstage.example/basilstage/internal/basilwork"
 	"basilstage.example/basilstage/platform"
 )
 
@@ -123,6 +124,7 @@
 
 func options(s *basilsite.Settings, log *logrus.Logger) basilnode.Options {
 	client := basilsite.NewClient()
+	control := basilsite.NewClient()
 	store := basilsite.NewStore(client, func() string { return s.Addresses().Store }, storeTimeout)
 	return basilnode.Options{
 		Self: basilshard.Member{
@@ -138,6 +140,7 @@
 		Maintain:   basilsite.Seconds(s.Bounds.MaintenanceS),
 		Orders:     s.Cloud.DutyPerS,
 		Store:      store,
+		Control:    basilsite.NewStore(control, func() string { return s.Addresses().Store }, storeTimeout),
 		SinglePart: !s.Platform.CrossShard,
 		Directory:  basilsite.NewDirectory(store),
 		Commander:  basilsite.NewCommander(client),
@@ -145,10 +148,18 @@
 		Machines:   basilsite.NewMachines(client, func() string { return s.Addresses().Machines }, storeTimeout),
 		Codec:      basilsite.Codec{}, Log: log,
 		Peers: peerTransport(),
-		Calls: client.Calls,
+		Calls: func() map[string]basilwork.CallCount { return sumCalls(client.Calls(), control.Calls()) },
 	}
 }
 
+// sumCalls adds up the counts of two clients, by kind.
+func sumCalls(a, b map[string]basilwork.CallCount) map[string]basilwork.CallCount {
+	for kind, c := range b {
+		a[kind] = a[kind].Add(c)
+	}
+	return a
+}
+
 // incarnation returns a name that no other process has had.
 //
 // The entropy is the operating system's: processes that start at the same instant would draw alike
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -53,6 +53,9 @@
 	Advisor    basilwork.Advisor
 	Machines   basilwork.Machines
 	Codec      Codec
+	// Control is the store as renewals, reads of members and watches reach it, so that they wait for no other call's connection;
+	// nil is Store.
+	Control basilwork.Store
 	// Peers carries calls to the addresses of other entry hosts' members; nil forwards nothing.
 	Peers     http.RoundTripper
 	Calls     func() map[string]basilwork.CallCount // by kind, for logs and metrics; may be nil
@@ -93,8 +96,11 @@
 		options: o, log: o.Log, store: o.Store, ledger: basilledger.New(o.Store), commander: o.Commander, advisor: o.Advisor,
 		metrics: m, peers: newPeers(o.Peers), owners: make(map[string]*owner), former: make(map[string][]string),
 	}
+	if o.Control == nil {
+		o.Control = o.Store
+	}
 	n.keeper = basilshard.New(basilshard.Options{
-		Self: o.Self, Store: o.Store, Clock: o.Clock, Log: o.Log,
+		Self: o.Self, Store: o.Control, Clock: o.Clock, Log: o.Log,
 		Lease: o.Lease, Margin: leaseMargin, Renew: renewEvery, SinglePart: o.SinglePart, Owned: n.owned, Lost: n.lost, Better: n.better,
 	})
 	return n
@@ -353,12 +359,12 @@
 	group.Go(func() { n.keeper.Announce(ctx) })
 	if f := n.fleetOwner(); f != nil {
 		f.cancel()
-		group.Go(func() { n.keeper.ReleaseShard(ctx, fleetShard) })
+		group.Go(func() { n.keeper.ReleaseShard(ctx, fleetShard, f.row.Epoch) })
 	}
 	for _, o := range n.poolOwners() {
 		group.Go(func() {
 			o.stop(ctx)
-			n.keeper.ReleaseShard(ctx, o.service)
+			n.keeper.ReleaseShard(ctx, o.service, o.row.Epoch)
 		})
 	}
 	group.Wait()
@@ -380,15 +386,18 @@
 	n.mutex.Lock()
 	o, f := n.owners[shard], n.fleet
 	n.mutex.Unlock()
+	var epoch int64 // of the stopped work; another may have begun since
 	switch {
 	case n.stopping.Load():
 		return // all are handed over
 	case o != nil:
 		o.stop(n.ctx)
+		epoch = o.row.Epoch
 	case shard == fleetShard && f != nil:
 		f.cancel()
+		epoch = f.row.Epoch
 	}
-	n.keeper.HandOver(n.ctx, shard, slow)
+	n.keeper.HandOver(n.ctx, shard, epoch, slow)
 }
 
 // better hands over a shard that a clearly better member is to have.
--- a/internal/basilnode/owner_store.go
+++ b/internal/basilnode/owner_store.go
@@ -191,6 +191,9 @@
 				o.log.WithError(err).Warn("finished jobs not removed")
 				return
 			}
+			if len(ids) == forgetMost {
+				o.forgot = time.Time{} // there are more
+			}
 			for _, id := range ids {
 				delete(o.finished, id)
 				delete(o.versions, id)
--- a/internal/basilnode/session_test.go
+++ b/internal/basilnode/session_test.go
@@ -123,3 +123,20 @@
 		must.Eq(c.t, "active", c.state("entry-2", longPrefix, lastID))
 	})
 }
+
+// TestManyFinishedJobsAreForgotten removes the rows of jobs as fast as jobs end: a pool's table does not grow for ever.
+func TestManyFinishedJobsAreForgotten(t *testing.T) {
+	const jobs = 300
+	small := `{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":16,"estimate_ms":300}]}`
+	run(t, 2, 3, constant(300*time.Millisecond), func(c *cluster) {
+		for n := range jobs {
+			must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(n), small))
+		}
+		time.Sleep(5 * time.Second)
+		must.Eq(c.t, "completed", c.state("entry-2", quotePrefix, jobID(jobs-1)))
+		time.Sleep(2*time.Minute + 45*time.Second)
+		for n := range jobs {
+			must.Eq(c.t, "Gone", c.state("entry-2", quotePrefix, jobID(n)))
+		}
+	})
+}
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -22,6 +22,8 @@
 	slowTime        = 6 * time.Second        // slow spells last some seconds
 	slowMost        = time.Minute            // that others claim first where a spell does not end
 	idleRounds      = 4                      // rounds between reads of members by one that others would claim shards before
+	idleMembers     = 30                     // members from which on there are more such rounds
+	idleMost        = 12                     // such rounds at most: all first candidates may be lost with a data centre
 	callTime        = 700 * time.Millisecond // of a renewal or a read of members; a slow store takes some 400 ms
 )
 
@@ -120,6 +122,9 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	row := k.state.Owner(shard)
+	if row.Address != "" {
+		return row.Node, row.Address
+	}
 	if m := k.state.members[row.Node]; m != nil && m.member.Incarnation == row.Incarnation {
 		return row.Node, m.member.Address
 	}
@@ -177,7 +182,7 @@
 func (k *Keeper) observes() bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.state.Involved(k.shards) || k.options.Clock()-k.observed >= idleRounds*k.options.Renew
+	return k.state.Involved(k.shards, k.options.Clock()) || k.options.Clock()-k.observed >= time.Duration(k.state.rounds())*k.options.Renew
 }
 
 // offer tells of a shard that a clearly better member is to have.
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -140,7 +140,7 @@
 	standing, rests := k.state.standing(row)
 	k.mutex.Unlock()
 	self := k.options.Self
-	next := OwnerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: row.Epoch + 1, Dead: ended}
+	next := OwnerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: row.Epoch + 1, Address: self.Address, Dead: ended}
 	var checks []basilplatform.Write
 	switch { // a holder that renews meanwhile takes its shards for its own
 	case rests && k.options.SinglePart:
@@ -198,10 +198,10 @@
 	k.renew(ctx)
 }
 
-// ReleaseShard hands over one shard of a process that stops, before the others; the caller has stopped its work.
-func (k *Keeper) ReleaseShard(ctx context.Context, shard string) {
+// ReleaseShard hands over one shard of a process that stops, before the others; the caller has stopped the work of the epoch.
+func (k *Keeper) ReleaseShard(ctx context.Context, shard string, epoch int64) {
 	row, ok := k.ownerRow(shard)
-	if !ok || !k.release(ctx, shard, row) {
+	if !ok || row.Epoch != epoch || !k.release(ctx, shard, row) {
 		return
 	}
 	k.mutex.Lock()
@@ -212,18 +212,18 @@
 // Announce tells the others that this process stops; it claims nothing any more.
 func (k *Keeper) Announce(ctx context.Context) { k.renew(ctx) }
 
-// HandOver hands over one shard; the caller has stopped its work. One that is slow has others claim shards before it
-// for a while.
+// HandOver hands over one shard; the caller has stopped the work of the epoch. One that is slow
+// has others claim shards before it for a while.
 //
 // It goes on until that is stored or the shard is lost: nobody else takes a shard from a member that renews. One that
 // this entry host has got anew meanwhile is not given away: its work is going on.
-func (k *Keeper) HandOver(ctx context.Context, shard string, slow bool) {
+func (k *Keeper) HandOver(ctx context.Context, shard string, epoch int64, slow bool) {
 	if slow {
 		k.beSlow()
 		k.renew(ctx)
 	}
 	row, ok := k.ownerRow(shard)
-	for held := row; ok && held.Version == row.Version && !k.stop.Load(); held, ok = k.ownerRow(shard) {
+	for ; ok && row.Epoch == epoch && !k.stop.Load(); row, ok = k.ownerRow(shard) {
 		if k.release(ctx, shard, row) || basiltimer.Wait(ctx, retryPause) != nil {
 			return
 		}
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -26,7 +26,8 @@
 	Node        string `json:"node,omitempty"`
 	Incarnation string `json:"incarnation,omitempty"`
 	Epoch       int64  `json:"epoch"`
-	Dead        bool   `json:"dead,omitempty"` // the owner before had ended when this one took over
+	Address     string `json:"address,omitempty"` // where other entry hosts reach the owner
+	Dead        bool   `json:"dead,omitempty"`    // the owner before had ended when this one took over
 	Version     int64  `json:"-"`
 }
 
@@ -291,20 +292,38 @@
 const nearby = 4
 
 // Involved tells whether this entry host owns a shard or is soon to claim one, for which it has to follow the members closely.
-func (s *State) Involved(shards []string) bool {
+//
+// A shard without an owner involves those that would claim it first, and the others once those have let their time pass: were
+// all involved at once, what the store reads would grow with the square of the members.
+func (s *State) Involved(shards []string, now time.Duration) bool {
 	loads := s.loads(shards)
 	if s.gap || len(shards) == 0 || loads[s.self.Node] > 0 {
 		return true
 	}
+	live := s.Live()
 	for _, shard := range shards {
-		if s.dead(s.owners[shard]) {
+		if !s.dead(s.owners[shard]) {
+			continue
+		}
+		since, seen := s.vacant[shard]
+		if seen && now-since >= nearby*s.rank || s.isNear(candidates(shard, s.owners[shard].Node, live, loads)) {
 			return true
 		}
 	}
-	order := candidates("", "", s.Live(), loads)
+	return s.isNear(candidates("", "", live, loads))
+}
+
+// isNear tells whether this entry host is among the first of the candidates.
+func (s *State) isNear(order []Candidate) bool {
 	return slices.ContainsFunc(order[:min(len(order), nearby)], func(c Candidate) bool { return c.Node == s.self.Node })
 }
 
+// rounds returns how many rounds pass between reads of all members by one that is not involved: the more members there are,
+// the fewer, so that what each reads hardly grows with them.
+func (s *State) rounds() int {
+	return min(max(idleRounds, idleRounds*len(s.members)/idleMembers), idleMost)
+}
+
 // busiest returns the owner that has the most shards for its weight.
 func (s *State) busiest(shards []string) string {
 	node, most := "", 0.0
