--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -194,10 +194,7 @@
 		if known == nil {
 			known = &wave{started: now, done: make(map[string]bool)}
 			if r, ok := f.records[w.ID]; ok {
-				known.started = time.UnixMilli(r.Started)
-				for _, id := range r.Done {
-					known.done[id] = true
-				}
+				known.started, known.done = time.UnixMilli(r.Started), r.doneOf(w.Machines)
 			}
 			f.waves[w.ID] = known
 		}
--- a/internal/basilcapacity/wave.go
+++ b/internal/basilcapacity/wave.go
@@ -31,16 +31,41 @@
 type WaveRecord struct {
 	Started int64    `json:"started"` // Unix milliseconds
 	Done    []string `json:"done,omitempty"`
+	Most    bool     `json:"most,omitempty"` // all hosts are done but Left; the shorter list is kept, for the row's sake
+	Left    []string `json:"left,omitempty"`
 }
 
 // record returns what must last.
 func (w *wave) record() WaveRecord {
-	done := make([]string, 0, len(w.done))
-	for id := range w.done {
-		done = append(done, id)
+	var done, left []string
+	for _, id := range w.Machines {
+		if w.done[id] {
+			done = append(done, id)
+		} else {
+			left = append(left, id)
+		}
+	}
+	r := WaveRecord{Started: w.started.UnixMilli()}
+	if len(left) < len(done) {
+		r.Most, r.Left = true, left
+	} else {
+		r.Done = done
+	}
+	slices.Sort(r.Left)
+	slices.Sort(r.Done)
+	return r
+}
+
+// doneOf returns which of the wave's hosts a record says to be done.
+func (r *WaveRecord) doneOf(machines []string) map[string]bool {
+	done := setOf(r.Done)
+	if r.Most {
+		left := setOf(r.Left)
+		for _, id := range machines {
+			done[id] = !left[id]
+		}
 	}
-	slices.Sort(done)
-	return WaveRecord{Started: w.started.UnixMilli(), Done: done}
+	return done
 }
 
 // waits tells whether the host waits for the wave's upkeep.
