Let a report tell first where a stop may end a long-running task too many

Cause (a way to AVAIL, found by reading; no play shows that it was the one that broke): a start without an answer was followed by a stop at once. Where the answer alone was lost, the task is at work by then, and the stop ended it while as many others of its step were away as may be. Change: in that case the run waits up to 2.5 s for a report; one that lists it makes it a run like others. Measured: TestUnansweredStartIsNotStoppedWhileOthersAreAway failed before.

--- a/internal/basilscheduler/decide_test.go
+++ b/internal/basilscheduler/decide_test.go
@@ -297,3 +297,31 @@
 	must.SliceEmpty(t, f.begin())
 	must.Eq(t, 2, f.Load(f.now).Least)
 }
+
+// TestUnansweredStartIsNotStoppedWhileOthersAreAway waits for a report where a run whose start got no answer may be at work and
+// as many others of its step are away as may be; without one it stops the run after a while.
+func TestUnansweredStartIsNotStoppedWhileOthersAreAway(t *testing.T) {
+	unanswered := func() (*fixture, Start) {
+		f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000), backendOf("b3", 4000), backendOf("b4", 4000))
+		f.add("long", longStep(3, 1000))
+		starts := f.Decide(f.now).Starts
+		must.Len(t, 3, starts)
+		f.pass(time.Second)
+		f.Started(starts[0].Ref, basilwork.RefusalNone, true, f.now) // the other two are away still
+		f.Started(starts[2].Ref, basilwork.RefusalNone, false, f.now)
+		must.SliceEmpty(t, f.Decide(f.now).Stops)
+		return f, starts[2]
+	}
+	f, s := unanswered()
+	f.report(s.Backend, 100)
+	must.SliceEmpty(t, f.Decide(f.now).Stops)
+	f.pass(unsureTime)
+	f.report(s.Backend, 100)
+	must.SliceEmpty(t, f.Decide(f.now).Stops, must.Sprint("it is there"))
+
+	f, s = unanswered()
+	f.pass(unsureTime)
+	stops := f.Decide(f.now).Stops
+	must.Len(t, 1, stops)
+	must.Eq(t, s.Ref, stops[0].Ref)
+}
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -49,8 +49,9 @@
 	switch {
 	case !answered:
 		r.phase = phaseUnsure
-		p.stop(r, "start unanswered", now)
+		r.unsure = now
 		r.task.shun(ref.Backend, now.Add(avoidTime))
+		p.stopUnsure(r, now)
 	case refusal == basilwork.RefusalNone:
 		r.phase = phaseRunning
 		r.answered = now
@@ -126,6 +127,17 @@
 	p.actions.Stops = append(p.actions.Stops, Stop{Ref: r.ref(), Reason: reason})
 }
 
+// stopUnsure stops a run whose start got no answer. Where that may end a task that is at work while as many others of its step
+// are away as may be, the next reports tell first whether it runs.
+func (p *Pool) stopUnsure(r *run, now time.Time) {
+	waits := r.stopSent.IsZero() && now.Sub(r.unsure) < unsureTime
+	if waits && r.task.step.spec.LongRunning && !p.mayLeave(r, now) {
+		r.backend.tendLater(now.Add(tendEvery))
+		return
+	}
+	p.stop(r, "start unanswered", now)
+}
+
 // drop removes a run that certainly does not exist.
 func (p *Pool) drop(r *run) {
 	t, s := r.task, r.task.step
@@ -228,7 +240,7 @@
 	if r == nil {
 		r = p.adopt(b, t, s, now)
 	}
-	if r.phase == phaseStarting {
+	if r.phase == phaseStarting || r.phase == phaseUnsure && r.stopSent.IsZero() {
 		r.phase = phaseRunning
 		r.answered = now
 		p.begin(t.step.occurrence.job)
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -26,6 +26,7 @@
 	since    time.Time // of the order
 	until    time.Time // when it is expected to end
 	answered time.Time // when the newest order was answered
+	unsure   time.Time // since when its start is known to have got no answer
 	stopSent time.Time // when the newest stop was asked for; zero for none
 	stopped  time.Time // when a stop was answered
 	percent  int
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -11,19 +11,20 @@
 )
 
 const (
-	defaultMaxAttempts = 3                      // where no configuration tells
-	suspectFailures    = 3                      // runs in a row; one job's bad tasks fail everywhere
-	suspectJobs        = 2                      // different jobs among them
-	suspectPause       = 3 * time.Second        // before a suspect backend server is tried again
-	busyPause          = 400 * time.Millisecond // after a backend server said that it is unhealthy
-	roomPause          = 150 * time.Millisecond // after a backend server had less room than counted
-	retryPause         = 200 * time.Millisecond // between a task's failed run and the next
-	stopRepeat         = 500 * time.Millisecond // between unanswered stops
-	stallFactor        = 3                      // times the expected run time without progress
-	stallFloor         = 2 * time.Second        // least time without progress; reports come every second
-	avoidTime          = 4 * time.Second        // that a task keeps off a backend server where it stalled
-	reportAge          = 2 * time.Second        // of a report that still tells what runs; they come every second
-	epochAttempts      = 100                    // attempts reserved to each owner of a task
+	defaultMaxAttempts = 3                       // where no configuration tells
+	suspectFailures    = 3                       // runs in a row; one job's bad tasks fail everywhere
+	suspectJobs        = 2                       // different jobs among them
+	suspectPause       = 3 * time.Second         // before a suspect backend server is tried again
+	busyPause          = 400 * time.Millisecond  // after a backend server said that it is unhealthy
+	roomPause          = 150 * time.Millisecond  // after a backend server had less room than counted
+	retryPause         = 200 * time.Millisecond  // between a task's failed run and the next
+	stopRepeat         = 500 * time.Millisecond  // between unanswered stops
+	stallFactor        = 3                       // times the expected run time without progress
+	stallFloor         = 2 * time.Second         // least time without progress; reports come every second
+	avoidTime          = 4 * time.Second         // that a task keeps off a backend server where it stalled
+	unsureTime         = 2500 * time.Millisecond // in which a report tells whether a run is there; one comes each second
+	reportAge          = 2 * time.Second         // of a report that still tells what runs; they come every second
+	epochAttempts      = 100                     // attempts reserved to each owner of a task
 )
 
 // Options are what a pool is made with.
--- a/internal/basilscheduler/tend.go
+++ b/internal/basilscheduler/tend.go
@@ -61,6 +61,8 @@
 func (p *Pool) tendRun(r *run, now time.Time) {
 	j := r.task.step.occurrence.job
 	switch {
+	case r.phase == phaseUnsure && r.stopSent.IsZero():
+		p.stopUnsure(r, now)
 	case r.phase == phaseUnsure, r.phase == phaseStopping, r.reason != "" && r.phase == phaseRunning:
 		p.stop(r, r.reason, now)
 	case r.phase != phaseRunning:
