--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -5,12 +5,12 @@
 	"sync"
 	"time"
 
+	"basilstage.example/basilstage/internal/basilrunner"
 	"basilstage.example/basilstage/internal/basilscheduler"
 )
 
 const (
 	ordersAtOnce = 64                     // in flight; each is a connection
-	ordersToOne  = 4                      // in flight to one backend server, lest a silent one take all places
 	startsQueued = 128                    // that wait at most, but for whole gangs; as many as are sent within their age
 	startAge     = 500 * time.Millisecond // that a decision to start holds: room, hosts and jobs change meanwhile
 )
@@ -121,7 +121,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	for n, o := range q.first {
-		if q.sending[o.backend] < ordersToOne {
+		if q.sending[o.backend] < basilrunner.OrdersAtOnce {
 			q.first = slices.Delete(q.first, n, n+1)
 			return q.take(o), nil
 		}
@@ -133,7 +133,7 @@
 			list = append(list, withdrawn{Start: s.Start, reason: reason})
 			continue
 		}
-		if q.sending[s.Backend] >= ordersToOne {
+		if q.sending[s.Backend] >= basilrunner.OrdersAtOnce {
 			passed = append(passed, s)
 			continue
 		}
--- a/internal/basilnode/orders_test.go
+++ b/internal/basilnode/orders_test.go
@@ -11,6 +11,7 @@
 
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basilrunner"
 	"basilstage.example/basilstage/internal/basilscheduler"
 	"basilstage.example/basilstage/internal/basilwork"
 )
@@ -101,11 +102,11 @@
 		s.queue("well", 0, false)
 		synctest.Wait()
 		must.SliceContains(t, s.sent, "well.0.0.0")
-		must.Len(t, ordersToOne+1, s.sent)
+		must.Len(t, basilrunner.OrdersAtOnce+1, s.sent)
 		time.Sleep(2 * startAge)
 		close(s.release)
 		synctest.Wait()
-		must.Len(t, 2*ordersAtOnce-ordersToOne, s.held)
+		must.Len(t, 2*ordersAtOnce-basilrunner.OrdersAtOnce, s.held)
 		must.True(t, s.orders.idle())
 	})
 }
--- a/internal/basilrunner/line.go
+++ b/internal/basilrunner/line.go
@@ -18,9 +18,12 @@
 	probePause    = 300 * time.Millisecond // between holds that get no answer
 	leaseMargin   = 300 * time.Millisecond // below the longest lease that a backend server grants
 	startDeadline = 4 * time.Second        // least lease that a start asks for
-	ordersAtOnce  = 4                      // to one backend server: each takes a connection and its buffers
 )
 
+// OrdersAtOnce is how many orders to one backend server may be in flight: each takes a connection and its buffers, and a silent
+// one must not take all places.
+const OrdersAtOnce = 4
+
 // Sink takes in what a line learns; its methods are called from the line's goroutines.
 type Sink interface {
 	// Report takes in an answer; reborn says that the backend server started again since the last one.
@@ -63,7 +66,7 @@
 
 // NewLine returns a line to the backend server.
 func NewLine(b basilwork.Backend, o Options) *Line {
-	return &Line{options: o, backend: b, reachable: true, kick: make(chan struct{}, 1), orders: make(chan struct{}, ordersAtOnce)}
+	return &Line{options: o, backend: b, reachable: true, kick: make(chan struct{}, 1), orders: make(chan struct{}, OrdersAtOnce)}
 }
 
 // Backend returns the backend server.
