Take a run over as at work only once a predecessor's stop would have ended it

Change: a run that is taken over counts as at work only by a report of stop_timeout_ms and 0.2 s later. Ruled out: orders of the fleet's owner, which was another entry host and did not change. Measured: TestSuccessorWaitsForStopsOfItsPredecessor; without the wait the first decision stops the other task.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -134,6 +134,7 @@
 		Clock: basilshard.BootClock(), Lease: lease, HoldLimit: holdLimit,
 		MaxHold:    basilsite.Milliseconds(s.Bounds.MaxHoldMS),
 		Status:     basilsite.Seconds(s.Bounds.StatusS),
+		Stop:       basilsite.Milliseconds(s.Bounds.StopTimeoutMS),
 		Order:      basilsite.Milliseconds(s.Bounds.LeaseMS),
 		Cancel:     basilsite.Milliseconds(s.Bounds.CancelMS),
 		Migrate:    basilsite.Seconds(s.Bounds.MigrateS),
--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -121,7 +121,7 @@
 		Self:  basilshard.Member{Node: name, Incarnation: fmt.Sprintf("%s.%d", name, c.starts), Zone: "north", Weight: weight, Address: peerAddress(name), Started: time.Now().UnixMilli()},
 		Clock: func() time.Duration { return time.Since(began) + time.Second },
 		Lease: 2200 * time.Millisecond, MaxHold: 6 * time.Second, HoldLimit: 3500 * time.Millisecond,
-		SinglePart: c.single, Status: 2 * time.Minute, Order: 3 * time.Second, Migrate: 1500 * time.Millisecond, Maintain: 2 * time.Second,
+		SinglePart: c.single, Status: 2 * time.Minute, Stop: 900 * time.Millisecond, Order: 3 * time.Second, Migrate: 1500 * time.Millisecond, Maintain: 2 * time.Second,
 		Store: store, Directory: basilsite.NewDirectory(store), Commander: basilsite.NewCommander(client),
 		Advisor:  basilsite.NewAdvisor(client, func() string { return basilfake.AdviceAddress }),
 		Machines: basilsite.NewMachines(client, func() string { return basilfake.MachinesAddress }, time.Second),
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -39,6 +39,7 @@
 	MaxHold   time.Duration // the longest lease that a backend server grants
 	HoldLimit time.Duration // without a renewal after which leases are not extended any more
 	Status    time.Duration // that a finished job's state is kept
+	Stop      time.Duration // that a stopped run takes to end, at most
 	Order     time.Duration // between orders of different holders for one host
 	Cancel    time.Duration // after a cancelling was answered in which tasks may start; 0 is a usual time
 	Migrate   time.Duration // of a host's move
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -81,7 +81,7 @@
 	o.acceptor = basilledger.NewAcceptor(n.ctx, n.store, service, o.accepted)
 	o.plan.row = basilshard.NewRow(n.store, answerKey(service), row.Check(service))
 	o.pool = basilscheduler.New(basilscheduler.Options{
-		Epoch: row.Epoch, Grace: n.grace(row),
+		Epoch: row.Epoch, Grace: n.grace(row), Stop: n.options.Stop,
 	}, time.Now())
 	return o
 }
--- a/internal/basilscheduler/decide_test.go
+++ b/internal/basilscheduler/decide_test.go
@@ -325,3 +325,27 @@
 	must.Len(t, 1, stops)
 	must.Eq(t, s.Ref, stops[0].Ref)
 }
+
+// TestSuccessorWaitsForStopsOfItsPredecessor stops no long-running task while another one of its step may be about to end: a
+// run that the predecessor has had stopped is listed as running until it has ended.
+func TestSuccessorWaitsForStopsOfItsPredecessor(t *testing.T) {
+	const stopTime = 900 * time.Millisecond
+	f := newFixture(t)
+	f.options.Stop = stopTime
+	f.AddJob(basilwork.Record{Job: basilwork.Job{ID: "long", Queue: "quote", Steps: []basilwork.Step{longStep(2, 1000)}}, Accepted: f.now.UnixMilli()}, true)
+	f.list(backendOf("b1", 4000), backendOf("b2", 4000), backendOf("b3", 4000))
+	report := func() {
+		for n, b := range []string{"b1", "b2"} {
+			f.Report(b, basilwork.Report{Running: []basilwork.RunStatus{{Task: fmt.Sprintf("long.0.0.%d", n), Attempt: 1, Percent: 100}}}, f.now, f.now)
+		}
+	}
+	f.Evacuate("b1", true)
+	report()
+	must.SliceEmpty(t, f.Decide(f.now).Stops)
+	f.pass(stopTime / 2)
+	report()
+	must.SliceEmpty(t, f.Decide(f.now).Stops)
+	f.pass(stopTime/2 + stopSlack)
+	report()
+	must.Len(t, 1, f.Decide(f.now).Stops)
+}
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -116,7 +116,10 @@
 
 // adopt takes over a run that an earlier owner started.
 func (p *Pool) adopt(b *backend, t *task, s basilwork.RunStatus, now time.Time) *run {
-	r := &run{task: t, backend: b, attempt: s.Attempt, phase: phaseRunning, since: now, answered: now, moved: now, pace: fullPace, resumed: true}
+	r := &run{
+		task: t, backend: b, attempt: s.Attempt, phase: phaseRunning, since: now, answered: now, moved: now, pace: fullPace, resumed: true,
+		settles: now.Add(p.options.Stop + stopSlack),
+	}
 	t.attempt = max(t.attempt, s.Attempt)
 	p.addRun(r, p.ends(t.step, now))
 	p.begin(t.step.occurrence.job)
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -26,6 +26,7 @@
 	since    time.Time // of the order
 	until    time.Time // when it is expected to end
 	answered time.Time // when the newest order was answered
+	settles  time.Time // when a predecessor's stop of it would have ended it
 	unsure   time.Time // since when its start is known to have got no answer
 	stopSent time.Time // when the newest stop was asked for; zero for none
 	stopped  time.Time // when a stop was answered
@@ -43,9 +44,10 @@
 // working tells whether the run is known to be there and is not being stopped.
 func (r *run) working() bool { return r.phase == phaseRunning }
 
-// atWork tells whether a serving run is past its startup, as far as a fresh report tells.
+// atWork tells whether a serving run is past its startup, as far as a fresh report tells. A run that a predecessor has had
+// stopped is listed like any other until it ends.
 func (r *run) atWork(now time.Time) bool {
-	return r.phase == phaseRunning && r.percent >= 100 && r.backend.reachable && now.Sub(r.listed) < reportAge
+	return r.phase == phaseRunning && r.percent >= 100 && r.backend.reachable && now.Sub(r.listed) < reportAge && !r.listed.Before(r.settles)
 }
 
 // task is one task of an occurrence's step.
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -21,6 +21,7 @@
 	stallFactor        = 3                       // times the expected run time without progress
 	stallFloor         = 2 * time.Second         // least time without progress; reports come every second
 	avoidTime          = 4 * time.Second         // that a task keeps off a backend server where it stalled
+	stopSlack          = 200 * time.Millisecond  // from the end of a run to the report of it
 	unsureTime         = 2500 * time.Millisecond // in which a report tells whether a run is there; one comes each second
 	reportAge          = 2 * time.Second         // of a report that still tells what runs; they come every second
 	epochAttempts      = 100                     // attempts reserved to each owner of a task
@@ -30,6 +31,7 @@
 type Options struct {
 	Epoch int64         // of the owner; the first is 1
 	Grace time.Duration // how long a predecessor's unseen runs may last
+	Stop  time.Duration // that a stopped run takes to end, at most
 	Order Order         // of waiting work
 }
 
