Start nothing on entries of backend servers that are too old

Cause of the known red TestPropertyFailures: when the store comes back, an owner renews its lease and starts work before its watch of backend servers' entries has answered again, also on one that said meanwhile that it is leaving. Change: an owner starts nothing unless the entries that it was told are known as of seven eighths of drain_ms ago, as it does for cancellings; the watch of entries waits for a fifth of drain_ms at most, so that silence is noticed. An order is looked at again when its turn comes.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -137,6 +137,7 @@
 		Stop:       basilsite.Milliseconds(s.Bounds.StopTimeoutMS),
 		Order:      basilsite.Milliseconds(s.Bounds.LeaseMS),
 		Cancel:     basilsite.Milliseconds(s.Bounds.CancelMS),
+		Drain:      basilsite.Milliseconds(s.Bounds.DrainMS),
 		Migrate:    basilsite.Seconds(s.Bounds.MigrateS),
 		Maintain:   basilsite.Seconds(s.Bounds.MaintenanceS),
 		Orders:     s.Cloud.DutyPerS,
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -1,6 +1,7 @@
 package basilnode
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -41,6 +42,7 @@
 	Status    time.Duration // that a finished job's state is kept
 	Stop      time.Duration // that a stopped run takes to end, at most
 	Order     time.Duration // between orders of different holders for one host
+	Drain     time.Duration // after a backend server has said that it is leaving in which tasks may start there; 0 is a usual time
 	Cancel    time.Duration // after a cancelling was answered in which tasks may start; 0 is a usual time
 	Migrate   time.Duration // of a host's move
 	Maintain  time.Duration // of a host's maintenance
@@ -75,6 +77,7 @@
 	metrics   *metrics
 	peers     *peers
 	direct    windows
+	entries   feed // of backend servers
 	ctx       context.Context
 	current   atomic.Pointer[basilwork.Configuration]
 	stopping  atomic.Bool
@@ -96,6 +99,7 @@
 		options: o, log: o.Log, store: o.Store, ledger: basilledger.New(o.Store), commander: o.Commander, advisor: o.Advisor,
 		metrics: m, peers: newPeers(o.Peers), owners: make(map[string]*owner), former: make(map[string][]string),
 	}
+	n.entries.watchBackends(o.Clock, cmp.Or(o.Drain, defaultDrain))
 	if o.Control == nil {
 		o.Control = o.Store
 	}
--- a/internal/basilnode/node_backends.go
+++ b/internal/basilnode/node_backends.go
@@ -38,6 +38,7 @@
 	group.Go(func() {
 		n.keeper.Follow(ctx, version, basilshard.Following{
 			Watch: n.options.Directory.WatchBackends, Reload: n.loadBackends, TakeAll: n.takeBackends, Gather: backendsEvery,
+			Wait: n.entries.pause, Current: n.entries.takenIn,
 		})
 	})
 	for owners := n.poolOwners(); ctx.Err() == nil && len(owners) > 0; owners = n.poolOwners() {
@@ -50,6 +51,7 @@
 
 // loadBackends reads all entries, and returns the version to go on from.
 func (n *Node) loadBackends(ctx context.Context) (version int64, ok bool) {
+	asked := n.options.Clock()
 	list, version, err := n.options.Directory.Backends(ctx)
 	if err != nil {
 		n.log.WithError(err).Warn("backend servers not read")
@@ -62,6 +64,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.listed = listed
+	n.entries.takenIn(asked)
 	n.log.WithField("backends", len(list)).Info("backend servers read")
 	return version, true
 }
@@ -83,12 +86,14 @@
 
 func (n *Node) tellBackends(owners []*owner) {
 	for _, o := range owners {
-		mine := n.backends(o.service)
-		o.send(func(time.Time) { o.setBackends(mine) })
+		mine, at := n.backends(o.service)
+		o.send(func(time.Time) { o.takeBackends(mine, at) })
 	}
 }
 
-func (n *Node) backends(service string) []basilwork.Backend {
+// backends returns the listed backend servers of a service, and the time on the clock before which all entries are known.
+func (n *Node) backends(service string) ([]basilwork.Backend, time.Duration) {
+	at := time.Duration(n.entries.at.Load())
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	var list []basilwork.Backend
@@ -98,5 +103,5 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b basilwork.Backend) int { return cmp.Compare(a.ID, b.ID) })
-	return list
+	return list, at
 }
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -51,7 +51,8 @@
 	events     chan event
 	loadLogged time.Time
 	orders     orders
-	feed       feed
+	feed       feed // of jobs
+	entries    feed // of backend servers
 	ctx        context.Context
 	cancel     context.CancelFunc
 	stopping   bool
@@ -75,8 +76,9 @@
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
 	o.work.processor = n.options.Processor
-	o.feed = feed{clock: n.options.Clock, bound: cmp.Or(n.options.Cancel, defaultCancel)}
-	o.orders.current, o.orders.withdraw = o.feed.fresh, o.withdraw
+	o.feed.watchJobs(n.options.Clock, cmp.Or(n.options.Cancel, defaultCancel))
+	o.entries.watchBackends(n.options.Clock, cmp.Or(n.options.Drain, defaultDrain))
+	o.orders.current, o.orders.withdraw = o.current, o.withdraw
 	o.records = newRecorder(n.store, service, row.Check(service))
 	o.acceptor = basilledger.NewAcceptor(n.ctx, n.store, service, o.accepted)
 	o.plan.row = basilshard.NewRow(n.store, answerKey(service), row.Check(service))
@@ -202,9 +204,12 @@
 	return wake
 }
 
+// current tells whether what is known of jobs and backend servers allows starts.
+func (o *owner) current() bool { return o.feed.fresh() && o.entries.fresh() }
+
 // startsNow returns how many starts may be decided: none that would not be sent.
 func (o *owner) startsNow() int {
-	if !o.node.keeper.MayStart() || !o.feed.fresh() {
+	if !o.node.keeper.MayStart() || !o.current() {
 		return 0
 	}
 	return o.orders.room()
@@ -245,7 +250,7 @@
 		o.pool.SetConfiguration(o.node.configuration())
 		o.takeJobs(o.decode(items))
 		o.feed.takenIn(asked)
-		o.setBackends(o.node.backends(o.service))
+		o.takeBackends(o.node.backends(o.service))
 		o.log.WithField("jobs", len(items)).Info("jobs loaded")
 		return version, true
 	}
@@ -311,7 +316,7 @@
 func (o *owner) watch(after int64) {
 	o.node.keeper.Follow(o.ctx, after, basilshard.Following{
 		Watch: o.node.keeper.Table(basilledger.Table(o.service)), Reload: o.resync, Gather: watchGather,
-		Wait: o.feed.wait(), Current: o.feed.takenIn,
+		Wait: o.feed.pause, Current: o.feed.takenIn,
 		Take: func(items []basilplatform.Item) bool {
 			jobs := o.decode(o.hints.unknown(items))
 			o.send(func(time.Time) { o.takeJobs(jobs) })
--- a/internal/basilnode/owner_lines.go
+++ b/internal/basilnode/owner_lines.go
@@ -12,6 +12,12 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
+// takeBackends takes up the listed backend servers as they were at the time.
+func (o *owner) takeBackends(list []basilwork.Backend, at time.Duration) {
+	o.setBackends(list)
+	o.entries.takenIn(at)
+}
+
 // setBackends takes up the listed backend servers.
 func (o *owner) setBackends(list []basilwork.Backend) {
 	list = slices.DeleteFunc(list, func(b basilwork.Backend) bool {
--- a/internal/basilnode/property_test.go
+++ b/internal/basilnode/property_test.go
@@ -218,6 +218,12 @@
 		"a start that a backend server left unanswered was carried out by its next incarnation": {
 			{717 * ms, 4865 * ms, 11, 0}, {2003 * ms, 9000 * ms, 9, 0},
 		},
+		"an owner started work before it had read the entries of backend servers again": {
+			{1258 * ms, 3306 * ms, 4, 0}, {1321 * ms, 200 * ms, 0, 0}, {1322 * ms, 5024 * ms, 15, 6}, {1326 * ms, 201 * ms, 0, 0}, {1804 * ms, 8677 * ms, 17, 0}, {1903 * ms, 201 * ms, 15, 7},
+		},
+		"the same, with another owner": {
+			{1258 * ms, 3306 * ms, 4, 0}, {1321 * ms, 200 * ms, 0, 1}, {1322 * ms, 5024 * ms, 15, 6}, {1326 * ms, 201 * ms, 0, 1}, {1804 * ms, 8677 * ms, 17, 3}, {1903 * ms, 201 * ms, 15, 7},
+		},
 		"a start that waited for a place was carried out by the backend server's next incarnation": {
 			{714 * ms, 200 * ms, 1, 11}, {717 * ms, 4865 * ms, 11, 0}, {1595 * ms, 9000 * ms, 9, 5}, {1595 * ms, 210 * ms, 1, 1}, {2003 * ms, 202 * ms, 7, 9}, {3228 * ms, 8321 * ms, 9, 0},
 		},
