Take back that a backend server is gone when the platform shows it alive

The same order again got the answer that it is done, and did nothing; the fleet told the pool that the backend server is gone, and the pool kept off seven sound hosts while a long-running task waited for one. Change: a backend server that the list of hosts shows up, in its pool and under its id, longer after the order than a move and an upkeep take, is not gone.

--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -192,6 +192,7 @@
 // prune takes back asks for backend servers that are gone.
 func (f *Fleet) prune() {
 	for pool, a := range f.asks {
+		f.revive(pool, a)
 		for backend := range a.Backends {
 			m := f.backends[backend]
 			if m == nil || m.Pool != pool {
@@ -205,6 +206,25 @@
 	}
 }
 
+// revive takes back that backend servers are gone which live on: the platform says yes to an order that was carried out
+// before, when it got no answer then, and does nothing.
+func (f *Fleet) revive(pool string, a Ask) {
+	gone := make(map[string]int64, len(a.Gone))
+	for id, at := range a.Gone {
+		m := f.backends[id]
+		if m == nil || !m.Up || m.Pool != pool || m.heard.Sub(time.UnixMilli(at)) <= f.options.Maintain+f.options.Migrate {
+			gone[id] = at
+		}
+	}
+	if len(gone) == len(a.Gone) {
+		return
+	}
+	a.Serial++
+	a.Gone = gone
+	f.asks[pool] = a
+	f.changed[pool] = true
+}
+
 // reasonFor returns why a predecessor had a host emptied: a wave that it is part of, or else a move.
 func (f *Fleet) reasonFor(m *machine) string {
 	for id, w := range f.waves {
--- a/internal/basilcapacity/fleet_test.go
+++ b/internal/basilcapacity/fleet_test.go
@@ -225,3 +225,22 @@
 	w.SetMachines(w.list, w.now)
 	must.Len(t, 1, w.decide(0).Orders)
 }
+
+// TestHostThatLivesOnIsNotGone takes back that a backend server is gone when the list of hosts shows it long after an order
+// that the platform said yes to: it was done before.
+func TestHostThatLivesOnIsNotGone(t *testing.T) {
+	w := newWorld(t)
+	w.hosts("a", 4)
+	w.tell("a", Load{Used: 60000})
+	w.Ordered(Order{Machine: "m00", Backend: "i-m00", Wave: "1"}, nil, w.now)
+	w.Ordered(Order{Machine: "m01", Backend: "i-m01", Wave: "1"}, nil, w.now)
+	must.MapContainsKeys(t, w.decide(0).Asks["a"].Gone, []string{"i-m00", "i-m01"})
+	w.list[1].Backend = "i-new" // the other one was carried out
+	for range 4 {
+		w.now = w.now.Add(time.Second)
+		w.SetMachines(w.list, w.now)
+	}
+	gone := w.decide(0).Asks["a"].Gone
+	must.MapNotContainsKey(t, gone, "i-m00")
+	must.MapContainsKey(t, gone, "i-m01")
+}
--- a/internal/basilnode/fleet_test.go
+++ b/internal/basilnode/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -74,3 +75,20 @@
 		})
 	}
 }
+
+// TestHostWhoseUpkeepWasDoneBeforeIsUsed uses all hosts soon after orders were carried out without an answer: the platform says
+// yes to the same order once more, and does nothing.
+func TestHostWhoseUpkeepWasDoneBeforeIsUsed(t *testing.T) {
+	run(t, 2, 6, constant(5*time.Second), func(c *cluster) {
+		c.site.AddPool("spare", 6, 16000, 65536, true)
+		c.site.AskWave(1, c.site.Machines("stretch"), 12, 3)
+		c.site.SetOrdersSilent(true)
+		time.Sleep(4 * time.Second)
+		c.site.SetOrdersSilent(false)
+		time.Sleep(10 * time.Second)
+		must.Eq(c.t, `{"state":"completed"}`, c.site.WaveState(1))
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), fmt.Sprintf(wholeHost, 14)))
+		time.Sleep(4 * time.Second)
+		must.Eq(c.t, len(c.site.Backends("stretch")), c.site.Running(jobID(1)))
+	})
+}
