Draw the faults of a soak beforehand, so that a seed can be played again

A seed did not give the same faults twice: calls and faults drew from one source as they happened to come. The plan is drawn at the start now; orders for hosts without an answer and backend servers that leave are new faults.

--- a/internal/basilsoak/checks_test.go
+++ b/internal/basilsoak/checks_test.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/shoenig/test/must"
 
+	"basilstage.example/basilstage/internal/basilstandin"
 	"basilstage.example/basilstage/platform/basilfake"
 )
 
@@ -18,80 +20,84 @@
 	oneTask  = `{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":16}]}`
 	twoTasks = `{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":16},{"count":1,"cpu":100,"mem_mb":16,"after":[0]}]}`
 	checkID  = "00000000000000aa"
+
+	startPath = "/api/run-start"
 )
 
 // order makes a call to a backend server or the host API, as an entry host at fault would.
-func order(t *testing.T, address, path, body string, header http.Header) {
+func order(t *testing.T, n *basilstandin.Network, address, path, body string, header http.Header) {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address+path, strings.NewReader(body))
 	must.NoError(t, err)
 	r.Header = header
-	answer, err := http.DefaultClient.Do(r)
+	answer, err := n.Client().Do(r)
 	must.NoError(t, err)
 	must.NoError(t, answer.Body.Close())
 }
 
 // TestChecksCatchFaults has each check of a soak find a fault that is made on purpose.
 func TestChecksCatchFaults(t *testing.T) {
+	const a, b = "host-1:1", "host-2:1"
 	start := func(task string, attempt int) string {
 		return fmt.Sprintf(`{"task":%q,"attempt":%d,"spec":"x","deadline_ms":100000,"fencing_token":1}`, task, attempt)
 	}
 	first, second := checkID+".0.0.0", checkID+".0.1.0"
 	cases := map[string]struct {
 		job   string
-		fault func(t *testing.T, s *basilfake.Site, a, b string)
+		fault func(t *testing.T, n *basilstandin.Network, s *basilfake.Site)
 		finds string
 	}{
-		"two runs of a task": {oneTask, func(t *testing.T, _ *basilfake.Site, a, b string) {
-			order(t, a, "/api/run-start", start(first, 1), nil)
-			order(t, b, "/api/run-start", start(first, 2), nil)
+		"two runs of a task": {oneTask, func(t *testing.T, n *basilstandin.Network, _ *basilfake.Site) {
+			order(t, n, a, startPath, start(first, 1), nil)
+			order(t, n, b, startPath, start(first, 2), nil)
 		}, "runs twice at a time"},
-		"a task that nobody handed in": {"", func(t *testing.T, _ *basilfake.Site, a, _ string) {
-			order(t, a, "/api/run-start", start(first, 1), nil)
+		"a task that nobody handed in": {"", func(t *testing.T, n *basilstandin.Network, _ *basilfake.Site) {
+			order(t, n, a, startPath, start(first, 1), nil)
 		}, "was never submitted"},
-		"a step before the one that it follows": {twoTasks, func(t *testing.T, _ *basilfake.Site, a, _ string) {
-			order(t, a, "/api/run-start", start(second, 1), nil)
+		"a step before the one that it follows": {twoTasks, func(t *testing.T, n *basilstandin.Network, _ *basilfake.Site) {
+			order(t, n, a, startPath, start(second, 1), nil)
 		}, "is done"},
-		"a start after the end was acknowledged": {oneTask, func(t *testing.T, _ *basilfake.Site, a, b string) {
-			order(t, a, "/api/run-start", start(first, 1), nil)
+		"a start after the end was acknowledged": {oneTask, func(t *testing.T, n *basilstandin.Network, _ *basilfake.Site) {
+			order(t, n, a, startPath, start(first, 1), nil)
 			time.Sleep(300 * time.Millisecond)
-			order(t, a, "/api/hold", `{"fencing_token":1,"ack_cursor":1}`, nil)
-			order(t, b, "/api/run-start", start(first, 2), nil)
+			order(t, n, a, "/api/hold", `{"fencing_token":1,"ack_cursor":1}`, nil)
+			order(t, n, b, startPath, start(first, 2), nil)
 		}, "after its end was acknowledged"},
-		"a start long after the cancelling": {oneTask, func(t *testing.T, s *basilfake.Site, a, _ string) {
+		"a start long after the cancelling": {oneTask, func(t *testing.T, n *basilstandin.Network, s *basilfake.Site) {
 			s.Cancelled(checkID)
 			time.Sleep(3100 * time.Millisecond)
-			order(t, a, "/api/run-start", start(first, 1), nil)
+			order(t, n, a, startPath, start(first, 1), nil)
 		}, "after its job was cancelled"},
-		"a start on a backend server that is leaving": {oneTask, func(t *testing.T, s *basilfake.Site, a, _ string) {
-			s.Drain(s.Backends("stretch")[0], time.Minute, time.Minute)
+		"a start on a backend server that is leaving": {oneTask, func(t *testing.T, n *basilstandin.Network, s *basilfake.Site) {
+			s.Drain(s.Backends("stretch")[0], 4*time.Second, 8*time.Second)
 			time.Sleep(2100 * time.Millisecond)
-			order(t, a, "/api/run-start", start(first, 1), nil)
+			order(t, n, a, startPath, start(first, 1), nil)
 		}, "said that it is leaving"},
-		"two holders of one host": {oneTask, func(t *testing.T, s *basilfake.Site, _, _ string) {
+		"two holders of one host": {oneTask, func(t *testing.T, n *basilstandin.Network, s *basilfake.Site) {
 			machine := s.Machines("spare")[0]
-			for n, holder := range []string{"entry-1", "entry-2"} {
-				order(t, "127.19.1.2:9000", "/api/machine-move", fmt.Sprintf(`{"machine":%q,"pool":"stretch"}`, machine),
-					http.Header{"X-Lease-Holder": {holder}, "X-Fencing-Token": {fmt.Sprint(n + 1)}})
+			for fence, holder := range []string{"entry-1", "entry-2"} {
+				order(t, n, basilfake.MachinesAddress, "/api/machine-move", fmt.Sprintf(`{"machine":%q,"pool":"stretch"}`, machine),
+					http.Header{"X-Lease-Holder": {holder}, "X-Fencing-Token": {fmt.Sprint(fence + 1)}})
 				time.Sleep(1600 * time.Millisecond)
 			}
 		}, "after one of"},
 	}
 	for name, x := range cases {
 		t.Run(name, func(t *testing.T) {
-			network := &loopback{part: 19}
-			s := basilfake.NewSite(network, func(string, int) (time.Duration, bool) { return 100 * time.Millisecond, false })
-			defer network.close()
-			defer s.Close()
-			s.SetAddresses(func(life int) string { return fmt.Sprintf("127.19.100.%d:9000", life) })
-			s.AddPool("stretch", 2, 16000, 65536, false)
-			s.AddPool("spare", 1, 16000, 65536, true)
-			if x.job != "" {
-				s.Submitted(checkID, x.job, 3)
-			}
-			x.fault(t, s, "127.19.100.1:9000", "127.19.100.2:9000")
-			broken := s.Broken()
-			must.Len(t, 1, broken)
-			must.StrContains(t, broken[0], x.finds)
+			synctest.Test(t, func(t *testing.T) {
+				n := &basilstandin.Network{}
+				s := basilfake.NewSite(n, func(string, int) (time.Duration, bool) { return 100 * time.Millisecond, false })
+				s.AddPool("stretch", 2, 16000, 65536, false)
+				s.AddPool("spare", 1, 16000, 65536, true)
+				if x.job != "" {
+					s.Submitted(checkID, x.job, 3)
+				}
+				x.fault(t, n, s)
+				broken := s.Broken()
+				must.Len(t, 1, broken)
+				must.StrContains(t, broken[0], x.finds)
+				s.Close()
+				time.Sleep(20 * time.Second) // what the site has under way ends
+			})
 		})
 	}
 }
--- a/internal/basilsoak/soak_test.go
+++ b/internal/basilsoak/soak_test.go
@@ -43,7 +43,8 @@
 // soak is one seeded play.
 type soak struct {
 	*fleet
-	random  *rand.Rand
+	random  *rand.Rand // of calls; faults are drawn beforehand
+	plan    []stroke
 	client  *http.Client
 	mutex   sync.Mutex
 	answers map[string]int // last status of each job's submission, 0 for none
@@ -111,40 +112,71 @@
 	}
 }
 
-// faultKinds bring a fault about and return what mends it; a host is what it strikes where that fits.
-func (s *soak) faultKinds() map[string]func(h *entryHost) (mend func()) {
-	store := func(f basilfake.StoreFaults) func(*entryHost) func() {
-		return func(*entryHost) func() {
+// stroke is one fault of a plan.
+type stroke struct {
+	kind  string
+	host  int // it strikes, where that fits
+	pick  int // chooses a backend server
+	lasts time.Duration
+	gap   time.Duration // until the next one
+}
+
+// newPlan draws the faults of a seed: in series and overlapping.
+func newPlan(seed uint64, kinds []string) []stroke {
+	r := newRandom(seed)
+	var plan []stroke
+	for at := time.Duration(0); at < faultTime; at += plan[len(plan)-1].gap {
+		plan = append(plan, stroke{
+			kind: kinds[r.IntN(len(kinds))], host: r.IntN(entryHosts), pick: r.IntN(1 << 20),
+			lasts: time.Duration(200+r.IntN(3800)) * time.Millisecond, gap: time.Duration(200+r.IntN(1000)) * time.Millisecond,
+		})
+	}
+	return plan
+}
+
+// backend returns a backend server that the number chooses, or nil.
+func (s *soak) backend(pick int) *basilfake.Backend {
+	list := s.site.Backends("stretch")
+	if len(list) == 0 {
+		return nil
+	}
+	return list[pick%len(list)]
+}
+
+// faultKinds bring a fault about and return what mends it.
+func (s *soak) faultKinds() map[string]func(h *entryHost, pick int) (mend func()) {
+	nothing := func() {}
+	store := func(f basilfake.StoreFaults) func(*entryHost, int) func() {
+		return func(*entryHost, int) func() {
 			s.site.Store.SetFaults(f)
 			return func() { s.site.Store.SetFaults(basilfake.StoreFaults{}) }
 		}
 	}
-	link := func(w way) func(*entryHost) func() {
-		return func(h *entryHost) func() {
+	link := func(w way) func(*entryHost, int) func() {
+		return func(h *entryHost, _ int) func() {
 			h.proxy.set(w)
 			return func() { h.proxy.set(way{}) }
 		}
 	}
-	backend := func(f basilfake.BackendFaults) func(*entryHost) func() {
-		return func(*entryHost) func() {
-			list := s.site.Backends("stretch")
-			if len(list) == 0 {
-				return func() {}
+	backend := func(f basilfake.BackendFaults) func(*entryHost, int) func() {
+		return func(_ *entryHost, pick int) func() {
+			b := s.backend(pick)
+			if b == nil {
+				return nothing
 			}
-			b := list[s.draw(len(list))]
 			s.site.SetFaults(b, f)
 			return func() { s.site.SetFaults(b, basilfake.BackendFaults{}) }
 		}
 	}
-	end := func(graceful bool) func(*entryHost) func() {
-		return func(h *entryHost) func() {
+	end := func(graceful bool) func(*entryHost, int) func() {
+		return func(h *entryHost, _ int) func() {
 			h.end(graceful)
 			return func() { s.start(h) }
 		}
 	}
-	return map[string]func(*entryHost) func(){
+	return map[string]func(*entryHost, int) func(){
 		"kill": end(false), "stop": end(true),
-		"pause": func(h *entryHost) func() {
+		"pause": func(h *entryHost, _ int) func() {
 			h.signal(syscall.SIGSTOP)
 			return func() { h.signal(syscall.SIGCONT) }
 		},
@@ -155,36 +187,40 @@
 		"store slow":     store(basilfake.StoreFaults{Delay: 200 * time.Millisecond}),
 		"backend silent": backend(basilfake.BackendFaults{Silent: true}), "backend late": backend(basilfake.BackendFaults{LateBy: 1500 * time.Millisecond}),
 		"backend slow": backend(basilfake.BackendFaults{SlowBy: 400 * time.Millisecond}),
-		"history gone": func(*entryHost) func() { s.site.Store.DropHistory(); return func() {} },
-		"backend crash": func(*entryHost) func() {
-			if list := s.site.Backends("stretch"); len(list) > 3 {
-				s.site.Crash(list[s.draw(len(list))], 4*time.Second)
+		"history gone": func(*entryHost, int) func() {
+			s.site.Store.DropHistory()
+			return nothing
+		},
+		"orders for hosts unanswered": func(*entryHost, int) func() {
+			s.site.SetOrdersSilent(true)
+			return func() { s.site.SetOrdersSilent(false) }
+		},
+		"backend leaves": func(_ *entryHost, pick int) func() {
+			if b := s.backend(pick); b != nil {
+				s.site.Drain(b, 5*time.Second, time.Second)
+			}
+			return nothing
+		},
+		"backend crash": func(_ *entryHost, pick int) func() {
+			if b := s.backend(pick); b != nil {
+				s.site.Crash(b, 4*time.Second)
 			}
-			return func() {}
+			return nothing
 		},
 	}
 }
 
-func (s *soak) draw(n int) int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.random.IntN(n)
-}
-
-// strike injects faults, in series and overlapping, and mends each after its time.
+// strike injects the faults of the plan, and mends each after its time.
 func (s *soak) strike() {
 	kinds := s.faultKinds()
-	names := slices.Sorted(maps.Keys(kinds))
-	for until := time.Now().Add(faultTime); time.Now().Before(until); {
-		name, h := names[s.draw(len(names))], s.hosts[s.draw(len(s.hosts))]
-		lasts := time.Duration(200+s.draw(3800)) * time.Millisecond
-		s.faults[name]++
+	for _, x := range s.plan {
+		s.faults[x.kind]++
 		s.group.Go(func() {
-			mend := kinds[name](h)
-			time.Sleep(lasts)
+			mend := kinds[x.kind](s.hosts[x.host], x.pick)
+			time.Sleep(x.lasts)
 			mend()
 		})
-		time.Sleep(time.Duration(200+s.draw(1000)) * time.Millisecond)
+		time.Sleep(x.gap)
 	}
 }
 
@@ -239,11 +275,13 @@
 		return 400 * time.Millisecond, false
 	})
 	defer s.close()
-	time.Sleep(4 * time.Second)
-	for status := 0; status != http.StatusOK; time.Sleep(100 * time.Millisecond) {
-		s.site.Submitted(longID, longBody, 3)
-		status, _ = s.call(http.MethodPost, "/long/"+longID, longBody)
-	}
+	s.plan = newPlan(seed, slices.Sorted(maps.Keys(s.faultKinds())))
+	s.site.Submitted(longID, longBody, 3)
+	s.await("accepted", func() bool {
+		status, _ := s.call(http.MethodPost, "/long/"+longID, longBody)
+		return status == http.StatusOK
+	})
+	s.await("running", func() bool { return s.site.Running(longID) == 3 })
 	s.group.Go(s.load)
 	s.strike()
 	s.group.Wait()
@@ -253,13 +291,8 @@
 		s.start(h)
 	}
 	s.site.Store.SetFaults(basilfake.StoreFaults{})
-	var wrong []string
-	for until := time.Now().Add(settleTime); time.Now().Before(until); time.Sleep(time.Second) {
-		if wrong = s.wrong(); len(wrong) == 0 {
-			break
-		}
-	}
-	wrong = append(wrong, s.site.Broken()...)
+	s.await("settled", func() bool { return len(s.wrong()) == 0 })
+	wrong := append(s.wrong(), s.site.Broken()...)
 	if len(wrong) > 0 {
 		s.keepLogs(seed)
 	}
@@ -271,6 +304,16 @@
 		seed, statuses, len(s.cancels), s.faults, s.latency.ValueAtQuantile(50), s.latency.ValueAtQuantile(99), len(wrong)), wrong
 }
 
+// await waits until something is so, for settleTime at most.
+func (s *soak) await(what string, is func() bool) {
+	for until := time.Now().Add(settleTime); !is(); time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(until) {
+			s.t.Logf("not %s within %v", what, settleTime)
+			return
+		}
+	}
+}
+
 // keepLogs copies the logs of a play that went wrong where BASIL_SOAK_LOGS says.
 func (s *soak) keepLogs(seed uint64) {
 	to := os.Getenv("BASIL_SOAK_LOGS")
--- a/internal/basilview/limits.go
+++ b/internal/basilview/limits.go
@@ -6,7 +6,7 @@
 const (
 	tickPeriod        = 100 * time.Millisecond
 	tickLimit         = 2 * time.Second // traffic refuses beyond this age of the last tick
-	freezeLimit       = 5 * time.Second // a longer gap between ticks needs a new confirmation
+	freezeLimit       = 5 * time.Second // a longer gap between ticks counts as a freeze
 	trailPeriod       = time.Second     // polls of the audit trail
 	listPeriodBase    = 500 * time.Millisecond
 	listPeriodPerHost = 10 * time.Millisecond // at about 136 bytes a host, 13.6 KB/s
