Remember an unanswered transaction when its jobs are stored one by one

Found in reading the change once more: a transaction without an answer that was then refused as wrong has its jobs tried one by one, and the count of unanswered tries began anew; a job could be refused with 'not stored' although the first try had stored it. The property test knew no refusal as wrong; with it, it failed at once. Change: the count goes with the jobs.

--- a/internal/basilledger/acceptor.go
+++ b/internal/basilledger/acceptor.go
@@ -122,7 +122,7 @@
 		if len(batch) == 0 {
 			return
 		}
-		a.storeAll(batch)
+		a.storeAll(batch, 0)
 	}
 }
 
@@ -150,9 +150,8 @@
 }
 
 // storeAll stores the jobs and tells those that wait for them. A transaction without an answer is made again: if it took
-// effect, the rows are there.
-func (a *Acceptor) storeAll(batch []*pending) {
-	unknown := 0
+// effect, the rows are there; unknown counts those so far, after which no failure says that a job is not stored.
+func (a *Acceptor) storeAll(batch []*pending, unknown int) {
 	for len(batch) > 0 {
 		version, err := a.commit(batch)
 		var differs basilplatform.ErrConditionFailed
@@ -166,7 +165,7 @@
 			unknown++
 		case basilplatform.IsErrRefused(err) && len(batch) > 1: // one of them is wrong
 			for _, p := range batch {
-				a.storeAll([]*pending{p})
+				a.storeAll([]*pending{p}, unknown)
 			}
 			return
 		default:
--- a/internal/basilledger/acceptor_test.go
+++ b/internal/basilledger/acceptor_test.go
@@ -30,6 +30,7 @@
 	callLost        // nothing was done, nobody knows
 	callUnanswered  // it was done, nobody knows
 	callTakesEffect // after a while, nobody knows
+	callWrong       // nothing was done: the store takes it for wrong
 	callKinds
 )
 
@@ -44,6 +45,8 @@
 	switch fails {
 	case callRefused:
 		return 0, basilplatform.ErrUnavailable{Operation: "commit"}
+	case callWrong:
+		return 0, basilplatform.ErrRefused{Operation: "commit", Reason: "too long"}
 	case callLost:
 		return 0, basilplatform.ErrOutcomeUnknown{Operation: "commit"}
 	case callTakesEffect:
@@ -111,7 +114,7 @@
 				switch err := outcomes[n]; {
 				case err == nil:
 					must.Positive(t, s.rows[fmt.Sprint(id)])
-				case basilplatform.IsErrUnavailable(err):
+				case basilplatform.IsErrUnavailable(err), basilplatform.IsErrRefused(err):
 					refused[id]++
 				default:
 					must.True(t, basilplatform.IsErrOutcomeUnknown(err))
