Have a watch miss changes before the history is dropped in the test of reads

A trace of the stand-in's store shows the watch at version 95 when the history up to 95 is dropped: nothing that it needs is gone, so that it is right not to read again. Before, the longer wait left it behind by chance.

Change: the store is busy for a second before, so that heartbeats are stored that no watch hears of; the bounds of one and two reads stay.

--- a/internal/basilnode/failure_test.go
+++ b/internal/basilnode/failure_test.go
@@ -458,7 +458,10 @@
 		reads := func() int64 { return c.hosts[name].client.Calls()["/api/rows-get servers"].Made }
 		time.Sleep(10 * time.Second)
 		must.Eq(c.t, 1, reads())
+		c.site.Store.SetFaults(basilfake.StoreFaults{Busy: true})
+		time.Sleep(time.Second) // heartbeats are stored that no watch hears of
 		c.site.Store.DropHistory()
+		c.site.Store.SetFaults(basilfake.StoreFaults{})
 		time.Sleep(10 * time.Second)
 		must.Eq(c.t, 2, reads())
 	})
