--- a/internal/basilnode/failure_test.go
+++ b/internal/basilnode/failure_test.go
@@ -238,6 +238,21 @@
 	}
 }
 
+// TestWaveBesideOthers maintains the hosts of a wave that stands after one that cannot be read and more than a page of
+// other ones.
+func TestWaveBesideOthers(t *testing.T) {
+	const page = 500 // rows that the store answers at most
+	run(t, 3, 5, constant(500*time.Millisecond), func(c *cluster) {
+		for n := range page {
+			c.site.AskWave(1000+n, nil, 40, 2)
+		}
+		c.site.PutWave(10, `{"wave":10,"machines":`)
+		c.site.AskWave(9, c.site.Machines("stretch"), 40, 2)
+		time.Sleep(40 * time.Second)
+		must.Eq(c.t, `{"state":"completed"}`, c.site.WaveState(9))
+	})
+}
+
 // TestStoreWithoutTransactionsOverParts takes shards over, moves hosts and maintains them where the store keeps each
 // transaction to one part.
 func TestStoreWithoutTransactionsOverParts(t *testing.T) {
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -189,11 +189,14 @@
 // poke reads the operators' waves.
 func (f *fleet) poke() {
 	go func() {
-		waves, err := f.node.options.Directory.Waves(f.ctx)
+		waves, unreadable, err := f.node.options.Directory.Waves(f.ctx)
 		if err != nil {
 			f.log.WithError(err).Warn("waves not read")
 			return
 		}
+		if len(unreadable) > 0 {
+			f.log.WithField("waves", unreadable).Warn("waves not understood, as they were known before")
+		}
 		if len(waves) == 0 {
 			return
 		}
--- a/internal/basilwork/port.go
+++ b/internal/basilwork/port.go
@@ -185,7 +185,8 @@
 	WatchBackends(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 	// Backend reads an entry; false means that it names no backend server to use.
 	Backend(i basilplatform.Item) (Backend, bool)
-	Waves(ctx context.Context) ([]Wave, error)
+	// Waves returns the operators' waves, and the ids of those that cannot be read.
+	Waves(ctx context.Context) (waves []Wave, unreadable []string, err error)
 	WaveStates(ctx context.Context) (map[string]WaveState, error)
 	SetWaveState(ctx context.Context, wave string, completed bool, version int64) error
 }
