--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -81,6 +81,7 @@
 	ctx       context.Context
 	current   atomic.Pointer[basilwork.Configuration]
 	stopping  atomic.Bool
+	gained    chan struct{} // a pool is owned that was not before
 	mutex     sync.Mutex // guards what follows
 	owners    map[string]*owner
 	fleet     *fleet
@@ -97,7 +98,7 @@
 	o.Store = checkedStore{Store: o.Store, log: o.Log, metrics: m}
 	n := &Node{
 		options: o, log: o.Log, store: o.Store, ledger: basilledger.New(o.Store), commander: o.Commander, advisor: o.Advisor,
-		metrics: m, peers: newPeers(o.Peers), owners: make(map[string]*owner), former: make(map[string][]string),
+		metrics: m, peers: newPeers(o.Peers), owners: make(map[string]*owner), former: make(map[string][]string), gained: make(chan struct{}, 1),
 	}
 	n.entries.watchBackends(o.Clock, cmp.Or(o.Drain, defaultDrain))
 	if o.Control == nil {
@@ -247,6 +248,10 @@
 	o := newOwner(n, shard, row)
 	n.owners[shard] = o
 	go o.run()
+	select {
+	case n.gained <- struct{}{}:
+	default: // it is known already
+	}
 }
 
 // lost ends a shard's work.
--- a/internal/basilnode/node_backends.go
+++ b/internal/basilnode/node_backends.go
@@ -18,7 +18,18 @@
 		if len(n.poolOwners()) > 0 {
 			n.serveBackends(ctx)
 		}
-		_ = basiltimer.Wait(ctx, backendsEvery) // an ended context ends the loop
+		n.awaitOwner(ctx, backendsEvery)
+	}
+}
+
+// awaitOwner waits for the time, until a shard is owned, or until the context ends.
+func (n *Node) awaitOwner(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-n.gained:
 	}
 }
 
