Let owners' heaps grow further between collections

Cause: starts bind in a peak, and an owner has 0.8 cores at most. All processes collected at 60 percent of growth, since memory is dear; for an owner that is processor time that its pool lacks.

Change: only a process that owns a pool or the fleet lets its heap grow by 400 percent, the others by 60 as before; a memory limit of half of what the process may use has the collector work harder in good time.

TestOwnersCollectLess failed before: the option did not exist.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -43,13 +43,12 @@
 	peerKeepAlive    = 5 * time.Second
 	peerIdle         = 2  // connections to an owner; each is memory on both sides
 	peerConnections  = 16 // as above
-	collectPercent   = 60 // memory is dearer than processor time
+	heapShare        = 2  // of the process's memory: the collector keeps the heap below half
 	defaultBodyLimit = 16 << 10
 )
 
 // run works until SIGTERM and returns the exit status.
 func run(ctx context.Context, env func(string) string, stdout io.Writer) int {
-	debug.SetGCPercent(collectPercent)
 	queue := basillog.NewQueue(stdout)
 	log, err := basillog.New(queue, "info")
 	if err != nil {
@@ -78,6 +77,9 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	log.WithFields(logrus.Fields{basillog.FieldMember: settings.Node, basillog.FieldDataCentre: settings.Zone}).Info("started")
+	if m := settings.Limits.MemoryMB; m > 0 {
+		debug.SetMemoryLimit(int64(m) << 20 / heapShare)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	node := basilnode.New(options(settings, log))
@@ -149,8 +151,9 @@
 		Advisor:    basilsite.NewAdvisor(client, func() string { return s.Addresses().Advisor }),
 		Machines:   basilsite.NewMachines(client, func() string { return s.Addresses().Machines }, storeTimeout),
 		Codec:      basilsite.Codec{}, Log: log,
-		Peers: peerTransport(),
-		Calls: func() map[string]basilwork.CallCount { return sumCalls(client.Calls(), control.Calls()) },
+		Peers:   peerTransport(),
+		Calls:   func() map[string]basilwork.CallCount { return sumCalls(client.Calls(), control.Calls()) },
+		Collect: func(percent int) { debug.SetGCPercent(percent) },
 	}
 }
 
--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -60,15 +60,16 @@
 	weights map[string]float64 // of entry hosts, 1 where missing
 	single  bool               // the store has no transactions over several partitions
 	share   atomic.Int64       // percent of a core that each entry host's process gets
+	percent map[string]int     // of growth between collections, by entry host
 	due     []string           // entry hosts to be started again
-	mutex   sync.Mutex         // guards due and what callers' goroutines were told
+	mutex   sync.Mutex         // guards percent, due and what callers' goroutines were told
 }
 
 // newCluster returns a running site of the number of hosts and entry hosts.
 func newCluster(t *testing.T, entryHosts, hosts int, work basilfake.Work) *cluster {
 	t.Helper()
 	network := &basilstandin.Network{}
-	c := &cluster{t: t, network: network, site: basilfake.NewSite(network, work), hosts: make(map[string]*entryHost), began: time.Now()}
+	c := &cluster{t: t, network: network, site: basilfake.NewSite(network, work), hosts: make(map[string]*entryHost), percent: make(map[string]int), began: time.Now()}
 	c.site.Configure(fmt.Sprintf(configuration, 1, ""))
 	c.site.AddPool("stretch", hosts, 16000, 65536, false)
 	c.site.AddPool("spare", 2, 16000, 65536, true)
@@ -89,6 +90,19 @@
 	})
 }
 
+func (c *cluster) collect(name string, percent int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.percent[name] = percent
+}
+
+// collects returns the percent that the heap of an entry host may grow by between collections.
+func (c *cluster) collects(name string) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.percent[name]
+}
+
 // startLater has an entry host started again after a time.
 func (c *cluster) startLater(name string, after time.Duration) {
 	time.AfterFunc(after, func() {
@@ -126,6 +140,7 @@
 		Advisor:  basilsite.NewAdvisor(client, func() string { return basilfake.AdviceAddress }),
 		Machines: basilsite.NewMachines(client, func() string { return basilfake.MachinesAddress }, time.Second),
 		Codec:    basilsite.Codec{}, Log: testLog(), Peers: l,
+		Collect:   func(percent int) { c.collect(name, percent) },
 		Processor: func() time.Duration { return time.Duration(c.share.Load() * int64(time.Since(began)) / 100) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -62,6 +62,7 @@
 	Peers     http.RoundTripper
 	Calls     func() map[string]basilwork.CallCount // by kind, for logs and metrics; may be nil
 	Processor func() time.Duration                  // that the process has used so far; nil asks the system
+	Collect   func(percent int)                     // sets how far the heap may grow between collections; nil leaves it
 	Log       *logrus.Logger
 }
 
@@ -82,7 +83,7 @@
 	current   atomic.Pointer[basilwork.Configuration]
 	stopping  atomic.Bool
 	gained    chan struct{} // a pool is owned that was not before
-	mutex     sync.Mutex // guards what follows
+	mutex     sync.Mutex    // guards what follows
 	owners    map[string]*owner
 	fleet     *fleet
 	listed    map[string]basilwork.Backend // entries of backend servers, by id
@@ -104,6 +105,7 @@
 	if o.Control == nil {
 		o.Control = o.Store
 	}
+	n.tuneCollector()
 	n.keeper = basilshard.New(basilshard.Options{
 		Self: o.Self, Store: o.Control, Clock: o.Clock, Log: o.Log,
 		Lease: o.Lease, Margin: leaseMargin, Renew: renewEvery, SinglePart: o.SinglePart, Owned: n.owned, Lost: n.lost, Better: n.better,
@@ -240,6 +242,7 @@
 	if n.stopping.Load() {
 		return
 	}
+	defer n.tuneCollector()
 	if shard == fleetShard {
 		n.fleet = newFleet(n, row)
 		go n.fleet.run()
@@ -258,6 +261,7 @@
 func (n *Node) lost(shard string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	defer n.tuneCollector()
 	if shard == fleetShard {
 		if n.fleet != nil {
 			n.fleet.cancel()
--- a/internal/basilnode/takeover_test.go
+++ b/internal/basilnode/takeover_test.go
@@ -83,3 +83,22 @@
 		})
 	}
 }
+
+// TestOwnersCollectLess gives processes that own pools or the fleet more memory and less work for the collector, and
+// takes that back when they own nothing any more.
+func TestOwnersCollectLess(t *testing.T) {
+	run(t, 5, 2, constant(100*time.Millisecond), func(c *cluster) {
+		owns := func(name string) bool { return name == c.owner("stretch") || name == c.owner("fleet") }
+		check := func() {
+			for name := range c.hosts {
+				must.Eq(c.t, owns(name), c.collects(name) > 100, must.Sprint(name))
+			}
+		}
+		check()
+		gone := c.owner("stretch")
+		c.hold(gone, 6*time.Second)
+		time.Sleep(12 * time.Second)
+		must.NotEq(c.t, gone, c.owner("stretch"))
+		check()
+	})
+}
