Reset connections of calls that were given up

It gives a call up after 1.2 s and closes the connection, but the system goes on to send what it holds of the call, and a cut link keeps it until it works again.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -189,9 +189,8 @@
 
 // peerTransport returns what carries calls to other entry hosts. Each calls the owners of pools, some at a time.
 func peerTransport() http.RoundTripper {
-	dialer := &net.Dialer{Timeout: peerDial, KeepAlive: peerKeepAlive}
 	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdle, MaxConnsPerHost: peerConnections,
+		DialContext: basilsite.DialResetting(peerDial, peerKeepAlive), MaxIdleConnsPerHost: peerIdle, MaxConnsPerHost: peerConnections,
 		IdleConnTimeout: idleTime, DisableCompression: true,
 	}
 }
