Move tasks off hosts that are being emptied before those of hosts that are due

Logs: one step of 12 long-running tasks may have one away, and each move takes some 2 s. Three of its hosts were asked for at 6.6 s; the moves up to 18 s went to tasks on hosts that were only due, one task four times, and the three hosts were emptied at 29 to 34 s, after the wave's end at 27.1 s.

Change: a task whose host is only due stays while another of its step can leave a host that is being emptied.

--- a/internal/basilscheduler/due_test.go
+++ b/internal/basilscheduler/due_test.go
@@ -72,3 +72,19 @@
 	f.report("b2", 100, end("short.0.0.0", 1, 1, basilwork.RunEndDone))
 	must.Eq(t, "b2", f.begin()[0].Backend)
 }
+
+// TestHostThatIsBeingEmptiedGoesFirst moves the task whose host is waited for before one whose host is due only.
+func TestHostThatIsBeingEmptiedGoesFirst(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 1000), backendOf("b2", 1000))
+	f.add("long", longStep(2, 1000))
+	must.Len(t, 2, f.begin())
+	f.list(backendOf("b1", 1000), backendOf("b2", 1000), backendOf("b3", 1000))
+	f.pass(time.Second)
+	f.report("b1", 100)
+	f.report("b2", 100)
+	f.SetDue([]string{"b1", "b2"})
+	f.Evacuate("b2", true)
+	stops := f.Decide(f.now).Stops
+	must.Len(t, 1, stops)
+	must.Eq(t, "b2", stops[0].Ref.Backend)
+}
--- a/internal/basilscheduler/tend.go
+++ b/internal/basilscheduler/tend.go
@@ -74,7 +74,7 @@
 		p.evacuateRun(r, now)
 	case r.backend.due && r.task.step.spec.LongRunning:
 		r.backend.tendLater(now.Add(tendEvery))
-		if p.mayLeave(r, now) && p.elsewhere(r, true, now) {
+		if p.mayLeave(r, now) && !p.othersFirst(r, now) && p.elsewhere(r, true, now) {
 			r.task.shun(r.backend.ID, now.Add(avoidTime)) // short tasks may take the room elsewhere first
 			p.stop(r, "its host is to be maintained", now)
 		}
@@ -144,6 +144,19 @@
 	return away < allowed
 }
 
+// othersFirst tells whether another task of the step can leave a backend server that is being emptied: few may be away
+// at a time, and its host is waited for.
+func (p *Pool) othersFirst(r *run, now time.Time) bool {
+	for _, t := range r.task.step.tasks {
+		for _, o := range t.runs {
+			if o != r && o.backend.evacuating && o.phase == phaseRunning && p.elsewhere(o, false, now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (t *task) atWork(now time.Time) bool {
 	for _, r := range t.runs {
 		if r.atWork(now) {
