--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -324,33 +324,6 @@
 	f.asks[pool] = a
 }
 
-// due tells whether the host waits for its upkeep.
-func (f *Fleet) due(m *machine) bool {
-	for _, w := range f.waves {
-		if w.waits(m) {
-			return true
-		}
-	}
-	return false
-}
-
-// noteDue tells the pools which of their hosts wait for upkeep.
-func (f *Fleet) noteDue() {
-	due := make(map[string][]string)
-	for _, m := range f.sorted {
-		if m.Backend != "" && m.due && !f.off(m.Pool) {
-			due[m.Pool] = append(due[m.Pool], m.Backend)
-		}
-	}
-	for pool := range f.answers {
-		if a := f.asks[pool]; !slices.Equal(a.Due, due[pool]) {
-			a.Due = due[pool]
-			f.asks[pool] = a
-			f.changed[pool] = true
-		}
-	}
-}
-
 // Decide returns what is to be done now.
 func (f *Fleet) Decide(now time.Time) Plan {
 	plan := Plan{Asks: make(map[string]Ask)}
--- a/internal/basilcapacity/wave.go
+++ b/internal/basilcapacity/wave.go
@@ -204,3 +204,30 @@
 	}
 	return min(w.MaxCount, int(math.Ceil(float64(len(left))*float64(cycleTime)/float64(timeLeft))))
 }
+
+// due tells whether the host waits for its upkeep.
+func (f *Fleet) due(m *machine) bool {
+	for _, w := range f.waves {
+		if w.waits(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// noteDue tells the pools which of their hosts wait for upkeep.
+func (f *Fleet) noteDue() {
+	due := make(map[string][]string)
+	for _, m := range f.sorted {
+		if m.Backend != "" && m.due && !f.off(m.Pool) {
+			due[m.Pool] = append(due[m.Pool], m.Backend)
+		}
+	}
+	for pool := range f.answers {
+		if a := f.asks[pool]; !slices.Equal(a.Due, due[pool]) {
+			a.Due = due[pool]
+			f.asks[pool] = a
+			f.changed[pool] = true
+		}
+	}
+}
--- a/internal/basilscheduler/tend.go
+++ b/internal/basilscheduler/tend.go
@@ -74,7 +74,7 @@
 		p.evacuateRun(r, now)
 	case r.backend.due && r.task.step.spec.LongRunning:
 		r.backend.tendLater(now.Add(tendEvery))
-		if p.mayLeave(r, now) && !p.othersFirst(r, now) && p.elsewhere(r, true, now) {
+		if p.mayLeave(r, now) && p.elsewhere(r, true, now) && !p.othersFirst(r, now) {
 			r.task.shun(r.backend.ID, now.Add(avoidTime)) // short tasks may take the room elsewhere first
 			p.stop(r, "its host is to be maintained", now)
 		}
--- a/internal/basilview/state_test.go
+++ b/internal/basilview/state_test.go
@@ -59,7 +59,7 @@
 	must.Len(t, 1, s.view(later).Usable("counter", "fukuoka", later))
 }
 
-func TestFrozenLoopNeedsANewConfirmation(t *testing.T) {
+func TestFrozenLoopNeedsANewHeartbeat(t *testing.T) {
 	now := time.Now()
 	s := loaded(1)
 	beatEvent{}.apply(s, now)
