Let the soak's last check pass a long-running task that is being moved

The test waits until nothing is wrong and then looked a second time; at rest the system still gives back hosts that are not needed, and moves their long-running tasks one at a time, as max_unavailable 1 allows. Trace: of 12 plays watched for 10 s after they had settled, one showed 2 of 3 for 0.25 s, 200 ms after settling; its log has "stop request sent ... moved to another backend server", the end, and the next start 1 ms after that end. Ruled out: a lost task. The await before it found all three running, and no play reported "not settled". The checks of jobs are unchanged. TestMovedLongRunningTask shows that it still finds a task that stays away, comes back too late, or is away beside another. Its first case fails with the old check.

--- a/internal/basilsoak/checks_test.go
+++ b/internal/basilsoak/checks_test.go
@@ -123,3 +123,44 @@
 		"0 of 3 long-running tasks run", "1 was accepted and is 410 ", "2 was refused and is 200 active", "3 was accepted and is 200 active",
 	}, s.wrong())
 }
+
+// TestMovedLongRunningTask has a long-running task away for a while after all else has settled.
+func TestMovedLongRunningTask(t *testing.T) {
+	cases := map[string]struct {
+		running int           // long-running tasks that run at first
+		back    time.Duration // until the last one starts, 0 for never
+		wrong   []string
+	}{
+		"a move":                   {longTasks - 1, 2 * time.Second, nil},
+		"a task that stays away":   {longTasks - 1, 0, []string{"2 of 3 long-running tasks run"}},
+		"a task away for too long": {longTasks - 1, 4 * time.Second, []string{"2 of 3 long-running tasks run"}},
+		"two tasks away":           {longTasks - 2, 100 * time.Millisecond, []string{"1 of 3 long-running tasks run"}},
+	}
+	for name, x := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := &basilstandin.Network{}
+				s := &soak{fleet: &fleet{t: t, site: basilfake.NewSite(n, func(string, int) (time.Duration, bool) { return -1, false })}}
+				s.site.AddPool("stretch", longTasks, 16000, 65536, false)
+				s.site.Submitted(longID, longBody, 3)
+				start := func(index int) {
+					order(t, n, fmt.Sprintf("host-%d:1", index+1), startPath,
+						fmt.Sprintf(`{"task":"%s.0.0.%d","attempt":1,"spec":"night","deadline_ms":100000,"fencing_token":1}`, longID, index), nil)
+				}
+				for index := range x.running {
+					start(index)
+				}
+				if x.back > 0 {
+					go func() {
+						time.Sleep(x.back)
+						start(longTasks - 1)
+					}()
+				}
+				must.Eq(t, x.wrong, s.wrongMoves())
+				time.Sleep(x.back)
+				s.site.Close()
+				time.Sleep(20 * time.Second) // what the site has under way ends
+			})
+		})
+	}
+}
--- a/internal/basilsoak/soak_test.go
+++ b/internal/basilsoak/soak_test.go
@@ -26,19 +26,24 @@
 )
 
 const (
-	faultTime  = 12 * time.Second // in which faults are injected
-	settleTime = 30 * time.Second // in which all that was accepted is to end afterwards
-	jobEvery   = 120 * time.Millisecond
-	cancelOne  = 12 // job in so many is cancelled
-	callLimit  = 3500 * time.Millisecond
-	maxTries   = 3
-	quoteBody  = `{"spec":"boot","steps":[{"count":3,"cpu":2000,"mem_mb":512,"estimate_ms":400},{"count":2,"cpu":1000,"mem_mb":512,"estimate_ms":400,"after":[0]}]}`
-	longBody   = `{"spec":"night","steps":[{"count":3,"cpu":2000,"mem_mb":512,"long_running":true,"anti_affinity":1,"max_unavailable":1}]}`
-	longID     = "f000000000000001"
+	faultTime   = 12 * time.Second // in which faults are injected
+	settleTime  = 30 * time.Second // in which all that was accepted is to end afterwards
+	jobEvery    = 120 * time.Millisecond
+	cancelOne   = 12 // job in so many is cancelled
+	callLimit   = 3500 * time.Millisecond
+	maxTries    = 3
+	quoteBody   = `{"spec":"boot","steps":[{"count":3,"cpu":2000,"mem_mb":512,"estimate_ms":400},{"count":2,"cpu":1000,"mem_mb":512,"estimate_ms":400,"after":[0]}]}`
+	longBody    = `{"spec":"night","steps":[{"count":3,"cpu":2000,"mem_mb":512,"long_running":true,"anti_affinity":1,"max_unavailable":1}]}`
+	longID      = "f000000000000001"
+	longTasks   = 3               // of longBody
+	longAway    = 1               // of these at a time, by its max_unavailable
+	restartTime = 3 * time.Second // until a long-running task that the system moved runs again, by the rules of the pages
 )
 
 // regressions are seeds that once went wrong, with the cause.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	1: "a long-running task that was being moved, after all had settled, was counted as lost",
+}
 
 // soak is one seeded play.
 type soak struct {
@@ -240,8 +245,36 @@
 	group.Wait()
 }
 
-// wrong compares what callers were told with what became of their jobs.
+// wrong compares what callers were told with what became of their jobs, and counts the long-running tasks.
 func (s *soak) wrong() []string {
+	list := s.wrongJobs()
+	if n := s.site.Running(longID); n != longTasks {
+		list = append(list, wrongCount(n))
+	}
+	slices.Sort(list)
+	return list
+}
+
+func wrongCount(running int) string {
+	return fmt.Sprintf("%d of %d long-running tasks run", running, longTasks)
+}
+
+// wrongMoves waits until all long-running tasks run, for restartTime at most. At rest the system still moves them, to give
+// back hosts that are not needed, and then as many are away as the job allows; more are wrong at once.
+func (s *soak) wrongMoves() []string {
+	for until := time.Now().Add(restartTime); ; time.Sleep(50 * time.Millisecond) {
+		n := s.site.Running(longID)
+		if n == longTasks {
+			return nil
+		}
+		if n < longTasks-longAway || time.Now().After(until) {
+			return []string{wrongCount(n)}
+		}
+	}
+}
+
+// wrongJobs compares what callers were told with what became of their jobs.
+func (s *soak) wrongJobs() []string {
 	var list []string
 	for id, status := range s.answers {
 		got, body := s.call(http.MethodGet, "/quote/"+id, "")
@@ -254,9 +287,6 @@
 			list = append(list, fmt.Sprintf("%s was refused and is %d %s", id, got, state))
 		}
 	}
-	if n := s.site.Running(longID); n != 3 {
-		list = append(list, fmt.Sprintf("%d of 3 long-running tasks run", n))
-	}
 	slices.Sort(list)
 	return list
 }
@@ -281,7 +311,7 @@
 		status, _ := s.call(http.MethodPost, "/long/"+longID, longBody)
 		return status == http.StatusOK
 	})
-	s.await("running", func() bool { return s.site.Running(longID) == 3 })
+	s.await("running", func() bool { return s.site.Running(longID) == longTasks })
 	s.group.Go(s.load)
 	s.strike()
 	s.group.Wait()
@@ -292,7 +322,7 @@
 	}
 	s.site.Store.SetFaults(basilfake.StoreFaults{})
 	s.await("settled", func() bool { return len(s.wrong()) == 0 })
-	wrong := append(s.wrong(), s.site.Broken()...)
+	wrong := slices.Concat(s.wrongJobs(), s.wrongMoves(), s.site.Broken())
 	if len(wrong) > 0 {
 		s.keepLogs(seed)
 	}
@@ -335,7 +365,7 @@
 	list := slices.Sorted(maps.Keys(regressions))
 	first, last, ok := strings.Cut(os.Getenv("BASIL_SOAK_SEEDS"), "-")
 	if !ok {
-		return append(list, 1, 2)
+		return append(list, 2)
 	}
 	from, err := strconv.ParseUint(first, 10, 64)
 	must.NoError(t, err)
