Notice unanswered orders in a part of a task's run time

Load pattern: a peak on backend servers that leave some orders unanswered and carry them out late. An order timed out after 0.9 s; after the stop's answer the owner waited for a hold that waits up to 0.8 s for the end of a run, and had been sent before. Hypothesis: such a task costs 2 s and more; it need not cost more than 0.3 s. Change: the timeout of orders follows the latency of answers, as TCP's does, from 0.2 to 0.9 s; an answered stop has a report requested at once, in place of the hold that waits; the time of a stop is that of its answer; a hold waits 0.4 s, and is repeated at once after the first miss; one lost hold alone no longer makes a backend server unreachable.

--- a/internal/basilnode/owner_orders.go
+++ b/internal/basilnode/owner_orders.go
@@ -122,8 +122,12 @@
 	order := basilwork.StopOrder{Task: s.Task.String(), Attempt: s.Attempt}
 	o.enqueue(s.Backend, func(l *connection) {
 		answered := l.Stop(o.ctx, order)
+		answeredAt := time.Now()
 		o.logRun(s.Ref).WithFields(logrus.Fields{basillog.FieldReason: s.Reason, "answered": answered}).Info("stop request sent")
-		o.send(func(now time.Time) { o.pool.Stopped(s.Ref, answered, now) })
+		o.send(func(time.Time) { o.pool.Stopped(s.Ref, answered, answeredAt) })
+		if answered {
+			l.Refresh() // the task can start elsewhere once a report shows that the run is gone
+		}
 	})
 }
 
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -11,8 +11,7 @@
 )
 
 const (
-	orderTimeout     = 900 * time.Millisecond // timeout of the answer to an order; the network latency is a few milliseconds
-	maxHoldWait      = 800 * time.Millisecond // how long a hold waits at the backend server for a run to end
+	maxHoldWait      = 400 * time.Millisecond // how long a hold waits at the backend server for a run to end
 	defaultHoldPause = 40 * time.Millisecond  // default pause between holds, so that ended runs are reported in batches
 	unreachableAfter = 1500 * time.Millisecond
 	retryPause       = 300 * time.Millisecond // pause after a hold that failed
@@ -53,6 +52,7 @@
 	mutex       sync.Mutex
 	backend     basilwork.Backend
 	lease       Lease
+	timeout     answerTimeout
 	acked       int64
 	ackAnswered int64 // newest acknowledgement that the backend server has answered
 	busy        bool
@@ -61,12 +61,13 @@
 	lost        bool          // Sink.Lost is called, after which its tasks may be started elsewhere
 	firstMissAt time.Time     // first hold without an answer since the last answer; zero for none
 	wake        chan struct{} // has room for one signal that a hold is needed
+	refresh     chan struct{} // has room for one signal that a report is needed at once
 	orderSlots  chan struct{} // holds one value per order in flight
 }
 
 // NewConnection returns a connection to the backend server; call Run to renew the leases of its runs.
 func NewConnection(b basilwork.Backend, o Options) *Connection {
-	return &Connection{options: o, backend: b, reachable: true, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, MaxConcurrentOrders)}
+	return &Connection{options: o, backend: b, reachable: true, wake: make(chan struct{}, 1), refresh: make(chan struct{}, 1), orderSlots: make(chan struct{}, MaxConcurrentOrders)}
 }
 
 // Backend returns the backend server with the newest incarnation that it has reported.
@@ -106,10 +107,12 @@
 			continue
 		}
 		sent := time.Now()
-		wait := c.holdWaitTime()
-		report, err := c.hold(ctx, wait)
-		if ctx.Err() != nil {
+		report, interrupted, err := c.holdUnlessInterrupted(ctx)
+		switch {
+		case ctx.Err() != nil:
 			return
+		case interrupted:
+			continue
 		}
 		if !c.handleAnswer(report, err, sent) {
 			return
@@ -133,10 +136,44 @@
 	return 0
 }
 
-func (c *Connection) hold(ctx context.Context, wait time.Duration) (basilwork.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+orderTimeout)
+// Refresh has a report requested at once, in place of one that waits for the end of a run.
+func (c *Connection) Refresh() {
+	select {
+	case c.refresh <- struct{}{}:
+	default: // a signal is pending already
+	}
+}
+
+// holdUnlessInterrupted sends a hold. One that waits for the end of a run is given up when Refresh is called.
+func (c *Connection) holdUnlessInterrupted(ctx context.Context) (r basilwork.Report, interrupted bool, err error) {
+	wait := c.holdWaitTime()
+	select {
+	case <-c.refresh:
+		wait = 0
+	default:
+	}
+	if wait == 0 {
+		r, err = c.hold(ctx, 0)
+		return r, false, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go func() {
+		select {
+		case <-c.refresh:
+			c.Refresh() // for the next hold
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	r, err = c.hold(ctx, wait)
+	return r, err != nil && ctx.Err() != nil, err
+}
+
+func (c *Connection) hold(ctx context.Context, wait time.Duration) (basilwork.Report, error) {
 	c.mutex.Lock()
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout.get())
+	defer cancel()
 	o := basilwork.HoldOrder{Fence: c.options.Fence, Wait: wait}
 	if c.attached && c.firstMissAt.IsZero() && c.acked > c.ackAnswered {
 		o.Acknowledged = c.acked // not after a miss, when the backend server may have restarted
@@ -146,11 +183,16 @@
 	}
 	b := c.backend
 	c.mutex.Unlock()
+	sent := time.Now()
 	r, err := c.options.Commander.Hold(ctx, b, o)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	if err == nil {
-		c.mutex.Lock()
 		c.ackAnswered = max(c.ackAnswered, o.Acknowledged)
-		c.mutex.Unlock()
+		c.timeout.misses = 0
+		if wait == 0 { // an answer that waited says nothing of the latency
+			c.timeout.answered(time.Since(sent))
+		}
 	}
 	return r, err
 }
@@ -209,7 +251,8 @@
 	if c.firstMissAt.IsZero() {
 		c.firstMissAt = now
 	}
-	unreachable := c.reachable && (now.Sub(c.firstMissAt) > 0 || c.lease.Known() && now.Sub(c.lease.LastAnswer()) > unreachableAfter)
+	c.timeout.missed()
+	unreachable := c.reachable && now.Sub(c.firstMissAt) > 0 && (!c.lease.Known() || now.Sub(c.lease.LastAnswer()) > unreachableAfter)
 	if unreachable {
 		c.reachable = false
 	}
@@ -231,7 +274,7 @@
 		d = c.options.HoldInterval()
 	}
 	if err != nil {
-		d = retryPause
+		d = c.missPause()
 	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -241,8 +284,20 @@
 	}
 }
 
-// acquireSlot waits for one of the MaxConcurrentOrders slots; it returns false if the context ends first.
+// missPause returns the pause after a hold that failed: none after the first, since most often only its answer was lost.
+func (c *Connection) missPause() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.timeout.misses <= 1 {
+		return 0
+	}
+	return retryPause
+}
+
+// acquireSlot waits for one of the MaxConcurrentOrders slots, for maxTimeout at most.
 func (c *Connection) acquireSlot(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxTimeout)
+	defer cancel()
 	select {
 	case c.orderSlots <- struct{}{}:
 		return true
@@ -255,8 +310,6 @@
 
 // Start sends an order to start a run; answered is false if no answer came, so that the run may have been started.
 func (c *Connection) Start(ctx context.Context, o basilwork.StartOrder) (refusal basilwork.Refusal, answered bool) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
 	if !c.acquireSlot(ctx) {
 		return basilwork.RefusalBusy, true
 	}
@@ -274,47 +327,51 @@
 	o.Fence = c.options.Fence
 	b := c.backend
 	c.mutex.Unlock()
-	clock, err := c.options.Commander.Start(ctx, b, o)
-	return c.orderResult(clock, err)
+	return c.order(ctx, func(ctx context.Context) (int64, error) { return c.options.Commander.Start(ctx, b, o) })
 }
 
 // Stop sends an order to stop a run and reports whether the backend server carried it out.
 func (c *Connection) Stop(ctx context.Context, o basilwork.StopOrder) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
 	if !c.acquireSlot(ctx) {
 		return false
 	}
 	defer c.releaseSlot()
 	o.Fence = c.options.Fence
-	clock, err := c.options.Commander.Stop(ctx, c.Backend(), o)
-	refusal, answered := c.orderResult(clock, err)
+	refusal, answered := c.order(ctx, func(ctx context.Context) (int64, error) { return c.options.Commander.Stop(ctx, c.Backend(), o) })
 	return answered && refusal == basilwork.RefusalNone
 }
 
 // Pace sends an order to limit the speed of a run and reports whether the backend server carried it out.
 func (c *Connection) Pace(ctx context.Context, o basilwork.PaceOrder) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
 	if !c.acquireSlot(ctx) {
 		return false
 	}
 	defer c.releaseSlot()
 	o.Fence = c.options.Fence
-	clock, err := c.options.Commander.Pace(ctx, c.Backend(), o)
-	refusal, answered := c.orderResult(clock, err)
+	refusal, answered := c.order(ctx, func(ctx context.Context) (int64, error) { return c.options.Commander.Pace(ctx, c.Backend(), o) })
 	return answered && refusal == basilwork.RefusalNone
 }
 
-func (c *Connection) orderResult(clock int64, err error) (basilwork.Refusal, bool) {
+// order sends an order; answered is false if no answer came in time.
+func (c *Connection) order(ctx context.Context, send func(ctx context.Context) (clock int64, err error)) (refusal basilwork.Refusal, answered bool) {
+	c.mutex.Lock()
+	ctx, cancel := context.WithTimeout(ctx, c.timeout.get())
+	c.mutex.Unlock()
+	defer cancel()
+	sent := time.Now()
+	clock, err := send(ctx)
 	if err == nil {
 		c.mutex.Lock()
 		c.lease.RecordAnswer(clock, time.Now())
+		c.timeout.answered(time.Since(sent))
 		c.mutex.Unlock()
 		return basilwork.RefusalNone, true
 	}
 	var unanswered basilwork.ErrNoAnswer
 	if errors.As(err, &unanswered) {
+		c.mutex.Lock()
+		c.timeout.missed()
+		c.mutex.Unlock()
 		return basilwork.RefusalNone, false
 	}
 	return basilwork.RefusalOf(err), true
--- a/internal/basilrunner/orders_test.go
+++ b/internal/basilrunner/orders_test.go
@@ -78,3 +78,123 @@
 		})
 	}
 }
+
+// forgetfulBackend is a backend server that never answers every nth call. A hold that waits is answered when a run ends.
+type forgetfulBackend struct {
+	fakeBackend
+	nth     int
+	latency time.Duration
+	calls   int
+	reports []time.Time
+	ends    <-chan time.Time
+}
+
+// answer reports whether the call is answered, after the latency.
+func (f *forgetfulBackend) answer(ctx context.Context) error {
+	f.calls++
+	if f.nth > 0 && f.calls%f.nth == 0 {
+		<-ctx.Done()
+		return basilwork.ErrNoAnswer{Cause: ctx.Err()}
+	}
+	select {
+	case <-time.After(f.latency):
+		return nil
+	case <-ctx.Done():
+		return basilwork.ErrNoAnswer{Cause: ctx.Err()}
+	}
+}
+
+func (f *forgetfulBackend) Hold(ctx context.Context, _ basilwork.Backend, o basilwork.HoldOrder) (basilwork.Report, error) {
+	if err := f.answer(ctx); err != nil {
+		return basilwork.Report{}, err
+	}
+	select {
+	case <-f.ends:
+	case <-time.After(o.Wait):
+	case <-ctx.Done():
+		return basilwork.Report{}, basilwork.ErrNoAnswer{Cause: ctx.Err()}
+	}
+	return basilwork.Report{StartedAt: 1, Clock: time.Now().UnixMilli()}, nil
+}
+
+func (f *forgetfulBackend) Start(ctx context.Context, _ basilwork.Backend, _ basilwork.StartOrder) (int64, error) {
+	return time.Now().UnixMilli(), f.answer(ctx)
+}
+
+func (f *forgetfulBackend) Report(string, basilwork.Report, time.Time, bool) {
+	f.reports = append(f.reports, time.Now())
+}
+
+func (f *forgetfulBackend) Reachable(string, bool) {
+	panic("a backend server that answers most calls counts as unreachable")
+}
+
+// connect returns a connection to the backend server that has its first report.
+func (f *forgetfulBackend) connect(ctx context.Context) *Connection {
+	c := NewConnection(basilwork.Backend{ID: "b1", StartedAt: 1}, Options{
+		Commander: f, Sink: f, Fence: 1, MaxLease: 6 * time.Second,
+		MayStart: func() bool { return true }, MayHold: func() bool { return true },
+	})
+	c.SetBusy(true, 1, 0)
+	go c.Run(ctx)
+	time.Sleep(time.Second)
+	return c
+}
+
+// TestUnansweredCallsCostLittleTime replays a load of orders of which one in four is never answered. The owner must learn of
+// that, and of the ends of runs that a lost hold hides, within the run time of a short task.
+func TestUnansweredCallsCostLittleTime(t *testing.T) {
+	const shortTask = 640 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		f := &forgetfulBackend{nth: 4, latency: 3 * time.Millisecond}
+		ctx, cancel := context.WithCancel(t.Context())
+		c := f.connect(ctx)
+		for range 12 {
+			sent := time.Now()
+			refusal, _ := c.Start(ctx, basilwork.StartOrder{Task: "a.0.0.0", Attempt: 1})
+			must.Eq(t, basilwork.RefusalNone, refusal)
+			must.Less(t, shortTask, time.Since(sent))
+			time.Sleep(time.Second)
+		}
+		cancel()
+		for n := range f.reports[1:] {
+			must.Less(t, maxHoldWait+shortTask, f.reports[n+1].Sub(f.reports[n]))
+		}
+	})
+}
+
+// TestRefreshInterruptsWaitingHold checks that a report comes at once although a hold waits for the end of a run.
+func TestRefreshInterruptsWaitingHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &forgetfulBackend{latency: 3 * time.Millisecond, ends: make(chan time.Time)}
+		ctx, cancel := context.WithCancel(t.Context())
+		c := f.connect(ctx)
+		for range 10 {
+			time.Sleep(170 * time.Millisecond)
+			asked := time.Now()
+			c.Refresh()
+			time.Sleep(100 * time.Millisecond)
+			must.True(t, f.reports[len(f.reports)-1].After(asked))
+		}
+		cancel()
+	})
+}
+
+// TestAnswerTimeoutFollowsLatency checks that a backend server that answers slowly isn't taken for one that doesn't answer.
+func TestAnswerTimeoutFollowsLatency(t *testing.T) {
+	var a answerTimeout
+	must.Eq(t, maxTimeout, a.get())
+	for range 20 {
+		a.answered(4 * time.Millisecond)
+	}
+	must.Eq(t, minTimeout, a.get())
+	a.missed()
+	must.Eq(t, 2*minTimeout, a.get())
+	a.missed()
+	a.missed()
+	must.Eq(t, maxTimeout, a.get())
+	for range 20 {
+		a.answered(400 * time.Millisecond)
+		must.Greater(t, 400*time.Millisecond, a.get())
+	}
+}
