Hold hosts back after a change of the fleet's owner only as long as needed

Load pattern: a peak whose first seconds fall on a change of the fleet's owner, when most hosts of the standby pool were given back a moment before. Change: the row has the time of each order on the store's steady clock, which its answers carry; times are bounded by when the call was sent and answered. The row is written once more when all orders have ended. Without a reading of the clock a host is held back as before.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -128,12 +128,15 @@
 	client := basilsite.NewClient()
 	control := basilsite.NewClient()
 	store := basilsite.NewStore(client, func() string { return s.Addresses().Store }, storeTimeout)
+	bootClock := basilshard.BootClock()
+	storeClock := basilwork.NewStoreClock(bootClock)
+	store.SetClock(storeClock)
 	return basilnode.Options{
 		Self: basilshard.Member{
 			Node: s.Node, Incarnation: incarnation(s.Node), Zone: s.Zone, Address: peerAddress(s), Weight: s.Limits.CPUShare,
 			Started: time.Now().UnixMilli(),
 		},
-		Clock: basilshard.BootClock(), Lease: lease, HoldLimit: holdLimit,
+		Clock: bootClock, StoreClock: storeClock, Lease: lease, HoldLimit: holdLimit,
 		MaxHold:             basilsite.Milliseconds(s.Bounds.MaxHoldMS),
 		StatusRetention:     basilsite.Seconds(s.Bounds.StatusS),
 		StopTimeout:         basilsite.Milliseconds(s.Bounds.StopTimeoutMS),
--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -21,6 +21,7 @@
 	"basilstage.example/basilstage/internal/basilnode"
 	"basilstage.example/basilstage/internal/basilshard"
 	"basilstage.example/basilstage/internal/basilstandin"
+	"basilstage.example/basilstage/internal/basilwork"
 	"basilstage.example/basilstage/platform"
 	"basilstage.example/basilstage/platform/basilfake"
 )
@@ -128,13 +129,16 @@
 	client := basilsite.NewClientOn(l)
 	store := basilsite.NewStore(client, func() string { return basilfake.StoreAddress }, time.Second)
 	began := c.began
+	clock := func() time.Duration { return time.Since(began) + time.Second }
+	storeClock := basilwork.NewStoreClock(clock)
+	store.SetClock(storeClock)
 	weight := c.weights[name]
 	if weight == 0 {
 		weight = 1
 	}
 	node := basilnode.New(basilnode.Options{
 		Self:  basilshard.Member{Node: name, Incarnation: fmt.Sprintf("%s.%d", name, c.starts), Zone: "north", Weight: weight, Address: peerAddress(name), Started: time.Now().UnixMilli()},
-		Clock: func() time.Duration { return time.Since(began) + time.Second },
+		Clock: clock, StoreClock: storeClock,
 		Lease: 2200 * time.Millisecond, MaxHold: 6 * time.Second, HoldLimit: 3500 * time.Millisecond,
 		SinglePartition: c.singlePartition, StatusRetention: 2 * time.Minute, StopTimeout: 900 * time.Millisecond, HolderChangeDelay: 3 * time.Second, MoveDuration: 1500 * time.Millisecond, MaintenanceDuration: 2 * time.Second,
 		Store: store, Directory: basilsite.NewDirectory(store), Commander: basilsite.NewCommander(client),
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -26,6 +26,8 @@
 	idleListInterval = 4 * time.Second        // interval between listings of the hosts otherwise
 	staleListDelay   = 5 * time.Second        // delay beyond that interval after which the list of hosts is reported as stale
 	orderDuration    = 300 * time.Millisecond // time to carry out an order
+	lateOrderTime    = 2 * time.Second        // from when an order is to be stored, or its call has failed, until it is carried out at the latest
+	maxStoreTime     = time.Second            // of the hosts of orders; later the orders are not sent
 )
 
 func fleetKey(shard, sort string) basilplatform.Key {
--- a/internal/basilnode/fleet_orders.go
+++ b/internal/basilnode/fleet_orders.go
@@ -16,43 +16,65 @@
 // a minimum time apart, so another node sends none for these hosts within that time. It need not wait for any other host.
 //
 // They are stored before the first order for them is sent, in a row that only the fleet's owner writes, so that a successor
-// reads every host that its predecessor can have given orders for.
+// reads every host that its predecessor can have given orders for, and when on the store's clock. It waits only for the rest
+// of the minimum time.
 type recentOrders struct {
 	hosts    map[string]recentOrder
 	pending  []basilcapacity.Order // orders to be sent once their hosts are stored
 	inFlight bool
+	unstored bool // an order has ended since the row was last written
 }
 
 // recentOrder is the newest order for a host, kept while other nodes have to wait because of it.
 type recentOrder struct {
-	node      string
-	expiresAt time.Time // when other nodes may send orders for the host again
+	node       string
+	unanswered int       // orders whose outcome is not known yet
+	at         time.Time // when the order was carried out at the latest
 }
 
-// loadRecentOrders applies the hosts that a predecessor may have given orders for: orders for them are held back for holderChangeDelay.
-// Rows of an earlier format name the node only, and then orders for all hosts are held back.
+// storedOrder is the stored form of a recentOrder.
+type storedOrder struct {
+	Node string `json:"node"`
+	At   int64  `json:"store_ms,omitempty"` // when the order was carried out at the latest, on the store's clock; 0 if unknown
+}
+
+// UnmarshalJSON also decodes the name of a node alone, as rows of an earlier format have it.
+func (s *storedOrder) UnmarshalJSON(body []byte) error {
+	if json.Unmarshal(body, &s.Node) == nil {
+		return nil
+	}
+	type plain storedOrder
+	return json.Unmarshal(body, (*plain)(s))
+}
+
+// loadRecentOrders applies the hosts that a predecessor may have given orders for: orders for them are held back for the
+// rest of holderChangeDelay. Rows of an earlier format name the node only, and then orders for all hosts are held back.
 func (f *fleet) loadRecentOrders(body []byte) error {
-	until := f.startedAt.Add(f.holderChangeDelay())
-	var nodes map[string]string
-	if err := json.Unmarshal(body, &nodes); err != nil {
+	var orders map[string]storedOrder
+	if err := json.Unmarshal(body, &orders); err != nil {
 		var node string
 		if err := json.Unmarshal(body, &node); err != nil {
 			return err
 		}
 		if node != f.node.options.Self.Node {
-			f.state.HoldAll(until)
+			f.state.HoldAll(f.startedAt.Add(f.holderChangeDelay()))
 		}
 		return nil
 	}
-	held := 0
-	for host, node := range nodes {
-		f.recent.set(host, recentOrder{node: node, expiresAt: until})
-		if node != f.node.options.Self.Node {
+	now, held := time.Now(), 0
+	earliest, _, known := f.node.options.StoreClock.Bounds()
+	for host, o := range orders {
+		at := now
+		if stored := time.Duration(o.At) * time.Millisecond; known && stored > 0 && stored < earliest {
+			at = now.Add(stored - earliest)
+		}
+		f.recent.set(host, recentOrder{node: o.Node, at: at})
+		if until := at.Add(f.holderChangeDelay()); o.Node != f.node.options.Self.Node && until.After(now) {
 			f.state.Hold(host, until)
 			held++
 		}
 	}
-	f.log.WithFields(logrus.Fields{"recent": len(nodes), "held": held}).Info("recent host orders of predecessor loaded")
+	f.log.WithFields(logrus.Fields{"recent": len(orders), "held": held}).Info("recent host orders of predecessor loaded")
 	return nil
 }
 
@@ -63,6 +85,33 @@
 	r.hosts[host] = o
 }
 
+// ended records the outcome of an order. One whose outcome is unknown may be carried out later.
+func (r *recentOrders) ended(host string, err error, now time.Time) {
+	o, ok := r.hosts[host]
+	if !ok {
+		return
+	}
+	o.unanswered, o.at = max(0, o.unanswered-1), now
+	if err != nil && !basilwork.IsErrMachineRefused(err) {
+		o.at = now.Add(lateOrderTime)
+	}
+	r.hosts[host] = o
+	r.unstored = true
+}
+
+// due reports whether the row has to be written: before orders are sent, and once all have ended.
+func (r *recentOrders) due() bool {
+	if r.inFlight || len(r.pending) > 0 || !r.unstored {
+		return !r.inFlight && len(r.pending) > 0
+	}
+	for _, o := range r.hosts {
+		if o.unanswered > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // holderChangeDelay is how long after an order for a host another node must send none for it.
 //
 // Earlier ownership of the shard doesn't shorten it: the node may have owned the shard only briefly, without sending an order.
@@ -73,12 +122,13 @@
 // queueOrders stores the hosts of the orders, and then sends the orders. Those that come during such a write wait for the next.
 func (f *fleet) queueOrders(added []basilcapacity.Order) {
 	f.recent.pending = append(f.recent.pending, added...)
-	if f.recent.inFlight || len(f.recent.pending) == 0 {
+	if !f.recent.due() {
 		return
 	}
 	list, now := f.recent.pending, time.Now()
-	f.recent.pending = nil
-	body, err := json.Marshal(f.recent.add(list, f.node.options.Self.Node, now, now.Add(f.holderChangeDelay())))
+	f.recent.add(list, f.node.options.Self.Node, now)
+	body, err := json.Marshal(f.recent.stored(f.node.options.StoreClock, now, f.holderChangeDelay()))
+	f.recent.pending, f.recent.unstored = nil, false
 	if err != nil {
 		f.log.WithError(err).Error("cannot encode hosts of pending orders")
 		return
@@ -87,24 +137,36 @@
 	row := f.rowOf(fleetKey(fleetShard, recentOrdersSort))
 	go func() {
 		err := row.Write(f.ctx, body)
+		if took := time.Since(now); err == nil && took > maxStoreTime {
+			err = basilwork.ErrMachineRefused{Reason: "storing the host took " + took.String()}
+		}
 		f.send(func(now time.Time) { f.orderHostsStored(list, err, now) })
 	}()
 }
 
-// add records orders of a node, removes expired ones, and returns the ordering node by host.
-func (r *recentOrders) add(orders []basilcapacity.Order, node string, now, until time.Time) map[string]string {
+// add records orders of a node that are about to be sent.
+func (r *recentOrders) add(orders []basilcapacity.Order, node string, now time.Time) {
 	for _, o := range orders {
-		r.set(o.Machine, recentOrder{node: node, expiresAt: until})
+		r.set(o.Machine, recentOrder{node: node, unanswered: r.hosts[o.Machine].unanswered + 1, at: now.Add(lateOrderTime)})
 	}
-	nodes := make(map[string]string, len(r.hosts))
+}
+
+// stored removes the orders that are longer ago than the delay, and returns the stored form of the others.
+func (r *recentOrders) stored(clock *basilwork.StoreClock, now time.Time, delay time.Duration) map[string]storedOrder {
+	_, latest, known := clock.Bounds()
+	stored := make(map[string]storedOrder, len(r.hosts))
 	for host, o := range r.hosts {
-		if now.After(o.expiresAt) {
+		if o.unanswered == 0 && now.Sub(o.at) > delay {
 			delete(r.hosts, host)
 			continue
 		}
-		nodes[host] = o.node
+		s := storedOrder{Node: o.node}
+		if known {
+			s.At = (latest + o.at.Sub(now)).Milliseconds() + 1 // rounded up
+		}
+		stored[host] = s
 	}
-	return nodes
+	return stored
 }
 
 // orderHostsStored sends the orders whose hosts were stored, or reports them as failed.
@@ -115,6 +177,7 @@
 	}
 	for _, o := range list {
 		if err != nil {
+			f.recent.ended(o.Machine, basilwork.ErrMachineRefused{}, now)
 			f.state.SetOrderOutcome(o, err, now)
 			continue
 		}
@@ -144,6 +207,8 @@
 			entry.Info("order for host accepted")
 		}
 		f.send(func(now time.Time) {
+			f.recent.ended(o.Machine, err, now)
+			f.queueOrders(nil)
 			f.state.SetOrderOutcome(o, err, now)
 			if err == nil && o.Wave != "" {
 				f.writeRow(fleetShard, waveRecordsSort, f.state.Records())
--- a/internal/basilnode/fleet_test.go
+++ b/internal/basilnode/fleet_test.go
@@ -77,6 +77,49 @@
 	}
 }
 
+// TestReturnedHostsAfterRestartOfFleetOwner replays a peak that begins while members are restarted in turn: nearly all hosts
+// were ordered back to the standby pool seconds before. The new owner of the fleet must wait only for the rest of the minimum
+// time between different holders' orders for a host.
+func TestReturnedHostsAfterRestartOfFleetOwner(t *testing.T) {
+	const (
+		sinceOrders = 2500 * time.Millisecond // from the last orders to the restart
+		holdBack    = 3300 * time.Millisecond // minimum time between different holders' orders for a host, and for carrying them out
+		reaction    = 900 * time.Millisecond  // until the new owner sees the demand and orders
+	)
+	run(t, 3, 2, constant(900*time.Millisecond), func(c *cluster) {
+		c.site.AddPool("spare", 2, 16000, 65536, true)
+		time.Sleep(5 * time.Second)
+		name, spare := c.owner("fleet"), len(c.site.Machines("spare"))
+		for n := range 3 {
+			c.submitBurst(10 * (n + 1))
+			time.Sleep(300 * time.Millisecond)
+		}
+		for range 200 { // until the hosts have been given back
+			if time.Sleep(50 * time.Millisecond); len(c.site.Machines("spare")) == spare {
+				break
+			}
+		}
+		ordered := c.site.Orders()
+		must.GreaterEq(t, spare+1, len(ordered)) // some there and back
+		time.Sleep(sinceOrders - time.Since(ordered[len(ordered)-1].At))
+		changed := time.Now()
+		go c.hosts[name].node.Stop(context.Background())
+		for n := range 6 {
+			c.submitBurst(10 * (n + 11))
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(holdBack)
+		returned := ordered[len(ordered)-1].Machine
+		for _, o := range c.site.Orders()[len(ordered):] {
+			if o.Machine == returned {
+				must.LessEq(t, holdBack-sinceOrders+reaction, o.At.Sub(changed))
+				return
+			}
+		}
+		t.Fatal("the new owner sent no order for a host that had been returned")
+	})
+}
+
 // TestHostsAreUsedAfterUnansweredMaintenance checks that all hosts are used soon after maintenance orders were carried out
 // but their responses lost: the platform accepts the repeated order and does nothing.
 func TestHostsAreUsedAfterUnansweredMaintenance(t *testing.T) {
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -36,17 +36,18 @@
 type Options struct {
 	Self                basilshard.Member
 	Clock               basilshard.Clock
-	Lease               time.Duration // how long a member's row may go without renewal before its shards are taken over
-	MaxHold             time.Duration // the longest lease that a backend server grants
-	HoldLimit           time.Duration // how long after its last renewal the member stops extending backend servers' leases
-	StatusRetention     time.Duration // how long a finished job's state is kept
-	StopTimeout         time.Duration // how long a stopped run takes to end, at most
-	HolderChangeDelay   time.Duration // minimum time between orders of different holders for one host
-	DrainStartWindow    time.Duration // how long after a backend server announces that it is leaving tasks may still start there; 0 uses the default
-	CancelStartWindow   time.Duration // how long after a cancellation is confirmed to the caller tasks may still start; 0 uses the default
-	MoveDuration        time.Duration // duration of a host's move to another pool
-	MaintenanceDuration time.Duration // duration of a host's maintenance
-	OrderRate           float64       // rate of orders for hosts that the platform accepts, per second; 0 if it isn't known
+	StoreClock          *basilwork.StoreClock // nil if the store has no clock; then times of predecessors count as unknown
+	Lease               time.Duration         // how long a member's row may go without renewal before its shards are taken over
+	MaxHold             time.Duration         // the longest lease that a backend server grants
+	HoldLimit           time.Duration         // how long after its last renewal the member stops extending backend servers' leases
+	StatusRetention     time.Duration         // how long a finished job's state is kept
+	StopTimeout         time.Duration         // how long a stopped run takes to end, at most
+	HolderChangeDelay   time.Duration         // minimum time between orders of different holders for one host
+	DrainStartWindow    time.Duration         // how long after a backend server announces that it is leaving tasks may still start there; 0 uses the default
+	CancelStartWindow   time.Duration         // how long after a cancellation is confirmed to the caller tasks may still start; 0 uses the default
+	MoveDuration        time.Duration         // duration of a host's move to another pool
+	MaintenanceDuration time.Duration         // duration of a host's maintenance
+	OrderRate           float64               // rate of orders for hosts that the platform accepts, per second; 0 if it isn't known
 	Store               basilwork.Store
 	// SinglePartition is set if the store has no transactions over several partitions.
 	SinglePartition bool
