Notice lost calls to the store, and its return, at once

Load pattern: a store that is silent for seconds, or loses answers, while jobs wait. Each part of the process waited for the timeouts of its own calls, up to 1.2 s, and then for its pause. Change: after an unanswered call the store is probed every 0.1 s; an answered probe ends the calls that are overdue by its latency and wakes the keeper and the watches; a watch after a failed one doesn't wait, so that copies count as current again. Renewals and reads of members take their timeout from the latency of the store (0.2 to 0.7 s, as orders to backend servers do), and are repeated after 0.1 s, so that one lost answer doesn't cost the lease.

--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -24,8 +24,8 @@
 	backendsInterval   = 250 * time.Millisecond // interval over which changes of backend servers' entries are batched; a server writes its entry every 1.5 s
 	logCallsInterval   = 10 * time.Second
 	configurationRetry = 200 * time.Millisecond
-	renewInterval      = 550 * time.Millisecond // a quarter of the lease, which leaves room for two lost renewals
-	leaseMargin        = 400 * time.Millisecond
+	renewInterval      = 310 * time.Millisecond // a quarter of the lease, which leaves room for two lost renewals
+	leaseMargin        = 300 * time.Millisecond
 	minClockRate       = 0.98 // lowest rate at which a backend server's clock may run
 	graceSlack         = 400 * time.Millisecond
 	stopPollInterval   = 20 * time.Millisecond
@@ -76,6 +76,8 @@
 	commander           basilwork.Commander
 	advisor             basilwork.Advisor
 	keeper              *basilshard.Keeper
+	recovery            *basilshard.Recovery
+	probe               func(ctx context.Context) error // of the store
 	metrics             *metrics
 	peers               *peers
 	directWrites        writeWindows
@@ -100,16 +102,19 @@
 	o.Store = loggedStore{Store: o.Store, log: o.Log, metrics: m}
 	n := &Node{
 		options: o, log: o.Log, store: o.Store, ledger: basilledger.New(o.Store), commander: o.Commander, advisor: o.Advisor,
-		metrics: m, peers: newPeers(o.Peers), owners: make(map[string]*owner), formerByQueue: make(map[string][]string), poolGained: make(chan struct{}, 1),
+		metrics: m, recovery: basilshard.NewRecovery(), peers: newPeers(o.Peers), owners: make(map[string]*owner), formerByQueue: make(map[string][]string), poolGained: make(chan struct{}, 1),
 	}
 	n.backendsFreshness.watchBackends(o.Clock, cmp.Or(o.DrainStartWindow, defaultDrainStartWindow))
 	if o.Control == nil {
 		o.Control = o.Store
 	}
+	n.probe = basilshard.Probe(o.Control, o.Self.Node)
+	o.Store, o.Control = n.recovery.Wrap(o.Store), n.recovery.Wrap(o.Control)
+	n.store, n.ledger = o.Store, basilledger.New(o.Store)
 	n.setGCPercent()
 	n.keeper = basilshard.New(basilshard.Options{
 		Self: o.Self, Store: o.Control, Clock: o.Clock, Log: o.Log,
-		Lease: o.Lease, Margin: leaseMargin, Renew: renewInterval, SinglePartition: o.SinglePartition, OnAcquired: n.startShard, OnLost: n.endShard, OnBetterOwner: n.handOverToBetter,
+		Lease: o.Lease, Margin: leaseMargin, Renew: renewInterval, SinglePartition: o.SinglePartition, Recovery: n.recovery, OnAcquired: n.startShard, OnLost: n.endShard, OnBetterOwner: n.handOverToBetter,
 	})
 	return n
 }
@@ -121,6 +126,7 @@
 	group.Go(func() { n.followConfiguration(ctx) })
 	group.Go(func() { n.followBackends(ctx) })
 	group.Go(func() { n.keeper.Run(ctx) })
+	group.Go(func() { n.recovery.Run(ctx, n.probe) })
 	group.Go(func() { n.logCalls(ctx) })
 	group.Wait()
 }
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -7,10 +7,13 @@
 
 	"github.com/pkg/errors"
 
+	"basilstage.example/basilstage/internal/basiltimer"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
 const (
+	minTimeout       = 200 * time.Millisecond // shortest timeout of an answer: some tens of milliseconds while the owner is short of processor time
+	maxTimeout       = 900 * time.Millisecond // longest timeout of an answer, and that of the first
 	maxHoldWait      = 400 * time.Millisecond // how long a hold waits at the backend server for a run to end
 	defaultHoldPause = 40 * time.Millisecond  // default pause between holds, so that ended runs are reported in batches
 	unreachableAfter = 1500 * time.Millisecond
@@ -52,7 +55,7 @@
 	mutex       sync.Mutex
 	backend     basilwork.Backend
 	lease       Lease
-	timeout     answerTimeout
+	timeout     *basiltimer.AnswerTimeout
 	acked       int64
 	ackAnswered int64 // newest acknowledgement that the backend server has answered
 	busy        bool
@@ -67,7 +70,7 @@
 
 // NewConnection returns a connection to the backend server; call Run to renew the leases of its runs.
 func NewConnection(b basilwork.Backend, o Options) *Connection {
-	return &Connection{options: o, backend: b, reachable: true, wake: make(chan struct{}, 1), refresh: make(chan struct{}, 1), orderSlots: make(chan struct{}, MaxConcurrentOrders)}
+	return &Connection{timeout: basiltimer.NewAnswerTimeout(minTimeout, maxTimeout), options: o, backend: b, reachable: true, wake: make(chan struct{}, 1), refresh: make(chan struct{}, 1), orderSlots: make(chan struct{}, MaxConcurrentOrders)}
 }
 
 // Backend returns the backend server with the newest incarnation that it has reported.
@@ -172,7 +175,7 @@
 
 func (c *Connection) hold(ctx context.Context, wait time.Duration) (basilwork.Report, error) {
 	c.mutex.Lock()
-	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout.get())
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout.Get())
 	defer cancel()
 	o := basilwork.HoldOrder{Fence: c.options.Fence, Wait: wait}
 	if c.attached && c.firstMissAt.IsZero() && c.acked > c.ackAnswered {
@@ -189,9 +192,9 @@
 	defer c.mutex.Unlock()
 	if err == nil {
 		c.ackAnswered = max(c.ackAnswered, o.Acknowledged)
-		c.timeout.misses = 0
+		c.timeout.Responsive()
 		if wait == 0 { // an answer that waited says nothing of the latency
-			c.timeout.answered(time.Since(sent))
+			c.timeout.Answered(time.Since(sent))
 		}
 	}
 	return r, err
@@ -251,7 +254,7 @@
 	if c.firstMissAt.IsZero() {
 		c.firstMissAt = now
 	}
-	c.timeout.missed()
+	c.timeout.Missed()
 	unreachable := c.reachable && now.Sub(c.firstMissAt) > 0 && (!c.lease.Known() || now.Sub(c.lease.LastAnswer()) > unreachableAfter)
 	if unreachable {
 		c.reachable = false
@@ -286,9 +289,7 @@
 
 // missPause returns the pause after a hold that failed: none after the first, since most often only its answer was lost.
 func (c *Connection) missPause() time.Duration {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.timeout.misses <= 1 {
+	if c.timeout.Misses() <= 1 {
 		return 0
 	}
 	return retryPause
@@ -354,24 +355,20 @@
 
 // order sends an order; answered is false if no answer came in time.
 func (c *Connection) order(ctx context.Context, send func(ctx context.Context) (clock int64, err error)) (refusal basilwork.Refusal, answered bool) {
-	c.mutex.Lock()
-	ctx, cancel := context.WithTimeout(ctx, c.timeout.get())
-	c.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, c.timeout.Get())
 	defer cancel()
 	sent := time.Now()
 	clock, err := send(ctx)
 	if err == nil {
 		c.mutex.Lock()
 		c.lease.RecordAnswer(clock, time.Now())
-		c.timeout.answered(time.Since(sent))
+		c.timeout.Answered(time.Since(sent))
 		c.mutex.Unlock()
 		return basilwork.RefusalNone, true
 	}
 	var unanswered basilwork.ErrNoAnswer
 	if errors.As(err, &unanswered) {
-		c.mutex.Lock()
-		c.timeout.missed()
-		c.mutex.Unlock()
+		c.timeout.Missed()
 		return basilwork.RefusalNone, false
 	}
 	return basilwork.RefusalOf(err), true
--- a/internal/basilshard/follow.go
+++ b/internal/basilshard/follow.go
@@ -47,9 +47,12 @@
 // A failed lease renewal or read of the members therefore cancels all open watches, and
 // the next ones wait only briefly until the store answers again.
 func (k *Keeper) Follow(ctx context.Context, after int64, f FollowOptions) {
+	failed := false // the latest watch failed
 	for ctx.Err() == nil {
+		recovered := k.options.Recovery.Recovered()
 		requestedAt := k.options.Clock()
-		changes, err := k.watchOnce(ctx, after, f)
+		changes, err := k.watchOnce(ctx, after, f, failed)
+		failed = err != nil
 		switch {
 		case basilwork.IsErrHistoryDropped(err):
 			if version, ok := f.Reload(ctx); ok {
@@ -63,7 +66,11 @@
 			_ = basiltimer.Wait(ctx, f.BatchDelay) // the loop checks the context
 			continue
 		}
-		_ = basiltimer.Wait(ctx, retryDelay) // the loop checks the context
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryDelay):
+		case <-recovered:
+		}
 	}
 }
 
@@ -84,7 +91,8 @@
 	return items
 }
 
-func (k *Keeper) watchOnce(ctx context.Context, after int64, f FollowOptions) (basilwork.Changes, error) {
+// watchOnce waits for changes. After a failed watch it doesn't wait, so that what is known is soon known to be current.
+func (k *Keeper) watchOnce(ctx context.Context, after int64, f FollowOptions, failed bool) (basilwork.Changes, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer k.addWatch(cancel)()
@@ -92,6 +100,9 @@
 	if k.recentlyFailed() {
 		wait = min(wait, watchWaitAfterFailure)
 	}
+	if failed {
+		wait = 0
+	}
 	return f.Watch(ctx, after, wait)
 }
 
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basiltimer"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
@@ -24,7 +25,9 @@
 	minIdleRounds     = 4                      // rounds between reads of the members by a host that is not next in line for a shard
 	idleRoundsMembers = 30                     // number of members above which an idle host reads them more rarely
 	maxIdleRounds     = 12                     // limit of such rounds: all first candidates may be lost with a data centre
-	callTimeout       = 700 * time.Millisecond // timeout of a renewal or a read of the members; a slow store takes about 400 ms
+	callTimeout       = 700 * time.Millisecond // longest timeout of a renewal or a read of the members; a slow store takes about 400 ms
+	minCallTimeout    = 200 * time.Millisecond // shortest one: a lost answer must not cost the lease
+	roundRetryDelay   = 100 * time.Millisecond // after a round without an answer
 )
 
 // OwnerKey returns the key of a shard's owner row, in the same part as the shard's jobs.
@@ -47,6 +50,8 @@
 	Renew  time.Duration // renewal interval
 	// SinglePartition is set if the store supports no transactions across partitions.
 	SinglePartition bool
+	// Recovery, unless nil, knows when the store answers again.
+	Recovery *Recovery
 	// OnAcquired and OnLost are called one at a time, in the order of the owner rows' versions.
 	OnAcquired func(shard string, row OwnerRow)
 	OnLost     func(shard string)
@@ -64,13 +69,14 @@
 	state         *State
 	membersReadAt time.Duration // clock time of the last read of the members
 	owned         map[string]OwnerRow
-	released      map[string]int64  // by shard, versions of the owner rows that ReleaseShard has released
-	successors    map[string]string // by shard, nodes chosen at its release
-	wake          chan struct{}     // has room for one signal, which starts the next round at once
-	startUntil    atomic.Int64      // clock time in nanoseconds before which work may be started
-	renewedAt     atomic.Int64      // clock time at which the newest answered renewal was sent
-	memberRow     *Row              // this entry host's member row; guarded by memberWrite
-	memberWrite   chan struct{}     // has room for one token, held while the member row is written
+	released      map[string]int64          // by shard, versions of the owner rows that ReleaseShard has released
+	successors    map[string]string         // by shard, nodes chosen at its release
+	wake          chan struct{}             // has room for one signal, which starts the next round at once
+	startUntil    atomic.Int64              // clock time in nanoseconds before which work may be started
+	renewedAt     atomic.Int64              // clock time at which the newest answered renewal was sent
+	timeout       *basiltimer.AnswerTimeout // of renewals and reads of the members
+	memberRow     *Row                      // this entry host's member row; guarded by memberWrite
+	memberWrite   chan struct{}             // has room for one token, held while the member row is written
 	stopping      atomic.Bool
 	slowUntil     atomic.Int64 // clock time
 	slowTime      time.Duration
@@ -83,8 +89,8 @@
 // New returns a keeper.
 func New(o Options) *Keeper {
 	member := NewRow(o.Store, memberKey(o.Self.Node))
-	member.timeout = callTimeout
 	return &Keeper{
+		timeout: basiltimer.NewAnswerTimeout(minCallTimeout, callTimeout),
 		options: o, state: NewState(o.Self, o.Lease, o.Renew), owned: make(map[string]OwnerRow), released: make(map[string]int64), memberRow: member,
 		wake: make(chan struct{}, 1), memberWrite: make(chan struct{}, 1), startedAt: o.Clock(), openWatches: make(map[int64]context.CancelFunc),
 	}
@@ -150,11 +156,16 @@
 func (k *Keeper) Run(ctx context.Context) {
 	go k.watchOwners(ctx)
 	for ctx.Err() == nil {
-		k.round(ctx)
-		timer := time.NewTimer(k.options.Renew)
+		recovered := k.options.Recovery.Recovered()
+		wait := k.options.Renew
+		if !k.round(ctx) {
+			wait = roundRetryDelay
+		}
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
+		case <-recovered:
 		case <-k.wake:
 		}
 		timer.Stop()
@@ -163,7 +174,8 @@
 
 // round renews the member row, reads the other members and claims shards without an owner. The renewal and the read
 // run concurrently, so that a slow store doesn't cost the lease.
-func (k *Keeper) round(ctx context.Context) {
+// It returns false if the store didn't answer.
+func (k *Keeper) round(ctx context.Context) bool {
 	renewed := make(chan bool, 1)
 	if k.SinceRenewal() >= k.options.Renew/2 || k.renewedAt.Load() == 0 {
 		go func() { renewed <- k.renew(ctx) }()
@@ -173,10 +185,11 @@
 	observed := !k.membersDue() || k.readMembers(ctx)
 	if !<-renewed || !observed {
 		k.roundFailed()
-		return
+		return false
 	}
 	k.claimShards(ctx)
 	k.offerShard()
+	return true
 }
 
 // membersDue reports whether the members have to be read in this round.
--- a/internal/basilshard/membership.go
+++ b/internal/basilshard/membership.go
@@ -19,12 +19,15 @@
 	}
 	k.memberWrite <- struct{}{}
 	requestedAt := k.options.Clock()
+	k.memberRow.timeout = k.timeout.Get()
 	err = k.memberRow.Write(ctx, body)
 	<-k.memberWrite
 	if err != nil {
+		k.timeout.Missed()
 		k.options.Log.WithError(err).Warn("failed to renew the lease")
 		return false
 	}
+	k.timeout.Answered(k.options.Clock() - requestedAt)
 	if !k.MayStart() && !k.readOwners(ctx) {
 		return false
 	}
@@ -34,7 +37,7 @@
 }
 
 func (k *Keeper) readMembers(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.timeout.Get())
 	defer cancel()
 	requestedAt := k.options.Clock()
 	items, _, err := k.options.Store.Snapshot(ctx, memberPartition)
--- a/internal/basiltimer/answer_timeout.go
+++ b/internal/basiltimer/answer_timeout.go
@@ -1,27 +1,39 @@
-package basilrunner
+package basiltimer
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
+// Weights and factor are those of TCP's retransmission timeout.
 const (
-	maxTimeout      = 900 * time.Millisecond // also the timeout before the first answer
-	minTimeout      = 200 * time.Millisecond // answers take a few milliseconds, and some tens while the owner is short of processor time
-	latencyWeight   = 0.125                  // weight of a new latency in the mean; weights and deviations as TCP has them
-	deviationWeight = 0.25
-	deviations      = 4
+	latencyWeight   = 0.125 // weight of a new latency in the mean
+	deviationWeight = 0.25  // weight of its difference from the mean in the deviation
+	deviations      = 4     // added to the mean
+	maxDoublings    = 3
 )
 
-// answerTimeout derives the timeout of orders from the latency of their answers, as TCP derives its retransmission timeout.
+// AnswerTimeout derives the timeout of calls from the latency of their answers, as TCP derives its retransmission timeout.
 //
-// It answers a load of orders of which some are never answered, or carried out seconds later: each blocks its task, and a
-// hold without an answer hides all ends of runs, so that the loss must be noticed in a small part of a task's run time.
-// The zero value has no latency yet.
-type answerTimeout struct {
-	mean, deviation time.Duration
-	known           bool
-	misses          int // since the last answer; each doubles the timeout
+// It answers a load of calls of which some are never answered, so that each loss costs little time where answers are quick,
+// and slow answers aren't taken for lost ones. It is safe for concurrent use. Create it with NewAnswerTimeout.
+type AnswerTimeout struct {
+	shortest, longest time.Duration
+	mutex             sync.Mutex // guards the following fields
+	mean, deviation   time.Duration
+	known             bool
+	misses            int // since the last answer; each but the first doubles the timeout, since one may just be lost
+}
+
+// NewAnswerTimeout returns a timeout between the two limits. It is the longest until the first answer.
+func NewAnswerTimeout(shortest, longest time.Duration) *AnswerTimeout {
+	return &AnswerTimeout{shortest: shortest, longest: longest}
 }
 
-func (t *answerTimeout) answered(latency time.Duration) {
+// Answered records the latency of an answer.
+func (t *AnswerTimeout) Answered(latency time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
 	t.misses = 0
 	if !t.known {
 		t.mean, t.deviation, t.known = latency, latency/2, true
@@ -32,13 +44,34 @@
 	t.deviation += time.Duration(deviationWeight * float64(max(difference, -difference)-t.deviation))
 }
 
-func (t *answerTimeout) missed() { t.misses++ }
+// Responsive records an answer whose latency says nothing of that of others.
+func (t *AnswerTimeout) Responsive() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.misses = 0
+}
+
+// Missed records a call without an answer.
+func (t *AnswerTimeout) Missed() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.misses++
+}
+
+// Misses returns the number of calls without an answer since the last answer.
+func (t *AnswerTimeout) Misses() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.misses
+}
 
-// get returns the timeout of the next order.
-func (t *answerTimeout) get() time.Duration {
+// Get returns the timeout of the next call.
+func (t *AnswerTimeout) Get() time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
 	if !t.known {
-		return maxTimeout
+		return t.longest
 	}
-	timeout := max(minTimeout, t.mean+deviations*t.deviation)
-	return min(maxTimeout, timeout<<min(t.misses, 3))
+	timeout := max(t.shortest, t.mean+deviations*t.deviation)
+	return min(t.longest, timeout<<min(max(0, t.misses-1), maxDoublings))
 }
