--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -33,7 +33,7 @@
 const (
 	metricsPort      = 9464                    // of the deployment's metrics address
 	storeTimeout     = 1200 * time.Millisecond // of one call; a slow store answers in some 400 ms
-	lease            = 2200 * time.Millisecond // four renewals; work waits for an owner that is lost for that long
+	lease            = 1250 * time.Millisecond // four renewals; work waits for an owner that is lost for that long
 	holdLimit        = 3500 * time.Millisecond // with the leases, work outlasts an outage of the store of some 9 s
 	noticeDrain      = 2500 * time.Millisecond // the balancer needs two looks, a second apart
 	closeTime        = 1500 * time.Millisecond
