Let the lease follow the latency of the store

Change: a member's row states its lease: 1.25 s and three latencies of the store, 2.2 s at most. Others take a row for expired by the lease that it states, so that no two have to agree. Before a renewal with a shorter lease the member counts on no more than that, since the others may see it without its answer. A watch ends at the store's return and goes on from there, also those of backend servers.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -34,6 +34,7 @@
 	metricsPort      = 9464                    // of the deployment's metrics address
 	storeTimeout     = 1200 * time.Millisecond // of one call; a slow store answers in some 400 ms
 	lease            = 1250 * time.Millisecond // four renewals; work waits for an owner that is lost for that long
+	maxLease         = 2200 * time.Millisecond // on a store that takes 0.3 s and more to answer
 	holdLimit        = 3500 * time.Millisecond // with the leases, work outlasts an outage of the store of some 9 s
 	noticeDrain      = 2500 * time.Millisecond // the balancer needs two looks, a second apart
 	closeTime        = 1500 * time.Millisecond
@@ -136,7 +137,7 @@
 			Node: s.Node, Incarnation: incarnation(s.Node), Zone: s.Zone, Address: peerAddress(s), Weight: s.Limits.CPUShare,
 			Started: time.Now().UnixMilli(),
 		},
-		Clock: bootClock, StoreClock: storeClock, Lease: lease, HoldLimit: holdLimit,
+		Clock: bootClock, StoreClock: storeClock, Lease: lease, MaxLease: maxLease, HoldLimit: holdLimit,
 		MaxHold:             basilsite.Milliseconds(s.Bounds.MaxHoldMS),
 		StatusRetention:     basilsite.Seconds(s.Bounds.StatusS),
 		StopTimeout:         basilsite.Milliseconds(s.Bounds.StopTimeoutMS),
--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -1,7 +1,6 @@
 package basilnode_test
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -60,7 +59,6 @@
 	starts          int
 	began           time.Time
 	weights         map[string]float64 // weights of entry hosts; 1 if missing
-	lease           time.Duration      // of the entry hosts; 0 for that of the program
 	singlePartition bool               // the store has no transactions over several partitions
 	share           atomic.Int64       // percentage of a core that each entry host's process gets
 	percent         map[string]int     // garbage collection percentage, by entry host
@@ -141,7 +139,7 @@
 	node := basilnode.New(basilnode.Options{
 		Self:  basilshard.Member{Node: name, Incarnation: fmt.Sprintf("%s.%d", name, c.starts), Zone: "north", Weight: weight, Address: peerAddress(name), Started: time.Now().UnixMilli()},
 		Clock: clock, StoreClock: storeClock,
-		Lease: cmp.Or(c.lease, 1250*time.Millisecond), MaxHold: 6 * time.Second, HoldLimit: 3500 * time.Millisecond,
+		Lease: 1250 * time.Millisecond, MaxLease: 2200 * time.Millisecond, MaxHold: 6 * time.Second, HoldLimit: 3500 * time.Millisecond,
 		SinglePartition: c.singlePartition, StatusRetention: 2 * time.Minute, StopTimeout: 900 * time.Millisecond, HolderChangeDelay: 3 * time.Second, MoveDuration: 1500 * time.Millisecond, MaintenanceDuration: 2 * time.Second,
 		Store: store, Directory: basilsite.NewDirectory(store), Commander: basilsite.NewCommander(client),
 		Advisor:  basilsite.NewAdvisor(client, func() string { return basilfake.AdviceAddress }),
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -38,6 +38,7 @@
 	Clock               basilshard.Clock
 	StoreClock          *basilwork.StoreClock // nil if the store has no clock; then times of predecessors count as unknown
 	Lease               time.Duration         // how long a member's row may go without renewal before its shards are taken over
+	MaxLease            time.Duration         // lease on a slow store; 0 for Lease
 	MaxHold             time.Duration         // the longest lease that a backend server grants
 	HoldLimit           time.Duration         // how long after its last renewal the member stops extending backend servers' leases
 	StatusRetention     time.Duration         // how long a finished job's state is kept
@@ -114,7 +115,7 @@
 	n.setGCPercent()
 	n.keeper = basilshard.New(basilshard.Options{
 		Self: o.Self, Store: o.Control, Clock: o.Clock, Log: o.Log,
-		Lease: o.Lease, Margin: leaseMargin, Renew: renewInterval, SinglePartition: o.SinglePartition, Recovery: n.recovery, OnAcquired: n.startShard, OnLost: n.endShard, OnBetterOwner: n.handOverToBetter,
+		Lease: o.Lease, MaxLease: o.MaxLease, Margin: leaseMargin, Renew: renewInterval, SinglePartition: o.SinglePartition, Recovery: n.recovery, OnAcquired: n.startShard, OnLost: n.endShard, OnBetterOwner: n.handOverToBetter,
 	})
 	return n
 }
@@ -155,7 +156,7 @@
 
 // storeUnreachable reports whether the store counts as unreachable: the lease has not been renewed for almost its whole duration.
 func (n *Node) storeUnreachable() bool {
-	return n.keeper.SinceRenewal() > n.options.Lease-leaseMargin
+	return !n.keeper.MayStart()
 }
 
 // followConfiguration loads the configuration, and loads it again whenever an operator changes it.
--- a/internal/basilshard/follow.go
+++ b/internal/basilshard/follow.go
@@ -51,7 +51,7 @@
 	for ctx.Err() == nil {
 		recovered := k.options.Recovery.Recovered()
 		requestedAt := k.options.Clock()
-		changes, err := k.watchOnce(ctx, after, f, failed)
+		changes, err := k.watchOnce(ctx, after, f, failed, recovered)
 		failed = err != nil
 		switch {
 		case basilwork.IsErrHistoryDropped(err):
@@ -92,10 +92,17 @@
 }
 
 // watchOnce waits for changes. After a failed watch it doesn't wait, so that what is known is soon known to be current.
-func (k *Keeper) watchOnce(ctx context.Context, after int64, f FollowOptions, failed bool) (basilwork.Changes, error) {
+func (k *Keeper) watchOnce(ctx context.Context, after int64, f FollowOptions, failed bool, recovered <-chan struct{}) (basilwork.Changes, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer k.addWatch(cancel)()
+	go func() {
+		select {
+		case <-recovered: // the answer is lost, or comes again
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	wait := cmp.Or(f.Wait, watchWait)
 	if k.recentlyFailed() {
 		wait = min(wait, watchWaitAfterFailure)
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -41,13 +41,14 @@
 
 // Options configures a Keeper.
 type Options struct {
-	Self   Member
-	Store  basilwork.Store
-	Clock  Clock
-	Log    *logrus.Logger
-	Lease  time.Duration // time without a renewal after which a member's lease has expired
-	Margin time.Duration // time before the lease expires during which no work is started
-	Renew  time.Duration // renewal interval
+	Self     Member
+	Store    basilwork.Store
+	Clock    Clock
+	Log      *logrus.Logger
+	Lease    time.Duration // time without a renewal after which the lease expires on a store that answers quickly
+	MaxLease time.Duration // the same on a slow store; 0 for Lease
+	Margin   time.Duration // time before the lease expires during which no work is started
+	Renew    time.Duration // renewal interval
 	// SinglePartition is set if the store supports no transactions across partitions.
 	SinglePartition bool
 	// Recovery, unless nil, knows when the store answers again.
@@ -91,7 +92,7 @@
 	member := NewRow(o.Store, memberKey(o.Self.Node))
 	return &Keeper{
 		timeout: basiltimer.NewAnswerTimeout(minCallTimeout, callTimeout),
-		options: o, state: NewState(o.Self, o.Lease, o.Renew), owned: make(map[string]OwnerRow), released: make(map[string]int64), memberRow: member,
+		options: o, state: NewState(o.Self, max(o.Lease, o.MaxLease), o.Renew), owned: make(map[string]OwnerRow), released: make(map[string]int64), memberRow: member,
 		wake: make(chan struct{}, 1), memberWrite: make(chan struct{}, 1), startedAt: o.Clock(), openWatches: make(map[int64]context.CancelFunc),
 	}
 }
@@ -158,7 +159,7 @@
 	for ctx.Err() == nil {
 		recovered := k.options.Recovery.Recovered()
 		wait := k.options.Renew
-		if !k.round(ctx) {
+		if !k.round(ctx, recovered) {
 			wait = roundRetryDelay
 		}
 		timer := time.NewTimer(wait)
@@ -175,7 +176,7 @@
 // round renews the member row, reads the other members and claims shards without an owner. The renewal and the read
 // run concurrently, so that a slow store doesn't cost the lease.
 // It returns false if the store didn't answer.
-func (k *Keeper) round(ctx context.Context) bool {
+func (k *Keeper) round(ctx context.Context, recovered <-chan struct{}) bool {
 	renewed := make(chan bool, 1)
 	if k.SinceRenewal() >= k.options.Renew/2 || k.renewedAt.Load() == 0 {
 		go func() { renewed <- k.renew(ctx) }()
@@ -184,7 +185,7 @@
 	}
 	observed := !k.membersDue() || k.readMembers(ctx)
 	if !<-renewed || !observed {
-		k.roundFailed()
+		k.roundFailed(recovered)
 		return false
 	}
 	k.claimShards(ctx)
@@ -220,8 +221,14 @@
 	return k.state.HasBetterOwner(k.shards, rate)
 }
 
-func (k *Keeper) roundFailed() {
-	k.interruptWatches()
+// roundFailed records that a renewal or a read of the members failed. It leaves the watches open if that call was ended
+// because the store has answered again.
+func (k *Keeper) roundFailed(recovered <-chan struct{}) {
+	select {
+	case <-recovered:
+	default:
+		k.interruptWatches()
+	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.state.MarkReadFailed()
--- a/internal/basilshard/membership.go
+++ b/internal/basilshard/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"basilstage.example/basilstage/internal/basillog"
 )
@@ -12,6 +13,8 @@
 	self := k.options.Self
 	self.Stopping = k.stopping.Load()
 	self.Slow = k.Slow()
+	lease := k.lease()
+	self.Lease = lease.Milliseconds()
 	body, err := json.Marshal(self)
 	if err != nil {
 		k.options.Log.WithError(err).Error("failed to encode the member row")
@@ -19,6 +22,8 @@
 	}
 	k.memberWrite <- struct{}{}
 	requestedAt := k.options.Clock()
+	until := int64(requestedAt + lease - k.options.Margin)
+	k.startUntil.Store(min(until, k.startUntil.Load())) // the others may see a shorter lease than before, also if no answer comes
 	k.memberRow.timeout = k.timeout.Get()
 	err = k.memberRow.Write(ctx, body)
 	<-k.memberWrite
@@ -32,10 +37,25 @@
 		return false
 	}
 	k.renewedAt.Store(int64(requestedAt))
-	k.startUntil.Store(int64(requestedAt + k.options.Lease - k.options.Margin))
+	k.startUntil.Store(until)
 	return true
 }
 
+// leaseLatencies is the number of the store's latencies by which a lease is longer than on a store that answers at once: one
+// for a renewal, one for the next, and one for the reads between them.
+const leaseLatencies = 3
+
+// lease returns the lease for the next renewal. It is the shortest on a store that answers quickly, so that the shards of a
+// member that is lost wait little, and longer on a slow one, which renewals would not keep otherwise.
+func (k *Keeper) lease() time.Duration {
+	longest := max(k.options.Lease, k.options.MaxLease)
+	latency, ok := k.timeout.Latency()
+	if !ok {
+		return longest
+	}
+	return min(longest, k.options.Lease+leaseLatencies*latency)
+}
+
 func (k *Keeper) readMembers(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, k.timeout.Get())
 	defer cancel()
--- a/internal/basilshard/recovery.go
+++ b/internal/basilshard/recovery.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	probeInterval = 100 * time.Millisecond // between probes of a store that doesn't answer
+	probeInterval = 50 * time.Millisecond  // between probes of a store that doesn't answer
 	minFailTime   = 300 * time.Millisecond // a call that fails sooner was refused
 	overdueFactor = 2                      // multiple of a probe's latency after which an earlier call counts as lost
-	overdueMargin = 50 * time.Millisecond  // added to it
+	overdueMargin = 20 * time.Millisecond  // added to it
 )
 
 // Recovery notices at once when a store answers again, and ends the calls whose answers are lost.
@@ -161,7 +161,7 @@
 	return recoveringStore{Store: s, recovery: r}
 }
 
-// recoveringStore is a store whose calls a Recovery knows.
+// recoveringStore is a store whose calls a Recovery knows, but Watch, which Follow ends at a recovery.
 type recoveringStore struct {
 	basilwork.Store
 	recovery *Recovery
@@ -212,8 +212,3 @@
 func (s recoveringStore) Count(ctx context.Context, partition, from, to string, limit int) (int, error) {
 	return call(ctx, s.recovery, func(ctx context.Context) (int, error) { return s.Store.Count(ctx, partition, from, to, limit) })
 }
-
-// Watch implements basilwork.Store.
-func (s recoveringStore) Watch(ctx context.Context, table string, after int64, wait time.Duration) (basilwork.Changes, error) {
-	return call(ctx, s.recovery, func(ctx context.Context) (basilwork.Changes, error) { return s.Store.Watch(ctx, table, after, wait) })
-}
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -19,6 +19,7 @@
 	Stopping    bool    `json:"stopping,omitempty"`
 	Slow        bool    `json:"slow,omitempty"`    // short of processor time: the last to claim shards
 	Started     int64   `json:"started,omitempty"` // Unix milliseconds
+	Lease       int64   `json:"lease,omitempty"`   // milliseconds without a renewal after which the lease has expired; 0 for the longest
 }
 
 // OwnerRow is the stored owner of a shard; without an incarnation, the shard has been released.
@@ -54,7 +55,7 @@
 	stableSince   time.Duration            // since when no shard has changed its owner or been without one
 }
 
-// NewState returns the empty view of a starting entry host; claimDelay is the extra delay per rank before a claim.
+// NewState returns the empty view of a starting entry host; lease is the longest lease of a member, and claimDelay is the extra delay per rank before a claim.
 func NewState(self Member, lease, claimDelay time.Duration) *State {
 	return &State{
 		self: self, lease: lease, claimDelay: claimDelay,
@@ -111,7 +112,7 @@
 	if m == nil || m.restartedSince(row) {
 		return true
 	}
-	return m.lastRead-m.firstRead >= s.lease
+	return m.lastRead-m.firstRead >= s.leaseOf(m)
 }
 
 // ownerEnded reports whether the owner in the row has released the shard or its process has ended.
@@ -142,7 +143,15 @@
 
 // isLive reports whether a member renews its lease and may claim shards.
 func (s *State) isLive(m *observedMember) bool {
-	return !m.member.Stopping && m.lastRead-m.firstRead < s.lease*2/3
+	return !m.member.Stopping && m.lastRead-m.firstRead < s.leaseOf(m)*2/3
+}
+
+// leaseOf returns the lease that the member's row states.
+func (s *State) leaseOf(m *observedMember) time.Duration {
+	if m.member.Lease <= 0 {
+		return s.lease
+	}
+	return min(s.lease, time.Duration(m.member.Lease)*time.Millisecond)
 }
 
 // Live returns the live members, sorted by node.
--- a/internal/basiltimer/answer_timeout.go
+++ b/internal/basiltimer/answer_timeout.go
@@ -65,6 +65,13 @@
 	return t.misses
 }
 
+// Latency returns what most answers take no longer than; ok is false before the first.
+func (t *AnswerTimeout) Latency() (latency time.Duration, ok bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.mean + t.deviation, t.known
+}
+
 // Get returns the timeout of the next call.
 func (t *AnswerTimeout) Get() time.Duration {
 	t.mutex.Lock()
