Renew leases more seldom the more members there are

Cause: renewals of all members go to one partition of the store, which takes 200 or 300 transactions a second; at 0.31 s, 97 members would make 313 a second and 300 members 970. Change: the interval grows with the members, so that renewals take at most 0.6 of the partition's rate; the lease that the row states is four intervals at least. Up to 37 (rate 200) or 55 members (300) nothing changes; 97 renew every 0.54 s with a lease of 2.2 s, 300 every 1.7 s with 6.7 s.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -35,6 +35,7 @@
 	storeTimeout     = 1200 * time.Millisecond // of one call; a slow store answers in some 400 ms
 	lease            = 1250 * time.Millisecond // four renewals; work waits for an owner that is lost for that long
 	maxLease         = 2200 * time.Millisecond // on a store that takes 0.3 s and more to answer
+	renewalShare     = 0.6                     // of what a partition of the store takes, for the renewals of all members
 	holdLimit        = 3500 * time.Millisecond // with the leases, work outlasts an outage of the store of some 9 s
 	noticeDrain      = 2500 * time.Millisecond // the balancer needs two looks, a second apart
 	closeTime        = 1500 * time.Millisecond
@@ -150,6 +151,7 @@
 		Store:               store,
 		Control:             basilsite.NewStore(control, func() string { return s.Addresses().Store }, storeTimeout),
 		SinglePartition:     !s.Platform.CrossShard,
+		RenewalRate:         renewalShare * s.Platform.PartitionWritesS,
 		Directory:           basilsite.NewDirectory(store),
 		Commander:           basilsite.NewCommander(client),
 		Advisor:             basilsite.NewAdvisor(client, func() string { return s.Addresses().Advisor }),
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -38,6 +38,7 @@
 	Clock               basilshard.Clock
 	StoreClock          *basilwork.StoreClock // nil if the store has no clock; then times of predecessors count as unknown
 	Lease               time.Duration         // how long a member's row may go without renewal before its shards are taken over
+	RenewalRate         float64               // renewals of all members per second; 0 for no limit
 	MaxLease            time.Duration         // lease on a slow store; 0 for Lease
 	MaxHold             time.Duration         // the longest lease that a backend server grants
 	HoldLimit           time.Duration         // how long after its last renewal the member stops extending backend servers' leases
@@ -115,7 +116,7 @@
 	n.setGCPercent()
 	n.keeper = basilshard.New(basilshard.Options{
 		Self: o.Self, Store: o.Control, Clock: o.Clock, Log: o.Log,
-		Lease: o.Lease, MaxLease: o.MaxLease, Margin: leaseMargin, Renew: renewInterval, SinglePartition: o.SinglePartition, Recovery: n.recovery, OnAcquired: n.startShard, OnLost: n.endShard, OnBetterOwner: n.handOverToBetter,
+		Lease: o.Lease, MaxLease: o.MaxLease, Margin: leaseMargin, Renew: renewInterval, RenewalRate: o.RenewalRate, SinglePartition: o.SinglePartition, Recovery: n.recovery, OnAcquired: n.startShard, OnLost: n.endShard, OnBetterOwner: n.handOverToBetter,
 	})
 	return n
 }
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -41,14 +41,15 @@
 
 // Options configures a Keeper.
 type Options struct {
-	Self     Member
-	Store    basilwork.Store
-	Clock    Clock
-	Log      *logrus.Logger
-	Lease    time.Duration // time without a renewal after which the lease expires on a store that answers quickly
-	MaxLease time.Duration // the same on a slow store; 0 for Lease
-	Margin   time.Duration // time before the lease expires during which no work is started
-	Renew    time.Duration // renewal interval
+	Self        Member
+	Store       basilwork.Store
+	Clock       Clock
+	Log         *logrus.Logger
+	Lease       time.Duration // time without a renewal after which the lease expires on a store that answers quickly
+	MaxLease    time.Duration // the same on a slow store; 0 for Lease
+	Margin      time.Duration // time before the lease expires during which no work is started
+	Renew       time.Duration // shortest renewal interval
+	RenewalRate float64       // renewals of all members per second that their partition of the store takes; 0 for no limit
 	// SinglePartition is set if the store supports no transactions across partitions.
 	SinglePartition bool
 	// Recovery, unless nil, knows when the store answers again.
@@ -158,7 +159,7 @@
 	go k.watchOwners(ctx)
 	for ctx.Err() == nil {
 		recovered := k.options.Recovery.Recovered()
-		wait := k.options.Renew
+		wait := k.renewInterval()
 		if !k.round(ctx, recovered) {
 			wait = roundRetryDelay
 		}
@@ -178,7 +179,7 @@
 // It returns false if the store didn't answer.
 func (k *Keeper) round(ctx context.Context, recovered <-chan struct{}) bool {
 	renewed := make(chan bool, 1)
-	if k.SinceRenewal() >= k.options.Renew/2 || k.renewedAt.Load() == 0 {
+	if k.SinceRenewal() >= k.renewInterval()/2 || k.renewedAt.Load() == 0 {
 		go func() { renewed <- k.renew(ctx) }()
 	} else {
 		renewed <- true
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -19,7 +19,7 @@
 	Stopping    bool    `json:"stopping,omitempty"`
 	Slow        bool    `json:"slow,omitempty"`    // short of processor time: the last to claim shards
 	Started     int64   `json:"started,omitempty"` // Unix milliseconds
-	Lease       int64   `json:"lease,omitempty"`   // milliseconds without a renewal after which the lease has expired; 0 for the longest
+	Lease       int64   `json:"lease,omitempty"`   // milliseconds without a renewal after which the lease has expired; 0 for the default
 }
 
 // OwnerRow is the stored owner of a shard; without an incarnation, the shard has been released.
@@ -55,7 +55,7 @@
 	stableSince   time.Duration            // since when no shard has changed its owner or been without one
 }
 
-// NewState returns the empty view of a starting entry host; lease is the longest lease of a member, and claimDelay is the extra delay per rank before a claim.
+// NewState returns the empty view of a starting entry host; lease is that of a member whose row states none, and claimDelay is the extra delay per rank before a claim.
 func NewState(self Member, lease, claimDelay time.Duration) *State {
 	return &State{
 		self: self, lease: lease, claimDelay: claimDelay,
@@ -151,7 +151,7 @@
 	if m.member.Lease <= 0 {
 		return s.lease
 	}
-	return min(s.lease, time.Duration(m.member.Lease)*time.Millisecond)
+	return time.Duration(m.member.Lease) * time.Millisecond
 }
 
 // Live returns the live members, sorted by node.
