--- a/internal/basilnode/fleet_orders.go
+++ b/internal/basilnode/fleet_orders.go
@@ -101,8 +101,13 @@
 
 // due reports whether the row has to be written: before orders are sent, and once all have ended.
 func (r *recentOrders) due() bool {
-	if r.inFlight || len(r.pending) > 0 || !r.unstored {
-		return !r.inFlight && len(r.pending) > 0
+	switch {
+	case r.inFlight:
+		return false
+	case len(r.pending) > 0:
+		return true
+	case !r.unstored:
+		return false
 	}
 	for _, o := range r.hosts {
 		if o.unanswered > 0 {
