--- a/internal/basilshard/recovery.go
+++ b/internal/basilshard/recovery.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
+	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilwork"
 )
@@ -50,19 +52,22 @@
 	return r.recovered
 }
 
-// Run probes the store after each failed call until one probe is answered. It returns when the context ends.
-func (r *Recovery) Run(ctx context.Context, probe func(ctx context.Context) error) {
+// Run probes the store after each call without an answer until one probe is answered. It returns when the context ends.
+func (r *Recovery) Run(ctx context.Context, log *logrus.Logger, probe func(ctx context.Context) error) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.suspected:
 		}
+		suspectedAt := time.Now()
 		sent, ok := awaitAnswer(ctx, probe)
 		if !ok {
 			return
 		}
-		r.recover(sent)
+		log.WithFields(logrus.Fields{
+			basillog.FieldDuration: time.Since(suspectedAt).Milliseconds(), "ended_calls": r.recover(sent),
+		}).Info("store answered a probe; overdue calls ended")
 	}
 }
 
@@ -95,18 +100,21 @@
 	}
 }
 
-// recover ends the calls that are overdue, given a later call that was sent at the given time and answered now.
-func (r *Recovery) recover(sent time.Time) {
+// recover ends the calls that are overdue, given a later call that was sent at the given time and answered now. It returns
+// their number.
+func (r *Recovery) recover(sent time.Time) (ended int) {
 	overdue := overdueFactor*time.Since(sent) + overdueMargin
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for _, c := range r.calls {
 		if c.sent.Before(sent) && time.Since(c.sent) > overdue {
 			c.cancel()
+			ended++
 		}
 	}
 	close(r.recovered)
 	r.recovered = make(chan struct{})
+	return ended
 }
 
 // begin registers a call; the returned function has to be called with its result.
