--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -128,7 +128,7 @@
 	group.Go(func() { n.followConfiguration(ctx) })
 	group.Go(func() { n.followBackends(ctx) })
 	group.Go(func() { n.keeper.Run(ctx) })
-	group.Go(func() { n.recovery.Run(ctx, n.log, n.probe) })
+	group.Go(func() { n.recovery.Run(ctx, n.log, n.probe, n.keeper.InterruptWatches) })
 	group.Go(func() { n.logCalls(ctx) })
 	group.Wait()
 }
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -61,16 +61,17 @@
 	busy        bool
 	attached    bool
 	reachable   bool
-	lost        bool          // Sink.Lost is called, after which its tasks may be started elsewhere
-	firstMissAt time.Time     // first hold without an answer since the last answer; zero for none
-	wake        chan struct{} // has room for one signal that a hold is needed
-	refresh     chan struct{} // has room for one signal that a report is needed at once
-	orderSlots  chan struct{} // holds one value per order in flight
+	lost        bool               // Sink.Lost is called, after which its tasks may be started elsewhere
+	firstMissAt time.Time          // first hold without an answer since the last answer; zero for none
+	wake        chan struct{}      // has room for one signal that a hold is needed
+	refreshDue  bool               // a report is needed at once
+	interrupt   context.CancelFunc // ends the hold that waits for the end of a run; nil if none does
+	orderSlots  chan struct{}      // holds one value per order in flight
 }
 
 // NewConnection returns a connection to the backend server; call Run to renew the leases of its runs.
 func NewConnection(b basilwork.Backend, o Options) *Connection {
-	return &Connection{timeout: basiltimer.NewAnswerTimeout(minTimeout, maxTimeout), options: o, backend: b, reachable: true, wake: make(chan struct{}, 1), refresh: make(chan struct{}, 1), orderSlots: make(chan struct{}, MaxConcurrentOrders)}
+	return &Connection{timeout: basiltimer.NewAnswerTimeout(minTimeout, maxTimeout), options: o, backend: b, reachable: true, wake: make(chan struct{}, 1), orderSlots: make(chan struct{}, MaxConcurrentOrders)}
 }
 
 // Backend returns the backend server with the newest incarnation that it has reported.
@@ -141,38 +142,39 @@
 
 // Refresh has a report requested at once, in place of one that waits for the end of a run.
 func (c *Connection) Refresh() {
-	select {
-	case c.refresh <- struct{}{}:
-	default: // a signal is pending already
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.refreshDue = true
+	if c.interrupt != nil {
+		c.interrupt()
 	}
 }
 
 // holdUnlessInterrupted sends a hold. One that waits for the end of a run is given up when Refresh is called.
 func (c *Connection) holdUnlessInterrupted(ctx context.Context) (r basilwork.Report, interrupted bool, err error) {
-	wait := c.holdWaitTime()
-	select {
-	case <-c.refresh:
-		wait = 0
-	default:
-	}
-	if wait == 0 {
-		r, err = c.hold(ctx, 0)
-		return r, false, err
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
-		select {
-		case <-c.refresh:
-			c.Refresh() // for the next hold
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	r, err = c.hold(ctx, wait)
+	r, err = c.hold(ctx, c.beginHold(cancel))
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.interrupt = nil
 	return r, err != nil && ctx.Err() != nil, err
 }
 
+// beginHold returns how long the next hold is to wait. Refresh calls cancel if it waits.
+func (c *Connection) beginHold(cancel context.CancelFunc) time.Duration {
+	wait := c.holdWaitTime()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.refreshDue {
+		c.refreshDue, wait = false, 0
+	}
+	if wait > 0 {
+		c.interrupt = cancel
+	}
+	return wait
+}
+
 func (c *Connection) hold(ctx context.Context, wait time.Duration) (basilwork.Report, error) {
 	c.mutex.Lock()
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout.Get())
--- a/internal/basilshard/follow.go
+++ b/internal/basilshard/follow.go
@@ -51,7 +51,7 @@
 	for ctx.Err() == nil {
 		recovered := k.options.Recovery.Recovered()
 		requestedAt := k.options.Clock()
-		changes, err := k.watchOnce(ctx, after, f, failed, recovered)
+		changes, err := k.watchOnce(ctx, after, f, failed)
 		failed = err != nil
 		switch {
 		case basilwork.IsErrHistoryDropped(err):
@@ -92,17 +92,10 @@
 }
 
 // watchOnce waits for changes. After a failed watch it doesn't wait, so that what is known is soon known to be current.
-func (k *Keeper) watchOnce(ctx context.Context, after int64, f FollowOptions, failed bool, recovered <-chan struct{}) (basilwork.Changes, error) {
+func (k *Keeper) watchOnce(ctx context.Context, after int64, f FollowOptions, failed bool) (basilwork.Changes, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer k.addWatch(cancel)()
-	go func() {
-		select {
-		case <-recovered: // the answer is lost, or comes again
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	wait := cmp.Or(f.Wait, watchWait)
 	if k.recentlyFailed() {
 		wait = min(wait, watchWaitAfterFailure)
@@ -119,7 +112,7 @@
 	return at != 0 && k.options.Clock()-time.Duration(at) < failureWindow
 }
 
-// addWatch registers the cancel function of an open watch for interruptWatches; remove unregisters it.
+// addWatch registers the cancel function of an open watch for InterruptWatches; remove unregisters it.
 func (k *Keeper) addWatch(cancel context.CancelFunc) (remove func()) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -133,8 +126,8 @@
 	}
 }
 
-// interruptWatches records that a renewal or a read of the members failed and cancels the open watches.
-func (k *Keeper) interruptWatches() {
+// InterruptWatches records that a renewal or a read of the members failed and cancels the open watches.
+func (k *Keeper) InterruptWatches() {
 	k.failedAt.Store(int64(k.options.Clock()))
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -228,7 +228,7 @@
 	select {
 	case <-recovered:
 	default:
-		k.interruptWatches()
+		k.InterruptWatches()
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
--- a/internal/basilshard/recovery.go
+++ b/internal/basilshard/recovery.go
@@ -52,8 +52,9 @@
 	return r.recovered
 }
 
-// Run probes the store after each call without an answer until one probe is answered. It returns when the context ends.
-func (r *Recovery) Run(ctx context.Context, log *logrus.Logger, probe func(ctx context.Context) error) {
+// Run probes the store after each call without an answer until one probe is answered, and then also calls interrupt, which
+// ends calls that Recovery doesn't know. It returns when the context ends.
+func (r *Recovery) Run(ctx context.Context, log *logrus.Logger, probe func(ctx context.Context) error, interrupt func()) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -66,7 +67,7 @@
 			return
 		}
 		log.WithFields(logrus.Fields{
-			basillog.FieldDuration: time.Since(suspectedAt).Milliseconds(), "ended_calls": r.recover(sent),
+			basillog.FieldDuration: time.Since(suspectedAt).Milliseconds(), "ended_calls": r.recover(sent, interrupt),
 		}).Info("store answered a probe; overdue calls ended")
 	}
 }
@@ -102,7 +103,7 @@
 
 // recover ends the calls that are overdue, given a later call that was sent at the given time and answered now. It returns
 // their number.
-func (r *Recovery) recover(sent time.Time) (ended int) {
+func (r *Recovery) recover(sent time.Time, interrupt func()) (ended int) {
 	overdue := overdueFactor*time.Since(sent) + overdueMargin
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -114,6 +115,7 @@
 	}
 	close(r.recovered)
 	r.recovered = make(chan struct{})
+	interrupt()
 	return ended
 }
 
