--- a/internal/basilrunner/orders_test.go
+++ b/internal/basilrunner/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -84,6 +85,7 @@
 	fakeBackend
 	nth     int
 	latency time.Duration
+	mutex   sync.Mutex // guards calls and reports
 	calls   int
 	reports []time.Time
 	ends    <-chan time.Time
@@ -91,8 +93,11 @@
 
 // answer reports whether the call is answered, after the latency.
 func (f *forgetfulBackend) answer(ctx context.Context) error {
+	f.mutex.Lock()
 	f.calls++
-	if f.nth > 0 && f.calls%f.nth == 0 {
+	lost := f.nth > 0 && f.calls%f.nth == 0
+	f.mutex.Unlock()
+	if lost {
 		<-ctx.Done()
 		return basilwork.ErrNoAnswer{Cause: ctx.Err()}
 	}
@@ -122,9 +127,18 @@
 }
 
 func (f *forgetfulBackend) Report(string, basilwork.Report, time.Time, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	f.reports = append(f.reports, time.Now())
 }
 
+// reported returns the times of the reports so far.
+func (f *forgetfulBackend) reported() []time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.reports)
+}
+
 func (f *forgetfulBackend) Reachable(string, bool) {
 	panic("a backend server that answers most calls counts as unreachable")
 }
@@ -157,8 +171,9 @@
 			time.Sleep(time.Second)
 		}
 		cancel()
-		for n := range f.reports[1:] {
-			must.Less(t, maxHoldWait+shortTask, f.reports[n+1].Sub(f.reports[n]))
+		reports := f.reported()
+		for n := range reports[1:] {
+			must.Less(t, maxHoldWait+shortTask, reports[n+1].Sub(reports[n]))
 		}
 	})
 }
@@ -174,7 +189,8 @@
 			asked := time.Now()
 			c.Refresh()
 			time.Sleep(100 * time.Millisecond)
-			must.True(t, f.reports[len(f.reports)-1].After(asked))
+			reports := f.reported()
+			must.True(t, reports[len(reports)-1].After(asked))
 		}
 		cancel()
 	})
