--- a/internal/basilshard/recovery.go
+++ b/internal/basilshard/recovery.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	probeInterval = 100 * time.Millisecond  // between probes of a store that doesn't answer
+	probeInterval = 100 * time.Millisecond // between probes of a store that doesn't answer
 	minFailTime   = 300 * time.Millisecond // a call that fails sooner was refused
 	overdueFactor = 2                      // multiple of a probe's latency after which an earlier call counts as lost
 	overdueMargin = 20 * time.Millisecond  // added to it
