Log what delays the stops of cancelled jobs

What callers saw: work goes on after its job was cancelled, and the logs could not tell a stop that waited from a cancellation that came late, or from runs that nobody stops. Change: queued_ms of stops and age_ms of cancellations, both also as metrics; pool load counts orders that wait, listed runs without a job and runs that outlive the answer to their stop.

--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -32,6 +32,8 @@
 	fleetEventAge  = "fleet_event_age_ms"
 	fleetStepTime  = "fleet_step_ms"
 	fleetListAge   = "fleet_list_age_ms"
+	stopQueueTime  = "stop_queue_ms" // wait of a stop until it was sent
+	cancelAge      = "cancel_age_ms" // age of a cancellation when the owner applied it, by the clocks of both hosts
 )
 
 // metrics holds the counters and latency histograms of an entry host.
--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -233,6 +233,13 @@
 	return max(0, maxQueuedStarts-len(q.starts))
 }
 
+// queued returns the number of orders other than starts that wait to be sent.
+func (q *orderQueue) queued() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return len(q.urgent)
+}
+
 // idle reports whether no order is queued or in flight.
 func (q *orderQueue) idle() bool {
 	q.mutex.Lock()
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -230,6 +230,7 @@
 		"backends": l.Backends, "present": l.Present, "usable": l.Usable, "not_recorded": l.Unrecorded,
 		"used_cpu": l.Used.CPU, "room_cpu": l.Room.CPU, "wanted_cpu": l.WaitingDemand.CPU, "used_mb": l.Used.Memory, "room_mb": l.Room.Memory,
 		"hold_gather_ms": o.holdPacer.interval().Milliseconds(),
+		"orders_queued":  o.orders.queued(), "runs_without_job": l.Unknown, "runs_not_stopping": l.Unstopped,
 	}).WithFields(o.stats.fields()).Info("pool load")
 }
 
@@ -306,7 +307,9 @@
 	switch {
 	case j.State == basilwork.JobStateCanceled:
 		if known {
-			o.log.WithField(basillog.FieldJob, id).Info("job cancelled")
+			age := time.Since(o.finished[id])
+			o.node.metrics.observe(cancelAge, age)
+			o.log.WithFields(logrus.Fields{basillog.FieldJob: id, "age_ms": age.Milliseconds()}).Info("job cancelled")
 		}
 		o.pool.Cancel(id, time.Now())
 	case !known && !j.State.Final():
--- a/internal/basilnode/owner_orders.go
+++ b/internal/basilnode/owner_orders.go
@@ -120,10 +120,15 @@
 
 func (o *owner) stopRun(s basilscheduler.Stop) {
 	order := basilwork.StopOrder{Task: s.Task.String(), Attempt: s.Attempt}
+	queuedAt := time.Now()
 	o.enqueue(s.Backend, func(l *connection) {
+		queued := time.Since(queuedAt)
 		answered := l.Stop(o.ctx, order)
 		answeredAt := time.Now()
-		o.logRun(s.Ref).WithFields(logrus.Fields{basillog.FieldReason: s.Reason, "answered": answered}).Info("stop request sent")
+		o.node.metrics.observe(stopQueueTime, queued)
+		o.logRun(s.Ref).WithFields(logrus.Fields{
+			basillog.FieldReason: s.Reason, "answered": answered, "queued_ms": queued.Milliseconds(),
+		}).Info("stop request sent")
 		o.send(func(time.Time) { o.pool.Stopped(s.Ref, answered, answeredAt) })
 		if answered {
 			l.Refresh() // the task can start elsewhere once a report shows that the run is gone
--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -37,6 +37,7 @@
 	movableAt      time.Time
 	movableLayout  int
 	fillers        int // number of filler runs
+	unknownRuns    int // runs in its newest report that belong to no known task
 }
 
 // usable reports whether new runs may be placed on the backend server.
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -56,6 +56,7 @@
 		b.lastEndNumber = e.Number
 	}
 	seen := make(map[*run]bool, len(report.Running))
+	b.unknownRuns = 0
 	for _, s := range report.Running {
 		if r := p.processRunning(b, s, now); r != nil {
 			seen[r] = true
@@ -89,6 +90,7 @@
 	}
 	t := p.findTask(id)
 	if t == nil {
+		b.unknownRuns++
 		p.actions.Stops = append(p.actions.Stops, Stop{Ref: Ref{Backend: b.ID, Task: id, Attempt: s.Attempt}, Reason: "unknown task"})
 		return nil
 	}
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -22,6 +22,8 @@
 	Usable        int // present backend servers that accept new runs
 	Unrecorded    int // present backend servers not stored yet; unknown to a successor, so nothing may run there
 	Leaving       int // present backend servers that are draining
+	Unknown       int // runs listed in the newest reports that belong to no known task
+	Unstopped     int // runs listed too long after their stop was answered
 	Used          basilwork.Resources
 	Room          basilwork.Resources
 	WaitingDemand basilwork.Resources // of the waiting tasks
@@ -102,6 +104,12 @@
 		}
 		l.Used = l.Used.Add(b.used)
 		l.Running += len(b.runs)
+		l.Unknown += b.unknownRuns
+		for _, r := range b.runs {
+			if p.outlivedStop(r, r.listedAt) {
+				l.Unstopped++
+			}
+		}
 		if !b.usable(now) {
 			continue
 		}
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -95,6 +95,11 @@
 	p.actions.Stops = append(p.actions.Stops, Stop{Ref: r.ref(), Reason: reason})
 }
 
+// outlivedStop reports whether a run that exists at the time should have ended by then, as its stop was answered.
+func (p *Pool) outlivedStop(r *run, now time.Time) bool {
+	return !r.stopAnsweredAt.IsZero() && now.Sub(r.stopAnsweredAt) > p.options.StopTimeout+endReportDelay
+}
+
 // stopUnanswered stops a run whose start request got no answer. If the run of a long-running task may exist and stopping
 // it would exceed the allowed unavailability of the step, it first waits for a report that shows whether the run exists.
 func (p *Pool) stopUnanswered(r *run, now time.Time) {
