Send stops past backend servers that do not answer

Cause: one queue for the stops and paces of all backend servers, sent in order by 64 goroutines, four to a server, 0.9 s each without an answer. Sixteen silent servers take all of them, and each stop was queued again every 0.5 s while the earlier one still waited. Class: a shared queue without fairness, fed by retries without a limit. Evidence: TestSilentBackendsDoNotDelayStops failed before: the last of eight stops on a working server was sent 64 s after it was queued beside 30 silent ones (0.9 s allowed), and 4,488 orders waited for 601 runs. Ruled out: the goroutines of one server (its limit of four holds), starts (they come after stops). Change: each backend server has a queue of its own, a run one stop at most in it; servers take turns, those with the fewest orders in flight first; a silent one gets one order at a time, all silent ones eight; starts leave sixteen of the 64; the orders that wait for a lost server are dropped with its connection. In the tests, orders report whether they were answered; no check is changed.

--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -1,7 +1,6 @@
 package basilnode
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -28,17 +27,11 @@
 	withdrawalStopping             // the owner is giving up the shard
 )
 
-// order is a queued request to a backend server.
-type order struct {
-	backend string
-	send    func()
-}
-
 // queuedStart is a start that waits to be sent.
 type queuedStart struct {
 	basilscheduler.Start
 	decided time.Time
-	send    func()
+	send    func() (answered bool)
 }
 
 // gang identifies the gang that the start belongs to.
@@ -64,22 +57,28 @@
 	// fresh reports whether the data about jobs and backend servers is recent enough to start tasks.
 	fresh func() bool
 	// withdraw is called with the starts that are not sent.
-	withdraw     func(list []withdrawnStart)
-	mutex        sync.Mutex // guards all below
-	urgent       []order    // stops and paces
-	starts       []queuedStart
-	senders      int                  // goroutines that send orders
-	inFlight     map[string]int       // number of orders in flight, by backend server
-	cancelled    map[string]bool      // by job
-	startedGangs map[gangAttempt]bool // gangs of which a start was sent; the others must follow
-	stopping     bool
+	withdraw       func(list []withdrawnStart)
+	mutex          sync.Mutex // guards all below
+	backends       map[string]*backendOrders
+	turns          []string // backend servers with waiting stops or paces
+	starts         []queuedStart
+	senders        int                  // goroutines that send orders
+	startsInFlight int                  // starts that are being sent
+	silentInFlight int                  // orders to silent backend servers that are being sent
+	cancelled      map[string]bool      // by job
+	startedGangs   map[gangAttempt]bool // gangs of which a start was sent; the others must follow
+	stopping       bool
 }
 
 // put queues an order that is sent before all starts.
-func (q *orderQueue) put(backend string, send func()) {
+func (q *orderQueue) put(o order) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.urgent = append(q.urgent, order{backend: backend, send: send})
+	b := q.backend(o.Backend)
+	if len(b.waiting) == 0 {
+		q.turns = append(q.turns, o.Backend)
+	}
+	b.add(o)
 	q.spawnSender()
 }
 
@@ -103,29 +102,34 @@
 
 func (q *orderQueue) run() {
 	for {
-		o, list := q.next(time.Now())
+		s, list := q.next(time.Now())
 		if len(list) > 0 {
 			q.withdraw(list)
 		}
-		if o.send == nil {
+		if s.send == nil {
 			return
 		}
-		o.send()
-		q.finish(o.backend)
+		q.finish(&s, s.send())
 	}
 }
 
+// sending is an order that is being sent.
+type sending struct {
+	backend string
+	send    func() (answered bool)
+	start   bool
+	silent  bool // the backend server was silent before
+}
+
 // next removes the next order to send from the queue, or none, and returns with it the starts before it that must not be
 // sent. It skips backend servers that have the maximum number of orders in flight: the goroutines that send those call
 // next again.
-func (q *orderQueue) next(now time.Time) (order, []withdrawnStart) {
+func (q *orderQueue) next(now time.Time) (sending, []withdrawnStart) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for n, o := range q.urgent {
-		if q.inFlight[o.backend] < basilrunner.MaxConcurrentOrders {
-			q.urgent = slices.Delete(q.urgent, n, n+1)
-			return q.markInFlight(o), nil
-		}
+	if o, ok := q.nextWaiting(); ok {
+		queued := now.Sub(o.queuedAt)
+		return q.markInFlight(sending{backend: o.Backend, send: func() bool { return o.send(queued) }}), nil
 	}
 	var list []withdrawnStart
 	var skipped []queuedStart
@@ -134,21 +138,29 @@
 			list = append(list, withdrawnStart{Start: s.Start, reason: reason})
 			continue
 		}
-		if q.inFlight[s.Backend] >= basilrunner.MaxConcurrentOrders {
+		if q.startsInFlight >= maxOrdersInFlight-reservedOrders || q.inFlight(s.Backend) >= basilrunner.MaxConcurrentOrders {
 			skipped = append(skipped, s)
 			continue
 		}
 		q.starts = q.starts[n+1-len(skipped):]
 		copy(q.starts, skipped)
 		q.markGangStarted(&s)
-		return q.markInFlight(order{backend: s.Backend, send: s.send}), list
+		return q.markInFlight(sending{backend: s.Backend, send: s.send, start: true}), list
 	}
 	q.starts = skipped
 	if len(skipped) == 0 {
 		q.startedGangs = nil
 	}
 	q.senders--
-	return order{}, list
+	return sending{}, list
+}
+
+// inFlight returns how many orders to the backend server are being sent. The caller must hold the mutex.
+func (q *orderQueue) inFlight(backend string) int {
+	if b := q.backends[backend]; b != nil {
+		return b.inFlight
+	}
+	return 0
 }
 
 // markGangStarted records that the other starts of the gang must follow this one. The caller must hold the mutex.
@@ -163,21 +175,33 @@
 }
 
 // markInFlight counts the order as in flight and returns it. The caller must hold the mutex.
-func (q *orderQueue) markInFlight(o order) order {
-	if q.inFlight == nil {
-		q.inFlight = make(map[string]int)
+func (q *orderQueue) markInFlight(s sending) sending {
+	b := q.backend(s.backend)
+	b.inFlight++
+	s.silent = b.silent && !s.start
+	if s.silent {
+		q.silentInFlight++
 	}
-	q.inFlight[o.backend]++
-	return o
+	if s.start {
+		q.startsInFlight++
+	}
+	return s
 }
 
 // finish records that an order is no longer in flight, with an answer or without one.
-func (q *orderQueue) finish(backend string) {
+func (q *orderQueue) finish(s *sending, answered bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if q.inFlight[backend]--; q.inFlight[backend] == 0 {
-		delete(q.inFlight, backend)
+	b := q.backend(s.backend)
+	b.inFlight--
+	b.silent = !answered
+	if s.silent {
+		q.silentInFlight--
+	}
+	if s.start {
+		q.startsInFlight--
 	}
+	q.forgetIdle(s.backend)
 }
 
 // check returns the reason why a start must not be sent now, if any. Once one start of a gang was sent, the others are
@@ -237,7 +261,11 @@
 func (q *orderQueue) queued() int {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return len(q.urgent)
+	var count int
+	for _, id := range q.turns {
+		count += len(q.backends[id].waiting)
+	}
+	return count
 }
 
 // idle reports whether no order is queued or in flight.
--- a/internal/basilnode/orders_test.go
+++ b/internal/basilnode/orders_test.go
@@ -1,6 +1,7 @@
 package basilnode
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -40,22 +41,32 @@
 	s.orders.putStarts([]queuedStart{s.blockedStart(job, index, gang)})
 }
 
+// queueStop queues the stop of a run.
+func (s *blockedOwner) queueStop(backend string, index int, send func() (answered bool)) {
+	ref := basilscheduler.Ref{Backend: backend, Task: basilwork.TaskID{Job: "a", Index: index}, Attempt: 1}
+	s.orders.put(order{Ref: ref, queuedAt: time.Now(), send: func(time.Duration) bool { return send() }})
+}
+
 // blockedStart returns a start that is answered once release is closed.
 func (s *blockedOwner) blockedStart(job string, index int, gang bool) queuedStart {
 	id := basilwork.TaskID{Job: job, Index: index}
 	start := basilscheduler.Start{Ref: basilscheduler.Ref{Backend: job, Task: id, Attempt: 1}, Gang: gang}
-	return queuedStart{Start: start, decided: time.Now(), send: func() {
+	return queuedStart{Start: start, decided: time.Now(), send: func() bool {
 		s.orders.mutex.Lock()
 		s.sent = append(s.sent, id.String())
 		s.orders.mutex.Unlock()
 		<-s.release
+		return true
 	}}
 }
 
 // fillSlots occupies all slots for orders in flight except the given number.
 func (s *blockedOwner) fillSlots(left int) {
 	for n := range maxOrdersInFlight - left {
-		s.orders.put(strconv.Itoa(n), func() { <-s.release })
+		s.queueStop(strconv.Itoa(n), n, func() bool {
+			<-s.release
+			return true
+		})
 	}
 }
 
@@ -113,6 +124,43 @@
 	})
 }
 
+// TestSilentBackendsDoNotDelayStops replays stops that are repeated for many runs on backend servers that answer nothing.
+// A stop on a working one must be sent within the time limit of one order, and each run has one stop waiting at most.
+func TestSilentBackendsDoNotDelayStops(t *testing.T) {
+	const (
+		silent      = 30
+		runs        = 20
+		repetitions = 8
+		interval    = 500 * time.Millisecond
+		timeLimit   = 900 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := newBlockedOwner()
+		var delays []time.Duration // of the stops on the working backend server
+		var queued int
+		for i := range repetitions {
+			for n := range silent * runs {
+				s.queueStop(strconv.Itoa(n%silent), n, func() bool {
+					time.Sleep(timeLimit)
+					return false
+				})
+			}
+			queuedAt := time.Now()
+			s.queueStop("working", i, func() bool {
+				delays = append(delays, time.Since(queuedAt))
+				return true
+			})
+			time.Sleep(interval)
+			queued = max(queued, s.orders.queued())
+		}
+		time.Sleep(time.Hour)
+		must.True(t, s.orders.idle())
+		must.Len(t, repetitions, delays)
+		must.LessEq(t, timeLimit, slices.Max(delays))
+		must.LessEq(t, silent*runs, queued)
+	})
+}
+
 // TestStopDoesNotSplitGang checks that a gang is sent as a whole if the owner gives up its shard while the first start
 // of the gang is being sent.
 func TestStopDoesNotSplitGang(t *testing.T) {
@@ -121,9 +169,9 @@
 		close(s.release)
 		first := s.blockedStart("a", 0, true)
 		send := first.send
-		first.send = func() {
+		first.send = func() bool {
 			s.orders.stop()
-			send()
+			return send()
 		}
 		s.orders.putStarts([]queuedStart{first, s.blockedStart("a", 1, true)})
 		synctest.Wait()
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -37,10 +37,9 @@
 		listed[b.ID] = true
 		o.openConnection(b)
 	}
-	for id, l := range o.connections {
+	for id := range o.connections {
 		if !listed[id] && !o.pool.Busy(id) && !o.records.stored(id) {
-			l.cancel()
-			delete(o.connections, id)
+			o.closeConnection(id)
 		}
 	}
 }
@@ -63,6 +62,7 @@
 	if l := o.connections[id]; l != nil {
 		l.cancel()
 		delete(o.connections, id)
+		o.orders.drop(id)
 	}
 }
 
--- a/internal/basilnode/owner_orders.go
+++ b/internal/basilnode/owner_orders.go
@@ -48,10 +48,10 @@
 	}
 }
 
-// enqueue queues an order to a backend server, to be sent outside the control goroutine, if there is a connection.
-func (o *owner) enqueue(id string, f func(l *connection)) {
-	if l := o.connections[id]; l != nil {
-		o.orders.put(id, func() { f(l) })
+// enqueue queues a stop or a pace, to be sent outside the control goroutine, if there is a connection to the backend server.
+func (o *owner) enqueue(r basilscheduler.Ref, pace bool, send func(l *connection, queued time.Duration) (answered bool)) {
+	if l := o.connections[r.Backend]; l != nil {
+		o.orders.put(order{Ref: r, pace: pace, queuedAt: time.Now(), send: func(queued time.Duration) bool { return send(l, queued) }})
 	}
 }
 
@@ -95,12 +95,12 @@
 			o.pool.Started(s.Ref, basilwork.RefusalBusy, true, time.Now())
 			continue
 		}
-		list = append(list, queuedStart{Start: s, decided: decided, send: func() { o.sendStart(l, s) }})
+		list = append(list, queuedStart{Start: s, decided: decided, send: func() bool { return o.sendStart(l, s) }})
 	}
 	o.orders.putStarts(list)
 }
 
-func (o *owner) sendStart(l *connection, s basilscheduler.Start) {
+func (o *owner) sendStart(l *connection, s basilscheduler.Start) (answered bool) {
 	sent := time.Now()
 	refusal, answered := l.Start(o.ctx, basilwork.StartOrder{
 		Task: s.Task.String(), Attempt: s.Attempt, Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
@@ -116,13 +116,12 @@
 	}
 	o.node.metrics.started(refusal, answered, time.Since(sent))
 	o.send(func(now time.Time) { o.pool.Started(s.Ref, refusal, answered, now) })
+	return answered
 }
 
 func (o *owner) stopRun(s basilscheduler.Stop) {
 	order := basilwork.StopOrder{Task: s.Task.String(), Attempt: s.Attempt}
-	queuedAt := time.Now()
-	o.enqueue(s.Backend, func(l *connection) {
-		queued := time.Since(queuedAt)
+	o.enqueue(s.Ref, false, func(l *connection, queued time.Duration) bool {
 		answered := l.Stop(o.ctx, order)
 		answeredAt := time.Now()
 		o.node.metrics.observe(stopQueueTime, queued)
@@ -133,14 +132,16 @@
 		if answered {
 			l.Refresh() // the task can start elsewhere once a report shows that the run is gone
 		}
+		return answered
 	})
 }
 
 func (o *owner) pace(p basilscheduler.Pace) {
 	order := basilwork.PaceOrder{Task: p.Task.String(), Attempt: p.Attempt, Percent: p.Percent}
-	o.enqueue(p.Backend, func(l *connection) {
+	o.enqueue(p.Ref, true, func(l *connection, _ time.Duration) bool {
 		answered := l.Pace(o.ctx, order)
 		o.logRun(p.Ref).WithFields(logrus.Fields{"percent": p.Percent, "answered": answered}).Info("pace request sent")
+		return answered
 	})
 }
 
