Stop a run again that outlives the answer to its stop

Cause: an answered stop was never repeated, though reports went on listing the run, and the lease of the run was extended with those of all others. A start that is carried out late on a new incarnation is listed so, after the incarnation before answered the stop. Class: an answer taken for the effect. Change: a report that was requested more than the stop timeout and 0.2 s after the answer and lists the run makes the stop due again; pool load counts such runs as runs_not_stopping.

--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -58,7 +58,7 @@
 	seen := make(map[*run]bool, len(report.Running))
 	b.unknownRuns = 0
 	for _, s := range report.Running {
-		if r := p.processRunning(b, s, now); r != nil {
+		if r := p.processRunning(b, s, sent, now); r != nil {
 			seen[r] = true
 		}
 	}
@@ -83,7 +83,7 @@
 	return false
 }
 
-func (p *Pool) processRunning(b *backend, s basilwork.RunStatus, now time.Time) *run {
+func (p *Pool) processRunning(b *backend, s basilwork.RunStatus, sent, now time.Time) *run {
 	id, err := basilwork.ParseTaskID(s.Task)
 	if err != nil {
 		return nil // not started by this scheduler, so there is nothing to adopt
@@ -103,6 +103,10 @@
 		r.answeredAt = now
 		p.activate(t.step.occurrence.job)
 	}
+	if p.outlivedStop(r, sent) {
+		r.stopAnsweredAt = time.Time{} // the stop is repeated: an earlier incarnation may have answered it
+		r.ignoredStop = true
+	}
 	if s.ProgressPercent != r.percent || r.progressedAt.IsZero() {
 		r.percent = s.ProgressPercent
 		r.progressedAt = now
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -30,6 +30,7 @@
 	unansweredSince    time.Time // since when the start request is known to have no answer
 	stopRequestedAt    time.Time // when a stop was last requested; zero if never
 	stopAnsweredAt     time.Time // when a stop request was answered
+	ignoredStop        bool      // a stop request was answered and did not end the run
 	percent            int
 	progressedAt       time.Time // when percent last changed
 	listedAt           time.Time // when a report last listed the run
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -23,7 +23,7 @@
 	Unrecorded    int // present backend servers not stored yet; unknown to a successor, so nothing may run there
 	Leaving       int // present backend servers that are draining
 	Unknown       int // runs listed in the newest reports that belong to no known task
-	Unstopped     int // runs listed too long after their stop was answered
+	Unstopped     int // runs that were listed too long after their stop was answered
 	Used          basilwork.Resources
 	Room          basilwork.Resources
 	WaitingDemand basilwork.Resources // of the waiting tasks
@@ -106,7 +106,7 @@
 		l.Running += len(b.runs)
 		l.Unknown += b.unknownRuns
 		for _, r := range b.runs {
-			if p.outlivedStop(r, r.listedAt) {
+			if r.ignoredStop {
 				l.Unstopped++
 			}
 		}
