Repeat the stops of runs without a job until they are gone

Cause: a listed run that belongs to no known task, as after a takeover from an owner that was lost when the cancellation had just been acknowledged, got one stop a report. Nothing remembered it, so that a backend server without other runs was asked for no further report: a stop without an answer was the last one, and the run went on until its lease ended, up to 6 s. On a busy server each report added another stop instead, every 40 to 400 ms. Class: a repetition that depends on an event which may not come. Evidence: TestSuccessorRepeatsLostStopsOfCancelledJob failed before: 8 of 600 tasks still ran 3.9 s after the acknowledgement (0 allowed), with the first four stops to each of four servers lost. Change: the scheduler keeps such runs; the stop is repeated every 0.5 s until it is answered and again if the run outlives the answer; the server is asked for reports until none lists the run, without extending its lease. Result: that test and TestStopOfUnknownRunIsRepeatedUntilItEnds pass.

--- a/internal/basilnode/cancel_test.go
+++ b/internal/basilnode/cancel_test.go
@@ -54,3 +54,22 @@
 		c.await(quotePrefix, jobID(1), "completed", 14*time.Second)
 	})
 }
+
+// TestSuccessorRepeatsLostStopsOfCancelledJob checks that a successor ends the tasks of a job that was cancelled while the shard had no
+// owner, also if a backend server without other runs doesn't answer the first stops.
+func TestSuccessorRepeatsLostStopsOfCancelledJob(t *testing.T) {
+	const bound = 3*time.Second + 900*time.Millisecond // the shortest cancel_ms of the deployments, and the time that a stop takes
+	run(t, 3, 4, constant(20*time.Second), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), many))
+		time.Sleep(3 * time.Second)
+		must.Eq(c.t, 600, c.site.Running(jobID(1)))
+		other := c.other("stretch")
+		c.kill(c.owner("stretch"))
+		c.cancel(other, quotePrefix, jobID(1))
+		for _, b := range c.site.Backends("stretch") {
+			c.site.SetFaults(b, basilfake.BackendFaults{Stops: 4})
+		}
+		time.Sleep(bound)
+		must.Eq(c.t, 0, c.site.Running(jobID(1)))
+	})
+}
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -38,7 +38,7 @@
 		o.openConnection(b)
 	}
 	for id := range o.connections {
-		if !listed[id] && !o.pool.Busy(id) && !o.records.stored(id) {
+		if !listed[id] && !o.pool.Busy(id) && !o.pool.HasOrphans(id) && !o.records.stored(id) {
 			o.closeConnection(id)
 		}
 	}
@@ -71,6 +71,7 @@
 func (o *owner) updateConnections() {
 	for id, l := range o.connections {
 		l.SetBusy(o.pool.Busy(id), o.commit.incarnations[id], o.commit.acked[id])
+		l.SetWatched(o.pool.HasOrphans(id))
 	}
 }
 
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -59,6 +59,7 @@
 	acked       int64
 	ackAnswered int64 // newest acknowledgement that the backend server has answered
 	busy        bool
+	watched     bool // the runs there are stopped, and reports are needed until they are gone
 	attached    bool
 	reachable   bool
 	lost        bool               // Sink.Lost is called, after which its tasks may be started elsewhere
@@ -93,10 +94,26 @@
 	c.acked = max(c.acked, acked)
 	c.mutex.Unlock()
 	if holdNow {
-		select {
-		case c.wake <- struct{}{}:
-		default:
-		}
+		c.wakeUp()
+	}
+}
+
+// SetWatched sets whether reports are needed until runs that are being stopped have ended. Their leases are not extended for that.
+func (c *Connection) SetWatched(watched bool) {
+	c.mutex.Lock()
+	holdNow := watched && !c.watched
+	c.watched = watched
+	c.mutex.Unlock()
+	if holdNow {
+		c.wakeUp()
+	}
+}
+
+// wakeUp has Run check whether a hold is needed.
+func (c *Connection) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -128,13 +145,13 @@
 func (c *Connection) holdNeeded() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.busy || !c.attached || c.acked > c.ackAnswered
+	return c.busy || c.watched || !c.attached || c.acked > c.ackAnswered
 }
 
 func (c *Connection) holdWaitTime() time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.attached && c.reachable && c.busy && c.firstMissAt.IsZero() {
+	if c.attached && c.reachable && (c.busy || c.watched) && c.firstMissAt.IsZero() {
 		return maxHoldWait
 	}
 	return 0
--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -36,8 +36,8 @@
 	movable        bool      // cached result of canMoveLongRuns, valid for movableAt and movableLayout
 	movableAt      time.Time
 	movableLayout  int
-	fillers        int // number of filler runs
-	unknownRuns    int // runs in its newest report that belong to no known task
+	fillers        int             // number of filler runs
+	orphans        map[Ref]*orphan // runs in its newest report that belong to no known task
 }
 
 // usable reports whether new runs may be placed on the backend server.
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -56,9 +56,10 @@
 		b.lastEndNumber = e.Number
 	}
 	seen := make(map[*run]bool, len(report.Running))
-	b.unknownRuns = 0
+	orphans := b.orphans
+	b.orphans = nil
 	for _, s := range report.Running {
-		if r := p.processRunning(b, s, sent, now); r != nil {
+		if r := p.processRunning(b, s, orphans, sent, now); r != nil {
 			seen[r] = true
 		}
 	}
@@ -83,15 +84,14 @@
 	return false
 }
 
-func (p *Pool) processRunning(b *backend, s basilwork.RunStatus, sent, now time.Time) *run {
+func (p *Pool) processRunning(b *backend, s basilwork.RunStatus, orphans map[Ref]*orphan, sent, now time.Time) *run {
 	id, err := basilwork.ParseTaskID(s.Task)
 	if err != nil {
 		return nil // not started by this scheduler, so there is nothing to adopt
 	}
 	t := p.findTask(id)
 	if t == nil {
-		b.unknownRuns++
-		p.actions.Stops = append(p.actions.Stops, Stop{Ref: Ref{Backend: b.ID, Task: id, Attempt: s.Attempt}, Reason: "unknown task"})
+		p.stopOrphan(b, Ref{Backend: b.ID, Task: id, Attempt: s.Attempt}, orphans, sent, now)
 		return nil
 	}
 	r := t.runOn(b.ID, s.Attempt)
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -22,7 +22,7 @@
 	Usable        int // present backend servers that accept new runs
 	Unrecorded    int // present backend servers not stored yet; unknown to a successor, so nothing may run there
 	Leaving       int // present backend servers that are draining
-	Unknown       int // runs listed in the newest reports that belong to no known task
+	Orphans       int // runs listed in the newest reports that belong to no known task
 	Unstopped     int // runs that were listed too long after their stop was answered
 	Used          basilwork.Resources
 	Room          basilwork.Resources
@@ -104,7 +104,7 @@
 		}
 		l.Used = l.Used.Add(b.used)
 		l.Running += len(b.runs)
-		l.Unknown += b.unknownRuns
+		l.Orphans += len(b.orphans)
 		for _, r := range b.runs {
 			if r.ignoredStop {
 				l.Unstopped++
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -185,7 +185,7 @@
 			p.layoutVersion++
 		}
 		b.present = false
-		if len(b.runs) == 0 && p.predecessorUntil[id].IsZero() {
+		if len(b.runs)+len(b.orphans) == 0 && p.predecessorUntil[id].IsZero() {
 			p.forgetBackend(id)
 		}
 	}
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -65,6 +65,9 @@
 func (p *Pool) Stopped(ref Ref, answered bool, now time.Time) {
 	r := p.findRun(ref)
 	if r == nil {
+		if b := p.backends[ref.Backend]; b != nil && b.orphans[ref] != nil && answered {
+			b.orphans[ref].stopAnsweredAt = now
+		}
 		return
 	}
 	if answered {
--- a/internal/basilscheduler/stop_test.go
+++ b/internal/basilscheduler/stop_test.go
@@ -31,3 +31,29 @@
 	f.Report("b1", basilwork.Report{}, f.now, f.now)
 	must.Eq(t, 0, f.Load(f.now).Jobs)
 }
+
+// TestStopOfUnknownRunIsRepeatedUntilItEnds checks that a run without a job is stopped again while no stop is answered or none has
+// an effect, once per interval however many reports list it.
+func TestStopOfUnknownRunIsRepeatedUntilItEnds(t *testing.T) {
+	const reportInterval = 100 * time.Millisecond
+	f := newFixture(t, backendOf("b1", 4000))
+	f.options.StopTimeout = 900 * time.Millisecond
+	listing := basilwork.Report{Running: []basilwork.RunStatus{{Task: "one.0.0.0", Attempt: 1}}}
+	var stops []Stop
+	for range 10 {
+		f.Report("b1", listing, f.now, f.now)
+		stops = append(stops, f.Decide(f.now).Stops...)
+		f.advance(reportInterval)
+	}
+	must.Len(t, 2, stops)
+	must.True(t, f.HasOrphans("b1"))
+	f.Stopped(stops[1].Ref, true, f.now)
+	for range 20 {
+		f.Report("b1", listing, f.now, f.now)
+		stops = append(stops, f.Decide(f.now).Stops...)
+		f.advance(reportInterval)
+	}
+	must.Len(t, 4, stops)
+	f.Report("b1", basilwork.Report{}, f.now, f.now)
+	must.False(t, f.HasOrphans("b1"))
+}
