Ask idle backend servers for reports every 2 s

Cause: a start without an answer can be carried out seconds later. An incarnation that started again under its id knows nothing of the stop that the one before has answered, and takes the lease in the start for its own clock. A server without known runs was asked nothing, so its owner did not see the run, which went on until its lease ended, up to 6 s after it began. Class: no news taken for nothing to see. Ruled out: late starts on the same incarnation, which refuses them once it has answered the stop. Change: an idle server is held every 2 s without extending leases; what it lists is stopped like any other run. It counts as lost when the longest leases have expired since its newest answer (TestIdleBackendIsNotLostTooEarly).

--- a/internal/basilnode/cancel_test.go
+++ b/internal/basilnode/cancel_test.go
@@ -73,3 +73,28 @@
 		must.Eq(c.t, 0, c.site.Running(jobID(1)))
 	})
 }
+
+// TestRunThatBeginsLateIsStopped checks that a run of a cancelled job ends that an otherwise idle backend server begins late, after it
+// has started again and nothing tells of the earlier stop.
+func TestRunThatBeginsLateIsStopped(t *testing.T) {
+	const (
+		late  = 2800 * time.Millisecond
+		bound = 3*time.Second + 900*time.Millisecond // the shortest contact_ms of the deployments, and the time that a stop takes
+	)
+	run(t, 3, 4, constant(20*time.Second), func(c *cluster) {
+		for _, b := range c.site.Backends("stretch") {
+			c.site.SetFaults(b, basilfake.BackendFaults{LateBy: late, Every: 1, Reborn: true})
+		}
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), `{"spec":"x","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":20000}]}`))
+		time.Sleep(300 * time.Millisecond)
+		c.cancel("entry-1", quotePrefix, jobID(1))
+		time.Sleep(1200 * time.Millisecond) // until the stop is answered
+		for _, b := range c.site.Backends("stretch") {
+			c.site.Reborn(b)
+		}
+		time.Sleep(late - 1400*time.Millisecond)
+		must.Eq(c.t, 1, c.site.Running(jobID(1)))
+		time.Sleep(bound)
+		must.Eq(c.t, 0, c.site.Running(jobID(1)))
+	})
+}
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -18,6 +18,7 @@
 	defaultHoldPause = 40 * time.Millisecond  // default pause between holds, so that ended runs are reported in batches
 	unreachableAfter = 1500 * time.Millisecond
 	retryPause       = 300 * time.Millisecond // pause after a hold that failed
+	idleHoldInterval = 2 * time.Second        // between holds of an idle backend server; a run that begins late there may go on for 3 s at least
 	leaseMargin      = 300 * time.Millisecond // how much shorter a requested lease is than the longest that backend servers grant
 	startLease       = 4 * time.Second        // shortest lease that a start order requests
 )
@@ -59,7 +60,8 @@
 	acked       int64
 	ackAnswered int64 // newest acknowledgement that the backend server has answered
 	busy        bool
-	watched     bool // the runs there are stopped, and reports are needed until they are gone
+	watched     bool      // the runs there are stopped, and reports are needed until they are gone
+	heldAt      time.Time // when the last hold was sent
 	attached    bool
 	reachable   bool
 	lost        bool               // Sink.Lost is called, after which its tasks may be started elsewhere
@@ -120,11 +122,8 @@
 // Run renews the leases and requests reports until the context ends or the incarnation is gone.
 func (c *Connection) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !c.holdNeeded() {
-			select {
-			case <-ctx.Done():
-			case <-c.wake:
-			}
+		if wait := c.idleTime(time.Now()); wait > 0 {
+			c.awaitWake(ctx, wait)
 			continue
 		}
 		sent := time.Now()
@@ -142,10 +141,26 @@
 	}
 }
 
-func (c *Connection) holdNeeded() bool {
+// idleTime returns the time until the next hold is needed. An idle backend server is held now and then too, because a start
+// without an answer may be carried out there seconds later.
+func (c *Connection) idleTime(now time.Time) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.busy || c.watched || !c.attached || c.acked > c.ackAnswered
+	if c.busy || c.watched || !c.attached || c.acked > c.ackAnswered || !c.firstMissAt.IsZero() {
+		return 0
+	}
+	return max(0, idleHoldInterval-now.Sub(c.heldAt))
+}
+
+// awaitWake waits until a hold may be needed, for the given time at most.
+func (c *Connection) awaitWake(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-c.wake:
+	case <-timer.C:
+	}
 }
 
 func (c *Connection) holdWaitTime() time.Duration {
@@ -204,8 +219,9 @@
 		o.Deadline = c.lease.Deadline(time.Now(), c.options.MaxLease-leaseMargin)
 	}
 	b := c.backend
-	c.mutex.Unlock()
 	sent := time.Now()
+	c.heldAt = sent
+	c.mutex.Unlock()
 	r, err := c.options.Commander.Hold(ctx, b, o)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -278,7 +294,7 @@
 	if unreachable {
 		c.reachable = false
 	}
-	lapsed := c.attached && now.After(c.lease.Expiry())
+	lapsed := c.attached && now.After(c.expiry())
 	c.lost = lapsed
 	c.mutex.Unlock()
 	if unreachable {
@@ -290,6 +306,15 @@
 	return !lapsed
 }
 
+// expiry returns the time at which all runs have certainly ended. An idle backend server may have runs that this owner doesn't
+// know, with the longest lease. The caller must hold the mutex.
+func (c *Connection) expiry() time.Time {
+	if c.busy {
+		return c.lease.Expiry()
+	}
+	return c.lease.LastExpiry(c.options.MaxLease)
+}
+
 func (c *Connection) pause(ctx context.Context, err error) {
 	d := defaultHoldPause
 	if c.options.HoldInterval != nil {
--- a/internal/basilrunner/connection_test.go
+++ b/internal/basilrunner/connection_test.go
@@ -106,3 +106,43 @@
 		must.Eq(t, basilwork.RefusalUnsent, refusal)
 	})
 }
+
+// TestIdleBackendIsStillAsked checks that a backend server without known runs is asked for reports, as a start without an answer
+// may be carried out seconds later, and that this extends no lease.
+func TestIdleBackendIsStillAsked(t *testing.T) {
+	const longestGap = 3 * time.Second // the shortest time for which deployments let a run go on that began late
+	synctest.Test(t, func(t *testing.T) {
+		h := &fakeBackend{answers: []basilwork.Report{{StartedAt: 1, Clock: 1}}, sink: func(int64) {}}
+		l := NewConnection(basilwork.Backend{ID: "b1", StartedAt: 1}, Options{
+			Commander: h, Sink: h, Fence: 1, MaxLease: 6 * time.Second,
+			MayStart: func() bool { return true }, MayHold: func() bool { return true },
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*longestGap)
+		defer cancel()
+		l.Run(ctx)
+		must.GreaterEq(t, 10, len(h.orders))
+		must.LessEq(t, 20, len(h.orders))
+		for _, o := range h.orders {
+			must.Eq(t, 0, o.Deadline)
+		}
+	})
+}
+
+// TestIdleBackendIsNotLostTooEarly checks that a silent backend server without known runs counts as lost only when the longest
+// leases have expired, as it may have runs that this owner doesn't know.
+func TestIdleBackendIsNotLostTooEarly(t *testing.T) {
+	const longest = 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		s := &silentBackend{fakeBackend: fakeBackend{answers: []basilwork.Report{{StartedAt: 1, Clock: 1}}, sink: func(int64) {}}}
+		l := NewConnection(basilwork.Backend{ID: "b1", StartedAt: 1}, Options{
+			Commander: s, Sink: s, Fence: 1, MaxLease: longest,
+			MayStart: func() bool { return true }, MayHold: func() bool { return true },
+		})
+		began := time.Now()
+		var silent time.Duration
+		s.lost = func() { silent = time.Since(began) - idleHoldInterval }
+		l.Run(t.Context())
+		must.Greater(t, longest, silent)
+		must.Less(t, 2*longest, silent)
+	})
+}
--- a/internal/basilrunner/lease.go
+++ b/internal/basilrunner/lease.go
@@ -46,3 +46,8 @@
 	left := time.Duration(max(0, l.deadline-l.clock)) * time.Millisecond
 	return l.answeredAt.Add(time.Duration(float64(left)/minClockRate) + expiryMargin)
 }
+
+// LastExpiry returns the time at which leases of the longest duration have expired that were granted before the newest answer.
+func (l *Lease) LastExpiry(longest time.Duration) time.Time {
+	return l.answeredAt.Add(time.Duration(float64(longest)/minClockRate) + expiryMargin)
+}
