--- a/internal/basilnode/front.go
+++ b/internal/basilnode/front.go
@@ -231,23 +231,6 @@
 	return minRetryAfter + rand.N(retryJitter)
 }
 
-// find returns the job and the service that it is stored under: the queue's service or an earlier one.
-func (c *call) find() (basilwork.Record, string, error) {
-	services := append([]string{c.queue.Service}, c.node.formerServices(c.queue.Name)...)
-	var err error
-	for _, service := range services {
-		var r basilwork.Record
-		r, _, err = c.node.ledger.Find(c.ctx, service, c.id)
-		if err == nil && r.Job.Queue == c.queue.Name {
-			return r, service, nil
-		}
-		if err != nil && !basilledger.IsErrJobNotExist(err) {
-			return r, "", err
-		}
-	}
-	return basilwork.Record{}, "", errors.WithStack(basilledger.ErrJobNotExist{ID: c.id})
-}
-
 func (c *call) state() {
 	r, _, err := c.find()
 	switch {
