Do not store a cancelled job again

What callers saw: work of a job ran whose cancellation had been acknowledged. Cause: a run that is stopped reports a last checkpoint, which had the owner of a cancelled job store the record once more, without the time of its end. The next owner of the shard read that time as 1970 and removed the row as long expired. A submission that was repeated some seconds later then stored the job anew, and its tasks were started. Class: a second writer replaces a row and with it a field that it never learned. TestRepeatedSubmissionOfCancelledJobStartsNothing failed before (GET answered 410 after the takeover), as did TestCancelledJobIsNotStoredAgain (one record to store). Ruled out: queues that moved to another service (each job is in one pool), late stops (all answered within 20 ms of the cancellation). Change: the record of a cancelled job never needs to be stored by its owner, as the cancellation has stored it; a row without the time of its end counts from when it was read, for rows that are stored so already.

--- a/internal/basilnode/cancel_test.go
+++ b/internal/basilnode/cancel_test.go
@@ -122,3 +122,24 @@
 		must.Eq(c.t, http.StatusGone, status)
 	})
 }
+
+// TestRepeatedSubmissionOfCancelledJobStartsNothing checks that a job stays cancelled if its submission is repeated after a takeover,
+// also if its tasks saved checkpoints when they were stopped.
+func TestRepeatedSubmissionOfCancelledJobStartsNothing(t *testing.T) {
+	const body = `{"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":64,"estimate_ms":20000,"checkpointing":true}]}`
+	run(t, 3, 4, constant(20*time.Second), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), body))
+		time.Sleep(time.Second)
+		must.Eq(c.t, 4, c.site.Running(jobID(1)))
+		other := c.other("stretch")
+		c.cancel(other, quotePrefix, jobID(1))
+		time.Sleep(time.Second)
+		must.Eq(c.t, 0, c.site.Running(jobID(1)))
+		c.kill(c.owner("stretch"))
+		time.Sleep(4 * time.Second)
+		must.Eq(c.t, "canceled", c.state(other, quotePrefix, jobID(1)))
+		must.Eq(c.t, http.StatusOK, c.submit(other, quotePrefix, jobID(1), body))
+		time.Sleep(2 * time.Second)
+		must.Eq(c.t, 0, c.site.Running(jobID(1)))
+	})
+}
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -268,6 +268,14 @@
 	version int64
 }
 
+// finishTime returns when the job finished. A row without that time counts from now, so that it is not removed early.
+func (j *storedJob) finishTime(now time.Time) time.Time {
+	if j.Finished == 0 {
+		return now
+	}
+	return time.UnixMilli(j.Finished)
+}
+
 // decodeJobs decodes rows of jobs. It blocks starts of cancelled jobs at once, because the control goroutine may
 // handle the cancellation late.
 func (o *owner) decodeJobs(items []basilplatform.Item) []storedJob {
@@ -302,7 +310,7 @@
 	_, known := o.versions[id]
 	o.versions[id] = j.version
 	if j.State.Final() {
-		o.finished[id] = time.UnixMilli(j.Finished)
+		o.finished[id] = j.finishTime(time.Now())
 	}
 	switch {
 	case j.State == basilwork.JobStateCanceled:
--- a/internal/basilnode/owner_store_test.go
+++ b/internal/basilnode/owner_store_test.go
@@ -51,3 +51,13 @@
 	}
 	t.Error("the end was not acknowledged after 3 commits")
 }
+
+// TestRowWithoutFinishTimeIsNotRemovedEarly checks that a cancelled job whose row lacks the time of its end is kept for the retention
+// time, because a repeated submission would start it anew.
+func TestRowWithoutFinishTimeIsNotRemovedEarly(t *testing.T) {
+	now := time.Now()
+	j := storedJob{Record: basilwork.Record{State: basilwork.JobStateCanceled}}
+	must.Eq(t, now, j.finishTime(now))
+	j.Finished = now.Add(-time.Minute).UnixMilli()
+	must.Eq(t, time.UnixMilli(j.Finished), j.finishTime(now))
+}
--- a/internal/basilscheduler/record.go
+++ b/internal/basilscheduler/record.go
@@ -40,9 +40,10 @@
 	return true
 }
 
-// markDirty notes that the record of the job has to be stored.
+// markDirty notes that the record of the job has to be stored. That of a cancelled job is not: the cancellation has stored it, with
+// the time of its end.
 func (p *Pool) markDirty(j *job) {
-	if !j.dirty {
+	if !j.dirty && j.record.State != basilwork.JobStateCanceled {
 		j.dirty = true
 		p.changes++
 		j.dirtySeq = p.changes
--- a/internal/basilscheduler/stop_test.go
+++ b/internal/basilscheduler/stop_test.go
@@ -57,3 +57,19 @@
 	f.Report("b1", basilwork.Report{}, f.now, f.now)
 	must.False(t, f.HasOrphans("b1"))
 }
+
+// TestCancelledJobIsNotStoredAgain checks that a checkpoint of a stopped run doesn't have a cancelled job's record stored, which would
+// replace the one that the cancellation left.
+func TestCancelledJobIsNotStoredAgain(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	s := stepOf(1, 1000)
+	s.Checkpointing = true
+	f.addJob("one", s)
+	must.Len(t, 1, f.decideAndStart())
+	f.Cancel("one", f.now)
+	f.advance(100 * time.Millisecond)
+	f.report("b1", 50, basilwork.EndedRun{Number: 1, Task: "one.0.0.0", Attempt: 1, End: basilwork.RunEndStopped, Checkpoint: "x"})
+	ids, _ := f.DirtyJobs()
+	must.SliceEmpty(t, ids)
+	must.Eq(t, 0, f.Load(f.now).Jobs)
+}
