--- a/internal/basilnode/backend_orders.go
+++ b/internal/basilnode/backend_orders.go
@@ -28,7 +28,19 @@
 type backendOrders struct {
 	waiting  []order // oldest first
 	inFlight int     // starts too
-	silent   bool    // the newest outcome of an order was that there was no answer
+	misses   int     // orders without an answer since the newest answer
+}
+
+// silent reports whether as many orders in a row got no answer as may be in flight. Fewer may be lost by a server that is well.
+func (b *backendOrders) silent() bool { return b.misses >= basilrunner.MaxConcurrentOrders }
+
+// finish records the outcome of an order.
+func (b *backendOrders) finish(answered bool) {
+	b.inFlight--
+	b.misses++
+	if answered {
+		b.misses = 0
+	}
 }
 
 // add queues an order. One of the same kind for the same run is replaced in its place, so that repetitions don't pile up.
@@ -44,7 +56,7 @@
 
 // limit returns how many orders may be in flight. A silent backend server gets one at a time, to learn whether it answers again.
 func (b *backendOrders) limit() int {
-	if b.silent {
+	if b.silent() {
 		return 1
 	}
 	return basilrunner.MaxConcurrentOrders
@@ -67,7 +79,7 @@
 	best := -1
 	for n, id := range q.turns {
 		b := q.backends[id]
-		if b.inFlight >= b.limit() || b.silent && q.silentInFlight >= maxSilentOrders {
+		if b.inFlight >= b.limit() || b.silent() && q.silentInFlight >= maxSilentOrders {
 			continue
 		}
 		if best < 0 || b.inFlight < q.backends[q.turns[best]].inFlight {
@@ -93,7 +105,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if b := q.backends[id]; b != nil {
-		b.waiting, b.silent = nil, false
+		b.waiting, b.misses = nil, 0
 		q.turns = slices.DeleteFunc(q.turns, func(t string) bool { return t == id })
 		q.forgetIdle(id)
 	}
@@ -101,7 +113,7 @@
 
 // forgetIdle removes the record of a backend server that tells nothing. The caller must hold the mutex.
 func (q *orderQueue) forgetIdle(id string) {
-	if b := q.backends[id]; len(b.waiting) == 0 && b.inFlight == 0 && !b.silent {
+	if b := q.backends[id]; len(b.waiting) == 0 && b.inFlight == 0 && b.misses == 0 {
 		delete(q.backends, id)
 	}
 }
--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -178,7 +178,7 @@
 func (q *orderQueue) markInFlight(s sending) sending {
 	b := q.backend(s.backend)
 	b.inFlight++
-	s.silent = b.silent && !s.start
+	s.silent = b.silent() && !s.start
 	if s.silent {
 		q.silentInFlight++
 	}
@@ -193,8 +193,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	b := q.backend(s.backend)
-	b.inFlight--
-	b.silent = !answered
+	b.finish(answered)
 	if s.silent {
 		q.silentInFlight--
 	}
