Resume concurrent stops once a backend server answers again

Cause: a server that had been silent had one goroutine left for its orders until the next one was queued, up to 0.5 s later; and an order in flight to a lost server left a record that nothing removed. Evidence: by reading; no run showed either. Change: an answer from a silent server starts senders for what waits; orders in flight hold their server's record, and closing the connection removes it.

--- a/internal/basilnode/backend_orders.go
+++ b/internal/basilnode/backend_orders.go
@@ -105,15 +105,8 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if b := q.backends[id]; b != nil {
-		b.waiting, b.misses = nil, 0
-		q.turns = slices.DeleteFunc(q.turns, func(t string) bool { return t == id })
-		q.forgetIdle(id)
-	}
-}
-
-// forgetIdle removes the record of a backend server that tells nothing. The caller must hold the mutex.
-func (q *orderQueue) forgetIdle(id string) {
-	if b := q.backends[id]; len(b.waiting) == 0 && b.inFlight == 0 && b.misses == 0 {
+		b.waiting = nil // those in flight still count for it
 		delete(q.backends, id)
+		q.turns = slices.DeleteFunc(q.turns, func(t string) bool { return t == id })
 	}
 }
--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -115,7 +115,7 @@
 
 // sending is an order that is being sent.
 type sending struct {
-	backend string
+	backend *backendOrders
 	send    func() (answered bool)
 	start   bool
 	silent  bool // the backend server was silent before
@@ -129,7 +129,7 @@
 	defer q.mutex.Unlock()
 	if o, ok := q.nextWaiting(); ok {
 		queued := now.Sub(o.queuedAt)
-		return q.markInFlight(sending{backend: o.Backend, send: func() bool { return o.send(queued) }}), nil
+		return q.markInFlight(sending{backend: q.backends[o.Backend], send: func() bool { return o.send(queued) }}), nil
 	}
 	var list []withdrawnStart
 	var skipped []queuedStart
@@ -145,7 +145,7 @@
 		q.starts = q.starts[n+1-len(skipped):]
 		copy(q.starts, skipped)
 		q.markGangStarted(&s)
-		return q.markInFlight(sending{backend: s.Backend, send: s.send, start: true}), list
+		return q.markInFlight(sending{backend: q.backend(s.Backend), send: s.send, start: true}), list
 	}
 	q.starts = skipped
 	if len(skipped) == 0 {
@@ -176,9 +176,8 @@
 
 // markInFlight counts the order as in flight and returns it. The caller must hold the mutex.
 func (q *orderQueue) markInFlight(s sending) sending {
-	b := q.backend(s.backend)
-	b.inFlight++
-	s.silent = b.silent() && !s.start
+	s.backend.inFlight++
+	s.silent = s.backend.silent() && !s.start
 	if s.silent {
 		q.silentInFlight++
 	}
@@ -192,15 +191,19 @@
 func (q *orderQueue) finish(s *sending, answered bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	b := q.backend(s.backend)
-	b.finish(answered)
-	if s.silent {
-		q.silentInFlight--
-	}
+	s.backend.finish(answered)
 	if s.start {
 		q.startsInFlight--
 	}
-	q.forgetIdle(s.backend)
+	if !s.silent {
+		return
+	}
+	q.silentInFlight--
+	if answered { // more than one may be in flight again
+		for range min(len(s.backend.waiting), basilrunner.MaxConcurrentOrders) {
+			q.spawnSender()
+		}
+	}
 }
 
 // check returns the reason why a start must not be sent now, if any. Once one start of a gang was sent, the others are
--- a/internal/basilnode/orders_test.go
+++ b/internal/basilnode/orders_test.go
@@ -194,6 +194,27 @@
 	})
 }
 
+// TestUnansweredStartsDoNotDelayStops checks that a stop is sent at once while as many starts wait for their answers as may.
+func TestUnansweredStartsDoNotDelayStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBlockedOwner()
+		for n := range 2 * maxOrdersInFlight {
+			s.queueStart(strconv.Itoa(n), 0, false)
+		}
+		synctest.Wait()
+		var stopped bool
+		s.queueStop("working", 0, func() bool {
+			stopped = true
+			return true
+		})
+		synctest.Wait()
+		must.True(t, stopped)
+		close(s.release)
+		synctest.Wait()
+		must.True(t, s.orders.idle())
+	})
+}
+
 // TestStopDoesNotSplitGang checks that a gang is sent as a whole if the owner gives up its shard while the first start
 // of the gang is being sent.
 func TestStopDoesNotSplitGang(t *testing.T) {
--- a/internal/basilscheduler/orphan.go
+++ b/internal/basilscheduler/orphan.go
@@ -19,11 +19,8 @@
 		b.orphans = make(map[Ref]*orphan)
 	}
 	b.orphans[r] = o
-	repeatAt := o.stopRequestedAt.Add(stopRetryInterval)
-	if !o.stopAnsweredAt.IsZero() && sent.Sub(o.stopAnsweredAt) <= p.options.StopTimeout+endReportDelay {
-		return
-	}
-	if now.Before(repeatAt) {
+	mayStillEnd := !o.stopAnsweredAt.IsZero() && sent.Sub(o.stopAnsweredAt) <= p.options.StopTimeout+endReportDelay
+	if mayStillEnd || now.Sub(o.stopRequestedAt) < stopRetryInterval {
 		return
 	}
 	o.stopRequestedAt, o.stopAnsweredAt = now, time.Time{}
