--- a/internal/basilnode/cancel_test.go
+++ b/internal/basilnode/cancel_test.go
@@ -1,6 +1,7 @@
 package basilnode_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -54,3 +55,91 @@
 		c.await(quotePrefix, jobID(1), "completed", 14*time.Second)
 	})
 }
+
+// TestSuccessorRepeatsLostStopsOfCancelledJob checks that a successor ends the tasks of a job that was cancelled while the shard had no
+// owner, also if a backend server without other runs doesn't answer the first stops.
+func TestSuccessorRepeatsLostStopsOfCancelledJob(t *testing.T) {
+	const bound = 3*time.Second + 900*time.Millisecond // the shortest cancel_ms of the deployments, and the time that a stop takes
+	run(t, 3, 4, constant(20*time.Second), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), many))
+		time.Sleep(3 * time.Second)
+		must.Eq(c.t, 600, c.site.Running(jobID(1)))
+		other := c.other("stretch")
+		c.kill(c.owner("stretch"))
+		c.cancel(other, quotePrefix, jobID(1))
+		for _, b := range c.site.Backends("stretch") {
+			c.site.SetFaults(b, basilfake.BackendFaults{Stops: 4})
+		}
+		time.Sleep(bound)
+		must.Eq(c.t, 0, c.site.Running(jobID(1)))
+	})
+}
+
+// TestRunThatBeginsLateIsStopped checks that a run of a cancelled job ends that an otherwise idle backend server begins late, after it
+// has started again and nothing tells of the earlier stop.
+func TestRunThatBeginsLateIsStopped(t *testing.T) {
+	const (
+		late  = 2800 * time.Millisecond
+		bound = 3*time.Second + 900*time.Millisecond // the shortest contact_ms of the deployments, and the time that a stop takes
+	)
+	run(t, 3, 4, constant(20*time.Second), func(c *cluster) {
+		for _, b := range c.site.Backends("stretch") {
+			c.site.SetFaults(b, basilfake.BackendFaults{LateBy: late, Every: 1, Reborn: true})
+		}
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), `{"spec":"x","steps":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":20000}]}`))
+		time.Sleep(300 * time.Millisecond)
+		c.cancel("entry-1", quotePrefix, jobID(1))
+		time.Sleep(1200 * time.Millisecond) // until the stop is answered
+		for _, b := range c.site.Backends("stretch") {
+			c.site.Reborn(b)
+		}
+		time.Sleep(late - 1400*time.Millisecond)
+		must.Eq(c.t, 1, c.site.Running(jobID(1)))
+		time.Sleep(bound)
+		must.Eq(c.t, 0, c.site.Running(jobID(1)))
+	})
+}
+
+// TestCancelAfterRouteChange checks that an entry host that started after a queue was routed to another service cancels a job that is
+// stored under the earlier one, rather than answer that there is no such job while its tasks run.
+func TestCancelAfterRouteChange(t *testing.T) {
+	const routed = `{"version":%d,"routes":[{"name":"quote","host":"shop.example","path_prefix":"/quote/","service":"%s","timeout_ms":3000,"slo_ms":600,"stretch":1.6,"max_attempts":3}],
+ "services":[{"name":"stretch","enforces_capacity":true},{"name":"press","enforces_capacity":true},{"name":"spare","standby":true}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":8192}}`
+	run(t, 2, 4, constant(20*time.Second), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+		c.site.AddPool("press", 2, 16000, 65536, false)
+		c.site.Configure(fmt.Sprintf(routed, 2, "press"))
+		time.Sleep(time.Second)
+		c.start("entry-3")
+		time.Sleep(3 * time.Second)
+		must.Eq(c.t, 3, c.site.Running(jobID(1)))
+		must.Eq(c.t, "active", c.state("entry-3", quotePrefix, jobID(1)))
+		c.cancel("entry-3", quotePrefix, jobID(1))
+		time.Sleep(time.Second)
+		must.Eq(c.t, 0, c.site.Running(jobID(1)))
+		status, _ := c.call("entry-3", http.MethodDelete, quotePrefix+jobID(2), "")
+		must.Eq(c.t, http.StatusGone, status)
+	})
+}
+
+// TestRepeatedSubmissionOfCancelledJobStartsNothing checks that a job stays cancelled if its submission is repeated after a takeover,
+// also if its tasks saved checkpoints when they were stopped.
+func TestRepeatedSubmissionOfCancelledJobStartsNothing(t *testing.T) {
+	const body = `{"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":64,"estimate_ms":20000,"checkpointing":true}]}`
+	run(t, 3, 4, constant(20*time.Second), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), body))
+		time.Sleep(time.Second)
+		must.Eq(c.t, 4, c.site.Running(jobID(1)))
+		other := c.other("stretch")
+		c.cancel(other, quotePrefix, jobID(1))
+		time.Sleep(time.Second)
+		must.Eq(c.t, 0, c.site.Running(jobID(1)))
+		c.kill(c.owner("stretch"))
+		time.Sleep(4 * time.Second)
+		must.Eq(c.t, "canceled", c.state(other, quotePrefix, jobID(1)))
+		must.Eq(c.t, http.StatusOK, c.submit(other, quotePrefix, jobID(1), body))
+		time.Sleep(2 * time.Second)
+		must.Eq(c.t, 0, c.site.Running(jobID(1)))
+	})
+}
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -230,7 +230,7 @@
 		"backends": l.Backends, "present": l.Present, "usable": l.Usable, "not_recorded": l.Unrecorded,
 		"used_cpu": l.Used.CPU, "room_cpu": l.Room.CPU, "wanted_cpu": l.WaitingDemand.CPU, "used_mb": l.Used.Memory, "room_mb": l.Room.Memory,
 		"hold_gather_ms": o.holdPacer.interval().Milliseconds(),
-		"orders_queued":  o.orders.queued(), "runs_without_job": l.Unknown, "runs_not_stopping": l.Unstopped,
+		"orders_queued":  o.orders.queued(), "runs_without_job": l.Orphans, "runs_not_stopping": l.Unstopped,
 	}).WithFields(o.stats.fields()).Info("pool load")
 }
 
@@ -268,6 +268,14 @@
 	version int64
 }
 
+// finishTime returns when the job finished. A row without that time counts from now, so that it is not removed early.
+func (j *storedJob) finishTime(now time.Time) time.Time {
+	if j.Finished == 0 {
+		return now
+	}
+	return time.UnixMilli(j.Finished)
+}
+
 // decodeJobs decodes rows of jobs. It blocks starts of cancelled jobs at once, because the control goroutine may
 // handle the cancellation late.
 func (o *owner) decodeJobs(items []basilplatform.Item) []storedJob {
@@ -302,7 +310,7 @@
 	_, known := o.versions[id]
 	o.versions[id] = j.version
 	if j.State.Final() {
-		o.finished[id] = time.UnixMilli(j.Finished)
+		o.finished[id] = j.finishTime(time.Now())
 	}
 	switch {
 	case j.State == basilwork.JobStateCanceled:
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"basilstage.example/basilstage/internal/basiltimer"
 	"basilstage.example/basilstage/internal/basilwork"
 )
@@ -18,6 +16,7 @@
 	defaultHoldPause = 40 * time.Millisecond  // default pause between holds, so that ended runs are reported in batches
 	unreachableAfter = 1500 * time.Millisecond
 	retryPause       = 300 * time.Millisecond // pause after a hold that failed
+	idleHoldInterval = 2 * time.Second        // between holds of an idle backend server; a run that begins late there may go on for 3 s at least
 	leaseMargin      = 300 * time.Millisecond // how much shorter a requested lease is than the longest that backend servers grant
 	startLease       = 4 * time.Second        // shortest lease that a start order requests
 )
@@ -59,6 +58,8 @@
 	acked       int64
 	ackAnswered int64 // newest acknowledgement that the backend server has answered
 	busy        bool
+	watched     bool      // the runs there are stopped, and reports are needed until they are gone
+	heldAt      time.Time // when the last hold was sent
 	attached    bool
 	reachable   bool
 	lost        bool               // Sink.Lost is called, after which its tasks may be started elsewhere
@@ -93,21 +94,34 @@
 	c.acked = max(c.acked, acked)
 	c.mutex.Unlock()
 	if holdNow {
-		select {
-		case c.wake <- struct{}{}:
-		default:
-		}
+		c.wakeUp()
+	}
+}
+
+// SetWatched sets whether reports are needed until runs that are being stopped have ended. Their leases are not extended for that.
+func (c *Connection) SetWatched(watched bool) {
+	c.mutex.Lock()
+	holdNow := watched && !c.watched
+	c.watched = watched
+	c.mutex.Unlock()
+	if holdNow {
+		c.wakeUp()
+	}
+}
+
+// wakeUp has Run check whether a hold is needed.
+func (c *Connection) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
 	}
 }
 
 // Run renews the leases and requests reports until the context ends or the incarnation is gone.
 func (c *Connection) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !c.holdNeeded() {
-			select {
-			case <-ctx.Done():
-			case <-c.wake:
-			}
+		if wait := c.idleTime(time.Now()); wait > 0 {
+			c.awaitWake(ctx, wait)
 			continue
 		}
 		sent := time.Now()
@@ -125,16 +139,32 @@
 	}
 }
 
-func (c *Connection) holdNeeded() bool {
+// idleTime returns the time until the next hold is needed. An idle backend server is held now and then too, because a start
+// without an answer may be carried out there seconds later.
+func (c *Connection) idleTime(now time.Time) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.busy || !c.attached || c.acked > c.ackAnswered
+	if c.busy || c.watched || !c.attached || c.acked > c.ackAnswered || !c.firstMissAt.IsZero() {
+		return 0
+	}
+	return max(0, idleHoldInterval-now.Sub(c.heldAt))
+}
+
+// awaitWake waits until a hold may be needed, for the given time at most.
+func (c *Connection) awaitWake(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-c.wake:
+	case <-timer.C:
+	}
 }
 
 func (c *Connection) holdWaitTime() time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.attached && c.reachable && c.busy && c.firstMissAt.IsZero() {
+	if c.attached && c.reachable && (c.busy || c.watched) && c.firstMissAt.IsZero() {
 		return maxHoldWait
 	}
 	return 0
@@ -187,8 +217,9 @@
 		o.Deadline = c.lease.Deadline(time.Now(), c.options.MaxLease-leaseMargin)
 	}
 	b := c.backend
-	c.mutex.Unlock()
 	sent := time.Now()
+	c.heldAt = sent
+	c.mutex.Unlock()
 	r, err := c.options.Commander.Hold(ctx, b, o)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -261,7 +292,7 @@
 	if unreachable {
 		c.reachable = false
 	}
-	lapsed := c.attached && now.After(c.lease.Expiry())
+	lapsed := c.attached && now.After(c.expiry())
 	c.lost = lapsed
 	c.mutex.Unlock()
 	if unreachable {
@@ -273,6 +304,15 @@
 	return !lapsed
 }
 
+// expiry returns the time at which all runs have certainly ended. An idle backend server may have runs that this owner doesn't
+// know, with the longest lease. The caller must hold the mutex.
+func (c *Connection) expiry() time.Time {
+	if c.busy {
+		return c.lease.Expiry()
+	}
+	return c.lease.LastExpiry(c.options.MaxLease)
+}
+
 func (c *Connection) pause(ctx context.Context, err error) {
 	d := defaultHoldPause
 	if c.options.HoldInterval != nil {
@@ -296,82 +336,3 @@
 	}
 	return retryPause
 }
-
-// acquireSlot waits for one of the MaxConcurrentOrders slots, for maxTimeout at most.
-func (c *Connection) acquireSlot(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, maxTimeout)
-	defer cancel()
-	select {
-	case c.orderSlots <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (c *Connection) releaseSlot() { <-c.orderSlots }
-
-// Start sends an order to start a run; answered is false if no answer came, so that the run may have been started.
-func (c *Connection) Start(ctx context.Context, o basilwork.StartOrder) (refusal basilwork.Refusal, answered bool) {
-	if !c.acquireSlot(ctx) {
-		return basilwork.RefusalBusy, true
-	}
-	defer c.releaseSlot()
-	c.mutex.Lock()
-	switch {
-	case c.lost:
-		c.mutex.Unlock()
-		return basilwork.RefusalUnsent, true
-	case !c.options.MayStart() || !c.lease.Known():
-		c.mutex.Unlock()
-		return basilwork.RefusalBusy, true
-	}
-	o.Deadline = c.lease.Deadline(time.Now(), startLease)
-	o.Fence = c.options.Fence
-	b := c.backend
-	c.mutex.Unlock()
-	return c.order(ctx, func(ctx context.Context) (int64, error) { return c.options.Commander.Start(ctx, b, o) })
-}
-
-// Stop sends an order to stop a run and reports whether the backend server carried it out.
-func (c *Connection) Stop(ctx context.Context, o basilwork.StopOrder) bool {
-	if !c.acquireSlot(ctx) {
-		return false
-	}
-	defer c.releaseSlot()
-	o.Fence = c.options.Fence
-	refusal, answered := c.order(ctx, func(ctx context.Context) (int64, error) { return c.options.Commander.Stop(ctx, c.Backend(), o) })
-	return answered && refusal == basilwork.RefusalNone
-}
-
-// Pace sends an order to limit the speed of a run and reports whether the backend server carried it out.
-func (c *Connection) Pace(ctx context.Context, o basilwork.PaceOrder) bool {
-	if !c.acquireSlot(ctx) {
-		return false
-	}
-	defer c.releaseSlot()
-	o.Fence = c.options.Fence
-	refusal, answered := c.order(ctx, func(ctx context.Context) (int64, error) { return c.options.Commander.Pace(ctx, c.Backend(), o) })
-	return answered && refusal == basilwork.RefusalNone
-}
-
-// order sends an order; answered is false if no answer came in time.
-func (c *Connection) order(ctx context.Context, send func(ctx context.Context) (clock int64, err error)) (refusal basilwork.Refusal, answered bool) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout.Get())
-	defer cancel()
-	sent := time.Now()
-	clock, err := send(ctx)
-	if err == nil {
-		c.mutex.Lock()
-		c.lease.RecordAnswer(clock, time.Now())
-		c.timeout.Answered(time.Since(sent))
-		c.mutex.Unlock()
-		return basilwork.RefusalNone, true
-	}
-	var unanswered basilwork.ErrNoAnswer
-	if errors.As(err, &unanswered) {
-		c.timeout.Missed()
-		return basilwork.RefusalNone, false
-	}
-	return basilwork.RefusalOf(err), true
-}
--- /dev/null
+++ b/internal/basilscheduler/stop_test.go
@@ -0,0 +1,75 @@
+package basilscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// TestRunThatOutlivesItsStopIsStoppedAgain checks that a run of a cancelled job that reports go on listing after its stop was
+// answered is stopped again, as an earlier incarnation may have answered, and that nothing is repeated while it may still end.
+func TestRunThatOutlivesItsStopIsStoppedAgain(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	f.options.StopTimeout = 900 * time.Millisecond
+	f.addJob("one", stepOf(1, 1000))
+	starts := f.decideAndStart()
+	must.Len(t, 1, starts)
+	f.Cancel("one", f.now)
+	must.Len(t, 1, f.Decide(f.now).Stops)
+	f.Stopped(starts[0].Ref, true, f.now)
+	f.advance(f.options.StopTimeout)
+	f.report("b1", 50)
+	must.SliceEmpty(t, f.Decide(f.now).Stops)
+	f.advance(time.Second)
+	f.report("b1", 50)
+	must.Len(t, 1, f.Decide(f.now).Stops)
+	f.Stopped(starts[0].Ref, true, f.now)
+	f.advance(100 * time.Millisecond)
+	f.Report("b1", basilwork.Report{}, f.now, f.now)
+	must.Eq(t, 0, f.Load(f.now).Jobs)
+}
+
+// TestStopOfUnknownRunIsRepeatedUntilItEnds checks that a run without a job is stopped again while no stop is answered or none has
+// an effect, once per interval however many reports list it.
+func TestStopOfUnknownRunIsRepeatedUntilItEnds(t *testing.T) {
+	const reportInterval = 100 * time.Millisecond
+	f := newFixture(t, backendOf("b1", 4000))
+	f.options.StopTimeout = 900 * time.Millisecond
+	listing := basilwork.Report{Running: []basilwork.RunStatus{{Task: "one.0.0.0", Attempt: 1}}}
+	var stops []Stop
+	for range 10 {
+		f.Report("b1", listing, f.now, f.now)
+		stops = append(stops, f.Decide(f.now).Stops...)
+		f.advance(reportInterval)
+	}
+	must.Len(t, 2, stops)
+	must.True(t, f.HasOrphans("b1"))
+	f.Stopped(stops[1].Ref, true, f.now)
+	for range 20 {
+		f.Report("b1", listing, f.now, f.now)
+		stops = append(stops, f.Decide(f.now).Stops...)
+		f.advance(reportInterval)
+	}
+	must.Len(t, 4, stops)
+	f.Report("b1", basilwork.Report{}, f.now, f.now)
+	must.False(t, f.HasOrphans("b1"))
+}
+
+// TestCancelledJobIsNotStoredAgain checks that a checkpoint of a stopped run doesn't have a cancelled job's record stored, which would
+// replace the one that the cancellation left.
+func TestCancelledJobIsNotStoredAgain(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	s := stepOf(1, 1000)
+	s.Checkpointing = true
+	f.addJob("one", s)
+	must.Len(t, 1, f.decideAndStart())
+	f.Cancel("one", f.now)
+	f.advance(100 * time.Millisecond)
+	f.report("b1", 50, basilwork.EndedRun{Number: 1, Task: "one.0.0.0", Attempt: 1, End: basilwork.RunEndStopped, Checkpoint: "x"})
+	ids, _ := f.DirtyJobs()
+	must.SliceEmpty(t, ids)
+	must.Eq(t, 0, f.Load(f.now).Jobs)
+}
