--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -238,7 +238,9 @@
 	if status != http.StatusOK {
 		return http.StatusText(status)
 	}
-	return strings.Trim(strings.TrimPrefix(body, `{"state":`), `"}`)
+	state := strings.Trim(strings.TrimPrefix(body, `{"state":`), `"}`)
+	c.site.Shown(id, state)
+	return state
 }
 
 // await waits until any entry host reports the state for the job.
