Log and count the runs that are lost with a backend server

Callers saw jobs come late or never whose runs were lost again and again with their servers; the logs named the server only, and no task. Ends as lost were neither logged nor counted.

`runs lost with backend server` names the reason, since when the server was silent, and up to 16 runs with attempt, age and whether the start was answered; `runs_lost` counts them by reason. Those whose start was answered come first, the newest ahead, as starts that a silent server never began can't have crashed it. The newest and the suspect come first, so the bound doesn't hide it.

--- /dev/null
+++ b/internal/basilnode/losses.go
@@ -0,0 +1,64 @@
+package basilnode
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilscheduler"
+)
+
+const (
+	maxLoggedLosses = 16          // runs named in one log line, which is then about 1.5 KB long
+	reasonRestarted = "restarted" // the backend server runs as a new incarnation under its ID
+)
+
+// lostRun is a run in the log line about the runs that were lost with a backend server.
+type lostRun struct {
+	Task     string `json:"task"`
+	Attempt  int    `json:"attempt"`
+	Age      int64  `json:"age_ms"`   // since the start was requested
+	Answered bool   `json:"answered"` // the start was answered; otherwise it is unknown whether the run began
+}
+
+// recordLosses logs and counts those of the runs that the pool no longer has on a backend server.
+func (o *owner) recordLosses(id, reason string, before []basilscheduler.RunState, now time.Time) {
+	if len(before) == 0 {
+		return
+	}
+	kept := make(map[basilscheduler.Ref]bool)
+	for _, r := range o.pool.RunStates(id) {
+		kept[r.Ref] = true
+	}
+	lost := slices.DeleteFunc(before, func(r basilscheduler.RunState) bool { return kept[r.Ref] })
+	if len(lost) == 0 {
+		return
+	}
+	o.node.metrics.runsLost(reason, len(lost))
+	fields := logrus.Fields{basillog.FieldHost: id, basillog.FieldReason: reason, "runs": len(lost), "tasks": describeLosses(lost, now)}
+	if c := o.connections[id]; c != nil && reason != reasonRestarted { // a restarted backend server has just answered
+		fields["silent_ms"] = now.Sub(c.LastAnswer()).Milliseconds()
+	}
+	o.log.WithFields(fields).Warn("runs lost with backend server")
+}
+
+// describeLosses describes up to maxLoggedLosses runs. Those that may have caused a crash come first: the newest of those
+// whose start was answered.
+func describeLosses(lost []basilscheduler.RunState, now time.Time) []lostRun {
+	slices.SortStableFunc(lost, func(a, b basilscheduler.RunState) int {
+		if a.Answered != b.Answered {
+			if a.Answered {
+				return -1
+			}
+			return 1
+		}
+		return b.StartedAt.Compare(a.StartedAt)
+	})
+	list := make([]lostRun, 0, min(len(lost), maxLoggedLosses))
+	for _, r := range lost[:cap(list)] {
+		list = append(list, lostRun{Task: r.Task.String(), Attempt: r.Attempt, Age: now.Sub(r.StartedAt).Milliseconds(), Answered: r.Answered})
+	}
+	return list
+}
--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -22,6 +22,7 @@
 	commitsMetric  = "commits"
 	backendsMetric = "backends"
 	refusedMetric  = "store_writes_refused"
+	lostRunsMetric = "runs_lost"
 	answerLatency  = "answer_latency_ms"
 	startLatency   = "start_latency_ms"
 	commitLatency  = "commit_latency_ms"
@@ -88,6 +89,11 @@
 	m.counts.Add(refusedMetric+`{table="`+table+`"}`, 1)
 }
 
+// runsLost counts runs that were lost with a backend server, by reason.
+func (m *metrics) runsLost(reason string, runs int) {
+	m.counts.Add(lostRunsMetric+`{reason="`+reason+`"}`, int64(runs))
+}
+
 func (m *metrics) committed(records int, err error, d time.Duration) {
 	outcome := "ok"
 	if err != nil {
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -9,6 +9,7 @@
 
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilrunner"
+	"basilstage.example/basilstage/internal/basilscheduler"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
@@ -77,7 +78,9 @@
 // Report handles a backend server's answer to a hold request. restarted tells that the server has restarted.
 func (o *owner) Report(id string, r basilwork.Report, sent time.Time, restarted bool) {
 	o.send(func(now time.Time) {
+		var before []basilscheduler.RunState
 		if restarted {
+			before = o.pool.RunStates(id)
 			o.log.WithFields(logrus.Fields{basillog.FieldHost: id, "born": r.StartedAt}).Info("backend server restarted")
 			o.pool.Restarted(id, r, sent, now)
 			delete(o.commit.acked, id)
@@ -87,6 +90,7 @@
 		o.commit.setIncarnation(id, r.StartedAt)
 		o.logRunEnds(id, r)
 		o.pool.Report(id, r, sent, now)
+		o.recordLosses(id, reasonRestarted, before, now)
 	})
 }
 
@@ -117,7 +121,9 @@
 func (o *owner) Lost(id, reason string) {
 	o.send(func(now time.Time) {
 		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, basillog.FieldReason: reason}).Warn("backend server lost")
+		before := o.pool.RunStates(id)
 		o.pool.Lost(id, now)
+		o.recordLosses(id, reason, before, now)
 		o.closeConnection(id)
 		delete(o.commit.acked, id)
 		delete(o.commit.covered, id)
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -81,6 +81,13 @@
 	return c.backend
 }
 
+// LastAnswer returns when the backend server last answered, or the zero time if it has not answered yet.
+func (c *Connection) LastAnswer() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.lease.LastAnswer()
+}
+
 // SetBusy sets whether the backend server may have runs, and up to which number the ended runs of the incarnation that
 // started at startedAt are stored. If the backend server has another incarnation now, acked is ignored.
 func (c *Connection) SetBusy(busy bool, startedAt, acked int64) {
