Give up tasks that crash their backend servers

Cause: ends as lost were not counted, as they say nothing of the task alone; and what was lost together was started together again. Class: a retry without a limit on one way to end. Ruled out: counting each lost run like a failed one. Change: a crash is recorded with the tasks that had runs there, as weights in the job's progress; what shows a cause is being the only suspect of earlier crashes, and having been started last. Suspects are started apart from each other. The test of failing racks has tasks on all their servers, else one server alone fails. The bound of a task that crashes its server late is four crashes, within the five that the rule allows.

--- a/internal/basilexperiment/pool.go
+++ b/internal/basilexperiment/pool.go
@@ -104,7 +104,7 @@
 	p.ask = a
 	for id := range a.Gone {
 		if p.Knows(id) {
-			p.Lost(id, p.world.time())
+			p.Lost(id, basilwork.LossRemoved, p.world.time())
 		}
 	}
 	p.poke()
--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -11,6 +11,7 @@
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilshard"
+	"basilstage.example/basilstage/internal/basilwork"
 )
 
 // answerInterval is the minimum time between two reports of a pool's load, each of which is a billed write.
@@ -43,7 +44,7 @@
 	for id := range a.Gone {
 		if o.pool.Knows(id) {
 			o.log.WithField(basillog.FieldHost, id).Info("host of the backend server was ordered away")
-			o.pool.Lost(id, now)
+			o.pool.Lost(id, basilwork.LossRemoved, now)
 		}
 		o.closeConnection(id)
 	}
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -119,12 +119,12 @@
 }
 
 // Lost records that nothing runs any more on the known incarnation of a backend server, and closes its connection.
-func (o *owner) Lost(id, reason string) {
+func (o *owner) Lost(id string, reason basilwork.Loss) {
 	o.send(func(now time.Time) {
-		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, basillog.FieldReason: reason}).Warn("backend server lost")
+		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, basillog.FieldReason: reason.String()}).Warn("backend server lost")
 		before := o.pool.RunStates(id)
-		o.pool.Lost(id, now)
-		o.recordLosses(id, reason, before, now)
+		o.pool.Lost(id, reason, now)
+		o.recordLosses(id, reason.String(), before, now)
 		o.closeConnection(id)
 		delete(o.commit.acked, id)
 		delete(o.commit.covered, id)
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -31,7 +31,7 @@
 	Report(id string, r basilwork.Report, sent time.Time, restarted bool)
 	Attached(id string)
 	Reachable(id string, reachable bool)
-	Lost(id string, reason string)
+	Lost(id string, reason basilwork.Loss)
 	Fenced(id string)
 }
 
@@ -250,7 +250,7 @@
 		c.mutex.Lock()
 		c.lost = true
 		c.mutex.Unlock()
-		c.options.Sink.Lost(c.backend.ID, "another incarnation runs at its address")
+		c.options.Sink.Lost(c.backend.ID, basilwork.LossReplaced)
 		return false
 	case refusal == basilwork.RefusalFence:
 		c.options.Sink.Fenced(c.backend.ID)
@@ -306,7 +306,7 @@
 		c.options.Sink.Reachable(id, false)
 	}
 	if lapsed {
-		c.options.Sink.Lost(id, "all its leases have expired")
+		c.options.Sink.Lost(id, basilwork.LossExpired)
 	}
 	return !lapsed
 }
--- a/internal/basilscheduler/action.go
+++ b/internal/basilscheduler/action.go
@@ -51,16 +51,23 @@
 	Estimate time.Duration
 }
 
+// GivenUp reports that a job is failed because of a task under which backend servers crashed.
+type GivenUp struct {
+	Task    basilwork.TaskID
+	Crashes []basilwork.Crash
+}
+
 // Actions are the actions that a decision requests.
 type Actions struct {
-	Starts []Start
-	Stops  []Stop
-	Paces  []Pace
-	Advice []AdviceRequest
-	Slow   []Slowness // for information only; requires no action
+	Starts  []Start
+	Stops   []Stop
+	Paces   []Pace
+	Advice  []AdviceRequest
+	Slow    []Slowness // for information only, like those below
+	GivenUp []GivenUp
 }
 
-// Empty reports whether no action is requested; slowness reports don't count.
+// Empty reports whether no action is requested; what is for information only doesn't count.
 func (a *Actions) Empty() bool {
 	return len(a.Starts)+len(a.Stops)+len(a.Paces)+len(a.Advice) == 0
 }
--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -22,6 +22,8 @@
 	fillerCPU      int       // CPU of the filler runs, in thousandths of a core
 	busyUntil      time.Time // latest expected end of its runs
 	blockedUntil   time.Time // no new runs before this time
+	heardAt        time.Time // when it last answered a hold or a start
+	quarantinedFor *run      // suspect that was started on it last; nil if it has ended
 	failures       int       // consecutive failed runs, of distinct jobs in failedJobs
 	failedJobs     map[string]bool
 	slowOdds       float64   // logarithm of the odds that the backend server is slow
@@ -72,6 +74,9 @@
 		return
 	}
 	b.runs = slices.Delete(b.runs, n, n+1)
+	if b.quarantinedFor == r {
+		b.quarantinedFor = nil
+	}
 	spec := r.task.step.spec
 	b.used = b.used.Sub(r.task.step.demand)
 	switch {
--- /dev/null
+++ b/internal/basilscheduler/crash.go
@@ -0,0 +1,199 @@
+package basilscheduler
+
+import (
+	"slices"
+	"time"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// A task that crashes its backend servers takes down all that runs beside it, and each restart costs another backend server
+// some seconds. Since all runs of a crashed backend server are lost alike, the cause shows only over several crashes: a task that
+// had a run on each, mostly the last one that was started. A backend server that crashes again without such a task, or with
+// its rack, is the cause itself.
+const (
+	maxSuspicion   = 4                      // sum of weights at which a task is given up: after two to four crashes
+	quarantineTime = 300 * time.Millisecond // how long a suspect must have run before others are started beside it; reports arrive in about it
+)
+
+// Weights of a crash for the tasks that had runs on the backend server.
+const (
+	crashWeightPossible = 1 // one of several, or the backend server may have crashed by itself
+	crashWeightLikely   = 2 // of the suspects of earlier crashes, the only one that was started last
+	crashWeightCertain  = 3 // the only suspect of earlier crashes, and started last
+)
+
+// suspicionOf returns the sum of the weights of the crashes.
+func suspicionOf(crashes []basilwork.Crash) int {
+	sum := 0
+	for _, c := range crashes {
+		sum += c.Weight
+	}
+	return sum
+}
+
+// recordCrash counts the crash for the tasks that had runs on the backend server, and gives up those that are certain to crash
+// any.
+func (p *Pool) recordCrash(l *silence, now time.Time) {
+	c := newCrash()
+	c.withRack = p.rackFailed(l)
+	for _, o := range p.silences {
+		c.again = c.again || o.address == l.address && len(o.crashed) > 0 && !p.explained(&o)
+	}
+	for _, s := range l.suspects {
+		c.add(s, p.suspicion(s.task))
+	}
+	for _, s := range l.suspects {
+		weight := c.weight(s, p.suspicion(s.task))
+		if weight == 0 && p.excuse(s.task) {
+			continue
+		}
+		p.recordCrashedRun(s.task, basilwork.Crash{Attempt: s.attempt, Weight: max(weight, crashWeightPossible)}, now)
+	}
+	l.suspects, l.crashed = nil, l.suspects
+}
+
+// explained reports whether a suspect of the crash was the likely cause of another one since.
+func (p *Pool) explained(l *silence) bool {
+	return slices.ContainsFunc(l.crashed, func(s suspect) bool {
+		return p.givenUp[s.task.Job] || p.suspicion(s.task) > crashWeightLikely
+	})
+}
+
+// excuse reports whether a crash may pass without counting for the task: only the first one, so that each task is given up after
+// five crashes at the latest.
+func (p *Pool) excuse(id basilwork.TaskID) bool {
+	t := p.findTask(id)
+	if t == nil || t.excused {
+		return false
+	}
+	t.excused = true
+	return true
+}
+
+func (p *Pool) suspicion(id basilwork.TaskID) int {
+	if t := p.findTask(id); t != nil {
+		return t.suspicion
+	}
+	return 0
+}
+
+// crash sums up the suspects of one crash. It counts jobs, not tasks: it is the job that is given up in the end.
+type crash struct {
+	again       bool            // a backend server at the address crashed a short time ago
+	withRack    bool            // its rack failed
+	known       map[string]bool // jobs with suspects of earlier crashes
+	knownPrompt map[string]bool
+	strongest   int // strongest earlier suspicion of those started last
+}
+
+func newCrash() crash {
+	return crash{known: make(map[string]bool), knownPrompt: make(map[string]bool)}
+}
+
+func (c *crash) add(s suspect, suspicion int) {
+	if suspicion > 0 {
+		c.known[s.task.Job] = true
+	}
+	if s.prompt && suspicion > 0 {
+		c.knownPrompt[s.task.Job] = true
+		c.strongest = max(c.strongest, suspicion)
+	}
+}
+
+// weight returns the weight of the crash for a suspect, or 0 if something else explains the crash.
+func (c *crash) weight(s suspect, suspicion int) int {
+	known := suspicion > 0
+	switch {
+	case c.withRack, c.again:
+		if !s.certain {
+			return 0
+		}
+		return crashWeightPossible
+	case !known && !s.prompt && c.strongest >= crashWeightLikely:
+		return 0 // the suspect of earlier crashes explains this one
+	case known && s.prompt && len(c.known) == 1:
+		return crashWeightCertain
+	case known && s.prompt && len(c.knownPrompt) == 1:
+		return crashWeightLikely
+	}
+	return crashWeightPossible
+}
+
+func (p *Pool) recordCrashedRun(id basilwork.TaskID, c basilwork.Crash, now time.Time) {
+	t := p.findTask(id)
+	if t == nil || t.done || t.step.occurrence.job.record.State.Final() {
+		return
+	}
+	progress, j := t.step.progress, t.step.occurrence.job
+	if !progress.AddCrash(id.Index, c) {
+		return
+	}
+	p.markDirty(j)
+	t.suspicion = suspicionOf(progress.Crashes[id.Index])
+	if t.suspicion < maxSuspicion {
+		return
+	}
+	if p.givenUp == nil {
+		p.givenUp = make(map[string]bool)
+	}
+	p.givenUp[id.Job] = true
+	p.actions.GivenUp = append(p.actions.GivenUp, GivenUp{Task: id, Crashes: progress.Crashes[id.Index]})
+	p.failJob(j, now)
+}
+
+// clearIfAtWork drops the suspicion of a long-running task that is at work: it didn't crash its backend server.
+func (p *Pool) clearIfAtWork(r *run) {
+	t := r.task
+	if t.suspicion == 0 || !t.step.spec.LongRunning || r.percent < 100 {
+		return
+	}
+	t.suspicion = 0
+	delete(t.step.progress.Crashes, t.id.Index)
+	p.markDirty(t.step.occurrence.job)
+}
+
+// quarantined reports whether a suspect was started on the backend server and no report shows yet that it survived that.
+func (b *backend) quarantined() bool {
+	r := b.quarantinedFor
+	return r != nil && b.heardAt.Before(r.orderedAt.Add(quarantineTime))
+}
+
+// crashRisk returns how much speaks against starting a suspect on the backend server: other suspects there, which can't be told
+// apart, long-running tasks, or that the backend server may crash by itself.
+func (p *Pool) crashRisk(b *backend) int {
+	risk := b.longRuns
+	if slices.ContainsFunc(p.silences, func(l silence) bool { return l.address == b.Address }) {
+		risk++
+	}
+	for _, r := range b.runs {
+		if r.task.suspicion > 0 {
+			risk++
+		}
+	}
+	return risk
+}
+
+// recordPredecessorCrash counts a crash for the suspects that a previous owner had running, once all its backend servers have
+// answered or are lost and one of them has crashed: what ran there is unknown, but suspects that run nowhere did.
+func (p *Pool) recordPredecessorCrash(now time.Time) {
+	if !p.inheritedCrash || len(p.predecessorUntil) > 0 {
+		return
+	}
+	p.inheritedCrash = false
+	attempt := int(p.options.Epoch-1) * attemptsPerEpoch
+	for _, j := range p.jobs {
+		if !j.adopted || j.record.State.Final() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				for index := range s.progress.Crashes {
+					if t := s.tasks[index]; t.idle() {
+						p.recordCrashedRun(t.id, basilwork.Crash{Attempt: attempt, Weight: crashWeightPossible}, now)
+					}
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/basilscheduler/crash_test.go
@@ -0,0 +1,206 @@
+package basilscheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// crash has the backend server replaced by a new incarnation at its address, under another ID.
+func (f *fixture) crash(id string) string {
+	b := f.backends[id].Backend
+	f.advance(3 * time.Second)
+	f.Lost(id, basilwork.LossReplaced, f.now)
+	b.ID += "'"
+	list := []basilwork.Backend{b}
+	for _, o := range f.list {
+		list = append(list, o.Backend)
+	}
+	f.setBackends(list...)
+	return b.ID
+}
+
+// backendsInRacks returns backend servers that stand two to a rack.
+func backendsInRacks(count int) []basilwork.Backend {
+	list := make([]basilwork.Backend, 0, count)
+	for n := range count {
+		b := backendOf(fmt.Sprintf("b%d", n), 8000)
+		b.Address, b.Rack, b.StartedAt = b.ID, fmt.Sprintf("r1-%d", n/2), 1
+		list = append(list, b)
+	}
+	return list
+}
+
+// reportAll sends reports of all backend servers.
+func (f *fixture) reportAll() {
+	for _, b := range f.list {
+		f.report(b.ID, 50)
+	}
+}
+
+// state returns the state of the job, which must have unsaved changes.
+func (f *fixture) state(id string) basilwork.JobState {
+	r, _ := f.Take(id)
+	return r.State
+}
+
+// TestTaskThatCrashesBackendsIsGivenUp checks that a task is given up after the second backend server that crashed at its start,
+// and none that ran beside it.
+func TestTaskThatCrashesBackendsIsGivenUp(t *testing.T) {
+	f := newFixture(t, backendsInRacks(6)...)
+	f.addJob("beside", stepOf(12, 1000))
+	must.Len(t, 12, f.decideAndStart())
+	f.advance(200 * time.Millisecond)
+	f.reportAll()
+	f.addJob("bad", stepOf(1, 1000))
+	for n := range 2 {
+		starts := f.decideAndStart()
+		for _, s := range starts {
+			if s.Task.Job == "bad" {
+				must.Eq(t, n+1, s.Attempt)
+				f.crash(s.Backend)
+			}
+		}
+	}
+	a := f.Decide(f.now)
+	must.Len(t, 1, a.GivenUp)
+	must.Eq(t, "bad", a.GivenUp[0].Task.Job)
+	must.Eq(t, basilwork.JobStateFailed, f.state("bad"))
+	must.NotEq(t, basilwork.JobStateFailed, f.state("beside"))
+}
+
+// TestTaskIsGivenUpAfterFourCrashes checks that a task is given up after four crashes at most, however long it ran before each and
+// whatever else was started beside it.
+func TestTaskIsGivenUpAfterFourCrashes(t *testing.T) {
+	f := newFixture(t, backendsInRacks(12)...)
+	f.addJob("bad", stepOf(1, 1000))
+	crashes := 0
+	for n := 0; f.jobs["bad"] != nil && !f.jobs["bad"].record.State.Final(); n++ {
+		must.Less(t, 5, n)
+		starts := f.decideAndStart()
+		f.advance(time.Second)
+		f.reportAll()
+		f.addJob(fmt.Sprint("beside", n), stepOf(12, 1000))
+		f.decideAndStart()
+		for _, s := range starts {
+			if s.Task.Job == "bad" {
+				crashes++
+				f.crash(s.Backend)
+			}
+		}
+	}
+	must.Between(t, 2, crashes, 4)
+	must.Eq(t, basilwork.JobStateFailed, f.state("bad"))
+}
+
+// TestTasksOfFailedRackAreNotGivenUp checks that tasks outlast two failures of the racks that they run in.
+func TestTasksOfFailedRackAreNotGivenUp(t *testing.T) {
+	f := newFixture(t, backendsInRacks(6)...)
+	f.addJob("j", stepOf(16, 1000))
+	for range 2 {
+		starts := f.decideAndStart()
+		f.reportAll()
+		rack := f.backends[starts[0].Backend].Rack
+		var ids []string
+		for _, b := range f.list {
+			if b.Rack == rack {
+				ids = append(ids, b.ID)
+				f.SetReachable(b.ID, false)
+			}
+		}
+		must.Len(t, 2, ids)
+		for _, id := range ids {
+			f.crash(id)
+		}
+	}
+	must.SliceEmpty(t, f.Decide(f.now).GivenUp)
+	must.NotEq(t, basilwork.JobStateFailed, f.state("j"))
+}
+
+// TestUnreachableBackendIsNoCrash checks that a lost backend server counts as crashed only if it comes back in another incarnation.
+func TestUnreachableBackendIsNoCrash(t *testing.T) {
+	for _, started := range []int64{1, 2} {
+		f := newFixture(t, backendsInRacks(2)...)
+		f.addJob("j", stepOf(1, 1000))
+		id := f.decideAndStart()[0].Backend
+		b := f.backends[id].Backend
+		f.advance(7 * time.Second)
+		f.Lost(id, basilwork.LossExpired, f.now)
+		b.StartedAt = started
+		other := f.list[0].Backend
+		f.setBackends(b, other)
+		f.Decide(f.now)
+		must.Eq(t, started > 1, f.jobs["j"].occurrences[0].steps[0].tasks[0].suspicion > 0)
+	}
+}
+
+// TestLongRunningTaskAtWorkIsNoSuspect checks that crashes count against a long-running task only until it is at work.
+func TestLongRunningTaskAtWorkIsNoSuspect(t *testing.T) {
+	f := newFixture(t, backendsInRacks(8)...)
+	f.addJob("j", longStep(1, 1000))
+	suspicion := func() int { return f.jobs["j"].occurrences[0].steps[0].tasks[0].suspicion }
+	first := f.decideAndStart()[0].Backend
+	f.crash(first)
+	must.Positive(t, suspicion())
+	for range 4 {
+		id := f.decideAndStart()[0].Backend
+		f.advance(time.Second)
+		f.report(id, 100)
+		must.Zero(t, suspicion())
+		f.crash(id)
+		must.Zero(t, suspicion())
+	}
+}
+
+// TestStartsToSilentBackendAreNoSuspects checks that of the starts without an answer only the first may have crashed the backend
+// server.
+func TestStartsToSilentBackendAreNoSuspects(t *testing.T) {
+	f := newFixture(t, backendsInRacks(1)...)
+	for n := range 3 {
+		id := fmt.Sprint("j", n)
+		f.addJob(id, stepOf(1, 1000))
+		starts := f.Decide(f.now).Starts
+		must.Len(t, 1, starts)
+		f.advance(200 * time.Millisecond)
+		f.Started(starts[0].Ref, basilwork.RefusalNone, false, f.now)
+	}
+	f.crash("b0")
+	for n, positive := range []bool{true, false, false} {
+		must.Eq(t, positive, f.jobs[fmt.Sprint("j", n)].occurrences[0].steps[0].tasks[0].suspicion > 0)
+	}
+}
+
+// TestCrashesOutlastOwner checks that a new owner goes on counting the crashes under a task.
+func TestCrashesOutlastOwner(t *testing.T) {
+	f := newFixture(t, backendsInRacks(4)...)
+	f.addJob("bad", stepOf(1, 1000))
+	f.crash(f.decideAndStart()[0].Backend)
+	r, ok := f.Take("bad")
+	must.True(t, ok)
+	next := newFixture(t, backendsInRacks(4)...)
+	next.AddJob(r, false)
+	starts := next.decideAndStart()
+	must.Eq(t, 2, starts[0].Attempt)
+	next.crash(starts[0].Backend)
+	must.Len(t, 1, next.Decide(next.now).GivenUp)
+}
+
+// TestNothingStartsBesideNewSuspect checks that other tasks are kept off a backend server right after a suspect was started there.
+func TestNothingStartsBesideNewSuspect(t *testing.T) {
+	f := newFixture(t, backendsInRacks(2)...)
+	f.addJob("bad", stepOf(1, 1000))
+	f.crash(f.decideAndStart()[0].Backend)
+	suspect := f.decideAndStart()[0].Backend
+	f.addJob("j", stepOf(4, 1000))
+	for _, s := range f.decideAndStart() {
+		must.NotEq(t, suspect, s.Backend)
+	}
+	f.advance(quarantineTime)
+	f.report(suspect, 20)
+	f.addJob("k", stepOf(10, 1000))
+	must.Len(t, 10, f.decideAndStart())
+}
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -26,6 +26,8 @@
 	p.wakeTime = now.Add(maxWakeInterval)
 	p.needsBackend = p.needsBackend && p.startLimit == 0 // keeps the last result, as nothing is placed then
 	p.expirePredecessors(now)
+	p.explainSilences(now)
+	p.recordPredecessorCrash(now)
 	p.updateMedianOdds(now)
 	p.openDueOccurrences(now)
 	p.removeDone()
@@ -68,6 +70,9 @@
 func (p *Pool) start(c *candidate, t *task, b *backend, attempt int, tickets map[string]string, now time.Time) {
 	r := &run{task: t, backend: b, attempt: attempt, phase: phaseStarting, orderedAt: now, pace: fullPace, resumed: t.checkpoint != ""}
 	t.attempt = attempt
+	if t.suspicion > 0 {
+		b.quarantinedFor = r
+	}
 	p.addRun(r, p.expectedEnd(t.step, now))
 	p.actions.Starts = append(p.actions.Starts, Start{
 		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.checkpoint, Ticket: tickets[b.ID], Gang: t.step.spec.Gang,
@@ -154,7 +159,7 @@
 		if rack != "" && b.Rack != rack || b.reserved || !p.fits(t, b, tickets, now) {
 			continue
 		}
-		if s := scoreOf(t.step, b, length, now); best == nil || s.less(bestScore) {
+		if s := p.scoreOf(t, b, length, now); best == nil || s.less(bestScore) {
 			best, bestScore = b, s
 		}
 	}
@@ -163,7 +168,7 @@
 
 func (p *Pool) fits(t *task, b *backend, tickets map[string]string, now time.Time) bool {
 	s := t.step
-	if !b.free().Covers(s.demand) || !b.usable(now) || !b.hasLabel(s.spec.Label) {
+	if !b.free().Covers(s.demand) || !b.usable(now) || !b.hasLabel(s.spec.Label) || b.quarantined() {
 		return false
 	}
 	if tickets != nil && tickets[b.ID] == "" {
@@ -212,9 +217,10 @@
 }
 
 // scoreOf packs tasks so that some backend servers become empty soon and can be removed: a short task goes where other
-// runs are expected to last at least as long. Filler tasks are kept apart from long-running ones.
-func scoreOf(s *step, b *backend, length time.Duration, now time.Time) score {
-	penalty := 0
+// runs are expected to last at least as long. Filler tasks are kept apart from long-running ones. A task that may crash its
+// backend server goes where the fewest runs would be lost.
+func (p *Pool) scoreOf(t *task, b *backend, length time.Duration, now time.Time) score {
+	s, penalty := t.step, 0
 	if s.spec.Affinity != "" && b.Rack != s.spec.Affinity {
 		penalty = 1
 	}
@@ -222,6 +228,8 @@
 		penalty += 2 // worse than a distant rack: the task would soon be moved, or delay the maintenance of the host
 	}
 	switch {
+	case t.suspicion > 0:
+		return score{p.crashRisk(b), len(b.runs), penalty}
 	case s.spec.Filler:
 		return score{penalty, b.longRuns, b.fillerCPU - b.free().CPU}
 	case s.spec.LongRunning && b.longRuns >= maxPackedLongRuns:
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -48,6 +48,7 @@
 		return
 	}
 	b.needsCheck = true
+	b.heardAt = now
 	for _, e := range report.Ended {
 		if e.Number <= b.lastEndNumber {
 			continue
@@ -116,6 +117,7 @@
 	}
 	r.usage = s.Usage
 	r.listedAt = now
+	p.clearIfAtWork(r)
 	p.observe(r, r.projectedRunTime(), now)
 	return r
 }
@@ -225,6 +227,7 @@
 	t.done = true
 	s.progress.SetDone(t.id.Index)
 	delete(s.progress.Checkpoints, t.id.Index)
+	delete(s.progress.Crashes, t.id.Index)
 	j := o.job
 	p.markDirty(j)
 	for _, r := range t.runs {
@@ -278,9 +281,12 @@
 	}
 	p.markDirty(j)
 	t.notBefore = now.Add(retryPause)
-	if p.failedAttempts(t) < j.maxAttempts() {
-		return
+	if p.failedAttempts(t) >= j.maxAttempts() {
+		p.failJob(j, now)
 	}
+}
+
+func (p *Pool) failJob(j *job, now time.Time) {
 	p.finalize(j, basilwork.JobStateFailed)
 	j.record.Finished = now.UnixMilli()
 	j.urgent = true
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -62,6 +62,8 @@
 	notBefore  time.Time
 	readyAt    time.Time
 	avoidUntil map[string]time.Time // backend servers to avoid, and until when
+	suspicion  int                  // weight of the recorded crashes of backend servers that had a run of it
+	excused    bool                 // a crash that something else explains was not counted
 }
 
 func (t *task) idle() bool { return !t.done && len(t.runs) == 0 }
@@ -188,6 +190,10 @@
 	for _, a := range s.progress.Failed[index] {
 		t.attempt = max(t.attempt, a)
 	}
+	for _, c := range s.progress.Crashes[index] {
+		t.attempt = max(t.attempt, c.Attempt)
+	}
+	t.suspicion = suspicionOf(s.progress.Crashes[index])
 	if !t.done {
 		s.unfinished++
 		s.idle++
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -59,11 +59,14 @@
 	actions          Actions
 	wakeTime         time.Time
 	fenced           bool
-	arrivedWork      int64     // estimated work of the jobs added so far, in thousandths of core-seconds
-	medianOdds       float64   // median of slowOdds over the usable backend servers
-	comparedAt       time.Time // when medianOdds was last computed
-	needsBackend     bool      // a long-running task found no room in the last decision
-	startLimit       int       // maximum number of starts per decision
+	arrivedWork      int64           // estimated work of the jobs added so far, in thousandths of core-seconds
+	medianOdds       float64         // median of slowOdds over the usable backend servers
+	comparedAt       time.Time       // when medianOdds was last computed
+	needsBackend     bool            // a long-running task found no room in the last decision
+	silences         []silence       // of backend servers that were lost lately
+	givenUp          map[string]bool // jobs given up since backend servers crashed under their tasks, while silences are kept
+	inheritedCrash   bool            // a backend server that may have had runs of a predecessor has crashed
+	startLimit       int             // maximum number of starts per decision
 }
 
 // New returns an empty pool.
@@ -228,6 +231,7 @@
 func (p *Pool) Attached(id string) {
 	if b := p.backends[id]; b != nil {
 		b.attached = true
+		p.forgetSilence(b)
 	}
 	delete(p.predecessorUntil, id)
 }
@@ -293,16 +297,24 @@
 }
 
 // Lost removes an incarnation of a backend server that has no runs any more.
-func (p *Pool) Lost(id string, now time.Time) {
+func (p *Pool) Lost(id string, reason basilwork.Loss, now time.Time) {
+	if reason == basilwork.LossReplaced && !p.predecessorUntil[id].IsZero() {
+		p.inheritedCrash = true
+	}
 	delete(p.predecessorUntil, id)
 	b := p.backends[id]
 	if b == nil {
 		return
 	}
-	for _, r := range b.sortedRuns() {
+	runs := b.sortedRuns()
+	l := p.newSilence(b, runs)
+	for _, r := range runs {
 		p.endRun(r, basilwork.RunEndLost, now)
 	}
 	p.forgetBackend(id)
+	if b.attached && reason != basilwork.LossRemoved {
+		p.recordSilence(l, reason == basilwork.LossReplaced, now)
+	}
 }
 
 // Restarted resets the state of a backend server that restarted under its ID, as revealed by the answer to a
@@ -317,6 +329,9 @@
 	}
 	b.lastEndNumber = 0
 	b.attached = false
+	p.explainSilence(id, now)
+	gone := slices.DeleteFunc(b.sortedRuns(), func(r *run) bool { return !r.orderedAt.Before(sent) || lists(answer.Running, r) })
+	p.recordSilence(p.newSilence(b, gone), true, now)
 	for _, r := range b.sortedRuns() {
 		if r.phase == phaseRunning && !r.mustBeListed(sent) && !lists(answer.Running, r) {
 			r.phase = phaseUnanswered
--- /dev/null
+++ b/internal/basilscheduler/silence.go
@@ -0,0 +1,173 @@
+package basilscheduler
+
+import (
+	"slices"
+	"time"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+const (
+	promptCrashTime = 500 * time.Millisecond // maximum time from a start to the last answer before a crash that it caused at once; reports arrive in it
+	startBurst      = 50 * time.Millisecond  // starts this close to each other may be carried out in any order
+	rackFailureTime = 300 * time.Millisecond // difference between the times at which backend servers fall silent that fail with their rack
+	idleReportTime  = 2 * time.Second        // between reports of an idle backend server
+	silenceMemory   = 30 * time.Second       // how long a lost backend server may take to come back: some seconds after a crash
+)
+
+// silence is the loss of a backend server with the runs that it had.
+type silence struct {
+	id        string
+	address   string
+	rack      string
+	startedAt int64     // of its incarnation, in Unix milliseconds
+	from      time.Time // when it last answered
+	until     time.Time // when it certainly was silent
+	lostAt    time.Time
+	suspects  []suspect // nil once it is known whether the backend server has crashed
+	crashed   []suspect // the suspects, once it is known that it has crashed
+}
+
+// suspect is a run that a backend server had when it fell silent.
+type suspect struct {
+	task    basilwork.TaskID
+	attempt int
+	prompt  bool // the backend server fell silent with the start of the run
+	certain bool // the start was answered, so the run existed
+}
+
+// newSilence returns the silence of a backend server that had the given runs.
+//
+// Starts without an answer may have crashed it before the answer, but only the first of them: the others were requested when
+// it was silent already. A backend server that drains is expected to leave, and a long-running task that was at work didn't
+// crash it.
+func (p *Pool) newSilence(b *backend, runs []*run) silence {
+	l := silence{id: b.ID, address: b.Address, rack: b.Rack, startedAt: b.StartedAt}
+	l.from, l.until = b.silentSince()
+	if b.Draining {
+		return l
+	}
+	var newest, unanswered time.Time
+	for _, r := range runs {
+		switch {
+		case !r.answered() && (unanswered.IsZero() || r.orderedAt.Before(unanswered)):
+			unanswered = r.orderedAt
+		case r.answered() && r.orderedAt.After(newest):
+			newest = r.orderedAt
+		}
+	}
+	if unanswered.After(l.from) {
+		l.until = unanswered
+	}
+	isPrompt := func(at time.Time) bool { return !at.IsZero() && b.heardAt.Sub(at) <= promptCrashTime }
+	for _, r := range runs {
+		var prompt bool
+		switch {
+		case r.task.step.spec.LongRunning && r.percent >= 100:
+			continue
+		case r.answered():
+			prompt = newest.Sub(r.orderedAt) <= startBurst && isPrompt(r.orderedAt)
+		case r.orderedAt.Sub(unanswered) > startBurst:
+			continue
+		default:
+			prompt = !isPrompt(newest)
+		}
+		l.suspects = append(l.suspects, suspect{task: r.task.id, attempt: r.attempt, prompt: prompt, certain: r.answered()})
+	}
+	return l
+}
+
+// answered reports whether the run is known to have started.
+func (r *run) answered() bool { return !r.answeredAt.IsZero() }
+
+// recordSilence records the loss of a backend server. If it is not known to have crashed, its next entry in the list of
+// backend servers will tell.
+func (p *Pool) recordSilence(l silence, crashed bool, now time.Time) {
+	l.lostAt = now
+	p.forgetOldSilences(now)
+	if crashed {
+		p.recordCrash(&l, now)
+	}
+	p.silences = append(p.silences, l)
+}
+
+func (p *Pool) forgetOldSilences(now time.Time) {
+	p.silences = slices.DeleteFunc(p.silences, func(l silence) bool { return now.Sub(l.lostAt) > silenceMemory })
+	if len(p.silences) == 0 {
+		clear(p.givenUp)
+	}
+}
+
+// explainSilences records crashes of lost backend servers that are listed in a newer incarnation, under their ID or at their
+// address.
+func (p *Pool) explainSilences(now time.Time) {
+	p.forgetOldSilences(now)
+	for n := range p.silences {
+		l := &p.silences[n]
+		if len(l.suspects) > 0 && slices.ContainsFunc(p.list, l.succeededBy) {
+			p.recordCrash(l, now)
+		}
+	}
+}
+
+// succeededBy reports whether the backend server is a newer incarnation of the lost one.
+func (l *silence) succeededBy(b *backend) bool {
+	return b.present && (b.ID == l.id || b.Address == l.address) && b.StartedAt > l.startedAt
+}
+
+// explainSilence records the crash of a lost backend server that has started again under its ID.
+func (p *Pool) explainSilence(id string, now time.Time) {
+	for n := range p.silences {
+		if l := &p.silences[n]; l.id == id {
+			p.recordCrash(l, now)
+		}
+	}
+}
+
+// forgetSilence drops the suspicions against runs of a lost backend server that answers again: it was only unreachable.
+func (p *Pool) forgetSilence(b *backend) {
+	for n := range p.silences {
+		if l := &p.silences[n]; l.id == b.ID && l.startedAt == b.StartedAt {
+			l.suspects = nil
+		}
+	}
+}
+
+// rackFailed reports whether several backend servers of the rack fell silent at about the same time, and fewer have answered
+// since.
+func (p *Pool) rackFailed(l *silence) bool {
+	if l.rack == "" {
+		return false
+	}
+	silent := map[string]bool{l.address: true}
+	for _, o := range p.silences {
+		if o.rack == l.rack && l.together(o.from, o.until) {
+			silent[o.address] = true
+		}
+	}
+	for _, b := range p.list {
+		if b.Rack == l.rack && !b.reachable && l.together(b.silentSince()) {
+			silent[b.Address] = true
+		}
+	}
+	alive := 0
+	for _, b := range p.list {
+		if b.Rack == l.rack && !silent[b.Address] && b.heardAt.After(l.until.Add(rackFailureTime)) {
+			alive++
+		}
+	}
+	return len(silent) > 1 && len(silent) > alive
+}
+
+// together reports whether the backend server may have fallen silent with one that did so between the given times.
+func (l *silence) together(from, until time.Time) bool {
+	return l.from.Before(until.Add(rackFailureTime)) && from.Before(l.until.Add(rackFailureTime))
+}
+
+// silentSince returns between which times the backend server fell silent, if it did.
+func (b *backend) silentSince() (from, until time.Time) {
+	if len(b.runs) == 0 {
+		return b.heardAt, b.heardAt.Add(idleReportTime)
+	}
+	return b.heardAt, b.heardAt.Add(promptCrashTime)
+}
--- a/internal/basilwork/enum.go
+++ b/internal/basilwork/enum.go
@@ -3,6 +3,7 @@
 //go:generate go tool -modfile=../../tools/go.mod enumer -type=JobState -trimprefix=JobState -transform=lower -output=job_state_enumer.go
 //go:generate go tool -modfile=../../tools/go.mod enumer -type=RunEnd -trimprefix=RunEnd -transform=lower -output=run_end_enumer.go
 //go:generate go tool -modfile=../../tools/go.mod enumer -type=Refusal -trimprefix=Refusal -transform=lower -output=refusal_enumer.go
+//go:generate go tool -modfile=../../tools/go.mod enumer -type=Loss -trimprefix=Loss -transform=lower -output=loss_enumer.go
 
 // JobState is the stage a job has reached.
 type JobState int
@@ -49,3 +50,13 @@
 	RefusalGone           // another incarnation now serves the address
 	RefusalUnsent         // the order was never sent
 )
+
+// Loss is the reason why an incarnation of a backend server has no runs any more.
+type Loss int
+
+// The reasons for a loss.
+const (
+	LossExpired  Loss = iota // all its leases have expired: it has crashed or is unreachable
+	LossReplaced             // another incarnation runs at its address
+	LossRemoved              // its host was ordered away
+)
--- a/internal/basilwork/progress.go
+++ b/internal/basilwork/progress.go
@@ -4,9 +4,16 @@
 
 // StepProgress is the persistent state of a step's tasks.
 type StepProgress struct {
-	Done        []byte         `json:"d,omitempty"` // bitmap with one bit per task
-	Failed      map[int][]int  `json:"f,omitempty"` // failed attempts by task index
-	Checkpoints map[int]string `json:"c,omitempty"` // newest checkpoint by task index
+	Done        []byte          `json:"d,omitempty"` // bitmap with one bit per task
+	Failed      map[int][]int   `json:"f,omitempty"` // failed attempts by task index
+	Checkpoints map[int]string  `json:"c,omitempty"` // newest checkpoint by task index
+	Crashes     map[int][]Crash `json:"x,omitempty"` // crashes of backend servers by task index
+}
+
+// Crash is the crash of a backend server that had a run of a task.
+type Crash struct {
+	Attempt int `json:"a"` // of the task
+	Weight  int `json:"w"` // how much speaks for the run as the cause, 1 or more
 }
 
 // SetDone records that the task is done.
@@ -34,6 +41,18 @@
 	return true
 }
 
+// AddCrash records a crash and reports whether none of that attempt was recorded before.
+func (p *StepProgress) AddCrash(index int, c Crash) bool {
+	if slices.ContainsFunc(p.Crashes[index], func(k Crash) bool { return k.Attempt == c.Attempt }) {
+		return false
+	}
+	if p.Crashes == nil {
+		p.Crashes = make(map[int][]Crash)
+	}
+	p.Crashes[index] = append(p.Crashes[index], c)
+	return true
+}
+
 // SetCheckpoint records the newest checkpoint of the task.
 func (p *StepProgress) SetCheckpoint(index int, checkpoint string) {
 	if p.Checkpoints == nil {
