--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -9,6 +9,7 @@
 
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilrunner"
+	"basilstage.example/basilstage/internal/basilscheduler"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
@@ -78,7 +79,9 @@
 // Report handles a backend server's answer to a hold request. restarted tells that the server has restarted.
 func (o *owner) Report(id string, r basilwork.Report, sent time.Time, restarted bool) {
 	o.send(func(now time.Time) {
+		var before []basilscheduler.RunState
 		if restarted {
+			before = o.pool.RunStates(id)
 			o.log.WithFields(logrus.Fields{basillog.FieldHost: id, "born": r.StartedAt}).Info("backend server restarted")
 			o.pool.Restarted(id, r, sent, now)
 			delete(o.commit.acked, id)
@@ -88,6 +91,7 @@
 		o.commit.setIncarnation(id, r.StartedAt)
 		o.logRunEnds(id, r)
 		o.pool.Report(id, r, sent, now)
+		o.recordLosses(id, reasonRestarted, before, now)
 	})
 }
 
@@ -115,10 +119,12 @@
 }
 
 // Lost records that nothing runs any more on the known incarnation of a backend server, and closes its connection.
-func (o *owner) Lost(id, reason string) {
+func (o *owner) Lost(id string, reason basilwork.Loss) {
 	o.send(func(now time.Time) {
-		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, basillog.FieldReason: reason}).Warn("backend server lost")
-		o.pool.Lost(id, now)
+		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, basillog.FieldReason: reason.String()}).Warn("backend server lost")
+		before := o.pool.RunStates(id)
+		o.pool.Lost(id, reason, now)
+		o.recordLosses(id, reason.String(), before, now)
 		o.closeConnection(id)
 		delete(o.commit.acked, id)
 		delete(o.commit.covered, id)
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -31,7 +31,7 @@
 	Report(id string, r basilwork.Report, sent time.Time, restarted bool)
 	Attached(id string)
 	Reachable(id string, reachable bool)
-	Lost(id string, reason string)
+	Lost(id string, reason basilwork.Loss)
 	Fenced(id string)
 }
 
@@ -82,6 +82,13 @@
 	return c.backend
 }
 
+// LastAnswer returns when the backend server last answered, or the zero time if it has not answered yet.
+func (c *Connection) LastAnswer() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.lease.LastAnswer()
+}
+
 // SetBusy sets whether the backend server may have runs, and up to which number the ended runs of the incarnation that
 // started at startedAt are stored. If the backend server has another incarnation now, acked is ignored.
 func (c *Connection) SetBusy(busy bool, startedAt, acked int64) {
@@ -243,7 +250,7 @@
 		c.mutex.Lock()
 		c.lost = true
 		c.mutex.Unlock()
-		c.options.Sink.Lost(c.backend.ID, "another incarnation runs at its address")
+		c.options.Sink.Lost(c.backend.ID, basilwork.LossReplaced)
 		return false
 	case refusal == basilwork.RefusalFence:
 		c.options.Sink.Fenced(c.backend.ID)
@@ -299,7 +306,7 @@
 		c.options.Sink.Reachable(id, false)
 	}
 	if lapsed {
-		c.options.Sink.Lost(id, "all its leases have expired")
+		c.options.Sink.Lost(id, basilwork.LossExpired)
 	}
 	return !lapsed
 }
