Claim only the owner row that was found without a live owner

Cause: State.Claims lists the shards without a live owner, and claimShard read each owner row again. A member that claimed a shard between the two, during the claims before it in the list, had its new row named as the one to replace; its member row was unchanged, so that the store let the claim through. Ruled out: the check's own order of reads (later checks find both owners too), a renewal at the end of a lease (the replaced owner had just renewed), a late write of an earlier incarnation (it did not restart). Change: a claim carries the owner row, the member row's version and whether the previous owner had ended, all of the moment of the decision.

--- a/internal/basilshard/cluster_test.go
+++ b/internal/basilshard/cluster_test.go
@@ -240,6 +240,11 @@
 			{1189 * ms, 783 * ms, 0, 1},
 			{0, 100 * ms, 0, 2},
 		},
+		"claim replaced an owner that had claimed the shard in the same instant": {
+			{2 * ms, 1130 * ms, 3, 0},
+			{6 * ms, 101 * ms, 2, 1},
+			{1595 * ms, 103 * ms, 4, 1},
+		},
 	}
 	for name, plan := range plans {
 		t.Run(name, func(t *testing.T) { must.SliceEmpty(t, runPlan(t, plan)) })
--- a/internal/basilshard/keeper_test.go
+++ b/internal/basilshard/keeper_test.go
@@ -108,3 +108,49 @@
 		must.Eq(t, 1, s.released)
 	})
 }
+
+// claimedStore is a store in which another member claims shard b while this entry host's claim of shard a is under way.
+type claimedStore struct {
+	basilwork.Store
+	keeper *Keeper
+	row    OwnerRow // stored owner of shard b
+}
+
+func (s *claimedStore) Transact(_ context.Context, t basilplatform.Transaction) error {
+	claim := t.Writes[len(t.Writes)-1]
+	switch {
+	case claim.Key == OwnerKey("a"):
+		s.row = OwnerRow{Node: "entry-2", Incarnation: "y", Epoch: 2, Version: 7}
+		s.keeper.applyOwner("b", s.row) // as the watch does
+	case claim.Version != s.row.Version:
+		return basilplatform.ErrConditionFailed{Key: claim.Key, Version: s.row.Version}
+	default:
+		s.row = OwnerRow{Node: "entry-1", Incarnation: "x", Epoch: 3, Version: 8}
+	}
+	return nil
+}
+
+func (s *claimedStore) Get(_ context.Context, k basilplatform.Key) (basilplatform.Item, error) {
+	if k == OwnerKey("a") {
+		return basilplatform.Item{}, basilplatform.ErrItemNotExist{Key: k}
+	}
+	body, err := json.Marshal(s.row)
+	return basilplatform.Item{Key: k, Version: s.row.Version, Body: body}, err
+}
+
+// TestClaimDoesNotReplaceNewOwner checks that a shard that another member has claimed since it was found to be without an
+// owner is left to that member.
+func TestClaimDoesNotReplaceNewOwner(t *testing.T) {
+	s := &claimedStore{row: OwnerRow{Node: "entry-2", Epoch: 1, Version: 5}}
+	self := Member{Node: "entry-1", Incarnation: "x"}
+	s.keeper = New(Options{
+		Self: self, Clock: func() time.Duration { return 0 }, Log: basillog.Discard(), Store: s, Lease: testLease,
+		OnAcquired: func(string, OwnerRow) {}, OnLost: func(string) {},
+	})
+	s.keeper.SetShards([]string{"a", "b"})
+	s.keeper.applyOwner("b", s.row)
+	s.keeper.state.Observe([]Observed{{Member: self, Version: 1}, {Member: Member{Node: "entry-2", Incarnation: "y"}, Version: 2}}, 0)
+	s.keeper.startUntil.Store(int64(testLease))
+	s.keeper.claimShards(t.Context())
+	must.Eq(t, "entry-2", s.row.Node)
+}
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -123,7 +123,7 @@
 		k.options.Log.WithFields(logrus.Fields{
 			basillog.FieldPool: c.Shard, "rank": c.Rank, "candidates": c.Candidates[:min(len(c.Candidates), max(c.Rank+1, minCandidatesLogged))],
 		}).Info("claiming a shard")
-		if !k.claimShard(ctx, c.Shard) {
+		if !k.claimShard(ctx, c) {
 			return
 		}
 		if k.SinceRenewal() > k.options.Lease/2 {
@@ -133,29 +133,25 @@
 	}
 }
 
-func (k *Keeper) claimShard(ctx context.Context, shard string) bool {
-	k.mutex.Lock()
-	row := k.state.Owner(shard)
-	previousEnded := k.state.ownerEnded(row)
-	memberVersion, depends := k.state.expiredVersion(row)
-	k.mutex.Unlock()
-	self := k.options.Self
-	next := OwnerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: row.Epoch + 1, Address: self.Address, PreviousEnded: previousEnded}
+func (k *Keeper) claimShard(ctx context.Context, c Claim) bool {
+	self, previous := k.options.Self, c.previous
+	next := OwnerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: previous.Epoch + 1, Address: self.Address, PreviousEnded: c.previousEnded}
 	var checks []basilplatform.Write
 	switch { // an owner that renews its lease in the meantime still considers its shards its own
-	case depends && k.options.SinglePartition:
-		if !k.memberUnchanged(ctx, row.Node, memberVersion) {
+	case c.previousEnded:
+	case k.options.SinglePartition:
+		if !k.memberUnchanged(ctx, previous.Node, c.memberVersion) {
 			return true
 		}
-	case depends:
+	default:
 		checks = append(checks, basilplatform.Write{
-			Kind: basilplatform.WriteKindCheck, Key: memberKey(row.Node), Precondition: basilplatform.PreconditionVersion, Version: memberVersion,
+			Kind: basilplatform.WriteKindCheck, Key: memberKey(previous.Node), Precondition: basilplatform.PreconditionVersion, Version: c.memberVersion,
 		})
 	}
-	if err := k.writeOwner(ctx, shard, next, row.Version, checks...); err != nil {
-		k.options.Log.WithError(err).WithField(basillog.FieldPool, shard).Info("failed to claim the shard")
+	if err := k.writeOwner(ctx, c.Shard, next, previous.Version, checks...); err != nil {
+		k.options.Log.WithError(err).WithField(basillog.FieldPool, c.Shard).Info("failed to claim the shard")
 	}
-	return k.readOwner(ctx, shard)
+	return k.readOwner(ctx, c.Shard)
 }
 
 // memberUnchanged reports whether a member row still has the version. It is used right before a claim if the store can't
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -126,18 +126,14 @@
 	return m.member.Incarnation != row.Incarnation && m.version > row.Version
 }
 
-// expiredVersion returns the last seen version of the owner's member row, 0 for no row. A claim is valid only while the
-// member row has this version.
-//
-// It returns false if a claim does not depend on that: the owner has released the shard, or its process has ended.
-func (s *State) expiredVersion(row OwnerRow) (version int64, ok bool) {
-	if s.ownerEnded(row) {
-		return 0, false
-	}
+// newClaim returns the claim of a shard without a live owner.
+func (s *State) newClaim(shard string, candidates []Candidate, rank int) Claim {
+	row := s.owners[shard]
+	c := Claim{Shard: shard, Candidates: candidates, Rank: rank, previous: row, previousEnded: s.ownerEnded(row)}
 	if m := s.members[row.Node]; m != nil {
-		version = m.version
+		c.memberVersion = m.version
 	}
-	return version, true
+	return c
 }
 
 // isLive reports whether a member renews its lease and may claim shards.
@@ -165,11 +161,15 @@
 	return list
 }
 
-// Claim is a shard that this entry host should claim, with the ranking that led to it.
+// Claim is a shard that this entry host should claim, with what led to it. It is valid only while the owner row is the one
+// that was found to be without a live owner: since then, another member may have claimed the shard.
 type Claim struct {
-	Shard      string
-	Candidates []Candidate // members that may claim the shard, best first
-	Rank       int         // index of this entry host among them
+	Shard         string
+	Candidates    []Candidate // members that may claim the shard, best first
+	Rank          int         // index of this entry host among them
+	previous      OwnerRow    // owner row without a live owner
+	previousEnded bool        // see ownerEnded
+	memberVersion int64       // last seen version of the previous owner's member row, 0 for no row
 }
 
 // Candidate is a member that may claim a shard, with its load before the claim.
@@ -214,7 +214,7 @@
 		}
 		rank := slices.IndexFunc(ranked, func(c Candidate) bool { return c.Node == s.self.Node })
 		if rank >= 0 && now-since >= time.Duration(rank)*s.claimDelay {
-			claims = append(claims, Claim{Shard: shard, Candidates: ranked, Rank: rank})
+			claims = append(claims, s.newClaim(shard, ranked, rank))
 		}
 	}
 	return claims
