--- a/internal/basilscheduler/stop_test.go
+++ b/internal/basilscheduler/stop_test.go
@@ -73,3 +73,20 @@
 	must.SliceEmpty(t, ids)
 	must.Eq(t, 0, f.Load(f.now).Jobs)
 }
+
+// TestNothingStartsBesideUnknownRun checks that nothing is started on a backend server until a run without a job is gone there, as
+// the room that it occupies is not known.
+func TestNothingStartsBesideUnknownRun(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	listing := basilwork.Report{Running: []basilwork.RunStatus{{Task: "one.0.0.0", Attempt: 1}}}
+	f.Report("b1", listing, f.now, f.now)
+	f.addJob("j", stepOf(4, 1000))
+	a := f.Decide(f.now)
+	must.Len(t, 1, a.Stops)
+	must.SliceEmpty(t, a.Starts)
+	f.Stopped(a.Stops[0].Ref, true, f.now)
+	must.SliceEmpty(t, f.Decide(f.now).Starts, must.Sprint("a stopping run still occupies room"))
+	f.advance(100 * time.Millisecond)
+	f.Report("b1", basilwork.Report{}, f.now, f.now)
+	must.Len(t, 4, f.decideAndStart())
+}
