Count crashes behind earlier starts without an answer

What callers saw: nothing; found by reading. A crash did not count for the task that caused it while an earlier start without an answer, on a server that had answered since, was not cleared up. Cause: of the starts without an answer only the oldest counted as a suspect, as the others were taken to be requested when the server was silent already; an answer in between was not looked at. Evidence: TestEarlierUnansweredStartHidesNoCrash failed before: suspicion 0 of the task that was started last. Change: only starts since the last answer are left out after the first of them; earlier ones are suspects, as prompt ones if they were requested shortly before the last answer. Result: the tests of basilscheduler pass.

--- a/internal/basilscheduler/crash_test.go
+++ b/internal/basilscheduler/crash_test.go
@@ -174,6 +174,25 @@
 	}
 }
 
+// TestEarlierUnansweredStartHidesNoCrash checks that a crash counts for the start that came before it, although an earlier start without
+// an answer has not been cleared up yet and the backend server answered in between.
+func TestEarlierUnansweredStartHidesNoCrash(t *testing.T) {
+	f := newFixture(t, backendsInRacks(1)...)
+	for _, id := range []string{"j", "bad"} {
+		f.addJob(id, stepOf(1, 1000))
+		starts := f.Decide(f.now).Starts
+		must.Len(t, 1, starts)
+		f.advance(200 * time.Millisecond)
+		f.Started(starts[0].Ref, basilwork.RefusalNone, false, f.now)
+		if id == "j" {
+			f.Report("b0", basilwork.Report{}, f.now, f.now)
+			f.advance(100 * time.Millisecond)
+		}
+	}
+	f.crash("b0")
+	must.Positive(t, f.suspicion(basilwork.TaskID{Job: "bad"}))
+}
+
 // TestCrashesOutlastOwner checks that a new owner goes on counting the crashes under a task.
 func TestCrashesOutlastOwner(t *testing.T) {
 	f := newFixture(t, backendsInRacks(4)...)
--- a/internal/basilscheduler/silence.go
+++ b/internal/basilscheduler/silence.go
@@ -38,9 +38,9 @@
 
 // newSilence returns the silence of a backend server that had the given runs.
 //
-// Starts without an answer may have crashed it before the answer, but only the first of them: the others were requested when
-// it was silent already. A backend server that drains is expected to leave, and a long-running task that was at work didn't
-// crash it.
+// Starts without an answer may have crashed it before the answer, but of those since it last answered only the first: the others
+// were requested when it was silent already. A backend server that drains is expected to leave, and a long-running task that was
+// at work didn't crash it.
 func (p *Pool) newSilence(b *backend, runs []*run) silence {
 	l := silence{id: b.ID, address: b.Address, rack: b.Rack, startedAt: b.StartedAt}
 	l.from, l.until = b.silentSince()
@@ -50,10 +50,12 @@
 	var newest, unanswered time.Time
 	for _, r := range runs {
 		switch {
-		case !r.answered() && (unanswered.IsZero() || r.orderedAt.Before(unanswered)):
+		case r.answered():
+			if r.orderedAt.After(newest) {
+				newest = r.orderedAt
+			}
+		case r.orderedAt.After(b.heardAt) && (unanswered.IsZero() || r.orderedAt.Before(unanswered)):
 			unanswered = r.orderedAt
-		case r.answered() && r.orderedAt.After(newest):
-			newest = r.orderedAt
 		}
 	}
 	if unanswered.After(l.from) {
@@ -67,10 +69,10 @@
 			continue
 		case r.answered():
 			prompt = newest.Sub(r.orderedAt) <= startBurst && isPrompt(r.orderedAt)
-		case r.orderedAt.Sub(unanswered) > startBurst:
+		case r.orderedAt.After(b.heardAt) && r.orderedAt.Sub(unanswered) > startBurst:
 			continue
 		default:
-			prompt = !isPrompt(newest)
+			prompt = isPrompt(r.orderedAt) && !isPrompt(newest)
 		}
 		l.suspects = append(l.suspects, suspect{task: r.task.id, attempt: r.attempt, prompt: prompt, certain: r.answered()})
 	}
