Hold a crash less against a suspect started with another

Cause: a crash counted as certain for the only suspect of earlier crashes that was started last, although a task without earlier crashes was started in the same moment. Class: absence of earlier evidence taken for innocence. Evidence: TestTaskStartedTogetherWithCrashingOneIsNotGivenUp failed before: given up after two crashes that it did not cause. Change: such a crash counts as likely, so that it takes another one; the limit of crashes stays. Result: the tests of basilscheduler pass.

--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -20,7 +20,7 @@
 const (
 	crashWeightPossible = 1 // one of several, or the backend server may have crashed by itself
 	crashWeightLikely   = 2 // of the suspects of earlier crashes, the only one that was started last
-	crashWeightCertain  = 3 // the only suspect of earlier crashes, and started last
+	crashWeightCertain  = 3 // the only suspect of earlier crashes, and the only one that was started last
 )
 
 // suspicionOf returns the sum of the weights of the crashes.
@@ -84,17 +84,21 @@
 	withRack    bool            // its rack failed
 	known       map[string]bool // jobs with suspects of earlier crashes
 	knownPrompt map[string]bool
+	prompt      map[string]bool // jobs with suspects that were started last
 	strongest   int // strongest earlier suspicion of those started last
 }
 
 func newCrash() crash {
-	return crash{known: make(map[string]bool), knownPrompt: make(map[string]bool)}
+	return crash{known: make(map[string]bool), knownPrompt: make(map[string]bool), prompt: make(map[string]bool)}
 }
 
 func (c *crash) add(s suspect, suspicion int) {
 	if suspicion > 0 {
 		c.known[s.task.Job] = true
 	}
+	if s.prompt {
+		c.prompt[s.task.Job] = true
+	}
 	if s.prompt && suspicion > 0 {
 		c.knownPrompt[s.task.Job] = true
 		c.strongest = max(c.strongest, suspicion)
@@ -112,7 +116,7 @@
 		return crashWeightPossible
 	case !known && !s.prompt && c.strongest >= crashWeightLikely:
 		return 0 // the suspect of earlier crashes explains this one
-	case known && s.prompt && len(c.known) == 1:
+	case known && s.prompt && len(c.known) == 1 && len(c.prompt) == 1:
 		return crashWeightCertain
 	case known && s.prompt && len(c.knownPrompt) == 1:
 		return crashWeightLikely
--- a/internal/basilscheduler/crash_test.go
+++ b/internal/basilscheduler/crash_test.go
@@ -73,6 +73,29 @@
 	must.NotEq(t, basilwork.JobStateFailed, f.state("beside"))
 }
 
+// TestTaskStartedTogetherWithCrashingOneIsNotGivenUp checks that a task outlasts two crashes that it did not cause, if another was
+// started at the same moment before the second.
+func TestTaskStartedTogetherWithCrashingOneIsNotGivenUp(t *testing.T) {
+	f := newFixture(t, backendsInRacks(4)...)
+	for n, id := range []string{"b0", "b2"} {
+		for _, b := range f.list {
+			b.recorded = b.ID == id
+		}
+		if n == 0 {
+			f.addJob("beside", stepOf(1, 1000))
+			must.Len(t, 1, f.decideAndStart())
+			f.advance(time.Second)
+			f.report(id, 50)
+		}
+		f.addJob(fmt.Sprint("bad", n), stepOf(1, 1000))
+		must.Len(t, 1+n, f.decideAndStart())
+		f.crash(id)
+		f.Cancel("bad0", f.now)
+	}
+	must.SliceEmpty(t, f.Decide(f.now).GivenUp)
+	must.NotEq(t, basilwork.JobStateFailed, f.state("beside"))
+}
+
 // TestTaskIsGivenUpAfterFourCrashes checks that a task is given up after four crashes at most, however long it ran before each and
 // whatever else was started beside it.
 func TestTaskIsGivenUpAfterFourCrashes(t *testing.T) {
