--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -85,7 +85,7 @@
 	known       map[string]bool // jobs with suspects of earlier crashes
 	knownPrompt map[string]bool
 	prompt      map[string]bool // jobs with suspects that were started last
-	strongest   int // strongest earlier suspicion of those started last
+	strongest   int             // strongest earlier suspicion of those started last
 }
 
 func newCrash() crash {
