Look up lately lost backend servers once a decision

What callers saw: nothing; found by reading. Cause: the loss of a server at an address was looked up in a list for each pair of task and server. Class: work for each event that grows with the fleet. Change: a decision marks the servers at whose address one was lost lately when it collects the candidates. Result: the tests of basilscheduler pass. No test of its own: what is chosen does not change.

--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -31,6 +31,7 @@
 	pacedAt        time.Time // when the pace of the filler runs was last adjusted
 	recorded       bool      // stored, so that a successor of the owner finds it
 	isSlow         bool      // considered slow in the current decision
+	lostLately     bool      // one at its address was lost a short time ago, as of the current decision
 	reserved       bool      // reserved in the current decision for a task that waits for room
 	needsCheck     bool      // its runs have to be checked in the next decision
 	checkAt        time.Time // when its runs have to be checked at the latest; zero if not scheduled
--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -165,9 +165,9 @@
 
 // crashRisk returns how much speaks against starting a suspect on the backend server: other suspects there, which can't be told
 // apart, long-running tasks, or that the backend server may crash by itself.
-func (p *Pool) crashRisk(b *backend) int {
+func (b *backend) crashRisk() int {
 	risk := b.longRuns
-	if slices.ContainsFunc(p.silences, func(l silence) bool { return l.address == b.Address }) {
+	if b.lostLately {
 		risk++
 	}
 	for _, r := range b.runs {
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -159,7 +159,7 @@
 		if rack != "" && b.Rack != rack || b.reserved || !p.fits(t, b, tickets, now) {
 			continue
 		}
-		if s := p.scoreOf(t, b, length, now); best == nil || s.less(bestScore) {
+		if s := scoreOf(t, b, length, now); best == nil || s.less(bestScore) {
 			best, bestScore = b, s
 		}
 	}
@@ -219,7 +219,7 @@
 // scoreOf packs tasks so that some backend servers become empty soon and can be removed: a short task goes where other
 // runs are expected to last at least as long. Filler tasks are kept apart from long-running ones. A task that may crash its
 // backend server goes where the fewest runs would be lost.
-func (p *Pool) scoreOf(t *task, b *backend, length time.Duration, now time.Time) score {
+func scoreOf(t *task, b *backend, length time.Duration, now time.Time) score {
 	s, penalty := t.step, 0
 	if s.spec.Affinity != "" && b.Rack != s.spec.Affinity {
 		penalty = 1
@@ -229,7 +229,7 @@
 	}
 	switch {
 	case t.suspicion > 0:
-		return score{p.crashRisk(b), len(b.runs), penalty}
+		return score{b.crashRisk(), len(b.runs), penalty}
 	case s.spec.Filler:
 		return score{penalty, b.longRuns, b.fillerCPU - b.free().CPU}
 	case s.spec.LongRunning && b.longRuns >= maxPackedLongRuns:
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -32,9 +32,13 @@
 	p.placement.backends = p.placement.backends[:0]
 	p.placement.reserved = 0
 	p.placement.lookaheadLeft, p.placement.ticketStepsLeft = min(ticketLookahead, p.waiting.ticketSteps), maxTicketSteps
+	lost := make(map[string]bool, len(p.silences))
+	for n := range p.silences {
+		lost[p.silences[n].address] = true
+	}
 	for _, b := range p.list {
 		if b.free().Covers(p.waiting.minDemand) && b.usable(now) {
-			b.reserved, b.isSlow = false, p.slow(b, now)
+			b.reserved, b.isSlow, b.lostLately = false, p.slow(b, now), lost[b.Address]
 			p.placement.backends = append(p.placement.backends, b)
 		}
 	}
