Keep no records of lost backend servers for queued starts

What callers saw: nothing; found by reading. Each backend server whose connection was closed while a start waited for it left a record in the order queue for as long as the owner ran. Cause: the record was looked up, and made again, when the start was sent or withdrawn, after the connection had removed it. Class: growth without bound. Evidence: TestStartsToLostBackendsLeaveNoRecords failed before: 64 records of 64 servers stayed. Change: a start holds the record that its server had when it was queued, like an order in flight. Result: the tests of the order queue pass.

--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -32,6 +32,7 @@
 	basilscheduler.Start
 	decided time.Time
 	send    func() (answered bool)
+	backend *backendOrders // of its backend server when it was queued
 }
 
 // gang identifies the gang that the start belongs to.
@@ -86,7 +87,10 @@
 func (q *orderQueue) putStarts(list []queuedStart) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.starts = append(q.starts, list...)
+	for _, s := range list {
+		s.backend = q.backend(s.Backend)
+		q.starts = append(q.starts, s)
+	}
 	for range list {
 		q.spawnSender()
 	}
@@ -138,14 +142,14 @@
 			list = append(list, withdrawnStart{Start: s.Start, reason: reason})
 			continue
 		}
-		if q.startsInFlight >= maxOrdersInFlight-reservedOrders || q.inFlight(s.Backend) >= basilrunner.MaxConcurrentOrders {
+		if q.startsInFlight >= maxOrdersInFlight-reservedOrders || s.backend.inFlight >= basilrunner.MaxConcurrentOrders {
 			skipped = append(skipped, s)
 			continue
 		}
 		q.starts = q.starts[n+1-len(skipped):]
 		copy(q.starts, skipped)
 		q.markGangStarted(&s)
-		return q.markInFlight(sending{backend: q.backend(s.Backend), send: s.send, start: true}), list
+		return q.markInFlight(sending{backend: s.backend, send: s.send, start: true}), list
 	}
 	q.starts = skipped
 	if len(skipped) == 0 {
@@ -155,14 +159,6 @@
 	return sending{}, list
 }
 
-// inFlight returns how many orders to the backend server are being sent. The caller must hold the mutex.
-func (q *orderQueue) inFlight(backend string) int {
-	if b := q.backends[backend]; b != nil {
-		return b.inFlight
-	}
-	return 0
-}
-
 // markGangStarted records that the other starts of the gang must follow this one. The caller must hold the mutex.
 func (q *orderQueue) markGangStarted(s *queuedStart) {
 	if !s.Gang {
--- a/internal/basilnode/orders_test.go
+++ b/internal/basilnode/orders_test.go
@@ -215,6 +215,23 @@
 	})
 }
 
+// TestStartsToLostBackendsLeaveNoRecords checks that a start that is sent after the connection to its backend server was closed leaves
+// no record of the server, as nothing would remove it.
+func TestStartsToLostBackendsLeaveNoRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBlockedOwner()
+		for n := range maxOrdersInFlight {
+			s.queueStart(strconv.Itoa(n), 0, false)
+			s.orders.drop(strconv.Itoa(n))
+		}
+		synctest.Wait()
+		close(s.release)
+		synctest.Wait()
+		must.True(t, s.orders.idle())
+		must.MapEmpty(t, s.orders.backends)
+	})
+}
+
 // TestStopDoesNotSplitGang checks that a gang is sent as a whole if the owner gives up its shard while the first start
 // of the gang is being sent.
 func TestStopDoesNotSplitGang(t *testing.T) {
