--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -31,6 +31,7 @@
 	pacedAt        time.Time // when the pace of the filler runs was last adjusted
 	recorded       bool      // stored, so that a successor of the owner finds it
 	isSlow         bool      // considered slow in the current decision
+	lostLately     bool      // one at its address was lost a short time ago, as of the current decision
 	reserved       bool      // reserved in the current decision for a task that waits for room
 	needsCheck     bool      // its runs have to be checked in the next decision
 	checkAt        time.Time // when its runs have to be checked at the latest; zero if not scheduled
@@ -47,6 +48,10 @@
 	return b.present && b.recorded && b.attached && b.reachable && !b.evacuating && !b.Draining && !now.Before(b.blockedUntil)
 }
 
+// closed reports whether nothing is started on the backend server for now: a suspect was started there, or the room that runs without
+// a job occupy is not known.
+func (b *backend) closed() bool { return b.quarantined() || len(b.orphans) > 0 }
+
 func (b *backend) free() basilwork.Resources { return b.Resources.Sub(b.used) }
 
 // add accounts for a run that may exist on the backend server. The run is expected to end at the time until.
--- a/internal/basilscheduler/crash_test.go
+++ b/internal/basilscheduler/crash_test.go
@@ -73,6 +73,29 @@
 	must.NotEq(t, basilwork.JobStateFailed, f.state("beside"))
 }
 
+// TestTaskStartedTogetherWithCrashingOneIsNotGivenUp checks that a task outlasts two crashes that it did not cause, if another was
+// started at the same moment before the second.
+func TestTaskStartedTogetherWithCrashingOneIsNotGivenUp(t *testing.T) {
+	f := newFixture(t, backendsInRacks(4)...)
+	for n, id := range []string{"b0", "b2"} {
+		for _, b := range f.list {
+			b.recorded = b.ID == id
+		}
+		if n == 0 {
+			f.addJob("beside", stepOf(1, 1000))
+			must.Len(t, 1, f.decideAndStart())
+			f.advance(time.Second)
+			f.report(id, 50)
+		}
+		f.addJob(fmt.Sprint("bad", n), stepOf(1, 1000))
+		must.Len(t, 1+n, f.decideAndStart())
+		f.crash(id)
+		f.Cancel("bad0", f.now)
+	}
+	must.SliceEmpty(t, f.Decide(f.now).GivenUp)
+	must.NotEq(t, basilwork.JobStateFailed, f.state("beside"))
+}
+
 // TestTaskIsGivenUpAfterFourCrashes checks that a task is given up after four crashes at most, however long it ran before each and
 // whatever else was started beside it.
 func TestTaskIsGivenUpAfterFourCrashes(t *testing.T) {
@@ -174,6 +197,25 @@
 	}
 }
 
+// TestEarlierUnansweredStartHidesNoCrash checks that a crash counts for the start that came before it, although an earlier start without
+// an answer has not been cleared up yet and the backend server answered in between.
+func TestEarlierUnansweredStartHidesNoCrash(t *testing.T) {
+	f := newFixture(t, backendsInRacks(1)...)
+	for _, id := range []string{"j", "bad"} {
+		f.addJob(id, stepOf(1, 1000))
+		starts := f.Decide(f.now).Starts
+		must.Len(t, 1, starts)
+		f.advance(200 * time.Millisecond)
+		f.Started(starts[0].Ref, basilwork.RefusalNone, false, f.now)
+		if id == "j" {
+			f.Report("b0", basilwork.Report{}, f.now, f.now)
+			f.advance(100 * time.Millisecond)
+		}
+	}
+	f.crash("b0")
+	must.Positive(t, f.suspicion(basilwork.TaskID{Job: "bad"}))
+}
+
 // TestCrashesOutlastOwner checks that a new owner goes on counting the crashes under a task.
 func TestCrashesOutlastOwner(t *testing.T) {
 	f := newFixture(t, backendsInRacks(4)...)
@@ -204,3 +246,19 @@
 	f.addJob("k", stepOf(10, 1000))
 	must.Len(t, 10, f.decideAndStart())
 }
+
+// TestWaitingTasksSearchNoClosedBackends checks that waiting tasks find no room on backend servers where nothing is started for now, so
+// that a decision does not try each of them on each.
+func TestWaitingTasksSearchNoClosedBackends(t *testing.T) {
+	f := newFixture(t, backendsInRacks(2)...)
+	f.addJob("bad", stepOf(1, 1000))
+	f.crash(f.decideAndStart()[0].Backend)
+	f.advance(avoidTime)
+	suspect := f.decideAndStart()[0].Backend
+	for _, b := range f.list {
+		b.recorded = b.ID == suspect
+	}
+	f.addJob("j", stepOf(4, 1000))
+	must.SliceEmpty(t, f.decideAndStart())
+	must.True(t, f.full())
+}
