--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -38,10 +38,9 @@
 		listed[b.ID] = true
 		o.openConnection(b)
 	}
-	for id, l := range o.connections {
-		if !listed[id] && !o.pool.Busy(id) && !o.records.stored(id) {
-			l.cancel()
-			delete(o.connections, id)
+	for id := range o.connections {
+		if !listed[id] && !o.pool.Busy(id) && !o.pool.HasOrphans(id) && !o.records.stored(id) {
+			o.closeConnection(id)
 		}
 	}
 }
@@ -64,6 +63,7 @@
 	if l := o.connections[id]; l != nil {
 		l.cancel()
 		delete(o.connections, id)
+		o.orders.drop(id)
 	}
 }
 
@@ -72,6 +72,7 @@
 func (o *owner) updateConnections() {
 	for id, l := range o.connections {
 		l.SetBusy(o.pool.Busy(id), o.commit.incarnations[id], o.commit.acked[id])
+		l.SetWatched(o.pool.HasOrphans(id))
 	}
 }
 
@@ -118,12 +119,12 @@
 }
 
 // Lost records that nothing runs any more on the known incarnation of a backend server, and closes its connection.
-func (o *owner) Lost(id, reason string) {
+func (o *owner) Lost(id string, reason basilwork.Loss) {
 	o.send(func(now time.Time) {
-		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, basillog.FieldReason: reason}).Warn("backend server lost")
+		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, basillog.FieldReason: reason.String()}).Warn("backend server lost")
 		before := o.pool.RunStates(id)
-		o.pool.Lost(id, now)
-		o.recordLosses(id, reason, before, now)
+		o.pool.Lost(id, reason, now)
+		o.recordLosses(id, reason.String(), before, now)
 		o.closeConnection(id)
 		delete(o.commit.acked, id)
 		delete(o.commit.covered, id)
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -48,6 +48,7 @@
 		return
 	}
 	b.needsCheck = true
+	b.heardAt = now
 	for _, e := range report.Ended {
 		if e.Number <= b.lastEndNumber {
 			continue
@@ -56,8 +57,10 @@
 		b.lastEndNumber = e.Number
 	}
 	seen := make(map[*run]bool, len(report.Running))
+	orphans := b.orphans
+	b.orphans = nil
 	for _, s := range report.Running {
-		if r := p.processRunning(b, s, now); r != nil {
+		if r := p.processRunning(b, s, orphans, sent, now); r != nil {
 			seen[r] = true
 		}
 	}
@@ -82,14 +85,14 @@
 	return false
 }
 
-func (p *Pool) processRunning(b *backend, s basilwork.RunStatus, now time.Time) *run {
+func (p *Pool) processRunning(b *backend, s basilwork.RunStatus, orphans map[Ref]*orphan, sent, now time.Time) *run {
 	id, err := basilwork.ParseTaskID(s.Task)
 	if err != nil {
 		return nil // not started by this scheduler, so there is nothing to adopt
 	}
 	t := p.findTask(id)
 	if t == nil {
-		p.actions.Stops = append(p.actions.Stops, Stop{Ref: Ref{Backend: b.ID, Task: id, Attempt: s.Attempt}, Reason: "unknown task"})
+		p.stopOrphan(b, Ref{Backend: b.ID, Task: id, Attempt: s.Attempt}, orphans, sent, now)
 		return nil
 	}
 	r := t.runOn(b.ID, s.Attempt)
@@ -101,6 +104,10 @@
 		r.answeredAt = now
 		p.activate(t.step.occurrence.job)
 	}
+	if p.outlivedStop(r, sent) {
+		r.stopAnsweredAt = time.Time{} // the stop is repeated: an earlier incarnation may have answered it
+		r.ignoredStop = true
+	}
 	if s.ProgressPercent != r.percent || r.progressedAt.IsZero() {
 		r.percent = s.ProgressPercent
 		r.progressedAt = now
@@ -110,6 +117,7 @@
 	}
 	r.usage = s.Usage
 	r.listedAt = now
+	p.clearIfAtWork(r)
 	p.observe(r, r.projectedRunTime(), now)
 	return r
 }
@@ -219,6 +227,7 @@
 	t.done = true
 	s.progress.SetDone(t.id.Index)
 	delete(s.progress.Checkpoints, t.id.Index)
+	delete(s.progress.Crashes, t.id.Index)
 	j := o.job
 	p.markDirty(j)
 	for _, r := range t.runs {
@@ -272,9 +281,12 @@
 	}
 	p.markDirty(j)
 	t.notBefore = now.Add(retryPause)
-	if p.failedAttempts(t) < j.maxAttempts() {
-		return
+	if p.failedAttempts(t) >= j.maxAttempts() {
+		p.failJob(j, now)
 	}
+}
+
+func (p *Pool) failJob(j *job, now time.Time) {
 	p.finalize(j, basilwork.JobStateFailed)
 	j.record.Finished = now.UnixMilli()
 	j.urgent = true
