Fail no job for starts that a silent server never began

Cause: a start without an answer counted like one that had begun. A task that lost one run and was then started on a server that was silent already reached the sum of weights, 1 + 3. Fix: a crash notes whether the start was answered, and a task is given up only after two crashes of which that is known, or three in all. Evidence: TestJobIsNotFailedForStartsToSilentBackends failed before.

--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -13,6 +13,7 @@
 // its rack, is the cause itself.
 const (
 	maxSuspicion   = 4                      // sum of weights at which a task is given up: after two to four crashes
+	minCrashes     = 2                      // crashes under a task after which its job may be failed, by the platform's rules
 	quarantineTime = 300 * time.Millisecond // how long a suspect must have run before others are started beside it; reports arrive in about it
 )
 
@@ -32,6 +33,18 @@
 	return sum
 }
 
+// proven reports whether at least two backend servers crashed under the task. Where it is not known of each whether a run had
+// begun, one crash more is needed: the server may have been silent before.
+func proven(crashes []basilwork.Crash) bool {
+	certain := 0
+	for _, c := range crashes {
+		if !c.Uncertain {
+			certain++
+		}
+	}
+	return certain >= minCrashes || len(crashes) > minCrashes
+}
+
 // recordCrash counts the crash for the tasks that had runs on the backend server, and gives up those that are certain to crash
 // any.
 func (p *Pool) recordCrash(l *silence, now time.Time) {
@@ -48,7 +61,7 @@
 		if weight == 0 && p.excuse(s.task) {
 			continue
 		}
-		p.recordCrashedRun(s.task, basilwork.Crash{Attempt: s.attempt, Weight: max(weight, crashWeightPossible)}, now)
+		p.recordCrashedRun(s.task, basilwork.Crash{Attempt: s.attempt, Weight: max(weight, crashWeightPossible), Uncertain: !s.certain}, now)
 	}
 	l.suspects, l.crashed = nil, l.suspects
 }
@@ -131,7 +144,7 @@
 	}
 	p.markDirty(j)
 	t.suspicion = suspicionOf(progress.Crashes[id.Index])
-	if t.suspicion < maxSuspicion {
+	if t.suspicion < maxSuspicion || !proven(progress.Crashes[id.Index]) {
 		return
 	}
 	if p.givenUp == nil {
@@ -190,7 +203,7 @@
 			for _, s := range o.steps {
 				for index := range s.progress.Crashes {
 					if t := s.tasks[index]; t.idle() {
-						p.recordCrashedRun(t.id, basilwork.Crash{Attempt: attempt, Weight: crashWeightPossible}, now)
+						p.recordCrashedRun(t.id, basilwork.Crash{Attempt: attempt, Weight: crashWeightPossible, Uncertain: true}, now)
 					}
 				}
 			}
--- a/internal/basilscheduler/crash_test.go
+++ b/internal/basilscheduler/crash_test.go
@@ -174,6 +174,28 @@
 	}
 }
 
+// TestJobIsNotFailedForStartsToSilentBackends checks that a task is not given up after one crash under it and a start that a
+// backend server, which had crashed by itself, may never have begun, but after one more.
+func TestJobIsNotFailedForStartsToSilentBackends(t *testing.T) {
+	list := backendsInRacks(8)
+	for n := range list {
+		list[n].Rack = "" // so that no crash passes for one of a rack
+	}
+	f := newFixture(t, list...)
+	f.addJob("j", stepOf(1, 1000))
+	f.crash(f.decideAndStart()[0].Backend)
+	starts := f.Decide(f.now).Starts
+	must.Len(t, 1, starts)
+	f.advance(200 * time.Millisecond)
+	f.Started(starts[0].Ref, basilwork.RefusalNone, false, f.now)
+	f.crash(starts[0].Backend)
+	starts = f.decideAndStart()
+	must.Len(t, 1, starts)
+	must.NotEq(t, basilwork.JobStateFailed, f.state("j"))
+	f.crash(starts[0].Backend)
+	must.Len(t, 1, f.Decide(f.now).GivenUp)
+}
+
 // TestCrashesOutlastOwner checks that a new owner goes on counting the crashes under a task.
 func TestCrashesOutlastOwner(t *testing.T) {
 	f := newFixture(t, backendsInRacks(4)...)
--- a/internal/basilwork/progress.go
+++ b/internal/basilwork/progress.go
@@ -12,8 +12,9 @@
 
 // Crash is the crash of a backend server that had a run of a task.
 type Crash struct {
-	Attempt int `json:"a"` // of the task
-	Weight  int `json:"w"` // how much speaks for the run as the cause, 1 or more
+	Attempt   int  `json:"a"`           // of the task
+	Weight    int  `json:"w"`           // how much speaks for the run as the cause, 1 or more
+	Uncertain bool `json:"u,omitempty"` // the start was not answered, so the run may never have begun
 }
 
 // SetDone records that the task is done.
