Send stops at once to silent backend servers that report again

What callers saw: nothing; found by reading. A server that answers again after a silence waited for its turn among those that stay silent, eight at a time and 0.9 s each, before its stops were sent. Cause: only the answer to an order ended the silence; the answers to holds, which come within 0.3 s, did not. Class: news that is known and not used. Change: a report ends the silence and starts senders for what waits.

--- a/internal/basilnode/backend_orders.go
+++ b/internal/basilnode/backend_orders.go
@@ -100,6 +100,20 @@
 	return o, true
 }
 
+// answered records that a backend server has answered something else than an order, so that it is not silent any more.
+func (q *orderQueue) answered(id string) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	b := q.backends[id]
+	if b == nil || !b.silent() {
+		return
+	}
+	b.misses = 0
+	for range min(len(b.waiting), basilrunner.MaxConcurrentOrders) {
+		q.spawnSender()
+	}
+}
+
 // drop removes the orders that wait for a backend server, and what is known of its answers.
 func (q *orderQueue) drop(id string) {
 	q.mutex.Lock()
--- a/internal/basilnode/orders_test.go
+++ b/internal/basilnode/orders_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -162,6 +163,42 @@
 	})
 }
 
+// TestStopsFollowReportOfSilentBackend checks that the stops that wait for a silent backend server are sent once a report shows that it
+// answers again, however many others stay silent.
+func TestStopsFollowReportOfSilentBackend(t *testing.T) {
+	const (
+		silent    = 60
+		late      = silent - 1 // the one that answers again
+		timeLimit = 900 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := newBlockedOwner()
+		var again atomic.Bool
+		var sentAt time.Time
+		for n := range silent {
+			for i := range 12 {
+				s.queueStop(strconv.Itoa(n), i, func() bool {
+					if n == late && again.Load() {
+						s.orders.mutex.Lock()
+						defer s.orders.mutex.Unlock()
+						sentAt = time.Now()
+						return true
+					}
+					time.Sleep(timeLimit)
+					return false
+				})
+			}
+		}
+		time.Sleep(6 * timeLimit)
+		again.Store(true)
+		s.orders.answered(strconv.Itoa(late))
+		answeredAt := time.Now()
+		time.Sleep(time.Hour)
+		must.True(t, s.orders.idle())
+		must.LessEq(t, timeLimit, sentAt.Sub(answeredAt))
+	})
+}
+
 // TestLostAnswersDoNotDelayStops replays stops to backend servers that leave half of the orders unanswered. They are working, so that
 // each stop must be sent within two time limits of an order.
 func TestLostAnswersDoNotDelayStops(t *testing.T) {
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -78,6 +78,7 @@
 
 // Report handles a backend server's answer to a hold request. restarted tells that the server has restarted.
 func (o *owner) Report(id string, r basilwork.Report, sent time.Time, restarted bool) {
+	o.orders.answered(id)
 	o.send(func(now time.Time) {
 		var before []basilscheduler.RunState
 		if restarted {
