Guard the delays that a test of stops records

What callers saw: nothing; the race detector fails TestSilentBackendsDoNotDelayStops now and then, as two senders may append to the list of delays. The checks and their bounds stay.

--- a/internal/basilnode/orders_test.go
+++ b/internal/basilnode/orders_test.go
@@ -149,6 +149,8 @@
 			}
 			queuedAt := time.Now()
 			s.queueStop("working", i, func() bool {
+				s.orders.mutex.Lock()
+				defer s.orders.mutex.Unlock()
 				delays = append(delays, time.Since(queuedAt))
 				return true
 			})
