Show that a job repeated after a route change runs twice

What callers saw: nothing yet; found by reading, as what was left beside the DELETE that was answered 410. A job that is submitted again at an entry host that started after its queue was routed to another service is stored once more under the new service. Its tasks run twice at the same time; a DELETE cancels one of the two and is answered 200, and the other runs on; a job that was cancelled before starts anew. Cause: a queue's earlier services are known only to the processes that applied both configurations. Class: state of the deployment in a process's memory. The configuration of TestCancelAfterRouteChange moves out of it, as both use it.

--- a/internal/basilnode/cancel_test.go
+++ b/internal/basilnode/cancel_test.go
@@ -100,12 +100,14 @@
 	})
 }
 
+// routed is a configuration with the given version that routes the queue to the given service.
+const routed = `{"version":%d,"routes":[{"name":"quote","host":"shop.example","path_prefix":"/quote/","service":"%s","timeout_ms":3000,"slo_ms":600,"stretch":1.6,"max_attempts":3}],
+ "services":[{"name":"stretch","enforces_capacity":true},{"name":"press","enforces_capacity":true},{"name":"spare","standby":true}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":8192}}`
+
 // TestCancelAfterRouteChange checks that an entry host that started after a queue was routed to another service cancels a job that is
 // stored under the earlier one, rather than answer that there is no such job while its tasks run.
 func TestCancelAfterRouteChange(t *testing.T) {
-	const routed = `{"version":%d,"routes":[{"name":"quote","host":"shop.example","path_prefix":"/quote/","service":"%s","timeout_ms":3000,"slo_ms":600,"stretch":1.6,"max_attempts":3}],
- "services":[{"name":"stretch","enforces_capacity":true},{"name":"press","enforces_capacity":true},{"name":"spare","standby":true}],
- "limits":{"max_header_bytes":16384,"max_body_bytes":8192}}`
 	run(t, 2, 4, constant(20*time.Second), func(c *cluster) {
 		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
 		c.site.AddPool("press", 2, 16000, 65536, false)
@@ -123,6 +125,32 @@
 	})
 }
 
+// TestRepeatedSubmissionAfterRouteChangeStartsNothing checks that an entry host that started after a queue was routed to another service
+// starts no task of a job that is stored under the earlier one, whether it runs or is cancelled.
+func TestRepeatedSubmissionAfterRouteChangeStartsNothing(t *testing.T) {
+	for _, running := range []int{3, 0} {
+		run(t, 2, 4, constant(20*time.Second), func(c *cluster) {
+			must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+			c.site.AddPool("press", 2, 16000, 65536, false)
+			c.site.Configure(fmt.Sprintf(routed, 2, "press"))
+			time.Sleep(time.Second)
+			c.start("entry-3")
+			time.Sleep(3 * time.Second)
+			if running == 0 {
+				c.cancel("entry-1", quotePrefix, jobID(1))
+				time.Sleep(time.Second)
+			}
+			must.Eq(c.t, running, c.site.Running(jobID(1)))
+			must.Eq(c.t, http.StatusOK, c.submit("entry-3", quotePrefix, jobID(1), twoSteps))
+			time.Sleep(2 * time.Second)
+			must.Eq(c.t, running, c.site.Running(jobID(1)))
+			c.cancel("entry-3", quotePrefix, jobID(1))
+			time.Sleep(time.Second)
+			must.Eq(c.t, 0, c.site.Running(jobID(1)))
+		})
+	}
+}
+
 // TestRepeatedSubmissionOfCancelledJobStartsNothing checks that a job stays cancelled if its submission is repeated after a takeover,
 // also if its tasks saved checkpoints when they were stopped.
 func TestRepeatedSubmissionOfCancelledJobStartsNothing(t *testing.T) {
