Count a crash whose successor has left before the leases ended

Two losses were noted as expired leases, and the server that had come back at the address was moved to another pool before that, so that nothing showed the crash. Cause: a newer incarnation was looked for only after the loss. Change: a server is marked as replaced when one is listed at its address.

--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -23,6 +23,7 @@
 	busyUntil      time.Time // latest expected end of its runs
 	blockedUntil   time.Time // no new runs before this time
 	heardAt        time.Time // when it last answered a hold or a start
+	succeeded      bool      // a newer incarnation was listed at its address, which may have left again since
 	quarantinedFor *run      // suspect that was started on it last; nil if it has ended
 	failures       int       // consecutive failed runs, of distinct jobs in failedJobs
 	failedJobs     map[string]bool
--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -69,7 +69,7 @@
 // explained reports whether a suspect of the crash was the likely cause of another one since.
 func (p *Pool) explained(l *silence) bool {
 	return slices.ContainsFunc(l.crashed, func(s suspect) bool {
-		return p.givenUp[s.task.Job] || p.suspicion(s.task) > crashWeightLikely
+		return !p.givenUp[s.task.Job].IsZero() || p.suspicion(s.task) > crashWeightLikely
 	})
 }
 
@@ -152,9 +152,9 @@
 		return
 	}
 	if p.givenUp == nil {
-		p.givenUp = make(map[string]bool)
+		p.givenUp = make(map[string]time.Time)
 	}
-	p.givenUp[id.Job] = true
+	p.givenUp[id.Job] = now
 	p.actions.GivenUp = append(p.actions.GivenUp, GivenUp{Task: id, Crashes: progress.Crashes[id.Index]})
 	p.failJob(j, now)
 }
--- a/internal/basilscheduler/crash_test.go
+++ b/internal/basilscheduler/crash_test.go
@@ -161,6 +161,26 @@
 	}
 }
 
+// TestCrashCountsAfterSuccessorLeft checks that a crash counts though the newer incarnation left again before the lost one's leases had
+// expired.
+func TestCrashCountsAfterSuccessorLeft(t *testing.T) {
+	f := newFixture(t, backendsInRacks(2)...)
+	f.addJob("j", stepOf(1, 1000))
+	id := f.decideAndStart()[0].Backend
+	lost, other := f.backends["b0"].Backend, f.backends["b1"].Backend
+	if id == "b1" {
+		lost, other = other, lost
+	}
+	successor := lost
+	successor.ID, successor.StartedAt = "successor", 2
+	f.setBackends(lost, other, successor)
+	f.setBackends(lost, other)
+	f.advance(7 * time.Second)
+	f.Lost(id, basilwork.LossExpired, f.now)
+	f.Decide(f.now)
+	must.Positive(t, f.suspicion(basilwork.TaskID{Job: "j"}))
+}
+
 // TestLongRunningTaskAtWorkIsNoSuspect checks that crashes count against a long-running task only until it is at work.
 func TestLongRunningTaskAtWorkIsNoSuspect(t *testing.T) {
 	f := newFixture(t, backendsInRacks(8)...)
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -59,14 +59,14 @@
 	actions          Actions
 	wakeTime         time.Time
 	fenced           bool
-	arrivedWork      basilwork.Resources // estimated work of the jobs added so far: what their tasks reserve, times seconds
-	medianOdds       float64             // median of slowOdds over the usable backend servers
-	comparedAt       time.Time           // when medianOdds was last computed
-	needsBackend     bool                // a long-running task found no room in the last decision
-	silences         []silence           // of backend servers that were lost lately
-	givenUp          map[string]bool     // jobs given up since backend servers crashed under their tasks, while silences are kept
-	inheritedCrash   bool                // a backend server that may have had runs of a predecessor has crashed
-	startLimit       int                 // maximum number of starts per decision
+	arrivedWork      basilwork.Resources  // estimated work of the jobs added so far: what their tasks reserve, times seconds
+	medianOdds       float64              // median of slowOdds over the usable backend servers
+	comparedAt       time.Time            // when medianOdds was last computed
+	needsBackend     bool                 // a long-running task found no room in the last decision
+	silences         []silence            // of backend servers that were lost lately
+	givenUp          map[string]time.Time // when jobs were given up since backend servers crashed under their tasks, as long as silences are kept
+	inheritedCrash   bool                 // a backend server that may have had runs of a predecessor has crashed
+	startLimit       int                  // maximum number of starts per decision
 }
 
 // New returns an empty pool.
@@ -198,6 +198,7 @@
 func (p *Pool) setBackend(entry basilwork.Backend) {
 	b := p.backends[entry.ID]
 	if b == nil {
+		p.markSucceeded(entry)
 		b = &backend{reachable: true}
 		p.backends[entry.ID] = b
 		n, _ := p.backendIndex(entry.ID)
@@ -314,7 +315,7 @@
 	}
 	p.forgetBackend(id)
 	if b.attached && reason != basilwork.LossRemoved {
-		p.recordSilence(l, reason == basilwork.LossReplaced, now)
+		p.recordSilence(l, b.succeeded || reason == basilwork.LossReplaced, now)
 	}
 }
 
--- a/internal/basilscheduler/silence.go
+++ b/internal/basilscheduler/silence.go
@@ -1,6 +1,7 @@
 package basilscheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -95,9 +96,7 @@
 
 func (p *Pool) forgetOldSilences(now time.Time) {
 	p.silences = slices.DeleteFunc(p.silences, func(l silence) bool { return now.Sub(l.lostAt) > silenceMemory })
-	if len(p.silences) == 0 {
-		clear(p.givenUp)
-	}
+	maps.DeleteFunc(p.givenUp, func(_ string, at time.Time) bool { return now.Sub(at) > silenceMemory })
 }
 
 // explainSilences records crashes of lost backend servers that are listed in a newer incarnation, under their ID or at their
@@ -117,6 +116,15 @@
 	return b.present && (b.ID == l.id || b.Address == l.address) && b.StartedAt > l.startedAt
 }
 
+// markSucceeded marks the backend servers that a newly listed one has replaced at its address.
+func (p *Pool) markSucceeded(entry basilwork.Backend) {
+	for _, b := range p.list {
+		if b.Address == entry.Address && b.StartedAt < entry.StartedAt {
+			b.succeeded = true
+		}
+	}
+}
+
 // explainSilence records the crash of a lost backend server that has started again under its ID.
 func (p *Pool) explainSilence(id string, now time.Time) {
 	for n := range p.silences {
