--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -12,7 +12,7 @@
 // had a run on each, mostly the last one that was started. A backend server that crashes again without such a task, or with
 // its rack, is the cause itself.
 const (
-	maxSuspicion   = 4                      // sum of weights at which a task is given up: after two to four crashes
+	maxSuspicion   = 4                      // sum of weights at which a task is given up: after two to five crashes, of which one may not count
 	minCrashes     = 2                      // crashes under a task after which its job may be failed, by the platform's rules
 	quarantineTime = 300 * time.Millisecond // how long a suspect must have run before others are started beside it; reports arrive in about it
 )
--- a/internal/basilscheduler/silence.go
+++ b/internal/basilscheduler/silence.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// explainSilence records the crash of a lost backend server that has started again under its ID.
-func (p *Pool) explainSilence(id string, now time.Time) {
+// recordReturn records the crash of a lost backend server that has started again under its ID.
+func (p *Pool) recordReturn(id string, now time.Time) {
 	for n := range p.silences {
 		if l := &p.silences[n]; l.id == id {
 			p.recordCrash(l, now)
