Read the members until an entry host has seen its own lease

Callers saw up to 335 ms without a start when a pool's owner was stopped during a rolling restart, where 40 ms is usual: TestHandOverAtPeak, bound 300 ms.

Its first read of the members and its first renewal are sent at once; the read comes first and shows its former incarnation, stopping. So it is not among the candidates of its own view, counts as not involved, and reads the members again only after four rounds (1.24 s). The owner and the third host see it from 5.17 s on, and it counts as settled after two rounds. At 5.80 s the owner releases the pool and names it as the successor; it wakes up, has no rank in its view of 5.10 s, and claims nothing. The third host claims one round later, at 6.11 s. 315 ms = 310 ms of that round and 5 ms, the pause after the new owner's first step, which came before the backend servers had answered; 335 ms has 20 ms more, one poll of the stopping owner. Where the read comes after the renewal, the play passes.

The rule that spares idle hosts the reads took "not among the best candidates" and "does not see itself" for the same. A host that has not seen its own lease, or sees it expired, as after a pause of the process, now reads the members in every round; so it is ready after the two rounds that the releasing owner allows it. One more read of the members after a start; a stopping host stays idle as before.

--- a/internal/basilshard/cluster_test.go
+++ b/internal/basilshard/cluster_test.go
@@ -81,9 +81,13 @@
 	return r
 }
 
-func (r *cluster) start(n int) {
+func (r *cluster) start(n int) { r.startWith(n, nil) }
+
+// startWith starts an entry host; before, unless nil, is called before each of its requests.
+func (r *cluster) startWith(n int, before *func(q *http.Request)) {
 	r.starts++
 	h := &keeperHost{link: &basilstandin.Link{Network: r.network}, done: make(chan struct{}), owned: make(map[string]int64)}
+	h.before.Store(before)
 	name := fmt.Sprintf("entry-%d", n)
 	store := basilsite.NewStore(basilsite.NewClientOn(h), func() string { return basilfake.StoreAddress }, time.Second)
 	began := r.began
@@ -364,3 +368,30 @@
 	})
 	must.Greater(t, before, after)
 }
+
+// TestRestartedHostClaimsReleasedShard checks that a shard is claimed at once though the successor's first read of the members
+// came before its first renewal. In a rolling restart the shard had no owner until the next in line claimed it.
+func TestRestartedHostClaimsReleasedShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newCluster()
+		time.Sleep(3 * time.Second)
+		r.hosts[0].Release(t.Context())
+		r.kill(0)
+		time.Sleep(time.Second)
+		delayWrites := func(q *http.Request) {
+			if q.Method != http.MethodGet {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		r.startWith(0, &delayWrites)
+		time.Sleep(3*renew + renew/2) // the others have read its row for two rounds
+		owner := r.owner("a")
+		must.True(t, owner != r.hosts[0])
+		owner.Release(t.Context())
+		time.Sleep(50 * time.Millisecond)
+		must.True(t, r.owned())
+		for n := range r.hosts {
+			r.kill(n)
+		}
+	})
+}
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -284,10 +284,11 @@
 // one.
 //
 // For a shard without an owner, that applies to the best-ranked candidates, and to the others only after the delays of those
-// have passed. If it applied to all at once, the rows read from the store would grow with the square of the members.
+// have passed. If it applied to all at once, the rows read from the store would grow with the square of the members. A host
+// that has not seen its own renewal doesn't know its rank, while the others may already wait for its claim.
 func (s *State) Involved(shards []string, now time.Duration) bool {
 	loads := s.loads(shards)
-	if s.readFailed || len(shards) == 0 || loads[s.self.Node] > 0 {
+	if s.readFailed || len(shards) == 0 || loads[s.self.Node] > 0 || !s.seesItself() {
 		return true
 	}
 	live := s.Live()
@@ -303,6 +304,13 @@
 	return s.isActiveCandidate(candidates("", "", live, loads))
 }
 
+// seesItself reports whether this entry host's own row was live or stopping when the members were last read. The first read
+// may come before the first renewal, since both are sent at once.
+func (s *State) seesItself() bool {
+	m := s.members[s.self.Node]
+	return m != nil && m.member.Incarnation == s.self.Incarnation && (m.member.Stopping || s.isLive(m))
+}
+
 // isActiveCandidate reports whether this entry host is among the activeCandidates best-ranked ones.
 func (s *State) isActiveCandidate(ranked []Candidate) bool {
 	return slices.ContainsFunc(ranked[:min(len(ranked), activeCandidates)], func(c Candidate) bool { return c.Node == s.self.Node })
--- a/internal/basilshard/state_test.go
+++ b/internal/basilshard/state_test.go
@@ -179,3 +179,27 @@
 	s.Claims([]string{"stretch"}, 2*time.Second)
 	must.Len(t, 1, s.Claims([]string{"stretch"}, 4*time.Second))
 }
+
+// TestHostThatDoesNotSeeItselfIsInvolved checks that a host reads the members in every round until it has seen its own lease, and
+// again once that lease seems to have expired.
+func TestHostThatDoesNotSeeItselfIsInvolved(t *testing.T) {
+	self := Member{Node: "a", Incarnation: "a.2", Weight: 0.1}
+	others := hostsOf(3, 0.8)
+	owner := others[0]
+	s := NewState(self, testLease, testRenew)
+	s.SetOwner("toe", OwnerRow{Node: owner.Node, Incarnation: owner.Incarnation, Epoch: 1, Version: 1})
+	involved := func() bool { return s.Involved([]string{"toe"}, testRenew) }
+	observe(s, others, 0, 0)
+	must.True(t, involved(), must.Sprint("no own row"))
+	observe(s, append(others, Member{Node: "a", Incarnation: "a.1", Weight: 0.1}), testRenew, testRenew)
+	must.True(t, involved(), must.Sprint("row of an earlier incarnation"))
+	observe(s, append(others, self), 2*testRenew, 2*testRenew)
+	must.False(t, involved(), must.Sprint("own row"))
+	observe(s, append(others, Member{Node: "a", Incarnation: "a.2", Weight: 0.1, Stopping: true}), 3*testRenew, 3*testRenew)
+	must.False(t, involved(), must.Sprint("stopping"))
+	lapsed := []Observed{{Member: self, Version: 1}, {Member: owner, Version: 9}}
+	s.Observe(lapsed, 4*testRenew)
+	lapsed[1].Version++
+	s.Observe(lapsed, 4*testRenew+testLease)
+	must.True(t, involved(), must.Sprint("paused for as long as a lease"))
+}
