Log the release of a shard with its successor, and what a claim rests on

The logs of TestHandOverAtPeak could not tell why a released pool waited 310 ms: the choice of the successor was not logged, nor whether the claimer was the chosen one, nor how old its view of the members was. "shard released" and "failed to release the shard" now carry the epoch and the successor (next), "claiming a shard" carries next and members_age_ms. One line more for each release; no change of behaviour. Seen in a run of the test with BASIL_TEST_LOG=1; internal/basilshard passes with -race.

--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -118,10 +118,12 @@
 	}
 	k.mutex.Lock()
 	claims := k.state.Claims(k.shards, now)
+	membersAge := now - k.membersReadAt
 	k.mutex.Unlock()
 	for _, c := range claims {
 		k.options.Log.WithFields(logrus.Fields{
-			basillog.FieldPool: c.Shard, "rank": c.Rank, "candidates": c.Candidates[:min(len(c.Candidates), max(c.Rank+1, minCandidatesLogged))],
+			basillog.FieldPool: c.Shard, "rank": c.Rank, "next": c.previous.Next, "members_age_ms": membersAge.Milliseconds(),
+			"candidates": c.Candidates[:min(len(c.Candidates), max(c.Rank+1, minCandidatesLogged))],
 		}).Info("claiming a shard")
 		if !k.claimShard(ctx, c) {
 			return
@@ -251,11 +253,14 @@
 
 // release stores that the shard has no owner and reports whether that succeeded.
 func (k *Keeper) release(ctx context.Context, shard string, row OwnerRow) bool {
-	err := k.writeOwner(ctx, shard, OwnerRow{Node: row.Node, Epoch: row.Epoch, Next: k.successor(shard)}, row.Version)
-	if err != nil {
-		k.options.Log.WithError(err).WithField(basillog.FieldPool, shard).Warn("failed to release the shard")
+	next := k.successor(shard)
+	entry := k.options.Log.WithFields(logrus.Fields{basillog.FieldPool: shard, basillog.FieldEpoch: row.Epoch, "next": next})
+	if err := k.writeOwner(ctx, shard, OwnerRow{Node: row.Node, Epoch: row.Epoch, Next: next}, row.Version); err != nil {
+		entry.WithError(err).Warn("failed to release the shard")
+		return false
 	}
-	return err == nil
+	entry.Info("shard released")
+	return true
 }
 
 // successor chooses the node that is to claim a shard once it is released. Without a choice, the others would wait in the
