Have every check of the stand-ins' judge catch a fault made on purpose

The other six now have a case each: an older fence on a host's order, an order that ends a long-running task, a start after too many failed attempts, starts of a task that crashes its backend servers, a start over the capacity, a job shown as failed without cause.

--- a/internal/basilsoak/checks_test.go
+++ b/internal/basilsoak/checks_test.go
@@ -18,12 +18,25 @@
 
 const (
 	oneTask  = `{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":16}]}`
+	wideTask = `{"spec":"x","steps":[{"count":2,"cpu":10000,"mem_mb":16}]}`
 	twoTasks = `{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":16},{"count":1,"cpu":100,"mem_mb":16,"after":[0]}]}`
 	checkID  = "00000000000000aa"
 
 	startPath = "/api/run-start"
+	movePath  = "/api/machine-move"
+
+	failing = 50 // attempts from this on fail
+	endless = 60 // attempts from this on run until they are stopped
 )
 
+// checkedWork is the work of the runs in TestChecksCatchFaults.
+func checkedWork(_ string, attempt int) (time.Duration, bool) {
+	if attempt >= endless {
+		return -1, false
+	}
+	return 100 * time.Millisecond, attempt >= failing
+}
+
 // order makes a call to a backend server or the host API, as an entry host at fault would.
 func order(t *testing.T, n *basilstandin.Network, address, path, body string, header http.Header) {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address+path, strings.NewReader(body))
@@ -41,6 +54,11 @@
 		return fmt.Sprintf(`{"task":%q,"attempt":%d,"spec":"x","deadline_ms":100000,"fencing_token":1}`, task, attempt)
 	}
 	first, second := checkID+".0.0.0", checkID+".0.1.0"
+	move := func(t *testing.T, n *basilstandin.Network, machine, holder string, fence int) {
+		order(t, n, basilfake.MachinesAddress, movePath, fmt.Sprintf(`{"machine":%q,"pool":"stretch"}`, machine),
+			http.Header{"X-Lease-Holder": {holder}, "X-Fencing-Token": {fmt.Sprint(fence)}})
+		time.Sleep(1600 * time.Millisecond)
+	}
 	cases := map[string]struct {
 		job   string
 		fault func(t *testing.T, n *basilstandin.Network, s *basilfake.Site)
@@ -74,18 +92,48 @@
 		}, "said that it is leaving"},
 		"two holders of one host": {oneTask, func(t *testing.T, n *basilstandin.Network, s *basilfake.Site) {
 			machine := s.Machines("spare")[0]
-			for fence, holder := range []string{"entry-1", "entry-2"} {
-				order(t, n, basilfake.MachinesAddress, "/api/machine-move", fmt.Sprintf(`{"machine":%q,"pool":"stretch"}`, machine),
-					http.Header{"X-Lease-Holder": {holder}, "X-Fencing-Token": {fmt.Sprint(fence + 1)}})
-				time.Sleep(1600 * time.Millisecond)
-			}
+			move(t, n, machine, "entry-1", 1)
+			move(t, n, machine, "entry-2", 2)
 		}, "after one of"},
+		"an order for a host with an older fence": {oneTask, func(t *testing.T, n *basilstandin.Network, s *basilfake.Site) {
+			machine := s.Machines("spare")[0]
+			move(t, n, machine, "entry-1", 2)
+			move(t, n, machine, "entry-1", 1)
+		}, "with fence 1 of entry-1 after 2"},
+		"an order for a host that ends a long-running task": {oneTask, func(t *testing.T, n *basilstandin.Network, s *basilfake.Site) {
+			order(t, n, a, startPath, start(first, endless), nil)
+			move(t, n, s.Machines("stretch")[0], "entry-1", 1)
+		}, "ends " + first},
+		"a start after too many failed attempts": {oneTask, func(t *testing.T, n *basilstandin.Network, _ *basilfake.Site) {
+			for try := range 4 {
+				order(t, n, a, startPath, start(first, failing+try), nil)
+				time.Sleep(300 * time.Millisecond)
+				order(t, n, a, "/api/hold", fmt.Sprintf(`{"fencing_token":1,"ack_cursor":%d}`, try+1), nil)
+			}
+		}, "starts after 3 failed attempts"},
+		"starts of a task that crashes its backend servers": {oneTask, func(t *testing.T, n *basilstandin.Network, s *basilfake.Site) {
+			s.SetCrashes(func(string, int) (basilfake.Outage, bool) {
+				return basilfake.Outage{After: 50 * time.Millisecond, For: 200 * time.Millisecond, SameID: true}, true
+			})
+			for try := range 6 {
+				order(t, n, a, startPath, start(first, try+1), nil)
+				time.Sleep(500 * time.Millisecond)
+			}
+		}, "after 5 backend servers have crashed under it"},
+		"a start over the capacity": {wideTask, func(t *testing.T, n *basilstandin.Network, s *basilfake.Site) {
+			s.SetUnguarded("stretch")
+			order(t, n, a, startPath, start(first, 1), nil)
+			order(t, n, a, startPath, start(checkID+".0.0.1", 1), nil)
+		}, "over its capacity"},
+		"a job that is shown as failed without cause": {oneTask, func(_ *testing.T, _ *basilstandin.Network, s *basilfake.Site) {
+			s.Shown(checkID, "failed")
+		}, "without cause"},
 	}
 	for name, x := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n := &basilstandin.Network{}
-				s := basilfake.NewSite(n, func(string, int) (time.Duration, bool) { return 100 * time.Millisecond, false })
+				s := basilfake.NewSite(n, checkedWork)
 				s.AddPool("stretch", 2, 16000, 65536, false)
 				s.AddPool("spare", 1, 16000, 65536, true)
 				if x.job != "" {
