Log the service of a submission or a cancelling with its answer

Callers saw nothing. A job that is stored under two services could be told only from the owners' lines, which lack those of entry hosts that looked in the wrong place. The answer of a POST or a DELETE now names the service under which the job is stored or was looked for, as pool.

--- a/internal/basilnode/front.go
+++ b/internal/basilnode/front.go
@@ -65,6 +65,7 @@
 	ctx     context.Context
 	queue   *basilwork.Queue
 	id      string
+	service string // that the job is stored under, or was looked for under; empty if not known
 	started time.Time
 }
 
@@ -164,6 +165,7 @@
 	for _, service := range c.node.formerServices(c.queue.Name) {
 		_, _, err := c.node.ledger.Find(c.ctx, service, c.id)
 		if !basilledger.IsErrJobNotExist(err) {
+			c.service = service
 			return err == nil, err
 		}
 	}
@@ -177,6 +179,7 @@
 	if err != nil {
 		return err
 	}
+	c.service = c.queue.Service
 	err = c.node.accept(c.ctx, c.queue.Service, job)
 	for basilplatform.IsErrOutcomeUnknown(err) {
 		if _, _, found := c.node.ledger.Find(c.ctx, c.queue.Service, c.id); found == nil {
@@ -199,6 +202,7 @@
 	if err != nil {
 		return err
 	}
+	c.service = c.queue.Service
 	return c.node.acceptViaPeers(c.ctx, c.queue.Service, job)
 }
 
@@ -245,8 +249,10 @@
 
 // cancel cancels the job, and responds once the cancellation is stored.
 func (c *call) cancel() {
+	c.service = c.queue.Service
 	_, service, err := c.find()
 	if err == nil {
+		c.service = service
 		err = c.cancelInService(service)
 	}
 	switch {
@@ -320,6 +326,9 @@
 	if c.queue != nil {
 		fields["queue"] = c.queue.Name
 	}
+	if c.service != "" {
+		fields[basillog.FieldPool] = c.service
+	}
 	if reason != "" {
 		fields[basillog.FieldReason] = reason
 	}
