Keep a job's identity when its queue is routed to another service

Callers saw a job run twice if they repeated its submission after its queue was routed to another service, at an entry host that started after the change or had another configuration; a cancelling stopped one of the two, and `waiting` lacked some.

Cause: a job was stored under the service to which this one process routed the queue at that moment, and former services were known only to processes that had seen both configurations.

Change: the store keeps an assignment for each queue (service, former services, revision, generation) and a gate for each service and queue in the part of the service's jobs. The transaction of a new job has the version of the open gate as a precondition; a move raises the gates of all former services, closed, before it opens the new one, so that at most one is open. A submission looks in the former services first, and reads the assignment again if the gate has changed. Lookups, cancelling and `waiting` go by the assignment.

--- a/internal/basilledger/acceptor.go
+++ b/internal/basilledger/acceptor.go
@@ -13,18 +13,19 @@
 )
 
 const (
-	maxBatchRecords = 33                    // records per transaction: each takes 3 (two puts and a precondition) of its 100 entries
-	maxBatchBytes   = 512 << 10             // size of a transaction's records: half of the store's limit
-	maxWorkers      = 2                     // concurrent transactions, so that the store is busy while an answer is in transit
-	maxWaiting      = 1000                  // queued records; at 200 transactions per second, callers of more would time out
-	maxAttempts     = 3                     // attempts of a transaction that gets no answer
-	retryDelay      = 50 * time.Millisecond // between attempts
+	entriesPerJob = 3                     // of a transaction: two puts and a precondition
+	maxBatchBytes = 512 << 10             // size of a transaction's records: half of the store's limit
+	maxWorkers    = 2                     // concurrent transactions, so that the store is busy while an answer is in transit
+	maxWaiting    = 1000                  // queued records; at 200 transactions per second, callers of more would time out
+	maxAttempts   = 3                     // attempts of a transaction that gets no answer
+	retryDelay    = 50 * time.Millisecond // between attempts
 )
 
-// Acceptance is the encoded record of a new job that is to be stored.
+// Acceptance is the encoded record of a new job that is to be stored while the gate of its queue stays as it is.
 type Acceptance struct {
 	record basilwork.Record
 	body   []byte
+	gate   int64 // version of the gate; 0 if there must be none
 }
 
 // NewAcceptance returns the acceptance of a job; it fails with ErrRecordUnreadable.
@@ -48,13 +49,31 @@
 // Body returns the encoded record.
 func (a *Acceptance) Body() []byte { return a.body }
 
+// WithGate returns the acceptance with the version of the gate that is its precondition.
+func (a *Acceptance) WithGate(version int64) Acceptance {
+	return Acceptance{record: a.record, body: a.body, gate: version}
+}
+
+// Gate returns the version of the gate that is the precondition.
+func (a *Acceptance) Gate() int64 { return a.gate }
+
 func (a *Acceptance) id() string { return a.record.Job.ID }
 
+func (a *Acceptance) queue() string { return a.record.Job.Queue }
+
+// gateCheck returns the precondition that the gate is as it was. It comes after the writes of jobs: of several preconditions that fail the
+// store names the first, and a job that is stored already is stored whatever became of the gate.
+func (a *Acceptance) gateCheck(service string) basilplatform.Write {
+	return basilplatform.Write{
+		Kind: basilplatform.WriteKindCheck, Key: GateKey(service, a.queue()), Precondition: basilplatform.PreconditionVersion, Version: a.gate,
+	}
+}
+
 // writes returns the writes that store the job for the service; they fail if its row exists already.
 func (a *Acceptance) writes(service string) []basilplatform.Write {
 	return []basilplatform.Write{
 		{Kind: basilplatform.WriteKindPut, Key: Key(service, a.id()), Precondition: basilplatform.PreconditionAbsent, Body: a.body},
-		{Kind: basilplatform.WriteKindPut, Key: WaitingKey(service, a.record.Job.Queue, a.id()), Precondition: basilplatform.PreconditionNone, Body: []byte("1")},
+		{Kind: basilplatform.WriteKindPut, Key: WaitingKey(service, a.queue(), a.id()), Precondition: basilplatform.PreconditionNone, Body: []byte("1")},
 	}
 }
 
@@ -125,19 +144,26 @@
 	}
 }
 
-// nextBatch removes the jobs of the next transaction from the queue, each ID once.
+// nextBatch removes the jobs of the next transaction from the queue, each ID once and those of a queue with the same gate.
 func (a *Acceptor) nextBatch() []*pending {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	var batch, rest []*pending
 	ids := make(map[string]bool)
+	gates := make(map[string]int64)
 	bytes := 0
 	for _, p := range a.waiting {
-		if len(batch) == maxBatchRecords || ids[p.id()] || len(batch) > 0 && bytes+len(p.body) > maxBatchBytes {
+		version, checked := gates[p.queue()]
+		entries := entriesPerJob*(len(batch)+1) + len(gates)
+		if !checked {
+			entries++
+		}
+		if entries > basilplatform.MaxTransactionWrites || ids[p.id()] || checked && version != p.gate || len(batch) > 0 && bytes+len(p.body) > maxBatchBytes {
 			rest = append(rest, p)
 			continue
 		}
 		ids[p.id()] = true
+		gates[p.queue()] = p.gate
 		bytes += len(p.body)
 		batch = append(batch, p)
 	}
@@ -160,7 +186,7 @@
 			a.reportStored(batch, version)
 			return
 		case errors.As(err, &conflict):
-			batch = a.finishStored(batch, conflict.Key)
+			batch = a.resolveConflict(batch, conflict.Key, unanswered)
 		case basilplatform.IsErrOutcomeUnknown(err) && unanswered+1 < maxAttempts && basiltimer.Wait(a.ctx, retryDelay) == nil:
 			unanswered++
 		case basilplatform.IsErrRefused(err) && len(batch) > 1: // at least one job is invalid
@@ -183,18 +209,33 @@
 	for _, p := range batch {
 		t.Writes = append(t.Writes, p.writes(a.service)...)
 	}
+	checked := make(map[string]bool, 1)
+	for _, p := range batch {
+		if !checked[p.queue()] {
+			checked[p.queue()] = true
+			t.Writes = append(t.Writes, p.gateCheck(a.service))
+		}
+	}
 	return a.store.Commit(a.ctx, t)
 }
 
-// finishStored reports success for the job whose row exists already and returns the other jobs.
-func (a *Acceptor) finishStored(batch []*pending, k basilplatform.Key) []*pending {
+// resolveConflict reports success for the job whose row exists already, or ErrAssignmentChanged for those whose gate has changed, and
+// returns the other jobs.
+func (a *Acceptor) resolveConflict(batch []*pending, k basilplatform.Key, unanswered int) []*pending {
 	rest := make([]*pending, 0, len(batch))
 	for _, p := range batch {
-		if Key(a.service, p.id()) == k {
+		switch k {
+		case Key(a.service, p.id()):
 			p.done <- nil
-			continue
+		case GateKey(a.service, p.queue()):
+			err := errors.WithStack(ErrAssignmentChanged{Queue: p.queue()})
+			if unanswered > 0 {
+				err = NewErrMayBeStored(err)
+			}
+			p.done <- err
+		default:
+			rest = append(rest, p)
 		}
-		rest = append(rest, p)
 	}
 	if len(rest) == len(batch) {
 		finish(batch, errors.WithStack(basilplatform.ErrOutcomeUnknown{Operation: "accept", Cause: basilplatform.ErrConditionFailed{Key: k}}))
--- a/internal/basilledger/errors.go
+++ b/internal/basilledger/errors.go
@@ -86,3 +86,13 @@
 
 // IsErrNotNewJob reports whether the error is an ErrNotNewJob.
 func IsErrNotNewJob(err error) bool { return errors.As(err, new(ErrNotNewJob)) }
+
+// ErrAssignmentChanged is returned when a queue may have been assigned to another service since its assignment was read.
+type ErrAssignmentChanged struct{ Queue string }
+
+func (e ErrAssignmentChanged) Error() string {
+	return fmt.Sprintf("assignment of queue has changed [queue: %s]", e.Queue)
+}
+
+// IsErrAssignmentChanged reports whether the error is an ErrAssignmentChanged.
+func IsErrAssignmentChanged(err error) bool { return errors.As(err, new(ErrAssignmentChanged)) }
--- a/internal/basilledger/ledger.go
+++ b/internal/basilledger/ledger.go
@@ -65,14 +65,21 @@
 
 // Accept stores a new job. If a job with its ID is stored already, that is the same job and Accept succeeds.
 //
-// It fails with ErrUnavailable if the job is not stored and never will be, and
+// It fails with ErrUnavailable, or ErrAssignmentChanged if the gate has changed, if the job is not stored and never will be, and
 // with ErrOutcomeUnknown if it may be stored.
 func (l *Ledger) Accept(ctx context.Context, service string, a Acceptance) error {
-	err := l.store.Transact(ctx, basilplatform.Transaction{Writes: a.writes(service)})
-	if basilplatform.IsErrConditionFailed(err) {
+	err := l.store.Transact(ctx, basilplatform.Transaction{Writes: append(a.writes(service), a.gateCheck(service))})
+	var conflict basilplatform.ErrConditionFailed
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	switch conflict.Key {
+	case Key(service, a.id()):
 		return nil
+	case GateKey(service, a.queue()):
+		return errors.WithStack(ErrAssignmentChanged{Queue: a.queue()})
 	}
-	return err
+	return errors.WithStack(basilplatform.ErrOutcomeUnknown{Operation: "accept", Cause: conflict})
 }
 
 // Find returns a job and its version; it fails with ErrJobNotExist or ErrUnavailable.
--- a/internal/basilnode/accept.go
+++ b/internal/basilnode/accept.go
@@ -1,17 +1,46 @@
 package basilnode
 
 import (
+	"cmp"
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"basilstage.example/basilstage/internal/basilledger"
+	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
 )
 
+// submit stores a new job of the route's queue with the given function, under the service that the queue is assigned to, unless a former
+// service has the job. It returns the service that has it, or may have it if the outcome is unknown. It returns the ledger's errors but
+// ErrAssignmentChanged.
+func (n *Node) submit(ctx context.Context, r queueRoute, job basilledger.Acceptance, store func(ctx context.Context, shard string, a basilledger.Acceptance) error) (string, error) {
+	for {
+		a, err := n.assign(ctx, r)
+		if err != nil {
+			return r.service, err
+		}
+		record := job.Record()
+		_, service, err := n.findIn(ctx, a.Former, r.queue, record.Job.ID)
+		if !basilledger.IsErrJobNotExist(err) {
+			return cmp.Or(service, a.Service), err
+		}
+		err = store(ctx, a.Service, job.WithGate(a.gate))
+		if !basilledger.IsErrAssignmentChanged(err) {
+			return a.Service, err
+		}
+		n.log.WithFields(logrus.Fields{
+			basillog.FieldJob: record.Job.ID, "queue": r.queue, basillog.FieldPool: a.Service, "generation": a.Generation,
+		}).Info("job not stored, as the assignment of its queue has changed; trying again")
+		n.assignments.forgetGate(r.queue, a.gate)
+	}
+}
+
 // accept stores a new job: through the shard's owner, which commits it together with others, or directly when no owner
 // answers. It returns the ledger's errors.
 func (n *Node) accept(ctx context.Context, shard string, a basilledger.Acceptance) error {
@@ -21,7 +50,7 @@
 		return err
 	}
 	err = n.acceptDirectly(ctx, shard, a)
-	if unknown && basilplatform.IsErrUnavailable(err) {
+	if unknown && (basilplatform.IsErrUnavailable(err) || basilledger.IsErrAssignmentChanged(err)) {
 		return basilledger.NewErrMayBeStored(err) // the owner may have stored it
 	}
 	return err
@@ -33,20 +62,33 @@
 
 // acceptViaPeers stores a job through the shard's owner or another entry host while this one can't reach the store. It
 // returns ErrUnavailable when the job is not stored and never will be, and ErrOutcomeUnknown when it may be stored.
-func (n *Node) acceptViaPeers(ctx context.Context, shard string, a basilledger.Acceptance) error {
-	err := error(ErrNotForwarded{Shard: shard})
-	if n.owner(shard) == nil {
-		err = n.forward(ctx, shard, a)
+func (n *Node) acceptViaPeers(ctx context.Context, r queueRoute, a basilledger.Acceptance) error {
+	addresses := n.keeper.RandomPeers(relayAttempts)
+	if _, address := n.keeper.Owner(r.service); n.owner(r.service) == nil {
+		addresses = slices.Insert(addresses, 0, address)
 	}
-	for _, address := range n.keeper.RandomPeers(relayAttempts) {
-		if !IsErrNotForwarded(err) {
+	for _, address := range addresses {
+		if err := n.send(ctx, address, acceptRequest{shard: r.service, revision: r.revision, relay: true, Acceptance: a}); !IsErrNotForwarded(err) {
 			return err
 		}
-		err = n.forwardTo(ctx, address, shard, true, a)
 	}
-	if IsErrNotForwarded(err) {
-		return errors.WithStack(basilplatform.ErrUnavailable{Operation: "accept", RetryAfter: minRetryAfter, Cause: ErrStoreUnreachable{}})
+	return errors.WithStack(basilplatform.ErrUnavailable{Operation: "accept", RetryAfter: minRetryAfter, Cause: ErrStoreUnreachable{}})
+}
+
+// acceptRelayed stores a job for an entry host that can't reach the store, which routes its queue as given. The newer of both entry hosts'
+// configurations counts.
+func (n *Node) acceptRelayed(ctx context.Context, r queueRoute, a basilledger.Acceptance) error {
+	if c := n.configuration(); c.Version > r.revision {
+		if q := c.Queue(r.queue); q != nil {
+			r.service, r.revision = q.Service, c.Version
+		}
 	}
+	_, err := n.submit(ctx, r, a, func(ctx context.Context, shard string, a basilledger.Acceptance) error {
+		if o := n.owner(shard); o != nil {
+			return o.acceptor.Accept(ctx, a)
+		}
+		return n.acceptDirectly(ctx, shard, a)
+	})
 	return err
 }
 
--- /dev/null
+++ b/internal/basilnode/assignments.go
@@ -0,0 +1,185 @@
+package basilnode
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"basilstage.example/basilstage/internal/basilledger"
+	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basiltimer"
+)
+
+// queueRoute is the service that a configuration routes a queue to.
+type queueRoute struct {
+	queue    string
+	service  string
+	revision int64
+}
+
+// assignment is the assignment of a queue, with the version of its open gate.
+type assignment struct {
+	basilledger.Assignment
+	gate int64 // 0 if not known
+}
+
+// accepts reports whether new jobs may be stored under the assignment.
+func (a *assignment) accepts(r queueRoute) bool {
+	return a.gate != 0 && a.Follows(r.service, r.revision)
+}
+
+// assignments are the assignments of queues as this entry host knows them. An outdated one does no harm, since its gate has another version
+// by then. The zero value is ready to use.
+type assignments struct {
+	mutex   sync.Mutex // guards the maps
+	byQueue map[string]assignment
+	turns   map[string]chan struct{} // each has room for the call that reads or changes the assignment of the queue
+}
+
+func (s *assignments) get(queue string) assignment {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.byQueue[queue]
+}
+
+// put records an assignment unless a later one is known.
+func (s *assignments) put(queue string, a assignment) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known := s.byQueue[queue]
+	if a.Generation < known.Generation {
+		return
+	}
+	if a.Generation == known.Generation && a.gate == 0 {
+		a.gate = known.gate
+	}
+	if s.byQueue == nil {
+		s.byQueue = make(map[string]assignment)
+	}
+	s.byQueue[queue] = a
+}
+
+// forgetGate has the assignment read again if its gate still counts as having the given version.
+func (s *assignments) forgetGate(queue string, version int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if a := s.byQueue[queue]; a.gate == version {
+		a.gate = 0
+		s.byQueue[queue] = a
+	}
+}
+
+// takeTurn waits until no other call reads or changes the assignment of the queue; the caller must call release after it.
+func (s *assignments) takeTurn(ctx context.Context, queue string) (release func(), err error) {
+	s.mutex.Lock()
+	turn := s.turns[queue]
+	if turn == nil {
+		if s.turns == nil {
+			s.turns = make(map[string]chan struct{})
+		}
+		turn = make(chan struct{}, 1)
+		s.turns[queue] = turn
+	}
+	s.mutex.Unlock()
+	select {
+	case turn <- struct{}{}:
+		return func() { <-turn }, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// ErrNotAssigned is returned when the assignment of a queue could not be read or stored, so that nothing was stored under it. It doesn't
+// wrap the last error: an unknown outcome of that is not one of the job.
+type ErrNotAssigned struct{ Queue, LastAttempt string }
+
+func (e ErrNotAssigned) Error() string {
+	return "queue not assigned [queue: " + e.Queue + ", last attempt: " + e.LastAttempt + "]"
+}
+
+// IsErrNotAssigned reports whether the error is an ErrNotAssigned.
+func IsErrNotAssigned(err error) bool { return errors.As(err, new(ErrNotAssigned)) }
+
+func newErrNotAssigned(queue string, err error) error {
+	return errors.WithStack(basilplatform.ErrUnavailable{
+		Operation: "assign", RetryAfter: minRetryAfter, Cause: ErrNotAssigned{Queue: queue, LastAttempt: err.Error()},
+	})
+}
+
+// assign returns the assignment under which new jobs of the queue are stored. If the known one is outdated, it makes a new one, or
+// completes one that another entry host has begun. It fails with ErrUnavailable.
+func (n *Node) assign(ctx context.Context, r queueRoute) (assignment, error) {
+	if a := n.assignments.get(r.queue); a.accepts(r) {
+		return a, nil
+	}
+	release, err := n.assignments.takeTurn(ctx, r.queue)
+	if err != nil {
+		return assignment{}, newErrNotAssigned(r.queue, err)
+	}
+	defer release()
+	for {
+		if a := n.assignments.get(r.queue); a.accepts(r) {
+			return a, nil
+		}
+		if n.storeUnreachable() { // also for those that waited for their turn until now
+			return assignment{}, newErrNotAssigned(r.queue, ErrStoreUnreachable{})
+		}
+		err := n.updateAssignment(ctx, r)
+		switch {
+		case err == nil:
+		case basilplatform.IsErrUnavailable(err):
+			return assignment{}, err
+		case basilledger.IsErrAssignmentChanged(err): // the next attempt reads the change
+		case basiltimer.Wait(ctx, readBackInterval) != nil:
+			return assignment{}, newErrNotAssigned(r.queue, err)
+		}
+	}
+}
+
+// updateAssignment reads the assignment of the queue, changes it if the route is newer, and opens its gate.
+func (n *Node) updateAssignment(ctx context.Context, r queueRoute) error {
+	a, err := n.readAssignment(ctx, r.queue)
+	if err != nil {
+		return err
+	}
+	if !a.Follows(r.service, r.revision) {
+		a, err = n.ledger.Reassign(ctx, r.queue, a, r.service, r.revision)
+		if err != nil {
+			n.assignmentLog(r.queue, a, err).Warn("failed to assign queue")
+			return err
+		}
+		n.assignmentLog(r.queue, a, nil).Info("queue assigned")
+	}
+	version, opened, err := n.ledger.OpenGate(ctx, r.queue, a)
+	if err != nil {
+		n.assignmentLog(r.queue, a, err).Warn("failed to open gate of queue")
+		return err
+	}
+	if opened {
+		n.assignmentLog(r.queue, a, nil).Info("gate of queue opened")
+	}
+	n.assignments.put(r.queue, assignment{Assignment: a, gate: version})
+	return nil
+}
+
+// readAssignment reads the assignment of the queue from the store. It has generation 0 if no job of the queue was ever submitted.
+func (n *Node) readAssignment(ctx context.Context, queue string) (basilledger.Assignment, error) {
+	a, err := n.ledger.Assignment(ctx, queue)
+	if err == nil && a.Generation > 0 {
+		n.assignments.put(queue, assignment{Assignment: a})
+	}
+	return a, err
+}
+
+func (n *Node) assignmentLog(queue string, a basilledger.Assignment, err error) *logrus.Entry {
+	entry := n.log.WithFields(logrus.Fields{
+		"queue": queue, basillog.FieldPool: a.Service, "former": a.Former, "generation": a.Generation, basillog.FieldRevision: a.Revision,
+	})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	return entry
+}
--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -63,14 +63,15 @@
 	share           atomic.Int64       // percentage of a core that each entry host's process gets
 	percent         map[string]int     // garbage collection percentage, by entry host
 	dueRestarts     []string           // entry hosts to be restarted
-	mutex           sync.Mutex         // guards percent, dueRestarts and the results of callers' goroutines
+	behind          map[string]bool    // entry hosts that keep the configuration that they have
+	mutex           sync.Mutex         // guards percent, dueRestarts, behind and the results of callers' goroutines
 }
 
 // newCluster returns a running site with the given numbers of entry hosts and hosts.
 func newCluster(t *testing.T, entryHosts, hosts int, work basilfake.Work) *cluster {
 	t.Helper()
 	network := &basilstandin.Network{}
-	c := &cluster{t: t, network: network, site: basilfake.NewSite(network, work), hosts: make(map[string]*entryHost), percent: make(map[string]int), began: time.Now()}
+	c := &cluster{t: t, network: network, site: basilfake.NewSite(network, work), hosts: make(map[string]*entryHost), percent: make(map[string]int), behind: make(map[string]bool), began: time.Now()}
 	c.site.Configure(fmt.Sprintf(configuration, 1, ""))
 	c.site.AddPool("stretch", hosts, 16000, 65536, false)
 	c.site.AddPool("spare", 2, 16000, 65536, true)
@@ -105,6 +106,28 @@
 	return c.percent[name]
 }
 
+// setBehind has an entry host keep the configuration that it has, or take up the newest one with the next change.
+func (c *cluster) setBehind(name string, behind bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.behind[name] = behind
+}
+
+// laggingDirectory returns an old configuration while its entry host is behind.
+type laggingDirectory struct {
+	basilwork.Directory
+	behind func() bool
+	known  *basilwork.Configuration
+}
+
+func (d *laggingDirectory) Configuration(ctx context.Context) (*basilwork.Configuration, int64, error) {
+	c, version, err := d.Directory.Configuration(ctx)
+	if err == nil && (d.known == nil || !d.behind()) {
+		d.known = c
+	}
+	return d.known, version, err
+}
+
 // startLater marks an entry host as due for a restart after the given time.
 func (c *cluster) startLater(name string, after time.Duration) {
 	time.AfterFunc(after, func() {
@@ -136,12 +159,17 @@
 	if weight == 0 {
 		weight = 1
 	}
+	directory := &laggingDirectory{Directory: basilsite.NewDirectory(store), behind: func() bool {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return c.behind[name]
+	}}
 	node := basilnode.New(basilnode.Options{
 		Self:  basilshard.Member{Node: name, Incarnation: fmt.Sprintf("%s.%d", name, c.starts), Zone: "north", Weight: weight, Address: peerAddress(name), Started: time.Now().UnixMilli()},
 		Clock: clock, StoreClock: storeClock,
 		Lease: 1250 * time.Millisecond, MaxLease: 2200 * time.Millisecond, MaxHold: 6 * time.Second, HoldLimit: 3500 * time.Millisecond,
 		SinglePartition: c.singlePartition, StatusRetention: 2 * time.Minute, StopTimeout: 900 * time.Millisecond, HolderChangeDelay: 3 * time.Second, MoveDuration: 1500 * time.Millisecond, MaintenanceDuration: 2 * time.Second,
-		Store: store, Directory: basilsite.NewDirectory(store), Commander: basilsite.NewCommander(client),
+		Store: store, Directory: directory, Commander: basilsite.NewCommander(client),
 		Advisor:  basilsite.NewAdvisor(client, func() string { return basilfake.AdviceAddress }),
 		Machines: basilsite.NewMachines(client, func() string { return basilfake.MachinesAddress }, time.Second),
 		Codec:    basilsite.Codec{}, Log: testLog(), Peers: l,
--- a/internal/basilnode/failure_test.go
+++ b/internal/basilnode/failure_test.go
@@ -152,6 +152,7 @@
 // that the job runs once if it was.
 func TestUnknownAcceptance(t *testing.T) {
 	run(t, 2, 3, constant(200*time.Millisecond), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(2), twoSteps)) // assigns the queue
 		c.storeFault(4*time.Second, basilfake.StoreFaults{LateBy: 3500 * time.Millisecond})
 		must.Eq(c.t, http.StatusGatewayTimeout, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
 		time.Sleep(4 * time.Second)
--- a/internal/basilnode/front.go
+++ b/internal/basilnode/front.go
@@ -111,7 +111,7 @@
 	codec := c.node.options.Codec
 	switch {
 	case c.r.Method == http.MethodGet && strings.Trim(c.id, "/") == "":
-		c.waiting()
+		c.waiting(configuration)
 	case !codec.IsJobID(c.id) && c.r.Method == http.MethodPost:
 		c.respond(http.StatusBadRequest, "invalid job id")
 	case !codec.IsJobID(c.id):
@@ -148,41 +148,28 @@
 		c.respond(http.StatusBadRequest, err.Error())
 		return
 	}
-	record := &basilwork.Record{Job: *job, Accepted: c.started.UnixMilli()}
-	if c.node.storeUnreachable() {
-		c.respondAccepted(c.acceptWithoutStore(record))
-		return
-	}
-	if done, err := c.storedUnderFormerService(); done || err != nil {
-		c.respondAccepted(err)
-		return
+	acceptance, err := basilledger.NewAcceptance(&basilwork.Record{Job: *job, Accepted: c.started.UnixMilli()})
+	if err == nil {
+		err = c.accept(c.routeOf(configuration), acceptance)
 	}
-	c.respondAccepted(c.accept(record))
+	c.respondAccepted(err)
 }
 
-// storedUnderFormerService reports whether the job is stored under a service that the queue was routed to earlier.
-func (c *call) storedUnderFormerService() (bool, error) {
-	for _, service := range c.node.formerServices(c.queue.Name) {
-		_, _, err := c.node.ledger.Find(c.ctx, service, c.id)
-		if !basilledger.IsErrJobNotExist(err) {
-			c.service = service
-			return err == nil, err
-		}
-	}
-	return false, nil
+// routeOf returns the queue's service according to the configuration.
+func (c *call) routeOf(configuration *basilwork.Configuration) queueRoute {
+	return queueRoute{queue: c.queue.Name, service: c.queue.Service, revision: configuration.Version}
 }
 
-// accept stores the job. If the outcome is unknown it reads the job back, until the timeout or until the store is known to
-// be unreachable.
-func (c *call) accept(record *basilwork.Record) error {
-	job, err := basilledger.NewAcceptance(record)
-	if err != nil {
-		return err
+// accept stores the job, through other entry hosts while this one can't reach the store. If the outcome is unknown it reads the job back,
+// until the timeout or until the store is known to be unreachable.
+func (c *call) accept(r queueRoute, job basilledger.Acceptance) error {
+	if c.node.storeUnreachable() {
+		return c.node.acceptViaPeers(c.ctx, r, job)
 	}
-	c.service = c.queue.Service
-	err = c.node.accept(c.ctx, c.queue.Service, job)
+	service, err := c.node.submit(c.ctx, r, job, c.node.accept)
+	c.service = service
 	for basilplatform.IsErrOutcomeUnknown(err) {
-		if _, _, found := c.node.ledger.Find(c.ctx, c.queue.Service, c.id); found == nil {
+		if _, _, found := c.node.ledger.Find(c.ctx, service, c.id); found == nil {
 			return nil
 		}
 		if c.node.storeUnreachable() || basiltimer.Wait(c.ctx, readBackInterval) != nil {
@@ -192,20 +179,6 @@
 	return err
 }
 
-// acceptWithoutStore stores the job through other entry hosts while this one can't reach the store. Jobs of a queue that was
-// routed to another service earlier are rejected, since the other entry hosts don't check whether that service has the job.
-func (c *call) acceptWithoutStore(record *basilwork.Record) error {
-	if len(c.node.formerServices(c.queue.Name)) > 0 {
-		return errors.WithStack(basilplatform.ErrUnavailable{Operation: "accept", RetryAfter: minRetryAfter, Cause: ErrStoreUnreachable{}})
-	}
-	job, err := basilledger.NewAcceptance(record)
-	if err != nil {
-		return err
-	}
-	c.service = c.queue.Service
-	return c.node.acceptViaPeers(c.ctx, c.queue.Service, job)
-}
-
 // ErrStoreUnreachable is returned when this entry host can't reach the store and no other entry host stored the job.
 type ErrStoreUnreachable struct{}
 
@@ -249,7 +222,6 @@
 
 // cancel cancels the job, and responds once the cancellation is stored.
 func (c *call) cancel() {
-	c.service = c.queue.Service
 	_, service, err := c.find()
 	if err == nil {
 		c.service = service
@@ -278,16 +250,9 @@
 	}
 }
 
-// waiting responds with the number of waiting jobs of the queue, under its service and its earlier ones.
-func (c *call) waiting() {
-	count, err := c.node.ledger.Waiting(c.ctx, c.queue.Service, c.queue.Name)
-	for _, service := range c.node.formerServices(c.queue.Name) {
-		var more int
-		if err == nil {
-			more, err = c.node.ledger.Waiting(c.ctx, service, c.queue.Name)
-			count += more
-		}
-	}
+// waiting responds with the number of waiting jobs of the queue.
+func (c *call) waiting(configuration *basilwork.Configuration) {
+	count, err := c.node.countWaiting(c.ctx, c.routeOf(configuration))
 	if err != nil {
 		c.respondUnavailable(http.StatusServiceUnavailable, minRetryAfter, err.Error())
 		return
--- a/internal/basilnode/front_find.go
+++ b/internal/basilnode/front_find.go
@@ -1,6 +1,7 @@
 package basilnode
 
 import (
+	"context"
 	"slices"
 	"sync"
 
@@ -10,38 +11,64 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
-// find returns the job and the service that it is stored under: the queue's service, an earlier one that this entry host knows of,
-// or else any other, because the queue may have been routed to another service before this entry host started.
+// find returns the job and the service that it is stored under. If none of the services that this entry host knows of has it, the queue may
+// have been assigned to another one since.
 func (c *call) find() (basilwork.Record, string, error) {
-	known := append([]string{c.queue.Service}, c.node.formerServices(c.queue.Name)...)
-	r, service, err := c.findIn(known)
+	known := c.node.assignments.get(c.queue.Name)
+	c.service = known.Service
+	r, service, err := c.node.findIn(c.ctx, known.Services(), c.queue.Name, c.id)
 	if !basilledger.IsErrJobNotExist(err) {
 		return r, service, err
 	}
-	others := slices.DeleteFunc(c.node.configuration().Pools(), func(s string) bool { return slices.Contains(known, s) })
-	return c.findIn(others)
+	current, err := c.node.readAssignment(c.ctx, c.queue.Name)
+	if err != nil {
+		return basilwork.Record{}, "", err
+	}
+	c.service = current.Service
+	others := slices.DeleteFunc(current.Services(), func(s string) bool { return slices.Contains(known.Services(), s) })
+	return c.node.findIn(c.ctx, others, c.queue.Name, c.id)
 }
 
-// findIn returns the job and that of the services that it is stored under.
-func (c *call) findIn(services []string) (basilwork.Record, string, error) {
+// findIn returns a job of the queue and that of the services that it is stored under.
+func (n *Node) findIn(ctx context.Context, services []string, queue, id string) (basilwork.Record, string, error) {
 	type result struct {
 		record basilwork.Record
 		err    error
 	}
 	results := make([]result, len(services))
 	var group sync.WaitGroup
-	for n, service := range services {
-		group.Go(func() { results[n].record, _, results[n].err = c.node.ledger.Find(c.ctx, service, c.id) })
+	for i, service := range services {
+		group.Go(func() { results[i].record, _, results[i].err = n.ledger.Find(ctx, service, id) })
 	}
 	group.Wait()
-	err := errors.WithStack(basilledger.ErrJobNotExist{ID: c.id})
-	for n, r := range results {
+	err := errors.WithStack(basilledger.ErrJobNotExist{ID: id})
+	for i, r := range results {
 		switch {
-		case r.err == nil && r.record.Job.Queue == c.queue.Name:
-			return r.record, services[n], nil
+		case r.err == nil && r.record.Job.Queue == queue:
+			return r.record, services[i], nil
 		case r.err != nil && !basilledger.IsErrJobNotExist(r.err):
 			err = r.err
 		}
 	}
 	return basilwork.Record{}, "", err
 }
+
+// countWaiting returns the number of waiting jobs of the queue, under all services that it was assigned to.
+func (n *Node) countWaiting(ctx context.Context, r queueRoute) (int, error) {
+	known := n.assignments.get(r.queue).Assignment
+	if !known.Follows(r.service, r.revision) {
+		var err error
+		if known, err = n.readAssignment(ctx, r.queue); err != nil {
+			return 0, err
+		}
+	}
+	total := 0
+	for _, service := range known.Services() {
+		count, err := n.ledger.Waiting(ctx, service, r.queue)
+		if err != nil {
+			return 0, err
+		}
+		total += count
+	}
+	return total, nil
+}
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -83,6 +83,7 @@
 	metrics             *metrics
 	peers               *peers
 	directWrites        writeWindows
+	assignments         assignments
 	backendsFreshness   freshness // of the backend servers' entries
 	ctx                 context.Context
 	activeConfiguration atomic.Pointer[basilwork.Configuration]
@@ -92,7 +93,6 @@
 	owners              map[string]*owner
 	fleet               *fleet
 	backendsByID        map[string]basilwork.Backend // backend servers' entries, by id
-	formerByQueue       map[string][]string          // services that queues were routed to earlier, by queue
 }
 
 // New returns an entry host, which Run starts.
@@ -104,7 +104,7 @@
 	o.Store = loggedStore{Store: o.Store, log: o.Log, metrics: m}
 	n := &Node{
 		options: o, log: o.Log, store: o.Store, ledger: basilledger.New(o.Store), commander: o.Commander, advisor: o.Advisor,
-		metrics: m, recovery: basilshard.NewRecovery(), peers: newPeers(o.Peers), owners: make(map[string]*owner), formerByQueue: make(map[string][]string), poolGained: make(chan struct{}, 1),
+		metrics: m, recovery: basilshard.NewRecovery(), peers: newPeers(o.Peers), owners: make(map[string]*owner), poolGained: make(chan struct{}, 1),
 	}
 	n.backendsFreshness.watchBackends(o.Clock, cmp.Or(o.DrainStartWindow, defaultDrainStartWindow))
 	if o.Control == nil {
@@ -188,7 +188,7 @@
 	}
 	before := n.activeConfiguration.Load()
 	if before == nil || before.Version < c.Version {
-		n.applyConfiguration(before, c)
+		n.applyConfiguration(c)
 	}
 	if f := n.fleetOwner(); f != nil {
 		f.reloadWaves()
@@ -196,12 +196,9 @@
 	return version, true
 }
 
-func (n *Node) applyConfiguration(before, c *basilwork.Configuration) {
+func (n *Node) applyConfiguration(c *basilwork.Configuration) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if before != nil {
-		n.recordFormerServices(before, c)
-	}
 	n.activeConfiguration.Store(c)
 	n.log.WithFields(logrus.Fields{basillog.FieldRevision: c.Version, "queues": len(c.Queues)}).Info("configuration applied")
 	shards := append(c.Pools(), fleetShard)
@@ -212,22 +209,6 @@
 	}
 }
 
-// recordFormerServices records the services of queues that the new configuration routes to another service.
-func (n *Node) recordFormerServices(before, c *basilwork.Configuration) {
-	for i := range before.Queues {
-		q := &before.Queues[i]
-		if next := c.Queue(q.Name); next != nil && next.Service != q.Service && !slices.Contains(n.formerByQueue[q.Name], q.Service) {
-			n.formerByQueue[q.Name] = append(n.formerByQueue[q.Name], q.Service)
-		}
-	}
-}
-
-func (n *Node) formerServices(queue string) []string {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.formerByQueue[queue]
-}
-
 func (n *Node) poolOwners() []*owner {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/basilnode/peer.go
+++ b/internal/basilnode/peer.go
@@ -23,10 +23,49 @@
 	maxAcceptBody  = 1 << 20
 	forwardTimeout = 700 * time.Millisecond // timeout of a forwarded job; a slow store takes about 400 ms
 	peerBackoff    = 2 * time.Second        // how long nothing is forwarded to an entry host that did not answer
-	shardParameter = "service"
-	relayParameter = "relay" // if set, a receiver that does not own the shard stores the job itself
+
+	// Parameters of acceptPath.
+	shardParameter    = "service"
+	gateParameter     = "gate"     // version of the gate that is the job's precondition
+	relayParameter    = "relay"    // if set, the receiver stores the job under the service that it finds the queue to be assigned to
+	revisionParameter = "revision" // of the configuration that routes the queue to the service; of a relay
 )
 
+// acceptRequest asks another entry host to store a job.
+type acceptRequest struct {
+	basilledger.Acceptance
+	shard    string
+	revision int64
+	relay    bool
+}
+
+func (a *acceptRequest) parameters() url.Values {
+	q := url.Values{shardParameter: {a.shard}}
+	if a.relay {
+		q.Set(relayParameter, "1")
+		q.Set(revisionParameter, strconv.FormatInt(a.revision, 10))
+		return q
+	}
+	q.Set(gateParameter, strconv.FormatInt(a.Gate(), 10))
+	return q
+}
+
+// parseAcceptRequest decodes the request for a job that another entry host sent.
+func parseAcceptRequest(q url.Values, body []byte) (acceptRequest, error) {
+	a := acceptRequest{shard: q.Get(shardParameter), relay: q.Get(relayParameter) != ""}
+	var err error
+	if a.Acceptance, err = basilledger.ParseAcceptance(body); err != nil {
+		return a, err
+	}
+	if a.relay {
+		a.revision, err = strconv.ParseInt(q.Get(revisionParameter), 10, 64)
+		return a, errors.Wrap(err, "invalid revision")
+	}
+	gate, err := strconv.ParseInt(q.Get(gateParameter), 10, 64)
+	a.Acceptance = a.WithGate(gate)
+	return a, errors.Wrap(err, "invalid gate")
+}
+
 // ErrNotForwarded is returned when a job could not be forwarded, so that the shard's owner doesn't store it.
 type ErrNotForwarded struct{ Shard string }
 
@@ -68,7 +107,7 @@
 	p.unansweredAt[address] = time.Now()
 }
 
-// forward passes a job to the shard's owner, which stores it together with others. It returns ErrQueueFull or
+// forward passes a job to the shard's owner, which stores it together with others. It returns ErrQueueFull, ErrAssignmentChanged or
 // ErrNotForwarded when the owner has not stored the job and never will, and ErrOutcomeUnknown when it may have.
 func (n *Node) forward(ctx context.Context, shard string, a basilledger.Acceptance) error {
 	if o := n.owner(shard); o != nil {
@@ -79,35 +118,31 @@
 		return err
 	}
 	_, address := n.keeper.Owner(shard)
-	return n.forwardTo(ctx, address, shard, false, a)
+	return n.send(ctx, address, acceptRequest{shard: shard, Acceptance: a})
 }
 
-// forwardTo forwards a job to the entry host at the address: the shard's owner or, with relay, any that may store it directly.
-func (n *Node) forwardTo(ctx context.Context, address, shard string, relay bool, a basilledger.Acceptance) error {
+// send has the entry host at the address store a job: the shard's owner or, with relay, any.
+func (n *Node) send(ctx context.Context, address string, a acceptRequest) error {
 	if !n.peers.available(address) {
-		return ErrNotForwarded{Shard: shard}
+		return ErrNotForwarded{Shard: a.shard}
 	}
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	err := n.peers.accept(ctx, address, shard, relay, a)
+	err := n.peers.accept(ctx, address, a)
 	n.peers.recordAnswer(address, !basilplatform.IsErrOutcomeUnknown(err) && !IsErrNotForwarded(err))
 	return err
 }
 
 // accept makes the request that has another entry host store a job.
-func (p *peers) accept(ctx context.Context, address, shard string, relay bool, a basilledger.Acceptance) error {
-	q := url.Values{shardParameter: {shard}}
-	if relay {
-		q.Set(relayParameter, "1")
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+acceptPath+"?"+q.Encode(), bytes.NewReader(a.Body()))
+func (p *peers) accept(ctx context.Context, address string, a acceptRequest) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+acceptPath+"?"+a.parameters().Encode(), bytes.NewReader(a.Body()))
 	if err != nil {
-		return ErrNotForwarded{Shard: shard}
+		return ErrNotForwarded{Shard: a.shard}
 	}
 	response, err := p.client.Do(r)
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
-		return ErrNotForwarded{Shard: shard}
+		return ErrNotForwarded{Shard: a.shard}
 	}
 	if err != nil {
 		return errors.WithStack(basilplatform.ErrOutcomeUnknown{Operation: acceptPath, Cause: err})
@@ -118,11 +153,14 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusMisdirectedRequest:
-		return ErrNotForwarded{Shard: shard}
+		return ErrNotForwarded{Shard: a.shard}
 	case http.StatusBadGateway: // the owner can't reach the store, but this entry host may
-		return ErrNotForwarded{Shard: shard}
+		return ErrNotForwarded{Shard: a.shard}
 	case http.StatusServiceUnavailable:
-		return basilledger.NewErrQueueFull(shard)
+		return basilledger.NewErrQueueFull(a.shard)
+	case http.StatusConflict:
+		record := a.Record()
+		return errors.WithStack(basilledger.ErrAssignmentChanged{Queue: record.Job.Queue})
 	}
 	return errors.WithStack(basilplatform.ErrOutcomeUnknown{Operation: acceptPath, Cause: ErrPeerResponse{Status: response.StatusCode}})
 }
@@ -143,32 +181,33 @@
 
 // serveAccept stores a job that another entry host forwards, if this one owns the job's shard or the request is a relay.
 func (n *Node) serveAccept(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	shard, relay := q.Get(shardParameter), q.Get(relayParameter) != ""
-	o := n.owner(shard)
-	if o == nil && !relay || n.storeUnreachable() {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAcceptBody))
-	var job basilledger.Acceptance
+	var a acceptRequest
 	if err == nil {
-		job, err = basilledger.ParseAcceptance(body)
+		a, err = parseAcceptRequest(r.URL.Query(), body)
 	}
 	if err != nil {
 		n.log.WithError(err).WithField(basillog.FieldAddress, r.RemoteAddr).Warn("cannot decode forwarded job")
 		w.WriteHeader(http.StatusMisdirectedRequest) // the job is not stored
 		return
 	}
-	if o != nil {
-		err = o.acceptor.Accept(r.Context(), job)
+	o := n.owner(a.shard)
+	if o == nil && !a.relay || n.storeUnreachable() {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if a.relay {
+		record := a.Record()
+		err = n.acceptRelayed(r.Context(), queueRoute{queue: record.Job.Queue, service: a.shard, revision: a.revision}, a.Acceptance)
 	} else {
-		err = n.acceptDirectly(r.Context(), shard, job)
+		err = o.acceptor.Accept(r.Context(), a.Acceptance)
 	}
 	switch {
 	case err == nil:
 	case basilledger.IsErrQueueFull(err):
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case basilledger.IsErrAssignmentChanged(err):
+		w.WriteHeader(http.StatusConflict)
 	case basilplatform.IsErrUnavailable(err):
 		w.WriteHeader(http.StatusBadGateway)
 	default:
