Take no host for done that was added to a wave after its progress was stored

Seen by nobody yet; found in a review of what a missing value stands for. The progress of a wave is stored as the hosts that are left if these are fewer. An entry host that takes over took all others of the wave's present definition for done, also those that an operator added since: the wave was shown as completed without their maintenance.

The record names the version of the definition that it is about. With another one, or none (rows of the release before), the hosts that are done are not known, and their orders are repeated: the platform accepts one that is done already without acting on it.

The call in TestWaveRecordFitsRow takes the wave instead of its list of hosts.

--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -174,7 +174,7 @@
 		if current == nil {
 			current = &wave{started: now, begun: make(map[string]bool)}
 			if r, ok := f.records[w.ID]; ok {
-				current.started, current.begun = time.UnixMilli(r.Started), r.doneHosts(w.Machines)
+				current.started, current.begun = time.UnixMilli(r.Started), r.doneHosts(w)
 			}
 			f.waves[w.ID] = current
 		}
--- a/internal/basilcapacity/rows_test.go
+++ b/internal/basilcapacity/rows_test.go
@@ -55,7 +55,7 @@
 		}
 		r := w.record()
 		must.Less(t, maxRowBytes, encodedSize(t, r), must.Sprintf("%d of %d done", done, fleetHosts/2))
-		for id, is := range r.doneHosts(w.Machines) {
+		for id, is := range r.doneHosts(w.Wave) {
 			must.Eq(t, w.begun[id], is)
 		}
 	}
--- a/internal/basilcapacity/wave.go
+++ b/internal/basilcapacity/wave.go
@@ -29,7 +29,8 @@
 
 // WaveRecord is the stored progress of a wave.
 type WaveRecord struct {
-	Started    int64    `json:"started"` // Unix milliseconds
+	Started    int64    `json:"started"`           // Unix milliseconds
+	Version    int64    `json:"version,omitempty"` // of the wave's definition
 	Done       []string `json:"done,omitempty"`
 	AllButLeft bool     `json:"most,omitempty"` // all hosts but Left are done; the shorter of the two lists is stored, to limit the size of the row
 	Left       []string `json:"left,omitempty"`
@@ -45,7 +46,7 @@
 			left = append(left, id)
 		}
 	}
-	r := WaveRecord{Started: w.started.UnixMilli()}
+	r := WaveRecord{Started: w.started.UnixMilli(), Version: w.Version}
 	if len(left) < len(done) {
 		r.AllButLeft, r.Left = true, left
 	} else {
@@ -56,12 +57,13 @@
 	return r
 }
 
-// doneHosts returns which of the wave's hosts are done according to the record.
-func (r *WaveRecord) doneHosts(machines []string) map[string]bool {
+// doneHosts returns which of the wave's hosts are done according to the record. If it names only those that are left, and the wave was
+// defined anew since, that isn't known of any: the platform accepts orders for hosts that are done without acting on them.
+func (r *WaveRecord) doneHosts(w basilwork.Wave) map[string]bool {
 	done := toSet(r.Done)
-	if r.AllButLeft {
+	if r.AllButLeft && r.Version == w.Version {
 		left := toSet(r.Left)
-		for _, id := range machines {
+		for _, id := range w.Machines {
 			done[id] = !left[id]
 		}
 	}
