Keep a job that was cancelled before it was stored from running

Cause: a DELETE of a job that isn't there left nothing in the store that the later write would have met.

Change: such a DELETE stores a tombstone, a cancelled record without steps, under the service that the queue is assigned to, with the same preconditions as a new job, within the window of direct writes, and is then answered 410. A submission that is stored later finds the row and is answered as a repeated one. GET and DELETE of a tombstone are answered 410. If the submission came first, the job is cancelled. Tombstones have no mark as waiting, are handled by owners and successors as cancelled jobs, and are removed with the finished ones.

Tests: TestCancelThatOvertakesSubmission (both cases) and TestTombstonesAreRemoved fail on the commit before and pass 100 times each.

--- a/internal/basilledger/acceptor.go
+++ b/internal/basilledger/acceptor.go
@@ -69,10 +69,15 @@
 	}
 }
 
+// put returns the write of the job's row; it fails if the row exists already.
+func (a *Acceptance) put(service string) basilplatform.Write {
+	return basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: Key(service, a.id()), Precondition: basilplatform.PreconditionAbsent, Body: a.body}
+}
+
 // writes returns the writes that store the job for the service; they fail if its row exists already.
 func (a *Acceptance) writes(service string) []basilplatform.Write {
 	return []basilplatform.Write{
-		{Kind: basilplatform.WriteKindPut, Key: Key(service, a.id()), Precondition: basilplatform.PreconditionAbsent, Body: a.body},
+		a.put(service),
 		{Kind: basilplatform.WriteKindPut, Key: WaitingKey(service, a.queue(), a.id()), Precondition: basilplatform.PreconditionNone, Body: []byte("1")},
 	}
 }
--- a/internal/basilledger/ledger.go
+++ b/internal/basilledger/ledger.go
@@ -68,18 +68,30 @@
 // It fails with ErrUnavailable, or ErrAssignmentChanged if the gate has changed, if the job is not stored and never will be, and
 // with ErrOutcomeUnknown if it may be stored.
 func (l *Ledger) Accept(ctx context.Context, service string, a Acceptance) error {
-	err := l.store.Transact(ctx, basilplatform.Transaction{Writes: append(a.writes(service), a.gateCheck(service))})
+	_, err := l.storeNew(ctx, service, a, a.writes(service))
+	return err
+}
+
+// AcceptTombstone stores a tombstone, so that its job can't be stored any more. It reports whether it did; if not, a row with the ID
+// exists already. It fails with the same errors as Accept.
+func (l *Ledger) AcceptTombstone(ctx context.Context, service string, a Acceptance) (stored bool, err error) {
+	return l.storeNew(ctx, service, a, []basilplatform.Write{a.put(service)})
+}
+
+// storeNew makes the writes of a new row while the gate is as it was. It reports whether it did; if not, the row exists already.
+func (l *Ledger) storeNew(ctx context.Context, service string, a Acceptance, writes []basilplatform.Write) (bool, error) {
+	err := l.store.Transact(ctx, basilplatform.Transaction{Writes: append(writes, a.gateCheck(service))})
 	var conflict basilplatform.ErrConditionFailed
 	if !errors.As(err, &conflict) {
-		return err
+		return err == nil, err
 	}
 	switch conflict.Key {
 	case Key(service, a.id()):
-		return nil
+		return false, nil
 	case GateKey(service, a.queue()):
-		return errors.WithStack(ErrAssignmentChanged{Queue: a.queue()})
+		return false, errors.WithStack(ErrAssignmentChanged{Queue: a.queue()})
 	}
-	return errors.WithStack(basilplatform.ErrOutcomeUnknown{Operation: "accept", Cause: conflict})
+	return false, errors.WithStack(basilplatform.ErrOutcomeUnknown{Operation: "accept", Cause: conflict})
 }
 
 // Find returns a job and its version; it fails with ErrJobNotExist or ErrUnavailable.
@@ -106,7 +118,7 @@
 		if err != nil {
 			return err
 		}
-		if r.Job.Queue != queue {
+		if r.Job.Queue != queue || r.IsTombstone() {
 			return errors.WithStack(ErrJobNotExist{ID: id})
 		}
 		if r.State.Final() {
--- a/internal/basilnode/accept.go
+++ b/internal/basilnode/accept.go
@@ -94,14 +94,7 @@
 
 // acceptDirectly stores a new job directly, subject to the write window of its shard.
 func (n *Node) acceptDirectly(ctx context.Context, shard string, a basilledger.Acceptance) error {
-	window := n.directWrites.forShard(shard)
-	if !window.tryAcquire() {
-		return basilledger.NewErrQueueFull(shard)
-	}
-	start := time.Now()
-	err := n.ledger.Accept(ctx, shard, a)
-	window.release(time.Since(start), err)
-	return err
+	return n.directWrites.write(shard, func() error { return n.ledger.Accept(ctx, shard, a) })
 }
 
 const (
@@ -117,6 +110,18 @@
 	byShard map[string]*writeWindow
 }
 
+// write makes a write to the shard, or returns ErrQueueFull if as many are in flight as may be.
+func (w *writeWindows) write(shard string, f func() error) error {
+	window := w.forShard(shard)
+	if !window.tryAcquire() {
+		return basilledger.NewErrQueueFull(shard)
+	}
+	start := time.Now()
+	err := f()
+	window.release(time.Since(start), err)
+	return err
+}
+
 func (w *writeWindows) forShard(shard string) *writeWindow {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/basilnode/assignments.go
+++ b/internal/basilnode/assignments.go
@@ -148,14 +148,14 @@
 	if !a.Follows(r.service, r.revision) {
 		a, err = n.ledger.Reassign(ctx, r.queue, a, r.service, r.revision)
 		if err != nil {
-			n.assignmentLog(r.queue, a, err).Warn("failed to assign queue")
+			n.assignmentLog(r.queue, a, err).Log(levelOf(err), "failed to assign queue")
 			return err
 		}
 		n.assignmentLog(r.queue, a, nil).Info("queue assigned")
 	}
 	version, opened, err := n.ledger.OpenGate(ctx, r.queue, a)
 	if err != nil {
-		n.assignmentLog(r.queue, a, err).Warn("failed to open gate of queue")
+		n.assignmentLog(r.queue, a, err).Log(levelOf(err), "failed to open gate of queue")
 		return err
 	}
 	if opened {
@@ -183,3 +183,11 @@
 	}
 	return entry
 }
+
+// levelOf returns the level at which a failed change of an assignment is logged: that another entry host made it is no fault.
+func levelOf(err error) logrus.Level {
+	if basilledger.IsErrAssignmentChanged(err) {
+		return logrus.InfoLevel
+	}
+	return logrus.WarnLevel
+}
--- a/internal/basilnode/cancel_test.go
+++ b/internal/basilnode/cancel_test.go
@@ -171,3 +171,65 @@
 		must.Eq(c.t, 0, c.site.Running(jobID(1)))
 	})
 }
+
+// TestCancelThatOvertakesSubmission checks that no task of a job starts if its cancelling is answered before its submission is stored, that
+// nobody is shown such a job, and that it stays so after a takeover.
+func TestCancelThatOvertakesSubmission(t *testing.T) {
+	const late = 1500 * time.Millisecond
+	for _, assigned := range []bool{true, false} {
+		t.Run(fmt.Sprint("queue assigned ", assigned), func(t *testing.T) {
+			run(t, 3, 4, constant(20*time.Second), func(c *cluster) {
+				if assigned {
+					for name := range c.hosts {
+						must.Eq(c.t, http.StatusOK, c.submit(name, longPrefix, jobID(100), twoSteps))
+						must.Eq(c.t, http.StatusOK, c.submit(name, quotePrefix, jobID(101), twoSteps))
+					}
+				}
+				other := c.other("stretch")
+				c.site.Submitted(jobID(1), twoSteps, maxAttempts)
+				c.site.Store.SetFaults(basilfake.StoreFaults{LateBy: late})
+				submitted := make(chan int, 1)
+				go func() {
+					status, _ := c.call("entry-1", http.MethodPost, quotePrefix+jobID(1), twoSteps)
+					submitted <- status
+				}()
+				time.Sleep(50 * time.Millisecond)
+				c.site.Store.SetFaults(basilfake.StoreFaults{})
+				gone := func(name, method string) {
+					c.t.Helper()
+					status, _ := c.call(name, method, quotePrefix+jobID(1), "")
+					must.Eq(c.t, http.StatusGone, status)
+				}
+				gone("entry-2", http.MethodDelete)
+				c.site.Cancelled(jobID(1))
+				must.Eq(c.t, http.StatusOK, <-submitted)
+				time.Sleep(2 * late)
+				gone("entry-1", http.MethodGet)
+				gone("entry-3", http.MethodDelete)
+				c.kill(c.owner("stretch"))
+				time.Sleep(4 * time.Second)
+				must.Eq(c.t, http.StatusOK, c.submit(other, quotePrefix, jobID(1), twoSteps))
+				time.Sleep(2 * time.Second)
+				must.Eq(c.t, 0, c.site.Running(jobID(1)))
+				gone(other, http.MethodGet)
+				status, body := c.call(other, http.MethodGet, quotePrefix, "")
+				must.Eq(c.t, http.StatusOK, status)
+				must.Eq(c.t, `{"waiting":0}`, body)
+			})
+		})
+	}
+}
+
+// TestTombstonesAreRemoved checks that the row of a job that was cancelled before it was submitted is removed like that of a finished job.
+func TestTombstonesAreRemoved(t *testing.T) {
+	run(t, 2, 2, constant(200*time.Millisecond), func(c *cluster) {
+		status, _ := c.call("entry-1", http.MethodDelete, quotePrefix+jobID(1), "")
+		must.Eq(c.t, http.StatusGone, status)
+		must.Eq(c.t, []string{"stretch"}, c.storedUnder(jobID(1)))
+		c.kill(c.owner("stretch"))
+		time.Sleep(2 * time.Minute)
+		must.Eq(c.t, []string{"stretch"}, c.storedUnder(jobID(1)))
+		time.Sleep(time.Minute)
+		must.Len(c.t, 0, c.storedUnder(jobID(1)))
+	})
+}
--- a/internal/basilnode/front.go
+++ b/internal/basilnode/front.go
@@ -121,7 +121,7 @@
 	case c.r.Method == http.MethodGet:
 		c.state()
 	case c.r.Method == http.MethodDelete:
-		c.cancel()
+		c.cancel(configuration)
 	default:
 		c.respond(http.StatusMethodNotAllowed, "method not allowed")
 	}
@@ -211,45 +211,15 @@
 func (c *call) state() {
 	r, _, err := c.find()
 	switch {
-	case err == nil:
+	case err == nil && !r.IsTombstone():
 		c.respondJSON(c.node.options.Codec.State(r.State))
-	case basilledger.IsErrJobNotExist(err):
-		c.respond(http.StatusGone, "no such job")
-	default:
-		c.respondUnavailable(http.StatusServiceUnavailable, minRetryAfter, err.Error())
-	}
-}
-
-// cancel cancels the job, and responds once the cancellation is stored.
-func (c *call) cancel() {
-	_, service, err := c.find()
-	if err == nil {
-		c.service = service
-		err = c.cancelInService(service)
-	}
-	switch {
-	case err == nil:
-		c.respond(http.StatusOK, "cancelled")
-	case basilledger.IsErrJobNotExist(err):
+	case err == nil, basilledger.IsErrJobNotExist(err):
 		c.respond(http.StatusGone, "no such job")
-	case basilplatform.IsErrOutcomeUnknown(err):
-		c.respond(http.StatusGatewayTimeout, "outcome unknown")
 	default:
 		c.respondUnavailable(http.StatusServiceUnavailable, minRetryAfter, err.Error())
 	}
 }
 
-// cancelInService stores the cancellation of a job of the service. It retries while the outcome is unknown, until the timeout
-// or until the store is known to be unreachable.
-func (c *call) cancelInService(service string) error {
-	for {
-		err := c.node.ledger.Cancel(c.ctx, service, c.queue.Name, c.id)
-		if !basilplatform.IsErrOutcomeUnknown(err) || c.node.storeUnreachable() || basiltimer.Wait(c.ctx, readBackInterval) != nil {
-			return err
-		}
-	}
-}
-
 // waiting responds with the number of waiting jobs of the queue.
 func (c *call) waiting(configuration *basilwork.Configuration) {
 	count, err := c.node.countWaiting(c.ctx, c.routeOf(configuration))
--- a/internal/basilwork/progress.go
+++ b/internal/basilwork/progress.go
@@ -1,6 +1,9 @@
 package basilwork
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // StepProgress is the persistent state of a step's tasks.
 type StepProgress struct {
@@ -77,3 +80,12 @@
 	Progress map[int]*OccurrenceProgress `json:"p,omitempty"`
 	Writer   string                      `json:"w,omitempty"` // unique ID of the commit that wrote the record
 }
+
+// NewTombstone returns the record that keeps a job which was cancelled before it was stored from being stored later.
+func NewTombstone(id, queue string, cancelled time.Time) *Record {
+	at := cancelled.UnixMilli()
+	return &Record{Job: Job{ID: id, Queue: queue}, State: JobStateCanceled, Accepted: at, Finished: at}
+}
+
+// IsTombstone reports whether the record is one that NewTombstone returned: there is no such job.
+func (r *Record) IsTombstone() bool { return r.State == JobStateCanceled && len(r.Job.Steps) == 0 }
