Complete a queue's move for all waiting submissions at once

Cause: the calls of a move ran in the context of the one submission that had the turn. Under steady arrivals each got the turn when most of its own time was gone, gave up half-way, and so did the next.

Change: one update a queue runs in the entry host's own context, and all submissions wait for it with their own timeouts. The gates of former services are closed at the same time.

--- a/internal/basilledger/assignment.go
+++ b/internal/basilledger/assignment.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"basilstage.example/basilstage/internal/basilplatform"
 )
@@ -97,10 +98,12 @@
 	case g.Generation == a.Generation && g.Open:
 		return g.version, false, nil
 	}
+	var former errgroup.Group
 	for _, service := range a.Former {
-		if err := l.closeGate(ctx, service, queue, a.Generation); err != nil {
-			return 0, false, err
-		}
+		former.Go(func() error { return l.closeGate(ctx, service, queue, a.Generation) })
+	}
+	if err := former.Wait(); err != nil {
+		return 0, false, err
 	}
 	version, err = l.replace(ctx, queue, GateKey(a.Service, queue), g.version, gate{Generation: a.Generation, Open: true})
 	return version, err == nil, err
--- a/internal/basilnode/assignments.go
+++ b/internal/basilnode/assignments.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 
 	"basilstage.example/basilstage/internal/basilledger"
 	"basilstage.example/basilstage/internal/basillog"
@@ -13,6 +15,8 @@
 	"basilstage.example/basilstage/internal/basiltimer"
 )
 
+const assignTimeout = 10 * time.Second // of a change of an assignment: about twenty calls of a store that takes 0.4 s for each
+
 // queueRoute is the service that a configuration routes a queue to.
 type queueRoute struct {
 	queue    string
@@ -36,7 +40,7 @@
 type assignments struct {
 	mutex   sync.Mutex // guards the maps
 	byQueue map[string]assignment
-	turns   map[string]chan struct{} // each has room for the call that reads or changes the assignment of the queue
+	updates singleflight.Group // of assignments, by queue
 }
 
 func (s *assignments) get(queue string) assignment {
@@ -72,23 +76,15 @@
 	}
 }
 
-// takeTurn waits until no other call reads or changes the assignment of the queue; the caller must call release after it.
-func (s *assignments) takeTurn(ctx context.Context, queue string) (release func(), err error) {
-	s.mutex.Lock()
-	turn := s.turns[queue]
-	if turn == nil {
-		if s.turns == nil {
-			s.turns = make(map[string]chan struct{})
-		}
-		turn = make(chan struct{}, 1)
-		s.turns[queue] = turn
-	}
-	s.mutex.Unlock()
+// update runs f once for all callers that wait for the queue, and returns its result. f doesn't end when a caller gives up: each of a
+// series of callers may have less time than f takes on a slow store.
+func (s *assignments) update(ctx context.Context, queue string, f func() error) error {
+	result := s.updates.DoChan(queue, func() (any, error) { return nil, f() })
 	select {
-	case turn <- struct{}{}:
-		return func() { <-turn }, nil
+	case r := <-result:
+		return r.Err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return newErrNotAssigned(queue, ctx.Err())
 	}
 }
 
@@ -115,26 +111,36 @@
 	if a := n.assignments.get(r.queue); a.accepts(r) {
 		return a, nil
 	}
-	release, err := n.assignments.takeTurn(ctx, r.queue)
-	if err != nil {
-		return assignment{}, newErrNotAssigned(r.queue, err)
-	}
-	defer release()
 	for {
+		err := n.assignments.update(ctx, r.queue, func() error { return n.updateUntilAssigned(r) })
+		if err != nil {
+			return assignment{}, err
+		}
 		if a := n.assignments.get(r.queue); a.accepts(r) {
 			return a, nil
 		}
-		if n.storeUnreachable() { // also for those that waited for their turn until now
-			return assignment{}, newErrNotAssigned(r.queue, ErrStoreUnreachable{})
+	}
+}
+
+// updateUntilAssigned updates the assignment of the queue until it agrees with the route. It fails with ErrUnavailable.
+func (n *Node) updateUntilAssigned(r queueRoute) error {
+	ctx, cancel := context.WithTimeout(n.ctx, assignTimeout)
+	defer cancel()
+	for {
+		if a := n.assignments.get(r.queue); a.accepts(r) {
+			return nil
+		}
+		if n.storeUnreachable() {
+			return newErrNotAssigned(r.queue, ErrStoreUnreachable{})
 		}
 		err := n.updateAssignment(ctx, r)
 		switch {
 		case err == nil:
 		case basilplatform.IsErrUnavailable(err):
-			return assignment{}, err
+			return err
 		case basilledger.IsErrAssignmentChanged(err): // the next attempt reads the change
 		case basiltimer.Wait(ctx, readBackInterval) != nil:
-			return assignment{}, newErrNotAssigned(r.queue, err)
+			return newErrNotAssigned(r.queue, err)
 		}
 	}
 }
