Count waiting jobs by the queue's assignment as stored

Callers of an entry host that has stored no job of a queue since it moved, and keeps an old configuration, were told too few waiting jobs: it went by the assignment that it knew, which only a submission or a job that isn't found has it read again.

Each count now reads the assignment first, one call of the platform more.

TestWaitingJobsCountAfterRouteChange fails on the commit before (2 of 3 jobs counted) and passes. TestRelayedSubmissionAfterRouteChange, new as well, passes on both: it covers relays for an entry host without the store whose configuration is old.

--- a/internal/basilnode/assignments_test.go
+++ b/internal/basilnode/assignments_test.go
@@ -183,3 +183,44 @@
 		c.await(quotePrefix, jobID(2), "completed", 5*time.Second)
 	})
 }
+
+// TestRelayedSubmissionAfterRouteChange checks that an entry host without the store, which knows the old configuration only, has others
+// store a new job under the service that its queue is assigned to, and that it starts nothing if the job is stored under a former one.
+func TestRelayedSubmissionAfterRouteChange(t *testing.T) {
+	run(t, 3, 4, constant(20*time.Second), func(c *cluster) {
+		c.site.AddPool("press", 2, 16000, 65536, false)
+		name := c.other("stretch")
+		must.Eq(c.t, http.StatusOK, c.submit(name, quotePrefix, jobID(1), twoSteps))
+		c.setBehind(name, true)
+		c.site.Configure(fmt.Sprintf(routed, 2, "press"))
+		time.Sleep(time.Second)
+		c.hosts[name].link.Refuse(basilfake.StoreAddress)
+		time.Sleep(2500 * time.Millisecond) // until the entry host has noticed
+		must.Eq(c.t, http.StatusOK, c.submit(name, quotePrefix, jobID(1), twoSteps))
+		must.Eq(c.t, http.StatusOK, c.submit(name, quotePrefix, jobID(2), twoSteps))
+		time.Sleep(time.Second)
+		must.Eq(c.t, []string{"stretch"}, c.storedUnder(jobID(1)))
+		must.Eq(c.t, []string{"press"}, c.storedUnder(jobID(2)))
+		must.Eq(c.t, 3, c.site.Running(jobID(1)))
+		must.Eq(c.t, 3, c.site.Running(jobID(2)))
+	})
+}
+
+// TestWaitingJobsCountAfterRouteChange checks that an entry host that has stored no job since its queue was routed to another service, and
+// doesn't know of the change, counts the waiting jobs of both services.
+func TestWaitingJobsCountAfterRouteChange(t *testing.T) {
+	run(t, 3, 1, constant(30*time.Second), func(c *cluster) {
+		later := fmt.Sprintf(dueAfterTest, time.Now().Add(time.Hour).UnixMilli())
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), later))
+		must.Eq(c.t, http.StatusOK, c.submit("entry-2", quotePrefix, jobID(2), later))
+		c.setBehind("entry-1", true)
+		c.site.Configure(fmt.Sprintf(routed, 2, "press"))
+		time.Sleep(time.Second)
+		must.Eq(c.t, http.StatusOK, c.submit("entry-2", quotePrefix, jobID(3), later))
+		for name := range c.hosts {
+			status, body := c.call(name, http.MethodGet, quotePrefix, "")
+			must.Eq(c.t, http.StatusOK, status)
+			must.Eq(c.t, `{"waiting":3}`, body, must.Sprint(name))
+		}
+	})
+}
--- a/internal/basilnode/front.go
+++ b/internal/basilnode/front.go
@@ -111,7 +111,7 @@
 	codec := c.node.options.Codec
 	switch {
 	case c.r.Method == http.MethodGet && strings.Trim(c.id, "/") == "":
-		c.waiting(configuration)
+		c.waiting()
 	case !codec.IsJobID(c.id) && c.r.Method == http.MethodPost:
 		c.respond(http.StatusBadRequest, "invalid job id")
 	case !codec.IsJobID(c.id):
@@ -221,8 +221,8 @@
 }
 
 // waiting responds with the number of waiting jobs of the queue.
-func (c *call) waiting(configuration *basilwork.Configuration) {
-	count, err := c.node.countWaiting(c.ctx, c.routeOf(configuration))
+func (c *call) waiting() {
+	count, err := c.node.countWaiting(c.ctx, c.queue.Name)
 	if err != nil {
 		c.respondUnavailable(http.StatusServiceUnavailable, minRetryAfter, err.Error())
 		return
--- a/internal/basilnode/front_find.go
+++ b/internal/basilnode/front_find.go
@@ -53,18 +53,16 @@
 	return basilwork.Record{}, "", err
 }
 
-// countWaiting returns the number of waiting jobs of the queue, under all services that it was assigned to.
-func (n *Node) countWaiting(ctx context.Context, r queueRoute) (int, error) {
-	known := n.assignments.get(r.queue).Assignment
-	if !known.Follows(r.service, r.revision) {
-		var err error
-		if known, err = n.readAssignment(ctx, r.queue); err != nil {
-			return 0, err
-		}
+// countWaiting returns the number of waiting jobs of the queue, under all services that it was assigned to. It reads the assignment, since
+// nothing else tells an entry host that stores no job of the queue that it has moved.
+func (n *Node) countWaiting(ctx context.Context, queue string) (int, error) {
+	a, err := n.readAssignment(ctx, queue)
+	if err != nil {
+		return 0, err
 	}
 	total := 0
-	for _, service := range known.Services() {
-		count, err := n.ledger.Waiting(ctx, service, r.queue)
+	for _, service := range a.Services() {
+		count, err := n.ledger.Waiting(ctx, service, queue)
 		if err != nil {
 			return 0, err
 		}
