Find the jobs that a release without assignments stored

A GET or DELETE was answered 410 for a job that runs, if its queue had no assignment yet: after an upgrade from a release that stored none, until somebody submitted to the queue.

Cause: no assignment was taken for no jobs. Change: without one, all pools are looked in. TestJobOfReleaseWithoutAssignmentsIsKnown failed before and passes.

--- a/internal/basilnode/front_find.go
+++ b/internal/basilnode/front_find.go
@@ -25,10 +25,19 @@
 		return basilwork.Record{}, "", err
 	}
 	c.service = current.Service
-	others := slices.DeleteFunc(current.Services(), func(s string) bool { return slices.Contains(known.Services(), s) })
+	others := slices.DeleteFunc(c.node.servicesWithJobs(&current), func(s string) bool { return slices.Contains(known.Services(), s) })
 	return c.node.findIn(c.ctx, others, c.queue.Name, c.id)
 }
 
+// servicesWithJobs returns all services that may have jobs of a queue with the assignment. Without one, these are all pools: a release that
+// didn't store assignments may have stored jobs under any of them.
+func (n *Node) servicesWithJobs(a *basilledger.Assignment) []string {
+	if services := a.Services(); len(services) > 0 {
+		return services
+	}
+	return n.configuration().Pools()
+}
+
 // findIn returns a job of the queue and that of the services that it is stored under.
 func (n *Node) findIn(ctx context.Context, services []string, queue, id string) (basilwork.Record, string, error) {
 	type result struct {
@@ -61,7 +70,7 @@
 		return 0, err
 	}
 	total := 0
-	for _, service := range a.Services() {
+	for _, service := range n.servicesWithJobs(&a) {
 		count, err := n.ledger.Waiting(ctx, service, queue)
 		if err != nil {
 			return 0, err
