Answer a cancelling 504 if an earlier attempt got no answer

A DELETE whose first write got no answer was answered 503, with a Retry-After, when the store refused the repeated write, though the cancelling may be stored or still take effect.

Change: after an attempt with an unknown outcome, a refusal counts as unknown too, as it does for submissions. TestCancelThatMayBeStoredIsNotRefused failed before (503) and passes.

--- a/internal/basilnode/cancel_test.go
+++ b/internal/basilnode/cancel_test.go
@@ -233,3 +233,19 @@
 		must.Len(c.t, 0, c.storedUnder(jobID(1)))
 	})
 }
+
+// TestCancelThatMayBeStoredIsNotRefused checks that a DELETE is not answered as if nothing were stored if its first write got no answer
+// and the store refuses the repeated one.
+func TestCancelThatMayBeStoredIsNotRefused(t *testing.T) {
+	run(t, 2, 4, constant(20*time.Second), func(c *cluster) {
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+		c.site.Store.SetFaults(basilfake.StoreFaults{LoseAnswers: true})
+		time.AfterFunc(50*time.Millisecond, func() { c.site.Store.SetFaults(basilfake.StoreFaults{}) })
+		time.AfterFunc(900*time.Millisecond, func() { c.site.Store.SetFaults(basilfake.StoreFaults{Busy: true}) }) // before the write's timeout
+		status, _ := c.call("entry-1", http.MethodDelete, quotePrefix+jobID(1), "")
+		must.Eq(c.t, http.StatusGatewayTimeout, status)
+		c.site.Store.SetFaults(basilfake.StoreFaults{})
+		time.Sleep(3 * time.Second)
+		must.Eq(c.t, "canceled", c.state("entry-1", quotePrefix, jobID(1)))
+	})
+}
--- a/internal/basilnode/front_cancel.go
+++ b/internal/basilnode/front_cancel.go
@@ -68,12 +68,17 @@
 }
 
 // repeatUnknown repeats a write, of which a second one changes nothing, while its outcome is unknown, until the timeout or until the
-// store is known to be unreachable.
+// store is known to be unreachable. Its error is ErrOutcomeUnknown, not ErrUnavailable, if an earlier attempt got no answer.
 func (c *call) repeatUnknown(write func() error) error {
+	unanswered := false
 	for {
 		err := write()
-		if !basilplatform.IsErrOutcomeUnknown(err) || c.node.storeUnreachable() || basiltimer.Wait(c.ctx, readBackInterval) != nil {
+		switch {
+		case unanswered && basilplatform.IsErrUnavailable(err):
+			return basilledger.NewErrMayBeStored(err)
+		case !basilplatform.IsErrOutcomeUnknown(err) || c.node.storeUnreachable() || basiltimer.Wait(c.ctx, readBackInterval) != nil:
 			return err
 		}
+		unanswered = true
 	}
 }
