--- a/internal/basilnode/front.go
+++ b/internal/basilnode/front.go
@@ -65,6 +65,7 @@
 	ctx     context.Context
 	queue   *basilwork.Queue
 	id      string
+	service string // that the job is stored under, or was looked for under; empty if not known
 	started time.Time
 }
 
@@ -120,7 +121,7 @@
 	case c.r.Method == http.MethodGet:
 		c.state()
 	case c.r.Method == http.MethodDelete:
-		c.cancel()
+		c.cancel(configuration)
 	default:
 		c.respond(http.StatusMethodNotAllowed, "method not allowed")
 	}
@@ -147,39 +148,28 @@
 		c.respond(http.StatusBadRequest, err.Error())
 		return
 	}
-	record := &basilwork.Record{Job: *job, Accepted: c.started.UnixMilli()}
-	if c.node.storeUnreachable() {
-		c.respondAccepted(c.acceptWithoutStore(record))
-		return
-	}
-	if done, err := c.storedUnderFormerService(); done || err != nil {
-		c.respondAccepted(err)
-		return
+	acceptance, err := basilledger.NewAcceptance(&basilwork.Record{Job: *job, Accepted: c.started.UnixMilli()})
+	if err == nil {
+		err = c.accept(c.routeOf(configuration), acceptance)
 	}
-	c.respondAccepted(c.accept(record))
+	c.respondAccepted(err)
 }
 
-// storedUnderFormerService reports whether the job is stored under a service that the queue was routed to earlier.
-func (c *call) storedUnderFormerService() (bool, error) {
-	for _, service := range c.node.formerServices(c.queue.Name) {
-		_, _, err := c.node.ledger.Find(c.ctx, service, c.id)
-		if !basilledger.IsErrJobNotExist(err) {
-			return err == nil, err
-		}
-	}
-	return false, nil
+// routeOf returns the queue's service according to the configuration.
+func (c *call) routeOf(configuration *basilwork.Configuration) queueRoute {
+	return queueRoute{queue: c.queue.Name, service: c.queue.Service, revision: configuration.Version}
 }
 
-// accept stores the job. If the outcome is unknown it reads the job back, until the timeout or until the store is known to
-// be unreachable.
-func (c *call) accept(record *basilwork.Record) error {
-	job, err := basilledger.NewAcceptance(record)
-	if err != nil {
-		return err
+// accept stores the job, through other entry hosts while this one can't reach the store. If the outcome is unknown it reads the job back,
+// until the timeout or until the store is known to be unreachable.
+func (c *call) accept(r queueRoute, job basilledger.Acceptance) error {
+	if c.node.storeUnreachable() {
+		return c.node.acceptViaPeers(c.ctx, r, job)
 	}
-	err = c.node.accept(c.ctx, c.queue.Service, job)
+	service, err := c.node.submit(c.ctx, r, job, c.node.accept)
+	c.service = service
 	for basilplatform.IsErrOutcomeUnknown(err) {
-		if _, _, found := c.node.ledger.Find(c.ctx, c.queue.Service, c.id); found == nil {
+		if _, _, found := c.node.ledger.Find(c.ctx, service, c.id); found == nil {
 			return nil
 		}
 		if c.node.storeUnreachable() || basiltimer.Wait(c.ctx, readBackInterval) != nil {
@@ -189,19 +179,6 @@
 	return err
 }
 
-// acceptWithoutStore stores the job through other entry hosts while this one can't reach the store. Jobs of a queue that was
-// routed to another service earlier are rejected, since the other entry hosts don't check whether that service has the job.
-func (c *call) acceptWithoutStore(record *basilwork.Record) error {
-	if len(c.node.formerServices(c.queue.Name)) > 0 {
-		return errors.WithStack(basilplatform.ErrUnavailable{Operation: "accept", RetryAfter: minRetryAfter, Cause: ErrStoreUnreachable{}})
-	}
-	job, err := basilledger.NewAcceptance(record)
-	if err != nil {
-		return err
-	}
-	return c.node.acceptViaPeers(c.ctx, c.queue.Service, job)
-}
-
 // ErrStoreUnreachable is returned when this entry host can't reach the store and no other entry host stored the job.
 type ErrStoreUnreachable struct{}
 
@@ -234,54 +211,18 @@
 func (c *call) state() {
 	r, _, err := c.find()
 	switch {
-	case err == nil:
+	case err == nil && !r.IsTombstone():
 		c.respondJSON(c.node.options.Codec.State(r.State))
-	case basilledger.IsErrJobNotExist(err):
+	case err == nil, basilledger.IsErrJobNotExist(err):
 		c.respond(http.StatusGone, "no such job")
 	default:
 		c.respondUnavailable(http.StatusServiceUnavailable, minRetryAfter, err.Error())
 	}
 }
 
-// cancel cancels the job, and responds once the cancellation is stored.
-func (c *call) cancel() {
-	_, service, err := c.find()
-	if err == nil {
-		err = c.cancelInService(service)
-	}
-	switch {
-	case err == nil:
-		c.respond(http.StatusOK, "cancelled")
-	case basilledger.IsErrJobNotExist(err):
-		c.respond(http.StatusGone, "no such job")
-	case basilplatform.IsErrOutcomeUnknown(err):
-		c.respond(http.StatusGatewayTimeout, "outcome unknown")
-	default:
-		c.respondUnavailable(http.StatusServiceUnavailable, minRetryAfter, err.Error())
-	}
-}
-
-// cancelInService stores the cancellation of a job of the service. It retries while the outcome is unknown, until the timeout
-// or until the store is known to be unreachable.
-func (c *call) cancelInService(service string) error {
-	for {
-		err := c.node.ledger.Cancel(c.ctx, service, c.queue.Name, c.id)
-		if !basilplatform.IsErrOutcomeUnknown(err) || c.node.storeUnreachable() || basiltimer.Wait(c.ctx, readBackInterval) != nil {
-			return err
-		}
-	}
-}
-
-// waiting responds with the number of waiting jobs of the queue, under its service and its earlier ones.
+// waiting responds with the number of waiting jobs of the queue.
 func (c *call) waiting() {
-	count, err := c.node.ledger.Waiting(c.ctx, c.queue.Service, c.queue.Name)
-	for _, service := range c.node.formerServices(c.queue.Name) {
-		var more int
-		if err == nil {
-			more, err = c.node.ledger.Waiting(c.ctx, service, c.queue.Name)
-			count += more
-		}
-	}
+	count, err := c.node.countWaiting(c.ctx, c.queue.Name)
 	if err != nil {
 		c.respondUnavailable(http.StatusServiceUnavailable, minRetryAfter, err.Error())
 		return
@@ -320,6 +261,9 @@
 	if c.queue != nil {
 		fields["queue"] = c.queue.Name
 	}
+	if c.service != "" {
+		fields[basillog.FieldPool] = c.service
+	}
 	if reason != "" {
 		fields[basillog.FieldReason] = reason
 	}
