Show that a task of a whole host waits beside long-running tasks

What callers saw: an accepted job stays active and never completes, with three hosts to spare. Trace: its last task needs 16 of a host's 16 cores. The pool has three hosts, each with a long-running task of 2 cores. The fleet's owner logs need 3, demand 22000 and missing 0, as it adds up cores and doesn't ask whether a host has that many free. Class: what is needed is counted as a sum where it has to fit in one place. It has nothing to do with cancellations.

--- a/internal/basilnode/fleet_test.go
+++ b/internal/basilnode/fleet_test.go
@@ -136,3 +136,15 @@
 		must.Eq(c.t, len(c.site.Backends("stretch")), c.site.Running(jobID(1)))
 	})
 }
+
+// TestTaskOfWholeHostBesideLongRunningTasks checks that a task which needs a whole host is started although long-running tasks take a
+// small part of each host of its pool, as long as there are hosts to spare.
+func TestTaskOfWholeHostBesideLongRunningTasks(t *testing.T) {
+	run(t, 1, 3, constant(900*time.Millisecond), func(c *cluster) {
+		must.Eq(t, http.StatusOK, c.submit("entry-1", longPrefix, longRunningID, longRunningJob))
+		time.Sleep(2 * time.Second)
+		must.Eq(t, 3, c.site.Running(longRunningID))
+		must.Eq(t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), `{"spec":"x","steps":[{"count":1,"cpu":16000,"mem_mb":16,"estimate_ms":900}]}`))
+		c.await(quotePrefix, jobID(1), "completed", 14*time.Second)
+	})
+}
