--- a/internal/basilnode/cancel_play_test.go
+++ b/internal/basilnode/cancel_play_test.go
@@ -85,13 +85,14 @@
 // cancelPlay carries out a plan and records what callers saw.
 type cancelPlay struct {
 	*cluster
-	jobs    []playJob
-	early   bool
-	ignores bool // DELETEs are answered without reaching an entry host, to see that the checks find it
-	version int
-	history callHistory
-	stopped []*entryHost // those that have handed over all they had
-	calls   sync.WaitGroup
+	jobs     []playJob
+	early    bool
+	ignores  bool // DELETEs are answered without reaching an entry host, to see that the checks find it
+	version  int
+	history  callHistory
+	stopping map[*entryHost]bool // that are shut down gracefully
+	stopped  []*entryHost        // those of them that have handed over all they had
+	calls    sync.WaitGroup
 }
 
 // playCancels carries out a plan and returns the violations.
@@ -100,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 3, 4, shapedWork)
 		defer c.close()
-		p := &cancelPlay{cluster: c, early: plan.early, ignores: ignores, version: 1, history: callHistory{tasks: make(map[string]int), longRunning: make(map[string]bool)}}
+		p := &cancelPlay{cluster: c, early: plan.early, ignores: ignores, version: 1, stopping: make(map[*entryHost]bool), history: callHistory{tasks: make(map[string]int), longRunning: make(map[string]bool)}}
 		if slices.ContainsFunc(plan.steps, func(s cancelStep) bool { return s.kind == routeStep }) {
 			c.site.AddPool("press", 3, 16000, 65536, false)
 			p.route("stretch")
@@ -283,9 +284,10 @@
 // stopFor shuts an entry host down gracefully while callers still use it, and starts it again after a while.
 func (p *cancelPlay) stopFor(name string, d time.Duration) {
 	h := p.hosts[name]
-	if h == nil {
+	if h == nil || p.stopping[h] {
 		return
 	}
+	p.stopping[h] = true
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
