Check cancellations beside route changes that some entry hosts learn late

Beside route changes, cancellations are now also sent before the submission is answered, and an entry host may keep its configuration for some seconds.

--- a/internal/basilnode/cancel_play_test.go
+++ b/internal/basilnode/cancel_play_test.go
@@ -47,10 +47,7 @@
 )
 
 // playJob is a job of a play.
-type playJob struct {
-	id, body string
-	tasks    int
-}
+type playJob struct{ id, body string }
 
 // shapes are the jobs that plays submit, by the first digit of their ids.
 var shapes = []struct {
@@ -109,7 +106,7 @@
 		}
 		for n, shape := range plan.shapes {
 			s := shapes[shape]
-			j := playJob{id: fmt.Sprintf("%s%015x", s.digit, n+1), body: s.body, tasks: s.tasks}
+			j := playJob{id: fmt.Sprintf("%s%015x", s.digit, n+1), body: s.body}
 			p.jobs = append(p.jobs, j)
 			p.history.tasks[j.id], p.history.longRunning[j.id] = s.tasks, s.takes < 0
 		}
@@ -176,15 +173,14 @@
 // call makes a request and records it with its answer.
 func (p *cancelPlay) call(h *entryHost, name, method string, j playJob) callRecord {
 	r := callRecord{method: method, id: j.id, host: name, sent: time.Now()}
-	var body string
+	body := ""
+	if method == http.MethodPost {
+		body = j.body
+	}
 	if p.ignores && method == http.MethodDelete {
 		r.status = http.StatusOK
 	} else {
-		request := ""
-		if method == http.MethodPost {
-			request = j.body
-		}
-		r.status, body = p.callHost(h, method, quotePrefix+j.id, request)
+		r.status, body = p.callHost(h, method, quotePrefix+j.id, body)
 	}
 	select {
 	case <-h.done:
@@ -260,6 +256,9 @@
 		p.stopFor(name, s.last)
 	case "join":
 		p.start(fmt.Sprintf("entry-%d", p.starts+1))
+	case "behind":
+		p.setBehind(name, true)
+		time.AfterFunc(s.last, func() { p.setBehind(name, false) })
 	case routeStep:
 		p.route([]string{"press", "stretch"}[s.host%2])
 	default:
--- a/internal/basilnode/cancel_property_test.go
+++ b/internal/basilnode/cancel_property_test.go
@@ -88,10 +88,11 @@
 	checkCancels(t, failureSteps, 5, true)
 }
 
-// TestPropertyCancelledJobsBesideRouteChanges is the first one beside changes of the service that the queue is routed to.
+// TestPropertyCancelledJobsBesideRouteChanges is the same beside changes of the service that the queue is routed to, of which some entry
+// hosts learn late.
 func TestPropertyCancelledJobsBesideRouteChanges(t *testing.T) {
 	const r, j = routeStep, "join"
-	checkCancels(t, append([]string{r, r, r, r, r, r, r, r, j, j, j, j}, failureSteps...), 9, false)
+	checkCancels(t, append([]string{r, r, r, r, r, r, r, r, j, j, j, j, "behind", "behind"}, failureSteps...), 9, true)
 }
 
 // TestIgnoredCancellationIsFound checks that the checks of the properties find tasks of a job whose cancellation was answered and ignored.
