Cancel jobs of many tasks beside a crowded store and slow starts

The plays now have a job of 60 tasks, whose starts queue behind slow answers of backend servers, and a store whose parts carry few transactions. A play in which nothing happens but requests, route changes and new entry hosts must have each request answered with success, as the callers of a steady system are owed; the table of histories has a case for that.

--- a/internal/basilnode/call_history_check_test.go
+++ b/internal/basilnode/call_history_check_test.go
@@ -67,6 +67,8 @@
 		{"is active after it was unknown", []callRecord{gone, accepted, call(get, 20, 20, http.StatusOK, "active")}, nil, nil, "active after DELETE"},
 		{"is canceled by nobody", []callRecord{accepted, shown}, nil, nil, "nobody cancelled it"},
 	}
+	unserved := callHistory{tasks: map[string]int{"a": 1}, calm: true, calls: []callRecord{call(remove, 2, 2, http.StatusServiceUnavailable, "")}}
+	must.StrContains(t, strings.Join(unserved.violations(), "\n"), "with nothing in the way")
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			h := callHistory{tasks: map[string]int{"a": 1}, calls: tc.calls, runs: tc.runs, disruptions: tc.disruptions, end: at(30)}
--- a/internal/basilnode/call_history_test.go
+++ b/internal/basilnode/call_history_test.go
@@ -51,6 +51,7 @@
 	calls       []callRecord
 	runs        []basilfake.Run
 	disruptions []span    // during which runs of cancelled jobs may go on
+	calm        bool      // nothing happened that keeps an entry host from serving a request
 	lastRound   time.Time // from which on all entry hosts were asked for all jobs
 	end         time.Time
 }
@@ -74,6 +75,7 @@
 		}
 		list = append(list, h.lateRuns(calls, runs)...)
 		list = append(list, h.runsOfRefused(id, calls, runs)...)
+		list = append(list, h.unserved(id, calls)...)
 		list = append(list, h.wrongStates(id, calls, runs)...)
 		list = append(list, h.unfinished(id, calls)...)
 	}
@@ -104,9 +106,9 @@
 		if after := r.Started.Sub(cancelled); after > cancelBound && !r.Late {
 			list = append(list, fmt.Sprintf("%s starts %v after its job's %s", r.Task, after, calls[n].String()))
 		}
-		bound := h.calm(cancelled, cancelBound+stopBound)
+		bound := h.calmAfter(cancelled, cancelBound+stopBound)
 		if r.Late && r.Started.After(cancelled.Add(cancelBound-lateBound)) {
-			bound = h.calm(r.Started, lateBound+stopBound)
+			bound = h.calmAfter(r.Started, lateBound+stopBound)
 		}
 		ended := r.Ended
 		if ended.IsZero() {
@@ -119,8 +121,8 @@
 	return list
 }
 
-// calm returns the end of the first time of that length since then without a disruption.
-func (h *callHistory) calm(since time.Time, length time.Duration) time.Time {
+// calmAfter returns the end of the first time of that length since then without a disruption.
+func (h *callHistory) calmAfter(since time.Time, length time.Duration) time.Time {
 	spans := slices.Clone(h.disruptions)
 	slices.SortFunc(spans, func(a, b span) int { return a.from.Compare(b.from) })
 	for _, s := range spans {
@@ -131,6 +133,17 @@
 	return since.Add(length)
 }
 
+// unserved returns the requests for a job that were not answered with success although nothing kept the entry hosts from it.
+func (h *callHistory) unserved(id string, calls []callRecord) []string {
+	var list []string
+	for _, c := range calls {
+		if h.calm && c.status != http.StatusOK && (c.status != http.StatusGone || c.method == http.MethodPost) {
+			list = append(list, fmt.Sprintf("%s: %s with nothing in the way", id, c.String()))
+		}
+	}
+	return list
+}
+
 // runsOfRefused returns the runs of a job if all its submissions were refused.
 func (h *callHistory) runsOfRefused(id string, calls []callRecord, runs []basilfake.Run) []string {
 	for _, c := range calls {
--- a/internal/basilnode/cancel_play_test.go
+++ b/internal/basilnode/cancel_play_test.go
@@ -11,8 +11,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"basilstage.example/basilstage/platform/basilfake"
 )
 
 // cancelStep is one step of a play: a request of a caller for a job, or a failure.
@@ -34,6 +32,9 @@
 // callSteps are the requests of callers.
 var callSteps = []string{"post", "delete", "get"}
 
+// quietSteps are those beside which each request is answered with success.
+var quietSteps = append([]string{routeStep, "join", "behind"}, callSteps...)
+
 // routeStep routes the queue to the other service, or back.
 const routeStep = "route"
 
@@ -41,8 +42,8 @@
 var (
 	calmSteps  = []string{"kill owner", "stop owner", "kill", "stop", "join", "kill all"} // tasks of cancelled jobs must end beside these as well
 	harshSteps = []string{
-		"answers lost", "some answers lost", "writes late", "store silent", "store busy", "store slow", "watch silent", "history dropped",
-		"turned away", "owner turned away", "owner busy", "cut", "owner cut", "calls late", "owner's calls late", "starts late", "some starts late", "late after rebirth", "backend crash", "backend reborn", "stops lost",
+		"answers lost", "some answers lost", "writes late", "store silent", "store busy", "store slow", "store crowded", "watch silent", "history dropped",
+		"turned away", "owner turned away", "owner busy", "cut", "owner cut", "calls late", "owner's calls late", "starts slow", "starts late", "some starts late", "late after rebirth", "backend crash", "backend reborn", "stops lost",
 	}
 )
 
@@ -59,7 +60,7 @@
 	{"0", 700 * time.Millisecond, 5, twoSteps},
 	{"1", 2 * time.Second, 5, `{"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":64,"estimate_ms":2000,"checkpointing":true},{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":2000,"after":[0]}]}`},
 	{"2", 900 * time.Millisecond, 6, `{"spec":"x","steps":[{"count":6,"cpu":9000,"mem_mb":16,"estimate_ms":900,"checkpointing":true}]}`},
-	{"3", 6 * time.Second, 20, `{"spec":"x","steps":[{"count":20,"cpu":100,"mem_mb":16,"estimate_ms":6000}]}`},
+	{"3", 6 * time.Second, 60, `{"spec":"x","steps":[{"count":60,"cpu":100,"mem_mb":16,"estimate_ms":6000}]}`},
 	{"f", -1, 3, longRunningJob},
 }
 
@@ -110,6 +111,7 @@
 			p.jobs = append(p.jobs, j)
 			p.history.tasks[j.id], p.history.longRunning[j.id] = s.tasks, s.takes < 0
 		}
+		p.history.calm = !slices.ContainsFunc(plan.steps, func(s cancelStep) bool { return !slices.Contains(quietSteps, s.kind) })
 		p.run(plan.steps)
 		wrong = append(p.history.violations(), c.site.Broken()...)
 	})
@@ -297,101 +299,3 @@
 		p.stopped = append(p.stopped, h)
 	}()
 }
-
-// harm causes a failure beside which tasks of cancelled jobs may go on.
-func (p *cancelPlay) harm(s cancelStep, h *entryHost) {
-	owner := p.hosts[p.owner("stretch")]
-	switch s.kind {
-	case "answers lost":
-		p.storeFault(s.last, basilfake.StoreFaults{LoseAnswers: true})
-	case "some answers lost":
-		p.storeFault(s.last, basilfake.StoreFaults{LoseAnswers: true, LoseShare: 0.4})
-	case "writes late":
-		p.storeFault(s.last, basilfake.StoreFaults{LateBy: min(s.last, maxLateBy)})
-	case "store silent":
-		p.storeFault(s.last, basilfake.StoreFaults{Silent: true})
-	case "store busy":
-		p.storeFault(s.last, basilfake.StoreFaults{Busy: true})
-	case "store slow":
-		p.storeFault(s.last, basilfake.StoreFaults{Delay: 300 * time.Millisecond})
-	case "watch silent":
-		p.storeFault(s.last, basilfake.StoreFaults{SilentJobs: true})
-	case "history dropped":
-		p.site.Store.DropHistory()
-	case "cut":
-		h.cutFor(s.last)
-	case "owner cut":
-		owner.cutFor(s.last)
-	case "turned away":
-		h.turnAwayFor(s.last)
-	case "owner turned away":
-		owner.turnAwayFor(s.last)
-	case "owner busy":
-		if owner != nil {
-			owner.node.Occupy("stretch", s.last)
-		}
-	case "calls late":
-		h.link.Hold(s.last)
-	case "owner's calls late":
-		if owner != nil {
-			owner.link.Hold(s.last)
-		}
-	default:
-		p.harmBackends(s)
-	}
-}
-
-// cutFor cuts an entry host off for a while.
-func (h *entryHost) cutFor(d time.Duration) {
-	if h == nil {
-		return
-	}
-	h.link.SetCut(true)
-	time.AfterFunc(d, func() {
-		select {
-		case <-h.done: // stays cut
-		default:
-			h.link.SetCut(false)
-		}
-	})
-}
-
-// turnAwayFor has the store refuse the calls of an entry host for a while.
-func (h *entryHost) turnAwayFor(d time.Duration) {
-	if h != nil {
-		h.link.Refuse(basilfake.StoreAddress)
-		time.AfterFunc(d, func() { h.link.Refuse("") })
-	}
-}
-
-// harmBackends causes a failure of one backend server or, with an even number of a host, of all.
-func (p *cancelPlay) harmBackends(s cancelStep) {
-	list := append(p.site.Backends("stretch"), p.site.Backends("press")...)
-	if len(list) == 0 {
-		return
-	}
-	if s.host%2 == 1 {
-		list = list[s.host%len(list):][:1]
-	}
-	for _, b := range list {
-		var f basilfake.BackendFaults
-		switch s.kind {
-		case "backend crash":
-			p.site.Crash(b, s.last)
-			continue
-		case "backend reborn":
-			p.site.Reborn(b)
-			continue
-		case "starts late":
-			f = basilfake.BackendFaults{LateBy: 2 * time.Second}
-		case "some starts late":
-			f = basilfake.BackendFaults{LateBy: 2500 * time.Millisecond, Every: 3}
-		case "late after rebirth":
-			f = basilfake.BackendFaults{LateBy: 2 * time.Second, Every: 2, Reborn: true}
-		case "stops lost":
-			f = basilfake.BackendFaults{Stops: 3}
-		}
-		p.site.SetFaults(b, f)
-		time.AfterFunc(s.last, func() { p.site.SetFaults(b, basilfake.BackendFaults{}) })
-	}
-}
