Play planned work in the soak, on connections that callers go on using

TestSoakOfPlannedWork plays SIGTERM of one host and of all in turn, SIGHUP, new configurations and leaving backend servers in series that overlap, signals also to a process that is being stopped, while the store is slow at times. Callers have one connection each and use it until the process is gone. Wrong is: a request whose connection ends, or that has no answer, later than loss_slack_ms after it was sent; a job that isn't accepted and completed; a process that ended by itself (now in both soaks); and all that the judge finds.

Each new check finds a fault made on purpose (TestCutAnswersAreFound, TestOwnExitsAreFound).

Plays claim their part of the loopback network: two test processes at once, as beside another checkout's tests, failed with "address already in use". The list of what was wrong is printed, not only its length. The faults have a file of their own; no check of the old soak is changed.

--- a/internal/basilsoak/checks_test.go
+++ b/internal/basilsoak/checks_test.go
@@ -153,14 +153,15 @@
 // TestOutcomesCatchFaults has what callers were told compared with entry hosts that lose what they accepted, and run what they
 // refused.
 func TestOutcomesCatchFaults(t *testing.T) {
-	network := &loopback{part: 18}
+	network := &loopback{part: claimPart(t)}
 	defer network.close()
+	ip := fmt.Sprintf("127.%d.2.1", network.part)
 	s := &soak{
-		fleet:  &fleet{t: t, site: basilfake.NewSite(network, nil), hosts: []*entryHost{{ip: "127.18.2.1"}}},
+		fleet:  &fleet{t: t, site: basilfake.NewSite(network, nil), hosts: []*entryHost{{ip: ip}}},
 		client: http.DefaultClient, latency: hdrhistogram.New(1, 10_000, 2), random: newRandom(1),
 		answers: map[string]int{"1": http.StatusOK, "2": http.StatusServiceUnavailable, "3": http.StatusOK, "4": 0},
 	}
-	network.Listen("127.18.2.1:8624", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	network.Listen(ip+":8624", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasSuffix(r.URL.Path, "1") {
 			w.WriteHeader(http.StatusGone)
 			return
--- a/internal/basilsoak/fleet_test.go
+++ b/internal/basilsoak/fleet_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +22,8 @@
 	entryHosts  = 3
 	ownHosts    = 5 // of the pool at first
 	spareHosts  = 3
+	firstPart   = 20              // of the loopback network that a play uses
+	parts       = 200             // as above
 	graceTime   = 6 * time.Second // from SIGTERM to SIGKILL
 	settingsFmt = `node: "entry-%[1]d"
 role: "entry"
@@ -98,12 +101,14 @@
 
 // entryHost is one process, and the proxy on its way to the store.
 type entryHost struct {
-	mutex   sync.Mutex // held by who starts or ends the process
-	number  int
-	ip      string
-	proxy   *proxy
-	process *exec.Cmd
-	ended   chan struct{}
+	mutex    sync.Mutex // held by who starts or ends the process
+	number   int
+	ip       string
+	proxy    *proxy
+	process  *exec.Cmd
+	ended    chan struct{}
+	target   atomic.Pointer[os.Process] // of signals, also while the process is being ended
+	ownExits atomic.Int64               // processes that ended without being told to
 }
 
 // fleet is a site with entry hosts as processes.
@@ -116,7 +121,30 @@
 	hosts     []*entryHost
 }
 
-func newFleet(t *testing.T, program string, part int, work basilfake.Work) *fleet {
+// claims hold the parts of the loopback network that this process has used: timers of a site outlive its play.
+var claims struct {
+	sync.Mutex
+	list []net.Listener
+}
+
+// claimPart returns a part of the loopback network that no other play uses, also of other test processes.
+func claimPart(t *testing.T) int {
+	for n := range parts {
+		part := firstPart + (os.Getpid()+n)%parts
+		claim, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:9000", part))
+		if err == nil {
+			claims.Lock()
+			defer claims.Unlock()
+			claims.list = append(claims.list, claim)
+			return part
+		}
+	}
+	t.Fatal("all parts of the loopback network are in use")
+	return 0
+}
+
+func newFleet(t *testing.T, program string, work basilfake.Work) *fleet {
+	part := claimPart(t)
 	f := &fleet{t: t, program: program, directory: t.TempDir(), network: &loopback{part: part}}
 	f.site = basilfake.NewSite(f.network, work)
 	f.site.SetAddresses(func(life int) string { return fmt.Sprintf("127.%d.%d.%d:9000", part, 100+life/250, 1+life%250) })
@@ -157,14 +185,25 @@
 		close(ended)
 	}()
 	h.process, h.ended = c, ended
+	h.target.Store(c.Process)
 }
 
 // signal sends a signal to the entry host's process, if it runs.
 func (h *entryHost) signal(s syscall.Signal) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if h.process != nil {
-		_ = h.process.Process.Signal(s) // one that has ended by itself is found by its end
+	if p := h.target.Load(); p != nil {
+		_ = p.Signal(s) // one that has ended by itself is found by its end
+	}
+}
+
+// hangUp sends SIGHUP to the entry host's process once it listens; before, the signal would end it.
+func (h *entryHost) hangUp() {
+	p := h.target.Load()
+	if p == nil {
+		return
+	}
+	if c, err := net.DialTimeout("tcp", h.ip+":8622", callLimit); err == nil {
+		_ = c.Close()
+		_ = p.Signal(syscall.SIGHUP) // as above
 	}
 }
 
@@ -175,6 +214,11 @@
 	if h.process == nil {
 		return
 	}
+	select {
+	case <-h.ended:
+		h.ownExits.Add(1)
+	default:
+	}
 	if graceful {
 		_ = h.process.Process.Signal(syscall.SIGTERM) // as above
 		select {
@@ -184,6 +228,7 @@
 	}
 	_ = h.process.Process.Kill() // as above
 	<-h.ended
+	h.target.Store(nil)
 	h.process = nil
 }
 
--- a/internal/basilsoak/soak_test.go
+++ b/internal/basilsoak/soak_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -48,15 +49,17 @@
 // soak is one seeded play.
 type soak struct {
 	*fleet
-	random  *rand.Rand // of calls; faults are drawn beforehand
-	plan    []stroke
-	client  *http.Client
-	mutex   sync.Mutex
-	answers map[string]int // last status of each job's submission, 0 for none
-	cancels map[string]int
-	faults  map[string]int
-	latency *hdrhistogram.Histogram // milliseconds
-	group   sync.WaitGroup
+	random   *rand.Rand // of calls; faults are drawn beforehand
+	plan     []stroke
+	client   *http.Client
+	mutex    sync.Mutex
+	answers  map[string]int // last status of each job's submission, 0 for none
+	cancels  map[string]int
+	faults   map[string]int
+	latency  *hdrhistogram.Histogram // milliseconds
+	cut      []string                // requests without a whole answer
+	requests atomic.Int64
+	group    sync.WaitGroup
 }
 
 // call makes a request at a random entry host, and returns the status, 0 for no answer.
@@ -70,6 +73,7 @@
 	must.NoError(s.t, err)
 	r.Host = "shop.example"
 	r.Header.Set("X-Deadline-Ms", "3000")
+	s.requests.Add(1)
 	began := time.Now()
 	answer, err := s.client.Do(r)
 	if err != nil {
@@ -80,10 +84,15 @@
 	if err != nil {
 		return 0, ""
 	}
+	s.record(time.Since(began))
+	return answer.StatusCode, string(read)
+}
+
+// record records how long an answer took.
+func (s *soak) record(d time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	_ = s.latency.RecordValue(max(1, time.Since(began).Milliseconds())) // within the range by the limit of a call
-	return answer.StatusCode, string(read)
+	_ = s.latency.RecordValue(max(1, d.Milliseconds())) // within the range by the limit of a call
 }
 
 // submit hands a job in until it is accepted, or has been refused maxTries times.
@@ -117,118 +126,6 @@
 	}
 }
 
-// stroke is one fault of a plan.
-type stroke struct {
-	kind  string
-	host  int // it strikes, where that fits
-	pick  int // chooses a backend server
-	lasts time.Duration
-	gap   time.Duration // until the next one
-}
-
-// newPlan draws the faults of a seed: in series and overlapping.
-func newPlan(seed uint64, kinds []string) []stroke {
-	r := newRandom(seed)
-	var plan []stroke
-	for at := time.Duration(0); at < faultTime; at += plan[len(plan)-1].gap {
-		plan = append(plan, stroke{
-			kind: kinds[r.IntN(len(kinds))], host: r.IntN(entryHosts), pick: r.IntN(1 << 20),
-			lasts: time.Duration(200+r.IntN(3800)) * time.Millisecond, gap: time.Duration(200+r.IntN(1000)) * time.Millisecond,
-		})
-	}
-	return plan
-}
-
-// backend returns a backend server that the number chooses, or nil.
-func (s *soak) backend(pick int) *basilfake.Backend {
-	list := s.site.Backends("stretch")
-	if len(list) == 0 {
-		return nil
-	}
-	return list[pick%len(list)]
-}
-
-// faultKinds bring a fault about and return what mends it.
-func (s *soak) faultKinds() map[string]func(h *entryHost, pick int) (mend func()) {
-	nothing := func() {}
-	store := func(f basilfake.StoreFaults) func(*entryHost, int) func() {
-		return func(*entryHost, int) func() {
-			s.site.Store.SetFaults(f)
-			return func() { s.site.Store.SetFaults(basilfake.StoreFaults{}) }
-		}
-	}
-	link := func(w way) func(*entryHost, int) func() {
-		return func(h *entryHost, _ int) func() {
-			h.proxy.set(w)
-			return func() { h.proxy.set(way{}) }
-		}
-	}
-	backend := func(f basilfake.BackendFaults) func(*entryHost, int) func() {
-		return func(_ *entryHost, pick int) func() {
-			b := s.backend(pick)
-			if b == nil {
-				return nothing
-			}
-			s.site.SetFaults(b, f)
-			return func() { s.site.SetFaults(b, basilfake.BackendFaults{}) }
-		}
-	}
-	end := func(graceful bool) func(*entryHost, int) func() {
-		return func(h *entryHost, _ int) func() {
-			h.end(graceful)
-			return func() { s.start(h) }
-		}
-	}
-	return map[string]func(*entryHost, int) func(){
-		"kill": end(false), "stop": end(true),
-		"pause": func(h *entryHost, _ int) func() {
-			h.signal(syscall.SIGSTOP)
-			return func() { h.signal(syscall.SIGCONT) }
-		},
-		"link held": link(way{hold: true}), "link reset": link(way{reset: true}), "link one way": link(way{oneWay: true}),
-		"link slow":    link(way{delay: 150 * time.Millisecond}),
-		"store silent": store(basilfake.StoreFaults{Silent: true}), "store busy": store(basilfake.StoreFaults{Busy: true}),
-		"store loses answers": store(basilfake.StoreFaults{LoseAnswers: true}), "store late": store(basilfake.StoreFaults{LateBy: 900 * time.Millisecond}),
-		"store slow":     store(basilfake.StoreFaults{Delay: 200 * time.Millisecond}),
-		"backend silent": backend(basilfake.BackendFaults{Silent: true}), "backend late": backend(basilfake.BackendFaults{LateBy: 1500 * time.Millisecond}),
-		"backend slow": backend(basilfake.BackendFaults{SlowBy: 400 * time.Millisecond}),
-		"history gone": func(*entryHost, int) func() {
-			s.site.Store.DropHistory()
-			return nothing
-		},
-		"orders for hosts unanswered": func(*entryHost, int) func() {
-			s.site.SetOrdersSilent(true)
-			return func() { s.site.SetOrdersSilent(false) }
-		},
-		"backend leaves": func(_ *entryHost, pick int) func() {
-			if b := s.backend(pick); b != nil {
-				s.site.Drain(b, 5*time.Second, time.Second)
-			}
-			return nothing
-		},
-		"backend crash": func(_ *entryHost, pick int) func() {
-			if b := s.backend(pick); b != nil {
-				s.site.Crash(b, 4*time.Second)
-			}
-			return nothing
-		},
-	}
-}
-
-// strike injects the faults of the plan, and mends each after its time.
-func (s *soak) strike() {
-	kinds := s.faultKinds()
-	for _, x := range s.plan {
-		s.faults[x.kind]++
-		s.group.Go(func() {
-			mend := kinds[x.kind](s.hosts[x.host], x.pick)
-			time.Sleep(x.lasts)
-			mend()
-		})
-		time.Sleep(x.gap)
-	}
-}
-
 // load hands jobs in while faults are injected.
 func (s *soak) load() {
 	var group sync.WaitGroup
@@ -292,28 +189,32 @@
 }
 
 // play returns a line about the play and what was wrong.
-func play(t *testing.T, program string, part int, seed uint64) (string, []string) {
+func play(t *testing.T, program string, seed uint64, planned bool) (string, []string) {
 	s := &soak{
 		random: newRandom(seed), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 		answers: make(map[string]int), cancels: make(map[string]int), faults: make(map[string]int),
 		latency: hdrhistogram.New(1, int64(2*callLimit/time.Millisecond), 2),
 	}
-	s.fleet = newFleet(t, program, part, func(task string, _ int) (time.Duration, bool) {
+	s.fleet = newFleet(t, program, func(task string, _ int) (time.Duration, bool) {
 		if strings.HasPrefix(task, longID) {
 			return -1, false
 		}
 		return 400 * time.Millisecond, false
 	})
 	defer s.close()
-	s.plan = newPlan(seed, slices.Sorted(maps.Keys(s.faultKinds())))
+	kinds, load := s.faultKinds(), s.load
+	if planned {
+		kinds, load = s.plannedKinds(), s.loadOnOpenConnections
+	}
+	s.plan = newPlan(seed, slices.Sorted(maps.Keys(kinds)))
 	s.site.Submitted(longID, longBody, 3)
 	s.await("accepted", func() bool {
 		status, _ := s.call(http.MethodPost, "/long/"+longID, longBody)
 		return status == http.StatusOK
 	})
 	s.await("running", func() bool { return s.site.Running(longID) == longTasks })
-	s.group.Go(s.load)
-	s.strike()
+	s.group.Go(load)
+	s.strike(kinds)
 	s.group.Wait()
 	for _, h := range s.hosts {
 		h.proxy.set(way{})
@@ -322,7 +223,7 @@
 	}
 	s.site.Store.SetFaults(basilfake.StoreFaults{})
 	s.await("settled", func() bool { return len(s.wrong()) == 0 })
-	wrong := slices.Concat(s.wrongJobs(), s.wrongMoves(), s.site.Broken())
+	wrong := slices.Concat(s.wrongJobs(), s.wrongMoves(), s.site.Broken(), s.cut, s.endAll())
 	if len(wrong) > 0 {
 		s.keepLogs(seed)
 	}
@@ -330,8 +231,8 @@
 	for _, status := range s.answers {
 		statuses[status]++
 	}
-	return fmt.Sprintf("seed %d: jobs by answer %v, %d cancelled, faults %v, answers p50 %d p99 %d ms, wrong %d",
-		seed, statuses, len(s.cancels), s.faults, s.latency.ValueAtQuantile(50), s.latency.ValueAtQuantile(99), len(wrong)), wrong
+	return fmt.Sprintf("seed %d: %d requests, jobs by answer %v, %d cancelled, faults %v, answers p50 %d p99 %d ms, wrong %d",
+		seed, s.requests.Load(), statuses, len(s.cancels), s.faults, s.latency.ValueAtQuantile(50), s.latency.ValueAtQuantile(99), len(wrong)), wrong
 }
 
 // await waits until something is so, for settleTime at most.
@@ -361,17 +262,16 @@
 func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
 
 // seeds returns those of the environment, FIRST-LAST, or the fixed ones of CI.
-func seeds(t *testing.T) []uint64 {
-	list := slices.Sorted(maps.Keys(regressions))
+func seeds(t *testing.T, fixed ...uint64) []uint64 {
 	first, last, ok := strings.Cut(os.Getenv("BASIL_SOAK_SEEDS"), "-")
 	if !ok {
-		return append(list, 2)
+		return fixed
 	}
 	from, err := strconv.ParseUint(first, 10, 64)
 	must.NoError(t, err)
 	to, err := strconv.ParseUint(last, 10, 64)
 	must.NoError(t, err)
-	list = nil
+	var list []uint64
 	for n := from; n <= to; n++ {
 		list = append(list, n)
 	}
@@ -380,15 +280,19 @@
 
 // TestSoak plays seeded series of faults against real processes; BASIL_SOAK_SEEDS=1-50 plays others than CI's.
 func TestSoak(t *testing.T) {
+	playSeeds(t, seeds(t, append(slices.Sorted(maps.Keys(regressions)), 2)...), false)
+}
+
+func playSeeds(t *testing.T, seeds []uint64, planned bool) {
 	program := filepath.Join(t.TempDir(), "basilnode")
 	out, err := exec.Command("go", "build", "-o", program, "../../cmd/basilnode").CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(out)))
-	for n, seed := range seeds(t) {
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			line, wrong := play(t, program, 20+n%200, seed)
+			line, wrong := play(t, program, seed, planned)
 			t.Log(line)
-			must.SliceEmpty(t, wrong, must.Sprint(line))
+			must.SliceEmpty(t, wrong, must.Sprint(line, "\n", strings.Join(wrong, "\n")))
 		})
 	}
 }
