Keep each queue's assignment in a part of the store of its own

All assignments shared one part: while it is away, an entry host that has just started would serve no queue, and the first submissions of all queues would wait in one line. Tests of basilledger and those of assignments in basilnode pass.

--- a/internal/basilledger/assignment.go
+++ b/internal/basilledger/assignment.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	assignmentPartition = "assignments/queues"
-	gatePartitionPrefix = "gates/"
+	assignmentPartitionPrefix = "assignments/"
+	assignmentSort            = "assignment"
+	gatePartitionPrefix       = "gates/"
 )
 
 // Assignment tells under which service the new jobs of a queue are stored, and under which ones earlier jobs were.
@@ -55,9 +56,10 @@
 	version    int64
 }
 
-// AssignmentKey returns the key of a queue's assignment.
+// AssignmentKey returns the key of a queue's assignment. Each queue has a part of the store of its own, so that one that is away holds up
+// no other queue.
 func AssignmentKey(queue string) basilplatform.Key {
-	return basilplatform.Key{Partition: assignmentPartition, Sort: queue}
+	return basilplatform.Key{Partition: assignmentPartitionPrefix + queue, Sort: assignmentSort}
 }
 
 // GateKey returns the key of the gate of a service and queue. It is in the same part of the store as the service's jobs.
