--- a/internal/basilnode/cancel_property_test.go
+++ b/internal/basilnode/cancel_property_test.go
@@ -106,3 +106,25 @@
 	must.StrContains(t, wrong, "runs on until")
 	must.StrContains(t, wrong, "GET at entry-1 answered 200 completed after DELETE")
 }
+
+// TestCancelRegressions runs plans that failed in the past, each named after its failure, several times, since the order of simultaneous
+// events differs between runs.
+func TestCancelRegressions(t *testing.T) {
+	const ms = time.Millisecond
+	plans := map[string]cancelPlan{
+		"an order for a host that ended a task of a cancelled job was judged as one that ends wanted work": {shapes: []int{2, 0, 4}, steps: []cancelStep{
+			{at: 1 * ms, kind: "stops lost", host: 1, last: 4466 * ms},
+			{at: 304 * ms, kind: "post", job: 2, host: 2},
+			{at: 332 * ms, kind: "delete", job: 2, host: 2},
+			{at: 332 * ms, kind: "stop", host: 1, last: 200 * ms},
+			{at: 1565 * ms, kind: "post", job: 1, host: 1},
+			{at: 2268 * ms, kind: "post", job: 0, host: 4},
+			{at: 2406 * ms, kind: "delete", job: 0, host: 1},
+		}},
+	}
+	for name, plan := range plans {
+		for n := range 4 {
+			t.Run(fmt.Sprint(name, n), func(t *testing.T) { must.SliceEmpty(t, playCancels(t, plan, false)) })
+		}
+	}
+}
