Count a task that is done twice as a failure of a play

A job that two entry hosts store under two services runs each task twice, also one after the other, which the judge of the stand-in tells only of runs that overlap or whose end was acknowledged. Plays without a disruption must have one run of each task that is done. Two cases in the table of histories.

--- a/internal/basilnode/call_history_check_test.go
+++ b/internal/basilnode/call_history_check_test.go
@@ -40,6 +40,8 @@
 		want        string // part of the violation, or empty
 	}{
 		{"completes", []callRecord{accepted, completed}, []basilfake.Run{run(1, 3, "done", false)}, nil, ""},
+		{"runs twice", []callRecord{accepted, completed}, []basilfake.Run{run(1, 3, "done", false), run(4, 5, "done", false)}, nil, "done twice"},
+		{"runs twice beside a disruption", []callRecord{accepted, completed}, []basilfake.Run{run(1, 3, "done", false), run(4, 5, "done", false)}, []span{{at(2), at(6)}}, ""},
 		{"does not complete", []callRecord{accepted, call(get, 20, 20, http.StatusOK, "active")}, nil, nil, "was accepted"},
 		{"completes without a run", []callRecord{accepted, completed}, nil, nil, "0 of 1 tasks"},
 		{"is lost", []callRecord{accepted, call(get, 5, 5, http.StatusGone, ""), completed}, []basilfake.Run{run(1, 3, "done", false)}, nil, "and was accepted"},
--- a/internal/basilnode/call_history_test.go
+++ b/internal/basilnode/call_history_test.go
@@ -76,6 +76,7 @@
 		list = append(list, h.lateRuns(calls, runs)...)
 		list = append(list, h.runsOfRefused(id, calls, runs)...)
 		list = append(list, h.unserved(id, calls)...)
+		list = append(list, h.doneTwice(runs)...)
 		list = append(list, h.wrongStates(id, calls, runs)...)
 		list = append(list, h.unfinished(id, calls)...)
 	}
@@ -144,6 +145,21 @@
 	return list
 }
 
+// doneTwice returns the tasks that run again after a run of them was done, unless a disruption may have kept that from being known.
+func (h *callHistory) doneTwice(runs []basilfake.Run) []string {
+	var list []string
+	ended := make(map[string]bool)
+	for _, r := range runs {
+		if len(h.disruptions) == 0 && r.How == "done" {
+			if ended[r.Task] {
+				list = append(list, r.Task+" is done twice")
+			}
+			ended[r.Task] = true
+		}
+	}
+	return list
+}
+
 // runsOfRefused returns the runs of a job if all its submissions were refused.
 func (h *callHistory) runsOfRefused(id string, calls []callRecord, runs []basilfake.Run) []string {
 	for _, c := range calls {
