Keep leases on a slow store, and don't end writes that are merely slow

Callers saw all jobs refused while the store answered slowly: at 60 times its latency no renewal was ever answered, at 20 times none for more than a second. The members' partition carries out one transaction after the other, 5 a second at 60 times, and seven members made 22 renewals a second, ended those that were late, and sent them again; a read that was answered soon ended transactions that were merely slower.

Renewals are no longer ended: the lease counts from the sending of the one that is answered, another goes beside it only when reads are answered so soon that the answer is probably lost, and four of their latencies lie between two. The lease is 1.25 s and six latencies, 5 s at most. Timeouts of calls, and what a recovery ends, follow the latency of reads, which aren't queued. See docs/decisions/membership.md.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -32,9 +32,11 @@
 
 const (
 	metricsPort      = 9464                    // of the deployment's metrics address
-	storeTimeout     = 1200 * time.Millisecond // of one call; a slow store answers in some 400 ms
+	storeTimeout     = 4 * time.Second         // longest one of a call; on a store that answers soon, calls are ended earlier
+	directoryTimeout = 2500 * time.Millisecond // of one read of the configuration or of the backend servers, beside its wait
+	machinesTimeout  = 1200 * time.Millisecond // of one call
 	lease            = 1250 * time.Millisecond // four renewals; work waits for an owner that is lost for that long
-	maxLease         = 2200 * time.Millisecond // on a store that takes 0.3 s and more to answer
+	maxLease         = 5 * time.Second         // on a store that takes 0.6 s and more for a renewal; see docs/decisions/membership.md
 	renewalShare     = 0.6                     // of what a partition of the store takes, for the renewals of all members
 	holdLimit        = 3500 * time.Millisecond // with the leases, work outlasts an outage of the store of some 9 s
 	noticeDrain      = 2500 * time.Millisecond // the balancer needs two looks, a second apart
@@ -152,10 +154,10 @@
 		Control:             basilsite.NewStore(control, func() string { return s.Addresses().Store }, storeTimeout),
 		SinglePartition:     !s.Platform.CrossShard,
 		RenewalRate:         renewalShare * s.Platform.PartitionWritesS,
-		Directory:           basilsite.NewDirectory(store),
+		Directory:           basilsite.NewDirectory(basilsite.NewStore(client, func() string { return s.Addresses().Store }, directoryTimeout)),
 		Commander:           basilsite.NewCommander(client),
 		Advisor:             basilsite.NewAdvisor(client, func() string { return s.Addresses().Advisor }),
-		Machines:            basilsite.NewMachines(client, func() string { return s.Addresses().Machines }, storeTimeout),
+		Machines:            basilsite.NewMachines(client, func() string { return s.Addresses().Machines }, machinesTimeout),
 		Codec:               basilsite.Codec{}, Log: log,
 		Peers:        peerTransport(),
 		CallCounts:   func() map[string]basilwork.CallCount { return sumCalls(client.Calls(), control.Calls()) },
--- a/internal/basilnode/node_backends.go
+++ b/internal/basilnode/node_backends.go
@@ -54,7 +54,7 @@
 		})
 	})
 	for owners := n.poolOwners(); ctx.Err() == nil && len(owners) > 0; owners = n.poolOwners() {
-		if !n.storeUnreachable() {
+		if n.keeper.MayStart() {
 			n.sendBackends(owners)
 		}
 		_ = basiltimer.Wait(ctx, backendsInterval) // the loop checks the context
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -53,7 +53,9 @@
 	l := &connection{cancel: cancel, Connection: basilrunner.NewConnection(b, basilrunner.Options{
 		Commander: o.node.commander, Sink: o, Fence: o.row.Epoch, MaxLease: o.node.options.MaxHold,
 		MayStart: o.node.keeper.MayStart, HoldInterval: o.holdPacer.interval,
-		MayHold: func() bool { return o.node.keeper.SinceRenewal() < o.node.options.HoldLimit },
+		MayHold: func() bool {
+			return o.node.keeper.MayStart() || o.node.keeper.SinceRenewal() < o.node.options.HoldLimit
+		},
 	})}
 	o.connections[b.ID] = l
 	go l.Run(ctx)
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -25,8 +25,8 @@
 	minIdleRounds     = 4                      // rounds between reads of the members by a host that is not next in line for a shard
 	idleRoundsMembers = 30                     // number of members above which an idle host reads them more rarely
 	maxIdleRounds     = 12                     // limit of such rounds: all first candidates may be lost with a data centre
-	callTimeout       = 700 * time.Millisecond // longest timeout of a renewal or a read of the members; a slow store takes about 400 ms
-	minCallTimeout    = 200 * time.Millisecond // shortest one: a lost answer must not cost the lease
+	minReadTimeout    = 400 * time.Millisecond // shortest timeout of a read of the members or owners; a store that becomes slow takes about 300 ms at once
+	maxReadTimeout    = 3 * time.Second        // longest one
 	roundRetryDelay   = 100 * time.Millisecond // after a round without an answer
 )
 
@@ -76,9 +76,9 @@
 	wake          chan struct{}             // has room for one signal, which starts the next round at once
 	startUntil    atomic.Int64              // clock time in nanoseconds before which work may be started
 	renewedAt     atomic.Int64              // clock time at which the newest answered renewal was sent
-	timeout       *basiltimer.AnswerTimeout // of renewals and reads of the members
-	memberRow     *Row                      // this entry host's member row; guarded by memberWrite
-	memberWrite   chan struct{}             // has room for one token, held while the member row is written
+	timeout       *basiltimer.AnswerTimeout // of renewals
+	readTimeout   *basiltimer.AnswerTimeout // of reads of the members and owners
+	memberWrites  memberWrites
 	stopping      atomic.Bool
 	slowUntil     atomic.Int64 // clock time
 	slowTime      time.Duration
@@ -90,11 +90,10 @@
 
 // New returns a keeper.
 func New(o Options) *Keeper {
-	member := NewRow(o.Store, memberKey(o.Self.Node))
 	return &Keeper{
-		timeout: basiltimer.NewAnswerTimeout(minCallTimeout, callTimeout),
-		options: o, state: NewState(o.Self, max(o.Lease, o.MaxLease), o.Renew), owned: make(map[string]OwnerRow), released: make(map[string]int64), memberRow: member,
-		wake: make(chan struct{}, 1), memberWrite: make(chan struct{}, 1), startedAt: o.Clock(), openWatches: make(map[int64]context.CancelFunc),
+		timeout: basiltimer.NewAnswerTimeout(minRenewalWait, maxRenewalWait), readTimeout: basiltimer.NewAnswerTimeout(minReadTimeout, maxReadTimeout),
+		options: o, state: NewState(o.Self, max(o.Lease, o.MaxLease), o.Renew), owned: make(map[string]OwnerRow), released: make(map[string]int64),
+		wake: make(chan struct{}, 1), startedAt: o.Clock(), openWatches: make(map[int64]context.CancelFunc),
 	}
 }
 
@@ -157,6 +156,7 @@
 // Run maintains membership and shard ownership until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
 	go k.watchOwners(ctx)
+	go k.keepLease(ctx)
 	for ctx.Err() == nil {
 		recovered := k.options.Recovery.Recovered()
 		wait := k.renewInterval()
@@ -174,18 +174,9 @@
 	}
 }
 
-// round renews the member row, reads the other members and claims shards without an owner. The renewal and the read
-// run concurrently, so that a slow store doesn't cost the lease.
-// It returns false if the store didn't answer.
+// round reads the other members and claims shards without an owner. It returns false if the store didn't answer.
 func (k *Keeper) round(ctx context.Context, recovered <-chan struct{}) bool {
-	renewed := make(chan bool, 1)
-	if k.SinceRenewal() >= k.renewInterval()/2 || k.renewedAt.Load() == 0 {
-		go func() { renewed <- k.renew(ctx) }()
-	} else {
-		renewed <- true
-	}
-	observed := !k.membersDue() || k.readMembers(ctx)
-	if !<-renewed || !observed {
+	if k.membersDue() && !k.readMembers(ctx) {
 		k.roundFailed(recovered)
 		return false
 	}
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -20,7 +20,7 @@
 
 // readOwners reads the owner rows of all shards concurrently; sequential reads from a slow store would outlast the lease.
 func (k *Keeper) readOwners(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.readTimeout.Get())
 	defer cancel()
 	k.mutex.Lock()
 	shards := slices.Clone(k.shards)
@@ -123,11 +123,7 @@
 		k.options.Log.WithFields(logrus.Fields{
 			basillog.FieldPool: c.Shard, "rank": c.Rank, "candidates": c.Candidates[:min(len(c.Candidates), max(c.Rank+1, minCandidatesLogged))],
 		}).Info("claiming a shard")
-		if !k.claimShard(ctx, c) {
-			return
-		}
-		if k.SinceRenewal() > k.options.Lease/2 {
-			k.wakeUp() // the store is slow: renew the lease before the other claims
+		if !k.claimShard(ctx, c) || !k.MayStart() {
 			return
 		}
 	}
@@ -158,7 +154,7 @@
 // check the row in the claim's transaction. An owner that renews between this read and the claim is only fenced: its
 // starts are refused because of their older fencing token.
 func (k *Keeper) memberUnchanged(ctx context.Context, node string, version int64) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.readTimeout.Get())
 	defer cancel()
 	i, err := k.options.Store.Get(ctx, memberKey(node))
 	if err != nil && !basilplatform.IsErrItemNotExist(err) {
@@ -192,7 +188,7 @@
 	for shard, row := range owned {
 		k.release(ctx, shard, row)
 	}
-	k.renew(ctx)
+	k.announce(ctx)
 }
 
 // ReleaseShard gives up one shard of a stopping process before Release gives up the others; the caller has stopped the
@@ -208,7 +204,7 @@
 }
 
 // AnnounceStop renews the member row, which tells the other members that this process is stopping, if it is.
-func (k *Keeper) AnnounceStop(ctx context.Context) { k.renew(ctx) }
+func (k *Keeper) AnnounceStop(ctx context.Context) { k.announce(ctx) }
 
 // HandOver gives up one shard while the process keeps running; the caller has stopped the shard's work of the epoch.
 // If slow is set, this entry host is marked as slow, so that the others claim shards before it for a while.
@@ -218,7 +214,7 @@
 func (k *Keeper) HandOver(ctx context.Context, shard string, epoch int64, slow bool) {
 	if slow {
 		k.markSlow()
-		k.renew(ctx)
+		k.announce(ctx)
 	}
 	row, ok := k.ownerRow(shard)
 	for ; ok && row.Epoch == epoch && !k.stopping.Load(); row, ok = k.ownerRow(shard) {
--- a/internal/basilshard/row.go
+++ b/internal/basilshard/row.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -18,8 +17,7 @@
 	store   basilwork.Store
 	key     basilplatform.Key
 	checks  []basilplatform.Write
-	version int64         // assumed version of the stored row; 0 for no row
-	timeout time.Duration // of each attempt; 0 leaves it to the store
+	version int64 // assumed version of the stored row; 0 for no row
 }
 
 // NewRow returns a row whose writes also require the checks to hold.
@@ -51,11 +49,6 @@
 }
 
 func (r *Row) attempt(ctx context.Context, body []byte) (int64, error) {
-	if r.timeout > 0 {
-		limited, cancel := context.WithTimeout(ctx, r.timeout)
-		defer cancel()
-		ctx = limited
-	}
 	put := basilplatform.Write{
 		Kind: basilplatform.WriteKindPut, Key: r.key, Precondition: basilplatform.PreconditionVersion, Version: r.version, Body: body,
 	}
