Store jobs while renewals are late, and in few transactions on a slow store

Callers saw 503 "store unreachable" from entry hosts whose lease wasn't renewed, though the store stored what it was given, and 503 and 504 where each entry host wrote single jobs once the owner hadn't answered for 0.7 s: these filled the pool's partition, so that the owner's batches of 33 were refused with 429.

The store counts as unreachable only when no call has been answered for a while. A forwarded job waits as long as a write may take on the store as it is; an owner tries an overloaded partition again for 2 s, then refuses truly; a batch that is refused because some of its jobs are stored leaves out all of them at once instead of one a transaction; a job whose caller's time is over isn't written any more.

--- a/internal/basilledger/acceptor.go
+++ b/internal/basilledger/acceptor.go
@@ -19,6 +19,9 @@
 	maxWaiting      = 1000                  // queued records; at 200 transactions per second, callers of more would time out
 	maxAttempts     = 3                     // attempts of a transaction that gets no answer
 	retryDelay      = 50 * time.Millisecond // between attempts
+
+	overloadDelay   = 150 * time.Millisecond // between attempts on an overloaded store
+	maxOverloadTime = 2 * time.Second        // of attempts on an overloaded store; most callers wait for 3 s
 )
 
 // Acceptance is the encoded record of a new job that is to be stored.
@@ -151,7 +154,10 @@
 // storeBatch stores the jobs and reports the results to their callers. A transaction without an answer is retried: if it
 // took effect, the retry finds the rows. unknown is the number of attempts without an answer so far; once there was one, a
 // failure no longer means that the job is not stored.
+//
+// An overloaded store is tried again, since it takes many jobs in one transaction as soon as it takes one.
 func (a *Acceptor) storeBatch(batch []*pending, unanswered int) {
+	began := time.Now()
 	for len(batch) > 0 {
 		version, err := a.commit(batch)
 		var conflict basilplatform.ErrConditionFailed
@@ -160,15 +166,19 @@
 			a.reportStored(batch, version)
 			return
 		case errors.As(err, &conflict):
-			batch = a.finishStored(batch, conflict.Key)
+			batch = a.finishStored(batch, conflict)
 		case basilplatform.IsErrOutcomeUnknown(err) && unanswered+1 < maxAttempts && basiltimer.Wait(a.ctx, retryDelay) == nil:
 			unanswered++
+		case basilplatform.IsErrOverloaded(err) && time.Since(began) < maxOverloadTime && basiltimer.Wait(a.ctx, overloadDelay) == nil:
 		case basilplatform.IsErrRefused(err) && len(batch) > 1: // at least one job is invalid
 			for _, p := range batch {
 				a.storeBatch([]*pending{p}, unanswered)
 			}
 			return
 		default:
+			if basilplatform.IsErrOverloaded(err) {
+				err = NewErrQueueFull(a.service)
+			}
 			if unanswered > 0 && !basilplatform.IsErrOutcomeUnknown(err) {
 				err = NewErrMayBeStored(err)
 			}
@@ -186,18 +196,22 @@
 	return a.store.Commit(a.ctx, t)
 }
 
-// finishStored reports success for the job whose row exists already and returns the other jobs.
-func (a *Acceptor) finishStored(batch []*pending, k basilplatform.Key) []*pending {
+// finishStored reports success for the jobs whose rows exist already and returns the other jobs.
+func (a *Acceptor) finishStored(batch []*pending, conflict basilplatform.ErrConditionFailed) []*pending {
+	stored := map[basilplatform.Key]bool{conflict.Key: true}
+	for _, k := range conflict.Others {
+		stored[k] = true
+	}
 	rest := make([]*pending, 0, len(batch))
 	for _, p := range batch {
-		if Key(a.service, p.id()) == k {
+		if stored[Key(a.service, p.id())] {
 			p.done <- nil
 			continue
 		}
 		rest = append(rest, p)
 	}
 	if len(rest) == len(batch) {
-		finish(batch, errors.WithStack(basilplatform.ErrOutcomeUnknown{Operation: "accept", Cause: basilplatform.ErrConditionFailed{Key: k}}))
+		finish(batch, errors.WithStack(basilplatform.ErrOutcomeUnknown{Operation: "accept", Cause: conflict}))
 		return nil
 	}
 	return rest
--- a/internal/basilnode/accept.go
+++ b/internal/basilnode/accept.go
@@ -17,8 +17,8 @@
 func (n *Node) accept(ctx context.Context, shard string, a basilledger.Acceptance) error {
 	err := n.forward(ctx, shard, a)
 	unknown := basilplatform.IsErrOutcomeUnknown(err)
-	if !unknown && !IsErrNotForwarded(err) {
-		return err
+	if !unknown && !IsErrNotForwarded(err) || ctx.Err() != nil {
+		return err // a write that the caller doesn't wait for would only hold up others
 	}
 	err = n.acceptDirectly(ctx, shard, a)
 	if unknown && basilplatform.IsErrUnavailable(err) {
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -155,9 +155,10 @@
 	return !n.stopping.Load() && n.activeConfiguration.Load() != nil && !n.storeUnreachable()
 }
 
-// storeUnreachable reports whether the store counts as unreachable: the lease has not been renewed for almost its whole duration.
+// storeUnreachable reports whether the store counts as unreachable: the lease has expired, and no call has been answered for a
+// while. Without a lease jobs may still be stored, since the answer to the write is the proof.
 func (n *Node) storeUnreachable() bool {
-	return !n.keeper.MayStart()
+	return !n.keeper.MayStart() && n.recovery.Unreachable()
 }
 
 // followConfiguration loads the configuration, and loads it again whenever an operator changes it.
--- a/internal/basilnode/peer.go
+++ b/internal/basilnode/peer.go
@@ -21,7 +21,7 @@
 const (
 	acceptPath     = "/accept"
 	maxAcceptBody  = 1 << 20
-	forwardTimeout = 700 * time.Millisecond // timeout of a forwarded job; a slow store takes about 400 ms
+	forwardTimeout = 700 * time.Millisecond // shortest timeout of a forwarded job; on a slow store it is the time that a write may take
 	peerBackoff    = 2 * time.Second        // how long nothing is forwarded to an entry host that did not answer
 	shardParameter = "service"
 	relayParameter = "relay" // if set, a receiver that does not own the shard stores the job itself
@@ -87,8 +87,9 @@
 	if !n.peers.available(address) {
 		return ErrNotForwarded{Shard: shard}
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer n.recovery.CancelAfterWriteTime(cancel, forwardTimeout)()
 	err := n.peers.accept(ctx, address, shard, relay, a)
 	n.peers.recordAnswer(address, !basilplatform.IsErrOutcomeUnknown(err) && !IsErrNotForwarded(err))
 	return err
--- a/internal/basilplatform/errors.go
+++ b/internal/basilplatform/errors.go
@@ -21,6 +21,7 @@
 type ErrConditionFailed struct {
 	Key     Key
 	Version int64 // that the item has, 0 for no item; only tables whose items carry versions tell it
+	Others  []Key // further items that differ; only some tables tell them
 }
 
 func (e ErrConditionFailed) Error() string {
@@ -47,6 +48,14 @@
 // IsErrUnavailable tells whether the error is an ErrUnavailable.
 func IsErrUnavailable(err error) bool { return errors.As(err, new(ErrUnavailable)) }
 
+// ErrOverloaded is the cause of an ErrUnavailable of a platform that carries out other requests first.
+type ErrOverloaded struct{}
+
+func (ErrOverloaded) Error() string { return "overloaded" }
+
+// IsErrOverloaded reports whether the error is an ErrOverloaded.
+func IsErrOverloaded(err error) bool { return errors.As(err, new(ErrOverloaded)) }
+
 // ErrOutcomeUnknown says that no answer came: the request may take effect, now or later.
 type ErrOutcomeUnknown struct {
 	Operation string
