--- a/internal/basilnode/peer.go
+++ b/internal/basilnode/peer.go
@@ -21,7 +21,7 @@
 const (
 	acceptPath     = "/accept"
 	maxAcceptBody  = 1 << 20
-	forwardTimeout = 700 * time.Millisecond // timeout of a forwarded job; a slow store takes about 400 ms
+	forwardTimeout = 700 * time.Millisecond // shortest timeout of a forwarded job; on a slow store it is the time that a write may take
 	peerBackoff    = 2 * time.Second        // how long nothing is forwarded to an entry host that did not answer
 
 	// Parameters of acceptPath.
@@ -126,8 +126,9 @@
 	if !n.peers.available(address) {
 		return ErrNotForwarded{Shard: a.shard}
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer n.recovery.CancelAfterWriteTime(cancel, forwardTimeout)()
 	err := n.peers.accept(ctx, address, a)
 	n.peers.recordAnswer(address, !basilplatform.IsErrOutcomeUnknown(err) && !IsErrNotForwarded(err))
 	return err
