--- /dev/null
+++ b/internal/basilshard/handover_test.go
@@ -0,0 +1,63 @@
+package basilshard_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/platform/basilfake"
+)
+
+// TestHandOverIsRetriedUntilStoreAnswers checks that a hand-over is retried while the store refuses calls. Otherwise the
+// shard would stay idle: its owner has stopped the work but renews its lease, so that no other member may claim the shard.
+func TestHandOverIsRetriedUntilStoreAnswers(t *testing.T) {
+	var before, after int64
+	synctest.Test(t, func(t *testing.T) {
+		r := newCluster()
+		time.Sleep(3 * time.Second)
+		h := r.owner("a")
+		before = h.owns("a")
+		r.store.SetFaults(basilfake.StoreFaults{Busy: true})
+		time.AfterFunc(400*time.Millisecond, func() { r.store.SetFaults(basilfake.StoreFaults{}) })
+		h.HandOver(t.Context(), "a", before, true)
+		time.Sleep(3 * time.Second)
+		if next := r.owner("a"); next != nil {
+			after = next.owns("a")
+		}
+		for n := range r.hosts {
+			r.kill(n)
+		}
+		time.Sleep(time.Second) // calls that are under way end
+	})
+	must.Greater(t, before, after)
+}
+
+// TestRestartedHostClaimsReleasedShard checks that a shard is claimed at once though the successor's first read of the members
+// came before its first renewal. In a rolling restart the shard had no owner until the next in line claimed it.
+func TestRestartedHostClaimsReleasedShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newCluster()
+		time.Sleep(3 * time.Second)
+		r.hosts[0].Release(t.Context())
+		r.kill(0)
+		time.Sleep(time.Second)
+		delayWrites := func(q *http.Request) {
+			if q.Method != http.MethodGet {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		r.startWith(0, &delayWrites)
+		time.Sleep(3*renew + renew/2) // the others have read its row for two rounds
+		owner := r.owner("a")
+		must.True(t, owner != r.hosts[0])
+		owner.Release(t.Context())
+		time.Sleep(50 * time.Millisecond)
+		must.True(t, r.owned())
+		for n := range r.hosts {
+			r.kill(n)
+		}
+	})
+}
