Wait for the pollers of the control loop before the member leaves

It could have registered the member again after that.

Cause: Control.Run returned while its pollers still ran, though Leave must be called after Run. Change: Run waits for them; their calls end with the context. TestRunReturnsAfterItsHeartbeat failed before and passes.

--- a/internal/basilview/control.go
+++ b/internal/basilview/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -85,14 +86,16 @@
 	return errors.WithStack(ErrStale{Standing: v.standing, Age: age})
 }
 
-// Run runs the control loop and its pollers until the context is done.
+// Run runs the control loop and its pollers until the context is done, and returns when the pollers have ended.
 //
 // It returns ErrFenced if another incarnation has replaced this one, which then
 // never serves again.
 func (c *Control) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
+	var pollers sync.WaitGroup
+	pollers.Go(func() { c.poll(ctx) })
+	defer pollers.Wait() // a heartbeat may be under way, which Leave must not meet
 	defer cancel()
-	go c.poll(ctx)
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	s := newState(c.options.Member.DataCentre)
--- a/internal/basilview/control_test.go
+++ b/internal/basilview/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -290,3 +291,39 @@
 		must.False(t, observer.View().Gone(observer.Incarnation()))
 	})
 }
+
+// uninterruptedTable is a table whose transactions take some time, also if their context ends, and tells whether one is under way.
+type uninterruptedTable struct {
+	basilplatform.Table
+	writing atomic.Int32
+}
+
+func (s *uninterruptedTable) Transact(ctx context.Context, x basilplatform.Transaction) error {
+	s.writing.Add(1)
+	defer s.writing.Add(-1)
+	time.Sleep(time.Second)
+	return s.Table.Transact(ctx, x)
+}
+
+// TestRunReturnsAfterItsHeartbeat checks that no heartbeat is under way when Run has returned. It raced with Leave, and could
+// register the member again after it had left.
+func TestRunReturnsAfterItsHeartbeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var table basilstandin.Table
+		acceptConfiguration(t, &table, 0)
+		slow := &uninterruptedTable{Table: &table}
+		e := basilview.NewControl(basilview.Options{
+			Member: basilview.MemberRecord{ID: "e1", DataCentre: "fukuoka", Incarnation: ulid.Make()}, Trail: basilaudit.NewTrail(slow),
+			Hosts: emptyHostSource{}, List: emptyHostSource{}, Publish: func(*basilview.View) {}, Learnt: func([]basilaudit.Entry) {},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		returned := make(chan error, 1)
+		go func() { returned <- e.Run(ctx) }()
+		for slow.writing.Load() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		cancel()
+		must.NoError(t, <-returned)
+		must.Eq(t, 0, slow.writing.Load())
+	})
+}
