--- a/review/standin/takeover.go
+++ b/review/standin/takeover.go
@@ -18,8 +18,8 @@
 	linkPiece     = 8 << 10
 	linkDelay     = 2 * time.Millisecond // to the store, one way: an answer takes 4 ms
 	takeoverSpec  = 1000                 // bytes, the mean of the overnight jobs
-	takeoverEvery = 40 * time.Millisecond
-	takeoverFill  = 66 * time.Second
+	takeoverEvery = 30 * time.Millisecond
+	takeoverFill  = 51 * time.Second
 	takeoverAfter = 10 * time.Second // of traffic after the restarts
 )
 
@@ -89,7 +89,7 @@
 	return k.free.Add(2 * linkDelay)
 }
 
-// playTakeover hands in small jobs for a minute, and has the entry hosts stopped and started in turn.
+// playTakeover hands in small jobs for some time, and has the entry hosts stopped and started in turn.
 func playTakeover(w *world, trouble bool) ([]string, error) {
 	w.links = true
 	w.open(func(string, int) (time.Duration, bool) { return 200 * time.Millisecond, false }, fmt.Sprintf(quoteConfig, 1))
