review: an entry host whose channels went silent serves an old manifest

Cause: the watch and the reads of the operator's data take one silent channel after the other, and wait for seconds at each.

Shows: rule CONFIG in a script: 404 for a route that was added, and work accepted on one that was dropped, 2 to 11 s after the confirmation where 2 s are allowed.

--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -73,6 +73,7 @@
 	wrap    func(name string, h http.Handler) http.Handler // of the stand-ins' handlers; may be nil
 	work    basilfake.Work
 	links   bool // entry hosts reach the store over links of their own
+	lines   bool // entry hosts reach the store over lines of their own
 	hosts   []*entryHost
 	closed  bool
 }
@@ -84,6 +85,7 @@
 	process *exec.Cmd
 	ended   chan struct{}
 	link    *link // to the store, if it has one of its own
+	line    *line // as above
 }
 
 func newWorld(program, path, keep string) (*world, error) {
@@ -192,6 +194,15 @@
 		}
 		store = h.link.listener.Addr().String()
 	}
+	if w.lines {
+		if h.line == nil {
+			var err error
+			if h.line, err = newLine(h.ip+":9100", store); err != nil {
+				return err
+			}
+		}
+		store = h.line.address()
+	}
 	settings := fmt.Sprintf(settingsFmt, h.number, h.ip, store, w.address(basilfake.AdviceAddress), w.address(basilfake.MachinesAddress), first, linkMbps)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
