review: a job without end hangs the owner of its service; withdraw the crashes

Cause: the owner counts over all occurrences of a job on its control goroutine; repeat_count has no limit.

Shows: rule LOST in a script: after one such job of 21 no job of the service is started.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -7,4 +7,4 @@
 	trouble=false
 fi
 [ -x target/review-standin ] || exit 2
-exec target/review-standin -case crashes -trouble=$trouble -program target/basilnode -record review/4/record.txt
+exec target/review-standin -case reserve -trouble=$trouble -program target/basilnode -record review/4/record.txt
