node: know a queue by its address, not by the name of its route

Cause: rows of jobs, assignments, gates and marks of waiting jobs went by the route's name, which the operator may change. Two parts: findIn and Cancel passed over rows of another name (seen on the route whose service stayed), and the new name's assignment had no former services (seen on the one that moved).

Change: the identity of a queue is a hash of its host and prefix. Rows of the release before are found by their own key, the first assignment of an ID takes over the services of the name's, and marks are counted under both keys. A GET or DELETE whose path a longer, later prefix takes over is looked up under the shorter one.

Why it works: callers, entry hosts and owners derive the same identity from what the caller sent and the configuration of the moment, whatever names they have seen.

--- a/internal/basilledger/acceptor.go
+++ b/internal/basilledger/acceptor.go
@@ -62,7 +62,7 @@
 
 func (a *Acceptance) id() string { return a.record.Job.ID }
 
-func (a *Acceptance) queue() string { return a.record.Job.Queue }
+func (a *Acceptance) queue() string { return a.record.Job.QueueKey() }
 
 // gateCheck returns the precondition that the gate is as it was. It comes after the writes of jobs: of several preconditions that fail the
 // store names the first, and a job that is stored already is stored whatever became of the gate.
--- a/internal/basilledger/assignment.go
+++ b/internal/basilledger/assignment.go
@@ -23,7 +23,7 @@
 // the configurations of the entry hosts are.
 type Assignment struct {
 	Service    string   `json:"service"`
-	Former     []string `json:"former,omitempty"` // all other services that the queue was assigned to
+	Former     []string `json:"former,omitempty"` // all other services that may have jobs of the queue
 	Revision   int64    `json:"revision"`         // of the configuration that routes the queue to the service
 	Generation int64    `json:"generation"`       // grows by one with each assignment of the queue; 0 for none
 	version    int64
@@ -36,15 +36,15 @@
 
 // Services returns all services that may have jobs of the queue.
 func (a *Assignment) Services() []string {
-	if a.Generation == 0 {
-		return nil
+	if a.Service == "" {
+		return a.Former
 	}
 	return append([]string{a.Service}, a.Former...)
 }
 
 // next returns the assignment that follows this one.
 func (a *Assignment) next(service string, revision int64) Assignment {
-	former := slices.DeleteFunc(a.Services(), func(s string) bool { return s == service })
+	former := slices.DeleteFunc(slices.Clone(a.Services()), func(s string) bool { return s == service })
 	return Assignment{Service: service, Former: former, Revision: revision, Generation: a.Generation + 1, version: a.version}
 }
 
--- a/internal/basilledger/commit.go
+++ b/internal/basilledger/commit.go
@@ -15,7 +15,7 @@
 // Entry is an encoded record of a group commit.
 type Entry struct {
 	ID      string
-	Queue   string
+	Queue   string // key of the job's queue
 	Started bool
 	Version int64 // of the stored row
 	Body    []byte
@@ -29,7 +29,7 @@
 		return Entry{}, err
 	}
 	return Entry{
-		ID: r.Job.ID, Queue: r.Job.Queue, Started: r.State != basilwork.JobStatePending, Version: version, Body: w.Body,
+		ID: r.Job.ID, Queue: r.Job.QueueKey(), Started: r.State != basilwork.JobStatePending, Version: version, Body: w.Body,
 	}, nil
 }
 
--- a/internal/basilledger/ledger.go
+++ b/internal/basilledger/ledger.go
@@ -109,7 +109,7 @@
 
 // Cancel stores that a job is cancelled, unless its state is final already; it fails with
 // ErrJobNotExist, ErrUnavailable or ErrOutcomeUnknown.
-func (l *Ledger) Cancel(ctx context.Context, service, queue, id string) error {
+func (l *Ledger) Cancel(ctx context.Context, service, queueID, id string) error {
 	var err error
 	for range cancelAttempts {
 		var r basilwork.Record
@@ -118,7 +118,7 @@
 		if err != nil {
 			return err
 		}
-		if r.Job.Queue != queue || r.IsTombstone() {
+		if !r.Job.IsIn(queueID) || r.IsTombstone() {
 			return errors.WithStack(ErrJobNotExist{ID: id})
 		}
 		if r.State.Final() {
@@ -132,7 +132,7 @@
 		if w, err = recordWrite(Key(service, id), version, &r); err != nil {
 			return err
 		}
-		deleteMark := basilplatform.Write{Kind: basilplatform.WriteKindDelete, Key: WaitingKey(service, queue, id), Precondition: basilplatform.PreconditionNone}
+		deleteMark := basilplatform.Write{Kind: basilplatform.WriteKindDelete, Key: WaitingKey(service, r.Job.QueueKey(), id), Precondition: basilplatform.PreconditionNone}
 		err = l.store.Transact(ctx, basilplatform.Transaction{Writes: []basilplatform.Write{w, deleteMark}})
 		if err == nil || !basilplatform.IsErrConditionFailed(err) {
 			return err
--- a/internal/basilnode/accept.go
+++ b/internal/basilnode/accept.go
@@ -35,7 +35,7 @@
 			return a.Service, err
 		}
 		n.log.WithFields(logrus.Fields{
-			basillog.FieldJob: record.Job.ID, "queue": r.queue, basillog.FieldPool: a.Service, "generation": a.Generation,
+			basillog.FieldJob: record.Job.ID, "queue": r.name, "queue_id": r.queue, basillog.FieldPool: a.Service, "generation": a.Generation,
 		}).Info("job not stored, as the assignment of its queue has changed; trying again")
 		n.assignments.forgetGate(r.queue, a.gate)
 	}
@@ -79,7 +79,8 @@
 // configurations counts.
 func (n *Node) acceptRelayed(ctx context.Context, r queueRoute, a basilledger.Acceptance) error {
 	if c := n.configuration(); c.Version > r.revision {
-		if q := c.Queue(r.queue); q != nil {
+		record := a.Record()
+		if q := c.QueueOf(&record.Job); q != nil {
 			r.service, r.revision = q.Service, c.Version
 		}
 	}
--- a/internal/basilnode/assignments.go
+++ b/internal/basilnode/assignments.go
@@ -19,7 +19,8 @@
 
 // queueRoute is the service that a configuration routes a queue to.
 type queueRoute struct {
-	queue    string
+	queue    string // key of the queue, see basilwork.Job.QueueKey
+	name     string // of the queue in the configuration
 	service  string
 	revision int64
 }
@@ -156,25 +157,42 @@
 		return nil
 	}
 	if !a.Follows(r.service, r.revision) {
+		if a.Generation == 0 && r.queue != r.name {
+			a, err = n.adoptNamedAssignment(ctx, r, a)
+			if err != nil {
+				return err
+			}
+		}
 		a, err = n.ledger.Reassign(ctx, r.queue, a, r.service, r.revision)
 		if err != nil {
-			n.assignmentLog(r.queue, a, err).Log(levelOf(err), "failed to assign queue")
+			n.assignmentLog(r, a, err).Log(levelOf(err), "failed to assign queue")
 			return err
 		}
-		n.assignmentLog(r.queue, a, nil).Info("queue assigned")
+		n.assignmentLog(r, a, nil).Info("queue assigned")
 	}
 	version, opened, err := n.ledger.OpenGate(ctx, r.queue, a)
 	if err != nil {
-		n.assignmentLog(r.queue, a, err).Log(levelOf(err), "failed to open gate of queue")
+		n.assignmentLog(r, a, err).Log(levelOf(err), "failed to open gate of queue")
 		return err
 	}
 	if opened {
-		n.assignmentLog(r.queue, a, nil).Info("gate of queue opened")
+		n.assignmentLog(r, a, nil).Info("gate of queue opened")
 	}
 	n.assignments.put(r.queue, assignment{Assignment: a, gate: version})
 	return nil
 }
 
+// adoptNamedAssignment returns the absent assignment of the queue with the services under which a release that kept assignments by the name
+// of the queue may have stored jobs.
+func (n *Node) adoptNamedAssignment(ctx context.Context, r queueRoute, absent basilledger.Assignment) (basilledger.Assignment, error) {
+	named, err := n.ledger.Assignment(ctx, r.name)
+	if err != nil {
+		return absent, err
+	}
+	absent.Former = named.Services()
+	return absent, nil
+}
+
 // readAssignment reads the assignment of the queue from the store. It has generation 0 if no job of the queue was ever submitted.
 func (n *Node) readAssignment(ctx context.Context, queue string) (basilledger.Assignment, error) {
 	a, err := n.ledger.Assignment(ctx, queue)
@@ -184,9 +202,9 @@
 	return a, err
 }
 
-func (n *Node) assignmentLog(queue string, a basilledger.Assignment, err error) *logrus.Entry {
+func (n *Node) assignmentLog(r queueRoute, a basilledger.Assignment, err error) *logrus.Entry {
 	entry := n.log.WithFields(logrus.Fields{
-		"queue": queue, basillog.FieldPool: a.Service, "former": a.Former, "generation": a.Generation, basillog.FieldRevision: a.Revision,
+		"queue": r.name, "queue_id": r.queue, basillog.FieldPool: a.Service, "former": a.Former, "generation": a.Generation, basillog.FieldRevision: a.Revision,
 	})
 	if err != nil {
 		entry = entry.WithError(err)
--- a/internal/basilnode/front.go
+++ b/internal/basilnode/front.go
@@ -89,6 +89,12 @@
 		c.respond(http.StatusNotFound, "no such queue")
 		return
 	}
+	if rest := strings.Trim(c.id, "/"); rest != "" && !f.node.options.Codec.IsJobID(c.id) && r.Method != http.MethodPost {
+		// The paths of accepted jobs may begin with a longer prefix that was added since.
+		if q, id := configuration.MatchRest(host, r.URL.Path, f.node.options.Codec.IsJobID); q != nil {
+			c.queue, c.id = q, id
+		}
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.timeout())
 	defer cancel()
 	c.ctx = ctx
@@ -148,6 +154,7 @@
 		c.respond(http.StatusBadRequest, err.Error())
 		return
 	}
+	job.QueueID = c.queue.ID()
 	acceptance, err := basilledger.NewAcceptance(&basilwork.Record{Job: *job, Accepted: c.started.UnixMilli()})
 	if err == nil {
 		err = c.accept(c.routeOf(configuration), acceptance)
@@ -157,7 +164,7 @@
 
 // routeOf returns the queue's service according to the configuration.
 func (c *call) routeOf(configuration *basilwork.Configuration) queueRoute {
-	return queueRoute{queue: c.queue.Name, service: c.queue.Service, revision: configuration.Version}
+	return queueRoute{queue: c.queue.ID(), name: c.queue.Name, service: c.queue.Service, revision: configuration.Version}
 }
 
 // accept stores the job, through other entry hosts while this one can't reach the store. If the outcome is unknown it reads the job back,
@@ -222,7 +229,7 @@
 
 // waiting responds with the number of waiting jobs of the queue.
 func (c *call) waiting() {
-	count, err := c.node.countWaiting(c.ctx, c.queue.Name)
+	count, err := c.node.countWaiting(c.ctx, c.queue)
 	if err != nil {
 		c.respondUnavailable(http.StatusServiceUnavailable, minRetryAfter, err.Error())
 		return
--- a/internal/basilnode/front_cancel.go
+++ b/internal/basilnode/front_cancel.go
@@ -37,13 +37,13 @@
 
 // cancelInService stores the cancellation of a job of the service.
 func (c *call) cancelInService(service string) error {
-	return c.repeatUnknown(func() error { return c.node.ledger.Cancel(c.ctx, service, c.queue.Name, c.id) })
+	return c.repeatUnknown(func() error { return c.node.ledger.Cancel(c.ctx, service, c.queue.ID(), c.id) })
 }
 
 // cancelUnknown stores a tombstone for a job that no service has, since its submission may still be under way. If the submission has come
 // first by then, it cancels the job. It returns ErrJobNotExist if there is no job, and never will be one from an earlier submission.
 func (c *call) cancelUnknown(r queueRoute) error {
-	tombstone, err := basilledger.NewAcceptance(basilwork.NewTombstone(c.id, c.queue.Name, c.started))
+	tombstone, err := basilledger.NewAcceptance(basilwork.NewTombstone(c.id, c.queue, c.started))
 	if err != nil {
 		return err
 	}
@@ -63,7 +63,7 @@
 			c.node.log.WithFields(logrus.Fields{basillog.FieldJob: c.id, "queue": c.queue.Name, basillog.FieldPool: c.service}).Info("tombstone stored for unknown job")
 			return errors.WithStack(basilledger.ErrJobNotExist{ID: c.id})
 		}
-		return c.node.ledger.Cancel(c.ctx, c.service, c.queue.Name, c.id)
+		return c.node.ledger.Cancel(c.ctx, c.service, c.queue.ID(), c.id)
 	})
 }
 
--- a/internal/basilnode/front_find.go
+++ b/internal/basilnode/front_find.go
@@ -14,19 +14,20 @@
 // find returns the job and the service that it is stored under. If none of the services that this entry host knows of has it, the queue may
 // have been assigned to another one since.
 func (c *call) find() (basilwork.Record, string, error) {
-	known := c.node.assignments.get(c.queue.Name)
+	queue := c.queue.ID()
+	known := c.node.assignments.get(queue)
 	c.service = known.Service
-	r, service, err := c.node.findIn(c.ctx, known.Services(), c.queue.Name, c.id)
+	r, service, err := c.node.findIn(c.ctx, known.Services(), queue, c.id)
 	if !basilledger.IsErrJobNotExist(err) {
 		return r, service, err
 	}
-	current, err := c.node.readAssignment(c.ctx, c.queue.Name)
+	current, err := c.node.readAssignment(c.ctx, queue)
 	if err != nil {
 		return basilwork.Record{}, "", err
 	}
 	c.service = current.Service
 	others := slices.DeleteFunc(c.node.servicesWithJobs(&current), func(s string) bool { return slices.Contains(known.Services(), s) })
-	return c.node.findIn(c.ctx, others, c.queue.Name, c.id)
+	return c.node.findIn(c.ctx, others, queue, c.id)
 }
 
 // servicesWithJobs returns all services that may have jobs of a queue with the assignment. Without one, these are all pools: a release that
@@ -53,7 +54,7 @@
 	err := errors.WithStack(basilledger.ErrJobNotExist{ID: id})
 	for i, r := range results {
 		switch {
-		case r.err == nil && r.record.Job.Queue == queue:
+		case r.err == nil && r.record.Job.IsIn(queue):
 			return r.record, services[i], nil
 		case r.err != nil && !basilledger.IsErrJobNotExist(r.err):
 			err = r.err
@@ -63,19 +64,22 @@
 }
 
 // countWaiting returns the number of waiting jobs of the queue, under all services that it was assigned to. It reads the assignment, since
-// nothing else tells an entry host that stores no job of the queue that it has moved.
-func (n *Node) countWaiting(ctx context.Context, queue string) (int, error) {
-	a, err := n.readAssignment(ctx, queue)
+// nothing else tells an entry host that stores no job of the queue that it has moved. Jobs of a release that stored no queue IDs are counted
+// by the queue's name.
+func (n *Node) countWaiting(ctx context.Context, q *basilwork.Queue) (int, error) {
+	a, err := n.readAssignment(ctx, q.ID())
 	if err != nil {
 		return 0, err
 	}
 	total := 0
 	for _, service := range n.servicesWithJobs(&a) {
-		count, err := n.ledger.Waiting(ctx, service, queue)
-		if err != nil {
-			return 0, err
+		for _, key := range []string{q.ID(), q.Name} {
+			count, err := n.ledger.Waiting(ctx, service, key)
+			if err != nil {
+				return 0, err
+			}
+			total += count
 		}
-		total += count
 	}
 	return total, nil
 }
--- a/internal/basilscheduler/learn.go
+++ b/internal/basilscheduler/learn.go
@@ -12,7 +12,7 @@
 
 // expectedRunTime returns the expected run time of a task of the step.
 func (p *Pool) expectedRunTime(s *step) time.Duration {
-	l := p.runTimes[runTimeKey{s.occurrence.job.record.Job.Queue}]
+	l := p.runTimes[runTimeKey{s.occurrence.job.record.Job.QueueKey()}]
 	if l == nil {
 		return s.spec.Estimate
 	}
@@ -24,7 +24,7 @@
 	if s.spec.Estimate <= 0 || s.spec.LongRunning {
 		return
 	}
-	key := runTimeKey{s.occurrence.job.record.Job.Queue}
+	key := runTimeKey{s.occurrence.job.record.Job.QueueKey()}
 	l := p.runTimes[key]
 	if l == nil {
 		l = &runTimeRatio{ratio: 1}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -51,8 +51,9 @@
 	layoutVersion    int                 // incremented when backend servers or long-running runs change
 	doneOccurrences  []*occurrence       // done occurrences without runs, to be removed
 	startedAt        time.Time
-	predecessorUntil map[string]time.Time // backend servers that may have runs of a predecessor, and until when
-	queues           map[string]*basilwork.Queue
+	predecessorUntil map[string]time.Time        // backend servers that may have runs of a predecessor, and until when
+	queues           map[string]*basilwork.Queue // by ID, also those that the configuration no longer has
+	namedQueues      map[string]*basilwork.Queue // the same by name
 	runTimes         map[runTimeKey]*runTimeRatio
 	spreads          map[string]*runTimeSpread // by queue
 	tickets          map[string]*stepTickets
@@ -78,6 +79,7 @@
 		backends:         make(map[string]*backend),
 		predecessorUntil: make(map[string]time.Time),
 		queues:           make(map[string]*basilwork.Queue),
+		namedQueues:      make(map[string]*basilwork.Queue),
 		runTimes:         make(map[runTimeKey]*runTimeRatio),
 		spreads:          make(map[string]*runTimeSpread),
 		tickets:          make(map[string]*stepTickets),
@@ -91,13 +93,22 @@
 func (p *Pool) SetConfiguration(c *basilwork.Configuration) {
 	for n := range c.Queues {
 		q := c.Queues[n]
-		p.queues[q.Name] = &q
+		p.queues[q.ID()], p.namedQueues[q.Name] = &q, &q
 	}
 	for _, j := range p.jobs {
-		j.queue = p.queues[j.record.Job.Queue]
+		j.queue = p.queueOf(&j.record.Job)
 	}
 }
 
+// queueOf returns the queue whose settings hold for the job: the one at the address that it was submitted to, or else the one that has the
+// name of its queue, or nil.
+func (p *Pool) queueOf(j *basilwork.Job) *basilwork.Queue {
+	if q := p.queues[j.QueueID]; q != nil {
+		return q
+	}
+	return p.namedQueues[j.Queue]
+}
+
 // SetStartLimit limits the number of starts per decision. A gang is started as a whole even if it exceeds the limit.
 func (p *Pool) SetStartLimit(starts int) { p.startLimit = starts }
 
@@ -116,7 +127,7 @@
 		return
 	}
 	j := &job{
-		record: r, queue: p.queues[r.Job.Queue], occurrences: make(map[int]*occurrence),
+		record: r, queue: p.queueOf(&r.Job), occurrences: make(map[int]*occurrence),
 		accepted: time.UnixMilli(r.Accepted), adopted: adopted, started: r.State != basilwork.JobStatePending,
 	}
 	for n := range j.record.Job.Occurrences() {
--- a/internal/basilscheduler/speed.go
+++ b/internal/basilscheduler/speed.go
@@ -85,7 +85,7 @@
 		s.speedObserved = make(map[string]bool)
 	}
 	s.speedObserved[b.ID] = true
-	queue := s.occurrence.job.record.Job.Queue
+	queue := s.occurrence.job.record.Job.QueueKey()
 	spread := p.spreads[queue]
 	if spread == nil {
 		spread = &runTimeSpread{}
--- a/internal/basilwork/configuration.go
+++ b/internal/basilwork/configuration.go
@@ -1,6 +1,8 @@
 package basilwork
 
 import (
+	"crypto/sha256"
+	"encoding/base64"
 	"strings"
 	"time"
 )
@@ -26,6 +28,16 @@
 	Advice      *Advice
 }
 
+// queueIDBytes is the size of a queue's ID: two of a thousand queues have the same one with a probability of 1e-23.
+const queueIDBytes = 12
+
+// ID returns the identity of the queue: its host and prefix, which callers name their jobs by, hashed to a length that fits into the keys
+// of a store. The operator may replace a queue by one of another name at the same address.
+func (q *Queue) ID() string {
+	sum := sha256.Sum256([]byte(strings.ToLower(q.Host) + "\n" + q.Prefix))
+	return base64.RawURLEncoding.EncodeToString(sum[:queueIDBytes])
+}
+
 // Objective returns the target completion time of a job whose critical path takes
 // this long; a job that meets it counts in full.
 func (q *Queue) Objective(criticalPath time.Duration) time.Duration {
@@ -58,10 +70,15 @@
 // Match returns the queue with the longest prefix that matches the host and path, and
 // the rest of the path; without a match it returns nil.
 func (c *Configuration) Match(host, path string) (*Queue, string) {
+	return c.MatchRest(host, path, func(string) bool { return true })
+}
+
+// MatchRest is like Match, but of the matching queues it considers only those that leave a rest of the path that is accepted.
+func (c *Configuration) MatchRest(host, path string, accepts func(rest string) bool) (*Queue, string) {
 	var found *Queue
 	for n := range c.Queues {
 		q := &c.Queues[n]
-		if !strings.EqualFold(q.Host, host) || !strings.HasPrefix(path, q.Prefix) {
+		if !strings.EqualFold(q.Host, host) || !strings.HasPrefix(path, q.Prefix) || !accepts(path[len(q.Prefix):]) {
 			continue
 		}
 		if found == nil || len(q.Prefix) > len(found.Prefix) {
@@ -74,14 +91,19 @@
 	return found, path[len(found.Prefix):]
 }
 
-// Queue returns the queue with the given name, or nil.
-func (c *Configuration) Queue(name string) *Queue {
+// QueueOf returns the queue at the address that the job was submitted to, or else the one that has the name of the job's queue, or nil.
+func (c *Configuration) QueueOf(j *Job) *Queue {
+	var named *Queue
 	for n := range c.Queues {
-		if c.Queues[n].Name == name {
-			return &c.Queues[n]
+		q := &c.Queues[n]
+		if j.QueueID != "" && j.QueueID == q.ID() {
+			return q
+		}
+		if j.Queue == q.Name {
+			named = q
 		}
 	}
-	return nil
+	return named
 }
 
 // Pools returns the names of the services that run tasks.
--- a/internal/basilwork/job.go
+++ b/internal/basilwork/job.go
@@ -1,6 +1,7 @@
 package basilwork
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 	"time"
@@ -62,7 +63,8 @@
 // Job is a job as its caller submitted it.
 type Job struct {
 	ID          string        `json:"id"`
-	Queue       string        `json:"q"`
+	QueueID     string        `json:"k,omitempty"` // of the queue it was submitted to; empty in rows of releases before 2026-12
+	Queue       string        `json:"q"`           // name of that queue, when the job was submitted
 	Payload     string        `json:"p,omitempty"`
 	Steps       []Step        `json:"s"`
 	RepeatCount int           `json:"rep,omitempty"` // number of occurrences; 0 for a single one without a scheduled time
@@ -70,6 +72,12 @@
 	Interval    time.Duration `json:"int,omitempty"` // between occurrences
 }
 
+// QueueKey returns what the rows beside the job's own are kept under: the ID of its queue, or the queue's name in rows without one.
+func (j *Job) QueueKey() string { return cmp.Or(j.QueueID, j.Queue) }
+
+// IsIn reports whether the job was submitted to the queue with the ID, or its row doesn't tell.
+func (j *Job) IsIn(queueID string) bool { return j.QueueID == "" || j.QueueID == queueID }
+
 // Occurrences returns how many times the job's steps run.
 func (j *Job) Occurrences() int { return max(1, j.RepeatCount) }
 
--- a/internal/basilwork/progress.go
+++ b/internal/basilwork/progress.go
@@ -82,9 +82,9 @@
 }
 
 // NewTombstone returns the record that keeps a job which was cancelled before it was stored from being stored later.
-func NewTombstone(id, queue string, cancelled time.Time) *Record {
+func NewTombstone(id string, q *Queue, cancelled time.Time) *Record {
 	at := cancelled.UnixMilli()
-	return &Record{Job: Job{ID: id, Queue: queue}, State: JobStateCanceled, Accepted: at, Finished: at}
+	return &Record{Job: Job{ID: id, QueueID: q.ID(), Queue: q.Name}, State: JobStateCanceled, Accepted: at, Finished: at}
 }
 
 // IsTombstone reports whether the record is one that NewTombstone returned: there is no such job.
