scheduler: bound what one job's numbers cost its pool

Cause: Pool.AddJob looped over all occurrences of a job on the goroutine that decides for the pool. By the same cause all occurrences that were due were opened in one decision, each done one took an entry of the row, and times, estimates and sums overflowed. Ruled out as the first cause: opening and the refused row; the stack of the hung owner is in AddJob.

Change: done occurrences are counted from the record, of which those at the front are a number once a job has over 500; occurrences are opened in bounded steps; times and estimates saturate; sizes and work are cut where nothing tells the difference; an occurrence is ranked once a decision, not once a step.

Evidence: TestJobWithoutEndDelaysNoJobOfItsService hangs on (ended after 20 s, in AddJob) for a first time to come and one long past, and passes.

Why it works: no loop, sum or row of the owner grows with a number that a caller chose any more, but with what is open, which is bounded, and all occurrences run in their turn.

--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -23,6 +23,7 @@
 
 // Decide returns the actions to take now.
 func (p *Pool) Decide(now time.Time) Actions {
+	p.decisions++
 	p.wakeTime = now.Add(maxWakeInterval)
 	p.needsBackend = p.needsBackend && p.startLimit == 0 // keeps the last result, as nothing is placed then
 	p.expirePredecessors(now)
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -16,10 +16,7 @@
 	}
 	o := j.occurrences[id.Occurrence]
 	if o == nil {
-		if id.Occurrence >= j.record.Job.Occurrences() {
-			return nil
-		}
-		if q := j.record.Progress[id.Occurrence]; q != nil && q.Done {
+		if id.Occurrence >= j.record.Job.Occurrences() || j.record.IsDone(id.Occurrence) {
 			return nil
 		}
 		o = p.openOccurrence(j, id.Occurrence)
@@ -245,7 +242,7 @@
 		return
 	}
 	p.collectIfDone(o)
-	j.record.Progress[o.number] = &basilwork.OccurrenceProgress{Done: true}
+	j.record.SetDone(o.number)
 	j.finished++
 	if j.finished < j.record.Job.Occurrences() {
 		return
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -125,6 +125,7 @@
 	steps      []*step
 	unfinished int // number of steps that are not done
 	liveRuns   int // number of runs
+	ranking    ranking
 }
 
 // job is the state of an accepted job that is not forgotten yet.
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -1,6 +1,7 @@
 package basilscheduler
 
 import (
+	"slices"
 	"time"
 
 	"basilstage.example/basilstage/internal/basilwork"
@@ -47,7 +48,8 @@
 
 // resetMaxFree invalidates the cached free room.
 func (p *Pool) resetMaxFree() {
-	p.placement.maxFree = append(p.placement.maxFree[:0], make([]labelMaxFree, len(p.waiting.labels))...)
+	p.placement.maxFree = slices.Grow(p.placement.maxFree[:0], len(p.waiting.labels))[:len(p.waiting.labels)]
+	clear(p.placement.maxFree)
 }
 
 // maxFree returns the maximum free room of each kind for short tasks that need the label.
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -40,6 +40,7 @@
 	options          Options
 	jobs             map[string]*job
 	dirty            map[string]*job // with changes that were not taken yet
+	decisions        int64           // how many decisions were begun
 	changes          int64           // how many times a clean record became dirty
 	backends         map[string]*backend
 	list             []*backend // all backend servers, by ID
@@ -126,15 +127,11 @@
 	if p.jobs[r.Job.ID] != nil || r.State.Final() {
 		return
 	}
+	r.Job = bounded(r.Job)
 	j := &job{
-		record: r, queue: p.queueOf(&r.Job), occurrences: make(map[int]*occurrence),
+		record: r, finished: r.CountDone(), opened: r.Skipped, queue: p.queueOf(&r.Job), occurrences: make(map[int]*occurrence),
 		accepted: time.UnixMilli(r.Accepted), adopted: adopted, started: r.State != basilwork.JobStatePending,
 	}
-	for n := range j.record.Job.Occurrences() {
-		if q := r.Progress[n]; q != nil && q.Done {
-			j.finished++
-		}
-	}
 	p.jobs[r.Job.ID] = j
 	p.waiting.unopened = append(p.waiting.unopened, unopenedJob{job: j})
 	p.waiting.nextOpenAt = time.Time{}
@@ -143,18 +140,6 @@
 	}
 }
 
-// workOf returns the estimated work of the short tasks of a job: what they reserve, times seconds.
-func workOf(j *basilwork.Job) basilwork.Resources {
-	var work basilwork.Resources
-	for n := range j.Steps {
-		if s := &j.Steps[n]; !s.LongRunning && !s.Filler {
-			amount := multiply(s.Resources, s.Count*int(s.Estimate.Milliseconds()))
-			work = work.Add(basilwork.Resources{CPU: amount.CPU / 1000, Memory: amount.Memory / 1000, GPU: amount.GPU / 1000})
-		}
-	}
-	return work
-}
-
 // Cancel marks a job as cancelled and stops its runs.
 func (p *Pool) Cancel(id string, now time.Time) {
 	if j := p.jobs[id]; j != nil {
--- a/internal/basilscheduler/waiting.go
+++ b/internal/basilscheduler/waiting.go
@@ -133,8 +133,9 @@
 	}
 }
 
-// openJob opens the due occurrences of the job and returns when the next one is due, or the zero time if there is none.
+// openJob opens due occurrences of the job, as many as may be, and returns when to look for the next one, or the zero time if there is none.
 func (p *Pool) openJob(j *job, now time.Time) time.Time {
+	waiting := j.waitingTasks()
 	for ; j.opened < j.record.Job.Occurrences(); j.opened++ {
 		due := j.record.Job.StartTime(j.opened)
 		if now.Before(due) {
@@ -142,9 +143,15 @@
 		}
 		if o := j.occurrences[j.opened]; o != nil {
 			p.requeue(o.steps...)
-		} else if q := j.record.Progress[j.opened]; q == nil || !q.Done {
-			p.openOccurrence(j, j.opened)
+			continue
+		}
+		if j.record.IsDone(j.opened) {
+			continue
 		}
+		if !j.mayOpen(waiting) {
+			return now.Add(openRetryInterval)
+		}
+		waiting += p.openOccurrence(j, j.opened).waitingTasks()
 	}
 	return time.Time{}
 }
@@ -262,9 +269,13 @@
 func (p *Pool) newCandidate(s *step) candidate {
 	q := s.occurrence.job.queue
 	c := candidate{step: s, demand: s.demand, labelIndex: p.waiting.indexOfLabel(s.spec.Label), needsTickets: q != nil && q.Advice != nil}
-	c.rank, c.sortKey = p.rankOf(s.occurrence, s, p.waiting.rankedAt)
-	for _, other := range s.occurrence.steps {
-		c.work += float64(other.unfinished*other.spec.Resources.CPU) / 1000 * other.spec.Estimate.Seconds()
+	o := s.occurrence
+	if o.ranking.decision != p.decisions {
+		o.ranking = p.rankOccurrence(o, p.waiting.rankedAt)
+	}
+	c.work = o.ranking.work
+	if !s.spec.LongRunning {
+		c.rank, c.sortKey = o.ranking.rank, o.ranking.sortKey
 	}
 	return c
 }
@@ -276,11 +287,27 @@
 		cmp.Compare(x.occurrence.number, y.occurrence.number), cmp.Compare(x.number, y.number))
 }
 
-// rankOf returns the rank and the sort key of a step.
-func (p *Pool) rankOf(o *occurrence, s *step, now time.Time) (rank, time.Duration) {
-	if s.spec.LongRunning {
-		return rankServing, 0
+// ranking is the rank of the short tasks of an occurrence, as of one decision. All its steps share it, so that a job of many steps takes
+// time in proportion to their number.
+type ranking struct {
+	decision int64
+	rank     rank
+	sortKey  time.Duration
+	work     float64 // estimated work that is not done, in core-seconds
+}
+
+// rankOccurrence ranks the short tasks of an occurrence as of the given time.
+func (p *Pool) rankOccurrence(o *occurrence, now time.Time) ranking {
+	r := ranking{decision: p.decisions}
+	r.rank, r.sortKey = p.rankOf(o, now)
+	for _, s := range o.steps {
+		r.work += float64(s.unfinished*s.spec.Resources.CPU) / 1000 * s.spec.Estimate.Seconds()
 	}
+	return r
+}
+
+// rankOf returns the rank and the sort key of the short tasks of an occurrence.
+func (p *Pool) rankOf(o *occurrence, now time.Time) (rank, time.Duration) {
 	j := o.job
 	from := j.accepted
 	if o.due.After(from) {
--- a/internal/basilwork/job.go
+++ b/internal/basilwork/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -86,7 +87,11 @@
 	if j.RepeatCount == 0 {
 		return time.Time{}
 	}
-	return time.UnixMilli(0).Add(j.FirstStart + time.Duration(occurrence)*j.Interval)
+	first, interval := j.FirstStart.Milliseconds(), j.Interval.Milliseconds()
+	if interval > 0 && int64(occurrence) > (math.MaxInt64-max(first, 0))/interval {
+		return time.UnixMilli(math.MaxInt64)
+	}
+	return time.UnixMilli(first + int64(occurrence)*interval)
 }
 
 // LongRunning reports whether the job has tasks that run until it is cancelled.
--- a/internal/basilwork/progress.go
+++ b/internal/basilwork/progress.go
@@ -78,7 +78,44 @@
 	Accepted int64                       `json:"at"` // Unix milliseconds
 	Finished int64                       `json:"end,omitempty"`
 	Progress map[int]*OccurrenceProgress `json:"p,omitempty"`
-	Writer   string                      `json:"w,omitempty"` // unique ID of the commit that wrote the record
+	Skipped  int                         `json:"done,omitempty"` // number of first occurrences that are done and have no Progress any more
+	Writer   string                      `json:"w,omitempty"`    // unique ID of the commit that wrote the record
+}
+
+// listedOccurrences is the number of occurrences up to which a job lists all of them. Releases before 2026-12 know no other form, so only
+// jobs whose rows would grow without end are stored in one that they can't read.
+const listedOccurrences = 500
+
+// IsDone reports whether the occurrence is done.
+func (r *Record) IsDone(occurrence int) bool {
+	if occurrence < r.Skipped {
+		return true
+	}
+	p := r.Progress[occurrence]
+	return p != nil && p.Done
+}
+
+// SetDone records that the occurrence is done.
+func (r *Record) SetDone(occurrence int) {
+	if r.Progress == nil {
+		r.Progress = make(map[int]*OccurrenceProgress)
+	}
+	r.Progress[occurrence] = &OccurrenceProgress{Done: true}
+	for r.Job.RepeatCount > listedOccurrences && r.Progress[r.Skipped] != nil && r.Progress[r.Skipped].Done {
+		delete(r.Progress, r.Skipped)
+		r.Skipped++
+	}
+}
+
+// CountDone returns the number of occurrences that are done.
+func (r *Record) CountDone() int {
+	count := r.Skipped
+	for n, p := range r.Progress {
+		if n >= r.Skipped && n < r.Job.Occurrences() && p.Done {
+			count++
+		}
+	}
+	return count
 }
 
 // NewTombstone returns the record that keeps a job which was cancelled before it was stored from being stored later.
