platform: let one time-out find all silent connections

Cause: each call took one of up to twelve idle connections, waited for its time-out and showed nothing about the others. Besides, a watch of the configuration waited for 5 s and 2.5 s more before its own silence showed.

Change: a transport, used for all the platform's interfaces and for peers, closes the idle connections to an address on which nothing has arrived lately when a call there ends without an answer. The watch of the configuration waits for 1.5 s.

Why it works: the first call without an answer now ends the use of all idle connections that may share its fate, within the time that the bounds leave.

--- a/cmd/basilnode/run.go
+++ b/cmd/basilnode/run.go
@@ -129,8 +129,11 @@
 }
 
 func options(s *basilsite.Settings, log *logrus.Logger) basilnode.Options {
-	client := basilsite.NewClient()
-	control := basilsite.NewClient()
+	onSilent := func(address string, closed int) {
+		log.WithFields(logrus.Fields{basillog.FieldAddress: address, "connections": closed}).Warn("idle connections closed, which may have gone silent")
+	}
+	client := basilsite.NewClient(onSilent)
+	control := basilsite.NewClient(onSilent)
 	store := basilsite.NewStore(client, func() string { return s.Addresses().Store }, storeTimeout)
 	bootClock := basilshard.BootClock()
 	storeClock := basilwork.NewStoreClock(bootClock)
@@ -159,7 +162,7 @@
 		Advisor:             basilsite.NewAdvisor(client, func() string { return s.Addresses().Advisor }),
 		Machines:            basilsite.NewMachines(client, func() string { return s.Addresses().Machines }, machinesTimeout),
 		Codec:               basilsite.Codec{}, Log: log,
-		Peers:        peerTransport(),
+		Peers:        peerTransport(onSilent),
 		CallCounts:   func() map[string]basilwork.CallCount { return sumCalls(client.Calls(), control.Calls()) },
 		SetGCPercent: func(percent int) { debug.SetGCPercent(percent) },
 	}
@@ -196,11 +199,10 @@
 }
 
 // peerTransport returns what carries calls to other entry hosts. Each calls the owners of pools, some at a time.
-func peerTransport() http.RoundTripper {
-	return &http.Transport{
-		DialContext: basilsite.DialResetting(peerDial, peerKeepAlive), MaxIdleConnsPerHost: peerIdle, MaxConnsPerHost: peerConnections,
-		IdleConnTimeout: idleTime, DisableCompression: true,
-	}
+func peerTransport(onSilent func(address string, closed int)) http.RoundTripper {
+	t := basilsite.NewTransport(basilsite.DialResetting(peerDial, peerKeepAlive))
+	t.MaxIdleConnsPerHost, t.MaxConnsPerHost, t.IdleConnTimeout, t.OnSilent = peerIdle, peerConnections, idleTime, onSilent
+	return t
 }
 
 // listen opens the front, the readiness address and the metrics.
--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -19,8 +19,10 @@
 
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilnode"
+	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilshard"
 	"basilstage.example/basilstage/internal/basilstandin"
+	"basilstage.example/basilstage/internal/basiltimer"
 	"basilstage.example/basilstage/internal/basilwork"
 	"basilstage.example/basilstage/platform"
 	"basilstage.example/basilstage/platform/basilfake"
@@ -31,7 +33,8 @@
 	quotePrefix         = "/quote/"
 	longPrefix          = "/long/"
 	maxAttempts         = 3
-	delayedCallsTimeout = 10 * time.Second // until delayed calls have ended: up to 7 s of delay and 3 s for a call
+	directoryTimeout    = 2500 * time.Millisecond // of the program
+	delayedCallsTimeout = 10 * time.Second        // until delayed calls have ended: up to 7 s of delay and 3 s for a call
 )
 
 const configuration = `{"version":%d,"routes":[
@@ -63,6 +66,7 @@
 	share           atomic.Int64       // percentage of a core that each entry host's process gets
 	percent         map[string]int     // garbage collection percentage, by entry host
 	dueRestarts     []string           // entry hosts to be restarted
+	watchesSilentAt time.Time          // when the connections of the open watches of the configuration went silent
 	behind          map[string]bool    // entry hosts that keep the configuration that they have
 	mutex           sync.Mutex         // guards percent, dueRestarts, behind and the results of callers' goroutines
 }
@@ -118,6 +122,17 @@
 	basilwork.Directory
 	behind func() bool
 	known  *basilwork.Configuration
+	silent func(began time.Time) bool // the connection of a watch that began at the time has gone silent since
+}
+
+func (d *laggingDirectory) WatchOperator(ctx context.Context, after int64, wait time.Duration) (basilwork.Changes, error) {
+	began := time.Now()
+	changes, err := d.Directory.WatchOperator(ctx, after, wait)
+	if !d.silent(began) {
+		return changes, err
+	}
+	_ = basiltimer.Wait(ctx, time.Until(began.Add(wait+directoryTimeout))) // the answer is lost either way
+	return basilwork.Changes{}, basilplatform.ErrUnavailable{Operation: "watch"}
 }
 
 func (d *laggingDirectory) Configuration(ctx context.Context) (*basilwork.Configuration, int64, error) {
@@ -159,11 +174,15 @@
 	if weight == 0 {
 		weight = 1
 	}
-	directoryStore := basilsite.NewStore(client, func() string { return basilfake.StoreAddress }, 2500*time.Millisecond)
+	directoryStore := basilsite.NewStore(client, func() string { return basilfake.StoreAddress }, directoryTimeout)
 	directory := &laggingDirectory{Directory: basilsite.NewDirectory(directoryStore), behind: func() bool {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		return c.behind[name]
+	}, silent: func(began time.Time) bool {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return began.Before(c.watchesSilentAt)
 	}}
 	node := basilnode.New(basilnode.Options{
 		Self:  basilshard.Member{Node: name, Incarnation: fmt.Sprintf("%s.%d", name, c.starts), Zone: "north", Weight: weight, Address: peerAddress(name), Started: time.Now().UnixMilli()},
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -24,6 +24,9 @@
 	backendsInterval   = 250 * time.Millisecond // interval over which changes of backend servers' entries are batched; a server writes its entry every 1.5 s
 	logCallsInterval   = 10 * time.Second
 	configurationRetry = 200 * time.Millisecond
+	// Wait of a watch of the configuration. With the timeout of the call after it, a connection that went silent is noticed in 4 s, before the time is
+	// over after which the entry host counts as in touch again and has to apply a configuration (contact_ms and config_apply_ms, 5 s at least).
+	configurationWait  = 1500 * time.Millisecond
 	renewInterval      = 310 * time.Millisecond // a quarter of the lease, which leaves room for two lost renewals
 	leaseMargin        = 300 * time.Millisecond
 	minClockRate       = 0.98 // lowest rate at which a backend server's clock may run
@@ -171,6 +174,7 @@
 	n.keeper.Follow(ctx, version, basilshard.FollowOptions{
 		Reload: n.loadConfiguration,
 		Watch:  n.options.Directory.WatchOperator,
+		Wait:   configurationWait,
 		Apply: func([]basilplatform.Item) bool {
 			_, ok := n.loadConfiguration(ctx)
 			return ok
--- a/internal/basilsoak/proxy_test.go
+++ b/internal/basilsoak/proxy_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,7 +23,7 @@
 	mutex    sync.Mutex
 	way      way
 	changed  chan struct{}
-	open     map[net.Conn]bool
+	open     map[net.Conn]*atomic.Bool // by the caller's side: whether it has gone silent
 }
 
 func newProxy(address, target string) (*proxy, error) {
@@ -30,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, changed: make(chan struct{}), open: make(map[net.Conn]bool)}
+	p := &proxy{listener: l, target: target, changed: make(chan struct{}), open: make(map[net.Conn]*atomic.Bool)}
 	go p.serve()
 	return p, nil
 }
@@ -48,7 +49,8 @@
 func (p *proxy) carry(c net.Conn) {
 	defer p.drop(c)
 	p.mutex.Lock()
-	p.open[c] = true
+	silent := new(atomic.Bool)
+	p.open[c] = silent
 	w := p.way
 	p.mutex.Unlock()
 	if w.reset {
@@ -59,8 +61,8 @@
 		return
 	}
 	defer d.Close()
-	go p.copy(d, c, false)
-	p.copy(c, d, true)
+	go p.copy(d, c, silent, false)
+	p.copy(c, d, silent, true)
 }
 
 // drop closes a connection without a goodbye.
@@ -75,11 +77,11 @@
 }
 
 // copy passes on what is read until either side ends.
-func (p *proxy) copy(to io.Writer, from io.Reader, back bool) {
+func (p *proxy) copy(to io.Writer, from io.Reader, silent *atomic.Bool, back bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 {
+		if n > 0 && !silent.Load() {
 			p.wait(back)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
@@ -108,6 +110,15 @@
 	}
 }
 
+// silence has the open connections go silent for good, while new ones work.
+func (p *proxy) silence() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, s := range p.open {
+		s.Store(true)
+	}
+}
+
 // set changes what happens on the way.
 func (p *proxy) set(w way) {
 	p.mutex.Lock()
--- a/internal/basilsoak/soak_test.go
+++ b/internal/basilsoak/soak_test.go
@@ -288,10 +288,16 @@
 	playSeeds(t, seeds(t, append(slices.Sorted(maps.Keys(regressions)), 2)...), false)
 }
 
-func playSeeds(t *testing.T, seeds []uint64, planned bool) {
+// buildProgram builds the entry hosts' program and returns its path.
+func buildProgram(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "basilnode")
 	out, err := exec.Command("go", "build", "-o", program, "../../cmd/basilnode").CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(out)))
+	return program
+}
+
+func playSeeds(t *testing.T, seeds []uint64, planned bool) {
+	program := buildProgram(t)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
