node: count waiting jobs under both keys at once

A count reads each service by the queue's ID and by its name. One after the other, that would take longer than callers wait on a store that takes over a second for each; so the reads run side by side. queueRoute says key for what is one. By reading; the tests of waiting jobs and of replaced routes pass.

--- a/internal/basilnode/accept.go
+++ b/internal/basilnode/accept.go
@@ -26,7 +26,7 @@
 			return r.service, err
 		}
 		record := job.Record()
-		_, service, err := n.findIn(ctx, a.Former, r.queue, record.Job.ID)
+		_, service, err := n.findIn(ctx, a.Former, r.key, record.Job.ID)
 		if !basilledger.IsErrJobNotExist(err) {
 			return cmp.Or(service, a.Service), err
 		}
@@ -35,9 +35,9 @@
 			return a.Service, err
 		}
 		n.log.WithFields(logrus.Fields{
-			basillog.FieldJob: record.Job.ID, "queue": r.name, "queue_id": r.queue, basillog.FieldPool: a.Service, "generation": a.Generation,
+			basillog.FieldJob: record.Job.ID, "queue": r.name, "queue_id": r.key, basillog.FieldPool: a.Service, "generation": a.Generation,
 		}).Info("job not stored, as the assignment of its queue has changed; trying again")
-		n.assignments.forgetGate(r.queue, a.gate)
+		n.assignments.forgetGate(r.key, a.gate)
 	}
 }
 
--- a/internal/basilnode/assignments.go
+++ b/internal/basilnode/assignments.go
@@ -19,7 +19,7 @@
 
 // queueRoute is the service that a configuration routes a queue to.
 type queueRoute struct {
-	queue    string // key of the queue, see basilwork.Job.QueueKey
+	key      string // of the queue, see basilwork.Job.QueueKey
 	name     string // of the queue in the configuration
 	service  string
 	revision int64
@@ -109,15 +109,15 @@
 // assign returns the assignment under which new jobs of the queue are stored. If the known one is outdated, it makes a new one, or
 // completes one that another entry host has begun. It fails with ErrUnavailable.
 func (n *Node) assign(ctx context.Context, r queueRoute) (assignment, error) {
-	if a := n.assignments.get(r.queue); a.accepts(r) {
+	if a := n.assignments.get(r.key); a.accepts(r) {
 		return a, nil
 	}
 	for {
-		err := n.assignments.update(ctx, r.queue, func() error { return n.updateUntilAssigned(r) })
+		err := n.assignments.update(ctx, r.key, func() error { return n.updateUntilAssigned(r) })
 		if err != nil {
 			return assignment{}, err
 		}
-		if a := n.assignments.get(r.queue); a.accepts(r) {
+		if a := n.assignments.get(r.key); a.accepts(r) {
 			return a, nil
 		}
 	}
@@ -128,11 +128,11 @@
 	ctx, cancel := context.WithTimeout(n.ctx, assignTimeout)
 	defer cancel()
 	for {
-		if a := n.assignments.get(r.queue); a.accepts(r) {
+		if a := n.assignments.get(r.key); a.accepts(r) {
 			return nil
 		}
 		if n.storeUnreachable() {
-			return newErrNotAssigned(r.queue, ErrStoreUnreachable{})
+			return newErrNotAssigned(r.key, ErrStoreUnreachable{})
 		}
 		err := n.updateAssignment(ctx, r)
 		switch {
@@ -141,36 +141,36 @@
 			return err
 		case basilledger.IsErrAssignmentChanged(err): // the next attempt reads the change
 		case basiltimer.Wait(ctx, readBackInterval) != nil:
-			return newErrNotAssigned(r.queue, err)
+			return newErrNotAssigned(r.key, err)
 		}
 	}
 }
 
 // updateAssignment reads the assignment of the queue, changes it if the route is newer, and opens its gate.
 func (n *Node) updateAssignment(ctx context.Context, r queueRoute) error {
-	a, openGate, err := n.ledger.AssignmentWithGate(ctx, r.queue, r.service)
+	a, openGate, err := n.ledger.AssignmentWithGate(ctx, r.key, r.service)
 	if err != nil {
 		return err
 	}
 	if openGate != 0 {
-		n.assignments.put(r.queue, assignment{Assignment: a, gate: openGate})
+		n.assignments.put(r.key, assignment{Assignment: a, gate: openGate})
 		return nil
 	}
 	if !a.Follows(r.service, r.revision) {
-		if a.Generation == 0 && r.queue != r.name {
+		if a.Generation == 0 && r.key != r.name {
 			a, err = n.adoptNamedAssignment(ctx, r, a)
 			if err != nil {
 				return err
 			}
 		}
-		a, err = n.ledger.Reassign(ctx, r.queue, a, r.service, r.revision)
+		a, err = n.ledger.Reassign(ctx, r.key, a, r.service, r.revision)
 		if err != nil {
 			n.assignmentLog(r, a, err).Log(levelOf(err), "failed to assign queue")
 			return err
 		}
 		n.assignmentLog(r, a, nil).Info("queue assigned")
 	}
-	version, opened, err := n.ledger.OpenGate(ctx, r.queue, a)
+	version, opened, err := n.ledger.OpenGate(ctx, r.key, a)
 	if err != nil {
 		n.assignmentLog(r, a, err).Log(levelOf(err), "failed to open gate of queue")
 		return err
@@ -178,7 +178,7 @@
 	if opened {
 		n.assignmentLog(r, a, nil).Info("gate of queue opened")
 	}
-	n.assignments.put(r.queue, assignment{Assignment: a, gate: version})
+	n.assignments.put(r.key, assignment{Assignment: a, gate: version})
 	return nil
 }
 
@@ -204,7 +204,7 @@
 
 func (n *Node) assignmentLog(r queueRoute, a basilledger.Assignment, err error) *logrus.Entry {
 	entry := n.log.WithFields(logrus.Fields{
-		"queue": r.name, "queue_id": r.queue, basillog.FieldPool: a.Service, "former": a.Former, "generation": a.Generation, basillog.FieldRevision: a.Revision,
+		"queue": r.name, "queue_id": r.key, basillog.FieldPool: a.Service, "former": a.Former, "generation": a.Generation, basillog.FieldRevision: a.Revision,
 	})
 	if err != nil {
 		entry = entry.WithError(err)
--- a/internal/basilnode/front.go
+++ b/internal/basilnode/front.go
@@ -164,7 +164,7 @@
 
 // routeOf returns the queue's service according to the configuration.
 func (c *call) routeOf(configuration *basilwork.Configuration) queueRoute {
-	return queueRoute{queue: c.queue.ID(), name: c.queue.Name, service: c.queue.Service, revision: configuration.Version}
+	return queueRoute{key: c.queue.ID(), name: c.queue.Name, service: c.queue.Service, revision: configuration.Version}
 }
 
 // accept stores the job, through other entry hosts while this one can't reach the store. If the outcome is unknown it reads the job back,
--- a/internal/basilnode/front_find.go
+++ b/internal/basilnode/front_find.go
@@ -4,8 +4,10 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"basilstage.example/basilstage/internal/basilledger"
 	"basilstage.example/basilstage/internal/basilwork"
@@ -71,15 +73,17 @@
 	if err != nil {
 		return 0, err
 	}
-	total := 0
+	var total atomic.Int64
+	var counts errgroup.Group // at once, since a slow store takes long for each
 	for _, service := range n.servicesWithJobs(&a) {
 		for _, key := range []string{q.ID(), q.Name} {
-			count, err := n.ledger.Waiting(ctx, service, key)
-			if err != nil {
-				return 0, err
-			}
-			total += count
+			counts.Go(func() error {
+				count, err := n.ledger.Waiting(ctx, service, key)
+				total.Add(int64(count))
+				return err
+			})
 		}
 	}
-	return total, nil
+	err = counts.Wait()
+	return int(total.Load()), err
 }
--- a/internal/basilnode/peer.go
+++ b/internal/basilnode/peer.go
@@ -199,7 +199,7 @@
 	}
 	if a.relay {
 		record := a.Record()
-		err = n.acceptRelayed(r.Context(), queueRoute{queue: record.Job.QueueKey(), name: record.Job.Queue, service: a.shard, revision: a.revision}, a.Acceptance)
+		err = n.acceptRelayed(r.Context(), queueRoute{key: record.Job.QueueKey(), name: record.Job.Queue, service: a.shard, revision: a.revision}, a.Acceptance)
 	} else {
 		err = o.acceptor.Accept(r.Context(), a.Acceptance)
 	}
