scheduler: reserve one server for a step in a decision, as before

Since other tasks of a step are tried where one avoids a server, each of them that found no room could have reserved one, also long after it had avoided any. LeadingDone was called Skipped.

--- a/internal/basilscheduler/bounds.go
+++ b/internal/basilscheduler/bounds.go
@@ -55,7 +55,7 @@
 
 // mayOpen reports whether one more occurrence of the job may be opened, given the number of its tasks that wait for room.
 func (j *job) mayOpen(waiting int) bool {
-	return waiting < maxWaitingTasks && j.opened-j.record.Skipped < maxOpenSpan
+	return waiting < maxWaitingTasks && j.opened-j.record.LeadingDone < maxOpenSpan
 }
 
 // waitingTasks returns the number of tasks of the open occurrences that have no runs.
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -187,6 +187,16 @@
 	return ok && now.Before(until) && len(p.backends) > 1
 }
 
+// avoidsAny reports whether the task currently avoids any backend server.
+func (t *task) avoidsAny(now time.Time) bool {
+	for _, until := range t.avoidUntil {
+		if now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
 // antiAffinityAllows reports whether one more task of the step may run on the backend server.
 func (s *step) antiAffinityAllows(b *backend) bool {
 	return s.spec.AntiAffinity == 0 || s.runsOn[b] < s.spec.AntiAffinity
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -109,7 +109,7 @@
 		return
 	}
 	var tickets map[string]string
-	haveTickets := false
+	haveTickets, reserved := false, false
 	for n := s.firstIdle; n < len(s.tasks); n++ {
 		t := s.tasks[n]
 		if len(p.actions.Starts) >= p.startLimit {
@@ -142,11 +142,14 @@
 			if p.maxFree(c.labelIndex).Covers(c.demand) {
 				p.resetMaxFree()
 			}
-			p.reserve(c, t, now)
-			if len(t.avoidUntil) > 0 {
-				continue // another task of the step may run where this one has failed
+			if !reserved {
+				reserved = true
+				p.reserve(c, t, now)
 			}
-			return
+			if !t.avoidsAny(now) {
+				return
+			}
+			continue // another task of the step may run where this one has failed
 		}
 		p.start(c, t, b, p.nextAttempt(t), tickets, now)
 	}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -129,7 +129,7 @@
 	}
 	r.Job = bounded(r.Job)
 	j := &job{
-		record: r, finished: r.CountDone(), opened: r.Skipped, queue: p.queueOf(&r.Job), occurrences: make(map[int]*occurrence),
+		record: r, finished: r.CountDone(), opened: r.LeadingDone, queue: p.queueOf(&r.Job), occurrences: make(map[int]*occurrence),
 		accepted: time.UnixMilli(r.Accepted), adopted: adopted, started: r.State != basilwork.JobStatePending,
 	}
 	p.jobs[r.Job.ID] = j
--- a/internal/basilwork/job_test.go
+++ b/internal/basilwork/job_test.go
@@ -47,10 +47,10 @@
 		}
 		if count == listedOccurrences {
 			must.MapLen(t, 5, r.Progress)
-			must.Eq(t, 0, r.Skipped)
+			must.Eq(t, 0, r.LeadingDone)
 			continue
 		}
 		must.MapLen(t, 1, r.Progress)
-		must.Eq(t, 4, r.Skipped)
+		must.Eq(t, 4, r.LeadingDone)
 	}
 }
--- a/internal/basilwork/progress.go
+++ b/internal/basilwork/progress.go
@@ -73,13 +73,13 @@
 
 // Record is the stored form of a job.
 type Record struct {
-	Job      Job                         `json:"job"`
-	State    JobState                    `json:"state"`
-	Accepted int64                       `json:"at"` // Unix milliseconds
-	Finished int64                       `json:"end,omitempty"`
-	Progress map[int]*OccurrenceProgress `json:"p,omitempty"`
-	Skipped  int                         `json:"done,omitempty"` // number of first occurrences that are done and have no Progress any more
-	Writer   string                      `json:"w,omitempty"`    // unique ID of the commit that wrote the record
+	Job         Job                         `json:"job"`
+	State       JobState                    `json:"state"`
+	Accepted    int64                       `json:"at"` // Unix milliseconds
+	Finished    int64                       `json:"end,omitempty"`
+	Progress    map[int]*OccurrenceProgress `json:"p,omitempty"`
+	LeadingDone int                         `json:"done,omitempty"` // number of first occurrences that are done and have no Progress any more
+	Writer      string                      `json:"w,omitempty"`    // unique ID of the commit that wrote the record
 }
 
 // listedOccurrences is the number of occurrences up to which a job lists all of them. Releases before 2026-12 know no other form, so only
@@ -88,7 +88,7 @@
 
 // IsDone reports whether the occurrence is done.
 func (r *Record) IsDone(occurrence int) bool {
-	if occurrence < r.Skipped {
+	if occurrence < r.LeadingDone {
 		return true
 	}
 	p := r.Progress[occurrence]
@@ -101,17 +101,17 @@
 		r.Progress = make(map[int]*OccurrenceProgress)
 	}
 	r.Progress[occurrence] = &OccurrenceProgress{Done: true}
-	for r.Job.RepeatCount > listedOccurrences && r.Progress[r.Skipped] != nil && r.Progress[r.Skipped].Done {
-		delete(r.Progress, r.Skipped)
-		r.Skipped++
+	for r.Job.RepeatCount > listedOccurrences && r.Progress[r.LeadingDone] != nil && r.Progress[r.LeadingDone].Done {
+		delete(r.Progress, r.LeadingDone)
+		r.LeadingDone++
 	}
 }
 
 // CountDone returns the number of occurrences that are done.
 func (r *Record) CountDone() int {
-	count := r.Skipped
+	count := r.LeadingDone
 	for n, p := range r.Progress {
-		if n >= r.Skipped && n < r.Job.Occurrences() && p.Done {
+		if n >= r.LeadingDone && n < r.Job.Occurrences() && p.Done {
 			count++
 		}
 	}
