scheduler: let a slow server take what has no other room

What callers would see: short tasks that never start while the only server with room for them counts as slow, though less than half of the pool is in use.

Cause: short tasks were kept off slow servers without a bound.

Change: reserved and slow servers are set aside in one way; a task that has been held back for 2 s runs on either while the pool is less than half in use.

Evidence: found by TestPropertyWhatWaitsHoldsBackNothingThatFits in a run of 1,000 plays; TestShortTaskRunsOnSlowBackendWithoutOther failed before.

--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -152,12 +152,12 @@
 func (p *Pool) chooseBackend(c *candidate, t *task, tickets map[string]string, rack string, now time.Time) *backend {
 	var best *backend
 	var bestScore score
-	if c.rank != rankServing && !p.maxFree(c.labelIndex).Covers(c.demand) && !p.fitsReserved(c, now) {
+	if c.rank != rankServing && !p.maxFree(c.labelIndex).Covers(c.demand) && !p.fitsAside(c, now) {
 		return nil
 	}
 	length := p.expectedRunTime(t.step)
 	for _, b := range p.placement.backends {
-		if rack != "" && b.Rack != rack || b.reserved && !p.mayUseReserved(t, b, length, now) || !p.fits(t, b, tickets, now) {
+		if rack != "" && b.Rack != rack || !p.mayUse(t, b, length, now) || !p.hasRoomFor(t, b, tickets, now) {
 			continue
 		}
 		if s := scoreOf(t, b, length, now); best == nil || s.less(bestScore) {
@@ -167,7 +167,13 @@
 	return best
 }
 
+// fits reports whether the backend server has room for the task and isn't too slow for it.
 func (p *Pool) fits(t *task, b *backend, tickets map[string]string, now time.Time) bool {
+	return p.hasRoomFor(t, b, tickets, now) && (t.step.spec.LongRunning || !p.slow(b, now))
+}
+
+// hasRoomFor reports whether the backend server has room for the task and may run it.
+func (p *Pool) hasRoomFor(t *task, b *backend, tickets map[string]string, now time.Time) bool {
 	s := t.step
 	if !b.free().Covers(s.demand) || !b.usable(now) || !b.hasLabel(s.spec.Label) || b.closed() {
 		return false
@@ -175,9 +181,6 @@
 	if tickets != nil && tickets[b.ID] == "" {
 		return false
 	}
-	if !s.spec.LongRunning && p.slow(b, now) {
-		return false
-	}
 	return !p.avoids(t, b, now) && s.antiAffinityAllows(b)
 }
 
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -13,10 +13,11 @@
 // placement is the state of placing tasks during one decision.
 type placement struct {
 	backends        []*backend          // usable backend servers with room for the smallest waiting demand, by ID
-	reserved        []*backend          // those that are reserved for tasks that wait for room
-	reservedRoom    basilwork.Resources // maximum free room of each kind over these
+	reserved        int                 // number of backend servers that are reserved for tasks that wait for room
 	reservedTime    time.Duration       // maximum time until the room that one of these is reserved for comes free
-	halfEmpty       bool                // less than half of the pool's room of each kind is in use; valid while any is reserved
+	aside           []*backend          // those that are reserved or slow, which short tasks may use in some cases only (see mayUse)
+	asideRoom       basilwork.Resources // maximum free room of each kind over these
+	halfEmpty       bool                // less than half of the pool's room of each kind is in use; valid while any is set aside
 	lookaheadLeft   int                 // number of steps without room that may still be considered for requesting tickets
 	ticketStepsLeft int                 // number of steps that may still wait for tickets
 	maxFree         []labelMaxFree      // by label index of the waiting steps
@@ -31,7 +32,8 @@
 // preparePlacement collects the backend servers on which tasks may be placed.
 func (p *Pool) preparePlacement(now time.Time) {
 	p.placement.backends = p.placement.backends[:0]
-	p.placement.reserved, p.placement.reservedRoom, p.placement.reservedTime, p.placement.halfEmpty = p.placement.reserved[:0], noRoom, 0, false
+	p.placement.reserved, p.placement.reservedTime = 0, 0
+	p.placement.aside, p.placement.asideRoom, p.placement.halfEmpty = p.placement.aside[:0], noRoom, false
 	p.placement.lookaheadLeft, p.placement.ticketStepsLeft = min(ticketLookahead, p.waiting.ticketSteps), maxTicketSteps
 	lost := make(map[string]bool, len(p.silences))
 	for n := range p.silences {
@@ -41,6 +43,9 @@
 		if b.free().Covers(p.waiting.minDemand) && b.usable(now) {
 			b.reserved, b.isSlow, b.lostLately = false, p.slow(b, now), lost[b.Address]
 			p.placement.backends = append(p.placement.backends, b)
+			if b.isSlow {
+				p.setAside(b)
+			}
 		}
 	}
 	p.resetMaxFree()
@@ -70,7 +75,7 @@
 
 // full reports whether no waiting short task has room.
 func (p *Pool) full() bool {
-	if p.placement.reservedRoom.Covers(p.waiting.minDemand) && (p.placement.halfEmpty || p.waiting.minLength <= p.placement.reservedTime) {
+	if p.placement.asideRoom.Covers(p.waiting.minDemand) && (p.placement.halfEmpty || p.waiting.minLength <= p.placement.reservedTime) {
 		return false
 	}
 	for label := range p.waiting.labels {
@@ -89,7 +94,7 @@
 		switch {
 		case len(p.actions.Starts) >= p.startLimit:
 			return
-		case c.rank == rankServing, p.maxFree(c.labelIndex).Covers(c.demand), p.fitsReserved(c, now):
+		case c.rank == rankServing, p.maxFree(c.labelIndex).Covers(c.demand), p.fitsAside(c, now):
 			p.placeStep(c, now)
 		case c.needsTickets && p.placement.lookaheadLeft > 0:
 			p.placement.lookaheadLeft--
--- a/internal/basilscheduler/reserve.go
+++ b/internal/basilscheduler/reserve.go
@@ -9,15 +9,15 @@
 
 const (
 	reservedFraction = 3               // one backend server in this many may be reserved for short tasks
-	maxHoldBack      = 2 * time.Second // how long a task may be held back by reservations while the pool has room, out of the 3 s that a task with room may wait
+	maxHoldBack      = 2 * time.Second // how long a task may be held back from reserved or slow servers while the pool has room, out of the 3 s that a task with room may wait
 )
 
 // mayReserve reports whether one more backend server may be reserved for a short task.
-func (p *Pool) mayReserve() bool { return len(p.placement.reserved) < len(p.list)/reservedFraction }
+func (p *Pool) mayReserve() bool { return p.placement.reserved < len(p.list)/reservedFraction }
 
 // reserve keeps smaller tasks off the backend server that lacks the least room for the task, so that they cannot
 // starve a large task. The limit on reservations doesn't apply to long-running tasks. Nothing is reserved where
-// the room won't come free, and what ends before it does may still run there (see mayUseReserved).
+// the room won't come free, and what ends before it does may still run there (see mayUse).
 func (p *Pool) reserve(c *candidate, t *task, now time.Time) {
 	serving := c.rank == rankServing
 	if !serving && (c.rank != rankOnTime || !p.mayReserve()) || p.maxFree(c.labelIndex) == noRoom {
@@ -38,17 +38,23 @@
 	if best == nil {
 		return
 	}
-	if len(p.placement.reserved) == 0 {
-		p.placement.halfEmpty = p.halfEmpty()
-	}
 	best.reserved = true
 	best.reservedFrom = p.roomAt(best, c.demand, now)
-	p.placement.reserved = append(p.placement.reserved, best)
-	p.placement.reservedRoom = p.placement.reservedRoom.Max(best.free())
+	p.placement.reserved++
 	p.placement.reservedTime = max(p.placement.reservedTime, best.reservedFrom.Sub(now))
+	p.setAside(best)
 	p.resetMaxFree()
 }
 
+// setAside notes that the backend server is reserved or slow.
+func (p *Pool) setAside(b *backend) {
+	if len(p.placement.aside) == 0 {
+		p.placement.halfEmpty = p.halfEmpty()
+	}
+	p.placement.aside = append(p.placement.aside, b)
+	p.placement.asideRoom = p.placement.asideRoom.Max(b.free())
+}
+
 // lasts reports whether the run keeps its room until its job is cancelled.
 func (r *run) lasts() bool { return r.task.step.spec.LongRunning && r.phase != phaseStopping }
 
@@ -102,27 +108,31 @@
 	return 2*used.CPU < all.CPU && 2*used.Memory < all.Memory && 2*used.GPU <= all.GPU
 }
 
-// mayUseReserved reports whether the task may run on the backend server although that is reserved for another one: if it is expected to end
-// before that one's room comes free, or has been held back for long while the pool has room. A long-running task that has room doesn't wait
-// longer, however full the pool is.
-func (p *Pool) mayUseReserved(t *task, b *backend, length time.Duration, now time.Time) bool {
-	if now.Sub(t.readyAt) >= maxHoldBack && (t.step.spec.LongRunning || p.placement.halfEmpty) {
+// mayUse reports whether the task may run on the backend server, as far as that is reserved for another task or slow, which is no place for
+// short ones. A short task may run on a reserved one if it is expected to end before the other's room comes free. A task that has been held
+// back for long may run on either while the pool has room; a long-running one also while it is full.
+func (p *Pool) mayUse(t *task, b *backend, length time.Duration, now time.Time) bool {
+	long := t.step.spec.LongRunning
+	if !b.reserved && (long || !b.isSlow) {
+		return true
+	}
+	if now.Sub(t.readyAt) >= maxHoldBack && (long || p.placement.halfEmpty) {
 		return true
 	}
-	return !t.step.spec.LongRunning && !now.Add(length).After(b.reservedFrom)
+	return !long && !b.isSlow && !now.Add(length).After(b.reservedFrom)
 }
 
-// fitsReserved reports whether the next short task of the step has room on a backend server that is reserved for another one.
-func (p *Pool) fitsReserved(c *candidate, now time.Time) bool {
-	if !p.placement.reservedRoom.Covers(c.demand) || c.step.firstIdle >= len(c.step.tasks) {
+// fitsAside reports whether the next short task of the step may run on a backend server that is reserved for another one or slow.
+func (p *Pool) fitsAside(c *candidate, now time.Time) bool {
+	if !p.placement.asideRoom.Covers(c.demand) || c.step.firstIdle >= len(c.step.tasks) {
 		return false
 	}
 	t, length := c.step.tasks[c.step.firstIdle], p.expectedRunTime(c.step)
 	if !p.placement.halfEmpty && length > p.placement.reservedTime {
 		return false
 	}
-	return slices.ContainsFunc(p.placement.reserved, func(b *backend) bool {
-		return b.free().Covers(c.demand) && p.mayUseReserved(t, b, length, now)
+	return slices.ContainsFunc(p.placement.aside, func(b *backend) bool {
+		return b.free().Covers(c.demand) && p.mayUse(t, b, length, now)
 	})
 }
 
--- a/internal/basilscheduler/reserve_test.go
+++ b/internal/basilscheduler/reserve_test.go
@@ -84,6 +84,17 @@
 	must.Eq(t, 1, starts[0].Task.Index)
 }
 
+// TestShortTaskRunsOnSlowBackendWithoutOther checks that a short task waits for a sound backend server for 2 s, and then runs on a slow one if
+// the pool has room nowhere else. It never did.
+func TestShortTaskRunsOnSlowBackendWithoutOther(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 100))
+	f.backends["b1"].slowUntil = f.now.Add(time.Hour)
+	f.addJob("j", stepOf(1, 1000))
+	must.SliceEmpty(t, f.decideAndStart())
+	f.advance(maxHoldBack)
+	must.Len(t, 1, f.decideAndStart())
+}
+
 // waitingPlay plays random waiting work of all kinds on a pool, and judges that nothing that has room waits for long.
 type waitingPlay struct {
 	*fixture
