--- a/internal/basilscheduler/reserve_test.go
+++ b/internal/basilscheduler/reserve_test.go
@@ -88,7 +88,7 @@
 // the pool has room nowhere else. It never did.
 func TestShortTaskRunsOnSlowBackendWithoutOther(t *testing.T) {
 	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 100))
-	f.backends["b1"].slowUntil = f.now.Add(time.Hour)
+	f.backends["b1"].slowUntil, f.backends["b1"].slowOdds = f.now.Add(time.Hour), 100
 	f.addJob("j", stepOf(1, 1000))
 	must.SliceEmpty(t, f.decideAndStart())
 	f.advance(maxHoldBack)
