--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -34,7 +34,6 @@
 	isSlow         bool      // considered slow in the current decision
 	lostLately     bool      // one at its address was lost a short time ago, as of the current decision
 	reserved       bool      // reserved in the current decision for a task that waits for room
-	reservedFrom   time.Time // when that task's room is expected to come free
 	needsCheck     bool      // its runs have to be checked in the next decision
 	checkAt        time.Time // when its runs have to be checked at the latest; zero if not scheduled
 	moveBlocked    bool      // a long-running run cannot move away because no other backend server has room
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -157,7 +157,7 @@
 	}
 	length := p.expectedRunTime(t.step)
 	for _, b := range p.placement.backends {
-		if rack != "" && b.Rack != rack || !p.mayUse(t, b, length, now) || !p.hasRoomFor(t, b, tickets, now) {
+		if rack != "" && b.Rack != rack || !p.mayUse(t, b, now) || !p.hasRoomFor(t, b, tickets, now) {
 			continue
 		}
 		if s := scoreOf(t, b, length, now); best == nil || s.less(bestScore) {
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -14,7 +14,6 @@
 type placement struct {
 	backends        []*backend          // usable backend servers with room for the smallest waiting demand, by ID
 	reserved        int                 // number of backend servers that are reserved for tasks that wait for room
-	reservedTime    time.Duration       // maximum time until the room that one of these is reserved for comes free
 	aside           []*backend          // those that are reserved or slow, which short tasks may use in some cases only (see mayUse)
 	asideRoom       basilwork.Resources // maximum free room of each kind over these
 	halfEmpty       bool                // less than half of the pool's room of each kind is in use; valid while any is set aside
@@ -32,7 +31,7 @@
 // preparePlacement collects the backend servers on which tasks may be placed.
 func (p *Pool) preparePlacement(now time.Time) {
 	p.placement.backends = p.placement.backends[:0]
-	p.placement.reserved, p.placement.reservedTime = 0, 0
+	p.placement.reserved = 0
 	p.placement.aside, p.placement.asideRoom, p.placement.halfEmpty = p.placement.aside[:0], noRoom, false
 	p.placement.lookaheadLeft, p.placement.ticketStepsLeft = min(ticketLookahead, p.waiting.ticketSteps), maxTicketSteps
 	lost := make(map[string]bool, len(p.silences))
@@ -75,7 +74,7 @@
 
 // full reports whether no waiting short task has room.
 func (p *Pool) full() bool {
-	if p.placement.asideRoom.Covers(p.waiting.minDemand) && (p.placement.halfEmpty || p.waiting.minLength <= p.placement.reservedTime) {
+	if p.placement.halfEmpty && p.placement.asideRoom.Covers(p.waiting.minDemand) {
 		return false
 	}
 	for label := range p.waiting.labels {
--- a/internal/basilscheduler/reserve.go
+++ b/internal/basilscheduler/reserve.go
@@ -17,7 +17,7 @@
 
 // reserve keeps smaller tasks off the backend server that lacks the least room for the task, so that they cannot
 // starve a large task. The limit on reservations doesn't apply to long-running tasks. Nothing is reserved where
-// the room won't come free, and what ends before it does may still run there (see mayUse).
+// the room won't come free.
 func (p *Pool) reserve(c *candidate, t *task, now time.Time) {
 	serving := c.rank == rankServing
 	if !serving && (c.rank != rankOnTime || !p.mayReserve()) || p.maxFree(c.labelIndex) == noRoom {
@@ -39,9 +39,7 @@
 		return
 	}
 	best.reserved = true
-	best.reservedFrom = p.roomAt(best, c.demand, now)
 	p.placement.reserved++
-	p.placement.reservedTime = max(p.placement.reservedTime, best.reservedFrom.Sub(now))
 	p.setAside(best)
 	p.resetMaxFree()
 }
@@ -72,33 +70,6 @@
 	return room.Covers(demand)
 }
 
-// roomAt returns when the backend server is expected to have room for the demand.
-func (p *Pool) roomAt(b *backend, demand basilwork.Resources, now time.Time) time.Time {
-	var ending []*run
-	for _, r := range b.runs {
-		if !r.lasts() {
-			ending = append(ending, r)
-		}
-	}
-	slices.SortFunc(ending, func(x, y *run) int { return p.endOf(x, now).Compare(p.endOf(y, now)) })
-	free := b.free()
-	for _, r := range ending {
-		free = free.Add(r.task.step.demand)
-		if free.Covers(demand) {
-			return p.endOf(r, now)
-		}
-	}
-	return now
-}
-
-// endOf returns when a run that doesn't last is expected to have ended.
-func (p *Pool) endOf(r *run, now time.Time) time.Time {
-	if r.phase == phaseStopping {
-		return now.Add(p.options.StopTimeout)
-	}
-	return r.expectedEnd
-}
-
 // halfEmpty reports whether less than half of the room of each kind is in use.
 func (p *Pool) halfEmpty() bool {
 	var used, all basilwork.Resources
@@ -109,31 +80,22 @@
 }
 
 // mayUse reports whether the task may run on the backend server, as far as that is reserved for another task or slow, which is no place for
-// short ones. A short task may run on a reserved one if it is expected to end before the other's room comes free. A task that has been held
-// back for long may run on either while the pool has room; a long-running one also while it is full.
-func (p *Pool) mayUse(t *task, b *backend, length time.Duration, now time.Time) bool {
+// short ones. A task that has been held back for long may run on either while the pool has room; a long-running one also while it is full.
+func (p *Pool) mayUse(t *task, b *backend, now time.Time) bool {
 	long := t.step.spec.LongRunning
 	if !b.reserved && (long || !b.isSlow) {
 		return true
 	}
-	if now.Sub(t.readyAt) >= maxHoldBack && (long || p.placement.halfEmpty) {
-		return true
-	}
-	return !long && !b.isSlow && !now.Add(length).After(b.reservedFrom)
+	return now.Sub(t.readyAt) >= maxHoldBack && (long || p.placement.halfEmpty)
 }
 
 // fitsAside reports whether the next short task of the step may run on a backend server that is reserved for another one or slow.
 func (p *Pool) fitsAside(c *candidate, now time.Time) bool {
-	if !p.placement.asideRoom.Covers(c.demand) || c.step.firstIdle >= len(c.step.tasks) {
-		return false
-	}
-	t, length := c.step.tasks[c.step.firstIdle], p.expectedRunTime(c.step)
-	if !p.placement.halfEmpty && length > p.placement.reservedTime {
+	if !p.placement.halfEmpty || !p.placement.asideRoom.Covers(c.demand) || c.step.firstIdle >= len(c.step.tasks) {
 		return false
 	}
-	return slices.ContainsFunc(p.placement.aside, func(b *backend) bool {
-		return b.free().Covers(c.demand) && p.mayUse(t, b, length, now)
-	})
+	t := c.step.tasks[c.step.firstIdle]
+	return slices.ContainsFunc(p.placement.aside, func(b *backend) bool { return b.free().Covers(c.demand) && p.mayUse(t, b, now) })
 }
 
 // missingShare returns the largest missing share of any kind of room that the demand needs, relative to the total room.
--- a/internal/basilscheduler/waiting.go
+++ b/internal/basilscheduler/waiting.go
@@ -25,7 +25,6 @@
 	pending      []*step // steps that may have become startable since the last decision
 	rankedAt     time.Time
 	minDemand    basilwork.Resources // minimum of the demands of all steps, for each kind of room
-	minLength    time.Duration       // minimum of the expected run times of all steps
 	ticketSteps  int                 // upper bound for the number of steps that need tickets
 	labels       []string            // labels that the steps need, including the empty one
 	labelIndexes map[string]int      // indexes in labels
@@ -197,7 +196,7 @@
 			n, _ := slices.BinarySearchFunc(w.list, c, p.compareCandidates)
 			w.list = slices.Insert(w.list, n, c)
 		}
-		w.add(&c, p.expectedRunTime(s), len(w.list) == 1)
+		w.add(&c, len(w.list) == 1)
 	}
 	clear(w.pending)
 	w.pending = w.pending[:0]
@@ -219,22 +218,21 @@
 			continue
 		}
 		left = append(left, p.newCandidate(s))
-		w.add(&left[len(left)-1], p.expectedRunTime(s), len(left) == 1)
+		w.add(&left[len(left)-1], len(left) == 1)
 	}
 	clear(w.list[len(left):])
 	w.list = left
 }
 
 // add updates the summary fields for a step that waits.
-func (w *waiting) add(c *candidate, length time.Duration, first bool) {
+func (w *waiting) add(c *candidate, first bool) {
 	if c.needsTickets {
 		w.ticketSteps++
 	}
 	if first {
-		w.minDemand, w.minLength = c.demand, length
+		w.minDemand = c.demand
 		return
 	}
-	w.minLength = min(w.minLength, length)
 	w.minDemand = basilwork.Resources{
 		CPU: min(w.minDemand.CPU, c.demand.CPU), Memory: min(w.minDemand.Memory, c.demand.Memory), GPU: min(w.minDemand.GPU, c.demand.GPU),
 	}
