--- a/internal/basilnode/assignments_test.go
+++ b/internal/basilnode/assignments_test.go
@@ -11,8 +11,6 @@
 	"github.com/shoenig/test/must"
 
 	"basilstage.example/basilstage/internal/basilledger"
-	"basilstage.example/basilstage/internal/basilstandin"
-	"basilstage.example/basilstage/platform"
 	"basilstage.example/basilstage/platform/basilfake"
 )
 
@@ -26,7 +24,7 @@
 
 // storedUnder returns the services under which a job is stored.
 func (c *cluster) storedUnder(id string) []string {
-	ledger := basilledger.New(basilsite.NewStore(basilsite.NewClientOn(&basilstandin.Link{Network: c.network}), func() string { return basilfake.StoreAddress }, time.Second))
+	ledger := c.ledger()
 	var found []string
 	for _, service := range services {
 		_, _, err := ledger.Find(c.t.Context(), service, id)
--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -17,6 +17,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 
+	"basilstage.example/basilstage/internal/basilledger"
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilnode"
 	"basilstage.example/basilstage/internal/basilplatform"
@@ -206,6 +207,12 @@
 	}()
 }
 
+// ledger returns a ledger on the site's store that no entry host uses.
+func (c *cluster) ledger() *basilledger.Ledger {
+	client := basilsite.NewClientOn(&basilstandin.Link{Network: c.network})
+	return basilledger.New(basilsite.NewStore(client, func() string { return basilfake.StoreAddress }, time.Second))
+}
+
 // peerAddress returns the address at which other entry hosts reach the named one.
 func peerAddress(name string) string { return name + ":7060" }
 
--- a/internal/basilnode/former_services_test.go
+++ b/internal/basilnode/former_services_test.go
@@ -9,16 +9,14 @@
 	"github.com/shoenig/test/must"
 
 	"basilstage.example/basilstage/internal/basilledger"
-	"basilstage.example/basilstage/internal/basilstandin"
 	"basilstage.example/basilstage/internal/basilwork"
 	"basilstage.example/basilstage/platform"
-	"basilstage.example/basilstage/platform/basilfake"
 )
 
 // TestJobOfReleaseWithoutAssignmentsIsKnown checks that a job that a release without assignments stored is shown and can be cancelled.
 func TestJobOfReleaseWithoutAssignmentsIsKnown(t *testing.T) {
 	run(t, 2, 4, constant(20*time.Second), func(c *cluster) {
-		ledger := basilledger.New(basilsite.NewStore(basilsite.NewClientOn(&basilstandin.Link{Network: c.network}), func() string { return basilfake.StoreAddress }, time.Second))
+		ledger := c.ledger()
 		c.site.Submitted(jobID(1), twoSteps, maxAttempts)
 		job, err := basilsite.Codec{}.Job(jobID(1), "quote", []byte(twoSteps))
 		must.NoError(c.t, err)
--- a/internal/basilnode/queue_address_test.go
+++ b/internal/basilnode/queue_address_test.go
@@ -11,10 +11,8 @@
 	"github.com/shoenig/test/must"
 
 	"basilstage.example/basilstage/internal/basilledger"
-	"basilstage.example/basilstage/internal/basilstandin"
 	"basilstage.example/basilstage/internal/basilwork"
 	"basilstage.example/basilstage/platform"
-	"basilstage.example/basilstage/platform/basilfake"
 )
 
 // testRoute is a route of a configuration: its name, path prefix and service.
@@ -182,7 +180,7 @@
 // stored again after the queue has moved, count as waiting, and can be cancelled.
 func TestJobsOfReleaseWithoutQueueIDsAreKnown(t *testing.T) {
 	run(t, 2, 4, constant(20*time.Second), func(c *cluster) {
-		ledger := basilledger.New(basilsite.NewStore(basilsite.NewClientOn(&basilstandin.Link{Network: c.network}), func() string { return basilfake.StoreAddress }, time.Second))
+		ledger := c.ledger()
 		c.site.AddPool("press", 4, 16000, 65536, false)
 		c.configureRoutes(2, quoteAtStretch)
 		time.Sleep(time.Second)
