--- a/internal/basilexperiment/figures.go
+++ b/internal/basilexperiment/figures.go
@@ -50,6 +50,7 @@
 	Used       float64         `json:"used"`         // mean number that the work would fill
 	Moves      int             `json:"moves"`        // of hosts
 	Wasted     float64         `json:"wasted_cores"` // core-seconds of runs that came to nothing
+	Stranded   int             `json:"stranded"`     // jobs of which nothing ran for long though their pool had room
 	Queues     []*QueueFigures `json:"queues"`
 	series     []moment
 	queues     map[string]*QueueFigures
--- a/internal/basilexperiment/load.go
+++ b/internal/basilexperiment/load.go
@@ -57,6 +57,7 @@
 	Wave     int                 // hosts that are maintained from the second tenth on
 	WaveMost int                 // of them at once
 	Orders   float64             // for hosts, per second, that the platform accepts
+	Starts   float64             // of tasks, per second, that the owner of a pool carries out; 0 for no limit
 
 	HostPrice float64 // worth of holding one host all the time, as a share of all that is to be earned
 	MovePrice float64 // worth of one move, likewise, on a day of one minute
--- a/internal/basilexperiment/pool.go
+++ b/internal/basilexperiment/pool.go
@@ -21,6 +21,7 @@
 	tellEvery   = 250 * time.Millisecond // between a pool's reports to the fleet
 	tellTime    = 40 * time.Millisecond  // of a report or an ask, through the store
 	reportEvery = time.Second            // between reports of a backend server without news
+	startBurst  = 128                    // starts that an owner has queued at most
 )
 
 // pool is one service's scheduler and what it was asked to empty.
@@ -32,6 +33,7 @@
 	told   basilcapacity.PoolReport
 	toldAt time.Duration
 	poked  bool
+	starts startBudget
 }
 
 func newPool(w *world, name string) *pool {
@@ -71,7 +73,14 @@
 	p.poked = false
 	w := p.world
 	p.evacuate()
+	limited := w.load.Starts > 0
+	if limited {
+		p.SetStartLimit(p.starts.left(w.load.Starts, w.now))
+	}
 	actions := p.Decide(w.time())
+	if limited && !p.starts.spend(len(actions.Starts)) {
+		w.after(tellEvery/10, p.poke)
+	}
 	for _, s := range actions.Starts {
 		w.after(callTime, func() { p.start(s) })
 	}
@@ -87,6 +96,25 @@
 	}
 }
 
+// startBudget limits the starts of a pool's owner to a rate.
+type startBudget struct {
+	allowed float64
+	at      time.Duration
+}
+
+// left returns how many starts the owner may carry out now.
+func (b *startBudget) left(rate float64, now time.Duration) int {
+	b.allowed = min(b.allowed+rate*(now-b.at).Seconds(), startBurst)
+	b.at = now
+	return max(0, int(b.allowed))
+}
+
+// spend takes starts from the budget, and reports whether any are left.
+func (b *startBudget) spend(starts int) bool {
+	b.allowed -= float64(starts)
+	return b.allowed >= 1
+}
+
 // evacuate empties what the fleet asked for, and tells it how the pool stands.
 func (p *pool) evacuate() {
 	w := p.world
--- a/internal/basilexperiment/world.go
+++ b/internal/basilexperiment/world.go
@@ -68,6 +68,7 @@
 // plan sets up what happens besides the callers' work.
 func (w *world) plan() {
 	w.every(fleetEvery, w.sample)
+	w.every(fleetEvery, newStrandedCount(w).sample)
 	if w.fleet != nil {
 		w.every(machineEvery, func() { w.fleet.SetMachines(w.machines(), w.time()) })
 		w.every(fleetEvery, w.decide)
