node: log ends of earlier attempts that are ignored

On-call could not see that a task had been done: a backend server that returns lists the end of an attempt that was given up, the scheduler drops it, and no line told of it. The owner is told now, as of slow backend servers, and logs task, attempt, newest attempt and server; counted as ends_ignored. No decision changes.

--- a/internal/basilnode/losses.go
+++ b/internal/basilnode/losses.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	maxLoggedLosses = 16          // runs named in one log line, which is then about 1.5 KB long
+	maxLoggedLosses = 16          // runs named in one log line, which is then about 1.5 KB long, or in lines of their own at once
 	reasonRestarted = "restarted" // the backend server runs as a new incarnation under its ID
 )
 
@@ -44,6 +44,20 @@
 	o.log.WithFields(fields).Warn("runs lost with backend server")
 }
 
+// logIgnoredEnds logs and counts ends of earlier attempts that didn't finish their tasks.
+func (o *owner) logIgnoredEnds(ends []basilscheduler.IgnoredEnd) {
+	if len(ends) == 0 {
+		return
+	}
+	o.node.metrics.endsIgnored(len(ends))
+	shown := ends[:min(len(ends), maxLoggedLosses)]
+	for _, e := range shown {
+		o.logRun(e.Ref).WithFields(logrus.Fields{
+			basillog.FieldOutcome: e.End.String(), "newest_attempt": e.Newest, "newest_host": e.Live, "others": len(ends) - len(shown),
+		}).Warn("end of earlier attempt ignored")
+	}
+}
+
 // describeLosses describes up to maxLoggedLosses runs. Those that may have caused a crash come first: the newest of those
 // whose start was answered.
 func describeLosses(lost []basilscheduler.RunState, now time.Time) []lostRun {
--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -23,6 +23,7 @@
 	backendsMetric = "backends"
 	refusedMetric  = "store_writes_refused"
 	lostRunsMetric = "runs_lost"
+	ignoredMetric  = "ends_ignored"
 	answerLatency  = "answer_latency_ms"
 	startLatency   = "start_latency_ms"
 	commitLatency  = "commit_latency_ms"
@@ -96,6 +97,9 @@
 	m.counts.Add(lostRunsMetric+`{reason="`+reason+`"}`, int64(runs))
 }
 
+// endsIgnored counts ends of earlier attempts that didn't finish their tasks.
+func (m *metrics) endsIgnored(ends int) { m.counts.Add(ignoredMetric, int64(ends)) }
+
 func (m *metrics) committed(records int, err error, d time.Duration) {
 	outcome := "ok"
 	if err != nil {
--- a/internal/basilscheduler/action.go
+++ b/internal/basilscheduler/action.go
@@ -57,6 +57,14 @@
 	Crashes []basilwork.Crash
 }
 
+// IgnoredEnd reports the successful end of an earlier attempt, which doesn't finish its task.
+type IgnoredEnd struct {
+	Ref
+	End    basilwork.RunEnd
+	Newest int    // highest attempt number known
+	Live   string // backend server with a run of the task that may exist, or empty
+}
+
 // Actions are the actions that a decision requests.
 type Actions struct {
 	Starts  []Start
@@ -65,6 +73,7 @@
 	Advice  []AdviceRequest
 	Slow    []Slowness // for information only, like those below
 	GivenUp []GivenUp
+	Ignored []IgnoredEnd
 }
 
 // Empty reports whether no action is requested; what is for information only doesn't count.
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -149,6 +149,7 @@
 	}
 	r := t.runOn(b.ID, e.Attempt)
 	if r == nil && e.End == basilwork.RunEndDone && e.Attempt < t.attempt && !t.step.spec.Speculative {
+		p.tellIgnored(b, t, e)
 		return
 	}
 	if r == nil {
@@ -157,6 +158,18 @@
 	p.endRun(r, e.End, now)
 }
 
+// tellIgnored tells the owner of an end that doesn't finish its task, unless the task is done anyway.
+func (p *Pool) tellIgnored(b *backend, t *task, e basilwork.EndedRun) {
+	if t.done || t.step.occurrence.job.record.State.Final() {
+		return
+	}
+	i := IgnoredEnd{Ref: Ref{Backend: b.ID, Task: t.id, Attempt: e.Attempt}, End: e.End, Newest: t.attempt}
+	if len(t.runs) > 0 {
+		i.Live = t.runs[0].backend.ID
+	}
+	p.actions.Ignored = append(p.actions.Ignored, i)
+}
+
 func (p *Pool) saveCheckpoint(t *task, checkpoint string) {
 	t.checkpoint = checkpoint
 	t.step.progress.SetCheckpoint(t.id.Index, checkpoint)
--- a/internal/basilscheduler/stop_test.go
+++ b/internal/basilscheduler/stop_test.go
@@ -90,3 +90,20 @@
 	f.Report("b1", basilwork.Report{}, f.now, f.now)
 	must.Len(t, 4, f.decideAndStart())
 }
+
+// TestIgnoredEndIsTold covers a task that was done on a silent server and ordered anew before its end was read: the owner must be told that
+// the end has no effect.
+func TestIgnoredEndIsTold(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000))
+	f.addJob("j", stepOf(1, 1000))
+	first := f.decideAndStart()[0]
+	f.advance(time.Second)
+	f.Lost(first.Backend, basilwork.LossExpired, f.now)
+	second := f.decideAndStart()[0]
+	f.setBackends(backendOf("b1", 4000), backendOf("b2", 4000))
+	f.report(first.Backend, 0, end("j.0.0.0", 1, first.Attempt, basilwork.RunEndDone))
+	a := f.Decide(f.now)
+	must.True(t, a.Empty())
+	must.Eq(t, []IgnoredEnd{{Ref: first.Ref, End: basilwork.RunEndDone, Newest: second.Attempt, Live: second.Backend}}, a.Ignored)
+	must.SliceEmpty(t, f.Decide(f.now).Ignored)
+}
