--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -29,6 +29,7 @@
 	predecessorStopEnd time.Time // when the run has ended at the latest if a predecessor requested its stop
 	unansweredSince    time.Time // since when the start request is known to have no answer
 	stopRequestedAt    time.Time // when a stop was last requested; zero if never
+	stoppingSince      time.Time // when a stop was first requested
 	stopAnsweredAt     time.Time // when a stop request was answered
 	ignoredStop        bool      // a stop request was answered and did not end the run
 	percent            int
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -95,6 +95,9 @@
 	}
 	r.stopReason = reason
 	r.stopRequestedAt = now
+	if r.stoppingSince.IsZero() {
+		r.stoppingSince = now
+	}
 	r.backend.scheduleCheck(now.Add(stopRetryInterval))
 	p.actions.Stops = append(p.actions.Stops, Stop{Ref: r.ref(), Reason: reason})
 }
