node: log when the fleet's owner gives no orders

One line tells after 1 s that its lease is not certain or that it has no list of hosts, one when that ends, one that orders for all hosts are held back, and the line about the predecessor's orders says for how long hosts are held. No decision changes. Cost: a comparison per decision of the fleet's owner.

--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -48,6 +48,7 @@
 	events          chan fleetEvent
 	listRequestedAt time.Time // when the latest listing of the hosts was requested
 	lag             fleetLag
+	block           fleetBlock
 	listInFlight    bool
 	startedAt       time.Time
 	loggedAt        time.Time
@@ -217,6 +218,7 @@
 	f.state.SetConfiguration(f.node.configuration())
 	f.refreshHosts(now)
 	f.warnStaleList(now)
+	f.logBlock(now)
 	if !f.node.keeper.MayStart() {
 		return
 	}
--- a/internal/basilnode/fleet_log.go
+++ b/internal/basilnode/fleet_log.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"basilstage.example/basilstage/internal/basillog"
 )
 
 // fleetLag holds how far the control goroutine was behind since the previous log line about it.
@@ -43,3 +45,50 @@
 			Warn("list of hosts is stale")
 	}
 }
+
+const minBlockedTime = time.Second // a first list of the hosts and a late renewal take less
+
+// fleetBlock is the time for which the fleet's owner has given no orders at all.
+type fleetBlock struct {
+	reason string // empty if it gives orders
+	since  time.Time
+	logged bool
+}
+
+// next updates the state. It returns whether the state has lasted for minBlockedTime now, and the state that has ended if it had.
+func (b *fleetBlock) next(reason string, now time.Time) (lasting bool, ended fleetBlock) {
+	if reason != b.reason {
+		if b.logged {
+			ended = *b
+		}
+		*b = fleetBlock{reason: reason, since: now}
+		return false, ended
+	}
+	if reason == "" || b.logged || now.Sub(b.since) < minBlockedTime {
+		return false, ended
+	}
+	b.logged = true
+	return true, ended
+}
+
+// logBlock logs when the fleet's owner has given no orders for minBlockedTime, why, and when that ends.
+func (f *fleet) logBlock(now time.Time) {
+	reason := ""
+	switch {
+	case !f.node.keeper.MayStart():
+		reason = "lease not certain"
+	case f.lag.listAsOf.IsZero():
+		reason = "no list of hosts"
+	}
+	lasting, ended := f.block.next(reason, now)
+	if lasting {
+		f.log.WithFields(logrus.Fields{
+			basillog.FieldReason: reason, "blocked_ms": now.Sub(f.block.since).Milliseconds(),
+			"renewal_age_ms": f.node.keeper.SinceRenewal().Milliseconds(), "asked_for": f.listInFlight,
+		}).Warn("no orders for hosts")
+	}
+	if ended.logged {
+		f.log.WithFields(logrus.Fields{basillog.FieldReason: ended.reason, "blocked_ms": now.Sub(ended.since).Milliseconds()}).
+			Info("no longer without orders for hosts")
+	}
+}
--- a/internal/basilnode/fleet_orders.go
+++ b/internal/basilnode/fleet_orders.go
@@ -58,10 +58,11 @@
 		}
 		if node != f.node.options.Self.Node {
 			f.state.HoldAll(f.startedAt.Add(f.holderChangeDelay()))
+			f.log.WithFields(logrus.Fields{"of": node, "ends_in_ms": f.holderChangeDelay().Milliseconds()}).Info("orders for all hosts held back")
 		}
 		return nil
 	}
-	now, held := time.Now(), 0
+	now, held, longest := time.Now(), 0, time.Duration(0)
 	earliest, _, known := f.node.options.StoreClock.Bounds()
 	for host, o := range orders {
 		at := now
@@ -72,9 +73,10 @@
 		if until := at.Add(f.holderChangeDelay()); o.Node != f.node.options.Self.Node && until.After(now) {
 			f.state.Hold(host, until)
 			held++
+			longest = max(longest, until.Sub(now))
 		}
 	}
-	f.log.WithFields(logrus.Fields{"recent": len(orders), "held": held}).Info("recent host orders of predecessor loaded")
+	f.log.WithFields(logrus.Fields{"recent": len(orders), "held": held, "ends_in_ms": longest.Milliseconds()}).Info("recent host orders of predecessor loaded")
 	return nil
 }
 
