node: log why tasks wait

On-call had no line about a task that waits though there is room, nor about the backend servers that a new owner waits for.

The start limit names what set it, and a stopping owner sets it to 0 for the explanation; it decides no more then. No decision changes.

--- a/internal/basilnode/freshness.go
+++ b/internal/basilnode/freshness.go
@@ -37,5 +37,8 @@
 // markCurrent records that all that was stored before the time is known.
 func (f *freshness) markCurrent(at time.Duration) { f.asOf.Store(int64(at)) }
 
+// age returns how old the copy may be.
+func (f *freshness) age() time.Duration { return f.clock() - time.Duration(f.asOf.Load()) }
+
 // fresh reports whether the copy is recent enough for work to be started.
-func (f *freshness) fresh() bool { return f.clock()-time.Duration(f.asOf.Load()) < f.maxAge }
+func (f *freshness) fresh() bool { return f.age() < f.maxAge }
--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -24,6 +24,8 @@
 	refusedMetric  = "store_writes_refused"
 	lostRunsMetric = "runs_lost"
 	ignoredMetric  = "ends_ignored"
+	waitingMetric  = "waiting_tasks"
+	longestMetric  = "longest_wait_ms"
 	answerLatency  = "answer_latency_ms"
 	startLatency   = "start_latency_ms"
 	commitLatency  = "commit_latency_ms"
@@ -87,6 +89,28 @@
 	}
 }
 
+// setWaits sets how many tasks of a pool wait for which reason, and the longest wait for each reason.
+func (m *metrics) setWaits(pool string, w basilscheduler.Waits) {
+	for _, reason := range basilscheduler.WaitReasonValues() {
+		label := `{pool="` + pool + `",reason="` + reason.String() + `"}`
+		m.setGauge(waitingMetric+label, int64(w.Tasks[reason]))
+		m.setGauge(longestMetric+label, w.Longest[reason].Milliseconds())
+	}
+}
+
+// setGauge sets a value, which is not shown before it is set to another one than zero.
+func (m *metrics) setGauge(name string, value int64) {
+	v, ok := m.counts.Get(name).(*expvar.Int)
+	if !ok {
+		if value == 0 {
+			return
+		}
+		v = new(expvar.Int)
+		m.counts.Set(name, v)
+	}
+	v.Set(value)
+}
+
 // writeRejected counts a write that the store rejected as invalid, by table.
 func (m *metrics) writeRejected(table string) {
 	m.counts.Add(refusedMetric+`{table="`+table+`"}`, 1)
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -47,6 +47,9 @@
 	ownWrites        ownWrites
 	workload         workload
 	stats            loopStats
+	waitLog          waitLog
+	predecessors     predecessorWait
+	startBlock       startBlock // why the last decision allowed no starts
 	pacer            pacer
 	holdPacer        holdPacer
 	events           chan event
@@ -100,6 +103,7 @@
 // run is the control goroutine: it loads the stored jobs and schedules them until the owner's context ends.
 func (o *owner) run() {
 	defer close(o.done)
+	defer o.node.metrics.setWaits(o.service, basilscheduler.Waits{})
 	version, ok := o.loadJobs()
 	if !ok {
 		return
@@ -180,6 +184,7 @@
 		return time.Second
 	}
 	wake := o.decide(now)
+	o.logPredecessors(now)
 	o.logLoad(now)
 	o.removeFinished(now)
 	wait := o.commitIfDue(now)
@@ -190,10 +195,13 @@
 // decide runs the scheduler and carries out its actions. It returns the time until the next decision.
 func (o *owner) decide(now time.Time) time.Duration {
 	if o.stopping {
+		o.startBlock = startBlockStopping
+		o.pool.SetStartLimit(0)
 		return time.Second
 	}
 	o.evacuate(now)
-	starts := o.startLimit()
+	var starts int
+	starts, o.startBlock = o.startLimit()
 	o.pool.SetStartLimit(starts)
 	began := time.Now()
 	actions := o.pool.Decide(now)
@@ -209,15 +217,24 @@
 // copiesFresh reports whether the data about jobs and backend servers is recent enough to start tasks.
 func (o *owner) copiesFresh() bool { return o.jobFreshness.fresh() && o.backendFreshness.fresh() }
 
-// startLimit returns how many starts the scheduler may decide: no more than could be sent.
-func (o *owner) startLimit() int {
-	if !o.node.keeper.MayStart() || !o.copiesFresh() {
-		return 0
+// startLimit returns how many starts the scheduler may decide, no more than could be sent, and why if there are none.
+func (o *owner) startLimit() (int, startBlock) {
+	switch {
+	case !o.node.keeper.MayStart():
+		return 0, startBlockLease
+	case !o.jobFreshness.fresh():
+		return 0, startBlockJobs
+	case !o.backendFreshness.fresh():
+		return 0, startBlockBackends
+	}
+	room := o.orders.room()
+	if room == 0 {
+		return 0, startBlockOrders
 	}
-	return o.orders.room()
+	return room, startBlockNone
 }
 
-// logLoad logs the pool's load, at most once per loadLogInterval, and updates the metrics of its backend servers.
+// logLoad logs the pool's load and why tasks wait, at most once per loadLogInterval, and updates the metrics about it.
 func (o *owner) logLoad(now time.Time) {
 	if now.Sub(o.lastLoadLog) < loadLogInterval {
 		return
@@ -232,6 +249,7 @@
 		"hold_gather_ms": o.holdPacer.interval().Milliseconds(),
 		"orders_queued":  o.orders.queued(), "runs_without_job": l.Orphans, "runs_not_stopping": l.Unstopped,
 	}).WithFields(o.stats.fields()).Info("pool load")
+	o.logWaits(now)
 }
 
 // loadJobs reads the shard's jobs, the backend servers that the previous owner used and the evacuation request. It
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -122,6 +123,18 @@
 	p.backends[entry.ID].present = false
 }
 
+// PredecessorBackends returns the number of backend servers that may have runs of a previous owner and have not answered.
+func (p *Pool) PredecessorBackends() int { return len(p.predecessorUntil) }
+
+// SomePredecessorBackends returns the IDs of up to limit of these backend servers, and how long the last of all is waited for at most.
+func (p *Pool) SomePredecessorBackends(limit int, now time.Time) (ids []string, left time.Duration) {
+	ids = slices.Sorted(maps.Keys(p.predecessorUntil))
+	for _, until := range p.predecessorUntil {
+		left = max(left, until.Sub(now))
+	}
+	return ids[:min(len(ids), limit)], left
+}
+
 // AddJob adds a stored job. With adopted set, a previous owner may have started tasks of it.
 func (p *Pool) AddJob(r basilwork.Record, adopted bool) {
 	if p.jobs[r.Job.ID] != nil || r.State.Final() {
