scheduler: explain waits of long-running tasks first

With many short tasks that wait while a closed backend server has room, the 64 steps that are examined held no long-running task that came later, which is the one that must not wait. The test failed before.

--- a/internal/basilscheduler/explain.go
+++ b/internal/basilscheduler/explain.go
@@ -28,11 +28,15 @@
 	id       basilwork.TaskID
 }
 
+// long reports whether the task is a long-running one, which should never wait long while there is room.
+func (w *longWait) long() bool { return w.step != nil && w.step.spec.LongRunning }
+
+// compare orders waits by how important it is to explain them.
 func (w *longWait) compare(o *longWait) int {
 	switch {
-	case w.expected != o.expected && o.expected:
+	case w.expected != o.expected && o.expected, w.expected == o.expected && w.long() && !o.long():
 		return -1
-	case w.expected != o.expected:
+	case w.expected != o.expected, w.long() != o.long():
 		return 1
 	}
 	if d := w.since.Compare(o.since); d != 0 {
@@ -51,8 +55,8 @@
 	unready []*step                        // scratch space of collectSteps
 }
 
-// ExplainWaits returns why tasks have not been at work for long. It changes nothing. At most maxExplainedSteps steps are examined: those with
-// long-running tasks and those for which a backend server has room come first.
+// ExplainWaits returns why tasks have not been at work for long. It changes nothing. At most maxExplainedSteps steps are examined: those for
+// which a backend server seems to have room come first, and of these the ones with long-running tasks.
 func (p *Pool) ExplainWaits(now time.Time) Waits {
 	e := explainer{Pool: p, now: now, rooms: make(map[string]basilwork.Resources)}
 	e.collectRuns()
--- a/internal/basilscheduler/explain_test.go
+++ b/internal/basilscheduler/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -255,14 +256,17 @@
 		b.reachable = false
 	}
 	p.addJob(longStep(1, 60000))
+	last := fmt.Sprintf("%016x", p.jobs)
 	p.decide()
 	p.now = p.now.Add(3 * time.Second)
 	p.decide()
 	w := p.ExplainWaits(p.now)
 	must.LessEq(t, maxExplainedSteps, len(w.List))
 	must.Positive(t, w.Unexamined)
-	must.MapContainsKey(t, w.Tasks, WaitReasonNotReachable)
 	must.False(t, w.List[0].Expected)
+	n := slices.IndexFunc(w.List, func(x Wait) bool { return x.Task.Job == last })
+	must.GreaterEq(t, 0, n, must.Sprint("the long-running task that came last"))
+	must.Eq(t, WaitReasonNotReachable, w.List[n].Reason)
 }
 
 // TestExplainingWaitsChangesNoDecision compares the decisions of two pools, of which one explains its waits between them.
