--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -23,6 +23,10 @@
 	backendsMetric = "backends"
 	refusedMetric  = "store_writes_refused"
 	lostRunsMetric = "runs_lost"
+	ignoredMetric  = "ends_ignored"
+	waitingMetric  = "waiting_tasks"
+	longestMetric  = "longest_wait_ms"
+	moreWaits      = "waits_unexamined"
 	answerLatency  = "answer_latency_ms"
 	startLatency   = "start_latency_ms"
 	commitLatency  = "commit_latency_ms"
@@ -86,6 +90,30 @@
 	}
 }
 
+// setWaits sets how many tasks of a pool wait for which reason, the longest wait for each reason, and how many steps and runs were not
+// examined.
+func (m *metrics) setWaits(pool string, w basilscheduler.Waits) {
+	m.setGauge(moreWaits+`{pool="`+pool+`"}`, int64(w.Unexamined))
+	for _, reason := range basilscheduler.WaitReasonValues() {
+		label := `{pool="` + pool + `",reason="` + reason.String() + `"}`
+		m.setGauge(waitingMetric+label, int64(w.Tasks[reason]))
+		m.setGauge(longestMetric+label, w.Longest[reason].Milliseconds())
+	}
+}
+
+// setGauge sets a value, which is not shown before it is set to another one than zero.
+func (m *metrics) setGauge(name string, value int64) {
+	v, ok := m.counts.Get(name).(*expvar.Int)
+	if !ok {
+		if value == 0 {
+			return
+		}
+		v = new(expvar.Int)
+		m.counts.Set(name, v)
+	}
+	v.Set(value)
+}
+
 // writeRejected counts a write that the store rejected as invalid, by table.
 func (m *metrics) writeRejected(table string) {
 	m.counts.Add(refusedMetric+`{table="`+table+`"}`, 1)
@@ -96,6 +124,9 @@
 	m.counts.Add(lostRunsMetric+`{reason="`+reason+`"}`, int64(runs))
 }
 
+// endsIgnored counts ends of earlier attempts that didn't finish their tasks.
+func (m *metrics) endsIgnored(ends int) { m.counts.Add(ignoredMetric, int64(ends)) }
+
 func (m *metrics) committed(records int, err error, d time.Duration) {
 	outcome := "ok"
 	if err != nil {
