capacity: give a pool no more hosts than its owner can start tasks on

Cause: the need of a pool was its waiting work, whatever its owner could start. An owner on a weak or slow host starts some hundreds of tasks a second; its pool held 257 of 350 hosts and used a fifth of them, while the pools that peaked next had 12 to 20 hosts and none free, so that they were served late by owners that were fast enough. Class of fault: capacity is handed out by demand alone, without regard to what limits its use.

Change: an owner tells when decisions end at the limit of starts for half a second while a third of the room or more is free. Its pool is then given a quarter more hosts than it keeps in use, a tenth more each second, until it says so no more; a new owner starts without a limit.

--- a/internal/basilcapacity/answer.go
+++ b/internal/basilcapacity/answer.go
@@ -32,7 +32,7 @@
 // reportedLoad converts a scheduler's load to the part of it that is reported to the fleet.
 func reportedLoad(l basilscheduler.Load) Load {
 	return Load{
-		Used: l.Used.CPU, WaitingDemand: l.WaitingDemand.CPU, Serving: l.Serving.CPU, MinHosts: l.MinBackends, ArrivedWork: int64(l.ArrivedWork.CPU), Leaving: l.Leaving,
+		Used: l.Used.CPU, WaitingDemand: l.WaitingDemand.CPU, Serving: l.Serving.CPU, MinHosts: l.MinBackends, ArrivedWork: int64(l.ArrivedWork.CPU), Leaving: l.Leaving, Limited: l.Limited,
 		Memory: Amounts{Used: l.Used.Memory, WaitingDemand: l.WaitingDemand.Memory, Serving: l.Serving.Memory, ArrivedWork: int64(l.ArrivedWork.Memory)},
 		GPU:    Amounts{Used: l.Used.GPU, WaitingDemand: l.WaitingDemand.GPU, Serving: l.Serving.GPU, ArrivedWork: int64(l.ArrivedWork.GPU)},
 		Idle:   l.Idle, ShortOnly: limitIDs(l.ShortOnly), Movable: limitIDs(l.Movable), Slow: limitIDs(l.Slow),
@@ -56,5 +56,5 @@
 			return true
 		}
 	}
-	return l.MinHosts != last.MinHosts || l.Leaving != last.Leaving || !slices.Equal(l.Idle, last.Idle) || !slices.Equal(l.Slow, last.Slow)
+	return l.MinHosts != last.MinHosts || l.Leaving != last.Leaving || l.Limited != last.Limited || !slices.Equal(l.Idle, last.Idle) || !slices.Equal(l.Slow, last.Slow)
 }
--- a/internal/basilcapacity/demand.go
+++ b/internal/basilcapacity/demand.go
@@ -25,6 +25,8 @@
 	recentNeeds []needSample // needs during the last releaseDelay
 
 	spareSince time.Time // since when the pool has had spare hosts; zero if it has none
+
+	fill fillLimit
 }
 
 type needSample struct {
@@ -51,6 +53,7 @@
 	if !d.updatedAt.IsZero() {
 		passed = now.Sub(d.updatedAt).Seconds()
 	}
+	d.fill.observe(l, l.ArrivedWork < d.trends[resourceCPU].arrived, now)
 	for r, a := range l.amounts() {
 		d.trends[r].observe(a, passed)
 	}
@@ -77,6 +80,7 @@
 		return 0
 	}
 	hosts, _ := f.hostsForDemand(pool, now)
+	hosts = min(hosts, f.fillLimit(pool, now))
 	hosts = max(hosts, f.reports[pool].Load.MinHosts, minPoolHosts)
 	d.recentNeeds = slices.DeleteFunc(d.recentNeeds, func(s needSample) bool { return now.Sub(s.at) > releaseDelay })
 	d.recentNeeds = append(d.recentNeeds, needSample{now, hosts})
--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -42,6 +42,7 @@
 	Serving       int      `json:"serving,omitempty"` // CPU of long-running tasks
 	MinHosts      int      `json:"least,omitempty"`   // hosts required by long-running tasks
 	Leaving       int      `json:"leaving,omitempty"` // backend servers that will stop soon
+	Limited       bool     `json:"limited,omitempty"` // the pool's owner starts too few tasks to fill its hosts
 	ArrivedWork   int64    `json:"arrived,omitempty"` // total estimated work of all jobs so far, thousandths of core-seconds
 	Memory        Amounts  `json:"memory,omitzero"`   // MB
 	GPU           Amounts  `json:"gpu,omitzero"`
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -30,6 +30,7 @@
 	Serving       basilwork.Resources // of the long-running tasks
 	MinBackends   int                 // minimum number of backend servers for the long-running tasks
 	ArrivedWork   basilwork.Resources // total estimated work of the jobs added so far: what their tasks reserve, times seconds
+	Limited       bool                // the owner starts too few tasks to fill the room
 	Idle          []string            // usable backend servers without runs
 	ShortOnly     []string            // usable backend servers with short runs only, those expected to be empty first at the front
 	Slow          []string            // usable backend servers that take much longer than most others
@@ -121,6 +122,7 @@
 			l.Idle = append(l.Idle, b.ID)
 		}
 	}
+	l.Limited = p.StartsLimited(now)
 	l.ShortOnly = p.shortOnlyBackends(now)
 	l.Movable = p.movableBackends(now)
 	if p.needsBackend {
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -17,6 +17,7 @@
 	aside           []*backend          // those that are reserved or slow, which short tasks may use in some cases only (see mayUse)
 	asideRoom       basilwork.Resources // maximum free room of each kind over these
 	halfEmpty       bool                // less than half of the pool's room of each kind is in use; valid while any is set aside
+	limited         bool                // tasks were left when the limit of starts was reached
 	lookaheadLeft   int                 // number of steps without room that may still be considered for requesting tickets
 	ticketStepsLeft int                 // number of steps that may still wait for tickets
 	maxFree         []labelMaxFree      // by label index of the waiting steps
@@ -31,7 +32,7 @@
 // preparePlacement collects the backend servers on which tasks may be placed.
 func (p *Pool) preparePlacement(now time.Time) {
 	p.placement.backends = p.placement.backends[:0]
-	p.placement.reserved = 0
+	p.placement.reserved, p.placement.limited = 0, false
 	p.placement.aside, p.placement.asideRoom, p.placement.halfEmpty = p.placement.aside[:0], noRoom, false
 	p.placement.lookaheadLeft, p.placement.ticketStepsLeft = min(ticketLookahead, p.waiting.ticketSteps), maxTicketSteps
 	lost := make(map[string]bool, len(p.silences))
@@ -88,10 +89,12 @@
 // place assigns waiting tasks to backend servers until no room is left for any of them.
 func (p *Pool) place(now time.Time) {
 	p.preparePlacement(now)
+	defer func() { p.startPressure.record(p.placement.limited, p.startLimit, now) }()
 	for n := range p.waiting.list {
 		c := &p.waiting.list[n]
 		switch {
 		case len(p.actions.Starts) >= p.startLimit:
+			p.placement.limited = p.placement.limited || c.step.hasWaiting()
 			return
 		case c.rank == rankServing, p.maxFree(c.labelIndex).Covers(c.demand), p.fitsAside(c, now):
 			p.placeStep(c, now)
@@ -117,6 +120,7 @@
 	for n := s.firstIdle; n < len(s.tasks); n++ {
 		t := s.tasks[n]
 		if len(p.actions.Starts) >= p.startLimit {
+			p.placement.limited = s.hasWaiting()
 			return
 		}
 		if !t.idle() {
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -70,6 +70,7 @@
 	givenUp          map[string]time.Time // when jobs were given up since backend servers crashed under their tasks, as long as silences are kept
 	inheritedCrash   bool                 // a backend server that may have had runs of a predecessor has crashed
 	startLimit       int                  // maximum number of starts per decision
+	startPressure    startPressure
 }
 
 // New returns an empty pool.
