node: hand over a pool whose owner can't start enough tasks to a clearly better host

Cause: an owner counted as overloaded by how late it handles events.

Change: four windows in which the starts don't fill the pool count like four with late events. Such an owner hands over only to a clearly better member, by weight: only with late events is a low processor use a sign of a host that is slowed down.

Test: TestOwnerThatLeavesRoomFreeIsOverloaded (the field that it sets is new, so it could not fail before).

--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -80,6 +80,7 @@
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
 	o.workload.processor = n.options.ProcessorTime
+	o.workload.limited = func() bool { return o.pool.StartsLimited(time.Now()) }
 	o.jobFreshness.watchJobs(n.options.Clock, cmp.Or(n.options.CancelStartWindow, defaultCancelStartWindow))
 	o.backendFreshness.watchBackends(n.options.Clock, cmp.Or(n.options.DrainStartWindow, defaultDrainStartWindow))
 	o.orders.fresh, o.orders.withdraw = o.copiesFresh, o.withdraw
@@ -157,7 +158,9 @@
 func (o *owner) handleOverload() {
 	fraction := o.workload.shareFraction(o.node.options.Self.Weight)
 	better := o.node.keeper.HasBetterOwner(fraction)
-	o.log.WithFields(logrus.Fields{"share": o.workload.share, "rate": fraction, "handed_over": better}).Warn("pool owner is short of processor time")
+	o.log.WithFields(logrus.Fields{
+		"share": o.workload.share, "rate": fraction, "starts_limited": o.workload.limited(), "handed_over": better,
+	}).Warn("pool owner is short of processor time")
 	if better {
 		o.stopping = true
 		go o.node.handOver(o.service, fraction < 1)
--- a/internal/basilnode/workload.go
+++ b/internal/basilnode/workload.go
@@ -9,7 +9,8 @@
 	minShareFraction = 0.5                    // fraction of its processor share below which a busy process must be slowed down from outside
 )
 
-// workload detects lasting overload of a control goroutine by how long events wait for it. The zero value is ready to use.
+// workload detects lasting overload of a control goroutine: events wait long for it, or it can't send as many starts as its pool has room for,
+// while events are handled in time. The zero value is ready to use.
 //
 // The fraction of time for which the goroutine is busy would tell less: it may be busy and on time, or slowed down by other
 // processes on its host.
@@ -18,7 +19,9 @@
 	totalWait   time.Duration // sum over the events of the window
 	events      int
 	overloaded  int                  // overloaded windows in a row
+	late        bool                 // events waited long in the last full window
 	processor   func() time.Duration // processor time used by the process so far; nil if not known
+	limited     func() bool          // reports whether tasks wait for lack of starts while the pool has room; nil if not known
 	usedAtStart time.Duration        // processor time at the start of the window
 	share       float64              // cores that the process used in the last full window
 }
@@ -39,7 +42,8 @@
 	if window < overloadWindow {
 		return false
 	}
-	if w.events > 0 && w.totalWait > time.Duration(w.events)*overloadWait {
+	w.late = w.events > 0 && w.totalWait > time.Duration(w.events)*overloadWait
+	if w.late || w.limited != nil && w.limited() {
 		w.overloaded++
 	} else {
 		w.overloaded = 0
@@ -58,9 +62,10 @@
 }
 
 // shareFraction returns the fraction of its processor share, own, that the process got in the last window, or 1 if it got at least
-// minShareFraction of it. It is meant for windows with overload, in which the process would have used all that it got.
+// minShareFraction of it. It is meant for windows with overload, in which the process would have used all that it got. One that handles
+// its events in time may have been waiting, so it counts as having got its share.
 func (w *workload) shareFraction(own float64) float64 {
-	if own = min(own, 1); w.share > 0 && w.share < minShareFraction*own {
+	if own = min(own, 1); w.late && w.share > 0 && w.share < minShareFraction*own {
 		return w.share / own
 	}
 	return 1
--- a/internal/basilnode/workload_test.go
+++ b/internal/basilnode/workload_test.go
@@ -34,3 +34,21 @@
 		})
 	}
 }
+
+// TestOwnerThatLeavesRoomFreeIsOverloaded checks that an owner whose starts don't fill its pool for long counts as overloaded, though it
+// handles events in time.
+func TestOwnerThatLeavesRoomFreeIsOverloaded(t *testing.T) {
+	limited := true
+	w := workload{limited: func() bool { return limited }}
+	now := time.Now()
+	must.False(t, w.lastingOverload(now))
+	for range overloadWindows - 1 {
+		now = now.Add(overloadWindow)
+		must.False(t, w.lastingOverload(now))
+	}
+	now = now.Add(overloadWindow)
+	must.True(t, w.lastingOverload(now))
+	limited = false
+	now = now.Add(overloadWindow)
+	must.False(t, w.lastingOverload(now))
+}
