test: a step waits though the work before it is done

The task of the step before was done on a server that was silent for longer than its lease; the end was listed after the task had been started elsewhere. processEnd drops a done of an earlier attempt whose run was given up, so the step isn't ready for the owner until the other run ends.

The test fails on the present code.

--- /dev/null
+++ b/internal/basilscheduler/lost_test.go
@@ -0,0 +1,31 @@
+package basilscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// TestStepRunsAfterEndOfSilentBackend checks that a step starts once the work before it is done, though the end is read late: the backend
+// server was silent for longer than its lease, and the task has been started again elsewhere. The step waited for that run too.
+func TestStepRunsAfterEndOfSilentBackend(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000))
+	second := longStep(1, 1000)
+	second.After = []int{0}
+	f.addJob("j", stepOf(1, 1000), second)
+	first := f.decideAndStart()[0]
+	f.advance(7 * time.Second)
+	f.Lost(first.Backend, basilwork.LossExpired, f.now)
+	again := f.decideAndStart()
+	must.Len(t, 1, again)
+	must.NotEq(t, first.Backend, again[0].Backend)
+	f.advance(time.Second)
+	f.setBackends(backendOf("b1", 4000), backendOf("b2", 4000))
+	f.report(first.Backend, 0, end("j.0.0.0", 1, first.Attempt, basilwork.RunEndDone))
+	starts := f.decideAndStart()
+	must.Len(t, 1, starts)
+	must.Eq(t, 1, starts[0].Task.Step)
+}
