test: a job is failed for a start that began after the crash

Restarted takes each run that was ordered before the hold was sent and isn't listed for one that the crash ended, also one whose start was answered after that. Such a run may have begun after the hold was answered; it counted as a second crash.

--- a/internal/basilscheduler/lost_test.go
+++ b/internal/basilscheduler/lost_test.go
@@ -29,3 +29,21 @@
 	must.Len(t, 1, starts)
 	must.Eq(t, 1, starts[0].Task.Step)
 }
+
+// TestStartOnRestartedBackendIsNoCrash checks that a job isn't failed for a start that a backend server began after it had crashed and come
+// back under its ID, which a report requested before the answer doesn't list. It counted as a run under which the server crashed.
+func TestStartOnRestartedBackendIsNoCrash(t *testing.T) {
+	f := newFixture(t, backendsInRacks(6)...)
+	f.addJob("j", stepOf(1, 1000))
+	f.crash(f.decideAndStart()[0].Backend)
+	f.Take("j")
+	s := f.Decide(f.now).Starts[0]
+	f.advance(10 * time.Millisecond)
+	sent := f.now
+	f.advance(10 * time.Millisecond)
+	f.Started(s.Ref, basilwork.RefusalNone, true, f.now)
+	f.advance(10 * time.Millisecond)
+	f.Restarted(s.Backend, basilwork.Report{}, sent, f.now)
+	f.Report(s.Backend, basilwork.Report{}, sent, f.now)
+	must.SliceEmpty(t, f.Decide(f.now).GivenUp)
+}
