test: a job is failed for starts that were refused

A task that ran on one of them was started again at others that the owner hadn't found crashed yet. Each answered that it has another incarnation, but the loss was handled before the answer and counted as an uncertain crash. One crash with two uncertain ones gives the job up: it was shown as failed after a single crash.

--- a/internal/basilscheduler/lost_test.go
+++ b/internal/basilscheduler/lost_test.go
@@ -47,3 +47,25 @@
 	f.Report(s.Backend, basilwork.Report{}, sent, f.now)
 	must.SliceEmpty(t, f.Decide(f.now).GivenUp)
 }
+
+// TestJobIsNotFailedForStartsInFlightWhenServersCrash checks that a job outlasts the crash of all backend servers at once: its task ran on one
+// of them, and the starts that were on their way to others, which had crashed before, were refused there.
+func TestJobIsNotFailedForStartsInFlightWhenServersCrash(t *testing.T) {
+	list := backendsInRacks(6)
+	for n := range list {
+		list[n].Rack = ""
+	}
+	f := newFixture(t, list...)
+	f.addJob("j", stepOf(1, 1000))
+	f.reportAll()
+	f.Lost(f.decideAndStart()[0].Backend, basilwork.LossReplaced, f.now)
+	for range 2 {
+		f.advance(20 * time.Millisecond)
+		s := f.Decide(f.now).Starts
+		must.Len(t, 1, s)
+		f.advance(10 * time.Millisecond)
+		f.Lost(s[0].Backend, basilwork.LossReplaced, f.now)
+		f.Started(s[0].Ref, basilwork.RefusalGone, true, f.now)
+	}
+	must.SliceEmpty(t, f.Decide(f.now).GivenUp)
+}
