test: waiting steps don't ask for advice on new servers

A way in which a task can stay without a run for as long as advice is valid, found by reading: ticketsFor returns the tickets of a step until they expire and asks only for the servers that are usable when it asks. After a change of owner these are the few that have answered by then. Tasks without room on these wait, though other servers with room could be eligible.

The test fails on the present code.

--- a/internal/basilscheduler/lost_test.go
+++ b/internal/basilscheduler/lost_test.go
@@ -69,3 +69,26 @@
 	}
 	must.SliceEmpty(t, f.Decide(f.now).GivenUp)
 }
+
+// TestStepAsksForAdviceOnBackendsThatCameLater checks that a step whose queue needs advice runs on a backend server that became usable after the
+// advice was asked for, as most do after a change of owner. It waited for the end of the advice's validity.
+func TestStepAsksForAdviceOnBackendsThatCameLater(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 1000))
+	f.SetConfiguration(&basilwork.Configuration{Queues: []basilwork.Queue{
+		{Name: "quote", Service: "stretch", Advice: &basilwork.Advice{ValidFor: time.Minute}},
+	}})
+	f.addJob("j", longStep(2, 1000))
+	asked := f.Decide(f.now).Advice
+	must.Len(t, 1, asked)
+	f.Advised(asked[0].Step, []basilwork.Ticket{{Backend: "b1", Value: "ticket"}}, time.Minute, f.now)
+	must.Len(t, 1, f.decideAndStart())
+	f.setBackends(backendOf("b1", 1000), backendOf("b2", 1000))
+	for range 30 {
+		f.advance(100 * time.Millisecond)
+		for _, a := range f.Decide(f.now).Advice {
+			must.SliceContains(t, a.Backends, "b2")
+			return
+		}
+	}
+	t.Fatal("no advice on b2 was asked for in 3 s")
+}
