--- /dev/null
+++ b/internal/basilscheduler/lost_test.go
@@ -0,0 +1,94 @@
+package basilscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// TestStepRunsAfterEndOfSilentBackend checks that a step starts once the work before it is done, though the end is read late: the backend
+// server was silent for longer than its lease, and the task has been started again elsewhere. The step waited for that run too.
+func TestStepRunsAfterEndOfSilentBackend(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000))
+	second := longStep(1, 1000)
+	second.After = []int{0}
+	f.addJob("j", stepOf(1, 1000), second)
+	first := f.decideAndStart()[0]
+	f.advance(7 * time.Second)
+	f.Lost(first.Backend, basilwork.LossExpired, f.now)
+	again := f.decideAndStart()
+	must.Len(t, 1, again)
+	must.NotEq(t, first.Backend, again[0].Backend)
+	f.advance(time.Second)
+	f.setBackends(backendOf("b1", 4000), backendOf("b2", 4000))
+	f.report(first.Backend, 0, end("j.0.0.0", 1, first.Attempt, basilwork.RunEndDone))
+	starts := f.decideAndStart()
+	must.Len(t, 1, starts)
+	must.Eq(t, 1, starts[0].Task.Step)
+}
+
+// TestStartOnRestartedBackendIsNoCrash checks that a job isn't failed for a start that a backend server began after it had crashed and come
+// back under its ID, which a report requested before the answer doesn't list. It counted as a run under which the server crashed.
+func TestStartOnRestartedBackendIsNoCrash(t *testing.T) {
+	f := newFixture(t, backendsInRacks(6)...)
+	f.addJob("j", stepOf(1, 1000))
+	f.crash(f.decideAndStart()[0].Backend)
+	f.Take("j")
+	s := f.Decide(f.now).Starts[0]
+	f.advance(10 * time.Millisecond)
+	sent := f.now
+	f.advance(10 * time.Millisecond)
+	f.Started(s.Ref, basilwork.RefusalNone, true, f.now)
+	f.advance(10 * time.Millisecond)
+	f.Restarted(s.Backend, basilwork.Report{}, sent, f.now)
+	f.Report(s.Backend, basilwork.Report{}, sent, f.now)
+	must.SliceEmpty(t, f.Decide(f.now).GivenUp)
+}
+
+// TestJobIsNotFailedForStartsInFlightWhenServersCrash checks that a job outlasts the crash of all backend servers at once: its task ran on one
+// of them, and the starts that were on their way to others, which had crashed before, were refused there.
+func TestJobIsNotFailedForStartsInFlightWhenServersCrash(t *testing.T) {
+	list := backendsInRacks(6)
+	for n := range list {
+		list[n].Rack = ""
+	}
+	f := newFixture(t, list...)
+	f.addJob("j", stepOf(1, 1000))
+	f.reportAll()
+	f.Lost(f.decideAndStart()[0].Backend, basilwork.LossReplaced, f.now)
+	for range 2 {
+		f.advance(20 * time.Millisecond)
+		s := f.Decide(f.now).Starts
+		must.Len(t, 1, s)
+		f.advance(10 * time.Millisecond)
+		f.Lost(s[0].Backend, basilwork.LossReplaced, f.now)
+		f.Started(s[0].Ref, basilwork.RefusalGone, true, f.now)
+	}
+	must.SliceEmpty(t, f.Decide(f.now).GivenUp)
+}
+
+// TestStepAsksForAdviceOnBackendsThatCameLater checks that a step whose queue needs advice runs on a backend server that became usable after the
+// advice was asked for, as most do after a change of owner. It waited for the end of the advice's validity.
+func TestStepAsksForAdviceOnBackendsThatCameLater(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 1000))
+	f.SetConfiguration(&basilwork.Configuration{Queues: []basilwork.Queue{
+		{Name: "quote", Service: "stretch", Advice: &basilwork.Advice{ValidFor: time.Minute}},
+	}})
+	f.addJob("j", longStep(2, 1000))
+	asked := f.Decide(f.now).Advice
+	must.Len(t, 1, asked)
+	f.Advised(asked[0].Step, []basilwork.Ticket{{Backend: "b1", Value: "ticket"}}, time.Minute, f.now)
+	must.Len(t, 1, f.decideAndStart())
+	f.setBackends(backendOf("b1", 1000), backendOf("b2", 1000))
+	for range 30 {
+		f.advance(100 * time.Millisecond)
+		for _, a := range f.Decide(f.now).Advice {
+			must.SliceContains(t, a.Backends, "b2")
+			return
+		}
+	}
+	t.Fatal("no advice on b2 was asked for in 3 s")
+}
