node: show that an owner on a slow link never reads its pool's jobs

An accepted job stays pending after a takeover by an entry host with a link of 10 Mbit/s once its pool has 1,144 rows of 1,000 bytes: the read of all rows has the time-out of one answer, 1.2 s, though parts of it arrive all the time, and other reads that are answered keep the time-out short. The owner holds the shard by its row and places nothing; 11 reads of 11 were ended in 15 s. The same read follows a store that has dropped its history.

--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -63,6 +63,7 @@
 	starts          int
 	began           time.Time
 	weights         map[string]float64 // weights of entry hosts; 1 if missing
+	bandwidths      map[string]int     // bytes per second that the links of entry hosts carry to them; no limit if missing
 	singlePartition bool               // the store has no transactions over several partitions
 	share           atomic.Int64       // percentage of a core that each entry host's process gets
 	percent         map[string]int     // garbage collection percentage, by entry host
@@ -165,7 +166,7 @@
 func (c *cluster) start(name string) {
 	c.starts++
 	l := &basilstandin.Link{Network: c.network}
-	client := basilsite.NewClientOn(l)
+	client := basilsite.NewClientOn(c.limitBandwidth(name, l))
 	store := basilsite.NewStore(client, func() string { return basilfake.StoreAddress }, 4*time.Second)
 	began := c.began
 	clock := func() time.Duration { return time.Since(began) + time.Second }
