shard: show that a stopping host keeps shards that it does not run

Release gives up each shard with one call. If the store refuses it, or a claim that was under way is stored after it, the owner row names a process that has stopped the shard's work and goes on renewing its lease while it serves callers, so no other member takes the shard: nothing is placed for up to four fifths of grace_s and a lease.

--- a/internal/basilshard/handover_test.go
+++ b/internal/basilshard/handover_test.go
@@ -1,6 +1,8 @@
 package basilshard_test
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -61,3 +63,71 @@
 		}
 	})
 }
+
+// TestShardOfStoppingHostIsClaimedAfterRefusedRelease checks that a shard whose release the store has refused is claimed soon after the
+// store takes writes again, although the stopping host still serves callers and renews its lease.
+func TestShardOfStoppingHostIsClaimedAfterRefusedRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newCluster()
+		time.Sleep(3 * time.Second)
+		h := r.owner("a")
+		r.store.SetFaults(basilfake.StoreFaults{Busy: true})
+		time.AfterFunc(400*time.Millisecond, func() { r.store.SetFaults(basilfake.StoreFaults{}) })
+		h.Release(t.Context())
+		checkClaimedByOther(t, r, h)
+	})
+}
+
+// TestShardClaimedWhileStoppingIsReleased checks that a shard is claimed by another member if the claim of a stopping host was under way
+// when it released its shards.
+func TestShardClaimedWhileStoppingIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newCluster()
+		time.Sleep(3 * time.Second)
+		claiming := make(chan *keeperHost, 1)
+		for _, h := range r.hosts {
+			delayClaim := func(q *http.Request) {
+				if q.Method == http.MethodGet {
+					return
+				}
+				body := must1(io.ReadAll(q.Body))
+				q.Body = io.NopCloser(bytes.NewReader(body))
+				if bytes.Contains(body, []byte(`"owners"`)) && !bytes.Contains(body, []byte(`"remove":[{`)) {
+					select {
+					case claiming <- h:
+					default: // a later claim
+					}
+					time.Sleep(renew / 4)
+				}
+			}
+			h.before.Store(&delayClaim)
+		}
+		owner := r.owner("a")
+		for n, h := range r.hosts {
+			if h == owner {
+				r.kill(n)
+			}
+		}
+		h := <-claiming
+		h.Release(t.Context())
+		checkClaimedByOther(t, r, h)
+	})
+}
+
+// checkClaimedByOther checks that another member than the stopping host owns each shard 3 s later, and ends the test's hosts.
+func checkClaimedByOther(t *testing.T, r *cluster, stopping *keeperHost) {
+	time.Sleep(3 * time.Second)
+	var held []string
+	for _, shard := range shards {
+		if stopping.owns(shard) != 0 {
+			held = append(held, shard)
+		}
+	}
+	owned := r.owned()
+	for n := range r.hosts {
+		r.kill(n)
+	}
+	time.Sleep(time.Second) // calls that are under way end
+	must.SliceEmpty(t, held)
+	must.True(t, owned)
+}
