ledger: tell the commits of two ownerships of one process apart

What callers saw: none is known; by reading, then by test. A job that has run to its end stays active in the store and is forgotten by its owner, until the next one loads it and runs what it takes for unfinished.

Cause: a commit's ID was the incarnation of the process and a sequence that each ownership starts anew. A process that owns a shard a second time, after a handover, gives a commit the ID of one of the first time; when its transaction meets a condition that failed, a row that the first one wrote counts as proof that this one took effect. Class of fault: an identity that is unique only within one life of what makes it.

Change: the ID has the epoch too. Rows with IDs of the release before match none.

--- a/internal/basilledger/commit.go
+++ b/internal/basilledger/commit.go
@@ -129,9 +129,9 @@
 	return rest, nil
 }
 
-// CommitID returns the unique ID of a commit.
-func CommitID(incarnation string, sequence int64) string {
-	return incarnation + "." + strconv.FormatInt(sequence, 10)
+// CommitID returns the unique ID of a commit. The sequence starts anew with each epoch.
+func CommitID(incarnation string, epoch, sequence int64) string {
+	return incarnation + "." + strconv.FormatInt(epoch, 10) + "." + strconv.FormatInt(sequence, 10)
 }
 
 // Remove deletes jobs; it fails with the same errors as the store's Transact.
--- a/internal/basilnode/owner_store.go
+++ b/internal/basilnode/owner_store.go
@@ -107,7 +107,7 @@
 func (o *owner) prepareCommit(ids []string) {
 	c := &o.commit
 	c.sequence++
-	c.writer = basilledger.CommitID(o.node.options.Self.Incarnation, c.sequence)
+	c.writer = basilledger.CommitID(o.node.options.Self.Incarnation, o.row.Epoch, c.sequence)
 	c.states = make(map[string]basilwork.JobState)
 	c.oldestChange = time.Time{}
 	if c.pendingCover == nil || len(ids) <= basilledger.MaxCommitRecords {
