shard: repeat a refused release until it is stored or the process ends

Cause: a stopping host tried to release each shard once. Refused, or when a claim was stored after it, its row named an owner whose work had ended and whose process went on renewing its lease, so no other member took the shard. Class of fault: an owner by its row that does not work.

Change: releases are repeated with the rounds, also of a shard that a late claim has gained.

--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -100,7 +100,7 @@
 		k.logOwner(shard, row, "shard ownership acquired")
 		k.options.OnAcquired(shard, row)
 	}
-	if row.Incarnation == "" {
+	if row.Incarnation == "" || has && k.releasing.Load() {
 		k.wakeUp()
 	}
 }
@@ -180,17 +180,33 @@
 	return k.options.Store.Transact(ctx, basilplatform.Transaction{Writes: append(checks, w)})
 }
 
-// Release gives up all shards when the process stops; the caller has stopped their work.
+// Release gives up all shards when the process stops; the caller has stopped their work. Until the process ends, a release that fails is
+// repeated, and a shard that a late claim has gained is released too.
 func (k *Keeper) Release(ctx context.Context) {
 	k.stopping.Store(true)
+	k.releasing.Store(true)
+	k.releaseAll(ctx)
+	k.announce(ctx)
+}
+
+// releaseAll releases the shards whose rows still name this process as their owner.
+func (k *Keeper) releaseAll(ctx context.Context) {
 	k.mutex.Lock()
 	owned := maps.Clone(k.owned)
 	maps.DeleteFunc(owned, func(shard string, row OwnerRow) bool { return k.released[shard] == row.Version })
 	k.mutex.Unlock()
 	for shard, row := range owned {
-		k.release(ctx, shard, row)
+		if k.release(ctx, shard, row) {
+			k.markReleased(shard, row)
+		}
 	}
-	k.announce(ctx)
+}
+
+// markReleased records that the release of the shard is stored, which this entry host may see later.
+func (k *Keeper) markReleased(shard string, row OwnerRow) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.released[shard] = row.Version
 }
 
 // ReleaseShard gives up one shard of a stopping process before Release gives up the others; the caller has stopped the
@@ -200,9 +216,7 @@
 	if !ok || row.Epoch != epoch || !k.release(ctx, shard, row) {
 		return
 	}
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	k.released[shard] = row.Version
+	k.markReleased(shard, row)
 }
 
 // AnnounceStop renews the member row, which tells the other members that this process is stopping, if it is.
