shard: let a read last while its answer arrives

Cause: a read had the time-out of one answer, 0.4 to 1.2 s, for all rows of a pool, though parts of it arrive all the time; and other reads that are answered soon kept it short. The owner holds its shard by its row, ends its read again and again, and places nothing. Class of fault: a limit on how long silence may last, taken as one on how long the work may last.

Change: a read ends after its time-out without another part of its answer; its latency is that of the first part. The same for reads that a probe finds overdue.

--- a/internal/basilshard/recovery.go
+++ b/internal/basilshard/recovery.go
@@ -44,7 +44,7 @@
 	isProbing atomic.Bool
 	reads     *basiltimer.AnswerTimeout
 	mutex     sync.Mutex // guards the following fields
-	calls     map[int64]openCall
+	calls     map[int64]*openCall
 	lastCall  int64
 	recovered chan struct{} // closed at the next recovery
 	latency   time.Duration // of reads: it rises with the newest one at once and falls by half of the difference
@@ -52,15 +52,17 @@
 }
 
 type openCall struct {
-	sent   time.Time
-	isRead bool
-	cancel context.CancelFunc
+	sent    time.Time
+	heardAt time.Time     // when the newest part of the answer has arrived, or when the call was sent
+	latency time.Duration // until the first part of the answer; 0 before it
+	isRead  bool
+	cancel  context.CancelFunc
 }
 
 // NewRecovery returns a recovery without calls; Run has to be called for it to work.
 func NewRecovery() *Recovery {
 	return &Recovery{
-		suspected: make(chan struct{}, 1), calls: make(map[int64]openCall), recovered: make(chan struct{}),
+		suspected: make(chan struct{}, 1), calls: make(map[int64]*openCall), recovered: make(chan struct{}),
 		reads: basiltimer.NewAnswerTimeout(minCallTimeout, maxCallTimeout),
 	}
 }
@@ -135,7 +137,7 @@
 	overdueRead := overdueReads*time.Since(sent) + overdueMargin
 	overdueWrite := max(minOverdueWrite, overdueWrites*r.latency)
 	for _, c := range r.calls {
-		if c.sent.Before(sent) && time.Since(c.sent) > overdueWrite || c.isRead && c.sent.Before(sent) && time.Since(c.sent) > overdueRead {
+		if c.sent.Before(sent) && (time.Since(c.heardAt) > overdueWrite || c.isRead && time.Since(c.heardAt) > overdueRead) {
 			c.cancel()
 			ended++
 		}
@@ -150,18 +152,19 @@
 func (r *Recovery) begin(ctx context.Context, isRead bool) (context.Context, func(err error)) {
 	callCtx, cancelCause := context.WithCancelCause(ctx)
 	cancel := func() { cancelCause(context.Canceled) }
-	stop := r.endAfterTimeout(isRead, func() { cancelCause(context.DeadlineExceeded) })
 	sent := time.Now()
+	c := &openCall{sent: sent, heardAt: sent, isRead: isRead, cancel: cancel}
+	stop := r.endAfterTimeout(c, func() { cancelCause(context.DeadlineExceeded) })
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.lastCall++
 	id := r.lastCall
-	r.calls[id] = openCall{sent: sent, isRead: isRead, cancel: cancel}
-	return callCtx, func(err error) {
+	r.calls[id] = c
+	return basiltimer.WithProgress(callCtx, func() { r.recordPart(c) }), func(err error) {
 		unanswered := !errors.Is(context.Cause(callCtx), context.Canceled) && isUnanswered(err, time.Since(sent))
 		switch {
 		case isAnswered(err):
-			r.recordAnswer(isRead, time.Since(sent))
+			r.recordAnswer(c)
 		case unanswered && isRead:
 			r.reads.Missed()
 		}
@@ -177,22 +180,44 @@
 }
 
 // endAfterTimeout calls cancel after the timeout of a call. That of a write follows the latency of reads, since writes are queued.
-func (r *Recovery) endAfterTimeout(isRead bool, cancel func()) (stop func() bool) {
-	if isRead {
-		return time.AfterFunc(r.reads.Get(), cancel).Stop
+// A read lasts as long as parts of its answer arrive: a slow link takes seconds to carry all rows of a pool.
+func (r *Recovery) endAfterTimeout(c *openCall, cancel func()) (stop func() bool) {
+	if c.isRead {
+		return cancelAfter(r.reads.Get(), func() time.Duration { return r.reads.Get() - r.silence(c) }, cancel)
 	}
 	return r.CancelAfterWriteTime(cancel, minCallTimeout)
 }
 
-// recordAnswer records the latency of an answered call.
-func (r *Recovery) recordAnswer(isRead bool, latency time.Duration) {
-	if isRead {
-		r.readAnswered(latency)
-		return
+// recordPart records that a part of the call's answer has arrived.
+func (r *Recovery) recordPart(c *openCall) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	c.heardAt = time.Now()
+	r.answered = c.heardAt
+	if c.latency == 0 {
+		c.latency = c.heardAt.Sub(c.sent)
 	}
+}
+
+// silence returns the time since the newest part of the call's answer.
+func (r *Recovery) silence(c *openCall) time.Duration {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	return time.Since(c.heardAt)
+}
+
+// recordAnswer records the latency of an answered call, which is the time until the first part of the answer.
+func (r *Recovery) recordAnswer(c *openCall) {
+	r.mutex.Lock()
 	r.answered = time.Now()
+	latency := c.latency
+	if latency == 0 {
+		latency = time.Since(c.sent)
+	}
+	r.mutex.Unlock()
+	if c.isRead {
+		r.readAnswered(latency)
+	}
 }
 
 func (r *Recovery) readAnswered(latency time.Duration) {
@@ -228,11 +253,16 @@
 // meanwhile, but not before the shortest time has passed. The returned function ends the wait.
 func (r *Recovery) CancelAfterWriteTime(cancel func(), shortest time.Duration) (stop func() bool) {
 	began := time.Now()
+	return cancelAfter(shortest, func() time.Duration { return max(shortest, r.WriteTime()) - time.Since(began) }, cancel)
+}
+
+// cancelAfter calls cancel after the duration, or later as long as some time is left then. The returned function ends the wait.
+func cancelAfter(d time.Duration, left func() time.Duration, cancel func()) (stop func() bool) {
 	var timer *time.Timer
 	armed := make(chan struct{})
-	timer = time.AfterFunc(shortest, func() {
+	timer = time.AfterFunc(d, func() {
 		<-armed
-		if rest := max(shortest, r.WriteTime()) - time.Since(began); rest > 0 {
+		if rest := left(); rest > 0 {
 			timer.Reset(rest)
 			return
 		}
