shard: count a member's row as unchanged from the answer that had it

Cause: a row counted as unchanged from when the first read of its version was sent. Such a read may be carried out seconds later, and the next one made the row look older than its lease at once, so a shard was claimed before its owner's lease had expired, and both could start work. Class of fault: an observation dated before it was made.

Change: it counts from the answer of the first read until the request of the newest.

Three tests pass the new argument.

--- a/internal/basilshard/keeper_test.go
+++ b/internal/basilshard/keeper_test.go
@@ -149,7 +149,7 @@
 	})
 	s.keeper.SetShards([]string{"a", "b"})
 	s.keeper.applyOwner("b", s.row)
-	s.keeper.state.Observe([]Observed{{Member: self, Version: 1}, {Member: Member{Node: "entry-2", Incarnation: "y"}, Version: 2}}, 0)
+	s.keeper.state.Observe([]Observed{{Member: self, Version: 1}, {Member: Member{Node: "entry-2", Incarnation: "y"}, Version: 2}}, 0, 0)
 	s.keeper.startUntil.Store(int64(testLease))
 	s.keeper.claimShards(t.Context())
 	must.Eq(t, "entry-2", s.row.Node)
--- a/internal/basilshard/membership.go
+++ b/internal/basilshard/membership.go
@@ -17,7 +17,8 @@
 		k.options.Log.WithError(err).Warn("failed to read the members")
 		return false
 	}
-	k.readTimeout.Answered(k.options.Clock() - requestedAt)
+	answeredAt := k.options.Clock()
+	k.readTimeout.Answered(answeredAt - requestedAt)
 	var rows []Observed
 	for _, i := range items {
 		var m Member
@@ -29,7 +30,7 @@
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.state.Observe(rows, requestedAt)
+	k.state.Observe(rows, requestedAt, answeredAt)
 	k.membersReadAt = requestedAt
 	return true
 }
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -37,8 +37,8 @@
 	member    Member
 	version   int64
 	liveSince time.Duration // since when this incarnation has been renewing its lease without a lapse
-	firstRead time.Duration // first read of this version
-	lastRead  time.Duration // last read of this version
+	firstRead time.Duration // answer of the first read of this version
+	lastRead  time.Duration // request of the last read of this version
 }
 
 // State is an entry host's view of the members and shard owners. It is not safe for concurrent use.
@@ -68,8 +68,9 @@
 	Version int64
 }
 
-// Observe applies a read of all member rows that was sent at the given time.
-func (s *State) Observe(rows []Observed, requestedAt time.Duration) {
+// Observe applies a read of all member rows. When between the two times the rows were as read isn't known, so that a row counts as
+// unchanged from the answer that first had its version until the newest request.
+func (s *State) Observe(rows []Observed, requestedAt, answeredAt time.Duration) {
 	found := make(map[string]bool, len(rows))
 	for _, r := range rows {
 		found[r.Member.Node] = true
@@ -79,7 +80,7 @@
 			if m != nil && m.member.Incarnation == r.Member.Incarnation && s.isLive(m) {
 				since = m.liveSince
 			}
-			m = &observedMember{member: r.Member, version: r.Version, liveSince: since, firstRead: requestedAt}
+			m = &observedMember{member: r.Member, version: r.Version, liveSince: since, firstRead: answeredAt}
 			s.members[r.Member.Node] = m
 		}
 		m.lastRead = requestedAt
--- a/internal/basilshard/state_test.go
+++ b/internal/basilshard/state_test.go
@@ -34,7 +34,7 @@
 		for _, m := range members {
 			rows = append(rows, Observed{Member: m, Version: int64(at) + 1})
 		}
-		s.Observe(rows, at)
+		s.Observe(rows, at, at)
 	}
 }
 
@@ -169,7 +169,7 @@
 	self, other := Member{Node: "a", Incarnation: "a.1", Weight: 2}, Member{Node: "b", Incarnation: "b.1"}
 	s := NewState(self, testLease, testRenew)
 	read := func(version int64, requestedAt time.Duration) {
-		s.Observe([]Observed{{Member: self, Version: version}, {Member: other, Version: version}}, requestedAt)
+		s.Observe([]Observed{{Member: self, Version: version}, {Member: other, Version: version}}, requestedAt, requestedAt)
 	}
 	read(10, 0)
 	s.SetOwner("stretch", OwnerRow{Node: "b", Incarnation: "b.2", Epoch: 3, Version: 12})
@@ -198,8 +198,8 @@
 	observe(s, append(others, Member{Node: "a", Incarnation: "a.2", Weight: 0.1, Stopping: true}), 3*testRenew, 3*testRenew)
 	must.False(t, involved(), must.Sprint("stopping"))
 	lapsed := []Observed{{Member: self, Version: 1}, {Member: owner, Version: 9}}
-	s.Observe(lapsed, 4*testRenew)
+	s.Observe(lapsed, 4*testRenew, 4*testRenew)
 	lapsed[1].Version++
-	s.Observe(lapsed, 4*testRenew+testLease)
+	s.Observe(lapsed, 4*testRenew+testLease, 4*testRenew+testLease)
 	must.True(t, involved(), must.Sprint("paused for as long as a lease"))
 }
