scheduler: let the end of an earlier attempt finish its task

A task before it was done on a server that fell silent for over 6 s before the end was read; it was ordered anew elsewhere, and when the server came back the end was dropped. The step wasn't done for the owner, while for callers and servers its work was.

Cause: a successful end counted only if no later attempt was known, unless the step is speculative. Class of fault: a fact that a server tells is overruled by what the owner has decided since.

Change: such an end finishes the task, the other run is stopped, and the owner logs and counts it in place of the line about an end without effect.

--- a/internal/basilnode/losses.go
+++ b/internal/basilnode/losses.go
@@ -44,17 +44,17 @@
 	o.log.WithFields(fields).Warn("runs lost with backend server")
 }
 
-// logIgnoredEnds logs and counts ends of earlier attempts that didn't finish their tasks.
-func (o *owner) logIgnoredEnds(ends []basilscheduler.IgnoredEnd) {
+// logEarlierEnds logs and counts tasks that earlier attempts have finished.
+func (o *owner) logEarlierEnds(ends []basilscheduler.EarlierEnd) {
 	if len(ends) == 0 {
 		return
 	}
-	o.node.metrics.endsIgnored(len(ends))
+	o.node.metrics.endsOfEarlierAttempts(len(ends))
 	shown := ends[:min(len(ends), maxLoggedLosses)]
 	for _, e := range shown {
 		o.logRun(e.Ref).WithFields(logrus.Fields{
-			basillog.FieldOutcome: e.End.String(), "newest_attempt": e.Newest, "newest_host": e.Live, "others": len(ends) - len(shown),
-		}).Warn("end of earlier attempt ignored")
+			"newest_attempt": e.Newest, "newest_host": e.Live, "others": len(ends) - len(shown),
+		}).Warn("task finished by an earlier attempt")
 	}
 }
 
--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -23,7 +23,7 @@
 	backendsMetric = "backends"
 	refusedMetric  = "store_writes_refused"
 	lostRunsMetric = "runs_lost"
-	ignoredMetric  = "ends_ignored"
+	earlierMetric  = "ends_of_earlier_attempts"
 	waitingMetric  = "waiting_tasks"
 	longestMetric  = "longest_wait_ms"
 	moreWaits      = "waits_unexamined"
@@ -125,7 +125,7 @@
 }
 
 // endsIgnored counts ends of earlier attempts that didn't finish their tasks.
-func (m *metrics) endsIgnored(ends int) { m.counts.Add(ignoredMetric, int64(ends)) }
+func (m *metrics) endsOfEarlierAttempts(ends int) { m.counts.Add(earlierMetric, int64(ends)) }
 
 func (m *metrics) committed(records int, err error, d time.Duration) {
 	outcome := "ok"
--- a/internal/basilnode/owner_orders.go
+++ b/internal/basilnode/owner_orders.go
@@ -21,7 +21,7 @@
 	for _, g := range a.GivenUp {
 		o.log.WithFields(logrus.Fields{basillog.FieldJob: g.Task.Job, "task": g.Task.String(), "crashes": g.Crashes}).Warn("job given up: backend servers crashed under its task")
 	}
-	o.logIgnoredEnds(a.Ignored)
+	o.logEarlierEnds(a.EarlierEnds)
 	for _, s := range a.Stops {
 		o.stopRun(s)
 	}
--- a/internal/basilscheduler/action.go
+++ b/internal/basilscheduler/action.go
@@ -57,23 +57,22 @@
 	Crashes []basilwork.Crash
 }
 
-// IgnoredEnd reports the successful end of an earlier attempt, which doesn't finish its task.
-type IgnoredEnd struct {
+// EarlierEnd reports the successful end of an earlier attempt, whose backend server had been given up. It finishes its task.
+type EarlierEnd struct {
 	Ref
-	End    basilwork.RunEnd
 	Newest int    // highest attempt number known
 	Live   string // backend server with a run of the task that may exist, or empty
 }
 
 // Actions are the actions that a decision requests.
 type Actions struct {
-	Starts  []Start
-	Stops   []Stop
-	Paces   []Pace
-	Advice  []AdviceRequest
-	Slow    []Slowness // for information only, like those below
-	GivenUp []GivenUp
-	Ignored []IgnoredEnd
+	Starts      []Start
+	Stops       []Stop
+	Paces       []Pace
+	Advice      []AdviceRequest
+	Slow        []Slowness // for information only, like those below
+	GivenUp     []GivenUp
+	EarlierEnds []EarlierEnd
 }
 
 // Empty reports whether no action is requested; what is for information only doesn't count.
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -37,8 +37,7 @@
 
 // Report processes a backend server's report of its running and ended runs, which was requested at the time sent.
 //
-// A successful end is ignored if the task has been started again since, unless the step is speculative: it comes from a
-// backend server whose leases had expired.
+// A successful end finishes its task also if the task has been started again since: the work is done, and what comes after it may start.
 func (p *Pool) Report(id string, report basilwork.Report, sent, now time.Time) {
 	b := p.backends[id]
 	if b == nil {
@@ -148,9 +147,8 @@
 		p.saveCheckpoint(t, e.Checkpoint)
 	}
 	r := t.runOn(b.ID, e.Attempt)
-	if r == nil && e.End == basilwork.RunEndDone && e.Attempt < t.attempt && !t.step.spec.Speculative {
-		p.tellIgnored(b, t, e)
-		return
+	if r == nil && e.End == basilwork.RunEndDone && e.Attempt < t.attempt {
+		p.tellEarlierEnd(b, t, e)
 	}
 	if r == nil {
 		r = &run{task: t, backend: b, attempt: e.Attempt, orderedAt: now, resumed: true}
@@ -158,16 +156,16 @@
 	p.endRun(r, e.End, now)
 }
 
-// tellIgnored tells the owner of an end that doesn't finish its task, unless the task is done anyway.
-func (p *Pool) tellIgnored(b *backend, t *task, e basilwork.EndedRun) {
-	if t.done || t.step.occurrence.job.record.State.Final() {
+// tellEarlierEnd tells the owner that an earlier attempt has finished its task, unless that is known.
+func (p *Pool) tellEarlierEnd(b *backend, t *task, e basilwork.EndedRun) {
+	if t.done || t.step.spec.LongRunning || t.step.occurrence.job.record.State.Final() {
 		return
 	}
-	i := IgnoredEnd{Ref: Ref{Backend: b.ID, Task: t.id, Attempt: e.Attempt}, End: e.End, Newest: t.attempt}
+	i := EarlierEnd{Ref: Ref{Backend: b.ID, Task: t.id, Attempt: e.Attempt}, Newest: t.attempt}
 	if len(t.runs) > 0 {
 		i.Live = t.runs[0].backend.ID
 	}
-	p.actions.Ignored = append(p.actions.Ignored, i)
+	p.actions.EarlierEnds = append(p.actions.EarlierEnds, i)
 }
 
 func (p *Pool) saveCheckpoint(t *task, checkpoint string) {
