scheduler: count no crash for a start that came after it

Cause: a backend server that came back under its ID took all runs with it that were ordered before the hold was sent and that its answer doesn't list, also one whose start was answered after the hold was sent: that one may have begun afterwards. It counted as a second crash under the task.

Change: such a run is left to the next report, like one that was ordered after the hold.

--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -342,7 +342,9 @@
 	b.lastEndNumber = 0
 	b.attached = false
 	p.recordReturn(id, now)
-	gone := slices.DeleteFunc(b.sortedRuns(), func(r *run) bool { return !r.orderedAt.Before(sent) || lists(answer.Running, r) })
+	gone := slices.DeleteFunc(b.sortedRuns(), func(r *run) bool {
+		return !r.orderedAt.Before(sent) || !r.answeredAt.Before(sent) || lists(answer.Running, r)
+	})
 	p.recordSilence(p.newSilence(b, gone), true, now)
 	for _, r := range b.sortedRuns() {
 		if r.phase == phaseRunning && !r.mustBeListed(sent) && !lists(answer.Running, r) {
