test: judge the scheduler by what the backend servers do

waitingPlay judges by what the pool believes, on servers that do what they are told. This judge plays jobs of several steps on a model of the backend servers after PROTOCOL.md (leases on their own clocks, ends listed until acknowledged, fences, refusals, late and lost orders, silent servers that come back, crashes, draining, evacuation), under one owner after another that knows only what was stored. It judges LOST, ORDER, TWICE and MIXED by what the servers did. LOST is judged in the calm after two rounds of troubles.

An end that was lost with its server doesn't make the next step's turn: no owner can know of it (a play showed this). A late order is carried out only by the life of the server that it reached.

--- /dev/null
+++ b/internal/basilscheduler/lost_connection_test.go
@@ -0,0 +1,123 @@
+package basilscheduler
+
+import (
+	"time"
+
+	"basilstage.example/basilstage/internal/basilrunner"
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// playConnection does what the connection of basilrunner does.
+type playConnection struct {
+	owner       *playOwner
+	id, address string
+	startedAt   int64
+	lease       basilrunner.Lease
+	acked       int64
+	ackAnswered int64
+	busy        bool
+	watched     bool
+	attached    bool
+	reachable   bool
+	lost        bool
+	firstMiss   time.Time
+	misses      int
+	heldAt      time.Time
+}
+
+func (o *playOwner) connect(b basilwork.Backend) {
+	if o.connections[b.ID] != nil {
+		return
+	}
+	c := &playConnection{owner: o, id: b.ID, address: b.Address, startedAt: b.StartedAt, reachable: true}
+	o.connections[b.ID] = c
+	c.run()
+}
+
+func (c *playConnection) closed() bool { return !c.owner.alive || c.owner.connections[c.id] != c }
+
+// run holds the backend server when that is due.
+func (c *playConnection) run() {
+	p := c.owner.play
+	if c.closed() {
+		return
+	}
+	if !c.busy && !c.watched && c.attached && c.acked <= c.ackAnswered && c.firstMiss.IsZero() && p.now.Sub(c.heldAt) < 2*time.Second {
+		p.after(20*time.Millisecond, c.run)
+		return
+	}
+	order := basilwork.HoldOrder{Fence: c.owner.epoch}
+	if c.attached && c.firstMiss.IsZero() && c.acked > c.ackAnswered {
+		order.Acknowledged = c.acked
+	}
+	if c.lease.Known() && c.firstMiss.IsZero() && c.busy {
+		order.Deadline = c.lease.Deadline(p.now, playMaxHold-300*time.Millisecond)
+	}
+	sent := p.now
+	c.heldAt = sent
+	p.call(c, "hold", playAnswerTimeout, func(l *playServer) playAnswer { return l.hold(order) }, func(a playAnswer, answered bool) {
+		if c.closed() {
+			return
+		}
+		pause := 60 * time.Millisecond
+		switch {
+		case !answered:
+			c.miss()
+			if c.misses > 1 {
+				pause = 300 * time.Millisecond
+			}
+		case a.refusal == basilwork.RefusalGone:
+			c.owner.lost(c, basilwork.LossReplaced)
+		case a.refusal != basilwork.RefusalNone:
+		default:
+			c.ackAnswered = max(c.ackAnswered, order.Acknowledged)
+			c.report(a.report, sent)
+		}
+		p.after(pause, c.run)
+	})
+}
+
+func (c *playConnection) miss() {
+	o, now := c.owner, c.owner.play.now
+	if c.firstMiss.IsZero() {
+		c.firstMiss = now
+	}
+	c.misses++
+	if c.reachable && now.Sub(c.firstMiss) > 0 && (!c.lease.Known() || now.Sub(c.lease.LastAnswer()) > 1500*time.Millisecond) {
+		c.reachable = false
+		o.SetReachable(c.id, false)
+	}
+	expiry := c.lease.LastExpiry(playMaxHold)
+	if c.busy {
+		expiry = c.lease.Expiry()
+	}
+	if c.attached && now.After(expiry) {
+		o.lost(c, basilwork.LossExpired)
+	}
+}
+
+func (c *playConnection) report(r basilwork.Report, sent time.Time) {
+	o, now := c.owner, c.owner.play.now
+	restarted := r.StartedAt > c.startedAt
+	if restarted {
+		c.lease, c.acked, c.ackAnswered = basilrunner.Lease{}, 0, 0
+	}
+	c.startedAt = max(c.startedAt, r.StartedAt)
+	c.lease.RecordAnswer(r.Clock, now)
+	first := !c.attached || restarted
+	if !c.reachable {
+		o.SetReachable(c.id, true)
+	}
+	c.attached, c.reachable, c.firstMiss, c.misses = true, true, time.Time{}, 0
+	if restarted {
+		o.play.trace("epoch %d sees that %s started again", o.epoch, c.id)
+		o.Restarted(c.id, r, sent, now)
+		delete(o.acked, c.id)
+		delete(o.pendingCover, c.id)
+	}
+	o.incarnations[c.id] = r.StartedAt
+	o.Report(c.id, r, sent, now)
+	if first {
+		o.Attached(c.id)
+	}
+}
--- /dev/null
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -0,0 +1,350 @@
+package basilscheduler
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+const (
+	playGrace         = 8500 * time.Millisecond // longest lease on the slowest clock, and how long the owner before may extend them
+	playAnswerTimeout = 600 * time.Millisecond
+	playCommitDelay   = 150 * time.Millisecond
+	playCommitRecords = 30
+)
+
+// playStore is what outlasts an owner.
+type playStore struct {
+	rows         map[string]playRow           // jobs
+	servers      map[string]basilwork.Backend // backend servers that may have runs
+	version      int64
+	epoch        int64
+	troubleUntil time.Time // commits take long, and some of their answers get lost
+}
+
+type playRow struct {
+	body    []byte
+	state   basilwork.JobState
+	version int64
+}
+
+// playOwner drives a pool as the owner of basilnode does.
+type playOwner struct {
+	*Pool
+	play           *lostPlay
+	epoch          int64
+	rowVersion     int64
+	alive          bool
+	connections    map[string]*playConnection
+	versions       map[string]int64
+	recordBusy     bool
+	lastDelete     time.Time
+	committing     bool
+	pendingCover   map[string]int64
+	pendingChanges int64
+	acked          map[string]int64
+	incarnations   map[string]int64
+	oldestChange   time.Time
+}
+
+// takeOver replaces the owner by one that knows what is stored.
+func (p *lostPlay) takeOver() {
+	p.store.version++
+	p.store.epoch++
+	o := &playOwner{
+		play: p, epoch: p.store.epoch, rowVersion: p.store.version, alive: true, connections: make(map[string]*playConnection), versions: make(map[string]int64),
+		acked: make(map[string]int64), incarnations: make(map[string]int64),
+		Pool: New(Options{Epoch: p.store.epoch, Grace: playGrace, StopTimeout: playStopTimeout}, p.now),
+	}
+	p.owner = o
+	p.trace("owner of epoch %d", o.epoch)
+	for _, id := range sortedKeys(p.store.servers) {
+		b := p.store.servers[id]
+		o.AddPredecessorBackend(basilwork.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Rack: b.Rack, StartedAt: b.StartedAt})
+		o.connect(b)
+	}
+	o.SetConfiguration(&basilwork.Configuration{Queues: []basilwork.Queue{
+		{Name: "quote", Service: "stretch", MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond},
+	}})
+	o.readJobs()
+	o.step()
+}
+
+func (o *playOwner) readJobs() {
+	for _, id := range sortedKeys(o.play.store.rows) {
+		row := o.play.store.rows[id]
+		_, known := o.versions[id]
+		if row.version <= o.versions[id] {
+			continue
+		}
+		o.versions[id] = row.version
+		var r basilwork.Record
+		if err := json.Unmarshal(row.body, &r); err != nil {
+			panic(err)
+		}
+		switch {
+		case r.State == basilwork.JobStateCanceled:
+			o.Cancel(id, o.play.now)
+		case !known && !r.State.Final():
+			o.AddJob(r, row.version < o.rowVersion)
+		}
+	}
+}
+
+// step does what the owner does in its loop, 20 ms apart.
+func (o *playOwner) step() {
+	if !o.alive {
+		return
+	}
+	p := o.play
+	p.after(20*time.Millisecond, o.step)
+	if o.Fenced() {
+		p.fail("the newest owner was fenced")
+		return
+	}
+	o.readJobs()
+	if p.ticks%10 == 0 {
+		o.readServers()
+	}
+	for _, b := range o.Backends() {
+		h := p.hostOf(b.ID)
+		o.Evacuate(b.ID, h != nil && h.evacuated)
+		if h != nil && h.awayOnceIdle && o.IsEmptied(b.ID) {
+			o.orderAway(h)
+		}
+	}
+	a := o.Decide(p.now)
+	for _, s := range a.GivenUp {
+		p.trace("gives up %s", s.Task)
+	}
+	for _, s := range a.Stops {
+		o.sendStop(s)
+	}
+	for _, s := range a.Starts {
+		o.sendStart(s)
+	}
+	o.commit()
+	for id, c := range o.connections {
+		c.busy, c.watched = o.Busy(id), o.HasOrphans(id)
+		if acked := o.acked[id]; c.startedAt == o.incarnations[id] {
+			c.acked = max(c.acked, acked)
+		}
+	}
+}
+
+// orderAway has the host of an empty backend server taken away.
+func (o *playOwner) orderAway(h *playHost) {
+	id := h.life.ID
+	o.play.trace("%s is ordered away", id)
+	h.life.leavesAt = o.play.now
+	h.life.die()
+	h.rebornIn(3 * time.Second)
+	o.Lost(id, basilwork.LossRemoved, o.play.now)
+	delete(o.connections, id)
+}
+
+func (o *playOwner) readServers() {
+	var list []basilwork.Backend
+	for _, h := range o.play.hosts {
+		if h.listed(o.play.now) {
+			list = append(list, h.life.Backend)
+		}
+	}
+	listed := make(map[string]bool)
+	for _, b := range list {
+		listed[b.ID] = true
+		if !o.Knows(b.ID) {
+			delete(o.connections, b.ID)
+		}
+	}
+	o.SetBackends(list)
+	o.record()
+	for _, b := range list {
+		o.connect(b)
+	}
+	for id := range o.connections {
+		if _, stored := o.play.store.servers[id]; !listed[id] && !o.Busy(id) && !o.HasOrphans(id) && !stored {
+			delete(o.connections, id)
+		}
+	}
+}
+
+// record stores the backend servers that may be used, and forgets those that are gone.
+func (o *playOwner) record() {
+	p := o.play
+	var missing []basilwork.Backend
+	known := make(map[string]bool)
+	for _, b := range o.Backends() {
+		known[b.ID] = true
+		if s, ok := p.store.servers[b.ID]; ok && s.StartedAt == b.StartedAt {
+			o.Recorded(b.ID)
+		} else {
+			missing = append(missing, b)
+		}
+	}
+	if o.recordBusy || len(missing) == 0 && p.now.Sub(o.lastDelete) < 2*time.Second {
+		return
+	}
+	o.recordBusy = true
+	p.after(p.storeTime(), func() {
+		o.recordBusy = false
+		if !o.alive {
+			return
+		}
+		for _, b := range missing {
+			p.store.servers[b.ID] = b
+		}
+		if len(missing) == 0 {
+			o.lastDelete = p.now
+			for id := range p.store.servers {
+				if !known[id] && !o.Knows(id) {
+					delete(p.store.servers, id)
+				}
+			}
+		}
+	})
+}
+
+func (o *playOwner) sendStart(s Start) {
+	c := o.connections[s.Backend]
+	p := o.play
+	refuse := func(refusal basilwork.Refusal) { o.Started(s.Ref, refusal, true, p.now) }
+	switch {
+	case c == nil || !c.lease.Known():
+		refuse(basilwork.RefusalBusy)
+		return
+	case c.lost:
+		refuse(basilwork.RefusalUnsent)
+		return
+	}
+	order := basilwork.StartOrder{Task: s.Task.String(), Attempt: s.Attempt, Fence: o.epoch, Deadline: c.lease.Deadline(p.now, 4*time.Second)}
+	p.trace("epoch %d starts %s/%d on %s", o.epoch, s.Task, s.Attempt, s.Backend)
+	p.call(c, "start", playAnswerTimeout, func(l *playServer) playAnswer { return l.start(order, s.Task) }, func(a playAnswer, answered bool) {
+		if answered {
+			c.lease.RecordAnswer(a.clock, p.now)
+		}
+		p.trace("epoch %d: start of %s/%d: %s, answered %v", o.epoch, s.Task, s.Attempt, a.refusal, answered)
+		if o.alive {
+			o.Started(s.Ref, a.refusal, answered, p.now)
+		}
+	})
+}
+
+func (o *playOwner) sendStop(s Stop) {
+	c := o.connections[s.Backend]
+	if c == nil {
+		return
+	}
+	p := o.play
+	p.trace("epoch %d stops %s/%d on %s: %s", o.epoch, s.Task, s.Attempt, s.Backend, s.Reason)
+	order := basilwork.StopOrder{Task: s.Task.String(), Attempt: s.Attempt, Fence: o.epoch}
+	p.call(c, "stop", playAnswerTimeout, func(l *playServer) playAnswer { return l.stop(order, s.Task) }, func(a playAnswer, answered bool) {
+		if o.alive {
+			o.Stopped(s.Ref, answered && a.refusal == basilwork.RefusalNone, p.now)
+		}
+	})
+}
+
+// commit stores changed records, and acknowledges the ends of runs whose effect is stored.
+func (o *playOwner) commit() {
+	p := o.play
+	if o.committing {
+		return
+	}
+	ids, urgent := o.DirtyJobs()
+	if len(ids) == 0 {
+		o.acknowledge(o.Processed())
+		o.pendingCover, o.oldestChange = nil, time.Time{}
+		return
+	}
+	if o.oldestChange.IsZero() {
+		o.oldestChange = p.now
+	}
+	if !urgent && p.now.Sub(o.oldestChange) < playCommitDelay {
+		return
+	}
+	if o.pendingCover == nil || len(ids) <= playCommitRecords {
+		o.pendingCover, o.pendingChanges = o.Processed(), o.Changes()
+	}
+	o.oldestChange = time.Time{}
+	bodies := make(map[string][]byte)
+	states := make(map[string]basilwork.JobState)
+	for _, id := range ids[:min(len(ids), playCommitRecords)] {
+		if r, ok := o.Take(id); ok {
+			body, err := json.Marshal(r)
+			if err != nil {
+				panic(err)
+			}
+			bodies[id], states[id] = body, r.State
+		}
+	}
+	var covered map[string]int64
+	if o.TakenUpTo(o.pendingChanges) {
+		covered, o.pendingCover = o.pendingCover, nil
+	}
+	o.committing = true
+	o.sendCommit(bodies, states, covered)
+}
+
+func (o *playOwner) sendCommit(bodies map[string][]byte, states map[string]basilwork.JobState, covered map[string]int64) {
+	p := o.play
+	p.after(p.storeTime(), func() {
+		if p.store.epoch != o.epoch {
+			return
+		}
+		p.store.version++
+		for _, id := range sortedKeys(bodies) {
+			if row := p.store.rows[id]; p.cancelled[id].IsZero() {
+				row.body, row.state, row.version = bodies[id], states[id], p.store.version
+				p.store.rows[id] = row
+				p.judgeStored(id, states[id])
+			}
+		}
+		version := p.store.version
+		p.after(p.storeTime(), func() {
+			if !o.alive {
+				return
+			}
+			if p.now.Before(p.store.troubleUntil) && p.random.IntN(2) == 0 { // its answer is lost
+				o.sendCommit(bodies, states, covered)
+				return
+			}
+			o.committing = false
+			for _, id := range sortedKeys(bodies) {
+				o.versions[id] = max(o.versions[id], version)
+				if !p.cancelled[id].IsZero() {
+					o.Cancel(id, p.now)
+				}
+				o.Stored(id, p.now)
+			}
+			o.acknowledge(covered)
+		})
+	})
+}
+
+func (o *playOwner) acknowledge(numbers map[string]int64) {
+	for id, n := range numbers {
+		o.acked[id] = max(o.acked[id], n)
+	}
+}
+
+// lost records that nothing runs any more on a life of a backend server.
+func (o *playOwner) lost(c *playConnection, reason basilwork.Loss) {
+	c.lost = true
+	o.play.trace("epoch %d loses %s: %s", o.epoch, c.id, reason)
+	o.Lost(c.id, reason, o.play.now)
+	delete(o.connections, c.id)
+	delete(o.acked, c.id)
+	delete(o.pendingCover, c.id)
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
