node: show that an owner on a slow link stops placing after a dropped history

The same read of all rows is made again once the store has dropped its history. Ended after 1.2 s each time, it leaves the copy of the jobs older than starts allow: an owner that was at work starts nothing any more, while it renews its lease and extends those of its runs.

--- a/internal/basilnode/slow_link_test.go
+++ b/internal/basilnode/slow_link_test.go
@@ -91,25 +91,50 @@
 		if len(t.Writes) == rowsPerTransaction || n == count-1 {
 			must.NoError(c.t, store.Transact(c.t.Context(), t))
 			t.Writes = nil
+			time.Sleep(200 * time.Millisecond) // watches bring the rows meanwhile
 		}
 	}
 }
 
+const (
+	slowBandwidth = 10_000_000 / 8 // of the smallest entry hosts of the platform's deployments
+	storedJobs    = 1144           // of one pool in a minute, at 19 per second
+	specBytes     = 1000           // a quarter of what callers may send
+)
+
 // TestAcceptedJobRunsAfterTakeoverOnSlowLink checks that a job that was accepted runs after a takeover by an entry host whose link takes
 // some seconds to carry all of the pool's rows.
 func TestAcceptedJobRunsAfterTakeoverOnSlowLink(t *testing.T) {
-	const (
-		bandwidth = 10_000_000 / 8 // of the smallest entry hosts of the platform's deployments
-		jobs      = 1144           // of one pool of hinokuni-stretch-grown: 19.07 per second for 60 s
-		specBytes = 1000
-		takeover  = 15 * time.Second // the lease, the read of the rows and the leases of the previous owner's runs
-	)
+	const takeover = 15 * time.Second // the lease, the read of the rows and the leases of the previous owner's runs
 	run(t, 1, 8, constant(200*time.Millisecond), func(c *cluster) {
-		c.storeFinishedJobs(jobs, specBytes)
+		c.storeFinishedJobs(storedJobs, specBytes)
 		must.Eq(t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
 		c.kill("entry-1")
-		c.bandwidths = map[string]int{"entry-1": bandwidth}
+		c.bandwidths = map[string]int{"entry-1": slowBandwidth}
 		c.start("entry-1")
 		c.await(quotePrefix, jobID(1), "completed", takeover)
 	})
 }
+
+// TestAcceptedJobRunsAfterStoreDropsHistoryOnSlowLink checks that an owner whose link takes some seconds to carry all of the pool's rows
+// starts tasks again after the store has dropped its history.
+func TestAcceptedJobRunsAfterStoreDropsHistoryOnSlowLink(t *testing.T) {
+	const reload = 10 * time.Second // of all rows
+	run(t, 1, 8, constant(200*time.Millisecond), func(c *cluster) {
+		c.kill("entry-1")
+		c.bandwidths = map[string]int{"entry-1": slowBandwidth}
+		c.start("entry-1")
+		time.Sleep(10 * time.Second)
+		c.storeFinishedJobs(storedJobs, specBytes)
+		must.Eq(t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+		c.await(quotePrefix, jobID(1), "completed", 3*time.Second)
+		c.hosts["entry-1"].link.SetCut(true)
+		c.storeFinishedJobs(1, specBytes) // answers the watch that was open
+		c.storeFinishedJobs(1, specBytes)
+		c.site.Store.DropHistory()
+		c.hosts["entry-1"].link.SetCut(false)
+		time.Sleep(3 * time.Second) // the rows read before are too old to start tasks
+		must.Eq(t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(2), twoSteps))
+		c.await(quotePrefix, jobID(2), "completed", reload)
+	})
+}
