scheduler: let a task return to the only backend server with room

A task that had failed on the only backend server with room avoided that server for 4 s. Its job had nothing running meanwhile although there was room, for longer than the 3 s that LOST allows.

Cause: avoidTime held whether or not the task had another place. Now a short task that has been held back for maxHoldBack (2 s) goes back, as it may use a reserved or slow backend server by then, and on the same condition: less than half of the pool is in use. In a full pool it still avoids the server for 4 s, since one that fails at once has room all the time and would use up the task's attempts. Long-running tasks have 6 s.

--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -184,10 +184,14 @@
 	return !p.avoids(t, b, now) && s.antiAffinityAllows(b)
 }
 
-// avoids reports whether the task currently avoids the backend server.
+// avoids reports whether the task currently avoids the backend server. A short task that has been held back for long goes back to it
+// while the pool has room.
 func (p *Pool) avoids(t *task, b *backend, now time.Time) bool {
 	until, ok := t.avoidUntil[b.ID]
-	return ok && now.Before(until) && len(p.backends) > 1
+	if !ok || !now.Before(until) || len(p.backends) <= 1 {
+		return false
+	}
+	return t.step.spec.LongRunning || now.Sub(t.readyAt) < maxHoldBack || !p.hasSpareRoom()
 }
 
 // avoidsAny reports whether the task currently avoids any backend server.
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -16,10 +16,11 @@
 	reserved        int                 // number of backend servers that are reserved for tasks that wait for room
 	aside           []*backend          // those that are reserved or slow, which short tasks may use in some cases only (see mayUse)
 	asideRoom       basilwork.Resources // maximum free room of each kind over these
-	halfEmpty       bool                // less than half of the pool's room of each kind is in use; valid while any is set aside
-	lookaheadLeft   int                 // number of steps without room that may still be considered for requesting tickets
-	ticketStepsLeft int                 // number of steps that may still wait for tickets
-	maxFree         []labelMaxFree      // by label index of the waiting steps
+	halfEmpty       bool                // less than half of the pool's room of each kind is in use; valid if halfEmptyKnown
+	halfEmptyKnown  bool
+	lookaheadLeft   int            // number of steps without room that may still be considered for requesting tickets
+	ticketStepsLeft int            // number of steps that may still wait for tickets
+	maxFree         []labelMaxFree // by label index of the waiting steps
 }
 
 // labelMaxFree caches the maximum free room of each kind, over the backend servers with a label, for short tasks.
@@ -32,7 +33,7 @@
 func (p *Pool) preparePlacement(now time.Time) {
 	p.placement.backends = p.placement.backends[:0]
 	p.placement.reserved = 0
-	p.placement.aside, p.placement.asideRoom, p.placement.halfEmpty = p.placement.aside[:0], noRoom, false
+	p.placement.aside, p.placement.asideRoom, p.placement.halfEmptyKnown = p.placement.aside[:0], noRoom, false
 	p.placement.lookaheadLeft, p.placement.ticketStepsLeft = min(ticketLookahead, p.waiting.ticketSteps), maxTicketSteps
 	lost := make(map[string]bool, len(p.silences))
 	for n := range p.silences {
@@ -74,7 +75,7 @@
 
 // full reports whether no waiting short task has room.
 func (p *Pool) full() bool {
-	if p.placement.halfEmpty && p.placement.asideRoom.Covers(p.waiting.minDemand) {
+	if p.placement.asideRoom.Covers(p.waiting.minDemand) && p.hasSpareRoom() {
 		return false
 	}
 	for label := range p.waiting.labels {
--- a/internal/basilscheduler/reserve.go
+++ b/internal/basilscheduler/reserve.go
@@ -9,7 +9,7 @@
 
 const (
 	reservedFraction = 3               // one backend server in this many may be reserved for short tasks
-	maxHoldBack      = 2 * time.Second // how long a task may be held back from reserved or slow servers while the pool has room, out of the 3 s that a task with room may wait
+	maxHoldBack      = 2 * time.Second // how long a task may be held back from reserved or slow servers, or ones on which it failed, while the pool has room, out of the 3 s that a task with room may wait
 )
 
 // mayReserve reports whether one more backend server may be reserved for a short task.
@@ -46,9 +46,6 @@
 
 // setAside notes that the backend server is reserved or slow.
 func (p *Pool) setAside(b *backend) {
-	if len(p.placement.aside) == 0 {
-		p.placement.halfEmpty = p.halfEmpty()
-	}
 	p.placement.aside = append(p.placement.aside, b)
 	p.placement.asideRoom = p.placement.asideRoom.Max(b.free())
 }
@@ -79,6 +76,14 @@
 	return 2*used.CPU < all.CPU && 2*used.Memory < all.Memory && 2*used.GPU <= all.GPU
 }
 
+// hasSpareRoom reports whether the pool was half empty when the decision first asked.
+func (p *Pool) hasSpareRoom() bool {
+	if !p.placement.halfEmptyKnown {
+		p.placement.halfEmpty, p.placement.halfEmptyKnown = p.halfEmpty(), true
+	}
+	return p.placement.halfEmpty
+}
+
 // mayUse reports whether the task may run on the backend server, as far as that is reserved for another task or slow, which is no place for
 // short ones. A task that has been held back for long may run on either while the pool has room; a long-running one also while it is full.
 func (p *Pool) mayUse(t *task, b *backend, now time.Time) bool {
@@ -86,12 +91,12 @@
 	if !b.reserved && (long || !b.isSlow) {
 		return true
 	}
-	return now.Sub(t.readyAt) >= maxHoldBack && (long || p.placement.halfEmpty)
+	return now.Sub(t.readyAt) >= maxHoldBack && (long || p.hasSpareRoom())
 }
 
 // fitsAside reports whether the next short task of the step may run on a backend server that is reserved for another one or slow.
 func (p *Pool) fitsAside(c *candidate, now time.Time) bool {
-	if !p.placement.halfEmpty || !p.placement.asideRoom.Covers(c.demand) || c.step.firstIdle >= len(c.step.tasks) {
+	if !p.placement.asideRoom.Covers(c.demand) || c.step.firstIdle >= len(c.step.tasks) || !p.hasSpareRoom() {
 		return false
 	}
 	t := c.step.tasks[c.step.firstIdle]
