scheduler, capacity: count the need of hosts in hosts as well

A task that needs a whole host stayed pending for ever while long-running tasks took 2 of 16 cores on each host of its pool, with hosts to spare. So did a gang of such tasks.

Cause: the need of a pool is the sum of what runs and waits, over the size of a host. Room that the work can't use, beside runs that last or on hosts without its label, counts as room for it. In the test 6 cores are used and 16 wait of 48: in total the three hosts are enough. Ruled out: that hosts are fetched and not used, or not kept. No order went out in 14 s, and with two such tasks in place of one hosts were ordered (trials on the code before).

Now the pool counts, at most every 0.1 s, the hosts that waiting work takes beyond its own: tasks that fit beside no run that lasts are packed by the size of the pool's hosts, with their anti-affinity and label, and gangs as a whole. Work for which a host comes free counts by its totals, as before, so it fetches no more than its own total demand takes. Empty hosts that the work needs are kept. The fleet moves hosts that match in size and label; those on the way count, and a host that doesn't come up does so for 5.5 s only. Where no host matches, none is moved. What is not needed any more is gone from the next count. An owner that knows no backend server yet, or waits for its predecessor's runs, lacks nothing.

The report in the table "answers" has three more fields, omitted when zero.

--- a/internal/basilcapacity/answer.go
+++ b/internal/basilcapacity/answer.go
@@ -35,10 +35,19 @@
 		Used: l.Used.CPU, WaitingDemand: l.WaitingDemand.CPU, Serving: l.Serving.CPU, MinHosts: l.MinBackends, ArrivedWork: int64(l.ArrivedWork.CPU), Leaving: l.Leaving,
 		Memory: Amounts{Used: l.Used.Memory, WaitingDemand: l.WaitingDemand.Memory, Serving: l.Serving.Memory, ArrivedWork: int64(l.ArrivedWork.Memory)},
 		GPU:    Amounts{Used: l.Used.GPU, WaitingDemand: l.WaitingDemand.GPU, Serving: l.Serving.GPU, ArrivedWork: int64(l.ArrivedWork.GPU)},
-		Idle:   l.Idle, ShortOnly: limitIDs(l.ShortOnly), Movable: limitIDs(l.Movable), Slow: limitIDs(l.Slow),
+		Listed: l.Listed, Kept: l.Kept, Lacking: reportedNeeds(l.Lacking),
+		Idle: l.Idle, ShortOnly: limitIDs(l.ShortOnly), Movable: limitIDs(l.Movable), Slow: limitIDs(l.Slow),
 	}
 }
 
+func reportedNeeds(needs []basilscheduler.HostNeed) []HostNeed {
+	var list []HostNeed
+	for _, n := range needs {
+		list = append(list, HostNeed{Label: n.Label, Resources: n.Resources, Hosts: n.Hosts})
+	}
+	return list
+}
+
 func limitIDs(ids []string) []string { return ids[:min(len(ids), maxReportedBackends)] }
 
 // HasNewAcknowledgement reports whether the request serial or the empty backend servers differ from those of the last report.
@@ -56,5 +65,8 @@
 			return true
 		}
 	}
+	if l.Listed != last.Listed || l.Kept != last.Kept || !slices.Equal(l.Lacking, last.Lacking) {
+		return true
+	}
 	return l.MinHosts != last.MinHosts || l.Leaving != last.Leaving || !slices.Equal(l.Idle, last.Idle) || !slices.Equal(l.Slow, last.Slow)
 }
--- a/internal/basilcapacity/demand.go
+++ b/internal/basilcapacity/demand.go
@@ -24,7 +24,8 @@
 	updatedAt   time.Time
 	recentNeeds []needSample // needs during the last releaseDelay
 
-	spareSince time.Time // since when the pool has had spare hosts; zero if it has none
+	spareSince      time.Time // since when the pool has had spare hosts; zero if it has none
+	unreportedSince time.Time // since when the pool lacks hosts and reports fewer than it has; zero if it does not
 }
 
 type needSample struct {
@@ -78,6 +79,9 @@
 	}
 	hosts, _ := f.hostsForDemand(pool, now)
 	hosts = max(hosts, f.reports[pool].Load.MinHosts, minPoolHosts)
+	if _, arriving := f.lackingHosts(pool, now); arriving > 0 {
+		hosts = max(hosts, f.reports[pool].Load.Kept+arriving)
+	}
 	d.recentNeeds = slices.DeleteFunc(d.recentNeeds, func(s needSample) bool { return now.Sub(s.at) > releaseDelay })
 	d.recentNeeds = append(d.recentNeeds, needSample{now, hosts})
 	return hosts
--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -37,18 +37,21 @@
 
 // Load is the load that a pool reports.
 type Load struct {
-	Used          int      `json:"used"`              // CPU in use, thousandths of a core
-	WaitingDemand int      `json:"wanted,omitempty"`  // CPU requested by waiting tasks
-	Serving       int      `json:"serving,omitempty"` // CPU of long-running tasks
-	MinHosts      int      `json:"least,omitempty"`   // hosts required by long-running tasks
-	Leaving       int      `json:"leaving,omitempty"` // backend servers that will stop soon
-	ArrivedWork   int64    `json:"arrived,omitempty"` // total estimated work of all jobs so far, thousandths of core-seconds
-	Memory        Amounts  `json:"memory,omitzero"`   // MB
-	GPU           Amounts  `json:"gpu,omitzero"`
-	Idle          []string `json:"idle,omitempty"`    // backend servers without runs
-	ShortOnly     []string `json:"brief,omitempty"`   // backend servers with only short runs, the earliest to finish first
-	Slow          []string `json:"slow,omitempty"`    // backend servers that are much slower than others
-	Movable       []string `json:"movable,omitempty"` // backend servers whose long-running runs fit elsewhere, the least loaded first
+	Used          int        `json:"used"`              // CPU in use, thousandths of a core
+	WaitingDemand int        `json:"wanted,omitempty"`  // CPU requested by waiting tasks
+	Serving       int        `json:"serving,omitempty"` // CPU of long-running tasks
+	MinHosts      int        `json:"least,omitempty"`   // hosts required by long-running tasks
+	Listed        int        `json:"listed,omitempty"`  // backend servers that the pool knows and isn't asked to evacuate, if Kept is set
+	Kept          int        `json:"kept,omitempty"`    // sound ones of these that waiting work needs or can't use, if it needs whole hosts
+	Lacking       []HostNeed `json:"lacking,omitempty"` // hosts that waiting work needs beyond those listed
+	Leaving       int        `json:"leaving,omitempty"` // backend servers that will stop soon
+	ArrivedWork   int64      `json:"arrived,omitempty"` // total estimated work of all jobs so far, thousandths of core-seconds
+	Memory        Amounts    `json:"memory,omitzero"`   // MB
+	GPU           Amounts    `json:"gpu,omitzero"`
+	Idle          []string   `json:"idle,omitempty"`    // backend servers without runs
+	ShortOnly     []string   `json:"brief,omitempty"`   // backend servers with only short runs, the earliest to finish first
+	Slow          []string   `json:"slow,omitempty"`    // backend servers that are much slower than others
+	Movable       []string   `json:"movable,omitempty"` // backend servers whose long-running runs fit elsewhere, the least loaded first
 }
 
 // PoolReport is a pool's report: its load, and which of the requested backend servers are empty.
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -39,6 +39,7 @@
 	ExpectedRise int    `json:"ahead"`    // expected rise of the demand by the time a moved host would arrive
 	SteadyDemand int    `json:"steady"`   // demand if work keeps arriving at the present rate
 	Missing      int    `json:"missing"`  // hosts
+	Lacking      int    `json:"lacking"`  // hosts of certain kinds, beyond those on the way
 
 	ReportAge         int64 `json:"answer_age_ms"`   // since the latest report
 	UnseenEvacuations int   `json:"unanswered"`      // evacuations that the pool has not seen yet
@@ -53,6 +54,9 @@
 	for _, b := range f.balances(now) {
 		s := PoolStatus{Pool: b.pool, Hosts: b.hosts, Need: f.need(b.pool, now), RecentNeed: f.recentNeed(b.pool), Missing: b.missing}
 		s.Idle, s.Unavailable = len(f.reports[b.pool].Load.Idle), f.countsOf(b.pool).unavailable
+		for _, n := range b.lacking {
+			s.Lacking += n.Hosts
+		}
 		d := f.moves.demands[b.pool]
 		_, r := f.hostsForDemand(b.pool, now)
 		s.Resource, s.Demand, s.ExpectedRise = r.String(), int(d.trends[r].level), int(d.expectedRise(r, now))
@@ -86,6 +90,7 @@
 	hosts   int // hosts that serve the pool or are on the way to it
 	missing int
 	spare   int
+	lacking []HostNeed // hosts of certain kinds, beyond those on the way
 }
 
 func (f *Fleet) balances(now time.Time) []*balance {
@@ -101,6 +106,7 @@
 		unfit := len(l.Slow) + l.Leaving
 		b.missing = max(0, need+unfit-b.hosts)
 		b.spare = max(0, b.hosts-f.recentNeed(pool)-unfit)
+		b.lacking, _ = f.lackingHosts(pool, now)
 		list = append(list, b)
 	}
 	return list
@@ -149,9 +155,9 @@
 			continue
 		}
 		target := f.standbyPool
-		if b := neediest(balances); b != nil && b.pool != m.Pool {
+		if b := neediestFor(balances, m); b != nil {
 			target = b.pool
-			b.missing--
+			b.add(m)
 		}
 		f.orderMove(m, target, plan)
 	}
@@ -159,7 +165,7 @@
 
 // moveStandby moves hosts of the standby pool to pools that lack hosts; slow hosts and those due for maintenance go last.
 func (f *Fleet) moveStandby(balances []*balance, now time.Time, plan *Plan) {
-	if neediest(balances) == nil {
+	if neediest(balances) == nil && !slices.ContainsFunc(balances, func(b *balance) bool { return len(b.lacking) > 0 }) {
 		return
 	}
 	var list []*machine
@@ -171,13 +177,12 @@
 	slices.SortStableFunc(list, func(a, b *machine) int {
 		return cmp.Or(compareBool(now.Before(a.slowUntil), now.Before(b.slowUntil)), compareBool(a.due, b.due))
 	})
+	list = f.moveFirstOfEachKind(balances, list, plan)
 	for _, m := range list {
-		b := neediest(balances)
-		if b == nil {
-			return
+		if b := neediestFor(balances, m); b != nil {
+			b.add(m)
+			f.orderMove(m, b.pool, plan)
 		}
-		b.missing--
-		f.orderMove(m, b.pool, plan)
 	}
 }
 
@@ -255,10 +260,13 @@
 	}
 	for _, m := range f.sorted {
 		b := byPool[m.Pool]
-		if b == nil || b.missing <= 0 || !m.evacuating || m.reason != moveReason || m.orderPending {
+		if b == nil || !m.evacuating || m.reason != moveReason || m.orderPending {
+			continue
+		}
+		if b.needFor(m) <= 0 {
 			continue
 		}
-		b.missing--
+		b.add(m)
 		f.cancelEvacuation(m.Pool, m.Backend)
 		m.evacuating, m.reason, m.target = false, "", ""
 	}
--- a/internal/basilcapacity/rows_test.go
+++ b/internal/basilcapacity/rows_test.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilwork"
 )
 
 const (
@@ -34,7 +37,11 @@
 		gone[ids[n]] = 1790000000000
 	}
 	request := EvacuationRequest{Serial: 100000, Backends: serials, Due: ids, Gone: gone}
-	answer := PoolReport{Serial: 100000, Empty: ids, Load: Load{Idle: ids, Slow: ids}}
+	lacking := make([]HostNeed, 8) // the most that a pool reports, with the longest labels
+	for n := range lacking {
+		lacking[n] = HostNeed{Label: strings.Repeat("x", 256), Resources: basilwork.Resources{CPU: 128000, Memory: 1 << 20, GPU: 16}, Hosts: poolHosts}
+	}
+	answer := PoolReport{Serial: 100000, Empty: ids, Load: Load{Idle: ids, Slow: ids, Listed: poolHosts, Kept: poolHosts, Lacking: lacking}}
 	t.Logf("request %d bytes, report %d bytes for %d hosts", encodedSize(t, request), encodedSize(t, answer), poolHosts)
 	must.Less(t, maxRowBytes, encodedSize(t, request))
 	must.Less(t, maxRowBytes, encodedSize(t, answer))
--- a/internal/basilnode/fleet_test.go
+++ b/internal/basilnode/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -148,3 +149,16 @@
 		c.await(quotePrefix, jobID(1), "completed", 14*time.Second)
 	})
 }
+
+// TestGangOfWholeHostsBesideLongRunningTasks checks that a gang gets the hosts that it lacks, all at once, and that they are given back.
+func TestGangOfWholeHostsBesideLongRunningTasks(t *testing.T) {
+	run(t, 1, 6, constant(900*time.Millisecond), func(c *cluster) {
+		must.Eq(t, http.StatusOK, c.submit("entry-1", longPrefix, longRunningID, strings.Replace(longRunningJob, `"count":3`, `"count":6`, 1)))
+		time.Sleep(2 * time.Second)
+		must.Eq(t, 6, c.site.Running(longRunningID))
+		must.Eq(t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), `{"spec":"x","steps":[{"count":2,"cpu":16000,"mem_mb":16,"estimate_ms":900,"gang":true}]}`))
+		c.await(quotePrefix, jobID(1), "completed", 14*time.Second)
+		time.Sleep(6 * time.Second)
+		must.Len(t, 2, c.site.Machines("spare"))
+	})
+}
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -230,7 +230,7 @@
 		"backends": l.Backends, "present": l.Present, "usable": l.Usable, "not_recorded": l.Unrecorded,
 		"used_cpu": l.Used.CPU, "room_cpu": l.Room.CPU, "wanted_cpu": l.WaitingDemand.CPU, "used_mb": l.Used.Memory, "room_mb": l.Room.Memory,
 		"hold_gather_ms": o.holdPacer.interval().Milliseconds(),
-		"orders_queued":  o.orders.queued(), "runs_without_job": l.Orphans, "runs_not_stopping": l.Unstopped,
+		"hosts_lacking":  l.Lacking, "orders_queued": o.orders.queued(), "runs_without_job": l.Orphans, "runs_not_stopping": l.Unstopped,
 	}).WithFields(o.stats.fields()).Info("pool load")
 }
 
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -28,7 +28,10 @@
 	Room          basilwork.Resources
 	WaitingDemand basilwork.Resources // of the waiting tasks
 	Serving       basilwork.Resources // of the long-running tasks
-	MinBackends   int                 // minimum number of backend servers for the long-running tasks
+	MinBackends   int                 // minimum number of backend servers for the long-running tasks, and for waiting ones that fit beside none of these
+	Listed        int                 // backend servers in the current list that are not being evacuated, if Kept is set
+	Kept          int                 // sound ones of these that are used or needed, if waiting work needs hosts without long-running tasks
+	Lacking       []HostNeed          // hosts that the pool lacks beyond those listed
 	ArrivedWork   basilwork.Resources // total estimated work of the jobs added so far: what their tasks reserve, times seconds
 	Idle          []string            // usable backend servers without runs
 	ShortOnly     []string            // usable backend servers with short runs only, those expected to be empty first at the front
@@ -126,6 +129,9 @@
 	if p.needsBackend {
 		l.MinBackends = max(l.MinBackends, l.Usable+1)
 	}
+	n := p.hostNeeds(now)
+	l.Listed, l.Kept, l.Lacking = n.present, n.kept, n.lacking
+	l.MinBackends = max(l.MinBackends, n.kept)
 	return l
 }
 
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -68,6 +68,7 @@
 	silences         []silence            // of backend servers that were lost lately
 	givenUp          map[string]time.Time // when jobs were given up since backend servers crashed under their tasks, as long as silences are kept
 	inheritedCrash   bool                 // a backend server that may have had runs of a predecessor has crashed
+	hostNeed         hostNeeds            // cached result of hostNeeds
 	startLimit       int                  // maximum number of starts per decision
 }
 
--- a/internal/basilscheduler/reserve.go
+++ b/internal/basilscheduler/reserve.go
@@ -55,16 +55,21 @@
 
 // roomComes reports whether the backend server has room for the demand once all runs that don't last have ended.
 func (b *backend) roomComes(demand basilwork.Resources) bool {
+	return b.roomBesideLasting().Covers(demand)
+}
+
+// roomBesideLasting returns the room of the backend server once all runs that don't last have ended.
+func (b *backend) roomBesideLasting() basilwork.Resources {
+	room := b.Resources
 	if b.longRuns == 0 {
-		return b.Resources.Covers(demand)
+		return room
 	}
-	room := b.Resources
 	for _, r := range b.runs {
 		if r.lasts() {
 			room = room.Sub(r.task.step.demand)
 		}
 	}
-	return room.Covers(demand)
+	return room
 }
 
 // halfEmpty reports whether less than half of the room of each kind is in use.
--- a/internal/basilscheduler/reserve_test.go
+++ b/internal/basilscheduler/reserve_test.go
@@ -102,6 +102,44 @@
 	roomy   map[string]time.Time     // since when a job or a long-running task has had room and not run
 }
 
+func newWaitingPlay(t *testing.T, r *rapid.T, leastBackends int) *waitingPlay {
+	var list []basilwork.Backend
+	for n := range rapid.IntRange(leastBackends, 10).Draw(r, "backend servers") {
+		list = append(list, backendInPlay(n, n%2 == 0))
+	}
+	return &waitingPlay{
+		fixture: newFixture(t, list...), t: r, ends: make(map[Ref]time.Time), numbers: make(map[string]int64), lengths: make(map[string]time.Duration), roomy: make(map[string]time.Time),
+	}
+}
+
+func backendInPlay(number int, rare bool) basilwork.Backend {
+	b := backendOf(fmt.Sprint("b", number), 16000)
+	b.Rack = fmt.Sprint("r1-b", number%3)
+	if rare {
+		b.Labels = append(b.Labels, "rare")
+	}
+	return b
+}
+
+// submitJobs draws jobs and cancellations, with ticks between them.
+func (p *waitingPlay) submitJobs(tick func()) {
+	var jobs []string
+	for n := range rapid.IntRange(1, 40).Draw(p.t, "events") {
+		if len(jobs) > 0 && rapid.IntRange(0, 9).Draw(p.t, "event") == 0 {
+			p.Cancel(rapid.SampledFrom(jobs).Draw(p.t, "cancelled"), p.now)
+		} else {
+			id := fmt.Sprintf("job-%02d", n)
+			s := p.kindOf(p.t)
+			p.lengths[id] = s.Estimate * time.Duration(rapid.IntRange(5, 20).Draw(p.t, "tenths")) / 10
+			p.addJob(id, s)
+			jobs = append(jobs, id)
+		}
+		for range rapid.IntRange(0, 10).Draw(p.t, "ticks") {
+			tick()
+		}
+	}
+}
+
 // kindOf draws a step.
 func (p *waitingPlay) kindOf(t *rapid.T) basilwork.Step {
 	s := basilwork.Step{
@@ -215,34 +253,8 @@
 // TestPropertyWhatWaitsHoldsBackNothingThatFits plays random waiting work of all kinds.
 func TestPropertyWhatWaitsHoldsBackNothingThatFits(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		var list []basilwork.Backend
-		for n := range rapid.IntRange(4, 10).Draw(r, "backend servers") {
-			b := backendOf(fmt.Sprint("b", n), 16000)
-			b.Rack = fmt.Sprint("r1-b", n%3)
-			if n%2 == 0 {
-				b.Labels = append(b.Labels, "rare")
-			}
-			list = append(list, b)
-		}
-		p := &waitingPlay{
-			fixture: newFixture(t, list...), t: r, ends: make(map[Ref]time.Time), numbers: make(map[string]int64), lengths: make(map[string]time.Duration), roomy: make(map[string]time.Time),
-		}
-		var jobs []string
-		for n := range rapid.IntRange(1, 40).Draw(r, "events") {
-			if len(jobs) > 0 && rapid.IntRange(0, 9).Draw(r, "event") == 0 {
-				id := rapid.SampledFrom(jobs).Draw(r, "cancelled")
-				p.Cancel(id, p.now)
-			} else {
-				id := fmt.Sprintf("job-%02d", n)
-				s := p.kindOf(r)
-				p.lengths[id] = s.Estimate * time.Duration(rapid.IntRange(5, 20).Draw(r, "tenths")) / 10
-				p.addJob(id, s)
-				jobs = append(jobs, id)
-			}
-			for range rapid.IntRange(0, 10).Draw(r, "ticks") {
-				p.tick()
-			}
-		}
+		p := newWaitingPlay(t, r, 4)
+		p.submitJobs(p.tick)
 		for range 100 {
 			p.tick()
 		}
