node: acknowledge no ends of a new incarnation by the numbers of the one before

What callers saw: nothing known; by reading, then by test. A run that ended done on a backend server that came back under its ID may count as lost and be started again, and its later ends aren't acknowledged.

Cause: when an idle backend server leaves the list, its connection is closed and what was acknowledged to it is kept. The first report of its next life set the new incarnation beside the number of the life before, which went out with the next hold.

Change: what is stored of ends is forgotten with the incarnation, as at a restart and a loss.

--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -87,9 +87,7 @@
 			before = o.pool.RunStates(id)
 			o.log.WithFields(logrus.Fields{basillog.FieldHost: id, "born": r.StartedAt}).Info("backend server restarted")
 			o.pool.Restarted(id, r, sent, now)
-			delete(o.commit.acked, id)
-			delete(o.commit.covered, id)
-			delete(o.commit.pendingCover, id)
+			o.commit.forgetEnds(id)
 		}
 		o.commit.setIncarnation(id, r.StartedAt)
 		o.logRunEnds(id, r)
@@ -129,9 +127,7 @@
 		o.pool.Lost(id, reason, now)
 		o.recordLosses(id, reason.String(), before, now)
 		o.closeConnection(id)
-		delete(o.commit.acked, id)
-		delete(o.commit.covered, id)
-		delete(o.commit.pendingCover, id)
+		o.commit.forgetEnds(id)
 	})
 }
 
--- a/internal/basilnode/owner_store.go
+++ b/internal/basilnode/owner_store.go
@@ -51,13 +51,25 @@
 	c.logged[id] = number
 }
 
+// setIncarnation records the incarnation of a backend server that has answered. What was stored of an earlier one says nothing of its ends.
 func (c *committer) setIncarnation(id string, startedAt int64) {
 	if c.incarnations == nil {
 		c.incarnations = make(map[string]int64)
 	}
+	if c.incarnations[id] != startedAt {
+		c.forgetEnds(id)
+	}
 	c.incarnations[id] = startedAt
 }
 
+// forgetEnds forgets which ends of a backend server are stored, or are stored by the transactions under way.
+func (c *committer) forgetEnds(id string) {
+	delete(c.acked, id)
+	delete(c.covered, id)
+	delete(c.pendingCover, id)
+	delete(c.logged, id)
+}
+
 func (c *committer) acknowledge(numbers map[string]int64) {
 	if c.acked == nil {
 		c.acked = make(map[string]int64)
