--- a/internal/basilcapacity/fill_test.go
+++ b/internal/basilcapacity/fill_test.go
@@ -42,3 +42,20 @@
 	must.Eq(t, 19, needAfter(20*time.Second, Load{Used: 4 * 64000, WaitingDemand: 12 * 64000, ArrivedWork: 1000}), must.Sprint("the limit is over"))
 	must.Greater(t, 100, needAfter(0, Load{WaitingDemand: 100 * 64000, ArrivedWork: 1}), must.Sprint("of the next owner"))
 }
+
+// TestPoolKeepsHostsThatItHasFilled checks that a pool that has filled its hosts since its owner was too slow keeps them. Its limit followed
+// what was in use before.
+func TestPoolKeepsHostsThatItHasFilled(t *testing.T) {
+	w := newWorld(t)
+	w.addHosts("a", 20)
+	w.addHosts("b", 3)
+	w.report("b", Load{Used: 3 * 64000, WaitingDemand: 20 * 64000})
+	w.report("a", Load{Used: 13 * 64000, WaitingDemand: 40 * 64000, ShortOnly: w.lastBackends("a", 20), Limited: true})
+	w.decide(250 * time.Millisecond)
+	for range 4 {
+		w.report("a", Load{Used: 20 * 64000, WaitingDemand: 40 * 64000, ShortOnly: w.lastBackends("a", 20)})
+		w.report("b", Load{Used: 3 * 64000, WaitingDemand: 20 * 64000})
+		w.decide(250 * time.Millisecond)
+	}
+	must.Eq(t, 0, w.evacuationCount("a"))
+}
