--- a/internal/basilcapacity/fill_test.go
+++ b/internal/basilcapacity/fill_test.go
@@ -59,3 +59,19 @@
 	}
 	must.Eq(t, 0, w.evacuationCount("a"))
 }
+
+// TestLimitOfPoolWithoutRunsEnds checks that a pool gets hosts again though nothing ran in it as its owner was last too slow. A limit of zero
+// never grew.
+func TestLimitOfPoolWithoutRunsEnds(t *testing.T) {
+	w := newWorld(t)
+	w.addHosts("a", 3)
+	w.addHosts("spare", 20)
+	w.report("a", Load{WaitingDemand: 40 * 64000, Limited: true})
+	w.decide(250 * time.Millisecond)
+	var moved int
+	for range 240 {
+		w.report("a", Load{Used: 3 * 64000, WaitingDemand: 40 * 64000})
+		moved += len(w.decide(250 * time.Millisecond).Orders)
+	}
+	must.Positive(t, moved)
+}
