--- a/internal/basilscheduler/lost_test.go
+++ b/internal/basilscheduler/lost_test.go
@@ -92,3 +92,32 @@
 	}
 	t.Fatal("no advice on b2 was asked for in 3 s")
 }
+
+// restartedGang starts a gang of two, gives up the backend servers of both members, starts the gang anew on others and lets the first ones return.
+func restartedGang(t *testing.T) (f *fixture, first, second []Start) {
+	t.Helper()
+	list := []basilwork.Backend{backendOf("b1", 1000), backendOf("b2", 1000), backendOf("b3", 1000), backendOf("b4", 1000)}
+	f = newFixture(t, list...)
+	gang, next := stepOf(2, 1000), stepOf(1, 500)
+	gang.Gang = true
+	next.After = []int{0}
+	f.addJob("j", gang, next)
+	first = f.decideAndStart()
+	must.Len(t, 2, first)
+	f.advance(7 * time.Second)
+	for _, s := range first {
+		f.Lost(s.Backend, basilwork.LossExpired, f.now)
+	}
+	second = f.decideAndStart()
+	must.Len(t, 2, second)
+	f.advance(time.Second)
+	f.setBackends(list...)
+	return f, first, second
+}
+
+// TestLapsedRunOfEarlierAttemptStopsNoGang checks that a gang works on when a backend server returns and lists the end of an earlier attempt.
+func TestLapsedRunOfEarlierAttemptStopsNoGang(t *testing.T) {
+	f, first, _ := restartedGang(t)
+	f.report(first[0].Backend, 0, end(first[0].Task.String(), 1, first[0].Attempt, basilwork.RunEndLapsed))
+	must.SliceEmpty(t, f.Decide(f.now).Stops)
+}
