--- a/internal/basilscheduler/lost_test.go
+++ b/internal/basilscheduler/lost_test.go
@@ -121,3 +121,12 @@
 	f.report(first[0].Backend, 0, end(first[0].Task.String(), 1, first[0].Attempt, basilwork.RunEndLapsed))
 	must.SliceEmpty(t, f.Decide(f.now).Stops)
 }
+
+// TestRunsOfFinishedGangAreStopped checks that the runs of a gang's newer attempt are stopped once an earlier one has finished it.
+func TestRunsOfFinishedGangAreStopped(t *testing.T) {
+	f, first, _ := restartedGang(t)
+	f.report(first[0].Backend, 0, end(first[0].Task.String(), 1, first[0].Attempt, basilwork.RunEndDone))
+	a := f.Decide(f.now)
+	must.Len(t, 1, a.EarlierEnds)
+	must.Len(t, 2, a.Stops)
+}
