--- a/internal/basilscheduler/lost_test.go
+++ b/internal/basilscheduler/lost_test.go
@@ -130,3 +130,30 @@
 	must.Len(t, 1, a.EarlierEnds)
 	must.Len(t, 2, a.Stops)
 }
+
+// TestEarlierEndTeachesNoRunTime checks that the end of an earlier attempt, whose start isn't known any more, doesn't count as a run that took
+// no time.
+func TestEarlierEndTeachesNoRunTime(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 20000), backendOf("b2", 20000))
+	f.addJob("j", stepOf(20, 1000))
+	first := f.decideAndStart()
+	must.Len(t, 20, first)
+	f.advance(time.Second)
+	gone := first[0].Backend
+	f.Lost(gone, basilwork.LossExpired, f.now)
+	f.decideAndStart()
+	f.setBackends(backendOf("b1", 20000), backendOf("b2", 20000))
+	f.Take("j")
+	var ends []basilwork.EndedRun
+	for _, s := range first {
+		if s.Backend == gone {
+			ends = append(ends, end(s.Task.String(), int64(len(ends)+1), s.Attempt, basilwork.RunEndDone))
+		}
+	}
+	must.Positive(t, len(ends))
+	f.report(gone, 0, ends...)
+	must.SliceNotEmpty(t, f.Decide(f.now).EarlierEnds)
+	for _, l := range f.runTimes {
+		must.Eq(t, 1, l.ratio, must.Sprint(len(ends)))
+	}
+}
