--- a/internal/basilscheduler/lost_test.go
+++ b/internal/basilscheduler/lost_test.go
@@ -92,3 +92,68 @@
 	}
 	t.Fatal("no advice on b2 was asked for in 3 s")
 }
+
+// restartedGang starts a gang of two, gives up the backend servers of both members, starts the gang anew on others and lets the first ones return.
+func restartedGang(t *testing.T) (f *fixture, first, second []Start) {
+	t.Helper()
+	list := []basilwork.Backend{backendOf("b1", 1000), backendOf("b2", 1000), backendOf("b3", 1000), backendOf("b4", 1000)}
+	f = newFixture(t, list...)
+	gang, next := stepOf(2, 1000), stepOf(1, 500)
+	gang.Gang = true
+	next.After = []int{0}
+	f.addJob("j", gang, next)
+	first = f.decideAndStart()
+	must.Len(t, 2, first)
+	f.advance(7 * time.Second)
+	for _, s := range first {
+		f.Lost(s.Backend, basilwork.LossExpired, f.now)
+	}
+	second = f.decideAndStart()
+	must.Len(t, 2, second)
+	f.advance(time.Second)
+	f.setBackends(list...)
+	return f, first, second
+}
+
+// TestLapsedRunOfEarlierAttemptStopsNoGang checks that a gang works on when a backend server returns and lists the end of an earlier attempt.
+func TestLapsedRunOfEarlierAttemptStopsNoGang(t *testing.T) {
+	f, first, _ := restartedGang(t)
+	f.report(first[0].Backend, 0, end(first[0].Task.String(), 1, first[0].Attempt, basilwork.RunEndLapsed))
+	must.SliceEmpty(t, f.Decide(f.now).Stops)
+}
+
+// TestRunsOfFinishedGangAreStopped checks that the runs of a gang's newer attempt are stopped once an earlier one has finished it.
+func TestRunsOfFinishedGangAreStopped(t *testing.T) {
+	f, first, _ := restartedGang(t)
+	f.report(first[0].Backend, 0, end(first[0].Task.String(), 1, first[0].Attempt, basilwork.RunEndDone))
+	a := f.Decide(f.now)
+	must.Len(t, 1, a.EarlierEnds)
+	must.Len(t, 2, a.Stops)
+}
+
+// TestEarlierEndTeachesNoRunTime checks that the end of an earlier attempt, whose start isn't known any more, doesn't count as a run that took
+// no time.
+func TestEarlierEndTeachesNoRunTime(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 20000), backendOf("b2", 20000))
+	f.addJob("j", stepOf(20, 1000))
+	first := f.decideAndStart()
+	must.Len(t, 20, first)
+	f.advance(time.Second)
+	gone := first[0].Backend
+	f.Lost(gone, basilwork.LossExpired, f.now)
+	f.decideAndStart()
+	f.setBackends(backendOf("b1", 20000), backendOf("b2", 20000))
+	f.Take("j")
+	var ends []basilwork.EndedRun
+	for _, s := range first {
+		if s.Backend == gone {
+			ends = append(ends, end(s.Task.String(), int64(len(ends)+1), s.Attempt, basilwork.RunEndDone))
+		}
+	}
+	must.Positive(t, len(ends))
+	f.report(gone, 0, ends...)
+	must.SliceNotEmpty(t, f.Decide(f.now).EarlierEnds)
+	for _, l := range f.runTimes {
+		must.Eq(t, 1, l.ratio, must.Sprint(len(ends)))
+	}
+}
