capacity: let the limit of a slow owner's hosts start at the smallest pool

And the limit could lie below what is in use by now.

Change: it starts at minPoolHosts, and is never less than what the newest report has in use.

--- a/internal/basilcapacity/fill.go
+++ b/internal/basilcapacity/fill.go
@@ -36,13 +36,14 @@
 	if !l.limited {
 		return math.MaxInt
 	}
-	var filled float64
-	for r, used := range l.used {
+	filled, inUse := float64(minPoolHosts), 0.0
+	for r, a := range f.reports[pool].Load.amounts() {
 		if size := f.averageCapacity(pool, resource(r)); size > 0 {
-			filled = max(filled, float64(used)/float64(size))
+			filled = max(filled, float64(l.used[r])/float64(size))
+			inUse = max(inUse, float64(a.Used)/float64(size))
 		}
 	}
-	limit := filled * fillHeadroom * math.Pow(fillGrowth, now.Sub(l.at).Seconds())
+	limit := max(inUse, filled*fillHeadroom*math.Pow(fillGrowth, now.Sub(l.at).Seconds()))
 	l.limited = limit < float64(len(f.machines))
 	return int(math.Ceil(min(limit, float64(len(f.machines)))))
 }
