scheduler: tell the attempts of a gang apart, and learn no run time without a start

Cause: ends were taken for those of the newest attempt.

Change: only runs of the attempt that ended are stopped, or left when it ended done; run times are learned from known starts.

--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -151,7 +151,7 @@
 		p.tellEarlierEnd(b, t, e)
 	}
 	if r == nil {
-		r = &run{task: t, backend: b, attempt: e.Attempt, orderedAt: now, resumed: true}
+		r = &run{task: t, backend: b, attempt: e.Attempt, resumed: true} // when it began is not known
 	}
 	p.endRun(r, e.End, now)
 }
@@ -194,11 +194,13 @@
 	switch end {
 	case basilwork.RunEndDone:
 		b.recordSuccess()
-		p.learnRunTime(t.step, now.Sub(r.orderedAt))
+		if !r.orderedAt.IsZero() {
+			p.learnRunTime(t.step, now.Sub(r.orderedAt))
+		}
 		if !r.resumed {
 			p.observe(r, now.Sub(r.orderedAt), now)
 		}
-		p.finishTask(t, now)
+		p.finishTask(t, r.attempt, now)
 	case basilwork.RunEndFailed:
 		b.recordFailure(j.id(), now)
 		p.recordFailedAttempt(t, r.attempt, now)
@@ -207,24 +209,24 @@
 		t.avoidBackend(b.ID, now.Add(avoidTime))
 	}
 	if t.step.spec.Gang && end != basilwork.RunEndDone {
-		p.stopGang(t, now)
+		p.stopGang(t, r.attempt, now)
 	}
 	t.readyAt = now
 }
 
 // finishTask marks a task as done. If one task of a gang is done, the whole gang is.
-func (p *Pool) finishTask(t *task, now time.Time) {
+func (p *Pool) finishTask(t *task, attempt int, now time.Time) {
 	if t.step.spec.LongRunning {
 		return
 	}
 	for _, o := range t.step.tasks {
 		if o == t || t.step.spec.Gang {
-			p.markTaskDone(o, now)
+			p.markTaskDone(o, attempt, now)
 		}
 	}
 }
 
-func (p *Pool) markTaskDone(t *task, now time.Time) {
+func (p *Pool) markTaskDone(t *task, attempt int, now time.Time) {
 	if t.done {
 		return
 	}
@@ -239,7 +241,7 @@
 	j := o.job
 	p.markDirty(j)
 	for _, r := range t.runs {
-		if !s.spec.Gang {
+		if !s.spec.Gang || r.attempt != attempt { // the members of one attempt end together
 			p.stop(r, "another copy finished", now)
 		}
 	}
@@ -315,10 +317,13 @@
 	return len(attempts)
 }
 
-func (p *Pool) stopGang(t *task, now time.Time) {
+// stopGang stops the runs of one attempt of a gang.
+func (p *Pool) stopGang(t *task, attempt int, now time.Time) {
 	for _, o := range t.step.tasks {
 		for _, r := range o.runs {
-			p.stop(r, "a member of the gang ended", now)
+			if r.attempt == attempt {
+				p.stop(r, "a member of the gang ended", now)
+			}
 		}
 	}
 }
