--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -80,7 +80,7 @@
 	readTimeout   *basiltimer.AnswerTimeout // of reads of the members and owners
 	memberWrites  memberWrites
 	stopping      atomic.Bool
-	releasing     atomic.Bool // all shards are to be released
+	releasing     atomic.Bool  // all shards are to be released
 	slowUntil     atomic.Int64 // clock time
 	slowTime      time.Duration
 	failedAt      atomic.Int64 // clock time of the newest failed renewal or read of the members, 0 for none
