node: show that an owner on a shared slow link never reads its pool's jobs

A read lasts while its answer arrives, but each page of it has the time limit of a call of the store, 4 s (platform/store.go). Rows of the longest specs, over half of the link of the smallest entry hosts, take longer, and the read begins again with the first page.

--- a/internal/basilnode/slow_link_test.go
+++ b/internal/basilnode/slow_link_test.go
@@ -113,3 +113,22 @@
 		c.await(quotePrefix, jobID(1), "completed", takeover)
 	})
 }
+
+// TestAcceptedJobRunsAfterTakeoverOnSharedSlowLink checks the same where the specs are as long as callers may send, and another pool's rows
+// are read over the same link at the time. A page of rows had to arrive within the time limit of a call.
+func TestAcceptedJobRunsAfterTakeoverOnSharedSlowLink(t *testing.T) {
+	const (
+		bandwidth = 10_000_000 / 8 / 2 // a half of the link of the smallest entry hosts
+		jobs      = 1144               // see above
+		specBytes = 4000               // the longest specs
+		takeover  = 30 * time.Second   // as above; the rows take about ten seconds
+	)
+	run(t, 1, 8, constant(200*time.Millisecond), func(c *cluster) {
+		c.storeFinishedJobs(jobs, specBytes)
+		must.Eq(t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
+		c.kill("entry-1")
+		c.bandwidths = map[string]int{"entry-1": bandwidth}
+		c.start("entry-1")
+		c.await(quotePrefix, jobID(1), "completed", takeover)
+	})
+}
