--- a/internal/basilnode/slow_link_test.go
+++ b/internal/basilnode/slow_link_test.go
@@ -116,7 +116,6 @@
 	})
 }
 
-<<<<<<< HEAD
 // TestAcceptedJobRunsAfterStoreDropsHistoryOnSlowLink checks that an owner whose link takes some seconds to carry all of the pool's rows
 // starts tasks again after the store has dropped its history.
 func TestAcceptedJobRunsAfterStoreDropsHistoryOnSlowLink(t *testing.T) {
@@ -137,7 +136,9 @@
 		time.Sleep(3 * time.Second) // the rows read before are too old to start tasks
 		must.Eq(t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(2), twoSteps))
 		c.await(quotePrefix, jobID(2), "completed", reload)
-=======
+	})
+}
+
 // TestAcceptedJobRunsAfterTakeoverOnSharedSlowLink checks the same where the specs are as long as callers may send, and another pool's rows
 // are read over the same link at the time. A page of rows had to arrive within the time limit of a call.
 func TestAcceptedJobRunsAfterTakeoverOnSharedSlowLink(t *testing.T) {
@@ -154,6 +155,5 @@
 		c.bandwidths = map[string]int{"entry-1": bandwidth}
 		c.start("entry-1")
 		c.await(quotePrefix, jobID(1), "completed", takeover)
->>>>>>> review42
 	})
 }
