--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -160,7 +160,7 @@
 	better := o.node.keeper.HasBetterOwner(fraction)
 	o.log.WithFields(logrus.Fields{
 		"share": o.workload.share, "rate": fraction, "starts_limited": o.workload.limited(), "handed_over": better,
-	}).Warn("pool owner is short of processor time")
+	}).Warn("pool owner does not keep up with its pool")
 	if better {
 		o.stopping = true
 		go o.node.handOver(o.service, fraction < 1)
