scheduler: take back the crash counted under a start that was refused

Cause: a start that is on its way to a backend server when the server is found crashed counts as a run under which it crashed, though uncertain. The refusal that arrives afterwards (gone, room, busy, ...) met no run any more and was dropped, so a task collected crashes of servers that never began it: one certain and two such were enough to fail its job. Class of fault: a guess that is never corrected by the fact that arrives later.

Change: the scheduler keeps the starts that were open when the crash was found. A refusal that says the start never began takes the crash back, from the suspicion, the stored progress and the silences that are not explained yet; "old" doesn't say so.

--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -45,6 +45,11 @@
 	return certain >= minCrashes || len(crashes) > minCrashes
 }
 
+// enough reports whether the crashes suffice to give up the task.
+func enough(crashes []basilwork.Crash) bool {
+	return suspicionOf(crashes) >= maxSuspicion && proven(crashes)
+}
+
 // recordCrash counts the crash for the tasks that had runs on the backend server, and gives up those that are certain to crash
 // any.
 func (p *Pool) recordCrash(l *silence, now time.Time) {
@@ -148,14 +153,25 @@
 	}
 	p.markDirty(j)
 	t.suspicion = suspicionOf(progress.Crashes[id.Index])
-	if t.suspicion < maxSuspicion || !proven(progress.Crashes[id.Index]) {
+	p.giveUpIfCrashing(t, now)
+}
+
+// giveUpIfCrashing fails the job of a task that is certain to crash its backend servers. While a start that decides it may still be refused,
+// the task is not started again.
+func (p *Pool) giveUpIfCrashing(t *task, now time.Time) {
+	crashes, j := t.step.progress.Crashes[t.id.Index], t.step.occurrence.job
+	if t.done || j.record.State.Final() || !enough(crashes) {
+		return
+	}
+	if until := p.awaitsAnswer(t, now); !until.IsZero() {
+		t.notBefore = until
 		return
 	}
 	if p.givenUp == nil {
 		p.givenUp = make(map[string]time.Time)
 	}
-	p.givenUp[id.Job] = now
-	p.actions.GivenUp = append(p.actions.GivenUp, GivenUp{Task: id, Crashes: progress.Crashes[id.Index]})
+	p.givenUp[j.id()] = now
+	p.actions.GivenUp = append(p.actions.GivenUp, GivenUp{Task: t.id, Crashes: crashes})
 	p.failJob(j, now)
 }
 
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -28,6 +28,7 @@
 	p.needsBackend = p.needsBackend && p.startLimit == 0 // keeps the last result, as nothing is placed then
 	p.expirePredecessors(now)
 	p.explainSilences(now)
+	p.expireOpenStarts(now)
 	p.recordPredecessorCrash(now)
 	p.updateMedianOdds(now)
 	p.openDueOccurrences(now)
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -66,6 +66,7 @@
 	medianOdds       float64              // median of slowOdds over the usable backend servers
 	comparedAt       time.Time            // when medianOdds was last computed
 	needsBackend     bool                 // a long-running task found no room in the last decision
+	openStarts       []openStart          // in the order of the losses of their backend servers
 	silences         []silence            // of backend servers that were lost lately
 	givenUp          map[string]time.Time // when jobs were given up since backend servers crashed under their tasks, as long as silences are kept
 	inheritedCrash   bool                 // a backend server that may have had runs of a predecessor has crashed
@@ -320,6 +321,7 @@
 	}
 	runs := b.sortedRuns()
 	l := p.newSilence(b, runs)
+	p.recordOpenStarts(runs)
 	for _, r := range runs {
 		p.endRun(r, basilwork.RunEndLost, now)
 	}
@@ -345,6 +347,7 @@
 	gone := slices.DeleteFunc(b.sortedRuns(), func(r *run) bool {
 		return !r.orderedAt.Before(sent) || !r.answeredAt.Before(sent) || lists(answer.Running, r)
 	})
+	p.recordOpenStarts(gone)
 	p.recordSilence(p.newSilence(b, gone), true, now)
 	for _, r := range b.sortedRuns() {
 		if r.phase == phaseRunning && !r.mustBeListed(sent) && !lists(answer.Running, r) {
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -9,6 +9,7 @@
 
 // Started processes the answer to a start request; answered is false if there was none.
 func (p *Pool) Started(ref Ref, refusal basilwork.Refusal, answered bool, now time.Time) {
+	p.closeStart(ref, answered && neverBegan(refusal), now)
 	r := p.findRun(ref)
 	if r == nil || r.phase != phaseStarting {
 		return
--- a/internal/basilwork/progress.go
+++ b/internal/basilwork/progress.go
@@ -57,6 +57,21 @@
 	return true
 }
 
+// RemoveUncertainCrash removes the crash recorded for a start of the task without an answer, and reports whether there was one.
+func (p *StepProgress) RemoveUncertainCrash(index, attempt int) bool {
+	crashes := p.Crashes[index]
+	n := slices.IndexFunc(crashes, func(c Crash) bool { return c.Uncertain && c.Attempt == attempt })
+	if n < 0 {
+		return false
+	}
+	if len(crashes) == 1 {
+		delete(p.Crashes, index)
+		return true
+	}
+	p.Crashes[index] = slices.Delete(slices.Clone(crashes), n, n+1)
+	return true
+}
+
 // SetCheckpoint records the newest checkpoint of the task.
 func (p *StepProgress) SetCheckpoint(index int, checkpoint string) {
 	if p.Checkpoints == nil {
