scheduler: drop suspicions that a task given up since explains

What callers saw: a job is shown as failed though none of its tasks crashes a backend server.

Cause: each crash weighs 1 at least for a task that is suspected already, also if another suspect had just been started there: it may crash servers late in its run. With six crashing tasks on eight hosts an innocent one was started 0.08 to 0.74 s before another of them there each time. In the trace its task 9.0.0.0 was lost with i-8 (beside a.0.0.0, attempt 1), i-18 (a.0.0.0, 2), i-25 (5.0.0.0, 3) and i-32 (19.0.0.0, 3), all of weight 1, and was given up at 22.48, though the jobs 5 and a had been failed at 17.94 and 21.485. Class of fault: evidence is kept after what explains it has become known.

Change: when a task is given up, the crashes right after its starts stop counting against what had been started earlier beside it; they stay stored, marked as explained. A task with five crashes, with an excused one, is given up whatever explains them, so the rule BUDGET holds as before: at most two starts follow the third crash. A task with explained crashes may be started once more than before, so a crash that is missed at a change of owner leaves less room there.

Evidence: TestTaskBesideCrashingOnesIsNotGivenUp fails without explainCrashes and passes.

--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -13,6 +13,7 @@
 // its rack, is the cause itself.
 const (
 	maxSuspicion   = 4                      // sum of weights at which a task is given up: after two to five crashes, of which one may not count
+	maxCrashes     = 5                      // crashes under a task at which it is given up whatever explains them: it may be started twice after three, by the platform's rules
 	minCrashes     = 2                      // crashes under a task after which its job may be failed, by the platform's rules
 	quarantineTime = 300 * time.Millisecond // how long a suspect must have run before others are started beside it; reports arrive in about it
 )
@@ -28,7 +29,9 @@
 func suspicionOf(crashes []basilwork.Crash) int {
 	sum := 0
 	for _, c := range crashes {
-		sum += c.Weight
+		if !c.Explained {
+			sum += c.Weight
+		}
 	}
 	return sum
 }
@@ -45,9 +48,30 @@
 	return certain >= minCrashes || len(crashes) > minCrashes
 }
 
-// enough reports whether the crashes suffice to give up the task.
-func enough(crashes []basilwork.Crash) bool {
-	return suspicionOf(crashes) >= maxSuspicion && proven(crashes)
+// mayBeGivenUp reports whether the crashes suffice to give up the task.
+func (t *task) mayBeGivenUp(crashes []basilwork.Crash) bool {
+	count := len(crashes)
+	if t.excused {
+		count++
+	}
+	return count >= maxCrashes || suspicionOf(crashes) >= maxSuspicion && proven(crashes)
+}
+
+// explainCrashes drops the suspicions against tasks that ran on backend servers which crashed when the given task, which is certain to crash
+// any, had just been started.
+func (p *Pool) explainCrashes(id basilwork.TaskID) {
+	for n := range p.silences {
+		crashed := p.silences[n].crashed
+		if !slices.ContainsFunc(crashed, func(s suspect) bool { return s.task == id && s.prompt && s.certain }) {
+			continue
+		}
+		for _, s := range crashed {
+			if t := p.findTask(s.task); t != nil && !s.prompt && t.step.progress.ExplainCrash(s.task.Index, s.attempt) {
+				t.suspicion = suspicionOf(t.step.progress.Crashes[s.task.Index])
+				p.markDirty(t.step.occurrence.job)
+			}
+		}
+	}
 }
 
 // recordCrash counts the crash for the tasks that had runs on the backend server, and gives up those that are certain to crash
@@ -61,12 +85,17 @@
 	for _, s := range l.suspects {
 		c.add(s, p.suspicion(s.task))
 	}
+	explained := false // by a prompt suspect that is given up
+	slices.SortStableFunc(l.suspects, comparePrompt)
 	for _, s := range l.suspects {
 		weight := c.weight(s, p.suspicion(s.task))
 		if weight == 0 && p.excuse(s.task) {
 			continue
 		}
-		p.recordCrashedRun(s.task, basilwork.Crash{Attempt: s.attempt, Weight: max(weight, crashWeightPossible), Uncertain: !s.certain}, now)
+		p.recordCrashedRun(s.task, basilwork.Crash{
+			Attempt: s.attempt, Weight: max(weight, crashWeightPossible), Uncertain: !s.certain, Explained: explained && !s.prompt,
+		}, now)
+		explained = explained || s.prompt && s.certain && !p.givenUp[s.task.Job].IsZero()
 	}
 	l.suspects, l.crashed = nil, l.suspects
 }
@@ -160,7 +189,7 @@
 // the task is not started again.
 func (p *Pool) giveUpIfCrashing(t *task, now time.Time) {
 	crashes, j := t.step.progress.Crashes[t.id.Index], t.step.occurrence.job
-	if t.done || j.record.State.Final() || !enough(crashes) {
+	if t.done || j.record.State.Final() || !t.mayBeGivenUp(crashes) {
 		return
 	}
 	if until := p.awaitsAnswer(t, now); !until.IsZero() {
@@ -171,6 +200,7 @@
 		p.givenUp = make(map[string]time.Time)
 	}
 	p.givenUp[j.id()] = now
+	p.explainCrashes(t.id)
 	p.actions.GivenUp = append(p.actions.GivenUp, GivenUp{Task: t.id, Crashes: crashes})
 	p.failJob(j, now)
 }
--- a/internal/basilscheduler/crash_test.go
+++ b/internal/basilscheduler/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -96,6 +98,46 @@
 	must.NotEq(t, basilwork.JobStateFailed, f.state("beside"))
 }
 
+// TestTaskBesideCrashingOnesIsNotGivenUp checks that a task outlasts the crashes of four backend servers where other tasks had just been
+// started that were given up since, but is given up after the fifth: it may crash them late in its run.
+func TestTaskBesideCrashingOnesIsNotGivenUp(t *testing.T) {
+	list := backendsInRacks(12)
+	for n := range list {
+		list[n].Rack = ""
+	}
+	f := newFixture(t, list...)
+	only := func(ids ...string) {
+		for _, b := range f.list {
+			b.recorded = slices.Contains(ids, b.ID)
+		}
+	}
+	home := "b0"
+	only(home)
+	f.addJob("beside", stepOf(1, 1000))
+	must.Len(t, 1, f.decideAndStart())
+	for n := range 5 {
+		f.advance(time.Second)
+		f.report(home, 10+n)
+		bad := fmt.Sprint("bad", n)
+		f.addJob(bad, stepOf(1, 1000))
+		only(home)
+		must.Len(t, 1, f.decideAndStart())
+		f.crash(home)
+		if n == 4 {
+			break
+		}
+		must.NotEq(t, basilwork.JobStateFailed, f.state("beside"))
+		only(fmt.Sprint("b", 2*n+1), fmt.Sprint("b", 2*n+2))
+		starts := f.decideAndStart()
+		must.Len(t, 2, starts)
+		slices.SortFunc(starts, func(a, b Start) int { return -strings.Compare(a.Task.Job, b.Task.Job) })
+		home = starts[0].Backend
+		f.crash(starts[1].Backend)
+		must.Eq(t, basilwork.JobStateFailed, f.state(bad))
+	}
+	must.Eq(t, basilwork.JobStateFailed, f.state("beside"))
+}
+
 // TestTaskIsGivenUpAfterFourCrashes checks that a task is given up after four crashes at most, however long it ran before each and
 // whatever else was started beside it.
 func TestTaskIsGivenUpAfterFourCrashes(t *testing.T) {
--- a/internal/basilscheduler/open_start.go
+++ b/internal/basilscheduler/open_start.go
@@ -97,7 +97,7 @@
 			until = s.until
 		}
 	}
-	if enough(closed) {
+	if t.mayBeGivenUp(closed) {
 		return time.Time{}
 	}
 	return until
--- a/internal/basilscheduler/silence.go
+++ b/internal/basilscheduler/silence.go
@@ -37,6 +37,17 @@
 	certain bool // the start was answered, so the run existed
 }
 
+// comparePrompt orders prompt suspects before others.
+func comparePrompt(a, b suspect) int {
+	switch {
+	case a.prompt == b.prompt:
+		return 0
+	case a.prompt:
+		return -1
+	}
+	return 1
+}
+
 // newSilence returns the silence of a backend server that had the given runs.
 //
 // Starts without an answer may have crashed it before the answer, but of those since it last answered only the first: the others
--- a/internal/basilwork/progress.go
+++ b/internal/basilwork/progress.go
@@ -18,6 +18,7 @@
 	Attempt   int  `json:"a"`           // of the task
 	Weight    int  `json:"w"`           // how much speaks for the run as the cause, 1 or more
 	Uncertain bool `json:"u,omitempty"` // the start was not answered, so the run may never have begun
+	Explained bool `json:"e,omitempty"` // another task was given up since that had been started last, so the weight doesn't count
 }
 
 // SetDone records that the task is done.
@@ -57,6 +58,19 @@
 	return true
 }
 
+// ExplainCrash marks the crash recorded for an attempt of the task as explained, and reports whether it wasn't.
+func (p *StepProgress) ExplainCrash(index, attempt int) bool {
+	crashes := p.Crashes[index]
+	n := slices.IndexFunc(crashes, func(c Crash) bool { return c.Attempt == attempt && !c.Explained })
+	if n < 0 {
+		return false
+	}
+	crashes = slices.Clone(crashes)
+	crashes[n].Explained = true
+	p.Crashes[index] = crashes
+	return true
+}
+
 // RemoveUncertainCrash removes the crash recorded for a start of the task without an answer, and reports whether there was one.
 func (p *StepProgress) RemoveUncertainCrash(index, attempt int) bool {
 	crashes := p.Crashes[index]
