scheduler: count only tasks that have room as waiting for starts

Found by the review: a step that fits no backend server stands in the list of waiting steps, so decisions that sent as many starts as allowed beside it counted as limited by starts, and the pool would have been given fewer hosts.

Evidence: TestTaskWithoutRoomIsNotLimitedByStarts failed before and passes.

--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -95,7 +95,7 @@
 		c := &p.waiting.list[n]
 		switch {
 		case len(p.actions.Starts) >= p.startLimit:
-			p.placement.limited = p.placement.limited || c.step.hasWaiting()
+			p.placement.limited = p.placement.limited || c.step.hasWaiting() && p.maxFree(c.labelIndex).Covers(c.demand)
 			return
 		case c.rank == rankServing, p.maxFree(c.labelIndex).Covers(c.demand), p.fitsAside(c, now):
 			p.placeStep(c, now)
--- a/internal/basilscheduler/start_pressure_test.go
+++ b/internal/basilscheduler/start_pressure_test.go
@@ -52,3 +52,16 @@
 		must.False(t, f.StartsLimited(f.now))
 	}
 }
+
+// TestTaskWithoutRoomIsNotLimitedByStarts checks that a task for which no backend server has room doesn't count as one that waits for starts.
+func TestTaskWithoutRoomIsNotLimitedByStarts(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 64000))
+	f.addJob("large", stepOf(1, 100000))
+	f.SetStartLimit(2)
+	for n := range 20 {
+		f.addJob(fmt.Sprint("j", n), stepOf(2, 100))
+		must.Len(t, 2, f.decideAndStart())
+		f.advance(100 * time.Millisecond)
+		must.False(t, f.StartsLimited(f.now))
+	}
+}
