capacity: let the limit of a slow owner's hosts change nothing when it is read

fillableHosts is read for decisions and for the status of the pools. A limit that has grown to the whole fleet limits nothing, so it needs no end of its own.

--- a/internal/basilcapacity/demand.go
+++ b/internal/basilcapacity/demand.go
@@ -81,7 +81,7 @@
 		return 0
 	}
 	hosts, _ := f.hostsForDemand(pool, now)
-	hosts = min(hosts, f.fillLimit(pool, now))
+	hosts = min(hosts, f.fillableHosts(pool, now))
 	hosts = max(hosts, f.reports[pool].Load.MinHosts, minPoolHosts)
 	if _, arriving := f.lackingHosts(pool, now); arriving > 0 {
 		hosts = max(hosts, f.reports[pool].Load.Kept+arriving)
--- a/internal/basilcapacity/fill.go
+++ b/internal/basilcapacity/fill.go
@@ -30,8 +30,8 @@
 	l.at, l.limited = now, true
 }
 
-// fillLimit returns how many hosts the pool's owner is expected to fill.
-func (f *Fleet) fillLimit(pool string, now time.Time) int {
+// fillableHosts returns how many hosts the pool's owner is expected to fill.
+func (f *Fleet) fillableHosts(pool string, now time.Time) int {
 	l := &f.moves.demands[pool].fill
 	if !l.limited {
 		return math.MaxInt
@@ -44,6 +44,5 @@
 		}
 	}
 	limit := max(inUse, filled*fillHeadroom*math.Pow(fillGrowth, now.Sub(l.at).Seconds()))
-	l.limited = limit < float64(len(f.machines))
 	return int(math.Ceil(min(limit, float64(len(f.machines)))))
 }
