scheduler: name the two measures of free room apart

A pool was called one with spare room when it is half empty, and when a third of its room is free. No behaviour changes. Tests share the backend servers without racks.

--- a/internal/basilscheduler/crash_test.go
+++ b/internal/basilscheduler/crash_test.go
@@ -37,6 +37,15 @@
 	return list
 }
 
+// backendsWithoutRacks returns backend servers of which no crash passes for one of a rack.
+func backendsWithoutRacks(count int) []basilwork.Backend {
+	list := backendsInRacks(count)
+	for n := range list {
+		list[n].Rack = ""
+	}
+	return list
+}
+
 // reportAll sends reports of all backend servers.
 func (f *fixture) reportAll() {
 	for _, b := range f.list {
@@ -101,11 +110,7 @@
 // TestTaskBesideCrashingOnesIsNotGivenUp checks that a task outlasts the crashes of four backend servers where other tasks had just been
 // started that were given up since, but is given up after the fifth: it may crash them late in its run.
 func TestTaskBesideCrashingOnesIsNotGivenUp(t *testing.T) {
-	list := backendsInRacks(12)
-	for n := range list {
-		list[n].Rack = ""
-	}
-	f := newFixture(t, list...)
+	f := newFixture(t, backendsWithoutRacks(12)...)
 	only := func(ids ...string) {
 		for _, b := range f.list {
 			b.recorded = slices.Contains(ids, b.ID)
@@ -281,11 +286,7 @@
 // TestJobIsNotFailedForStartsToSilentBackends checks that a task is not given up after one crash under it and a start that a
 // backend server, which had crashed by itself, may never have begun, but after one more.
 func TestJobIsNotFailedForStartsToSilentBackends(t *testing.T) {
-	list := backendsInRacks(8)
-	for n := range list {
-		list[n].Rack = "" // so that no crash passes for one of a rack
-	}
-	f := newFixture(t, list...)
+	f := newFixture(t, backendsWithoutRacks(8)...)
 	f.addJob("j", stepOf(1, 1000))
 	f.crash(f.decideAndStart()[0].Backend)
 	starts := f.Decide(f.now).Starts
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -192,7 +192,7 @@
 	if !ok || !now.Before(until) || len(p.backends) <= 1 {
 		return false
 	}
-	return t.step.spec.LongRunning || now.Sub(t.readyAt) < maxHoldBack || !p.hasSpareRoom()
+	return t.step.spec.LongRunning || now.Sub(t.readyAt) < maxHoldBack || !p.wasHalfEmpty()
 }
 
 // avoidsAny reports whether the task currently avoids any backend server.
--- a/internal/basilscheduler/lost_test.go
+++ b/internal/basilscheduler/lost_test.go
@@ -51,11 +51,7 @@
 // TestJobIsNotFailedForStartsInFlightWhenServersCrash checks that a job outlasts the crash of all backend servers at once: its task ran on one
 // of them, and the starts that were on their way to others, which had crashed before, were refused there.
 func TestJobIsNotFailedForStartsInFlightWhenServersCrash(t *testing.T) {
-	list := backendsInRacks(6)
-	for n := range list {
-		list[n].Rack = ""
-	}
-	f := newFixture(t, list...)
+	f := newFixture(t, backendsWithoutRacks(6)...)
 	f.addJob("j", stepOf(1, 1000))
 	f.reportAll()
 	f.Lost(f.decideAndStart()[0].Backend, basilwork.LossReplaced, f.now)
--- a/internal/basilscheduler/open_start_test.go
+++ b/internal/basilscheduler/open_start_test.go
@@ -13,11 +13,7 @@
 // starts there have no answer. It returns these starts.
 func openStarts(t *testing.T, count int) (*fixture, []Start) {
 	t.Helper()
-	list := backendsInRacks(8)
-	for n := range list {
-		list[n].Rack = ""
-	}
-	f := newFixture(t, list...)
+	f := newFixture(t, backendsWithoutRacks(8)...)
 	f.addJob("j", stepOf(1, 1000))
 	f.reportAll()
 	f.Lost(f.decideAndStart()[0].Backend, basilwork.LossReplaced, f.now)
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -76,7 +76,7 @@
 
 // full reports whether no waiting short task has room.
 func (p *Pool) full() bool {
-	if p.placement.asideRoom.Covers(p.waiting.minDemand) && p.hasSpareRoom() {
+	if p.placement.asideRoom.Covers(p.waiting.minDemand) && p.wasHalfEmpty() {
 		return false
 	}
 	for label := range p.waiting.labels {
--- a/internal/basilscheduler/reserve.go
+++ b/internal/basilscheduler/reserve.go
@@ -72,8 +72,8 @@
 	return room
 }
 
-// halfEmpty reports whether less than half of the room of each kind is in use.
-func (p *Pool) halfEmpty() bool {
+// isHalfEmpty reports whether less than half of the room of each kind is in use now.
+func (p *Pool) isHalfEmpty() bool {
 	var used, all basilwork.Resources
 	for _, b := range p.list {
 		used, all = used.Add(b.used), all.Add(b.Resources)
@@ -81,10 +81,10 @@
 	return 2*used.CPU < all.CPU && 2*used.Memory < all.Memory && 2*used.GPU <= all.GPU
 }
 
-// hasSpareRoom reports whether the pool was half empty when the decision first asked.
-func (p *Pool) hasSpareRoom() bool {
+// wasHalfEmpty reports whether the pool was half empty when the decision first asked.
+func (p *Pool) wasHalfEmpty() bool {
 	if !p.placement.halfEmptyKnown {
-		p.placement.halfEmpty, p.placement.halfEmptyKnown = p.halfEmpty(), true
+		p.placement.halfEmpty, p.placement.halfEmptyKnown = p.isHalfEmpty(), true
 	}
 	return p.placement.halfEmpty
 }
@@ -96,12 +96,12 @@
 	if !b.reserved && (long || !b.isSlow) {
 		return true
 	}
-	return now.Sub(t.readyAt) >= maxHoldBack && (long || p.hasSpareRoom())
+	return now.Sub(t.readyAt) >= maxHoldBack && (long || p.wasHalfEmpty())
 }
 
 // fitsAside reports whether the next short task of the step may run on a backend server that is reserved for another one or slow.
 func (p *Pool) fitsAside(c *candidate, now time.Time) bool {
-	if !p.placement.asideRoom.Covers(c.demand) || c.step.firstIdle >= len(c.step.tasks) || !p.hasSpareRoom() {
+	if !p.placement.asideRoom.Covers(c.demand) || c.step.firstIdle >= len(c.step.tasks) || !p.wasHalfEmpty() {
 		return false
 	}
 	t := c.step.tasks[c.step.firstIdle]
--- a/internal/basilscheduler/reserve_test.go
+++ b/internal/basilscheduler/reserve_test.go
@@ -219,7 +219,7 @@
 				}
 				if s.spec.LongRunning {
 					note(fmt.Sprint(id, " long-running"))
-				} else if o.liveRuns == 0 && p.halfEmpty() {
+				} else if o.liveRuns == 0 && p.isHalfEmpty() {
 					note(id)
 				}
 			}
--- a/internal/basilscheduler/start_pressure.go
+++ b/internal/basilscheduler/start_pressure.go
@@ -46,11 +46,11 @@
 			used, room = used.Add(b.used), room.Add(b.Resources)
 		}
 	}
-	return hasSpareRoom(used, room)
+	return isThirdFree(used, room)
 }
 
-// hasSpareRoom reports whether a third of the room is free, of each kind that there is any of.
-func hasSpareRoom(used, room basilwork.Resources) bool {
+// isThirdFree reports whether a third of the room is free, of each kind that there is any of.
+func isThirdFree(used, room basilwork.Resources) bool {
 	spare := func(used, room int) bool { return room == 0 || 3*used < 2*room }
 	return spare(used.CPU, room.CPU) && spare(used.Memory, room.Memory) && spare(used.GPU, room.GPU)
 }
