--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -124,7 +124,7 @@
 	m.counts.Add(lostRunsMetric+`{reason="`+reason+`"}`, int64(runs))
 }
 
-// endsIgnored counts ends of earlier attempts that didn't finish their tasks.
+// endsOfEarlierAttempts counts tasks that earlier attempts have finished.
 func (m *metrics) endsOfEarlierAttempts(ends int) { m.counts.Add(earlierMetric, int64(ends)) }
 
 func (m *metrics) committed(records int, err error, d time.Duration) {
--- a/internal/basilnode/slow_link_test.go
+++ b/internal/basilnode/slow_link_test.go
@@ -105,15 +105,7 @@
 // TestAcceptedJobRunsAfterTakeoverOnSlowLink checks that a job that was accepted runs after a takeover by an entry host whose link takes
 // some seconds to carry all of the pool's rows.
 func TestAcceptedJobRunsAfterTakeoverOnSlowLink(t *testing.T) {
-	const takeover = 15 * time.Second // the lease, the read of the rows and the leases of the previous owner's runs
-	run(t, 1, 8, constant(200*time.Millisecond), func(c *cluster) {
-		c.storeFinishedJobs(storedJobs, specBytes)
-		must.Eq(t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
-		c.kill("entry-1")
-		c.bandwidths = map[string]int{"entry-1": slowBandwidth}
-		c.start("entry-1")
-		c.await(quotePrefix, jobID(1), "completed", takeover)
-	})
+	checkTakeoverOnSlowLink(t, slowBandwidth, specBytes, 15*time.Second) // the lease, the read of the rows and the leases of the previous owner's runs
 }
 
 // TestAcceptedJobRunsAfterStoreDropsHistoryOnSlowLink checks that an owner whose link takes some seconds to carry all of the pool's rows
@@ -142,14 +134,15 @@
 // TestAcceptedJobRunsAfterTakeoverOnSharedSlowLink checks the same where the specs are as long as callers may send, and another pool's rows
 // are read over the same link at the time. A page of rows had to arrive within the time limit of a call.
 func TestAcceptedJobRunsAfterTakeoverOnSharedSlowLink(t *testing.T) {
-	const (
-		bandwidth = 10_000_000 / 8 / 2 // a half of the link of the smallest entry hosts
-		jobs      = 1144               // see above
-		specBytes = 4000               // the longest specs
-		takeover  = 30 * time.Second   // as above; the rows take about ten seconds
-	)
+	checkTakeoverOnSlowLink(t, slowBandwidth/2, 4*specBytes, 30*time.Second) // as above; the rows take about ten seconds
+}
+
+// checkTakeoverOnSlowLink checks that an accepted job is done within the given time after a takeover by an entry host with the bandwidth, in
+// bytes per second, which has to read all rows of its pool first.
+func checkTakeoverOnSlowLink(t *testing.T, bandwidth, specBytes int, takeover time.Duration) {
+	t.Helper()
 	run(t, 1, 8, constant(200*time.Millisecond), func(c *cluster) {
-		c.storeFinishedJobs(jobs, specBytes)
+		c.storeFinishedJobs(storedJobs, specBytes)
 		must.Eq(t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
 		c.kill("entry-1")
 		c.bandwidths = map[string]int{"entry-1": bandwidth}
