scheduler: tell first why long-running tasks wait

Unexpected waits of long-running tasks come first now, marked long_running, and the metric long_running_wait_ms has the longest of each pool. No decision changes.

TestUnexpectedWaitIsExplainedAmongManyOthers asks for that order too, and failed before.

--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -27,6 +27,7 @@
 	waitingMetric  = "waiting_tasks"
 	longestMetric  = "longest_wait_ms"
 	moreWaits      = "waits_unexamined"
+	longRunning    = "long_running_wait_ms"
 	answerLatency  = "answer_latency_ms"
 	startLatency   = "start_latency_ms"
 	commitLatency  = "commit_latency_ms"
@@ -90,10 +91,11 @@
 	}
 }
 
-// setWaits sets how many tasks of a pool wait for which reason, the longest wait for each reason, and how many steps and runs were not
-// examined.
+// setWaits sets how many tasks of a pool wait for which reason, the longest wait for each reason and of a long-running task that should run, and
+// how many steps and runs were not examined.
 func (m *metrics) setWaits(pool string, w basilscheduler.Waits) {
 	m.setGauge(moreWaits+`{pool="`+pool+`"}`, int64(w.Unexamined))
+	m.setGauge(longRunning+`{pool="`+pool+`"}`, w.LongRunning.Milliseconds())
 	for _, reason := range basilscheduler.WaitReasonValues() {
 		label := `{pool="` + pool + `",reason="` + reason.String() + `"}`
 		m.setGauge(waitingMetric+label, int64(w.Tasks[reason]))
--- a/internal/basilnode/waits.go
+++ b/internal/basilnode/waits.go
@@ -106,6 +106,9 @@
 		basillog.FieldJob: w.Task.Job, "step": w.Task.StepName(), "task": w.Task.String(), "tasks": w.Tasks,
 		"waited_ms": w.Waited.Milliseconds(), basillog.FieldReason: w.Reason.String(),
 	}
+	if w.LongRunning {
+		f["long_running"] = true
+	}
 	if w.Blocker.Job != "" {
 		f["blocked_by"], f["blocked_by_reason"] = w.Blocker.String(), w.BlockerReason.String()
 	}
--- a/internal/basilnode/waits_test.go
+++ b/internal/basilnode/waits_test.go
@@ -75,10 +75,11 @@
 		must.Eq(t, logrus.WarnLevel, e.Level)
 		must.Eq(t, logrus.Fields{
 			"job": "j", "step": "j.0.0", "task": "j.0.0.0", "tasks": 2, "waited_ms": int64(3000), "reason": "not_attached",
-			"backends": map[string]int{"not_attached": 1}, "position": 1,
+			"backends": map[string]int{"not_attached": 1}, "position": 1, "long_running": true,
 		}, e.Data)
 		must.StrContains(t, shownMetrics(o), `basilstage_waiting_tasks{pool="stretch",reason="not_attached"} 2`)
 		must.StrContains(t, shownMetrics(o), `basilstage_longest_wait_ms{pool="stretch",reason="not_attached"} 4000`)
+		must.StrContains(t, shownMetrics(o), `basilstage_long_running_wait_ms{pool="stretch"} 4000`)
 
 		o.pool.Attached(b.ID)
 		now = now.Add(2 * time.Second)
--- a/internal/basilscheduler/explain.go
+++ b/internal/basilscheduler/explain.go
@@ -294,7 +294,7 @@
 	positions := e.positions()
 	for n := range e.waits {
 		l := &e.waits[n]
-		x := Wait{Task: l.id, Tasks: l.tasks, Reason: l.reason}
+		x := Wait{Task: l.id, Tasks: l.tasks, Reason: l.reason, LongRunning: l.long() && l.reason != WaitReasonStepNotReady}
 		switch {
 		case l.run != nil:
 			e.describeRun(&x, l.run)
@@ -310,20 +310,31 @@
 		x.Expected = x.Reason.expected() || x.Reason == WaitReasonStepNotReady && x.BlockerReason.expected()
 		w.Tasks[x.Reason] += x.Tasks
 		w.Longest[x.Reason] = max(w.Longest[x.Reason], x.Waited)
+		if x.LongRunning && !x.Expected {
+			w.LongRunning = max(w.LongRunning, x.Waited)
+		}
 		w.List = append(w.List, x)
 	}
 	slices.SortStableFunc(w.List, func(a, b Wait) int {
-		if a.Expected != b.Expected {
-			if b.Expected {
-				return -1
-			}
-			return 1
+		switch {
+		case a.Expected != b.Expected:
+			return firstIf(b.Expected)
+		case a.LongRunning != b.LongRunning:
+			return firstIf(a.LongRunning)
 		}
 		return cmp.Compare(b.Waited, a.Waited)
 	})
 	return w
 }
 
+// firstIf returns the result of a comparison whose left side comes first if the condition holds, and last otherwise.
+func firstIf(condition bool) int {
+	if condition {
+		return -1
+	}
+	return 1
+}
+
 // positions returns the positions of the collected steps in the order of placement, starting at 1.
 func (e *explainer) positions() map[*step]int {
 	positions := make(map[*step]int, len(e.waits))
--- a/internal/basilscheduler/explain_test.go
+++ b/internal/basilscheduler/explain_test.go
@@ -266,6 +266,9 @@
 	must.False(t, w.List[0].Expected)
 	n := slices.IndexFunc(w.List, func(x Wait) bool { return x.Task.Job == last })
 	must.GreaterEq(t, 0, n, must.Sprint("the long-running task that came last"))
+	for _, x := range w.List[:n+1] {
+		must.True(t, x.LongRunning, must.Sprint(x.Task, " is listed first"))
+	}
 	must.Eq(t, WaitReasonNotReachable, w.List[n].Reason)
 }
 
--- a/internal/basilscheduler/wait_reason.go
+++ b/internal/basilscheduler/wait_reason.go
@@ -67,6 +67,7 @@
 	Waited        time.Duration
 	Reason        WaitReason
 	Expected      bool             // a healthy pool has such waits
+	LongRunning   bool             // the tasks are long-running, and come after no others
 	Blocker       basilwork.TaskID // unfinished task of an earlier step
 	BlockerReason WaitReason       // why the blocker is not at work
 	Run           Ref              // run of the task, or of the blocker if there is one
@@ -80,8 +81,10 @@
 
 // Waits summarizes the tasks that have not been at work for long.
 type Waits struct {
-	List       []Wait // explained ones, unexpected ones first, then those that have waited longest
-	Tasks      map[WaitReason]int
-	Longest    map[WaitReason]time.Duration
-	Unexamined int // further steps and runs, which are not in Tasks
+	List    []Wait // explained ones, unexpected ones first, of these long-running tasks, then those that have waited longest
+	Tasks   map[WaitReason]int
+	Longest map[WaitReason]time.Duration
+	// LongRunning is the longest wait of a long-running task that is not Expected.
+	LongRunning time.Duration
+	Unexamined  int // further steps and runs, which are not in Tasks
 }
