--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -14,32 +14,32 @@
 )
 
 const (
-	maxLatency     = 60_000 // milliseconds; longer latencies are recorded as this one
-	latencyDigits  = 1      // significant digits of the histograms; more would cost memory and not help an operator
-	metricsPrefix  = "basilstage_"
-	answersMetric  = "answers"
-	startsMetric   = "starts"
-	commitsMetric  = "commits"
-	backendsMetric = "backends"
-	refusedMetric  = "store_writes_refused"
-	lostRunsMetric = "runs_lost"
-	earlierMetric  = "ends_of_earlier_attempts"
-	waitingMetric  = "waiting_tasks"
-	longestMetric  = "longest_wait_ms"
-	moreWaits      = "waits_unexamined"
-	longRunning    = "long_running_wait_ms"
-	answerLatency  = "answer_latency_ms"
-	startLatency   = "start_latency_ms"
-	commitLatency  = "commit_latency_ms"
-	recordsMetric  = "commit_records"
-	eventWait      = "event_wait_ms" // wait in the event queue of a pool's control goroutine
-	decisionTime   = "decision_ms"
-	stepTime       = "step_ms"
-	fleetEventAge  = "fleet_event_age_ms"
-	fleetStepTime  = "fleet_step_ms"
-	fleetListAge   = "fleet_list_age_ms"
-	stopQueueTime  = "stop_queue_ms" // wait of a stop until it was sent
-	cancelAge      = "cancel_age_ms" // age of a cancellation when the owner applied it, by the clocks of both hosts
+	maxLatency      = 60_000 // milliseconds; longer latencies are recorded as this one
+	latencyDigits   = 1      // significant digits of the histograms; more would cost memory and not help an operator
+	metricsPrefix   = "basilstage_"
+	answersMetric   = "answers"
+	startsMetric    = "starts"
+	commitsMetric   = "commits"
+	backendsMetric  = "backends"
+	refusedMetric   = "store_writes_refused"
+	lostRunsMetric  = "runs_lost"
+	earlierMetric   = "ends_of_earlier_attempts"
+	waitingMetric   = "waiting_tasks"
+	longestMetric   = "longest_wait_ms"
+	moreWaits       = "waits_unexamined"
+	longRunningWait = "long_running_wait_ms"
+	answerLatency   = "answer_latency_ms"
+	startLatency    = "start_latency_ms"
+	commitLatency   = "commit_latency_ms"
+	recordsMetric   = "commit_records"
+	eventWait       = "event_wait_ms" // wait in the event queue of a pool's control goroutine
+	decisionTime    = "decision_ms"
+	stepTime        = "step_ms"
+	fleetEventAge   = "fleet_event_age_ms"
+	fleetStepTime   = "fleet_step_ms"
+	fleetListAge    = "fleet_list_age_ms"
+	stopQueueTime   = "stop_queue_ms" // wait of a stop until it was sent
+	cancelAge       = "cancel_age_ms" // age of a cancellation when the owner applied it, by the clocks of both hosts
 )
 
 // metrics holds the counters and latency histograms of an entry host.
@@ -95,7 +95,7 @@
 // how many steps and runs were not examined.
 func (m *metrics) setWaits(pool string, w basilscheduler.Waits) {
 	m.setGauge(moreWaits+`{pool="`+pool+`"}`, int64(w.Unexamined))
-	m.setGauge(longRunning+`{pool="`+pool+`"}`, w.LongRunning.Milliseconds())
+	m.setGauge(longRunningWait+`{pool="`+pool+`"}`, w.LongRunning.Milliseconds())
 	for _, reason := range basilscheduler.WaitReasonValues() {
 		label := `{pool="` + pool + `",reason="` + reason.String() + `"}`
 		m.setGauge(waitingMetric+label, int64(w.Tasks[reason]))
