node: carry the wait for silent backend servers from owner to owner

Callers saw long-running tasks that had room and did not run for 36 s (LOST). Each new owner held back all tasks of adopted jobs until every backend server of its predecessor had answered or the longest lease had passed, counted from its own beginning, for servers too that were gone for good and that none of the owners before had heard from. Owners that change sooner never get through, and rows of such servers went only with an owner that lasted (class of fault: an observation of one owner that its successors have to make anew).

A server that has not answered a new owner for 1 s is stored as silent, with the end of its leases on the store's clock. Successors wait until then and no longer. Nothing is started or extended on such a server before a row without the silence is stored. The owner's row tells since which epoch owners keep to that, so that silences beside an owner of an older release are void.

The model of the owner in the scheduler's judge keeps silences too.

--- a/internal/basilcapacity/answer_test.go
+++ b/internal/basilcapacity/answer_test.go
@@ -21,7 +21,7 @@
 	}
 	p.SetBackends(list)
 	for _, id := range []string{"b1", "b2"} {
-		p.Recorded(id)
+		p.SetRecorded(id, true)
 		p.Attached(id)
 	}
 	a := EvacuationRequest{Serial: 4, Backends: map[string]int64{"b2": 3, "b3": 4}}
--- a/internal/basilexperiment/pool.go
+++ b/internal/basilexperiment/pool.go
@@ -54,7 +54,7 @@
 	}
 	p.SetBackends(list)
 	for _, b := range list {
-		p.Recorded(b.ID)
+		p.SetRecorded(b.ID, true)
 		p.Attached(b.ID)
 	}
 	p.poke()
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -49,6 +49,7 @@
 	stats            loopStats
 	waitLog          waitLog
 	predecessors     predecessorWait
+	silenceAt        time.Time  // when backend servers that have not answered are stored as silent
 	startBlock       startBlock // why the last decision allowed no starts
 	pacer            pacer
 	holdPacer        holdPacer
@@ -191,6 +192,9 @@
 	o.logLoad(now)
 	o.removeFinished(now)
 	wait := o.commitIfDue(now)
+	if untilSilences := o.recordSilences(now); untilSilences > 0 {
+		wait = min(wait, untilSilences)
+	}
 	o.updateConnections()
 	return max(time.Millisecond, min(wait, wake))
 }
@@ -273,6 +277,7 @@
 			_ = basiltimer.Wait(o.ctx, storeRetryDelay) // an ended context ends the loop
 			continue
 		}
+		o.silenceAt = time.Now().Add(silenceDelay)
 		o.pool.SetConfiguration(o.node.configuration())
 		o.applyJobs(o.decodeJobs(items))
 		o.jobFreshness.markCurrent(askedAt)
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -39,7 +39,7 @@
 		o.openConnection(b)
 	}
 	for id := range o.connections {
-		if !listed[id] && !o.pool.Busy(id) && !o.pool.HasOrphans(id) && !o.records.stored(id) {
+		if !listed[id] && !o.pool.MayHaveRuns(id) && !o.pool.HasOrphans(id) && !o.records.stored(id) {
 			o.closeConnection(id)
 		}
 	}
@@ -73,6 +73,7 @@
 // there are stored.
 func (o *owner) updateConnections() {
 	for id, l := range o.connections {
+		l.SetSuspended(!o.records.inUse(id))
 		l.SetBusy(o.pool.Busy(id), o.commit.incarnations[id], o.commit.acked[id])
 		l.SetWatched(o.pool.HasOrphans(id))
 	}
@@ -109,7 +110,12 @@
 }
 
 // Attached records that a backend server has answered a request with the owner's epoch.
-func (o *owner) Attached(id string) { o.send(func(time.Time) { o.pool.Attached(id) }) }
+func (o *owner) Attached(id string) {
+	o.send(func(time.Time) {
+		o.pool.Attached(id)
+		o.heard(id)
+	})
+}
 
 // Reachable records whether a backend server answers.
 func (o *owner) Reachable(id string, reachable bool) {
@@ -125,6 +131,7 @@
 		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, basillog.FieldReason: reason.String()}).Warn("backend server lost")
 		before := o.pool.RunStates(id)
 		o.pool.Lost(id, reason, now)
+		o.heard(id)
 		o.recordLosses(id, reason.String(), before, now)
 		o.closeConnection(id)
 		o.commit.forgetEnds(id)
--- a/internal/basilnode/owner_commit_test.go
+++ b/internal/basilnode/owner_commit_test.go
@@ -42,7 +42,7 @@
 	}
 	b := basilwork.Backend{ID: "b1", Resources: basilwork.Resources{CPU: 1 << 20, Memory: 1 << 20}}
 	o.pool.SetBackends([]basilwork.Backend{b})
-	o.pool.Recorded(b.ID)
+	o.pool.SetRecorded(b.ID, true)
 	o.pool.Attached(b.ID)
 	return &committingOwner{owner: o, ledger: basilledger.New(store), row: basilledger.Owner{Shard: commitShard, Key: key, Version: version}, now: now}
 }
--- a/internal/basilnode/owner_records.go
+++ b/internal/basilnode/owner_records.go
@@ -18,10 +18,13 @@
 	if err != nil {
 		return err
 	}
+	now, expired := time.Now(), 0
 	for _, b := range list {
-		o.pool.AddPredecessorBackend(b)
-		o.openConnection(b)
+		if o.addPredecessor(b, now) {
+			expired++
+		}
 	}
+	o.logSilences(expired)
 	return nil
 }
 
@@ -31,9 +34,7 @@
 	now := time.Now()
 	used := o.pool.Backends()
 	for _, b := range used {
-		if o.records.stored(b.ID) {
-			o.pool.Recorded(b.ID)
-		}
+		o.pool.SetRecorded(b.ID, o.records.inUse(b.ID))
 	}
 	if o.records.inFlight || o.stopping || now.Before(o.records.retryAfter) {
 		return
@@ -57,7 +58,7 @@
 
 // logRecordFailure logs a failed write of rows; the backend servers of the puts can't be used until it succeeds.
 func (o *owner) logRecordFailure(w recordWrite, err error) {
-	entry := o.log.WithError(err).WithFields(logrus.Fields{"put": len(w.puts), "removed": len(w.deletes)})
+	entry := o.log.WithError(err).WithFields(logrus.Fields{"put": len(w.puts), "silent": len(w.silences), "removed": len(w.deletes)})
 	if basilplatform.IsErrRefused(err) {
 		entry.Error("store refused rows of backend servers")
 		return
--- a/internal/basilnode/owner_store_test.go
+++ b/internal/basilnode/owner_store_test.go
@@ -21,7 +21,7 @@
 	b := basilwork.Backend{ID: "b1", Resources: basilwork.Resources{CPU: 1 << 20, Memory: 1 << 20}}
 	o := &owner{node: &Node{}, log: logrus.NewEntry(basillog.Discard()), pool: basilscheduler.New(basilscheduler.Options{Epoch: 1}, now)}
 	o.pool.SetBackends([]basilwork.Backend{b})
-	o.pool.Recorded(b.ID)
+	o.pool.SetRecorded(b.ID, true)
 	o.pool.Attached(b.ID)
 	jobs := 0
 	begin := func(count int) {
--- a/internal/basilnode/recorder.go
+++ b/internal/basilnode/recorder.go
@@ -32,6 +32,7 @@
 	Address   string `json:"address"`
 	Rack      string `json:"rack,omitempty"`
 	StartedAt int64  `json:"born,omitempty"` // Unix milliseconds
+	silence
 }
 
 func newBackendRecord(b basilwork.Backend) backendRecord {
@@ -51,13 +52,17 @@
 // recorder stores a row for each backend server that may have runs, so that the next owner asks them all. Rows are put
 // before anything runs on a server, and deleted some time after the server is gone.
 //
-// A put needs no version, because a surplus row only makes the next owner ask one more server. A delete names the version
-// that it deletes, so that a delayed one, whose answer was lost, can't undo a later put.
+// A server that no owner has heard from since a change of owner is stored as silent, so that the next owner waits for it only
+// until its leases have run out. Nothing may be started or extended there before a row without a silence is stored.
+//
+// A put needs no version, because a surplus row only makes the next owner ask one more server. One of a silence and a delete name
+// the version that they replace, so that a delayed one, whose answer was lost, can't undo a later put.
 type recorder struct {
 	store        basilwork.Store
 	service      string
 	check        basilplatform.Write     // precondition that the shard is still owned
 	rows         map[string]storedRecord // rows that are certainly stored
+	silences     map[string]silence      // of the backend servers whose rows are to tell one
 	obsolete     map[string]int64        // versions of the rows to delete; some may be deleted already
 	refusedUntil map[string]time.Time    // when to write each row again that the store refused
 	putLimit     int                     // rows in the next put; 0 means maxPuts
@@ -70,7 +75,7 @@
 func newRecorder(store basilwork.Store, service string, check basilplatform.Write) recorder {
 	return recorder{
 		store: store, service: service, check: check,
-		rows: make(map[string]storedRecord), obsolete: make(map[string]int64), refusedUntil: make(map[string]time.Time),
+		rows: make(map[string]storedRecord), silences: make(map[string]silence), obsolete: make(map[string]int64), refusedUntil: make(map[string]time.Time),
 	}
 }
 
@@ -86,6 +91,12 @@
 	return ok
 }
 
+// inUse reports whether the backend server certainly has a row that makes the next owner wait for it in full, so that it may be used.
+func (r *recorder) inUse(id string) bool {
+	e, ok := r.rows[id]
+	return ok && e.silence == silence{} && r.silences[id] == silence{}
+}
+
 // load decodes the stored rows, also that of the earlier layout, and returns their backend servers.
 func (r *recorder) load(items []basilplatform.Item) ([]basilwork.Backend, error) {
 	var list []basilwork.Backend
@@ -112,29 +123,48 @@
 	return list, nil
 }
 
-// recordWrite is one transaction of either puts or deletes.
+// recordWrite is one transaction of either puts, silences or deletes.
 type recordWrite struct {
 	puts       []backendRecord
+	silences   []storedRecord   // with the versions that they replace
 	deletes    map[string]int64 // row versions by backend server
 	legacyList bool             // delete the row of the earlier layout
 }
 
-func (w *recordWrite) empty() bool { return len(w.puts) == 0 && len(w.deletes) == 0 && !w.legacyList }
+func (w *recordWrite) empty() bool {
+	return len(w.puts) == 0 && len(w.silences) == 0 && len(w.deletes) == 0 && !w.legacyList
+}
 
 // nextWrite returns the next write needed to have a row for exactly the given backend servers. Missing and changed rows
-// are put first; the row of the earlier layout and those of gone servers are deleted once no put is due.
+// are put first, then silences; the row of the earlier layout and those of gone servers are deleted once no put is due.
 func (r *recorder) nextWrite(used []basilwork.Backend, now time.Time) recordWrite {
 	var w recordWrite
 	most := cmp.Or(r.putLimit, maxPuts)
 	known := make(map[string]bool, len(used))
 	for _, b := range used {
 		known[b.ID] = true
-		if e, ok := r.rows[b.ID]; ok && e.backendRecord == newBackendRecord(b) || len(w.puts) == most || now.Before(r.refusedUntil[b.ID]) {
-			continue
+		wanted := newBackendRecord(b)
+		wanted.silence = r.silences[b.ID]
+		e, ok := r.rows[b.ID]
+		switch {
+		case ok && e.backendRecord == wanted, now.Before(r.refusedUntil[b.ID]):
+		case ok && wanted.silence != silence{}:
+			if len(w.silences) < maxPuts {
+				w.silences = append(w.silences, storedRecord{backendRecord: wanted, version: e.version})
+			}
+		case len(w.puts) < most:
+			wanted.silence = silence{}
+			w.puts = append(w.puts, wanted)
 		}
-		w.puts = append(w.puts, newBackendRecord(b))
 	}
-	if len(w.puts) > 0 {
+	switch {
+	case len(w.puts) > 0:
+		w.silences = nil
+		return w
+	case len(w.silences) > 0:
+		for _, e := range w.silences {
+			delete(r.rows, e.ID) // not certain until the answer
+		}
 		return w
 	}
 	if r.legacyList {
@@ -171,6 +201,15 @@
 			Kind: basilplatform.WriteKindPut, Key: r.key(e.ID), Precondition: basilplatform.PreconditionNone, Body: body,
 		})
 	}
+	for _, e := range w.silences {
+		body, err := json.Marshal(e.backendRecord)
+		if err != nil {
+			return 0, errors.WithStack(basilplatform.ErrRefused{Operation: "record silent backend", Reason: err.Error()})
+		}
+		t.Writes = append(t.Writes, basilplatform.Write{
+			Kind: basilplatform.WriteKindPut, Key: r.key(e.ID), Precondition: basilplatform.PreconditionVersion, Version: e.version, Body: body,
+		})
+	}
 	for id, version := range w.deletes {
 		t.Writes = append(t.Writes, basilplatform.Write{
 			Kind: basilplatform.WriteKindDelete, Key: r.key(id), Precondition: basilplatform.PreconditionVersion, Version: version,
@@ -192,7 +231,7 @@
 	switch {
 	case err == nil:
 		r.applySuccess(w, version, now)
-	case errors.As(err, &failed) && r.correctVersion(failed):
+	case errors.As(err, &failed) && r.correctVersion(w, failed):
 	case basilplatform.IsErrRefused(err) && len(w.puts) > 0:
 		r.bisect(w.puts, now)
 	default:
@@ -206,12 +245,17 @@
 		delete(r.obsolete, e.ID)
 		delete(r.refusedUntil, e.ID)
 	}
+	for _, e := range w.silences {
+		r.rows[e.ID] = storedRecord{backendRecord: e.backendRecord, version: version}
+	}
 	for id := range w.deletes {
 		delete(r.obsolete, id)
 	}
-	if len(w.puts) > 0 {
+	switch {
+	case len(w.silences) > 0:
+	case len(w.puts) > 0:
 		r.putLimit = min(2*cmp.Or(r.putLimit, maxPuts), maxPuts)
-	} else {
+	default:
 		r.lastDelete = now
 	}
 	r.legacyList = r.legacyList && !w.legacyList
@@ -219,11 +263,14 @@
 
 // correctVersion adopts the actual version of a row to delete from a failed precondition. It reports whether the
 // precondition was on such a row.
-func (r *recorder) correctVersion(f basilplatform.ErrConditionFailed) bool {
+func (r *recorder) correctVersion(w recordWrite, f basilplatform.ErrConditionFailed) bool {
 	id, ok := strings.CutPrefix(f.Key.Sort, recordKeyPrefix)
 	if !ok || f.Key.Partition != recordPartition(r.service) {
 		return false
 	}
+	if _, deleted := w.deletes[id]; !deleted {
+		return false
+	}
 	r.obsolete[id] = f.Version
 	if f.Version == 0 {
 		delete(r.obsolete, id)
--- a/internal/basilnode/recorder_test.go
+++ b/internal/basilnode/recorder_test.go
@@ -26,7 +26,7 @@
 		if s.refusedKey != "" && w.Key.Sort == s.refusedKey {
 			return 0, basilplatform.ErrRefused{Operation: "commit", Reason: "too long"}
 		}
-		if w.Kind == basilplatform.WriteKindDelete && w.Precondition == basilplatform.PreconditionVersion && s.rows[w.Key.Sort] != w.Version {
+		if w.Kind != basilplatform.WriteKindCheck && w.Precondition == basilplatform.PreconditionVersion && s.rows[w.Key.Sort] != w.Version {
 			return 0, basilplatform.ErrConditionFailed{Key: w.Key, Version: s.rows[w.Key.Sort]}
 		}
 	}
--- a/internal/basilnode/waits_test.go
+++ b/internal/basilnode/waits_test.go
@@ -60,7 +60,7 @@
 		o, hook := newLoggingOwner(now)
 		b := basilwork.Backend{ID: "b1", Resources: basilwork.Resources{CPU: 4000, Memory: 4096}}
 		o.pool.SetBackends([]basilwork.Backend{b})
-		o.pool.Recorded(b.ID)
+		o.pool.SetRecorded(b.ID, true)
 		o.pool.AddJob(basilwork.Record{Accepted: now.UnixMilli(), Job: basilwork.Job{
 			ID: "j", Steps: []basilwork.Step{{Count: 2, Resources: basilwork.Resources{CPU: 1000, Memory: 512}, LongRunning: true}},
 		}}, false)
@@ -105,7 +105,7 @@
 	o.logPredecessors(now)
 	must.SliceEmpty(t, hook.Entries)
 	for n := range 10 {
-		o.pool.AddPredecessorBackend(basilwork.Backend{ID: "b" + strconv.Itoa(n)})
+		o.pool.AddPredecessorBackend(basilwork.Backend{ID: "b" + strconv.Itoa(n)}, time.Time{})
 	}
 	o.logPredecessors(now)
 	must.Len(t, 1, hook.Entries)
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -59,6 +59,7 @@
 	ackAnswered int64 // newest acknowledgement that the backend server has answered
 	busy        bool
 	watched     bool      // the runs there are stopped, and reports are needed until they are gone
+	suspended   bool      // leases are not extended
 	heldAt      time.Time // when the last hold was sent
 	attached    bool
 	reachable   bool
@@ -105,6 +106,13 @@
 	}
 }
 
+// SetSuspended sets whether leases are not extended for now. Starts extend them too, and have to be held back by the caller.
+func (c *Connection) SetSuspended(suspended bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.suspended = suspended
+}
+
 // SetWatched sets whether reports are needed until runs that are being stopped have ended. Their leases are not extended for that.
 func (c *Connection) SetWatched(watched bool) {
 	c.mutex.Lock()
@@ -220,7 +228,7 @@
 	if c.attached && c.firstMissAt.IsZero() && c.acked > c.ackAnswered {
 		o.Acknowledged = c.acked // not after a miss, when the backend server may have restarted
 	}
-	if c.lease.Known() && c.firstMissAt.IsZero() && c.busy && c.options.MayHold() {
+	if c.lease.Known() && c.firstMissAt.IsZero() && c.busy && !c.suspended && c.options.MayHold() {
 		o.Deadline = c.lease.Deadline(time.Now(), c.options.MaxLease-leaseMargin)
 	}
 	b := c.backend
--- a/internal/basilscheduler/decide_bench_test.go
+++ b/internal/basilscheduler/decide_bench_test.go
@@ -32,7 +32,7 @@
 	}
 	p.SetBackends(list)
 	for _, id := range p.backendIDs {
-		p.Recorded(id)
+		p.SetRecorded(id, true)
 		p.Attached(id)
 	}
 	p.addJob(longStep(max(2, backends/10), 4000))
--- a/internal/basilscheduler/decide_test.go
+++ b/internal/basilscheduler/decide_test.go
@@ -199,7 +199,7 @@
 // count as emptied.
 func TestPredecessorBackendIsNotEmptiedBeforeAnswer(t *testing.T) {
 	f := newFixture(t)
-	f.AddPredecessorBackend(backendOf("b1", 4000))
+	f.AddPredecessorBackend(backendOf("b1", 4000), time.Time{})
 	f.Evacuate("b1", true)
 	must.False(t, f.IsEmptied("b1"))
 	f.Attached("b1")
@@ -210,8 +210,8 @@
 func TestAdoptionBeforeBackendIsListed(t *testing.T) {
 	f := newFixture(t)
 	f.AddJob(basilwork.Record{Job: basilwork.Job{ID: "j", Queue: "quote", Steps: []basilwork.Step{stepOf(2, 1000)}}, Accepted: f.now.UnixMilli()}, true)
-	f.AddPredecessorBackend(backendOf("b1", 4000))
-	f.AddPredecessorBackend(backendOf("b2", 4000))
+	f.AddPredecessorBackend(backendOf("b1", 4000), time.Time{})
+	f.AddPredecessorBackend(backendOf("b2", 4000), time.Time{})
 	f.Report("b1", basilwork.Report{Running: []basilwork.RunStatus{{Task: "j.0.0.0", Attempt: 3, ProgressPercent: 20}}}, f.now, f.now)
 	f.Attached("b1")
 	f.setBackends(backendOf("b1", 4000))
--- a/internal/basilscheduler/explain_test.go
+++ b/internal/basilscheduler/explain_test.go
@@ -87,7 +87,7 @@
 			f.wait(long)
 		},
 		WaitReasonPredecessors: func(_ *testing.T, f *fixture) {
-			f.AddPredecessorBackend(backendOf("b0", 4000))
+			f.AddPredecessorBackend(backendOf("b0", 4000), time.Time{})
 			f.AddJob(basilwork.Record{Job: basilwork.Job{ID: "j", Queue: "quote", Steps: []basilwork.Step{longStep(1, 1000)}}, Accepted: f.now.UnixMilli()}, true)
 			f.wait(long)
 		},
--- a/internal/basilscheduler/lost_connection_test.go
+++ b/internal/basilscheduler/lost_connection_test.go
@@ -17,6 +17,7 @@
 	ackAnswered int64
 	busy        bool
 	watched     bool
+	suspended   bool
 	attached    bool
 	reachable   bool
 	lost        bool
@@ -50,7 +51,7 @@
 	if c.attached && c.firstMiss.IsZero() && c.acked > c.ackAnswered {
 		order.Acknowledged = c.acked
 	}
-	if c.lease.Known() && c.firstMiss.IsZero() && c.busy {
+	if c.lease.Known() && c.firstMiss.IsZero() && c.busy && !c.suspended {
 		order.Deadline = c.lease.Deadline(p.now, playMaxHold-300*time.Millisecond)
 	}
 	sent := p.now
@@ -119,5 +120,6 @@
 	o.Report(c.id, r, sent, now)
 	if first {
 		o.Attached(c.id)
+		delete(o.silences, c.id)
 	}
 }
--- a/internal/basilscheduler/lost_owner_test.go
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -13,17 +13,24 @@
 	playAnswerTimeout = 600 * time.Millisecond
 	playCommitDelay   = 150 * time.Millisecond
 	playCommitRecords = 30
+	playSilenceDelay  = time.Second
 )
 
 // playStore is what outlasts an owner.
 type playStore struct {
-	rows         map[string]playRow           // jobs
-	servers      map[string]basilwork.Backend // backend servers that may have runs
+	rows         map[string]playRow       // jobs
+	servers      map[string]playServerRow // backend servers that may have runs
 	version      int64
 	epoch        int64
 	troubleUntil time.Time // commits take long, and some of their answers get lost
 }
 
+// playServerRow is the row of a backend server that may have runs.
+type playServerRow struct {
+	basilwork.Backend
+	silentUntil time.Time // until when one that has not answered since a change of owner may have runs; zero for one that is in use
+}
+
 type playRow struct {
 	body    []byte
 	state   basilwork.JobState
@@ -40,6 +47,9 @@
 	connections    map[string]*playConnection
 	versions       map[string]int64
 	recordBusy     bool
+	startedAt      time.Time
+	silences       map[string]time.Time // of the backend servers whose rows are to tell one
+	uncertain      map[string]bool      // rows that a write in flight makes silent
 	lastDelete     time.Time
 	committing     bool
 	pendingCover   map[string]int64
@@ -55,6 +65,7 @@
 	p.store.epoch++
 	o := &playOwner{
 		play: p, epoch: p.store.epoch, rowVersion: p.store.version, alive: true, connections: make(map[string]*playConnection), versions: make(map[string]int64),
+		startedAt: p.now, silences: make(map[string]time.Time), uncertain: make(map[string]bool),
 		acked: make(map[string]int64), incarnations: make(map[string]int64),
 		Pool: New(Options{Epoch: p.store.epoch, Grace: playGrace, StopTimeout: playStopTimeout}, p.now),
 	}
@@ -62,8 +73,14 @@
 	p.trace("owner of epoch %d", o.epoch)
 	for _, id := range sortedKeys(p.store.servers) {
 		b := p.store.servers[id]
-		o.AddPredecessorBackend(basilwork.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Rack: b.Rack, StartedAt: b.StartedAt})
-		o.connect(b)
+		if !b.silentUntil.IsZero() {
+			if !p.now.Before(b.silentUntil) {
+				continue
+			}
+			o.silences[id] = b.silentUntil
+		}
+		o.AddPredecessorBackend(basilwork.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Rack: b.Rack, StartedAt: b.StartedAt}, b.silentUntil)
+		o.connect(b.Backend)
 	}
 	o.SetConfiguration(&basilwork.Configuration{Queues: []basilwork.Queue{
 		{Name: "quote", Service: "stretch", MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond},
@@ -127,7 +144,7 @@
 	}
 	o.commit()
 	for id, c := range o.connections {
-		c.busy, c.watched = o.Busy(id), o.HasOrphans(id)
+		c.busy, c.watched, c.suspended = o.Busy(id), o.HasOrphans(id), !o.inUse(id)
 		if acked := o.acked[id]; c.startedAt == o.incarnations[id] {
 			c.acked = max(c.acked, acked)
 		}
@@ -165,38 +182,54 @@
 		o.connect(b)
 	}
 	for id := range o.connections {
-		if _, stored := o.play.store.servers[id]; !listed[id] && !o.Busy(id) && !o.HasOrphans(id) && !stored {
+		if _, stored := o.play.store.servers[id]; !listed[id] && !o.MayHaveRuns(id) && !o.HasOrphans(id) && !stored {
 			delete(o.connections, id)
 		}
 	}
 }
 
-// record stores the backend servers that may be used, and forgets those that are gone.
+// inUse reports whether a successor would wait in full for the backend server, so that it may be used.
+func (o *playOwner) inUse(id string) bool {
+	s, ok := o.play.store.servers[id]
+	return ok && s.silentUntil.IsZero() && o.silences[id].IsZero() && !o.uncertain[id]
+}
+
+// record stores the backend servers that may be used and those that are silent, and forgets those that are gone.
 func (o *playOwner) record() {
 	p := o.play
-	var missing []basilwork.Backend
+	if p.now.Sub(o.startedAt) >= playSilenceDelay {
+		for id, until := range o.SilentPredecessorBackends() {
+			if o.silences[id].IsZero() {
+				o.silences[id] = until
+			}
+		}
+	}
+	var missing []playServerRow
 	known := make(map[string]bool)
 	for _, b := range o.Backends() {
 		known[b.ID] = true
-		if s, ok := p.store.servers[b.ID]; ok && s.StartedAt == b.StartedAt {
-			o.Recorded(b.ID)
-		} else {
-			missing = append(missing, b)
+		o.SetRecorded(b.ID, o.inUse(b.ID))
+		if s, ok := p.store.servers[b.ID]; !ok || s.StartedAt != b.StartedAt || !s.silentUntil.Equal(o.silences[b.ID]) {
+			missing = append(missing, playServerRow{Backend: b, silentUntil: o.silences[b.ID]})
 		}
 	}
 	if o.recordBusy || len(missing) == 0 && p.now.Sub(o.lastDelete) < 2*time.Second {
 		return
 	}
 	o.recordBusy = true
+	for _, b := range missing {
+		o.uncertain[b.ID] = !b.silentUntil.IsZero()
+	}
 	p.after(p.storeTime(), func() {
 		o.recordBusy = false
-		if !o.alive {
+		clear(o.uncertain)
+		if p.store.epoch != o.epoch {
 			return
 		}
 		for _, b := range missing {
 			p.store.servers[b.ID] = b
 		}
-		if len(missing) == 0 {
+		if len(missing) == 0 && o.alive {
 			o.lastDelete = p.now
 			for id := range p.store.servers {
 				if !known[id] && !o.Knows(id) {
@@ -338,6 +371,7 @@
 	delete(o.connections, c.id)
 	delete(o.acked, c.id)
 	delete(o.pendingCover, c.id)
+	delete(o.silences, c.id)
 }
 
 func sortedKeys[V any](m map[string]V) []string {
--- a/internal/basilscheduler/lost_property_test.go
+++ b/internal/basilscheduler/lost_property_test.go
@@ -262,7 +262,7 @@
 	start := time.Unix(1000, 0)
 	p := &lostPlay{
 		random: rand.New(rand.NewPCG(seed, 0)), now: start, began: start,
-		store: playStore{rows: make(map[string]playRow), servers: make(map[string]basilwork.Backend)},
+		store: playStore{rows: make(map[string]playRow), servers: make(map[string]playServerRow)},
 		jobs:  make(map[string]*basilwork.Job), cancelled: make(map[string]time.Time), failed: make(map[string]bool),
 		tasks: make(map[basilwork.TaskID]*playTask), waits: make(map[string]time.Time),
 	}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"math"
 	"slices"
@@ -117,15 +118,24 @@
 // SetStartLimit limits the number of starts per decision. A gang is started as a whole even if it exceeds the limit.
 func (p *Pool) SetStartLimit(starts int) { p.startLimit = starts }
 
-// AddPredecessorBackend adds a backend server that may have runs of a previous owner.
+// AddPredecessorBackend adds a backend server that may have runs of a previous owner until the given time, or until the grace period has
+// passed.
 //
-// Until it has answered or the grace period has passed, no tasks of adopted jobs are started.
-func (p *Pool) AddPredecessorBackend(entry basilwork.Backend) {
-	p.predecessorUntil[entry.ID] = p.startedAt.Add(p.options.Grace)
+// Until it has answered or that time has come, those tasks of adopted jobs are not started that may run there.
+func (p *Pool) AddPredecessorBackend(entry basilwork.Backend, until time.Time) {
+	if graceEnd := p.startedAt.Add(p.options.Grace); until.IsZero() || until.After(graceEnd) {
+		until = graceEnd
+	}
+	p.predecessorUntil[entry.ID] = until
 	p.setBackend(entry)
 	p.backends[entry.ID].present = false
 }
 
+// SilentPredecessorBackends returns the backend servers that may have runs of a previous owner and have not answered, and until when.
+func (p *Pool) SilentPredecessorBackends() iter.Seq2[string, time.Time] {
+	return maps.All(p.predecessorUntil)
+}
+
 // PredecessorBackends returns the number of backend servers that may have runs of a previous owner and have not answered.
 func (p *Pool) PredecessorBackends() int { return len(p.predecessorUntil) }
 
@@ -250,10 +260,10 @@
 	delete(p.predecessorUntil, id)
 }
 
-// Recorded records that the backend server is stored as one that may have runs.
-func (p *Pool) Recorded(id string) {
+// SetRecorded sets whether the backend server is stored as one that may have runs.
+func (p *Pool) SetRecorded(id string, recorded bool) {
 	if b := p.backends[id]; b != nil {
-		b.recorded = true
+		b.recorded = recorded
 	}
 }
 
--- a/internal/basilscheduler/restart_test.go
+++ b/internal/basilscheduler/restart_test.go
@@ -30,7 +30,7 @@
 func (f *fixture) setBackends(backends ...basilwork.Backend) {
 	f.SetBackends(backends)
 	for _, b := range backends {
-		f.Recorded(b.ID)
+		f.SetRecorded(b.ID, true)
 		f.Attached(b.ID)
 	}
 }
--- a/internal/basilscheduler/takeover_bench_test.go
+++ b/internal/basilscheduler/takeover_bench_test.go
@@ -49,11 +49,11 @@
 	var list []basilwork.Backend
 	for n := range backends {
 		list = append(list, backendOf(fmt.Sprintf("b%d", n), 64000))
-		p.AddPredecessorBackend(list[n])
+		p.AddPredecessorBackend(list[n], time.Time{})
 	}
 	p.SetBackends(list)
 	for n, x := range list {
-		p.Recorded(x.ID)
+		p.SetRecorded(x.ID, true)
 		var report basilwork.Report
 		for i := range 10 {
 			id := basilwork.TaskID{Job: fmt.Sprintf("%016x", (n*10+i)%len(rows))}
--- a/internal/basilscheduler/waiting_test.go
+++ b/internal/basilscheduler/waiting_test.go
@@ -104,7 +104,7 @@
 	p.SetBackends(list)
 	var added []*backend
 	for _, b := range list[before:] {
-		p.Recorded(b.ID)
+		p.SetRecorded(b.ID, true)
 		p.Attached(b.ID)
 		added = append(added, p.backends[b.ID])
 	}
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -133,7 +133,10 @@
 
 func (k *Keeper) claimShard(ctx context.Context, c Claim) bool {
 	self, previous := k.options.Self, c.previous
-	next := OwnerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: previous.Epoch + 1, Address: self.Address, PreviousEnded: c.previousEnded}
+	next := OwnerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: previous.Epoch + 1, Address: self.Address, PreviousEnded: c.previousEnded, Since: previous.Since}
+	if next.Since == 0 {
+		next.Since = next.Epoch
+	}
 	var checks []basilplatform.Write
 	switch { // an owner that renews its lease in the meantime still considers its shards its own
 	case c.previousEnded:
@@ -265,7 +268,7 @@
 func (k *Keeper) release(ctx context.Context, shard string, row OwnerRow) bool {
 	next := k.successor(shard)
 	entry := k.options.Log.WithFields(logrus.Fields{basillog.FieldPool: shard, basillog.FieldEpoch: row.Epoch, "next": next})
-	if err := k.writeOwner(ctx, shard, OwnerRow{Node: row.Node, Epoch: row.Epoch, Next: next}, row.Version); err != nil {
+	if err := k.writeOwner(ctx, shard, OwnerRow{Node: row.Node, Epoch: row.Epoch, Next: next, Since: row.Since}, row.Version); err != nil {
 		entry.WithError(err).Warn("failed to release the shard")
 		return false
 	}
