scheduler: don't hold back tasks whose newest run is known

A new owner held back all tasks of adopted jobs while one backend server of its predecessor was silent, also those that it had seen running on another server since. A run that is listed under the new epoch is the newest of its task: an owner starts a task again only when the run before has ended, was stopped for good or has outlived its lease. So no unreported run can exist once it ends, and the task may start at once. A gang goes on if that holds for all its members.

--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -72,6 +72,7 @@
 func (p *Pool) start(c *candidate, t *task, b *backend, attempt int, tickets map[string]string, now time.Time) {
 	r := &run{task: t, backend: b, attempt: attempt, phase: phaseStarting, orderedAt: now, pace: fullPace, resumed: t.checkpoint != ""}
 	t.attempt = attempt
+	t.account()
 	if t.suspicion > 0 {
 		b.quarantinedFor = r
 	}
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -125,6 +125,7 @@
 		predecessorStopEnd: now.Add(p.options.StopTimeout + endReportDelay),
 	}
 	t.attempt = max(t.attempt, s.Attempt)
+	t.account()
 	p.addRun(r, p.expectedEnd(t.step, now))
 	p.activate(t.step.occurrence.job)
 	if t.done || t.step.occurrence.job.record.State.Final() {
--- a/internal/basilscheduler/explain_task.go
+++ b/internal/basilscheduler/explain_task.go
@@ -19,7 +19,7 @@
 		x.Reason, x.Detail = WaitReasonInconsistent, e.inconsistency(x, s)
 	case e.startLimit == 0:
 		x.Reason = WaitReasonStartLimit
-	case s.occurrence.job.adopted && len(e.predecessorUntil) > 0:
+	case e.heldBack(s) && !t.accounted:
 		x.Reason, x.Pending = WaitReasonPredecessors, len(e.predecessorUntil)
 		for _, until := range e.predecessorUntil {
 			x.Ends = max(x.Ends, until.Sub(e.now))
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -65,6 +65,7 @@
 	avoidUntil map[string]time.Time // backend servers to avoid, and until when
 	suspicion  int                  // weight of the recorded crashes of backend servers that had a run of it
 	excused    bool                 // a crash that something else explains was not counted
+	accounted  bool                 // its newest run is known: this owner has started it or seen it running
 }
 
 func (t *task) idle() bool { return !t.done && len(t.runs) == 0 }
@@ -96,6 +97,7 @@
 	unfinished    int                 // number of tasks that are not done
 	idle          int                 // number of tasks that are not done and have no runs
 	firstIdle     int                 // index below which no task is idle
+	accounted     int                 // number of tasks whose newest run is known
 	queued        bool                // in the list of waiting steps
 	pending       bool                // has to be considered by the next decision
 	inBacklog     bool                // included in the backlog of the pool
@@ -113,6 +115,18 @@
 	return true
 }
 
+// account records that the newest run of the task is known. While it runs no other one exists, because an owner starts a task again only when
+// the run before has ended.
+func (t *task) account() {
+	if !t.accounted {
+		t.accounted = true
+		t.step.accounted++
+	}
+}
+
+// allAccounted reports whether the newest run of each task is known.
+func (s *step) allAccounted() bool { return s.accounted == len(s.tasks) }
+
 // hasWaiting reports whether tasks of the step have to be placed once the step is ready.
 func (s *step) hasWaiting() bool {
 	return s.idle > 0 && !s.occurrence.job.record.State.Final()
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -113,7 +113,8 @@
 // placeStep places as many tasks of the step as have room; a gang is placed as a whole or not at all.
 func (p *Pool) placeStep(c *candidate, now time.Time) {
 	s := c.step
-	if !s.hasWaiting() || s.occurrence.job.adopted && len(p.predecessorUntil) > 0 || s.spec.Gang && !p.gangReady(s, now) {
+	heldBack := p.heldBack(s)
+	if !s.hasWaiting() || heldBack && !s.mayStartHeldBack() || s.spec.Gang && !p.gangReady(s, now) {
 		return
 	}
 	var tickets map[string]string
@@ -130,6 +131,9 @@
 			}
 			continue
 		}
+		if heldBack && !t.accounted {
+			continue
+		}
 		if now.Before(t.notBefore) {
 			p.wakeAt(t.notBefore)
 			continue
@@ -164,6 +168,17 @@
 	}
 }
 
+// heldBack reports whether tasks of the step may have runs of a previous owner that no backend server has reported yet. Those whose runs
+// are known are not held back.
+func (p *Pool) heldBack(s *step) bool {
+	return s.occurrence.job.adopted && len(p.predecessorUntil) > 0
+}
+
+// mayStartHeldBack reports whether a task of the step may start while others are held back; a gang starts as a whole.
+func (s *step) mayStartHeldBack() bool {
+	return s.allAccounted() || s.accounted > 0 && !s.spec.Gang
+}
+
 // gangReady reports whether all tasks of the gang may start now.
 func (p *Pool) gangReady(s *step, now time.Time) bool {
 	if s.idle < len(s.tasks) {
