node: ask the platform which silent backend servers have ended

Servers that crashed for good, were taken away or moved while the owner changed held up the tasks of all adopted jobs until the longest lease had passed, 6.5 to 12.8 s, though the platform's list of hosts shows at once that they are gone. While a new owner waits for silent servers it reads that list, after 1 s and then each 2 to 4 s, and waits no longer for those that no host which is up runs.

Tasks that have crashed servers before wait for the leases all the same, so that a crash beside a change of owner is not repeated before it is counted.

TestTasksStartOnceSilentBackendHasEnded and TestBackendThatNoHostRunsHasEnded are new.

--- /dev/null
+++ b/internal/basilnode/ended_servers.go
@@ -0,0 +1,79 @@
+package basilnode
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+const (
+	minEndedInterval = time.Second     // between listings of the hosts for silent backend servers; each call is charged for
+	maxEndedInterval = 4 * time.Second // the interval doubles up to it, since servers that are cut off stay silent for long
+)
+
+// endedServers finds out which silent backend servers of former owners have ended, by the platform's list of hosts. The zero value is ready
+// to use.
+type endedServers struct {
+	inFlight bool
+	next     time.Time // next listing
+	interval time.Duration
+}
+
+// due reports whether the hosts have to be listed now.
+func (e *endedServers) due(now time.Time) bool { return !e.inFlight && !now.Before(e.next) }
+
+// listed schedules the listing after one that has ended.
+func (e *endedServers) listed(now time.Time) {
+	e.interval = min(max(minEndedInterval, 2*e.interval), maxEndedInterval)
+	e.inFlight, e.next = false, now.Add(e.interval)
+}
+
+// findEnded lists the hosts in the background if backend servers of former owners are silent.
+func (o *owner) findEnded(now time.Time) {
+	if now.Before(o.silenceAt) || o.pool.PredecessorBackends() == 0 || !o.ended.due(now) {
+		return
+	}
+	var silent []string
+	for id := range o.pool.SilentPredecessorBackends() {
+		silent = append(silent, id)
+	}
+	o.ended.inFlight = true
+	go func() {
+		hosts, err := o.node.options.Machines.Machines(o.ctx)
+		o.send(func(now time.Time) {
+			o.ended.listed(now)
+			if err != nil {
+				o.log.WithError(err).Warn("cannot list hosts of silent backend servers")
+				return
+			}
+			o.applyEnded(silent, hosts)
+		})
+	}()
+}
+
+// applyEnded takes those of the backend servers for ended that no host which is up runs any more.
+func (o *owner) applyEnded(silent []string, hosts []basilwork.Machine) {
+	running := make(map[string]bool, len(hosts))
+	for n := range hosts {
+		if hosts[n].Up && hosts[n].Backend != "" {
+			running[hosts[n].Backend] = true
+		}
+	}
+	if len(running) == 0 {
+		o.log.WithField("hosts", len(hosts)).Warn("no host in the list runs a backend server; ignoring it")
+		return
+	}
+	var ended []string
+	for _, id := range silent {
+		if !running[id] && o.pool.PredecessorEnded(id) {
+			ended = append(ended, id)
+		}
+	}
+	if len(ended) > 0 {
+		o.log.WithFields(logrus.Fields{
+			"backends": len(ended), "hosts": ended[:min(len(ended), maxListedBackends)], "silent": o.pool.PredecessorBackends(),
+		}).Info("silent backend servers of predecessor have ended")
+	}
+}
--- /dev/null
+++ b/internal/basilnode/ended_servers_test.go
@@ -0,0 +1,42 @@
+package basilnode
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// TestBackendThatNoHostRunsHasEnded checks that only backend servers that no host runs any more are taken for ended, and that a list of hosts
+// without any backend server is ignored.
+func TestBackendThatNoHostRunsHasEnded(t *testing.T) {
+	now := time.Now()
+	o, hook := newLoggingOwner(now)
+	silent := []string{"cut-off", "down", "gone", "moving"}
+	for _, id := range silent {
+		o.pool.AddPredecessorBackend(basilwork.Backend{ID: id}, time.Time{})
+	}
+	o.applyEnded(silent, []basilwork.Machine{{ID: "m1", State: "down"}, {ID: "m2", State: "moving"}})
+	must.Eq(t, 4, o.pool.PredecessorBackends())
+	o.applyEnded(silent, []basilwork.Machine{
+		{ID: "m1", Up: true, Backend: "cut-off"}, {ID: "m2", State: "down", Backend: "down"}, {ID: "m3", State: "moving"}, {ID: "m4", Up: true, Backend: "other"},
+	})
+	must.Eq(t, 1, o.pool.PredecessorBackends())
+	must.False(t, o.pool.PredecessorUntil("cut-off").IsZero())
+	must.Eq(t, []string{"down", "gone", "moving"}, hook.LastEntry().Data["hosts"].([]string))
+}
+
+// TestHostsAreListedSeldomForSilentBackends checks that the interval between listings doubles.
+func TestHostsAreListedSeldomForSilentBackends(t *testing.T) {
+	var e endedServers
+	now, listings := time.Now(), 0
+	for until := now.Add(20 * time.Second); now.Before(until); now = now.Add(100 * time.Millisecond) {
+		if e.due(now) {
+			listings++
+			e.listed(now)
+		}
+	}
+	must.Eq(t, 7, listings)
+}
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -49,6 +49,7 @@
 	stats            loopStats
 	waitLog          waitLog
 	predecessors     predecessorWait
+	ended            endedServers
 	silenceAt        time.Time  // when backend servers that have not answered are stored as silent
 	startBlock       startBlock // why the last decision allowed no starts
 	pacer            pacer
@@ -195,6 +196,7 @@
 	if untilSilences := o.recordSilences(now); untilSilences > 0 {
 		wait = min(wait, untilSilences)
 	}
+	o.findEnded(now)
 	o.updateConnections()
 	return max(time.Millisecond, min(wait, wake))
 }
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -50,18 +50,6 @@
 	}
 }
 
-// expirePredecessors drops the backend servers on which no runs of a predecessor can exist any more, because its leases
-// have expired.
-func (p *Pool) expirePredecessors(now time.Time) {
-	for id, until := range p.predecessorUntil {
-		if now.Before(until) {
-			p.wakeAt(until)
-			continue
-		}
-		delete(p.predecessorUntil, id)
-	}
-}
-
 func (p *Pool) nextAttempt(t *task) int {
 	if t.step.occurrence.job.adopted {
 		t.attempt = max(t.attempt, int(p.options.Epoch-1)*attemptsPerEpoch)
--- a/internal/basilscheduler/explain_task.go
+++ b/internal/basilscheduler/explain_task.go
@@ -19,8 +19,8 @@
 		x.Reason, x.Detail = WaitReasonInconsistent, e.inconsistency(x, s)
 	case e.startLimit == 0:
 		x.Reason = WaitReasonStartLimit
-	case e.heldBack(s) && !t.accounted:
-		x.Reason, x.Pending = WaitReasonPredecessors, len(e.predecessorUntil)
+	case e.holdsBack(t, e.now):
+		x.Reason, x.Pending, x.Ends = WaitReasonPredecessors, len(e.predecessorUntil), max(0, e.suspectsUntil.Sub(e.now))
 		for _, until := range e.predecessorUntil {
 			x.Ends = max(x.Ends, until.Sub(e.now))
 		}
--- a/internal/basilscheduler/host_need.go
+++ b/internal/basilscheduler/host_need.go
@@ -144,7 +144,7 @@
 // add counts the hosts that the waiting tasks of a step need.
 func (c *hostCount) add(w *candidate, p *Pool) {
 	s := w.step
-	if !s.hasWaiting() || p.heldBack(s) && !s.mayStartHeldBack() {
+	if !s.hasWaiting() || p.heldBack(s) {
 		return
 	}
 	apart := s.spec.LongRunning && s.spec.AntiAffinity > 0
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -124,9 +124,6 @@
 	}
 }
 
-// allAccounted reports whether the newest run of each task is known.
-func (s *step) allAccounted() bool { return s.accounted == len(s.tasks) }
-
 // hasWaiting reports whether tasks of the step have to be placed once the step is ready.
 func (s *step) hasWaiting() bool {
 	return s.idle > 0 && !s.occurrence.job.record.State.Final()
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -113,8 +113,7 @@
 // placeStep places as many tasks of the step as have room; a gang is placed as a whole or not at all.
 func (p *Pool) placeStep(c *candidate, now time.Time) {
 	s := c.step
-	heldBack := p.heldBack(s)
-	if !s.hasWaiting() || heldBack && !s.mayStartHeldBack() || s.spec.Gang && !p.gangReady(s, now) {
+	if !s.hasWaiting() || p.heldBack(s) || s.spec.Gang && !p.gangReady(s, now) {
 		return
 	}
 	var tickets map[string]string
@@ -131,7 +130,7 @@
 			}
 			continue
 		}
-		if heldBack && !t.accounted {
+		if p.holdsBack(t, now) {
 			continue
 		}
 		if now.Before(t.notBefore) {
@@ -168,17 +167,6 @@
 	}
 }
 
-// heldBack reports whether tasks of the step may have runs of a previous owner that no backend server has reported yet. Those whose runs
-// are known are not held back.
-func (p *Pool) heldBack(s *step) bool {
-	return s.occurrence.job.adopted && len(p.predecessorUntil) > 0
-}
-
-// mayStartHeldBack reports whether a task of the step may start while others are held back; a gang starts as a whole.
-func (s *step) mayStartHeldBack() bool {
-	return s.allAccounted() || s.accounted > 0 && !s.spec.Gang
-}
-
 // gangReady reports whether all tasks of the gang may start now.
 func (p *Pool) gangReady(s *step, now time.Time) bool {
 	if s.idle < len(s.tasks) {
@@ -189,6 +177,9 @@
 			p.wakeAt(t.notBefore)
 			return false
 		}
+		if p.holdsBack(t, now) {
+			return false
+		}
 	}
 	return true
 }
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"iter"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -55,6 +53,7 @@
 	doneOccurrences  []*occurrence       // done occurrences without runs, to be removed
 	startedAt        time.Time
 	predecessorUntil map[string]time.Time        // backend servers that may have runs of a predecessor, and until when
+	suspectsUntil    time.Time                   // until when tasks that may have crashed such a server are held back
 	queues           map[string]*basilwork.Queue // by ID, also those that the configuration no longer has
 	namedQueues      map[string]*basilwork.Queue // the same by name
 	runTimes         map[runTimeKey]*runTimeRatio
@@ -118,36 +117,6 @@
 // SetStartLimit limits the number of starts per decision. A gang is started as a whole even if it exceeds the limit.
 func (p *Pool) SetStartLimit(starts int) { p.startLimit = starts }
 
-// AddPredecessorBackend adds a backend server that may have runs of a previous owner until the given time, or until the grace period has
-// passed.
-//
-// Until it has answered or that time has come, those tasks of adopted jobs are not started that may run there.
-func (p *Pool) AddPredecessorBackend(entry basilwork.Backend, until time.Time) {
-	if graceEnd := p.startedAt.Add(p.options.Grace); until.IsZero() || until.After(graceEnd) {
-		until = graceEnd
-	}
-	p.predecessorUntil[entry.ID] = until
-	p.setBackend(entry)
-	p.backends[entry.ID].present = false
-}
-
-// SilentPredecessorBackends returns the backend servers that may have runs of a previous owner and have not answered, and until when.
-func (p *Pool) SilentPredecessorBackends() iter.Seq2[string, time.Time] {
-	return maps.All(p.predecessorUntil)
-}
-
-// PredecessorBackends returns the number of backend servers that may have runs of a previous owner and have not answered.
-func (p *Pool) PredecessorBackends() int { return len(p.predecessorUntil) }
-
-// SomePredecessorBackends returns the IDs of up to limit of these backend servers, and how long the last of all is waited for at most.
-func (p *Pool) SomePredecessorBackends(limit int, now time.Time) (ids []string, left time.Duration) {
-	ids = slices.Sorted(maps.Keys(p.predecessorUntil))
-	for _, until := range p.predecessorUntil {
-		left = max(left, until.Sub(now))
-	}
-	return ids[:min(len(ids), limit)], left
-}
-
 // AddJob adds a stored job. With adopted set, a previous owner may have started tasks of it.
 func (p *Pool) AddJob(r basilwork.Record, adopted bool) {
 	if p.jobs[r.Job.ID] != nil || r.State.Final() {
--- /dev/null
+++ b/internal/basilscheduler/predecessor.go
@@ -0,0 +1,92 @@
+package basilscheduler
+
+import (
+	"iter"
+	"maps"
+	"slices"
+	"time"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// AddPredecessorBackend adds a backend server that may have runs of a previous owner until the given time, or until the grace period has
+// passed.
+//
+// Until it has answered or that time has come, those tasks of adopted jobs are not started that may run there.
+func (p *Pool) AddPredecessorBackend(entry basilwork.Backend, until time.Time) {
+	if graceEnd := p.startedAt.Add(p.options.Grace); until.IsZero() || until.After(graceEnd) {
+		until = graceEnd
+	}
+	p.predecessorUntil[entry.ID] = until
+	p.setBackend(entry)
+	p.backends[entry.ID].present = false
+}
+
+// SilentPredecessorBackends returns the backend servers that may have runs of a previous owner and have not answered, and until when.
+func (p *Pool) SilentPredecessorBackends() iter.Seq2[string, time.Time] {
+	return maps.All(p.predecessorUntil)
+}
+
+// PredecessorBackends returns the number of backend servers that may have runs of a previous owner and have not answered.
+func (p *Pool) PredecessorBackends() int { return len(p.predecessorUntil) }
+
+// SomePredecessorBackends returns the IDs of up to limit of these backend servers, and how long the last of all is waited for at most.
+func (p *Pool) SomePredecessorBackends(limit int, now time.Time) (ids []string, left time.Duration) {
+	ids = slices.Sorted(maps.Keys(p.predecessorUntil))
+	for _, until := range p.predecessorUntil {
+		left = max(left, until.Sub(now))
+	}
+	return ids[:min(len(ids), limit)], left
+}
+
+// PredecessorUntil returns until when the backend server may have runs of a previous owner that it has not reported, or the zero time.
+func (p *Pool) PredecessorUntil(id string) time.Time { return p.predecessorUntil[id] }
+
+// PredecessorEnded records that a silent backend server of a previous owner has ended, and all runs there with it. It returns false if the
+// server isn't waited for.
+//
+// It may have crashed under a task that has crashed others before. Such tasks stay held back until its leases would have run out, so that they
+// don't crash more servers than are counted.
+func (p *Pool) PredecessorEnded(id string) bool {
+	until, ok := p.predecessorUntil[id]
+	if !ok {
+		return false
+	}
+	if until.After(p.suspectsUntil) {
+		p.suspectsUntil = until
+	}
+	delete(p.predecessorUntil, id)
+	return true
+}
+
+// expirePredecessors drops the backend servers on which no runs of a predecessor can exist any more, because its leases
+// have expired.
+func (p *Pool) expirePredecessors(now time.Time) {
+	for id, until := range p.predecessorUntil {
+		if now.Before(until) {
+			p.wakeAt(until)
+			continue
+		}
+		delete(p.predecessorUntil, id)
+	}
+	if now.Before(p.suspectsUntil) {
+		p.wakeAt(p.suspectsUntil)
+	}
+}
+
+// holdsBack reports whether the task may have a run of a previous owner that no backend server has reported yet, or may have crashed the
+// server that had it.
+func (p *Pool) holdsBack(t *task, now time.Time) bool {
+	if t.accounted || !t.step.occurrence.job.adopted {
+		return false
+	}
+	return len(p.predecessorUntil) > 0 || t.suspicion > 0 && now.Before(p.suspectsUntil)
+}
+
+// heldBack reports whether no task of the step may start because of silent backend servers of a previous owner; a gang starts as a whole.
+func (p *Pool) heldBack(s *step) bool {
+	if !s.occurrence.job.adopted || len(p.predecessorUntil) == 0 {
+		return false
+	}
+	return s.accounted == 0 || s.spec.Gang && s.accounted < len(s.tasks)
+}
--- a/internal/basilscheduler/predecessor_test.go
+++ b/internal/basilscheduler/predecessor_test.go
@@ -64,3 +64,27 @@
 		must.Len(t, 1, f.decideAndStart())
 	}
 }
+
+// TestTasksStartOnceSilentBackendHasEnded checks that nothing is held back for a backend server that has ended, except tasks that have crashed
+// others before: it may have crashed under them.
+func TestTasksStartOnceSilentBackendHasEnded(t *testing.T) {
+	f := newFixture(t)
+	suspected := basilwork.Record{Job: basilwork.Job{ID: "suspected", Queue: "quote", Steps: []basilwork.Step{stepOf(1, 1000)}}, Accepted: f.now.UnixMilli()}
+	progress := &basilwork.OccurrenceProgress{Steps: make([]basilwork.StepProgress, 1)}
+	progress.Steps[0].AddCrash(0, basilwork.Crash{Attempt: 1, Weight: 1})
+	suspected.Progress = map[int]*basilwork.OccurrenceProgress{0: progress}
+	f.AddJob(suspected, true)
+	f.AddJob(basilwork.Record{Job: basilwork.Job{ID: "j", Queue: "quote", Steps: []basilwork.Step{longStep(1, 1000)}}, Accepted: f.now.UnixMilli()}, true)
+	f.AddPredecessorBackend(backendOf("b1", 16000), time.Time{})
+	f.setBackends(backendOf("b2", 16000))
+	must.SliceEmpty(t, f.decideAndStart())
+	must.True(t, f.PredecessorEnded("b1"))
+	must.False(t, f.PredecessorEnded("b1"))
+	starts := f.decideAndStart()
+	must.Len(t, 1, starts)
+	must.Eq(t, "j.0.0.0", starts[0].Task.String())
+	f.advance(14 * time.Second)
+	starts = f.decideAndStart()
+	must.Len(t, 1, starts)
+	must.Eq(t, "suspected.0.0.0", starts[0].Task.String())
+}
