runner: don't give up runs of former owners before their leases end

It showed since leases are not extended before the row without a silence is stored; an owner whose own lease is uncertain could meet it before.

A connection knows until when leases of former owners may last, and counts the server as lost no sooner.

--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -40,7 +40,8 @@
 	Commander basilwork.Commander
 	Sink      Sink
 	Fence     int64
-	MaxLease  time.Duration
+	MaxLease  time.Duration // the longest that backend servers grant
+	Inherited time.Time     // until when leases that former owners have granted may last; zero for none
 	// MayStart and MayHold report whether the owner's own lease allows it to start runs and to renew leases.
 	MayStart func() bool
 	MayHold  func() bool
@@ -322,10 +323,13 @@
 // expiry returns the time at which all runs have certainly ended. An idle backend server may have runs that this owner doesn't
 // know, with the longest lease. The caller must hold the mutex.
 func (c *Connection) expiry() time.Time {
-	if c.busy {
-		return c.lease.Expiry()
+	if !c.busy {
+		return c.lease.LastExpiry(c.options.MaxLease)
 	}
-	return c.lease.LastExpiry(c.options.MaxLease)
+	if at := c.lease.Expiry(); at.After(c.options.Inherited) {
+		return at
+	}
+	return c.options.Inherited
 }
 
 func (c *Connection) pause(ctx context.Context, err error) {
--- a/internal/basilrunner/connection_test.go
+++ b/internal/basilrunner/connection_test.go
@@ -146,3 +146,26 @@
 		must.Less(t, 2*longest, silent)
 	})
 }
+
+// TestRunsOfFormerOwnerAreNotLostBeforeTheirLeases checks that a backend server that falls silent before this owner has extended a lease counts as
+// lost only when the leases of former owners have run out.
+func TestRunsOfFormerOwnerAreNotLostBeforeTheirLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &silentBackend{fakeBackend: fakeBackend{answers: []basilwork.Report{{StartedAt: 1, Clock: 1}}, sink: func(int64) {}}}
+		inherited := time.Now().Add(5 * time.Second)
+		l := NewConnection(basilwork.Backend{ID: "b1", StartedAt: 1}, Options{
+			Commander: s, Sink: s, Fence: 1, MaxLease: 6 * time.Second, Inherited: inherited,
+			MayStart: func() bool { return true }, MayHold: func() bool { return true },
+		})
+		l.SetBusy(true, 1, 0)
+		l.SetSuspended(true)
+		var lost time.Time
+		s.lost = func() { lost = time.Now() }
+		l.Run(t.Context())
+		must.False(t, lost.Before(inherited))
+		must.Less(t, 2*time.Second, lost.Sub(inherited))
+		for _, o := range s.orders {
+			must.Zero(t, o.Deadline)
+		}
+	})
+}
--- a/internal/basilscheduler/lost_connection_test.go
+++ b/internal/basilscheduler/lost_connection_test.go
@@ -18,6 +18,7 @@
 	busy        bool
 	watched     bool
 	suspended   bool
+	inherited   time.Time // until when leases of former owners may last
 	attached    bool
 	reachable   bool
 	lost        bool
@@ -30,7 +31,7 @@
 	if o.connections[b.ID] != nil {
 		return
 	}
-	c := &playConnection{owner: o, id: b.ID, address: b.Address, startedAt: b.StartedAt, reachable: true}
+	c := &playConnection{owner: o, id: b.ID, address: b.Address, startedAt: b.StartedAt, reachable: true, inherited: o.PredecessorUntil(b.ID)}
 	o.connections[b.ID] = c
 	c.run()
 }
@@ -91,6 +92,9 @@
 	expiry := c.lease.LastExpiry(playMaxHold)
 	if c.busy {
 		expiry = c.lease.Expiry()
+		if c.inherited.After(expiry) {
+			expiry = c.inherited
+		}
 	}
 	if c.attached && now.After(expiry) {
 		o.lost(c, basilwork.LossExpired)
