node: limit the leases that an owner requests

An owner requests leases of 5.7 s at most. Together with the 3.5 s for which it extends them without renewing its own, work still outlasts an outage of the store of 9 s. Since the owner's row tells whether the owner before kept to it, a successor of an older release waits for the longest lease.

TestLongRunningTasksRunAgainThoughBackendsGrantLongLeases failed before (9.8 s).

--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -1,6 +1,7 @@
 package basilnode_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -64,6 +65,7 @@
 	began           time.Time
 	weights         map[string]float64 // weights of entry hosts; 1 if missing
 	bandwidths      map[string]int     // bytes per second that the links of entry hosts carry to them; no limit if missing
+	maxHold         time.Duration      // longest lease of backend servers; 6 s if zero
 	singlePartition bool               // the store has no transactions over several partitions
 	share           atomic.Int64       // percentage of a core that each entry host's process gets
 	percent         map[string]int     // garbage collection percentage, by entry host
@@ -189,7 +191,7 @@
 	node := basilnode.New(basilnode.Options{
 		Self:  basilshard.Member{Node: name, Incarnation: fmt.Sprintf("%s.%d", name, c.starts), Zone: "north", Weight: weight, Address: peerAddress(name), Started: time.Now().UnixMilli()},
 		Clock: clock, StoreClock: storeClock,
-		Lease: 1250 * time.Millisecond, MaxLease: 5 * time.Second, MaxHold: 6 * time.Second, HoldLimit: 3500 * time.Millisecond,
+		Lease: 1250 * time.Millisecond, MaxLease: 5 * time.Second, MaxHold: cmp.Or(c.maxHold, 6*time.Second), HoldLimit: 3500 * time.Millisecond,
 		SinglePartition: c.singlePartition, StatusRetention: 2 * time.Minute, StopTimeout: 900 * time.Millisecond, HolderChangeDelay: 3 * time.Second, MoveDuration: 1500 * time.Millisecond, MaintenanceDuration: 2 * time.Second,
 		Store: store, Directory: directory, Commander: basilsite.NewCommander(client),
 		Advisor:  basilsite.NewAdvisor(client, func() string { return basilfake.AdviceAddress }),
--- a/internal/basilnode/long_running_test.go
+++ b/internal/basilnode/long_running_test.go
@@ -100,3 +100,25 @@
 		must.LessEq(t, longestAbsence, longest.to.Sub(longest.from), must.Sprint(longest.task, " from ", longest.from.Sub(c.began)))
 	})
 }
+
+// TestLongRunningTasksRunAgainThoughBackendsGrantLongLeases replays a backend server that is gone for good on a deployment that allows leases of 10 s:
+// its tasks ran again only when such a lease had passed.
+func TestLongRunningTasksRunAgainThoughBackendsGrantLongLeases(t *testing.T) {
+	run(t, 2, 12, constant(time.Second), func(c *cluster) {
+		c.maxHold = 10 * time.Second
+		for _, name := range []string{"entry-1", "entry-2"} {
+			c.stop(name)
+			c.start(name)
+		}
+		time.Sleep(2 * time.Second)
+		must.Eq(t, http.StatusOK, c.submit("entry-1", longPrefix, longRunningID, serving))
+		time.Sleep(4 * time.Second)
+		c.site.Crash(c.site.Backends("stretch")[0], time.Hour)
+		time.Sleep(14 * time.Second)
+		list := c.absences(longRunningID)
+		must.SliceNotEmpty(t, list)
+		for _, a := range list {
+			must.LessEq(t, longestAbsence, a.to.Sub(a.from), must.Sprint(a.task))
+		}
+	})
+}
--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -26,9 +26,12 @@
 	configurationRetry = 200 * time.Millisecond
 	// Wait of a watch of the configuration. With the timeout of the call after it, a connection that went silent is noticed in 4 s, before the time is
 	// over after which the entry host counts as in touch again and has to apply a configuration (contact_ms and config_apply_ms, 5 s at least).
-	configurationWait  = 1500 * time.Millisecond
-	renewInterval      = 310 * time.Millisecond // a quarter of the lease, which leaves room for two lost renewals
-	leaseMargin        = 300 * time.Millisecond
+	configurationWait = 1500 * time.Millisecond
+	renewInterval     = 310 * time.Millisecond // a quarter of the lease, which leaves room for two lost renewals
+	leaseMargin       = 300 * time.Millisecond
+	// Longest lease that an owner requests from backend servers. With the time for which it extends them without renewing its own, runs outlast an
+	// outage of the store of 9 s; a long-running task whose server is lost has to run again 9 s after its last run.
+	maxLeaseTerm       = 5700 * time.Millisecond
 	minClockRate       = 0.98 // lowest rate at which a backend server's clock may run
 	graceSlack         = 400 * time.Millisecond
 	stopPollInterval   = 20 * time.Millisecond
@@ -293,7 +296,11 @@
 // predecessorGrace returns how long runs of a shard's previous owner may continue without this one knowing of them: until their leases
 // expire and, if that owner may still be alive, for as long as it may extend them.
 func (n *Node) predecessorGrace(row basilshard.OwnerRow) time.Duration {
-	leases := time.Duration(float64(n.options.MaxHold)/minClockRate) + graceSlack
+	longest := n.options.MaxHold
+	if row.Since < row.Epoch { // owners of older releases request longer leases
+		longest = min(longest, maxLeaseTerm)
+	}
+	leases := time.Duration(float64(longest)/minClockRate) + graceSlack
 	if row.PreviousEnded {
 		return leases
 	}
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -51,7 +51,7 @@
 	}
 	ctx, cancel := context.WithCancel(o.ctx)
 	l := &connection{cancel: cancel, Connection: basilrunner.NewConnection(b, basilrunner.Options{
-		Commander: o.node.commander, Sink: o, Fence: o.row.Epoch, MaxLease: o.node.options.MaxHold, Inherited: o.pool.PredecessorUntil(b.ID),
+		Commander: o.node.commander, Sink: o, Fence: o.row.Epoch, MaxLease: o.node.options.MaxHold, Term: maxLeaseTerm, Inherited: o.pool.PredecessorUntil(b.ID),
 		MayStart: o.node.keeper.MayStart, HoldInterval: o.holdPacer.interval,
 		MayHold: func() bool {
 			return o.node.keeper.MayStart() || o.node.keeper.SinceRenewal() < o.node.options.HoldLimit
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -1,6 +1,7 @@
 package basilrunner
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -41,6 +42,7 @@
 	Sink      Sink
 	Fence     int64
 	MaxLease  time.Duration // the longest that backend servers grant
+	Term      time.Duration // of the leases that holds request, if it is shorter than MaxLease less a margin; 0 for no limit
 	Inherited time.Time     // until when leases that former owners have granted may last; zero for none
 	// MayStart and MayHold report whether the owner's own lease allows it to start runs and to renew leases.
 	MayStart func() bool
@@ -49,6 +51,12 @@
 	HoldInterval func() time.Duration
 }
 
+// term returns how long requested leases are.
+func (o *Options) term() time.Duration {
+	longest := o.MaxLease - leaseMargin
+	return min(longest, cmp.Or(o.Term, longest))
+}
+
 // Connection is the connection of a shard's owner to one incarnation of a backend server.
 type Connection struct {
 	options     Options
@@ -230,7 +238,7 @@
 		o.Acknowledged = c.acked // not after a miss, when the backend server may have restarted
 	}
 	if c.lease.Known() && c.firstMissAt.IsZero() && c.busy && !c.suspended && c.options.MayHold() {
-		o.Deadline = c.lease.Deadline(time.Now(), c.options.MaxLease-leaseMargin)
+		o.Deadline = c.lease.Deadline(time.Now(), c.options.term())
 	}
 	b := c.backend
 	sent := time.Now()
--- a/internal/basilrunner/connection_test.go
+++ b/internal/basilrunner/connection_test.go
@@ -169,3 +169,10 @@
 		}
 	})
 }
+
+// TestRequestedLeasesAreNoLongerThanTheTerm checks that leases are limited by the term, which doesn't lengthen those that backend servers grant.
+func TestRequestedLeasesAreNoLongerThanTheTerm(t *testing.T) {
+	must.Eq(t, 5*time.Second, (&Options{MaxLease: 10 * time.Second, Term: 5 * time.Second}).term())
+	must.Eq(t, 5700*time.Millisecond, (&Options{MaxLease: 6 * time.Second, Term: 8 * time.Second}).term())
+	must.Eq(t, 5700*time.Millisecond, (&Options{MaxLease: 6 * time.Second}).term())
+}
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -29,7 +29,8 @@
 	Address       string `json:"address,omitempty"` // where other entry hosts reach the owner
 	PreviousEnded bool   `json:"dead,omitempty"`    // the previous owner's process had ended, or had released the shard, at the takeover
 	Next          string `json:"next,omitempty"`    // node that is to claim a released shard at once
-	// Since is the first epoch of those up to this one whose owners have all kept the silences of backend servers in their rows; 0 for none.
+	// Since is the first epoch of those up to this one whose owners have all kept the silences of backend servers in their rows, and requested leases
+	// of a limited term; 0 for none.
 	Since   int64 `json:"since,omitempty"`
 	Version int64 `json:"-"`
 }
