node: ask for ended backend servers 0.3 s after a takeover

The servers that live have answered after 5 to 170 ms there. The list is read after 0.3 s now; the silences are stored after 1 s as before, since a server that is slow to answer is none.

--- a/internal/basilnode/ended_servers.go
+++ b/internal/basilnode/ended_servers.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	minEndedInterval = time.Second     // between listings of the hosts for silent backend servers; each call is charged for
-	maxEndedInterval = 4 * time.Second // the interval doubles up to it, since servers that are cut off stay silent for long
+	endedDelay       = 300 * time.Millisecond // before the first listing: most backend servers that live have answered a new owner by then
+	minEndedInterval = time.Second            // between listings of the hosts for silent backend servers; each call is charged for
+	maxEndedInterval = 4 * time.Second        // the interval doubles up to it, since servers that are cut off stay silent for long
 )
 
 // endedServers finds out which silent backend servers of former owners have ended, by the platform's list of hosts. The zero value is ready
@@ -30,10 +31,14 @@
 	e.inFlight, e.next = false, now.Add(e.interval)
 }
 
-// findEnded lists the hosts in the background if backend servers of former owners are silent.
-func (o *owner) findEnded(now time.Time) {
-	if now.Before(o.silenceAt) || o.pool.PredecessorBackends() == 0 || !o.ended.due(now) {
-		return
+// findEnded lists the hosts in the background if backend servers of former owners are silent. It returns the time until it has to be called
+// again, or 0.
+func (o *owner) findEnded(now time.Time) time.Duration {
+	if o.pool.PredecessorBackends() == 0 || o.ended.inFlight {
+		return 0
+	}
+	if !o.ended.due(now) {
+		return o.ended.next.Sub(now)
 	}
 	var silent []string
 	for id := range o.pool.SilentPredecessorBackends() {
@@ -51,6 +56,7 @@
 			o.applyEnded(silent, hosts)
 		})
 	}()
+	return 0
 }
 
 // applyEnded takes those of the backend servers for ended that no host which is up runs any more.
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -196,7 +196,9 @@
 	if untilSilences := o.recordSilences(now); untilSilences > 0 {
 		wait = min(wait, untilSilences)
 	}
-	o.findEnded(now)
+	if untilEnded := o.findEnded(now); untilEnded > 0 {
+		wait = min(wait, untilEnded)
+	}
 	o.updateConnections()
 	return max(time.Millisecond, min(wait, wake))
 }
@@ -279,7 +281,7 @@
 			_ = basiltimer.Wait(o.ctx, storeRetryDelay) // an ended context ends the loop
 			continue
 		}
-		o.silenceAt = time.Now().Add(silenceDelay)
+		o.silenceAt, o.ended.next = time.Now().Add(silenceDelay), time.Now().Add(endedDelay)
 		o.pool.SetConfiguration(o.node.configuration())
 		o.applyJobs(o.decodeJobs(items))
 		o.jobFreshness.markCurrent(askedAt)
