node: start long-running tasks of servers that have ended at once

While a server with long-running tasks that were at work doesn't answer, the owner reads the list, and starts those tasks elsewhere once it has ended. Other tasks may have crashed it, and wait as before, so that no crash is repeated before it is counted.

TestLongRunningTaskRunsOnceItsBackendHasEnded is new.

--- a/internal/basilnode/ended_servers.go
+++ b/internal/basilnode/ended_servers.go
@@ -14,8 +14,7 @@
 	maxEndedInterval = 4 * time.Second        // the interval doubles up to it, since servers that are cut off stay silent for long
 )
 
-// endedServers finds out which silent backend servers of former owners have ended, by the platform's list of hosts. The zero value is ready
-// to use.
+// endedServers finds out which silent backend servers have ended, by the platform's list of hosts. The zero value is ready to use.
 type endedServers struct {
 	inFlight bool
 	next     time.Time // next listing
@@ -31,18 +30,18 @@
 	e.inFlight, e.next = false, now.Add(e.interval)
 }
 
-// findEnded lists the hosts in the background if backend servers of former owners are silent. It returns the time until it has to be called
-// again, or 0.
+// findEnded lists the hosts in the background if backend servers are silent. It returns the time until it has to be called again, or 0.
 func (o *owner) findEnded(now time.Time) time.Duration {
-	if o.pool.PredecessorBackends() == 0 || o.ended.inFlight {
+	if o.ended.inFlight {
 		return 0
 	}
 	if !o.ended.due(now) {
 		return o.ended.next.Sub(now)
 	}
-	var silent []string
-	for id := range o.pool.SilentPredecessorBackends() {
-		silent = append(silent, id)
+	silent := o.pool.SilentBackends()
+	if len(silent) == 0 {
+		o.ended.interval = 0
+		return 0
 	}
 	o.ended.inFlight = true
 	go func() {
@@ -53,14 +52,14 @@
 				o.log.WithError(err).Warn("cannot list hosts of silent backend servers")
 				return
 			}
-			o.applyEnded(silent, hosts)
+			o.applyEnded(silent, hosts, now)
 		})
 	}()
 	return 0
 }
 
 // applyEnded takes those of the backend servers for ended that no host which is up runs any more.
-func (o *owner) applyEnded(silent []string, hosts []basilwork.Machine) {
+func (o *owner) applyEnded(silent []string, hosts []basilwork.Machine, now time.Time) {
 	running := make(map[string]bool, len(hosts))
 	for n := range hosts {
 		if hosts[n].Up && hosts[n].Backend != "" {
@@ -73,13 +72,18 @@
 	}
 	var ended []string
 	for _, id := range silent {
-		if !running[id] && o.pool.PredecessorEnded(id) {
+		if running[id] {
+			continue
+		}
+		before := o.pool.RunStates(id)
+		if o.pool.Ended(id, now) {
 			ended = append(ended, id)
+			o.recordLosses(id, reasonEnded, before, now)
 		}
 	}
 	if len(ended) > 0 {
 		o.log.WithFields(logrus.Fields{
-			"backends": len(ended), "hosts": ended[:min(len(ended), maxListedBackends)], "silent": o.pool.PredecessorBackends(),
-		}).Info("silent backend servers of predecessor have ended")
+			"backends": len(ended), "hosts": ended[:min(len(ended), maxListedBackends)], "predecessors": o.pool.PredecessorBackends(),
+		}).Info("silent backend servers have ended")
 	}
 }
--- a/internal/basilnode/ended_servers_test.go
+++ b/internal/basilnode/ended_servers_test.go
@@ -18,11 +18,11 @@
 	for _, id := range silent {
 		o.pool.AddPredecessorBackend(basilwork.Backend{ID: id}, time.Time{})
 	}
-	o.applyEnded(silent, []basilwork.Machine{{ID: "m1", State: "down"}, {ID: "m2", State: "moving"}})
+	o.applyEnded(silent, []basilwork.Machine{{ID: "m1", State: "down"}, {ID: "m2", State: "moving"}}, now)
 	must.Eq(t, 4, o.pool.PredecessorBackends())
 	o.applyEnded(silent, []basilwork.Machine{
 		{ID: "m1", Up: true, Backend: "cut-off"}, {ID: "m2", State: "down", Backend: "down"}, {ID: "m3", State: "moving"}, {ID: "m4", Up: true, Backend: "other"},
-	})
+	}, now)
 	must.Eq(t, 1, o.pool.PredecessorBackends())
 	must.False(t, o.pool.PredecessorUntil("cut-off").IsZero())
 	must.Eq(t, []string{"down", "gone", "moving"}, hook.LastEntry().Data["hosts"].([]string))
--- a/internal/basilnode/losses.go
+++ b/internal/basilnode/losses.go
@@ -13,6 +13,7 @@
 const (
 	maxLoggedLosses = 16          // runs named in one log line, which is then about 1.5 KB long, or in lines of their own at once
 	reasonRestarted = "restarted" // the backend server runs as a new incarnation under its ID
+	reasonEnded     = "ended"     // no host runs the backend server any more
 )
 
 // lostRun is a run in the log line about the runs that were lost with a backend server.
--- a/internal/basilscheduler/predecessor.go
+++ b/internal/basilscheduler/predecessor.go
@@ -42,12 +42,12 @@
 // PredecessorUntil returns until when the backend server may have runs of a previous owner that it has not reported, or the zero time.
 func (p *Pool) PredecessorUntil(id string) time.Time { return p.predecessorUntil[id] }
 
-// PredecessorEnded records that a silent backend server of a previous owner has ended, and all runs there with it. It returns false if the
+// predecessorEnded records that a silent backend server of a previous owner has ended, and all runs there with it. It returns false if the
 // server isn't waited for.
 //
 // It may have crashed under a task that has crashed others before. Such tasks stay held back until its leases would have run out, so that they
 // don't crash more servers than are counted.
-func (p *Pool) PredecessorEnded(id string) bool {
+func (p *Pool) predecessorEnded(id string) bool {
 	until, ok := p.predecessorUntil[id]
 	if !ok {
 		return false
@@ -59,6 +59,43 @@
 	return true
 }
 
+// SilentBackends returns the IDs of the backend servers that don't answer and keep tasks from running: those that may have runs of a previous
+// owner, and those with long-running tasks that were at work.
+func (p *Pool) SilentBackends() []string {
+	ids := slices.Collect(maps.Keys(p.predecessorUntil))
+	for _, b := range p.list {
+		if !b.reachable && p.predecessorUntil[b.ID].IsZero() && slices.ContainsFunc(b.runs, (*run).hasServed) {
+			ids = append(ids, b.ID)
+		}
+	}
+	return ids
+}
+
+// Ended records that a silent backend server has ended. It returns false if the server isn't silent.
+//
+// Long-running tasks that were at work there may start elsewhere. Other tasks may have crashed the server, and wait until it is lost, so that
+// they don't crash more servers than are counted.
+func (p *Pool) Ended(id string, now time.Time) bool {
+	if p.predecessorEnded(id) {
+		return true
+	}
+	b := p.backends[id]
+	if b == nil || b.reachable {
+		return false
+	}
+	found := false
+	for _, r := range b.sortedRuns() {
+		if r.hasServed() {
+			p.endRun(r, basilwork.RunEndLost, now)
+			found = true
+		}
+	}
+	return found
+}
+
+// hasServed reports whether the run is that of a long-running task that was at work.
+func (r *run) hasServed() bool { return r.task.step.spec.LongRunning && r.percent >= 100 }
+
 // expirePredecessors drops the backend servers on which no runs of a predecessor can exist any more, because its leases
 // have expired.
 func (p *Pool) expirePredecessors(now time.Time) {
--- a/internal/basilscheduler/predecessor_test.go
+++ b/internal/basilscheduler/predecessor_test.go
@@ -78,8 +78,8 @@
 	f.AddPredecessorBackend(backendOf("b1", 16000), time.Time{})
 	f.setBackends(backendOf("b2", 16000))
 	must.SliceEmpty(t, f.decideAndStart())
-	must.True(t, f.PredecessorEnded("b1"))
-	must.False(t, f.PredecessorEnded("b1"))
+	must.True(t, f.Ended("b1", f.now))
+	must.False(t, f.Ended("b1", f.now))
 	starts := f.decideAndStart()
 	must.Len(t, 1, starts)
 	must.Eq(t, "j.0.0.0", starts[0].Task.String())
@@ -88,3 +88,29 @@
 	must.Len(t, 1, starts)
 	must.Eq(t, "suspected.0.0.0", starts[0].Task.String())
 }
+
+// TestLongRunningTaskRunsOnceItsBackendHasEnded checks that a long-running task that was at work on a silent backend server starts elsewhere once the
+// server has ended, and that a short one, which may have crashed it, doesn't before the server is lost.
+func TestLongRunningTaskRunsOnceItsBackendHasEnded(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 16000))
+	f.addJob("serves", longStep(1, 1000))
+	f.addJob("short", stepOf(1, 1000))
+	must.Len(t, 2, f.decideAndStart())
+	f.advance(time.Second)
+	f.report("b1", 100)
+	f.setBackends(backendOf("b1", 16000), backendOf("b2", 16000))
+	must.False(t, f.Ended("b1", f.now), must.Sprint("it answers"))
+	must.SliceEmpty(t, f.SilentBackends())
+	f.SetReachable("b1", false)
+	must.Eq(t, []string{"b1"}, f.SilentBackends())
+	must.True(t, f.Ended("b1", f.now))
+	starts := f.decideAndStart()
+	must.Len(t, 1, starts)
+	must.Eq(t, "serves.0.0.0", starts[0].Task.String())
+	must.Eq(t, "b2", starts[0].Backend)
+	must.SliceEmpty(t, f.SilentBackends())
+	f.Lost("b1", basilwork.LossExpired, f.now)
+	starts = f.decideAndStart()
+	must.Len(t, 1, starts)
+	must.Eq(t, "short.0.0.0", starts[0].Task.String())
+}
--- a/internal/basilscheduler/silence.go
+++ b/internal/basilscheduler/silence.go
@@ -77,7 +77,7 @@
 	for _, r := range runs {
 		var prompt bool
 		switch {
-		case r.task.step.spec.LongRunning && r.percent >= 100:
+		case r.hasServed():
 			continue
 		case r.answered():
 			prompt = newest.Sub(r.orderedAt) <= startBurst && isPrompt(r.orderedAt)
