capacity: complete a wave only when lists show that its hosts are gone

Cause: a wave counted as done when no host of the known list was left. That list may be 4 s older than the wave, and lacks hosts that were added since; one list may also lack a host that is there, as its pages are read one after the other. Whatever isn't in the list was taken for gone.

A wave is done now when the maintenance of all its hosts has begun, but for those that two lists in a row lack, both requested after the wave (this definition of it) was read. On related paths: an accepted order counts for the wave also if its host isn't listed at that moment, and a definition of a wave that is older than the known one, read late, is ignored. A new fleet owner reads waves and lists anew, so the same rule holds for it.

--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -171,31 +171,6 @@
 	return set
 }
 
-// SetWaves sets the operators' waves and their stored states.
-func (f *Fleet) SetWaves(waves []basilwork.Wave, states map[string]basilwork.WaveState, now time.Time) {
-	for _, w := range waves {
-		current := f.waves[w.ID]
-		if current == nil {
-			current = &wave{started: now, begun: make(map[string]bool)}
-			if r, ok := f.records[w.ID]; ok {
-				current.started, current.begun = time.UnixMilli(r.Started), r.doneHosts(w)
-			}
-			f.waves[w.ID] = current
-		}
-		current.Wave, current.members = w, toSet(w.Machines)
-		if s, ok := states[w.ID]; ok {
-			current.state = s
-			current.stateWritten = true
-			current.complete = s.Completed
-		}
-	}
-	for _, m := range f.machines {
-		if m.evacuating && m.inherited {
-			m.reason = f.inferReason(m)
-		}
-	}
-}
-
 // syncRequests cancels requests for backend servers that no longer exist or are in another pool, and adopts those that a
 // previous owner made.
 func (f *Fleet) syncRequests() {
@@ -294,6 +269,9 @@
 
 // SetOrderOutcome records the outcome of an order.
 func (f *Fleet) SetOrderOutcome(o Order, err error, now time.Time) {
+	if w := f.waves[o.Wave]; w != nil && err == nil {
+		w.begun[o.Machine] = true
+	}
 	m := f.machines[o.Machine]
 	if m == nil {
 		return
@@ -306,9 +284,6 @@
 	m.previousBackend = o.Backend
 	if o.Wave != "" {
 		m.inMaintenance = true
-		if w := f.waves[o.Wave]; w != nil {
-			w.begun[o.Machine] = true
-		}
 	} else {
 		m.moving = true
 		m.target = o.Pool
--- a/internal/basilcapacity/machine.go
+++ b/internal/basilcapacity/machine.go
@@ -55,6 +55,9 @@
 	if len(f.sorted) != len(f.machines) || slices.ContainsFunc(f.sorted, func(m *machine) bool { return f.machines[m.ID] != m }) {
 		f.sortMachines()
 	}
+	for _, w := range f.waves {
+		f.observeList(w, requestedAt)
+	}
 	f.syncRequests()
 }
 
--- a/internal/basilcapacity/wave.go
+++ b/internal/basilcapacity/wave.go
@@ -14,12 +14,15 @@
 	deadlineMargin   = 4 * time.Second // margin before a wave's deadline
 	poolFraction     = 4               // at most one in this many hosts of a pool is evacuated or maintained at once
 	orderRetryDelay  = 500 * time.Millisecond
+	listsWithoutHost = 2 // lists in a row that lack a host that is gone; the pages of one list are read one after the other, and may miss a host that is there
 )
 
 // wave is the state of one maintenance wave.
 type wave struct {
 	basilwork.Wave
 	members      map[string]bool // Wave.Machines
+	readAt       time.Time       // when this definition was read
+	absentLists  int             // lists in a row, requested since then, that have none of the hosts whose maintenance has not begun
 	started      time.Time
 	begun        map[string]bool // hosts whose maintenance has begun
 	state        basilwork.WaveState
@@ -70,6 +73,37 @@
 	return done
 }
 
+// SetWaves sets the operators' waves and their stored states. Definitions that are older than the known ones are ignored.
+func (f *Fleet) SetWaves(waves []basilwork.Wave, states map[string]basilwork.WaveState, now time.Time) {
+	for _, w := range waves {
+		current := f.waves[w.ID]
+		if current != nil && w.Version < current.Version {
+			continue
+		}
+		if current == nil {
+			current = &wave{started: now, readAt: now, begun: make(map[string]bool)}
+			if r, ok := f.records[w.ID]; ok {
+				current.started, current.begun = time.UnixMilli(r.Started), r.doneHosts(w)
+			}
+			f.waves[w.ID] = current
+		}
+		if current.Version != w.Version {
+			current.readAt, current.absentLists = now, 0
+		}
+		current.Wave, current.members = w, toSet(w.Machines)
+		if s, ok := states[w.ID]; ok {
+			current.state = s
+			current.stateWritten = true
+			current.complete = s.Completed
+		}
+	}
+	for _, m := range f.machines {
+		if m.evacuating && m.inherited {
+			m.reason = f.inferReason(m)
+		}
+	}
+}
+
 // awaits reports whether the host still awaits maintenance by the wave.
 func (w *wave) awaits(m *machine) bool { return !w.complete && w.members[m.ID] && !w.begun[m.ID] }
 
@@ -84,6 +118,28 @@
 	return left
 }
 
+// observeList records whether the latest list of hosts has any host whose maintenance has not begun. A list that was requested before the
+// wave was read may lack a host that was added since, and says nothing of it.
+func (f *Fleet) observeList(w *wave, requestedAt time.Time) {
+	switch {
+	case w.complete:
+	case len(f.remaining(w)) > 0:
+		w.absentLists = 0
+	case !requestedAt.Before(w.readAt):
+		w.absentLists++
+	}
+}
+
+// isDone reports whether the maintenance of all hosts of the wave has begun, but for those that are gone.
+func (f *Fleet) isDone(w *wave) bool {
+	for _, id := range w.Machines {
+		if !w.begun[id] {
+			return w.absentLists >= listsWithoutHost && len(f.remaining(w)) == 0
+		}
+	}
+	return true
+}
+
 // countInMaintenance returns how many of the wave's hosts are in maintenance, or possibly so.
 func (f *Fleet) countInMaintenance(w *wave, now time.Time) int {
 	var count int
@@ -99,7 +155,7 @@
 // advanceWave orders maintenance of the wave's empty hosts and requests evacuation of others.
 func (f *Fleet) advanceWave(w *wave, now time.Time, plan *Plan) {
 	left := f.remaining(w)
-	if len(left) == 0 && f.listed {
+	if f.isDone(w) {
 		if !w.complete {
 			w.complete = true
 			plan.WaveStates = append(plan.WaveStates, WaveUpdate{ID: w.ID, Completed: true, Version: w.state.Version})
--- a/internal/basilnode/fleet_test.go
+++ b/internal/basilnode/fleet_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/platform/basilfake"
 )
 
 // TestFleetDecidesOnManyEventsAtOnce checks that one decision covers many events. With a decision for each event, lists of
@@ -138,6 +141,39 @@
 	})
 }
 
+// TestHostAddedShortlyBeforeWaveIsMaintained checks that a wave isn't completed before the maintenance of a host that was added since the
+// hosts were last listed, also by a fleet owner that takes over meanwhile.
+func TestHostAddedShortlyBeforeWaveIsMaintained(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		kill bool
+	}{{"same owner", false}, {"new owner", true}} {
+		t.Run(x.name, func(t *testing.T) {
+			run(t, 3, 3, constant(time.Second), func(c *cluster) {
+				c.site.AddPool("spare", 2, 16000, 65536, true)
+				time.Sleep(12 * time.Second) // hosts are listed seldom by then
+				before := c.site.Machines("stretch")
+				c.site.AddPool("stretch", 1, 16000, 65536, false)
+				added := slices.DeleteFunc(c.site.Machines("stretch"), func(id string) bool { return slices.Contains(before, id) })
+				must.Len(t, 1, added)
+				time.Sleep(300 * time.Millisecond)
+				asked := time.Now()
+				c.site.AskWave(1, added, 20, 1)
+				if x.kill {
+					c.kill(c.owner("fleet"))
+				}
+				for range 200 {
+					if time.Sleep(100 * time.Millisecond); c.site.WaveState(1) == `{"state":"completed"}` {
+						must.SliceContainsFunc(t, c.site.Orders(), added[0], func(o basilfake.Order, id string) bool { return o.Machine == id && o.At.After(asked) })
+						return
+					}
+				}
+				t.Fatal("the wave was not completed")
+			})
+		})
+	}
+}
+
 // TestTaskOfWholeHostBesideLongRunningTasks checks that a task which needs a whole host is started although long-running tasks take a
 // small part of each host of its pool, as long as there are hosts to spare.
 func TestTaskOfWholeHostBesideLongRunningTasks(t *testing.T) {
