shard: count shards on their way where hand-overs are decided

Seen: in a review, not by callers. When two owners on one host were overloaded within the same two seconds, both handed their shards to the same member. For that member the first host was clearly better then, so that it gave them back as soon as it was overloaded itself. Each hand-over costs its pool seconds without starts.

Cause: each of the three kinds of hand-over decided on the owner rows as read. An overloaded owner asked whether its host has too many shards, also while one of them was on its way already; the offer at rest could name a shard that an overloaded owner was handing over; a release counted the releases before it, but also those of an earlier ownership, whose shards had come back since; and no other member counted a released shard for the successor that its row names.

Now the state keeps a departure for each hand-over from its decision until the owner row changes. A departing shard counts for the member that is to get it, and a released one for the successor in its row, in all decisions alike: claims, offers, overload and stop. The member that is chosen at the decision is the one that the shard would go to, so it is better itself: before, some member was, and the shard could go to another. A shard for which no member is better any more when its work has stopped is released without a successor, so that its last owner takes it again. With the shard, the host's cost is at least twice that of the successor, so the successor never finds it clearly better in turn.

--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -157,7 +157,7 @@
 // a takeover costs seconds without starts.
 func (o *owner) handleOverload() {
 	fraction := o.workload.shareFraction(o.node.options.Self.Weight)
-	better := o.node.keeper.HasBetterOwner(fraction)
+	better := o.node.keeper.DecideHandOver(o.service, fraction)
 	o.log.WithFields(logrus.Fields{
 		"share": o.workload.share, "rate": fraction, "starts_limited": o.workload.limited(), "handed_over": better,
 	}).Warn("pool owner does not keep up with its pool")
--- a/internal/basilshard/handover_test.go
+++ b/internal/basilshard/handover_test.go
@@ -114,6 +114,49 @@
 	})
 }
 
+// TestFormerHandOverDoesNotCountAtNextOne checks that a host that got a shard back spreads its other shards evenly. Its hand-over of before still
+// counted as a load of the member that had got the shard then.
+func TestFormerHandOverDoesNotCountAtNextOne(t *testing.T) {
+	for _, first := range shards {
+		synctest.Test(t, func(t *testing.T) {
+			r := newCluster()
+			handOver := func(h *keeperHost, shard string) {
+				h.HandOver(t.Context(), shard, h.owns(shard), false)
+				time.Sleep(2 * renew)
+			}
+			time.Sleep(3 * time.Second)
+			host := r.owner(first)
+			handOver(host, first)
+			must.True(t, r.owner(first) != host)
+			for n, h := range r.hosts {
+				if h != host {
+					r.kill(n)
+				}
+			}
+			time.Sleep(3 * lease)
+			for n, h := range r.hosts {
+				if h != host {
+					r.start(n)
+				}
+			}
+			time.Sleep(3 * time.Second)
+			owners := map[*keeperHost]bool{host: true}
+			for _, shard := range shards {
+				must.True(t, r.owner(shard) == host)
+				if shard != first {
+					handOver(host, shard)
+					owners[r.owner(shard)] = true
+				}
+			}
+			for n := range r.hosts {
+				r.kill(n)
+			}
+			time.Sleep(time.Second) // calls that are under way end
+			must.MapLen(t, len(shards), owners)
+		})
+	}
+}
+
 // checkClaimedByOther checks that another member than the stopping host owns each shard 3 s later, and ends the test's hosts.
 func checkClaimedByOther(t *testing.T, r *cluster, stopping *keeperHost) {
 	time.Sleep(3 * time.Second)
--- a/internal/basilshard/keeper.go
+++ b/internal/basilshard/keeper.go
@@ -65,14 +65,13 @@
 // Keeper renews this entry host's member row, claims shards and tracks which ones it owns.
 type Keeper struct {
 	options       Options
-	mutex         sync.Mutex // guards shards, state, owned, released, successors, membersReadAt, slowTime, openWatches and watchCount
+	mutex         sync.Mutex // guards shards, state, owned, released, membersReadAt, slowTime, openWatches and watchCount
 	notifyMutex   sync.Mutex // held from applying an owner row until OnAcquired and OnLost have returned
 	shards        []string
 	state         *State
 	membersReadAt time.Duration // clock time of the last read of the members
 	owned         map[string]OwnerRow
 	released      map[string]int64          // by shard, versions of the owner rows that ReleaseShard has released
-	successors    map[string]string         // by shard, nodes chosen at its release
 	wake          chan struct{}             // has room for one signal, which starts the next round at once
 	startUntil    atomic.Int64              // clock time in nanoseconds before which work may be started
 	renewedAt     atomic.Int64              // clock time at which the newest answered renewal was sent
@@ -209,12 +208,12 @@
 	}
 }
 
-// HasBetterOwner reports whether another member would be a better owner of one of this entry host's shards, given that this host
-// works at the given fraction of the speed that its weight stands for.
-func (k *Keeper) HasBetterOwner(rate float64) bool {
+// DecideHandOver reports whether another member would be a better owner of this entry host's shard, given that this host works at the given
+// fraction of the speed that its weight stands for. If so, the caller stops the shard's work and calls HandOver.
+func (k *Keeper) DecideHandOver(shard string, rate float64) bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.state.HasBetterOwner(k.shards, rate)
+	return k.state.DecideHandOver(shard, k.shards, rate, k.options.Clock())
 }
 
 // roundFailed records that a renewal or a read of the members failed. It leaves the watches open if that call was ended
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -238,6 +238,12 @@
 			return
 		}
 	}
+	if k.stopping.Load() {
+		return // Release chooses the successors anew
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.state.EndHandOver(shard)
 }
 
 // ownerRow returns the shard's owner row, and false if this entry host is not the owner.
@@ -278,11 +284,10 @@
 func (k *Keeper) successor(shard string) string {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if k.successors == nil {
-		k.successors = make(map[string]string)
+	if k.stopping.Load() {
+		k.state.EndHandOver(shard) // a process that stops can't take the shard again
 	}
-	k.successors[shard] = k.state.Successor(shard, k.shards, k.successors, k.options.Clock())
-	return k.successors[shard]
+	return k.state.Successor(shard, k.shards, k.options.Clock())
 }
 
 // watchOwners applies changes of the owner rows until the context ends.
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -51,7 +51,8 @@
 	vacantSince   map[string]time.Duration // by shard, since when it has been without a live owner
 	readFailed    bool                     // a round failed since the last successful read of the members
 	newestVersion int64                    // newest version of an owner row
-	stableSince   time.Duration            // since when no shard has changed its owner or been without one
+	stableSince   time.Duration            // since when no shard has changed its owner, been without one or been on its way
+	departing     map[string]departure     // by shard of this entry host, hand-overs that are not seen in its owner row yet
 }
 
 // NewState returns the empty view of a starting entry host; lease is that of a member whose row states none, and claimDelay is the extra delay per rank before a claim.
@@ -59,6 +60,7 @@
 	return &State{
 		self: self, lease: lease, claimDelay: claimDelay,
 		members: make(map[string]*observedMember), owners: make(map[string]OwnerRow), vacantSince: make(map[string]time.Duration),
+		departing: make(map[string]departure),
 	}
 }
 
@@ -97,8 +99,13 @@
 // renewed at the next read, because the owners' renewals may have failed for the same reason.
 func (s *State) MarkReadFailed() { s.readFailed = true }
 
-// SetOwner applies the owner row of a shard.
-func (s *State) SetOwner(shard string, row OwnerRow) { s.owners[shard] = row }
+// SetOwner applies the owner row of a shard. A hand-over that was decided in an earlier state of the row has ended.
+func (s *State) SetOwner(shard string, row OwnerRow) {
+	if row.Version != s.owners[shard].Version {
+		delete(s.departing, shard)
+	}
+	s.owners[shard] = row
+}
 
 // Owner returns the owner row of a shard.
 func (s *State) Owner(shard string) OwnerRow { return s.owners[shard] }
@@ -210,7 +217,7 @@
 		}
 		ranked := candidates(shard, s.owners[shard].Node, live, loads)
 		moveToFront(ranked, s.owners[shard].Next)
-		if len(ranked) > 0 {
+		if len(ranked) > 0 && s.loaded(shard) == "" {
 			loads[ranked[0].Node]++
 		}
 		rank := slices.IndexFunc(ranked, func(c Candidate) bool { return c.Node == s.self.Node })
@@ -221,17 +228,34 @@
 	return claims
 }
 
-// loads returns the number of shards by owner, without orphaned shards.
+// loads returns the number of shards by the node that they count for.
 func (s *State) loads(shards []string) map[string]int {
 	loads := make(map[string]int)
 	for _, shard := range shards {
-		if row := s.owners[shard]; !s.isOrphaned(row) {
-			loads[row.Node]++
+		if node := s.loaded(shard); node != "" {
+			loads[node]++
 		}
 	}
 	return loads
 }
 
+// loaded returns the node that the shard counts for: the live member that it is on its way to, or else its owner. It returns none for an
+// orphaned shard.
+func (s *State) loaded(shard string) string {
+	row := s.owners[shard]
+	next := row.Next
+	if d, ok := s.departing[shard]; ok {
+		next = d.next
+	}
+	if m := s.members[next]; m != nil && s.isLive(m) {
+		return next
+	}
+	if s.isOrphaned(row) {
+		return ""
+	}
+	return row.Node
+}
+
 // clearlyBetterFactor is the factor between the costs of two members at which one is clearly better than the other.
 const clearlyBetterFactor = 2
 
@@ -289,7 +313,7 @@
 // that has not seen its own renewal doesn't know its rank, while the others may already wait for its claim.
 func (s *State) Involved(shards []string, now time.Duration) bool {
 	loads := s.loads(shards)
-	if s.readFailed || len(shards) == 0 || loads[s.self.Node] > 0 || !s.seesItself() {
+	if s.readFailed || len(shards) == 0 || loads[s.self.Node] > 0 || len(s.departing) > 0 || !s.seesItself() {
 		return true
 	}
 	live := s.Live()
