scheduler: go on asking for advice while a step waits

What callers saw: accepted jobs of a queue with recommendations never start (LOST), while backend servers that they may run on are idle.

Cause, one for both: advice was asked for once in the time of its validity, for the 100 emptiest of the servers that were usable at that moment, and an answer replaced the one before, so that servers that were not named then had to wait for its end, and were not named after it either.

Now the answers about a step are kept for each server, each with its own validity. A step whose tasks wait goes on with up to 100 servers that it has not asked about, those with room first, and with tickets that have expired. A refusal is kept for the life of the server, as the policy doesn't change, so a waiting step names each server that it may not use once. Requests are bounded: one of a step and four of an owner at a time, in the order of placement; one in four is for the step that has waited the longest for one, so that steps that renew tickets for ever don't keep the service from others; what starts nothing now is asked only while the service is idle. Before, 64 steps asked at once and again each second, answered or not: 128 requests in 2 s to a silent service (TestRequestsForAdviceAreBounded). A failed request is repeated after 0.2 s, one without an answer after its cost and 1 s. A ticket that its server refuses leaves the others of the step in use, and is asked for again after 1 s.

Without the turn of the step that has waited the longest, TestStepIsAdvisedThoughOthersAskAgainAndAgain fails.

Advised takes the request that it answers, since an answer doesn't name what it refuses; three tests pass it so.

--- a/internal/basilnode/owner_orders.go
+++ b/internal/basilnode/owner_orders.go
@@ -154,8 +154,9 @@
 		tickets, valid, err := o.node.advisor.Advise(o.ctx, r.Step, r.Backends)
 		if err != nil {
 			o.log.WithError(err).WithField("step", r.Step).Warn("advice request failed")
+			o.send(func(now time.Time) { o.pool.AdviceFailed(r, now) })
 			return
 		}
-		o.send(func(now time.Time) { o.pool.Advised(r.Step, tickets, valid, now) })
+		o.send(func(now time.Time) { o.pool.Advised(r, tickets, valid, now) })
 	}()
 }
--- a/internal/basilscheduler/action.go
+++ b/internal/basilscheduler/action.go
@@ -41,6 +41,7 @@
 type AdviceRequest struct {
 	Step     string
 	Backends []string
+	call     int
 }
 
 // Slowness reports that a backend server is considered slow, together with the latest run that indicates it.
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -36,6 +36,7 @@
 	p.queueReady(now)
 	p.checkRuns(now)
 	p.place(now)
+	p.requestAdvice(now)
 	actions := p.actions
 	p.actions = Actions{}
 	return actions
@@ -69,7 +70,7 @@
 	return t.attempt + 1
 }
 
-func (p *Pool) start(c *candidate, t *task, b *backend, attempt int, tickets map[string]string, now time.Time) {
+func (p *Pool) start(c *candidate, t *task, b *backend, attempt int, tickets *stepTickets, now time.Time) {
 	r := &run{task: t, backend: b, attempt: attempt, phase: phaseStarting, orderedAt: now, pace: fullPace, resumed: t.checkpoint != ""}
 	t.attempt = attempt
 	if t.suspicion > 0 {
@@ -77,18 +78,19 @@
 	}
 	p.addRun(r, p.expectedEnd(t.step, now))
 	p.actions.Starts = append(p.actions.Starts, Start{
-		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.checkpoint, Ticket: tickets[b.ID], Gang: t.step.spec.Gang,
+		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.checkpoint, Ticket: tickets.ticketFor(b, now), Gang: t.step.spec.Gang,
 		Rank: c.rank.String(), Slack: c.slack(now.Sub(p.waiting.rankedAt)), Waited: now.Sub(t.readyAt),
 	})
 }
 
-// placeGang starts either all tasks of a gang or none.
-func (p *Pool) placeGang(c *candidate, tickets map[string]string, now time.Time) {
+// placeGang starts either all tasks of a gang or none, and reports whether it did.
+func (p *Pool) placeGang(c *candidate, tickets *stepTickets, now time.Time) bool {
 	for _, rack := range p.gangRacks(c.step) {
 		if p.placeGangInRack(c, rack, tickets, now) {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // gangRacks returns the racks to try for a gang in order; the empty string stands for any rack.
@@ -110,7 +112,7 @@
 	return append(racks, "")
 }
 
-func (p *Pool) placeGangInRack(c *candidate, rack string, tickets map[string]string, now time.Time) bool {
+func (p *Pool) placeGangInRack(c *candidate, rack string, tickets *stepTickets, now time.Time) bool {
 	var chosen []*backend
 	attempt := 0
 	for _, t := range c.step.tasks {
@@ -150,7 +152,7 @@
 }
 
 // chooseBackend returns the best backend server for a task, or nil if none has room.
-func (p *Pool) chooseBackend(c *candidate, t *task, tickets map[string]string, rack string, now time.Time) *backend {
+func (p *Pool) chooseBackend(c *candidate, t *task, tickets *stepTickets, rack string, now time.Time) *backend {
 	var best *backend
 	var bestScore score
 	if c.rank != rankServing && !p.maxFree(c.labelIndex).Covers(c.demand) && !p.fitsAside(c, now) {
@@ -169,20 +171,17 @@
 }
 
 // fits reports whether the backend server has room for the task and isn't too slow for it.
-func (p *Pool) fits(t *task, b *backend, tickets map[string]string, now time.Time) bool {
+func (p *Pool) fits(t *task, b *backend, tickets *stepTickets, now time.Time) bool {
 	return p.hasRoomFor(t, b, tickets, now) && (t.step.spec.LongRunning || !p.slow(b, now))
 }
 
 // hasRoomFor reports whether the backend server has room for the task and may run it.
-func (p *Pool) hasRoomFor(t *task, b *backend, tickets map[string]string, now time.Time) bool {
+func (p *Pool) hasRoomFor(t *task, b *backend, tickets *stepTickets, now time.Time) bool {
 	s := t.step
 	if !b.free().Covers(s.demand) || !b.usable(now) || !b.hasLabel(s.spec.Label) || b.closed() {
 		return false
 	}
-	if tickets != nil && tickets[b.ID] == "" {
-		return false
-	}
-	return !p.avoids(t, b, now) && s.antiAffinityAllows(b)
+	return tickets.allow(b, now) && !p.avoids(t, b, now) && s.antiAffinityAllows(b)
 }
 
 // avoids reports whether the task currently avoids the backend server. A short task that has been held back for long goes back to it
--- a/internal/basilscheduler/decide_bench_test.go
+++ b/internal/basilscheduler/decide_bench_test.go
@@ -73,8 +73,8 @@
 	p.addJob(first, second)
 }
 
-// decide makes a decision, answers its starts and stores changed records; finished jobs are replaced by new ones. It
-// returns the time that the decision took.
+// decide makes a decision, answers its starts and requests for advice, and stores changed records; finished jobs are replaced by new
+// ones. It returns the time that the decision took.
 func (p *fullPool) decide() time.Duration {
 	began := time.Now()
 	a := p.Decide(p.now)
@@ -85,6 +85,15 @@
 			p.shortRuns[s.Backend] = append(p.shortRuns[s.Backend], s.Ref)
 		}
 	}
+	for _, r := range a.Advice {
+		var tickets []basilwork.Ticket
+		for n, id := range r.Backends {
+			if n%2 == 0 {
+				tickets = append(tickets, basilwork.Ticket{Backend: id, Value: "ticket"})
+			}
+		}
+		p.Advised(r, tickets, 3*time.Second, p.now)
+	}
 	p.Load(p.now)
 	ids, _ := p.DirtyJobs()
 	for _, id := range ids {
@@ -128,3 +137,17 @@
 		})
 	}
 }
+
+// BenchmarkDecideWithAdvice measures the same for a queue whose steps need tickets, for half of the backend servers each.
+func BenchmarkDecideWithAdvice(b *testing.B) {
+	for _, size := range []struct{ waiting, backends int }{{1000, 80}, {5000, 250}} {
+		b.Run(fmt.Sprintf("waiting=%d/backends=%d", size.waiting, size.backends), func(b *testing.B) {
+			p := newFullPool(size.waiting, size.backends)
+			p.setAdvice(&basilwork.Advice{})
+			b.ReportAllocs()
+			for b.Loop() {
+				p.endRunAndDecide()
+			}
+		})
+	}
+}
--- a/internal/basilscheduler/explain_task.go
+++ b/internal/basilscheduler/explain_task.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"time"
 )
 
 // explainTask finds the reason why an idle task waits.
@@ -121,17 +122,14 @@
 // explainPlacement finds the reason why a task that may start is not placed.
 func (e *explainer) explainPlacement(x *Wait, t *task) {
 	s := t.step
-	var tickets map[string]string
-	if q := s.occurrence.job.queue; q != nil && q.Advice != nil {
-		issued := e.tickets[t.id.StepName()]
-		if issued == nil || !e.now.Before(issued.expiresAt) {
-			x.Reason, x.Detail = WaitReasonNoTickets, "not requested"
-			if issued != nil {
-				x.Detail = fmt.Sprintf("requested %d ms ago", e.now.Sub(issued.askedAt).Milliseconds())
-			}
+	var tickets *stepTickets
+	if s.needsTickets() {
+		tickets = e.tickets[s.name()]
+		x.Detail = tickets.describe(e.now)
+		if tickets == nil || len(tickets.answers) == 0 {
+			x.Reason = WaitReasonNoTickets
 			return
 		}
-		tickets = issued.values
 	}
 	var counts [waitReasons]int
 	present := 0
@@ -165,7 +163,7 @@
 
 // obstacle returns what keeps the task off a backend server, or WaitReasonNone. Only servers that stay and have room get the reasons after
 // WaitReasonNoRoom.
-func (e *explainer) obstacle(t *task, b *backend, tickets map[string]string) WaitReason {
+func (e *explainer) obstacle(t *task, b *backend, tickets *stepTickets) WaitReason {
 	s := t.step
 	switch {
 	case !b.hasLabel(s.spec.Label):
@@ -190,7 +188,7 @@
 		return WaitReasonQuarantined
 	case len(b.orphans) > 0:
 		return WaitReasonOrphans
-	case tickets != nil && tickets[b.ID] == "":
+	case !tickets.allow(b, e.now):
 		return WaitReasonTicket
 	case e.avoids(t, b, e.now):
 		return WaitReasonAvoided
@@ -220,3 +218,17 @@
 	}
 	return WaitReasonNoLabel
 }
+
+// describe tells how many answers and valid tickets there are, and the age of the newest request.
+func (t *stepTickets) describe(now time.Time) string {
+	if t == nil || t.askedAt.IsZero() {
+		return "not requested"
+	}
+	valid := 0
+	for _, a := range t.answers {
+		if a.ticket != "" && now.Before(a.until) {
+			valid++
+		}
+	}
+	return fmt.Sprintf("requested %d ms ago, answers for %d backend servers, %d valid tickets", now.Sub(t.askedAt).Milliseconds(), len(t.answers), valid)
+}
--- a/internal/basilscheduler/explain_test.go
+++ b/internal/basilscheduler/explain_test.go
@@ -113,7 +113,7 @@
 		WaitReasonTicket: func(_ *testing.T, f *fixture) {
 			f.SetConfiguration(&basilwork.Configuration{Queues: []basilwork.Queue{{Name: "quote", Service: "stretch", Advice: &basilwork.Advice{}}}})
 			f.addJob("j", longStep(1, 1000))
-			f.Advised(f.Decide(f.now).Advice[0].Step, []basilwork.Ticket{{Backend: "other", Value: "ticket"}}, time.Minute, f.now)
+			f.Advised(f.Decide(f.now).Advice[0], []basilwork.Ticket{{Backend: "other", Value: "ticket"}}, time.Minute, f.now)
 			f.wait(long)
 		},
 		WaitReasonNoBackends: func(_ *testing.T, f *fixture) {
--- a/internal/basilscheduler/lost_test.go
+++ b/internal/basilscheduler/lost_test.go
@@ -76,7 +76,7 @@
 	f.addJob("j", longStep(2, 1000))
 	asked := f.Decide(f.now).Advice
 	must.Len(t, 1, asked)
-	f.Advised(asked[0].Step, []basilwork.Ticket{{Backend: "b1", Value: "ticket"}}, time.Minute, f.now)
+	f.Advised(asked[0], []basilwork.Ticket{{Backend: "b1", Value: "ticket"}}, time.Minute, f.now)
 	must.Len(t, 1, f.decideAndStart())
 	f.setBackends(backendOf("b1", 1000), backendOf("b2", 1000))
 	for range 30 {
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -18,9 +18,11 @@
 	asideRoom       basilwork.Resources // maximum free room of each kind over these
 	halfEmpty       bool                // less than half of the pool's room of each kind is in use; valid if halfEmptyKnown
 	halfEmptyKnown  bool
-	limited         bool           // tasks were left when the limit of starts was reached
-	lookaheadLeft   int            // number of steps without room that may still be considered for requesting tickets
-	ticketStepsLeft int            // number of steps that may still wait for tickets
+	limited         bool    // tasks were left when the limit of starts was reached
+	lookaheadLeft   int     // number of steps without room that may still be considered for requesting tickets
+	adviceSteps     []*step // the first steps that wait for advice
+	leastAsked      *step   // of all that wait for advice, the one that has waited the longest for a request, since leastAskedSince
+	leastAskedSince time.Time
 	maxFree         []labelMaxFree // by label index of the waiting steps
 }
 
@@ -35,7 +37,8 @@
 	p.placement.backends = p.placement.backends[:0]
 	p.placement.reserved, p.placement.limited = 0, false
 	p.placement.aside, p.placement.asideRoom, p.placement.halfEmptyKnown = p.placement.aside[:0], noRoom, false
-	p.placement.lookaheadLeft, p.placement.ticketStepsLeft = min(ticketLookahead, p.waiting.ticketSteps), maxTicketSteps
+	p.placement.lookaheadLeft = min(ticketLookahead, p.waiting.ticketSteps)
+	p.placement.adviceSteps, p.placement.leastAsked = p.placement.adviceSteps[:0], nil
 	lost := make(map[string]bool, len(p.silences))
 	for n := range p.silences {
 		lost[p.silences[n].address] = true
@@ -116,7 +119,7 @@
 	if !s.hasWaiting() || s.occurrence.job.adopted && len(p.predecessorUntil) > 0 || s.spec.Gang && !p.gangReady(s, now) {
 		return
 	}
-	var tickets map[string]string
+	var tickets *stepTickets
 	haveTickets, reserved := false, false
 	for n := s.firstIdle; n < len(s.tasks); n++ {
 		t := s.tasks[n]
@@ -142,7 +145,9 @@
 			haveTickets = true
 		}
 		if s.spec.Gang {
-			p.placeGang(c, tickets, now)
+			if !p.placeGang(c, tickets, now) && tickets != nil {
+				p.wantAdvice(s, tickets, now)
+			}
 			return
 		}
 		b := p.chooseBackend(c, t, tickets, "", now)
@@ -154,6 +159,9 @@
 			if !reserved {
 				reserved = true
 				p.reserve(c, t, now)
+				if tickets != nil {
+					p.wantAdvice(s, tickets, now)
+				}
 			}
 			if !t.avoidsAny(now) {
 				return
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -58,7 +58,8 @@
 	namedQueues      map[string]*basilwork.Queue // the same by name
 	runTimes         map[runTimeKey]*runTimeRatio
 	spreads          map[string]*runTimeSpread // by queue
-	tickets          map[string]*stepTickets
+	tickets          map[string]*stepTickets   // by step
+	adviceCalls      adviceCalls
 	actions          Actions
 	wakeTime         time.Time
 	fenced           bool
@@ -235,6 +236,7 @@
 	delete(p.backends, id)
 	p.backendList = nil
 	if n, ok := p.backendIndex(id); ok {
+		p.forgetAdvice(p.list[n])
 		p.byEnd = slices.DeleteFunc(p.byEnd, func(b *backend) bool { return b == p.list[n] })
 		p.list = slices.Delete(p.list, n, n+1)
 	}
@@ -344,6 +346,7 @@
 	}
 	b.lastEndNumber = 0
 	b.attached = false
+	p.forgetAdvice(b)
 	p.recordReturn(id, now)
 	gone := slices.DeleteFunc(b.sortedRuns(), func(r *run) bool {
 		return !r.orderedAt.Before(sent) || !r.answeredAt.Before(sent) || lists(answer.Running, r)
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -45,7 +45,7 @@
 	case basilwork.RefusalBusy:
 		b.blockedUntil = now.Add(busyPause)
 	case basilwork.RefusalTicket:
-		p.forgetTicket(r.task.id.StepName(), b.ID)
+		p.forgetTicket(r.task.id.StepName(), b, now)
 	case basilwork.RefusalWrong:
 		r.task.notBefore = now.Add(time.Second)
 	}
--- a/internal/basilscheduler/waiting.go
+++ b/internal/basilscheduler/waiting.go
@@ -215,6 +215,7 @@
 		s := w.list[n].step
 		if !s.hasWaiting() {
 			s.queued = false
+			p.forgetRefusals(s)
 			continue
 		}
 		left = append(left, p.newCandidate(s))
@@ -267,8 +268,7 @@
 
 // newCandidate returns the step with its rank at the time of the last full ranking.
 func (p *Pool) newCandidate(s *step) candidate {
-	q := s.occurrence.job.queue
-	c := candidate{step: s, demand: s.demand, labelIndex: p.waiting.indexOfLabel(s.spec.Label), needsTickets: q != nil && q.Advice != nil}
+	c := candidate{step: s, demand: s.demand, labelIndex: p.waiting.indexOfLabel(s.spec.Label), needsTickets: s.needsTickets()}
 	o := s.occurrence
 	if o.ranking.decision != p.decisions {
 		o.ranking = p.rankOccurrence(o, p.waiting.rankedAt)
--- a/internal/basilscheduler/waiting_test.go
+++ b/internal/basilscheduler/waiting_test.go
@@ -132,7 +132,7 @@
 		f.addJob(id, stepOf(1, 1000))
 		requests := f.Decide(f.now).Advice
 		must.Len(t, 1, requests)
-		f.Advised(requests[0].Step, []basilwork.Ticket{{Backend: "b1", Value: "ticket"}}, time.Second, f.now)
+		f.Advised(requests[0], []basilwork.Ticket{{Backend: "b1", Value: "ticket"}}, time.Second, f.now)
 		if n%2 == 0 {
 			f.Cancel(id, f.now)
 			continue
--- a/internal/basilwork/configuration.go
+++ b/internal/basilwork/configuration.go
@@ -14,6 +14,11 @@
 	ValidFor     time.Duration // how long the answer may be used
 }
 
+// Cost returns how long the service takes to answer a request about the given number of backend servers.
+func (a *Advice) Cost(backends int) time.Duration {
+	return a.DecisionTime + time.Duration(backends)*a.TimePerItem
+}
+
 // Queue routes the requests of a host name and path prefix to a service.
 type Queue struct {
 	Name        string
