scheduler: spread a gang with anti-affinity over backend servers

Cause: placeGangInRack chose a server for one member after the other. It counted the room that the members before take, but not their part of the anti-affinity, so that the best server was chosen again while it had room. The whole choice was then found to exceed the anti-affinity and dropped, in every decision anew.

The members chosen count towards the anti-affinity while the others are chosen, as their room does, so no later check is needed.

TestGangApartStartsOnBackendsWithRoomForMore failed before. The property tests of waiting work draw gangs with anti-affinity now, which they left out: both TestPropertyWhatWaitsHoldsBackNothingThatFits (after 27 plays) and TestPropertyLackingHostsServeAllWork failed before.

Looked at for the same cause: reservations are made for single tasks only, and the need of hosts counts each host once per allowed member; moves of long-running tasks place one task at a time.

--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -120,12 +120,14 @@
 			break
 		}
 		b.used = b.used.Add(c.demand)
+		c.step.countRunOn(b, 1)
 		chosen = append(chosen, b)
 	}
 	for _, b := range chosen {
 		b.used = b.used.Sub(c.demand)
+		c.step.countRunOn(b, -1)
 	}
-	if len(chosen) < len(c.step.tasks) || !withinAntiAffinity(c.step, chosen) {
+	if len(chosen) < len(c.step.tasks) {
 		return false
 	}
 	for n, t := range c.step.tasks {
@@ -134,21 +136,6 @@
 	return true
 }
 
-// withinAntiAffinity reports whether no backend server was chosen more often than the anti-affinity of the step allows.
-func withinAntiAffinity(s *step, chosen []*backend) bool {
-	if s.spec.AntiAffinity == 0 {
-		return true
-	}
-	count := make(map[*backend]int)
-	for _, b := range chosen {
-		count[b]++
-		if count[b] > s.spec.AntiAffinity {
-			return false
-		}
-	}
-	return true
-}
-
 // chooseBackend returns the best backend server for a task, or nil if none has room.
 func (p *Pool) chooseBackend(c *candidate, t *task, tickets map[string]string, rack string, now time.Time) *backend {
 	var best *backend
@@ -210,6 +197,19 @@
 	return s.spec.AntiAffinity == 0 || s.runsOn[b] < s.spec.AntiAffinity
 }
 
+// countRunOn adds count to the number of runs of the step on the backend server, if the step has anti-affinity.
+func (s *step) countRunOn(b *backend, count int) {
+	if s.spec.AntiAffinity == 0 {
+		return
+	}
+	if s.runsOn == nil {
+		s.runsOn = make(map[*backend]int)
+	}
+	if s.runsOn[b] += count; s.runsOn[b] == 0 {
+		delete(s.runsOn, b)
+	}
+}
+
 // score rates a backend server for a task; lower is better.
 type score struct{ first, second, third int }
 
--- a/internal/basilscheduler/decide_test.go
+++ b/internal/basilscheduler/decide_test.go
@@ -270,6 +270,41 @@
 	must.SliceEmpty(t, f.decideAndStart(), must.Sprint("the other runs of the gang have not ended"))
 }
 
+// TestGangApartStartsOnBackendsWithRoomForMore checks that the members of a gang with anti-affinity are spread, as many on each backend server as
+// it allows. All were put on the best one while that had room, and the gang never started.
+func TestGangApartStartsOnBackendsWithRoomForMore(t *testing.T) {
+	for _, x := range []struct {
+		members, apart, backends int
+		starts                   bool
+	}{{3, 1, 3, true}, {3, 1, 5, true}, {6, 2, 3, true}, {5, 2, 3, true}, {3, 1, 2, false}, {5, 2, 2, false}} {
+		var list []basilwork.Backend
+		for n := range x.backends {
+			list = append(list, backendOf(fmt.Sprint("b", n), 16000))
+		}
+		f := newFixture(t, list...)
+		gang := stepOf(x.members, 1000)
+		gang.Gang, gang.AntiAffinity = true, x.apart
+		f.addJob("j", gang)
+		for range 2 {
+			starts := f.decideAndStart()
+			if !x.starts {
+				must.SliceEmpty(t, starts, must.Sprint(x))
+				break
+			}
+			must.Len(t, x.members, starts, must.Sprint(x))
+			members := make(map[string]int)
+			for n, s := range starts {
+				members[s.Backend]++
+				must.LessEq(t, x.apart, members[s.Backend], must.Sprint(x))
+				must.Eq(t, starts[0].Attempt, s.Attempt)
+				f.report(s.Backend, 0, end(s.Task.String(), f.backends[s.Backend].lastEndNumber+1, s.Attempt, basilwork.RunEndBroken))
+				must.Eq(t, n, s.Task.Index)
+			}
+			f.advance(avoidTime)
+		}
+	}
+}
+
 // TestFailingBackendIsSuspended checks that failed runs of several jobs suspend a backend server. Those of a
 // single job would not, since its tasks may fail everywhere.
 func TestFailingBackendIsSuspended(t *testing.T) {
--- a/internal/basilscheduler/reserve_test.go
+++ b/internal/basilscheduler/reserve_test.go
@@ -154,6 +154,7 @@
 		s.LongRunning, s.AntiAffinity = true, rapid.IntRange(0, 2).Draw(t, "anti-affinity")
 	case 1:
 		s.Gang, s.SameRack = true, rapid.Bool().Draw(t, "same rack")
+		s.AntiAffinity = rapid.IntRange(0, 2).Draw(t, "anti-affinity")
 	case 2:
 		s.AntiAffinity = rapid.IntRange(0, 2).Draw(t, "anti-affinity")
 	}
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -129,9 +129,7 @@
 	r.backend.remove(r)
 	t.runs = slices.Delete(t.runs, n, n+1)
 	s.occurrence.liveRuns--
-	if s.runsOn != nil {
-		s.runsOn[r.backend]--
-	}
+	s.countRunOn(r.backend, -1)
 	if s.spec.LongRunning {
 		p.layoutVersion++
 	}
@@ -152,12 +150,7 @@
 	r.backend.add(r, until)
 	t.runs = append(t.runs, r)
 	s.occurrence.liveRuns++
-	if s.spec.AntiAffinity > 0 {
-		if s.runsOn == nil {
-			s.runsOn = make(map[*backend]int)
-		}
-		s.runsOn[r.backend]++
-	}
+	s.countRunOn(r.backend, 1)
 	if s.spec.LongRunning {
 		p.layoutVersion++
 	}
