scheduler: count small empty hosts for the gang members that fit on them

A gang waits for ever where the empty hosts of its pool are smaller than its largest host, and together hold some of its members only: the pool says that it lacks no host, so none is moved there.

Cause: the need of a gang was its members divided by how many the largest host holds, and any empty host with room for one member counted as such a host.

Each empty host now counts for as many members as fit on it, within the anti-affinity; only the rest is counted in hosts of the largest size.

TestHostsAreLackedByGangOnSmallHosts failed before (0 hosts lacked, 1 needed).

--- a/internal/basilscheduler/host_need.go
+++ b/internal/basilscheduler/host_need.go
@@ -235,6 +235,7 @@
 	}
 	c.searches++
 	left, size := len(s.tasks), s.demand
+	var empty []int // how many members fit on each empty host
 	for n := range c.hosts {
 		h := &c.hosts[n]
 		if !h.hasLabel(s.spec.Label) || !h.Resources.Covers(s.demand) {
@@ -243,16 +244,24 @@
 		if h.Resources.CPU > size.CPU || h.Resources.CPU == size.CPU && h.Resources.Memory > size.Memory {
 			size = h.Resources
 		}
-		if !h.empty {
-			left -= s.perHost(h.room)
+		if fit := s.perHost(h.room); h.empty {
+			empty = append(empty, fit)
+		} else {
+			left -= fit
 		}
 	}
-	if left <= 0 {
+	hosts := 0
+	for ; left > 0 && hosts < len(empty); hosts++ {
+		left -= empty[hosts]
+	}
+	if left > 0 {
+		hosts += ceilDivide(left, max(1, s.perHost(size)))
+	}
+	if hosts == 0 {
 		return
 	}
 	if g := c.groupOf(s.spec.Label, s.demand, size); g != nil {
-		each := max(1, s.perHost(size))
-		g.gang = max(g.gang, (left+each-1)/each)
+		g.gang = max(g.gang, hosts)
 	}
 }
 
--- a/internal/basilscheduler/host_need_test.go
+++ b/internal/basilscheduler/host_need_test.go
@@ -66,6 +66,23 @@
 	}
 }
 
+// TestHostsAreLackedByGangOnSmallHosts checks that an empty host counts for as many members of a gang as fit on it. Each counted for as many
+// as the largest host of the pool holds, and the gang waited for ever.
+func TestHostsAreLackedByGangOnSmallHosts(t *testing.T) {
+	for _, x := range []struct{ members, apart, want int }{{4, 0, 1}, {3, 0, 1}, {2, 0, 0}, {7, 0, 2}, {2, 1, 0}, {3, 1, 1}} {
+		f := newFixture(t, backendOf("b1", 32000))
+		f.addJob("long", longStep(1, 26000))
+		must.Len(t, 1, f.decideAndStart())
+		f.setBackends(backendOf("b1", 32000), backendOf("b2", 8000), backendOf("b3", 8000))
+		s := stepOf(x.members, 8000)
+		s.Gang, s.AntiAffinity = true, x.apart
+		f.addJob("j", s)
+		starts := f.decideAndStart()
+		must.Eq(t, x.want == 0, len(starts) > 0, must.Sprint(x))
+		must.Eq(t, x.want, f.lackingHosts(), must.Sprint(x))
+	}
+}
+
 // TestLackingHostsNameLabel checks that a pool asks for hosts with the label that waiting tasks need.
 func TestLackingHostsNameLabel(t *testing.T) {
 	f := newFixture(t, backendOf("b1", 16000))
