runner: wait for orders to the incarnation before that are carried out late

Trace: a server came back under its ID; two starts that its owner sent before it saw that were carried out there 6 s later. Their deadlines were on the clock of the incarnation before, far ahead of the new one, so the server extended all its leases by the longest term. The owner then got no answer, took the leases for ended by the deadlines and answers that it knew of, and started the tasks anew while they ran.

Cause: with the incarnation the owner forgot all that it had sent, though orders without an answer may be carried out seconds later. So the time at which all runs have ended was too early.

The leases of an incarnation now know until when orders to those before may be carried out, 12 s after the last one that carried a deadline, and runs count as ended only when the longest lease that begins then has run out. The last answer alone is no bound: the order that broke the rule was carried out after it. What is known outlasts the connection, as a server that is given up is connected to again under the same ID. Servers that have not restarted, or not in the last 12 s and a lease, are given up as soon as before.

The model of the connection in the plays takes the leases from the program.

--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -37,6 +37,7 @@
 	log              *logrus.Entry
 	pool             *basilscheduler.Pool // this and the fields below belong to the control goroutine
 	connections      map[string]*connection
+	earlier          basilrunner.EarlierConnections
 	versions         map[string]int64
 	finished         map[string]time.Time // finish time of each job whose final state is stored
 	lastRemoval      time.Time            // last time that expired jobs were looked for
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithCancel(o.ctx)
 	l := &connection{cancel: cancel, Connection: basilrunner.NewConnection(b, basilrunner.Options{
 		Commander: o.node.commander, Sink: o, Fence: o.row.Epoch, MaxLease: o.node.options.MaxHold,
-		MayStart: o.node.keeper.MayStart, HoldInterval: o.holdPacer.interval,
+		MayStart: o.node.keeper.MayStart, HoldInterval: o.holdPacer.interval, Earlier: o.earlier.Get(b.ID),
 		MayHold: func() bool {
 			return o.node.keeper.MayStart() || o.node.keeper.SinceRenewal() < o.node.options.HoldLimit
 		},
@@ -64,6 +64,7 @@
 func (o *owner) closeConnection(id string) {
 	if l := o.connections[id]; l != nil {
 		l.cancel()
+		o.earlier.Add(id, l.Earlier(), time.Now())
 		delete(o.connections, id)
 		o.orders.drop(id)
 	}
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -46,6 +46,7 @@
 	MayHold  func() bool
 	// HoldInterval returns the pause between holds, so that ended runs are reported in batches; nil means defaultHoldPause.
 	HoldInterval func() time.Duration
+	Earlier      Earlier // of the owner's last connection to the same ID
 }
 
 // Connection is the connection of a shard's owner to one incarnation of a backend server.
@@ -265,8 +266,13 @@
 	c.mutex.Lock()
 	id := c.backend.ID
 	restarted := r.StartedAt != 0 && c.backend.StartedAt != 0 && r.StartedAt > c.backend.StartedAt
+	switch {
+	case !c.attached:
+		c.lease = c.options.Earlier.Lease(r.StartedAt)
+	case restarted:
+		c.lease = c.lease.Next()
+	}
 	if restarted {
-		c.lease = Lease{}
 		c.acked, c.ackAnswered = 0, 0
 	}
 	c.backend.StartedAt = max(c.backend.StartedAt, r.StartedAt)
@@ -315,7 +321,7 @@
 // know, with the longest lease. The caller must hold the mutex.
 func (c *Connection) expiry() time.Time {
 	if c.busy {
-		return c.lease.Expiry()
+		return c.lease.Expiry(c.options.MaxLease)
 	}
 	return c.lease.LastExpiry(c.options.MaxLease)
 }
--- a/internal/basilscheduler/lost_connection_test.go
+++ b/internal/basilscheduler/lost_connection_test.go
@@ -34,6 +34,14 @@
 	c.run()
 }
 
+// disconnect closes the connection to a backend server.
+func (o *playOwner) disconnect(id string) {
+	if c := o.connections[id]; c != nil && c.attached {
+		o.earlier.Add(id, basilrunner.NewEarlier(c.startedAt, c.lease), o.play.now)
+	}
+	delete(o.connections, id)
+}
+
 func (c *playConnection) closed() bool { return !c.owner.alive || c.owner.connections[c.id] != c }
 
 // run holds the backend server when that is due.
@@ -89,7 +97,7 @@
 	}
 	expiry := c.lease.LastExpiry(playMaxHold)
 	if c.busy {
-		expiry = c.lease.Expiry()
+		expiry = c.lease.Expiry(playMaxHold)
 	}
 	if c.attached && now.After(expiry) {
 		o.lost(c, basilwork.LossExpired)
@@ -99,8 +107,14 @@
 func (c *playConnection) report(r basilwork.Report, sent time.Time) {
 	o, now := c.owner, c.owner.play.now
 	restarted := r.StartedAt > c.startedAt
+	switch {
+	case !c.attached:
+		c.lease = o.earlier.Get(c.id).Lease(r.StartedAt)
+	case restarted:
+		c.lease = c.lease.Next()
+	}
 	if restarted {
-		c.lease, c.acked, c.ackAnswered = basilrunner.Lease{}, 0, 0
+		c.acked, c.ackAnswered = 0, 0
 	}
 	c.startedAt = max(c.startedAt, r.StartedAt)
 	c.lease.RecordAnswer(r.Clock, now)
--- a/internal/basilscheduler/lost_owner_test.go
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"basilstage.example/basilstage/internal/basilrunner"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
@@ -47,6 +48,7 @@
 	acked          map[string]int64
 	incarnations   map[string]int64
 	oldestChange   time.Time
+	earlier        basilrunner.EarlierConnections
 }
 
 // takeOver replaces the owner by one that knows what is stored.
@@ -142,7 +144,7 @@
 	h.life.die()
 	h.rebornIn(3 * time.Second)
 	o.Lost(id, basilwork.LossRemoved, o.play.now)
-	delete(o.connections, id)
+	o.disconnect(id)
 }
 
 func (o *playOwner) readServers() {
@@ -156,7 +158,7 @@
 	for _, b := range list {
 		listed[b.ID] = true
 		if !o.Knows(b.ID) {
-			delete(o.connections, b.ID)
+			o.disconnect(b.ID)
 		}
 	}
 	o.SetBackends(list)
@@ -166,7 +168,7 @@
 	}
 	for id := range o.connections {
 		if _, stored := o.play.store.servers[id]; !listed[id] && !o.Busy(id) && !o.HasOrphans(id) && !stored {
-			delete(o.connections, id)
+			o.disconnect(id)
 		}
 	}
 }
@@ -335,7 +337,7 @@
 	c.lost = true
 	o.play.trace("epoch %d loses %s: %s", o.epoch, c.id, reason)
 	o.Lost(c.id, reason, o.play.now)
-	delete(o.connections, c.id)
+	o.disconnect(c.id)
 	delete(o.acked, c.id)
 	delete(o.pendingCover, c.id)
 }
