scheduler: stop unanswered starts where a given-up server answers again

A start that its owner sends before it sees that a server came back under its ID may reach the new incarnation and be carried out there up to 12 s later: its deadline is valid on the new clock. If the owner has given the server up by then, the task runs elsewhere, and runs twice. Shown in plays only; no caller was seen to be hit.

The owner forgot the starts of a server that it gave up. It now keeps those that had no answer for 12 s and, as soon as the server answers again, stops them there until the stop is answered: a server refuses a run that isn't higher than one that was stopped. A start that turns out to be refused, or whose run is listed, is dropped.

--- a/internal/basilrunner/earlier_test.go
+++ b/internal/basilrunner/earlier_test.go
@@ -65,8 +65,8 @@
 		c.Run(t.Context())
 		must.False(t, s.ordered.IsZero())
 		waited := lost.Sub(s.ordered)
-		must.Greater(t, maxOrderDelay+longestLease, waited)
-		must.Less(t, maxOrderDelay+longestLease+2*time.Second, waited)
+		must.Greater(t, basilwork.MaxOrderDelay+longestLease, waited)
+		must.Less(t, basilwork.MaxOrderDelay+longestLease+2*time.Second, waited)
 	})
 }
 
@@ -86,13 +86,13 @@
 			c, lost = again.connect(unanswered.Earlier())
 			began := time.Now()
 			c.Run(t.Context())
-			must.Eq(t, extended, lost.Sub(first.ordered) > maxOrderDelay+longestLease)
-			must.Less(t, maxOrderDelay+longestLease+2*time.Second, lost.Sub(first.ordered))
+			must.Eq(t, extended, lost.Sub(first.ordered) > basilwork.MaxOrderDelay+longestLease)
+			must.Less(t, basilwork.MaxOrderDelay+longestLease+2*time.Second, lost.Sub(first.ordered))
 			must.Positive(t, lost.Sub(began))
 			var earlier EarlierConnections
 			earlier.Add("b1", unanswered.Earlier(), time.Now())
 			must.Eq(t, unanswered.Earlier(), earlier.Get("b1"))
-			earlier.Add("b2", Earlier{}, first.ordered.Add(maxOrderDelay+time.Millisecond))
+			earlier.Add("b2", Earlier{}, first.ordered.Add(basilwork.MaxOrderDelay+time.Millisecond))
 			must.Eq(t, Earlier{}, earlier.Get("b1"))
 		})
 	}
@@ -102,7 +102,7 @@
 // before can be carried out any more.
 func TestRestartIsForgottenInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const settled = maxOrderDelay + longestLease
+		const settled = basilwork.MaxOrderDelay + longestLease
 		s := &scriptedBackend{fakeBackend: fakeBackend{answers: append(answersOf(1, oldClock, 2), answersOf(2, 1, int(settled/defaultHoldPause))...)}}
 		c, lost := s.connect(Earlier{})
 		c.Run(t.Context())
--- a/internal/basilrunner/lease.go
+++ b/internal/basilrunner/lease.go
@@ -1,13 +1,14 @@
 package basilrunner
 
-import "time"
+import (
+	"time"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
 
 const (
 	minClockRate = 0.98                   // lowest assumed rate of a backend server's clock
 	expiryMargin = 250 * time.Millisecond // for runs that are ended a little after their lease expires
-	// maxOrderDelay is how long after it was sent an order without an answer may be carried out. The platform says seconds; the plays of
-	// basilscheduler carry orders out up to 12 s late.
-	maxOrderDelay = 12 * time.Second
 )
 
 // Lease tracks the leases on one incarnation of a backend server.
@@ -28,7 +29,7 @@
 func (l *Lease) Next() Lease {
 	next := Lease{lateUntil: l.lateUntil}
 	if !l.orderedAt.IsZero() {
-		next.lateUntil = later(next.lateUntil, l.orderedAt.Add(maxOrderDelay))
+		next.lateUntil = later(next.lateUntil, l.orderedAt.Add(basilwork.MaxOrderDelay))
 	}
 	return next
 }
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -34,6 +34,7 @@
 	p.openDueOccurrences(now)
 	p.removeDone()
 	p.queueReady(now)
+	p.stopLateStarts(now)
 	p.checkRuns(now)
 	p.place(now)
 	actions := p.actions
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -67,6 +67,7 @@
 	comparedAt       time.Time            // when medianOdds was last computed
 	needsBackend     bool                 // a long-running task found no room in the last decision
 	openStarts       []openStart          // in the order of the losses of their backend servers
+	lateStarts       []lateStart          // in the order of the losses, too
 	silences         []silence            // of backend servers that were lost lately
 	givenUp          map[string]time.Time // when jobs were given up since backend servers crashed under their tasks, as long as silences are kept
 	inheritedCrash   bool                 // a backend server that may have had runs of a predecessor has crashed
@@ -323,6 +324,9 @@
 	runs := b.sortedRuns()
 	l := p.newSilence(b, runs)
 	p.recordOpenStarts(runs)
+	if reason == basilwork.LossExpired {
+		p.recordLateStarts(runs)
+	}
 	for _, r := range runs {
 		p.endRun(r, basilwork.RunEndLost, now)
 	}
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -10,6 +10,9 @@
 // Started processes the answer to a start request; answered is false if there was none.
 func (p *Pool) Started(ref Ref, refusal basilwork.Refusal, answered bool, now time.Time) {
 	p.closeStart(ref, answered && neverBegan(refusal), now)
+	if answered && neverBegan(refusal) {
+		p.forgetLateStart(ref)
+	}
 	r := p.findRun(ref)
 	if r == nil || r.phase != phaseStarting {
 		return
@@ -65,6 +68,9 @@
 
 // Stopped processes the answer to a stop request; answered is false if there was none.
 func (p *Pool) Stopped(ref Ref, answered bool, now time.Time) {
+	if answered {
+		p.forgetLateStart(ref)
+	}
 	r := p.findRun(ref)
 	if r == nil {
 		if b := p.backends[ref.Backend]; b != nil && b.orphans[ref] != nil && answered {
--- a/internal/basilwork/port.go
+++ b/internal/basilwork/port.go
@@ -75,6 +75,10 @@
 	Fence   int64
 }
 
+// MaxOrderDelay is how long after it was sent an order without an answer may be carried out. The platform says seconds; the plays of
+// basilscheduler carry orders out up to 12 s late.
+const MaxOrderDelay = 12 * time.Second
+
 // HoldOrder renews the leases of all runs on a backend server and requests their status.
 type HoldOrder struct {
 	Fence        int64
