--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -50,6 +50,8 @@
 	stats            loopStats
 	waitLog          waitLog
 	predecessors     predecessorWait
+	ended            endedServers
+	silenceAt        time.Time  // when backend servers that have not answered are stored as silent
 	startBlock       startBlock // why the last decision allowed no starts
 	pacer            pacer
 	holdPacer        holdPacer
@@ -192,6 +194,12 @@
 	o.logLoad(now)
 	o.removeFinished(now)
 	wait := o.commitIfDue(now)
+	if untilSilences := o.recordSilences(now); untilSilences > 0 {
+		wait = min(wait, untilSilences)
+	}
+	if untilEnded := o.findEnded(now); untilEnded > 0 {
+		wait = min(wait, untilEnded)
+	}
 	o.updateConnections()
 	return max(time.Millisecond, min(wait, wake))
 }
@@ -274,6 +282,7 @@
 			_ = basiltimer.Wait(o.ctx, storeRetryDelay) // an ended context ends the loop
 			continue
 		}
+		o.silenceAt, o.ended.next = time.Now().Add(silenceDelay), time.Now().Add(endedDelay)
 		o.pool.SetConfiguration(o.node.configuration())
 		o.applyJobs(o.decodeJobs(items))
 		o.jobFreshness.markCurrent(askedAt)
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -51,18 +51,6 @@
 	}
 }
 
-// expirePredecessors drops the backend servers on which no runs of a predecessor can exist any more, because its leases
-// have expired.
-func (p *Pool) expirePredecessors(now time.Time) {
-	for id, until := range p.predecessorUntil {
-		if now.Before(until) {
-			p.wakeAt(until)
-			continue
-		}
-		delete(p.predecessorUntil, id)
-	}
-}
-
 func (p *Pool) nextAttempt(t *task) int {
 	if t.step.occurrence.job.adopted {
 		t.attempt = max(t.attempt, int(p.options.Epoch-1)*attemptsPerEpoch)
@@ -73,6 +61,7 @@
 func (p *Pool) start(c *candidate, t *task, b *backend, attempt int, tickets map[string]string, now time.Time) {
 	r := &run{task: t, backend: b, attempt: attempt, phase: phaseStarting, orderedAt: now, pace: fullPace, resumed: t.checkpoint != ""}
 	t.attempt = attempt
+	t.account()
 	if t.suspicion > 0 {
 		b.quarantinedFor = r
 	}
--- a/internal/basilscheduler/lost_connection_test.go
+++ b/internal/basilscheduler/lost_connection_test.go
@@ -17,6 +17,8 @@
 	ackAnswered int64
 	busy        bool
 	watched     bool
+	suspended   bool
+	inherited   time.Time // until when leases of former owners may last
 	attached    bool
 	reachable   bool
 	lost        bool
@@ -29,7 +31,7 @@
 	if o.connections[b.ID] != nil {
 		return
 	}
-	c := &playConnection{owner: o, id: b.ID, address: b.Address, startedAt: b.StartedAt, reachable: true}
+	c := &playConnection{owner: o, id: b.ID, address: b.Address, startedAt: b.StartedAt, reachable: true, inherited: o.PredecessorUntil(b.ID)}
 	o.connections[b.ID] = c
 	c.run()
 }
@@ -58,7 +60,7 @@
 	if c.attached && c.firstMiss.IsZero() && c.acked > c.ackAnswered {
 		order.Acknowledged = c.acked
 	}
-	if c.lease.Known() && c.firstMiss.IsZero() && c.busy {
+	if c.lease.Known() && c.firstMiss.IsZero() && c.busy && !c.suspended {
 		order.Deadline = c.lease.Deadline(p.now, playMaxHold-300*time.Millisecond)
 	}
 	sent := p.now
@@ -98,6 +100,9 @@
 	expiry := c.lease.LastExpiry(playMaxHold)
 	if c.busy {
 		expiry = c.lease.Expiry(playMaxHold)
+		if c.inherited.After(expiry) {
+			expiry = c.inherited
+		}
 	}
 	if c.attached && now.After(expiry) {
 		o.lost(c, basilwork.LossExpired)
@@ -133,5 +138,6 @@
 	o.Report(c.id, r, sent, now)
 	if first {
 		o.Attached(c.id)
+		delete(o.silences, c.id)
 	}
 }
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -113,7 +113,7 @@
 // placeStep places as many tasks of the step as have room; a gang is placed as a whole or not at all.
 func (p *Pool) placeStep(c *candidate, now time.Time) {
 	s := c.step
-	if !s.hasWaiting() || s.occurrence.job.adopted && len(p.predecessorUntil) > 0 || s.spec.Gang && !p.gangReady(s, now) {
+	if !s.hasWaiting() || p.heldBack(s) || s.spec.Gang && !p.gangReady(s, now) {
 		return
 	}
 	var tickets map[string]string
@@ -130,6 +130,9 @@
 			}
 			continue
 		}
+		if p.holdsBack(t, now) {
+			continue
+		}
 		if now.Before(t.notBefore) {
 			p.wakeAt(t.notBefore)
 			continue
@@ -174,6 +177,9 @@
 			p.wakeAt(t.notBefore)
 			return false
 		}
+		if p.holdsBack(t, now) {
+			return false
+		}
 	}
 	return true
 }
