--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -49,6 +49,7 @@
 	MayHold  func() bool
 	// HoldInterval returns the pause between holds, so that ended runs are reported in batches; nil means defaultHoldPause.
 	HoldInterval func() time.Duration
+	Earlier      Earlier // of the owner's last connection to the same ID
 }
 
 // term returns how long requested leases are.
@@ -282,8 +283,13 @@
 	c.mutex.Lock()
 	id := c.backend.ID
 	restarted := r.StartedAt != 0 && c.backend.StartedAt != 0 && r.StartedAt > c.backend.StartedAt
+	switch {
+	case !c.attached:
+		c.lease = c.options.Earlier.Lease(r.StartedAt)
+	case restarted:
+		c.lease = c.lease.Next()
+	}
 	if restarted {
-		c.lease = Lease{}
 		c.acked, c.ackAnswered = 0, 0
 	}
 	c.backend.StartedAt = max(c.backend.StartedAt, r.StartedAt)
@@ -334,7 +340,7 @@
 	if !c.busy {
 		return c.lease.LastExpiry(c.options.MaxLease)
 	}
-	if at := c.lease.Expiry(); at.After(c.options.Inherited) {
+	if at := c.lease.Expiry(c.options.MaxLease); at.After(c.options.Inherited) {
 		return at
 	}
 	return c.options.Inherited
--- a/internal/basilscheduler/lost_owner_test.go
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"basilstage.example/basilstage/internal/basilrunner"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
@@ -57,6 +58,7 @@
 	acked          map[string]int64
 	incarnations   map[string]int64
 	oldestChange   time.Time
+	earlier        basilrunner.EarlierConnections
 }
 
 // takeOver replaces the owner by one that knows what is stored.
@@ -159,7 +161,7 @@
 	h.life.die()
 	h.rebornIn(3 * time.Second)
 	o.Lost(id, basilwork.LossRemoved, o.play.now)
-	delete(o.connections, id)
+	o.disconnect(id)
 }
 
 func (o *playOwner) readServers() {
@@ -173,7 +175,7 @@
 	for _, b := range list {
 		listed[b.ID] = true
 		if !o.Knows(b.ID) {
-			delete(o.connections, b.ID)
+			o.disconnect(b.ID)
 		}
 	}
 	o.SetBackends(list)
@@ -183,7 +185,7 @@
 	}
 	for id := range o.connections {
 		if _, stored := o.play.store.servers[id]; !listed[id] && !o.MayHaveRuns(id) && !o.HasOrphans(id) && !stored {
-			delete(o.connections, id)
+			o.disconnect(id)
 		}
 	}
 }
@@ -368,7 +370,7 @@
 	c.lost = true
 	o.play.trace("epoch %d loses %s: %s", o.epoch, c.id, reason)
 	o.Lost(c.id, reason, o.play.now)
-	delete(o.connections, c.id)
+	o.disconnect(c.id)
 	delete(o.acked, c.id)
 	delete(o.pendingCover, c.id)
 	delete(o.silences, c.id)
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -10,6 +10,9 @@
 // Started processes the answer to a start request; answered is false if there was none.
 func (p *Pool) Started(ref Ref, refusal basilwork.Refusal, answered bool, now time.Time) {
 	p.closeStart(ref, answered && neverBegan(refusal), now)
+	if answered && neverBegan(refusal) {
+		p.forgetLateStart(ref)
+	}
 	r := p.findRun(ref)
 	if r == nil || r.phase != phaseStarting {
 		return
@@ -65,6 +68,9 @@
 
 // Stopped processes the answer to a stop request; answered is false if there was none.
 func (p *Pool) Stopped(ref Ref, answered bool, now time.Time) {
+	if answered {
+		p.forgetLateStart(ref)
+	}
 	r := p.findRun(ref)
 	if r == nil {
 		if b := p.backends[ref.Backend]; b != nil && b.orphans[ref] != nil && answered {
@@ -129,9 +135,7 @@
 	r.backend.remove(r)
 	t.runs = slices.Delete(t.runs, n, n+1)
 	s.occurrence.liveRuns--
-	if s.runsOn != nil {
-		s.runsOn[r.backend]--
-	}
+	s.countRunOn(r.backend, -1)
 	if s.spec.LongRunning {
 		p.layoutVersion++
 	}
@@ -152,12 +156,7 @@
 	r.backend.add(r, until)
 	t.runs = append(t.runs, r)
 	s.occurrence.liveRuns++
-	if s.spec.AntiAffinity > 0 {
-		if s.runsOn == nil {
-			s.runsOn = make(map[*backend]int)
-		}
-		s.runsOn[r.backend]++
-	}
+	s.countRunOn(r.backend, 1)
 	if s.spec.LongRunning {
 		p.layoutVersion++
 	}
