experiment: compare ways to renew leases while answers are lost

`basilstage experiment renewals` plays seeded cases and writes a table.

The model has the timer and the lease of the owner. AnswerTimeout gets GetInitial, the timeout without its growth.

--- a/cmd/experiment.go
+++ b/cmd/experiment.go
@@ -48,11 +48,12 @@
 	flags.StringVar(&e.plot, "plot", "", "SVG file for hosts held and used by the first seed")
 	formats := formatFlag(flags)
 	return &ffcli.Command{
-		Name:       "experiment",
-		ShortUsage: "basilstage experiment [flags]",
-		ShortHelp:  "Compares policies of placement and capacity on a load, in event time and without sockets.",
-		FlagSet:    flags,
-		Options:    []ff.Option{ff.WithEnvVarPrefix(environmentPrefix)},
+		Name:        "experiment",
+		ShortUsage:  "basilstage experiment [flags]",
+		ShortHelp:   "Compares policies of placement and capacity on a load, in event time and without sockets.",
+		FlagSet:     flags,
+		Options:     []ff.Option{ff.WithEnvVarPrefix(environmentPrefix)},
+		Subcommands: []*ffcli.Command{newRenewalsCommand(stdout, stderr)},
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 0 {
 				return flag.ErrHelp
--- a/cmd/experiment_test.go
+++ b/cmd/experiment_test.go
@@ -31,3 +31,16 @@
 		must.Eq(t, "", stdout.String())
 	}
 }
+
+// TestRenewals plays few cases of lost answers.
+func TestRenewals(t *testing.T) {
+	var stdout, stderr bytes.Buffer
+	args := []string{"experiment", "renewals", "-leases", "5s", "-shares", "0.7", "-duration", "3s", "-plays", "20"}
+	must.Eq(t, exitOK, Main(t.Context(), args, &stdout, &stderr), must.Sprint(stderr.String()))
+	must.StrContains(t, stdout.String(), "lost 0.7")
+	for _, args := range [][]string{{"-leases", "5"}, {"-leases", "1ms"}, {"-shares", "2"}, {"-shares", "NaN"}, {"-duration", "0s"}, {"-plays", "0"}, {"more"}} {
+		stdout.Reset()
+		must.NotEq(t, exitOK, Main(t.Context(), append([]string{"experiment", "renewals"}, args...), &stdout, &stderr), must.Sprint(args))
+		must.Eq(t, "", stdout.String())
+	}
+}
--- a/internal/basiltimer/answer_timeout.go
+++ b/internal/basiltimer/answer_timeout.go
@@ -76,9 +76,19 @@
 func (t *AnswerTimeout) Get() time.Duration {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	return t.doubled(min(max(0, t.misses-1), maxDoublings))
+}
+
+// GetInitial returns the timeout of a call as if none had been missed.
+func (t *AnswerTimeout) GetInitial() time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.doubled(0)
+}
+
+func (t *AnswerTimeout) doubled(times int) time.Duration {
 	if !t.known {
 		return t.longest
 	}
-	timeout := max(t.shortest, t.mean+deviations*t.deviation)
-	return min(t.longest, timeout<<min(max(0, t.misses-1), maxDoublings))
+	return min(t.longest, max(t.shortest, t.mean+deviations*t.deviation)<<times)
 }
--- a/internal/basiltimer/answer_timeout_test.go
+++ b/internal/basiltimer/answer_timeout_test.go
@@ -26,6 +26,7 @@
 	a.Missed()
 	a.Missed()
 	must.Eq(t, longest, a.Get())
+	must.Eq(t, shortest, a.GetInitial())
 	a.Responsive()
 	must.Eq(t, shortest, a.Get())
 	for range 20 {
