--- a/internal/basilexperiment/renewal.go
+++ b/internal/basilexperiment/renewal.go
@@ -185,7 +185,7 @@
 		if wait == 0 {
 			p.timeout.Answered(latency)
 		}
-		p.pauseAfterAnswer(sent)
+		p.now = p.now.Add(renewalPause)
 		return
 	}
 	p.now = sent.Add(timeout)
@@ -271,13 +271,6 @@
 	return p.timeout.GetInitial()
 }
 
-func (p *renewalPlay) pauseAfterAnswer(sent time.Time) {
-	p.now = p.now.Add(renewalPause)
-	if p.Brief && p.answeredMiss {
-		p.waitUntil(sent.Add(p.Interval))
-	}
-}
-
 func (p *renewalPlay) pauseAfterMiss(sent time.Time) {
 	switch {
 	case p.Interval > 0:
