runner: renew leases though answers are lost

A hold carried a deadline only while none was missed: after each miss one answer only ended the pause, and the next hold had to renew; tries waited for timeouts that doubled and 0.3 s more.

Holds now carry a deadline for 1.5 s after the last answer, tries follow each other every 0.25 s, one timeout in three grows, and none for 5 s once a part was answered; the hold after the first answer doesn't wait for the end of a run. Each deadline is recorded when it is sent and is a time on the server's clock, so one that is carried out late lasts no longer than the owner takes it to. The last try lasts until the leases have expired, so that a server that is gone is given up within 6.85 s at a lease of 5 s. A server whose known runs end while it is silent is now given up no sooner than the leases that it was sent.

--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -54,6 +54,7 @@
 	mutex       sync.Mutex
 	backend     basilwork.Backend
 	lease       Lease
+	renewal     renewal
 	timeout     *basiltimer.AnswerTimeout
 	acked       int64
 	ackAnswered int64 // newest acknowledgement that the backend server has answered
@@ -171,7 +172,7 @@
 func (c *Connection) holdWaitTime() time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.attached && c.reachable && (c.busy || c.watched) && c.firstMissAt.IsZero() {
+	if c.attached && c.reachable && (c.busy || c.watched) && c.firstMissAt.IsZero() && !c.renewal.answeredMiss {
 		return maxHoldWait
 	}
 	return 0
@@ -214,24 +215,26 @@
 
 func (c *Connection) hold(ctx context.Context, wait time.Duration) (basilwork.Report, error) {
 	c.mutex.Lock()
-	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout.Get())
-	defer cancel()
+	sent := time.Now()
 	o := basilwork.HoldOrder{Fence: c.options.Fence, Wait: wait}
 	if c.attached && c.firstMissAt.IsZero() && c.acked > c.ackAnswered {
 		o.Acknowledged = c.acked // not after a miss, when the backend server may have restarted
 	}
-	if c.lease.Known() && c.firstMissAt.IsZero() && c.busy && c.options.MayHold() {
-		o.Deadline = c.lease.Deadline(time.Now(), c.options.MaxLease-leaseMargin)
+	if c.lease.Known() && c.mayRenew(sent) && c.busy && c.options.MayHold() {
+		o.Deadline = c.lease.Deadline(sent, c.options.MaxLease-leaseMargin)
 	}
+	timeout := c.holdTimeout(sent)
 	b := c.backend
-	sent := time.Now()
 	c.heldAt = sent
 	c.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
+	defer cancel()
 	r, err := c.options.Commander.Hold(ctx, b, o)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if err == nil {
 		c.ackAnswered = max(c.ackAnswered, o.Acknowledged)
+		c.renewal.answered(time.Since(sent) < wait+c.timeout.GetInitial(), time.Now())
 		c.timeout.Responsive()
 		if wait == 0 { // an answer that waited says nothing of the latency
 			c.timeout.Answered(time.Since(sent))
@@ -268,6 +271,7 @@
 	if restarted {
 		c.lease = Lease{}
 		c.acked, c.ackAnswered = 0, 0
+		c.renewal = renewal{}
 	}
 	c.backend.StartedAt = max(c.backend.StartedAt, r.StartedAt)
 	c.lease.RecordAnswer(r.Clock, now)
@@ -295,6 +299,7 @@
 		c.firstMissAt = now
 	}
 	c.timeout.Missed()
+	c.renewal.missed()
 	unreachable := c.reachable && now.Sub(c.firstMissAt) > 0 && (!c.lease.Known() || now.Sub(c.lease.LastAnswer()) > unreachableAfter)
 	if unreachable {
 		c.reachable = false
@@ -312,12 +317,13 @@
 }
 
 // expiry returns the time at which all runs have certainly ended. An idle backend server may have runs that this owner doesn't
-// know, with the longest lease. The caller must hold the mutex.
+// know, with the longest lease or one that was renewed without an answer. The caller must hold the mutex.
 func (c *Connection) expiry() time.Time {
-	if c.busy {
-		return c.lease.Expiry()
+	sent, longest := c.lease.Expiry(), c.lease.LastExpiry(c.options.MaxLease)
+	if c.busy || sent.After(longest) {
+		return sent
 	}
-	return c.lease.LastExpiry(c.options.MaxLease)
+	return longest
 }
 
 func (c *Connection) pause(ctx context.Context, err error) {
@@ -326,7 +332,7 @@
 		d = c.options.HoldInterval()
 	}
 	if err != nil {
-		d = c.missPause()
+		d = c.missPause(time.Now(), d)
 	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -335,11 +341,3 @@
 	case <-timer.C:
 	}
 }
-
-// missPause returns the pause after a hold that failed: none after the first, since most often only its answer was lost.
-func (c *Connection) missPause() time.Duration {
-	if c.timeout.Misses() <= 1 {
-		return 0
-	}
-	return retryPause
-}
--- a/internal/basilscheduler/lost_connection_test.go
+++ b/internal/basilscheduler/lost_connection_test.go
@@ -7,6 +7,12 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
+const (
+	playTryTimeout   = 200 * time.Millisecond // of a hold on which runs depend
+	playTryInterval  = 250 * time.Millisecond
+	playRenewalLimit = 1500 * time.Millisecond
+)
+
 // playConnection does what the connection of basilrunner does.
 type playConnection struct {
 	owner       *playOwner
@@ -50,12 +56,16 @@
 	if c.attached && c.firstMiss.IsZero() && c.acked > c.ackAnswered {
 		order.Acknowledged = c.acked
 	}
-	if c.lease.Known() && c.firstMiss.IsZero() && c.busy {
+	if c.lease.Known() && c.busy && (c.firstMiss.IsZero() || p.now.Sub(c.lease.LastAnswer()) < playRenewalLimit) {
 		order.Deadline = c.lease.Deadline(p.now, playMaxHold-300*time.Millisecond)
 	}
 	sent := p.now
 	c.heldAt = sent
-	p.call(c, "hold", playAnswerTimeout, func(l *playServer) playAnswer { return l.hold(order) }, func(a playAnswer, answered bool) {
+	timeout := playAnswerTimeout
+	if c.busy && c.attached {
+		timeout = playTryTimeout
+	}
+	p.call(c, "hold", timeout, func(l *playServer) playAnswer { return l.hold(order) }, func(a playAnswer, answered bool) {
 		if c.closed() {
 			return
 		}
@@ -63,7 +73,10 @@
 		switch {
 		case !answered:
 			c.miss()
-			if c.misses > 1 {
+			switch {
+			case c.busy && c.attached:
+				pause = max(pause, sent.Add(playTryInterval).Sub(p.now))
+			case c.misses > 1:
 				pause = 300 * time.Millisecond
 			}
 		case a.refusal == basilwork.RefusalGone:
@@ -87,9 +100,9 @@
 		c.reachable = false
 		o.SetReachable(c.id, false)
 	}
-	expiry := c.lease.LastExpiry(playMaxHold)
-	if c.busy {
-		expiry = c.lease.Expiry()
+	expiry := c.lease.Expiry()
+	if longest := c.lease.LastExpiry(playMaxHold); !c.busy && longest.After(expiry) {
+		expiry = longest
 	}
 	if c.attached && now.After(expiry) {
 		o.lost(c, basilwork.LossExpired)
