--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -24,6 +24,8 @@
 	refusedMetric   = "store_writes_refused"
 	lostRunsMetric  = "runs_lost"
 	earlierMetric   = "ends_of_earlier_attempts"
+	missesMetric    = "holds_unanswered"
+	narrowMetric    = "leases_narrow"
 	waitingMetric   = "waiting_tasks"
 	longestMetric   = "longest_wait_ms"
 	moreWaits       = "waits_unexamined"
@@ -126,6 +128,14 @@
 	m.counts.Add(lostRunsMetric+`{reason="`+reason+`"}`, int64(runs))
 }
 
+// holdUnanswered counts a hold that a backend server of the pool did not answer.
+func (m *metrics) holdUnanswered(pool string) {
+	m.counts.Add(missesMetric+`{pool="`+pool+`"}`, 1)
+}
+
+// leaseNarrow counts a renewal of leases that would have expired within a second.
+func (m *metrics) leaseNarrow(pool string) { m.counts.Add(narrowMetric+`{pool="`+pool+`"}`, 1) }
+
 // endsOfEarlierAttempts counts tasks that earlier attempts have finished.
 func (m *metrics) endsOfEarlierAttempts(ends int) { m.counts.Add(earlierMetric, int64(ends)) }
 
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -56,6 +56,7 @@
 		MayHold: func() bool {
 			return o.node.keeper.MayStart() || o.node.keeper.SinceRenewal() < o.node.options.HoldLimit
 		},
+		HoldUnanswered: func() { o.node.metrics.holdUnanswered(o.service) }, LeaseNarrow: o.leaseNarrow,
 	})}
 	o.connections[b.ID] = l
 	go l.Run(ctx)
@@ -113,12 +114,33 @@
 
 // Reachable records whether a backend server answers.
 func (o *owner) Reachable(id string, reachable bool) {
-	o.send(func(time.Time) {
-		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, "reachable": reachable}).Info("backend server reachability changed")
+	o.send(func(now time.Time) {
+		o.log.WithFields(o.describeReachability(id, reachable, now)).Info("backend server reachability changed")
 		o.pool.SetReachable(id, reachable)
 	})
 }
 
+// describeReachability returns the fields of the log line about a backend server that answers again, or no longer does.
+func (o *owner) describeReachability(id string, reachable bool, now time.Time) logrus.Fields {
+	fields := logrus.Fields{basillog.FieldHost: id, "reachable": reachable}
+	l := o.connections[id]
+	if l == nil {
+		return fields
+	}
+	r := l.Renewals()
+	fields["unanswered"], fields["narrow"] = r.Unanswered, r.Narrow
+	if at := l.LastAnswer(); !at.IsZero() {
+		fields["silent_ms"], fields["lease_left_ms"] = now.Sub(at).Milliseconds(), r.Left.Milliseconds()
+	}
+	return fields
+}
+
+// leaseNarrow logs and counts the renewal of leases that would have expired soon.
+func (o *owner) leaseNarrow(id string, left time.Duration) {
+	o.node.metrics.leaseNarrow(o.service)
+	o.log.WithFields(logrus.Fields{basillog.FieldHost: id, "left_ms": left.Milliseconds()}).Info("leases on backend server nearly expired")
+}
+
 // Lost records that nothing runs any more on the known incarnation of a backend server, and closes its connection.
 func (o *owner) Lost(id string, reason basilwork.Loss) {
 	o.send(func(now time.Time) {
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -44,6 +44,10 @@
 	// MayStart and MayHold report whether the owner's own lease allows it to start runs and to renew leases.
 	MayStart func() bool
 	MayHold  func() bool
+	// HoldUnanswered is called for each hold without an answer, LeaseNarrow for each answered renewal of leases that would have expired
+	// within a second, as far as answers tell, with the time that was left; nil means that neither is needed.
+	HoldUnanswered func()
+	LeaseNarrow    func(id string, left time.Duration)
 	// HoldInterval returns the pause between holds, so that ended runs are reported in batches; nil means defaultHoldPause.
 	HoldInterval func() time.Duration
 }
@@ -98,6 +102,9 @@
 		acked = 0
 	}
 	holdNow := busy && !c.busy || acked > c.acked
+	if busy && !c.busy {
+		c.renewal.granted = 0
+	}
 	c.busy = busy
 	c.acked = max(c.acked, acked)
 	c.mutex.Unlock()
@@ -230,6 +237,9 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	r, err := c.options.Commander.Hold(ctx, b, o)
+	if err == nil && o.Deadline > 0 {
+		c.recordGrant(o.Deadline, r)
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if err == nil {
@@ -271,7 +281,7 @@
 	if restarted {
 		c.lease = Lease{}
 		c.acked, c.ackAnswered = 0, 0
-		c.renewal = renewal{}
+		c.renewal = renewal{unanswered: c.renewal.unanswered, narrow: c.renewal.narrow}
 	}
 	c.backend.StartedAt = max(c.backend.StartedAt, r.StartedAt)
 	c.lease.RecordAnswer(r.Clock, now)
@@ -307,6 +317,9 @@
 	lapsed := c.attached && now.After(c.expiry())
 	c.lost = lapsed
 	c.mutex.Unlock()
+	if c.options.HoldUnanswered != nil {
+		c.options.HoldUnanswered()
+	}
 	if unreachable {
 		c.options.Sink.Reachable(id, false)
 	}
--- a/internal/basilrunner/renewal_test.go
+++ b/internal/basilrunner/renewal_test.go
@@ -29,6 +29,9 @@
 	latest            int64         // latest deadline that was sent
 	lostAt            time.Time
 	lostEarly         bool // the server was given up before that
+	missed            int
+	narrow            []time.Duration
+	renewals          Renewals
 }
 
 func newLossyBackend(seed uint64, share float64, d time.Duration) *lossyBackend {
@@ -91,12 +94,14 @@
 	c := NewConnection(basilwork.Backend{ID: "b1", StartedAt: 1}, Options{
 		Commander: l, Sink: l, Fence: 1, MaxLease: lease + leaseMargin,
 		MayStart: func() bool { return true }, MayHold: func() bool { return true },
+		HoldUnanswered: func() { l.missed++ }, LeaseNarrow: func(_ string, left time.Duration) { l.narrow = append(l.narrow, left) },
 	})
 	c.SetBusy(true, 1, 0)
 	if l.idle > 0 {
 		time.AfterFunc(l.from.Add(l.idle).Sub(l.began), func() { c.SetBusy(false, 1, 0) })
 	}
 	c.Run(ctx)
+	l.renewals = c.Renewals()
 }
 
 // hasLapsed reports whether runs have ended by now.
@@ -175,3 +180,24 @@
 		})
 	}
 }
+
+// TestNarrowRenewalsAreTold checks that holds without an answer and renewals of leases that had less than a second left are told.
+func TestNarrowRenewalsAreTold(t *testing.T) {
+	const lease = 5 * time.Second
+	for _, silent := range []time.Duration{3 * time.Second, 4500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newLossyBackend(1, 1, silent)
+			l.play(t, lease)
+			must.True(t, l.lostAt.IsZero())
+			must.Eq(t, int64(l.missed), l.renewals.Unanswered)
+			must.GreaterEq(t, 5, l.missed)
+			must.Eq(t, int64(len(l.narrow)), l.renewals.Narrow)
+			if silent < lease-narrowLease {
+				must.Len(t, 0, l.narrow)
+				return
+			}
+			must.Len(t, 1, l.narrow)
+			must.Between(t, 0, l.narrow[0], narrowLease)
+		})
+	}
+}
