runner: pause after a refused hold

A backend server that refuses holds (429 or 503) got 250 a second with answers of 4 ms, from each connection, as only missed holds were followed by a pause.

TestRefusedHoldsAreNotRepeatedAtOnce failed before: 2,500 holds in 10 s.

--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -344,7 +344,10 @@
 	if c.options.HoldInterval != nil {
 		d = c.options.HoldInterval()
 	}
-	if err != nil {
+	switch {
+	case basilwork.RefusalOf(err) != basilwork.RefusalNone:
+		d = retryPause
+	case err != nil:
 		d = c.missPause(time.Now(), d)
 	}
 	timer := time.NewTimer(d)
--- a/internal/basilrunner/renewal_test.go
+++ b/internal/basilrunner/renewal_test.go
@@ -201,3 +201,43 @@
 		})
 	}
 }
+
+// refusingBackend is a backend server that refuses every hold but the first ones, the last of which may have no answer.
+type refusingBackend struct {
+	fakeBackend
+	first, holds int
+	miss         bool
+}
+
+func (r *refusingBackend) Hold(context.Context, basilwork.Backend, basilwork.HoldOrder) (basilwork.Report, error) {
+	time.Sleep(4 * time.Millisecond)
+	r.holds++
+	switch {
+	case r.holds > r.first:
+		return basilwork.Report{}, basilwork.ErrRefused{Refusal: basilwork.RefusalBusy}
+	case r.holds == r.first && r.miss:
+		return basilwork.Report{}, basilwork.ErrNoAnswer{Cause: context.DeadlineExceeded}
+	}
+	return basilwork.Report{StartedAt: 1, Clock: int64(r.holds)}, nil
+}
+
+// TestRefusedHoldsAreNotRepeatedAtOnce checks that a backend server that refuses holds gets at most 4 a second.
+func TestRefusedHoldsAreNotRepeatedAtOnce(t *testing.T) {
+	const seconds, most = 10, 4
+	for n := range 12 {
+		busy := n%2 == 0
+		synctest.Test(t, func(t *testing.T) {
+			r := &refusingBackend{first: n / 4, miss: n/2%2 == 0}
+			r.sink = func(int64) {}
+			c := NewConnection(basilwork.Backend{ID: "b1", StartedAt: 1}, Options{
+				Commander: r, Sink: r, Fence: 1, MaxLease: 6 * time.Second,
+				MayStart: func() bool { return true }, MayHold: func() bool { return true },
+			})
+			c.SetBusy(busy, 1, 0)
+			ctx, cancel := context.WithTimeout(t.Context(), seconds*time.Second)
+			defer cancel()
+			c.Run(ctx)
+			must.Between(t, seconds/2, r.holds, most*seconds, must.Sprintf("busy %v, %d first, miss %v", busy, r.first, r.miss))
+		})
+	}
+}
