--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -47,6 +47,10 @@
 	// MayStart and MayHold report whether the owner's own lease allows it to start runs and to renew leases.
 	MayStart func() bool
 	MayHold  func() bool
+	// HoldUnanswered is called for each hold without an answer, LeaseNarrow for each answered renewal of leases that would have expired
+	// within a second, as far as answers tell, with the time that was left; nil means that neither is needed.
+	HoldUnanswered func()
+	LeaseNarrow    func(id string, left time.Duration)
 	// HoldInterval returns the pause between holds, so that ended runs are reported in batches; nil means defaultHoldPause.
 	HoldInterval func() time.Duration
 	Earlier      Earlier // of the owner's last connection to the same ID
@@ -64,6 +68,7 @@
 	mutex       sync.Mutex
 	backend     basilwork.Backend
 	lease       Lease
+	renewal     renewal
 	timeout     *basiltimer.AnswerTimeout
 	acked       int64
 	ackAnswered int64 // newest acknowledgement that the backend server has answered
@@ -108,6 +113,9 @@
 		acked = 0
 	}
 	holdNow := busy && !c.busy || acked > c.acked
+	if busy && !c.busy {
+		c.renewal.granted = 0
+	}
 	c.busy = busy
 	c.acked = max(c.acked, acked)
 	c.mutex.Unlock()
@@ -189,7 +197,7 @@
 func (c *Connection) holdWaitTime() time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.attached && c.reachable && (c.busy || c.watched) && c.firstMissAt.IsZero() {
+	if c.attached && c.reachable && (c.busy || c.watched) && c.firstMissAt.IsZero() && !c.renewal.answeredMiss {
 		return maxHoldWait
 	}
 	return 0
@@ -232,24 +240,29 @@
 
 func (c *Connection) hold(ctx context.Context, wait time.Duration) (basilwork.Report, error) {
 	c.mutex.Lock()
-	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout.Get())
-	defer cancel()
+	sent := time.Now()
 	o := basilwork.HoldOrder{Fence: c.options.Fence, Wait: wait}
 	if c.attached && c.firstMissAt.IsZero() && c.acked > c.ackAnswered {
 		o.Acknowledged = c.acked // not after a miss, when the backend server may have restarted
 	}
-	if c.lease.Known() && c.firstMissAt.IsZero() && c.busy && !c.suspended && c.options.MayHold() {
-		o.Deadline = c.lease.Deadline(time.Now(), c.options.term())
+	if c.lease.Known() && c.mayRenew(sent) && c.busy && !c.suspended && c.options.MayHold() {
+		o.Deadline = c.lease.Deadline(sent, c.options.term())
 	}
+	timeout := c.holdTimeout(sent)
 	b := c.backend
-	sent := time.Now()
 	c.heldAt = sent
 	c.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
+	defer cancel()
 	r, err := c.options.Commander.Hold(ctx, b, o)
+	if err == nil && o.Deadline > 0 {
+		c.recordGrant(o.Deadline, r)
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if err == nil {
 		c.ackAnswered = max(c.ackAnswered, o.Acknowledged)
+		c.renewal.answered(time.Since(sent) < wait+c.timeout.GetInitial(), time.Now())
 		c.timeout.Responsive()
 		if wait == 0 { // an answer that waited says nothing of the latency
 			c.timeout.Answered(time.Since(sent))
@@ -291,6 +304,7 @@
 	}
 	if restarted {
 		c.acked, c.ackAnswered = 0, 0
+		c.renewal = renewal{unanswered: c.renewal.unanswered, narrow: c.renewal.narrow}
 	}
 	c.backend.StartedAt = max(c.backend.StartedAt, r.StartedAt)
 	c.lease.RecordAnswer(r.Clock, now)
@@ -318,6 +332,7 @@
 		c.firstMissAt = now
 	}
 	c.timeout.Missed()
+	c.renewal.missed()
 	unreachable := c.reachable && now.Sub(c.firstMissAt) > 0 && (!c.lease.Known() || now.Sub(c.lease.LastAnswer()) > unreachableAfter)
 	if unreachable {
 		c.reachable = false
@@ -325,6 +340,9 @@
 	lapsed := c.attached && now.After(c.expiry())
 	c.lost = lapsed
 	c.mutex.Unlock()
+	if c.options.HoldUnanswered != nil {
+		c.options.HoldUnanswered()
+	}
 	if unreachable {
 		c.options.Sink.Reachable(id, false)
 	}
@@ -335,15 +353,13 @@
 }
 
 // expiry returns the time at which all runs have certainly ended. An idle backend server may have runs that this owner doesn't
-// know, with the longest lease. The caller must hold the mutex.
+// know, with the longest lease or one that was renewed without an answer. The caller must hold the mutex.
 func (c *Connection) expiry() time.Time {
+	at, longest := c.lease.Expiry(c.options.MaxLease), c.lease.LastExpiry(c.options.MaxLease)
 	if !c.busy {
-		return c.lease.LastExpiry(c.options.MaxLease)
+		at = later(at, longest)
 	}
-	if at := c.lease.Expiry(c.options.MaxLease); at.After(c.options.Inherited) {
-		return at
-	}
-	return c.options.Inherited
+	return later(at, c.options.Inherited)
 }
 
 func (c *Connection) pause(ctx context.Context, err error) {
@@ -351,8 +367,11 @@
 	if c.options.HoldInterval != nil {
 		d = c.options.HoldInterval()
 	}
-	if err != nil {
-		d = c.missPause()
+	switch {
+	case basilwork.RefusalOf(err) != basilwork.RefusalNone:
+		d = retryPause
+	case err != nil:
+		d = c.missPause(time.Now(), d)
 	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -361,11 +380,3 @@
 	case <-timer.C:
 	}
 }
-
-// missPause returns the pause after a hold that failed: none after the first, since most often only its answer was lost.
-func (c *Connection) missPause() time.Duration {
-	if c.timeout.Misses() <= 1 {
-		return 0
-	}
-	return retryPause
-}
