node: don't hold up other jobs' records by one that the store refuses

Cause: 30 changed records went into one transaction whatever their size, and one that the store refused was sent again unchanged and for ever, before all others.

A group commit holds half a MB of records at most now, as base64 and the rest of the call stay below the store's 1 MB then; the rest follows at once. A refused commit is halved until the refused record is found, like the rows of backend servers. That record is set aside, told in the log and a metric, and sent again apart from the others every 2 s. No end is acknowledged meanwhile, as ends are acknowledged by one number for each server and those of that job aren't stored. A conflict with a row that can't be read is handled alike, as it held up the other records in the same way. Once the job is cancelled, its record is dropped.

--- a/internal/basilledger/acceptor.go
+++ b/internal/basilledger/acceptor.go
@@ -14,7 +14,6 @@
 
 const (
 	entriesPerJob = 3                     // of a transaction: two puts and a precondition
-	maxBatchBytes = 512 << 10             // size of a transaction's records: half of the store's limit
 	maxWorkers    = 2                     // concurrent transactions, so that the store is busy while an answer is in transit
 	maxWaiting    = 1000                  // queued records; at 200 transactions per second, callers of more would time out
 	maxAttempts   = 3                     // attempts of a transaction that gets no answer
@@ -166,7 +165,7 @@
 		if !checked {
 			entries++
 		}
-		if entries > basilplatform.MaxTransactionWrites || ids[p.id()] || checked && version != p.gate || len(batch) > 0 && bytes+len(p.body) > maxBatchBytes {
+		if entries > basilplatform.MaxTransactionWrites || ids[p.id()] || checked && version != p.gate || len(batch) > 0 && bytes+len(p.body) > MaxCommitBytes {
 			rest = append(rest, p)
 			continue
 		}
--- a/internal/basilledger/commit.go
+++ b/internal/basilledger/commit.go
@@ -12,6 +12,10 @@
 // the removal of its waiting mark, and the owner row a check, out of 100 transaction entries.
 const MaxCommitRecords = 30
 
+// MaxCommitBytes is the largest size of the bodies in a transaction of more than one record: half of the store's limit of 1 MB, as
+// bodies are sent as base64, which is a third longer, and beside the rest of the call.
+const MaxCommitBytes = 512 << 10
+
 // Entry is an encoded record of a group commit.
 type Entry struct {
 	ID      string
--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -32,6 +32,7 @@
 	startLatency    = "start_latency_ms"
 	commitLatency   = "commit_latency_ms"
 	recordsMetric   = "commit_records"
+	recordRefusals  = "commit_records_refused"
 	eventWait       = "event_wait_ms" // wait in the event queue of a pool's control goroutine
 	decisionTime    = "decision_ms"
 	stepTime        = "step_ms"
@@ -139,6 +140,9 @@
 	m.observe(commitLatency, d)
 }
 
+// recordRefused counts a record of a job that was not stored, by itself.
+func (m *metrics) recordRefused() { m.counts.Add(recordRefusals, 1) }
+
 var quantiles = []float64{50, 99, 99.9}
 
 // ServeHTTP writes the counters and the quantiles of the latencies, one "name value" line each.
--- a/internal/basilnode/owner_store.go
+++ b/internal/basilnode/owner_commit.go
@@ -1,22 +1,32 @@
 package basilnode
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"basilstage.example/basilstage/internal/basilledger"
 	"basilstage.example/basilstage/internal/basillog"
+	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilscheduler"
 	"basilstage.example/basilstage/internal/basilshard"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
+// refusedCommitDelay is the delay before a record that the store refused is sent again. No end is acknowledged meanwhile, so it is a part of
+// the seconds that backend servers list their ends for; a record that has ended by then is small.
+const refusedCommitDelay = 2 * time.Second
+
 // committer holds the state of the group commits of job records, and which ends of runs they store. An end may be
 // acknowledged to its backend server once all records that it changed are stored.
 type committer struct {
 	inFlight       bool
-	entries        []basilledger.Entry // of the transaction that is in flight or to be retried
+	entries        []basilledger.Entry // still to be stored; the first of them are in flight or to be retried
+	sent           int                 // of these, in the latest transaction
+	limit          int                 // entries of the next transaction; 0 means no limit but that of its size
+	refused        map[string]refusedEntry
 	states         map[string]basilwork.JobState
 	writer         string
 	sequence       int64
@@ -32,6 +42,60 @@
 	lastChanges    int64
 }
 
+// refusedEntry is the record of a job that the store refused by itself. It is sent again apart from the others, and no end is acknowledged
+// until it is stored.
+type refusedEntry struct {
+	basilledger.Entry
+	state basilwork.JobState
+	until time.Time // when to send it again
+}
+
+// take returns the first entries, which fit into one transaction.
+func (c *committer) take() []basilledger.Entry {
+	bytes := 0
+	for n, e := range c.entries {
+		bytes += len(e.Body)
+		if n > 0 && (n == c.limit || bytes > basilledger.MaxCommitBytes) {
+			return c.entries[:n]
+		}
+	}
+	return c.entries
+}
+
+// bisect finds the record that makes the store refuse a transaction, by halving the number of records of the next one. It returns a record
+// that was refused by itself, after it has set it aside, so that it doesn't hold up the others.
+func (c *committer) bisect(now time.Time) (refused *basilledger.Entry) {
+	c.limit = max(1, c.sent/2)
+	if c.sent > 1 {
+		return nil
+	}
+	e := c.entries[0]
+	c.entries = c.entries[1:]
+	if c.refused == nil {
+		c.refused = make(map[string]refusedEntry)
+	}
+	c.refused[e.ID] = refusedEntry{Entry: e, state: c.states[e.ID], until: now.Add(refusedCommitDelay)}
+	return &e
+}
+
+// due returns the jobs whose records are to be stored now: those that the store has refused and that are to be sent again, if there are
+// any, and otherwise those of the given ones that it has not refused.
+func (c *committer) due(ids []string, now time.Time) []string {
+	var again []string
+	for _, id := range slices.Sorted(maps.Keys(c.refused)) {
+		if !now.Before(c.refused[id].until) {
+			again = append(again, id)
+		}
+	}
+	if len(again) > 0 {
+		return again
+	}
+	return slices.DeleteFunc(ids, func(id string) bool {
+		_, ok := c.refused[id]
+		return ok
+	})
+}
+
 // stopAfterChanges has no more records stored than those with one of the first changes.
 func (c *committer) stopAfterChanges(changes int64) {
 	if !c.stopping {
@@ -96,8 +160,13 @@
 		return time.Second
 	}
 	ids, urgent := o.pool.DirtyJobs()
+	if !o.stopping {
+		ids = c.due(ids, now)
+	}
 	if len(ids) == 0 {
-		c.acknowledge(o.pool.Processed())
+		if len(c.refused) == 0 {
+			c.acknowledge(o.pool.Processed())
+		}
 		c.pendingCover, c.oldestChange = nil, time.Time{}
 		return time.Second
 	}
@@ -128,6 +197,7 @@
 	for _, id := range ids[:min(len(ids), basilledger.MaxCommitRecords)] {
 		r, ok := o.pool.Take(id)
 		if !ok {
+			o.retryRefused(id)
 			continue
 		}
 		e, err := basilledger.NewEntry(r, o.versions[id], c.writer)
@@ -144,10 +214,26 @@
 	}
 }
 
+// retryRefused adds a record that the store has refused, unless its job has ended by another process's write: it is cancelled.
+func (o *owner) retryRefused(id string) {
+	c := &o.commit
+	e, ok := c.refused[id]
+	if !ok {
+		return
+	}
+	if _, ended := o.finished[id]; ended {
+		delete(c.refused, id)
+		return
+	}
+	c.states[id] = e.state
+	c.entries = append(c.entries, e.Entry)
+}
+
 func (o *owner) sendCommit() {
 	c := &o.commit
 	c.inFlight = true
-	entries, writer := c.entries, c.writer
+	entries, writer := c.take(), c.writer
+	c.sent = len(entries)
 	row := basilledger.Owner{Shard: o.service, Key: basilshard.OwnerKey(o.service), Version: o.row.Version}
 	go func() {
 		sent := time.Now()
@@ -158,7 +244,7 @@
 }
 
 // handleCommit handles the result of a group commit. A failed one is sent again unchanged, since it may have been
-// applied without an answer.
+// applied without an answer, but for one that the store refused, or of whose rows one can't be read.
 func (o *owner) handleCommit(r basilledger.Result, err error, now time.Time) {
 	c := &o.commit
 	c.inFlight = false
@@ -179,8 +265,17 @@
 		o.cancel()
 		return
 	}
+	if basilplatform.IsErrRefused(err) || basilledger.IsErrRecordUnreadable(err) {
+		if e := c.bisect(now); e != nil {
+			o.node.metrics.recordRefused()
+			o.log.WithError(err).WithFields(logrus.Fields{
+				basillog.FieldJob: e.ID, "bytes": len(e.Body), "retry_ms": refusedCommitDelay.Milliseconds(),
+			}).Error("cannot store the record of a job; trying again apart from others")
+		}
+		return
+	}
 	if err != nil {
-		o.log.WithError(err).WithField("records", len(c.entries)).Warn("commit failed; retrying")
+		o.log.WithError(err).WithField("records", c.sent).Warn("commit failed; retrying")
 		c.retryAfter = now.Add(commitRetryDelay)
 		return
 	}
@@ -191,49 +286,17 @@
 			o.log.WithFields(logrus.Fields{basillog.FieldJob: id, basillog.FieldOutcome: s.String()}).Info("job finished")
 		}
 	}
-	c.entries = nil
-	c.acknowledge(c.covered)
-}
-
-const (
-	removalInterval = 10 * time.Second // interval between removals of finished jobs
-	retentionMargin = 30 * time.Second // added to the retention time of states, since clocks differ
-	maxRemovals     = 90               // rows per transaction, which may have 100 entries
-)
-
-// removeFinished removes finished jobs whose retention time has passed.
-func (o *owner) removeFinished(now time.Time) {
-	if now.Sub(o.lastRemoval) < removalInterval || o.stopping {
-		return
+	for _, e := range c.entries[:c.sent] {
+		delete(c.refused, e.ID)
 	}
-	o.lastRemoval = now
-	row := basilledger.Owner{Shard: o.service, Key: basilshard.OwnerKey(o.service), Version: o.row.Version}
-	var ids []string
-	for id, at := range o.finished {
-		if now.Sub(at) > o.node.options.StatusRetention+retentionMargin && len(ids) < maxRemovals {
-			ids = append(ids, id)
-		}
+	if c.limit *= 2; c.limit >= basilledger.MaxCommitRecords {
+		c.limit = 0
 	}
-	if len(ids) == 0 {
+	if c.entries = c.entries[c.sent:]; len(c.entries) > 0 {
 		return
 	}
-	go func() {
-		err := o.node.ledger.Remove(o.ctx, row, ids)
-		o.send(func(time.Time) {
-			if err != nil {
-				o.log.WithError(err).Warn("failed to remove finished jobs")
-				return
-			}
-			if len(ids) == maxRemovals {
-				o.lastRemoval = time.Time{} // there may be more
-			}
-			for _, id := range ids {
-				delete(o.finished, id)
-				delete(o.versions, id)
-			}
-			o.orders.forget(ids)
-			o.ownWrites.forget(ids)
-			o.log.WithField("jobs", len(ids)).Info("finished jobs removed")
-		})
-	}()
+	c.entries = nil
+	if len(c.refused) == 0 {
+		c.acknowledge(c.covered)
+	}
 }
--- a/internal/basilnode/owner_commit_test.go
+++ b/internal/basilnode/owner_commit_test.go
@@ -1,6 +1,9 @@
 package basilnode
 
 import (
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
@@ -37,8 +40,10 @@
 	must.NoError(t, err)
 	now := time.Now()
 	o := &owner{
-		node: &Node{options: Options{Self: basilshard.Member{Incarnation: "entry-1.1"}}}, row: basilshard.OwnerRow{Epoch: epoch},
-		log: logrus.NewEntry(basillog.Discard()), versions: make(map[string]int64), pool: basilscheduler.New(basilscheduler.Options{Epoch: epoch}, now),
+		node: &Node{options: Options{Self: basilshard.Member{Incarnation: "entry-1.1"}}, ledger: basilledger.New(store), metrics: newMetrics(nil)},
+		row:  basilshard.OwnerRow{Epoch: epoch, Version: version}, service: commitShard, ctx: t.Context(), events: make(chan event, 1),
+		log: logrus.NewEntry(basillog.Discard()), versions: make(map[string]int64), finished: make(map[string]time.Time),
+		pool: basilscheduler.New(basilscheduler.Options{Epoch: epoch}, now),
 	}
 	b := basilwork.Backend{ID: "b1", Resources: basilwork.Resources{CPU: 1 << 20, Memory: 1 << 20}}
 	o.pool.SetBackends([]basilwork.Backend{b})
@@ -73,14 +78,124 @@
 	must.NoError(t, err)
 }
 
+// commitFor makes the commits of the given time.
+func (o *committingOwner) commitFor(d time.Duration) {
+	for end := o.now.Add(d); o.now.Before(end); o.now = o.now.Add(commitDelay) {
+		o.commitIfDue(o.now)
+		for o.commit.inFlight {
+			e := <-o.events
+			e.handle(o.now)
+			o.commitIfDue(o.now)
+		}
+	}
+}
+
+// randomText returns a text of which a compressed form takes about half of the space.
+func randomText(length int) string {
+	var seed [32]byte
+	random := make([]byte, length/2)
+	_, _ = rand.NewChaCha8(seed).Read(random) // never fails
+	return hex.EncodeToString(random)
+}
+
+func newCommitStore() (*basilfake.Store, basilwork.Store) {
+	network := &basilstandin.Network{}
+	fake := new(basilfake.Store)
+	network.Listen(basilfake.StoreAddress, http.HandlerFunc(fake.ServeHTTP))
+	return fake, basilsite.NewStore(basilsite.NewClientOn(network), func() string { return basilfake.StoreAddress }, time.Second)
+}
+
+const (
+	refusingRowBytes = 4000 // limit of the rows in these tests
+	refusedJob       = 5    // the job with a larger row
+)
+
+// newRefusedCommit returns an owner with jobs of two tasks that have all ended but one of the refused job's, whose record is larger than the
+// limit of the store, and the number of ends.
+func newRefusedCommit(t *testing.T, jobs int) (o *committingOwner, fake *basilfake.Store, ends int64) {
+	fake, store := newCommitStore()
+	o = newCommittingOwner(t, store, 1)
+	for n := range jobs {
+		r := basilwork.Record{State: basilwork.JobStatePending, Job: basilwork.Job{
+			ID: commitJobID(n), Queue: "quote", QueueID: "quote", Steps: []basilwork.Step{{Count: 2, Resources: basilwork.Resources{CPU: 1}, Estimate: time.Second}},
+		}}
+		if n == refusedJob {
+			r.Job.Payload = randomText(3 * refusingRowBytes) // compressed, it is too large too
+		}
+		a, err := basilledger.NewAcceptance(&r)
+		must.NoError(t, err)
+		must.NoError(t, o.ledger.Accept(t.Context(), commitShard, a))
+		o.addJob(t, r.Job.ID)
+	}
+	fake.SetLimits(basilfake.StoreLimits{RowBytes: refusingRowBytes})
+	attempts := o.startAll()
+	var list []basilwork.EndedRun
+	for n := range jobs {
+		for index := range 2 {
+			if n == refusedJob && index == 1 {
+				continue
+			}
+			id := commitJobID(n)
+			ends++
+			list = append(list, basilwork.EndedRun{Number: ends, Task: basilwork.TaskID{Job: id, Index: index}.String(), Attempt: attempts[id], End: basilwork.RunEndDone})
+		}
+	}
+	o.pool.Report("b1", basilwork.Report{Ended: list}, o.now, o.now)
+	return o, fake, ends
+}
+
+func commitJobID(n int) string { return fmt.Sprintf("%016x", n+1) }
+
+// storedState returns the stored state of a job.
+func (o *committingOwner) storedState(t *testing.T, n int) basilwork.JobState {
+	r, _, err := o.ledger.Find(t.Context(), commitShard, commitJobID(n))
+	must.NoError(t, err)
+	return r.State
+}
+
+// TestRefusedRecordDoesNotHoldUpOthers checks that all records are stored but the one that the store refuses, that no end is acknowledged
+// meanwhile, since those of that job's runs aren't stored, and that it is stored once the store takes it.
+func TestRefusedRecordDoesNotHoldUpOthers(t *testing.T) {
+	const jobs = 12
+	o, fake, ends := newRefusedCommit(t, jobs)
+	o.commitFor(refusedCommitDelay + time.Second)
+	for n := range jobs {
+		want := basilwork.JobStateCompleted
+		if n == refusedJob {
+			want = basilwork.JobStatePending
+		}
+		must.Eq(t, want, o.storedState(t, n), must.Sprint(n))
+	}
+	must.Zero(t, o.commit.acked["b1"])
+	must.StrContains(t, shownMetrics(o.owner), "basilstage_commit_records_refused 2")
+
+	fake.SetLimits(basilfake.StoreLimits{})
+	o.commitFor(refusedCommitDelay + time.Second)
+	must.Eq(t, basilwork.JobStateActive, o.storedState(t, refusedJob))
+	must.Eq(t, ends, o.commit.acked["b1"])
+}
+
+// TestRefusedRecordOfCancelledJob checks that ends are acknowledged again after the job whose record is refused was cancelled.
+func TestRefusedRecordOfCancelledJob(t *testing.T) {
+	o, fake, ends := newRefusedCommit(t, refusedJob+1)
+	o.commitFor(time.Second)
+	must.Zero(t, o.commit.acked["b1"])
+	fake.SetLimits(basilfake.StoreLimits{})
+	id := commitJobID(refusedJob)
+	must.NoError(t, o.ledger.Cancel(t.Context(), commitShard, "quote", id))
+	r, version, err := o.ledger.Find(t.Context(), commitShard, id)
+	must.NoError(t, err)
+	o.applyJob(&storedJob{Record: r, id: id, version: version})
+	fake.SetLimits(basilfake.StoreLimits{RowBytes: refusingRowBytes})
+	o.commitFor(refusedCommitDelay + time.Second)
+	must.Eq(t, ends, o.commit.acked["b1"])
+}
+
 // TestCompletedJobIsStoredByLaterOwnership checks that a job whose last task has ended is stored as completed when the entry host had
 // owned the pool before, and another job of the same transaction is cancelled meanwhile.
 func TestCompletedJobIsStoredByLaterOwnership(t *testing.T) {
 	const job, cancelled = "0000000000000001", "0000000000000002"
-	network := &basilstandin.Network{}
-	var fake basilfake.Store
-	network.Listen(basilfake.StoreAddress, http.HandlerFunc(fake.ServeHTTP))
-	store := basilsite.NewStore(basilsite.NewClientOn(network), func() string { return basilfake.StoreAddress }, time.Second)
+	_, store := newCommitStore()
 	first := newCommittingOwner(t, store, 1)
 	for _, id := range []string{job, cancelled} {
 		a, err := basilledger.NewAcceptance(&basilwork.Record{State: basilwork.JobStatePending, Job: basilwork.Job{
