scheduler: count a crash though its server was known to have ended

Since a new owner takes silent backend servers for ended by the list of hosts, it dropped them at once, and with them the connection that sees another one at the same address. That is how a crash beside a change of owner is known, which counts for the tasks that have crashed others before.

Servers that have ended are kept, with their rows and connections, until their leases would have run out, as long as the tasks that may have crashed them are held back. Nothing else waits for them.

TestCrashIsCountedThoughItsServerHadEnded failed before in its second case; the first one, without the list, held.

--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -53,6 +53,7 @@
 	doneOccurrences  []*occurrence       // done occurrences without runs, to be removed
 	startedAt        time.Time
 	predecessorUntil map[string]time.Time        // backend servers that may have runs of a predecessor, and until when
+	predecessorEnded map[string]time.Time        // those that have ended, and until when they might have had runs otherwise
 	suspectsUntil    time.Time                   // until when tasks that may have crashed such a server are held back
 	queues           map[string]*basilwork.Queue // by ID, also those that the configuration no longer has
 	namedQueues      map[string]*basilwork.Queue // the same by name
@@ -83,6 +84,7 @@
 		dirty:            make(map[string]*job),
 		backends:         make(map[string]*backend),
 		predecessorUntil: make(map[string]time.Time),
+		predecessorEnded: make(map[string]time.Time),
 		queues:           make(map[string]*basilwork.Queue),
 		namedQueues:      make(map[string]*basilwork.Queue),
 		runTimes:         make(map[runTimeKey]*runTimeRatio),
@@ -180,7 +182,7 @@
 			p.layoutVersion++
 		}
 		b.present = false
-		if len(b.runs)+len(b.orphans) == 0 && p.predecessorUntil[id].IsZero() {
+		if len(b.runs)+len(b.orphans) == 0 && !p.mayHavePredecessorRuns(id) {
 			p.forgetBackend(id)
 		}
 	}
@@ -226,7 +228,7 @@
 		b.attached = true
 		p.forgetSilence(b)
 	}
-	delete(p.predecessorUntil, id)
+	p.forgetPredecessor(id)
 }
 
 // SetRecorded sets whether the backend server is stored as one that may have runs.
@@ -291,10 +293,10 @@
 
 // Lost removes an incarnation of a backend server that has no runs any more.
 func (p *Pool) Lost(id string, reason basilwork.Loss, now time.Time) {
-	if reason == basilwork.LossReplaced && !p.predecessorUntil[id].IsZero() {
+	if reason == basilwork.LossReplaced && p.mayHavePredecessorRuns(id) {
 		p.inheritedCrash = true
 	}
-	delete(p.predecessorUntil, id)
+	p.forgetPredecessor(id)
 	b := p.backends[id]
 	if b == nil {
 		return
@@ -359,5 +361,5 @@
 
 // MayHaveRuns reports whether the backend server may have runs of this owner, or unreported runs of a previous one.
 func (p *Pool) MayHaveRuns(id string) bool {
-	return p.Busy(id) || !p.predecessorUntil[id].IsZero()
+	return p.Busy(id) || p.mayHavePredecessorRuns(id)
 }
--- a/internal/basilscheduler/predecessor.go
+++ b/internal/basilscheduler/predecessor.go
@@ -22,9 +22,29 @@
 	p.backends[entry.ID].present = false
 }
 
-// SilentPredecessorBackends returns the backend servers that may have runs of a previous owner and have not answered, and until when.
+// SilentPredecessorBackends returns the backend servers that may have runs of a previous owner and have not answered, and until when. Those that
+// have ended meanwhile are among them.
 func (p *Pool) SilentPredecessorBackends() iter.Seq2[string, time.Time] {
-	return maps.All(p.predecessorUntil)
+	return func(yield func(string, time.Time) bool) {
+		for _, m := range []map[string]time.Time{p.predecessorUntil, p.predecessorEnded} {
+			for id, until := range m {
+				if !yield(id, until) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// forgetPredecessor drops a backend server that has answered, or is gone.
+func (p *Pool) forgetPredecessor(id string) {
+	delete(p.predecessorUntil, id)
+	delete(p.predecessorEnded, id)
+}
+
+// mayHavePredecessorRuns reports whether the backend server may have had runs of a previous owner that it has not reported.
+func (p *Pool) mayHavePredecessorRuns(id string) bool {
+	return !p.predecessorUntil[id].IsZero() || !p.predecessorEnded[id].IsZero()
 }
 
 // PredecessorBackends returns the number of backend servers that may have runs of a previous owner and have not answered.
@@ -46,7 +66,7 @@
 // server isn't waited for.
 //
 // It may have crashed under a task that has crashed others before. Such tasks stay held back until its leases would have run out, so that they
-// don't crash more servers than are counted.
+// don't crash more servers than are counted, and until then its successor is watched for, which tells of a crash.
 func (p *Pool) PredecessorEnded(id string) bool {
 	until, ok := p.predecessorUntil[id]
 	if !ok {
@@ -56,6 +76,7 @@
 		p.suspectsUntil = until
 	}
 	delete(p.predecessorUntil, id)
+	p.predecessorEnded[id] = until
 	return true
 }
 
@@ -69,6 +90,7 @@
 		}
 		delete(p.predecessorUntil, id)
 	}
+	maps.DeleteFunc(p.predecessorEnded, func(_ string, until time.Time) bool { return !now.Before(until) })
 	if now.Before(p.suspectsUntil) {
 		p.wakeAt(p.suspectsUntil)
 	}
--- a/internal/basilscheduler/predecessor_test.go
+++ b/internal/basilscheduler/predecessor_test.go
@@ -88,3 +88,28 @@
 	must.Len(t, 1, starts)
 	must.Eq(t, "suspected.0.0.0", starts[0].Task.String())
 }
+
+// TestCrashIsCountedThoughItsServerHadEnded checks that a crash beside a change of owner counts for the tasks that have crashed others before, also
+// if the list of hosts told that the backend server had ended before its host was seen with another one.
+func TestCrashIsCountedThoughItsServerHadEnded(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		f := newFixture(t)
+		r := basilwork.Record{Job: basilwork.Job{ID: "j", Queue: "quote", Steps: []basilwork.Step{stepOf(1, 1000)}}, Accepted: f.now.UnixMilli()}
+		progress := &basilwork.OccurrenceProgress{Steps: make([]basilwork.StepProgress, 1)}
+		progress.Steps[0].AddCrash(0, basilwork.Crash{Attempt: 1, Weight: 1})
+		r.Progress = map[int]*basilwork.OccurrenceProgress{0: progress}
+		f.AddJob(r, true)
+		f.AddPredecessorBackend(backendOf("b1", 16000), time.Time{})
+		f.setBackends(backendOf("b2", 16000))
+		f.decideAndStart()
+		if listed {
+			must.True(t, f.PredecessorEnded("b1"))
+		}
+		f.advance(3 * time.Second)
+		f.setBackends(backendOf("b2", 16000))
+		must.True(t, f.MayHaveRuns("b1"), must.Sprintf("its successor tells of the crash; listed: %v", listed))
+		f.Lost("b1", basilwork.LossReplaced, f.now)
+		f.decideAndStart()
+		must.Len(t, 2, progress.Steps[0].Crashes[0], must.Sprintf("listed: %v", listed))
+	}
+}
