node: wait for silent backend servers as long as their rows tell

The wait for a silent backend server was cut to the grace period of the owner that reads its row. That period tells of the owner right before only. The time of the row holds now.

The end of the wait was also taken from a time that was read before the store's clock, so that a pause of the process between the two shortened it by as much.

TestWaitForSilentBackendEndsAtTheGivenTime asked for the cut; it asks for the exact time of the row now, and for the grace period without one.

Not mended: a predecessor that ends within its first second stores no silences, and its successor waits for the grace period that its end allows.

--- a/internal/basilnode/owner_records.go
+++ b/internal/basilnode/owner_records.go
@@ -18,9 +18,9 @@
 	if err != nil {
 		return err
 	}
-	now, expired := time.Now(), 0
+	expired := 0
 	for _, b := range list {
-		if o.addPredecessor(b, now) {
+		if o.addPredecessor(b) {
 			expired++
 		}
 	}
--- a/internal/basilnode/silences.go
+++ b/internal/basilnode/silences.go
@@ -62,7 +62,7 @@
 }
 
 // addPredecessor adds a backend server of the previous owner to the pool, unless its leases have run out, and connects to it.
-func (o *owner) addPredecessor(b basilwork.Backend, now time.Time) (expired bool) {
+func (o *owner) addPredecessor(b basilwork.Backend) (expired bool) {
 	s := o.records.rows[b.ID].silence
 	left, known := s.left(o.node.options.StoreClock, o.row.Since)
 	if known && left == 0 {
@@ -70,7 +70,7 @@
 	}
 	var until time.Time
 	if known {
-		until = now.Add(left)
+		until = time.Now().Add(left) // read after the store's clock, so that a pause between the two doesn't shorten the wait
 		o.records.silences[b.ID] = s
 	}
 	o.pool.AddPredecessorBackend(b, until)
--- a/internal/basilscheduler/predecessor.go
+++ b/internal/basilscheduler/predecessor.go
@@ -9,13 +9,13 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
-// AddPredecessorBackend adds a backend server that may have runs of a previous owner until the given time, or until the grace period has
-// passed.
+// AddPredecessorBackend adds a backend server that may have runs of a previous owner until the given time, or, if that is zero, until the grace
+// period has passed. The given time may be the later one: the grace period tells of the owner right before this one, not of those before it.
 //
 // Until it has answered or that time has come, those tasks of adopted jobs are not started that may run there.
 func (p *Pool) AddPredecessorBackend(entry basilwork.Backend, until time.Time) {
-	if graceEnd := p.startedAt.Add(p.options.Grace); until.IsZero() || until.After(graceEnd) {
-		until = graceEnd
+	if until.IsZero() {
+		until = p.startedAt.Add(p.options.Grace)
 	}
 	p.predecessorUntil[entry.ID] = until
 	p.setBackend(entry)
--- a/internal/basilscheduler/predecessor_test.go
+++ b/internal/basilscheduler/predecessor_test.go
@@ -47,16 +47,21 @@
 	must.Len(t, 2, f.decideAndStart())
 }
 
-// TestWaitForSilentBackendEndsAtTheGivenTime checks that tasks are held back no longer than a former owner's leases last, and in no case
-// longer than the grace period.
+// TestWaitForSilentBackendEndsAtTheGivenTime checks that tasks are held back exactly as long as a former owner's leases last, which may be longer
+// than the grace period, and for the grace period if that isn't known.
 func TestWaitForSilentBackendEndsAtTheGivenTime(t *testing.T) {
 	for _, c := range []struct{ until, waits time.Duration }{
 		{2 * time.Second, 2 * time.Second},
-		{time.Minute, 14 * time.Second},
+		{time.Minute, time.Minute},
+		{0, 14 * time.Second},
 	} {
 		f := newFixture(t)
 		f.AddJob(basilwork.Record{Job: basilwork.Job{ID: "j", Queue: "quote", Steps: []basilwork.Step{longStep(1, 1000)}}, Accepted: f.now.UnixMilli()}, true)
-		f.AddPredecessorBackend(backendOf("b1", 16000), f.now.Add(c.until))
+		var until time.Time
+		if c.until > 0 {
+			until = f.now.Add(c.until)
+		}
+		f.AddPredecessorBackend(backendOf("b1", 16000), until)
 		f.setBackends(backendOf("b2", 16000))
 		f.advance(c.waits - time.Millisecond)
 		must.SliceEmpty(t, f.decideAndStart())
