--- a/internal/basilscheduler/predecessor.go
+++ b/internal/basilscheduler/predecessor.go
@@ -9,22 +9,42 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
-// AddPredecessorBackend adds a backend server that may have runs of a previous owner until the given time, or until the grace period has
-// passed.
+// AddPredecessorBackend adds a backend server that may have runs of a previous owner until the given time, or, if that is zero, until the grace
+// period has passed. The given time may be the later one: the grace period tells of the owner right before this one, not of those before it.
 //
 // Until it has answered or that time has come, those tasks of adopted jobs are not started that may run there.
 func (p *Pool) AddPredecessorBackend(entry basilwork.Backend, until time.Time) {
-	if graceEnd := p.startedAt.Add(p.options.Grace); until.IsZero() || until.After(graceEnd) {
-		until = graceEnd
+	if until.IsZero() {
+		until = p.startedAt.Add(p.options.Grace)
 	}
 	p.predecessorUntil[entry.ID] = until
 	p.setBackend(entry)
 	p.backends[entry.ID].present = false
 }
 
-// SilentPredecessorBackends returns the backend servers that may have runs of a previous owner and have not answered, and until when.
+// SilentPredecessorBackends returns the backend servers that may have runs of a previous owner and have not answered, and until when. Those that
+// have ended meanwhile are among them.
 func (p *Pool) SilentPredecessorBackends() iter.Seq2[string, time.Time] {
-	return maps.All(p.predecessorUntil)
+	return func(yield func(string, time.Time) bool) {
+		for _, m := range []map[string]time.Time{p.predecessorUntil, p.predecessorEnded} {
+			for id, until := range m {
+				if !yield(id, until) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// forgetPredecessor drops a backend server that has answered, or is gone.
+func (p *Pool) forgetPredecessor(id string) {
+	delete(p.predecessorUntil, id)
+	delete(p.predecessorEnded, id)
+}
+
+// mayHavePredecessorRuns reports whether the backend server may have had runs of a previous owner that it has not reported.
+func (p *Pool) mayHavePredecessorRuns(id string) bool {
+	return !p.predecessorUntil[id].IsZero() || !p.predecessorEnded[id].IsZero()
 }
 
 // PredecessorBackends returns the number of backend servers that may have runs of a previous owner and have not answered.
@@ -42,12 +62,12 @@
 // PredecessorUntil returns until when the backend server may have runs of a previous owner that it has not reported, or the zero time.
 func (p *Pool) PredecessorUntil(id string) time.Time { return p.predecessorUntil[id] }
 
-// predecessorEnded records that a silent backend server of a previous owner has ended, and all runs there with it. It returns false if the
+// endPredecessor records that a silent backend server of a previous owner has ended, and all runs there with it. It returns false if the
 // server isn't waited for.
 //
 // It may have crashed under a task that has crashed others before. Such tasks stay held back until its leases would have run out, so that they
-// don't crash more servers than are counted.
-func (p *Pool) predecessorEnded(id string) bool {
+// don't crash more servers than are counted, and until then its successor is watched for, which tells of a crash.
+func (p *Pool) endPredecessor(id string) bool {
 	until, ok := p.predecessorUntil[id]
 	if !ok {
 		return false
@@ -56,6 +76,7 @@
 		p.suspectsUntil = until
 	}
 	delete(p.predecessorUntil, id)
+	p.predecessorEnded[id] = until
 	return true
 }
 
@@ -76,7 +97,7 @@
 // Long-running tasks that were at work there may start elsewhere. Other tasks may have crashed the server, and wait until it is lost, so that
 // they don't crash more servers than are counted.
 func (p *Pool) Ended(id string, now time.Time) bool {
-	if p.predecessorEnded(id) {
+	if p.endPredecessor(id) {
 		return true
 	}
 	b := p.backends[id]
@@ -106,6 +127,7 @@
 		}
 		delete(p.predecessorUntil, id)
 	}
+	maps.DeleteFunc(p.predecessorEnded, func(_ string, until time.Time) bool { return !now.Before(until) })
 	if now.Before(p.suspectsUntil) {
 		p.wakeAt(p.suspectsUntil)
 	}
--- a/internal/basilscheduler/predecessor_test.go
+++ b/internal/basilscheduler/predecessor_test.go
@@ -47,16 +47,21 @@
 	must.Len(t, 2, f.decideAndStart())
 }
 
-// TestWaitForSilentBackendEndsAtTheGivenTime checks that tasks are held back no longer than a former owner's leases last, and in no case
-// longer than the grace period.
+// TestWaitForSilentBackendEndsAtTheGivenTime checks that tasks are held back exactly as long as a former owner's leases last, which may be longer
+// than the grace period, and for the grace period if that isn't known.
 func TestWaitForSilentBackendEndsAtTheGivenTime(t *testing.T) {
 	for _, c := range []struct{ until, waits time.Duration }{
 		{2 * time.Second, 2 * time.Second},
-		{time.Minute, 14 * time.Second},
+		{time.Minute, time.Minute},
+		{0, 14 * time.Second},
 	} {
 		f := newFixture(t)
 		f.AddJob(basilwork.Record{Job: basilwork.Job{ID: "j", Queue: "quote", Steps: []basilwork.Step{longStep(1, 1000)}}, Accepted: f.now.UnixMilli()}, true)
-		f.AddPredecessorBackend(backendOf("b1", 16000), f.now.Add(c.until))
+		var until time.Time
+		if c.until > 0 {
+			until = f.now.Add(c.until)
+		}
+		f.AddPredecessorBackend(backendOf("b1", 16000), until)
 		f.setBackends(backendOf("b2", 16000))
 		f.advance(c.waits - time.Millisecond)
 		must.SliceEmpty(t, f.decideAndStart())
@@ -114,3 +119,28 @@
 	must.Len(t, 1, starts)
 	must.Eq(t, "short.0.0.0", starts[0].Task.String())
 }
+
+// TestCrashIsCountedThoughItsServerHadEnded checks that a crash beside a change of owner counts for the tasks that have crashed others before, also
+// if the list of hosts told that the backend server had ended before its host was seen with another one.
+func TestCrashIsCountedThoughItsServerHadEnded(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		f := newFixture(t)
+		r := basilwork.Record{Job: basilwork.Job{ID: "j", Queue: "quote", Steps: []basilwork.Step{stepOf(1, 1000)}}, Accepted: f.now.UnixMilli()}
+		progress := &basilwork.OccurrenceProgress{Steps: make([]basilwork.StepProgress, 1)}
+		progress.Steps[0].AddCrash(0, basilwork.Crash{Attempt: 1, Weight: 1})
+		r.Progress = map[int]*basilwork.OccurrenceProgress{0: progress}
+		f.AddJob(r, true)
+		f.AddPredecessorBackend(backendOf("b1", 16000), time.Time{})
+		f.setBackends(backendOf("b2", 16000))
+		f.decideAndStart()
+		if listed {
+			must.True(t, f.Ended("b1", f.now))
+		}
+		f.advance(3 * time.Second)
+		f.setBackends(backendOf("b2", 16000))
+		must.True(t, f.MayHaveRuns("b1"), must.Sprintf("its successor tells of the crash; listed: %v", listed))
+		f.Lost("b1", basilwork.LossReplaced, f.now)
+		f.decideAndStart()
+		must.Len(t, 2, progress.Steps[0].Crashes[0], must.Sprintf("listed: %v", listed))
+	}
+}
