--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -1,6 +1,7 @@
 package basilrunner
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -40,7 +41,9 @@
 	Commander basilwork.Commander
 	Sink      Sink
 	Fence     int64
-	MaxLease  time.Duration
+	MaxLease  time.Duration // the longest that backend servers grant
+	Term      time.Duration // of the leases that holds request, if it is shorter than MaxLease less a margin; 0 for no limit
+	Inherited time.Time     // until when leases that former owners have granted may last; zero for none
 	// MayStart and MayHold report whether the owner's own lease allows it to start runs and to renew leases.
 	MayStart func() bool
 	MayHold  func() bool
@@ -52,6 +55,12 @@
 	HoldInterval func() time.Duration
 }
 
+// term returns how long requested leases are.
+func (o *Options) term() time.Duration {
+	longest := o.MaxLease - leaseMargin
+	return min(longest, cmp.Or(o.Term, longest))
+}
+
 // Connection is the connection of a shard's owner to one incarnation of a backend server.
 type Connection struct {
 	options     Options
@@ -64,6 +73,7 @@
 	ackAnswered int64 // newest acknowledgement that the backend server has answered
 	busy        bool
 	watched     bool      // the runs there are stopped, and reports are needed until they are gone
+	suspended   bool      // leases are not extended
 	heldAt      time.Time // when the last hold was sent
 	attached    bool
 	reachable   bool
@@ -113,6 +123,13 @@
 	}
 }
 
+// SetSuspended sets whether leases are not extended for now. Starts extend them too, and have to be held back by the caller.
+func (c *Connection) SetSuspended(suspended bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.suspended = suspended
+}
+
 // SetWatched sets whether reports are needed until runs that are being stopped have ended. Their leases are not extended for that.
 func (c *Connection) SetWatched(watched bool) {
 	c.mutex.Lock()
@@ -227,8 +244,8 @@
 	if c.attached && c.firstMissAt.IsZero() && c.acked > c.ackAnswered {
 		o.Acknowledged = c.acked // not after a miss, when the backend server may have restarted
 	}
-	if c.lease.Known() && c.mayRenew(sent) && c.busy && c.options.MayHold() {
-		o.Deadline = c.lease.Deadline(sent, c.options.MaxLease-leaseMargin)
+	if c.lease.Known() && c.mayRenew(sent) && c.busy && !c.suspended && c.options.MayHold() {
+		o.Deadline = c.lease.Deadline(sent, c.options.term())
 	}
 	timeout := c.holdTimeout(sent)
 	b := c.backend
@@ -332,11 +349,14 @@
 // expiry returns the time at which all runs have certainly ended. An idle backend server may have runs that this owner doesn't
 // know, with the longest lease or one that was renewed without an answer. The caller must hold the mutex.
 func (c *Connection) expiry() time.Time {
-	sent, longest := c.lease.Expiry(), c.lease.LastExpiry(c.options.MaxLease)
-	if c.busy || sent.After(longest) {
+	sent, others := c.lease.Expiry(), c.options.Inherited
+	if !c.busy {
+		others = c.lease.LastExpiry(c.options.MaxLease)
+	}
+	if sent.After(others) {
 		return sent
 	}
-	return longest
+	return others
 }
 
 func (c *Connection) pause(ctx context.Context, err error) {
--- a/internal/basilscheduler/lost_connection_test.go
+++ b/internal/basilscheduler/lost_connection_test.go
@@ -23,6 +23,8 @@
 	ackAnswered int64
 	busy        bool
 	watched     bool
+	suspended   bool
+	inherited   time.Time // until when leases of former owners may last
 	attached    bool
 	reachable   bool
 	lost        bool
@@ -35,7 +37,7 @@
 	if o.connections[b.ID] != nil {
 		return
 	}
-	c := &playConnection{owner: o, id: b.ID, address: b.Address, startedAt: b.StartedAt, reachable: true}
+	c := &playConnection{owner: o, id: b.ID, address: b.Address, startedAt: b.StartedAt, reachable: true, inherited: o.PredecessorUntil(b.ID)}
 	o.connections[b.ID] = c
 	c.run()
 }
@@ -56,7 +58,7 @@
 	if c.attached && c.firstMiss.IsZero() && c.acked > c.ackAnswered {
 		order.Acknowledged = c.acked
 	}
-	if c.lease.Known() && c.busy && (c.firstMiss.IsZero() || p.now.Sub(c.lease.LastAnswer()) < playRenewalLimit) {
+	if c.lease.Known() && c.busy && !c.suspended && (c.firstMiss.IsZero() || p.now.Sub(c.lease.LastAnswer()) < playRenewalLimit) {
 		order.Deadline = c.lease.Deadline(p.now, playMaxHold-300*time.Millisecond)
 	}
 	sent := p.now
@@ -100,9 +102,12 @@
 		c.reachable = false
 		o.SetReachable(c.id, false)
 	}
-	expiry := c.lease.Expiry()
-	if longest := c.lease.LastExpiry(playMaxHold); !c.busy && longest.After(expiry) {
-		expiry = longest
+	expiry, others := c.lease.Expiry(), c.inherited
+	if !c.busy {
+		others = c.lease.LastExpiry(playMaxHold)
+	}
+	if others.After(expiry) {
+		expiry = others
 	}
 	if c.attached && now.After(expiry) {
 		o.lost(c, basilwork.LossExpired)
@@ -132,5 +137,6 @@
 	o.Report(c.id, r, sent, now)
 	if first {
 		o.Attached(c.id)
+		delete(o.silences, c.id)
 	}
 }
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -54,6 +53,7 @@
 	doneOccurrences  []*occurrence       // done occurrences without runs, to be removed
 	startedAt        time.Time
 	predecessorUntil map[string]time.Time        // backend servers that may have runs of a predecessor, and until when
+	suspectsUntil    time.Time                   // until when tasks that may have crashed such a server are held back
 	queues           map[string]*basilwork.Queue // by ID, also those that the configuration no longer has
 	namedQueues      map[string]*basilwork.Queue // the same by name
 	runTimes         map[runTimeKey]*runTimeRatio
@@ -117,27 +117,6 @@
 // SetStartLimit limits the number of starts per decision. A gang is started as a whole even if it exceeds the limit.
 func (p *Pool) SetStartLimit(starts int) { p.startLimit = starts }
 
-// AddPredecessorBackend adds a backend server that may have runs of a previous owner.
-//
-// Until it has answered or the grace period has passed, no tasks of adopted jobs are started.
-func (p *Pool) AddPredecessorBackend(entry basilwork.Backend) {
-	p.predecessorUntil[entry.ID] = p.startedAt.Add(p.options.Grace)
-	p.setBackend(entry)
-	p.backends[entry.ID].present = false
-}
-
-// PredecessorBackends returns the number of backend servers that may have runs of a previous owner and have not answered.
-func (p *Pool) PredecessorBackends() int { return len(p.predecessorUntil) }
-
-// SomePredecessorBackends returns the IDs of up to limit of these backend servers, and how long the last of all is waited for at most.
-func (p *Pool) SomePredecessorBackends(limit int, now time.Time) (ids []string, left time.Duration) {
-	ids = slices.Sorted(maps.Keys(p.predecessorUntil))
-	for _, until := range p.predecessorUntil {
-		left = max(left, until.Sub(now))
-	}
-	return ids[:min(len(ids), limit)], left
-}
-
 // AddJob adds a stored job. With adopted set, a previous owner may have started tasks of it.
 func (p *Pool) AddJob(r basilwork.Record, adopted bool) {
 	if p.jobs[r.Job.ID] != nil || r.State.Final() {
@@ -250,10 +229,10 @@
 	delete(p.predecessorUntil, id)
 }
 
-// Recorded records that the backend server is stored as one that may have runs.
-func (p *Pool) Recorded(id string) {
+// SetRecorded sets whether the backend server is stored as one that may have runs.
+func (p *Pool) SetRecorded(id string, recorded bool) {
 	if b := p.backends[id]; b != nil {
-		b.recorded = true
+		b.recorded = recorded
 	}
 }
 
