ledger: store records compressed that outgrow their rows

Cause: a job is accepted if its row fits into the store's limit, but the row grows afterwards: by the progress of each step, the ID of the commit and the time of the end.

A record that is refused by itself is stored compressed now, and if that is too large as well, without the checkpoints of its tasks, which only save work. Further records of the job begin with that form until it ends. Cancelling does the same. Reading tells the forms apart by their first bytes.

Not covered: a record that is too large even so, say of hundreds of thousands of tasks that end in no order; it is told in the log and the metric commit_records_refused, and no end of the service is acknowledged until it fits, at the latest when the job has ended.

TestJobIsStoredThoughItOutgrowsItsRow and TestJobOfLargestRowIsCancelled failed before.

--- a/internal/basilledger/acceptor.go
+++ b/internal/basilledger/acceptor.go
@@ -32,7 +32,7 @@
 
 // NewAcceptance returns the acceptance of a job; it fails with ErrRecordUnreadable.
 func NewAcceptance(r *basilwork.Record) (Acceptance, error) {
-	w, err := recordWrite(basilplatform.Key{Sort: r.Job.ID}, 0, r)
+	w, err := recordWrite(basilplatform.Key{Sort: r.Job.ID}, 0, r, FormPlain)
 	return Acceptance{record: *r, body: w.Body}, err
 }
 
--- a/internal/basilledger/commit.go
+++ b/internal/basilledger/commit.go
@@ -22,18 +22,19 @@
 	Queue   string // key of the job's queue
 	Started bool
 	Version int64 // of the stored row
+	Form    Form
 	Body    []byte
 }
 
 // NewEntry encodes a record; the commit ID is one that CommitID returned.
-func NewEntry(r basilwork.Record, version int64, commitID string) (Entry, error) {
+func NewEntry(r basilwork.Record, version int64, commitID string, f Form) (Entry, error) {
 	r.Writer = commitID
-	w, err := recordWrite(basilplatform.Key{Sort: r.Job.ID}, version, &r)
+	body, err := encodeRecord(&r, f)
 	if err != nil {
 		return Entry{}, err
 	}
 	return Entry{
-		ID: r.Job.ID, Queue: r.Job.QueueKey(), Started: r.State != basilwork.JobStatePending, Version: version, Body: w.Body,
+		ID: r.Job.ID, Queue: r.Job.QueueKey(), Started: r.State != basilwork.JobStatePending, Version: version, Form: f, Body: body,
 	}, nil
 }
 
--- a/internal/basilledger/ledger.go
+++ b/internal/basilledger/ledger.go
@@ -43,16 +43,20 @@
 // Decode decodes a stored record; it fails with ErrRecordUnreadable.
 func Decode(i basilplatform.Item) (basilwork.Record, error) {
 	var r basilwork.Record
-	if err := json.Unmarshal(i.Body, &r); err != nil {
+	body, err := decompress(i.Body)
+	if err == nil {
+		err = json.Unmarshal(body, &r)
+	}
+	if err != nil {
 		return r, errors.WithStack(ErrRecordUnreadable{Key: i.Key.Sort, Cause: err})
 	}
 	return r, nil
 }
 
-func recordWrite(k basilplatform.Key, version int64, r *basilwork.Record) (basilplatform.Write, error) {
-	body, err := json.Marshal(r)
+func recordWrite(k basilplatform.Key, version int64, r *basilwork.Record, f Form) (basilplatform.Write, error) {
+	body, err := encodeRecord(r, f)
 	if err != nil {
-		return basilplatform.Write{}, errors.WithStack(ErrRecordUnreadable{Key: k.Sort, Cause: err})
+		return basilplatform.Write{}, err
 	}
 	w := basilplatform.Write{
 		Kind: basilplatform.WriteKindPut, Key: k, Precondition: basilplatform.PreconditionVersion, Version: version, Body: body,
@@ -111,6 +115,7 @@
 // ErrJobNotExist, ErrUnavailable or ErrOutcomeUnknown.
 func (l *Ledger) Cancel(ctx context.Context, service, queueID, id string) error {
 	var err error
+	var form Form
 	for range cancelAttempts {
 		var r basilwork.Record
 		var version int64
@@ -129,12 +134,15 @@
 		r.Progress = nil
 		r.Writer = ""
 		var w basilplatform.Write
-		if w, err = recordWrite(Key(service, id), version, &r); err != nil {
+		if w, err = recordWrite(Key(service, id), version, &r, form); err != nil {
 			return err
 		}
 		deleteMark := basilplatform.Write{Kind: basilplatform.WriteKindDelete, Key: WaitingKey(service, r.Job.QueueKey(), id), Precondition: basilplatform.PreconditionNone}
 		err = l.store.Transact(ctx, basilplatform.Transaction{Writes: []basilplatform.Write{w, deleteMark}})
-		if err == nil || !basilplatform.IsErrConditionFailed(err) {
+		switch {
+		case basilplatform.IsErrRefused(err) && form == FormPlain: // the time of the end may make the row too large
+			form = FormCompressed
+		case err == nil || !basilplatform.IsErrConditionFailed(err):
 			return err
 		}
 	}
--- a/internal/basilnode/owner_commit.go
+++ b/internal/basilnode/owner_commit.go
@@ -15,8 +15,8 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
-// refusedCommitDelay is the delay before a record that the store refused is sent again. No end is acknowledged meanwhile, so it is a part of
-// the seconds that backend servers list their ends for; a record that has ended by then is small.
+// refusedCommitDelay is the delay before a record that the store refused is sent again: short, as no end is acknowledged meanwhile, and long
+// enough to cost little of the 300 transactions a second that a partition takes.
 const refusedCommitDelay = 2 * time.Second
 
 // committer holds the state of the group commits of job records, and which ends of runs they store. An end may be
@@ -27,6 +27,7 @@
 	sent           int                 // of these, in the latest transaction
 	limit          int                 // entries of the next transaction; 0 means no limit but that of its size
 	refused        map[string]refusedEntry
+	forms          map[string]basilledger.Form // by job: the form of records that were refused in larger ones
 	states         map[string]basilwork.JobState
 	writer         string
 	sequence       int64
@@ -62,14 +63,20 @@
 	return c.entries
 }
 
-// bisect finds the record that makes the store refuse a transaction, by halving the number of records of the next one. It returns a record
-// that was refused by itself, after it has set it aside, so that it doesn't hold up the others.
+// bisect finds the record that makes the store refuse a transaction, by halving the number of records of the next one. A record that was
+// refused by itself gets a smaller form. It returns one that was refused in the smallest, after it has set it aside, so that it doesn't hold
+// up the others.
 func (c *committer) bisect(now time.Time) (refused *basilledger.Entry) {
 	c.limit = max(1, c.sent/2)
 	if c.sent > 1 {
 		return nil
 	}
 	e := c.entries[0]
+	if smaller, ok := e.Compact(); ok {
+		c.setForm(e.ID, smaller.Form)
+		c.entries[0] = smaller
+		return nil
+	}
 	c.entries = c.entries[1:]
 	if c.refused == nil {
 		c.refused = make(map[string]refusedEntry)
@@ -78,6 +85,13 @@
 	return &e
 }
 
+func (c *committer) setForm(id string, f basilledger.Form) {
+	if c.forms == nil {
+		c.forms = make(map[string]basilledger.Form)
+	}
+	c.forms[id] = f
+}
+
 // due returns the jobs whose records are to be stored now: those that the store has refused and that are to be sent again, if there are
 // any, and otherwise those of the given ones that it has not refused.
 func (c *committer) due(ids []string, now time.Time) []string {
@@ -200,7 +214,7 @@
 			o.retryRefused(id)
 			continue
 		}
-		e, err := basilledger.NewEntry(r, o.versions[id], c.writer)
+		e, err := basilledger.NewEntry(r, o.versions[id], c.writer, c.forms[id])
 		if err != nil {
 			o.log.WithError(err).WithField(basillog.FieldJob, id).Error("failed to encode job record")
 			continue
@@ -266,11 +280,17 @@
 		return
 	}
 	if basilplatform.IsErrRefused(err) || basilledger.IsErrRecordUnreadable(err) {
-		if e := c.bisect(now); e != nil {
+		e := c.bisect(now)
+		switch {
+		case e != nil:
 			o.node.metrics.recordRefused()
 			o.log.WithError(err).WithFields(logrus.Fields{
 				basillog.FieldJob: e.ID, "bytes": len(e.Body), "retry_ms": refusedCommitDelay.Milliseconds(),
 			}).Error("cannot store the record of a job; trying again apart from others")
+		case c.sent == 1:
+			e := &c.entries[0]
+			o.log.WithError(err).WithFields(logrus.Fields{basillog.FieldJob: e.ID, "bytes": len(e.Body), "without_checkpoints": e.Form == basilledger.FormWithoutCheckpoints}).
+				Warn("store refused the record of a job; sending a smaller form")
 		}
 		return
 	}
@@ -288,6 +308,9 @@
 	}
 	for _, e := range c.entries[:c.sent] {
 		delete(c.refused, e.ID)
+		if _, stored := r.Versions[e.ID]; !stored || c.states[e.ID].Final() {
+			delete(c.forms, e.ID)
+		}
 	}
 	if c.limit *= 2; c.limit >= basilledger.MaxCommitRecords {
 		c.limit = 0
--- a/internal/basilnode/owner_removal.go
+++ b/internal/basilnode/owner_removal.go
@@ -42,6 +42,7 @@
 			for _, id := range ids {
 				delete(o.finished, id)
 				delete(o.versions, id)
+				delete(o.commit.forms, id)
 			}
 			o.orders.forget(ids)
 			o.ownWrites.forget(ids)
--- a/internal/basilnode/stored_size_test.go
+++ b/internal/basilnode/stored_size_test.go
@@ -53,6 +53,54 @@
 	})
 }
 
+// submitLargest submits jobs with fewer and fewer steps until one is accepted, and then one that is as much larger as it may be. It returns
+// the ID of the latter.
+func (c *cluster) submitLargest(steps int) string {
+	c.t.Helper()
+	body, first := "", 1000
+	for status := 0; status != http.StatusOK; steps-- {
+		must.Positive(c.t, steps)
+		body = manySteps(steps, 3000, "")
+		first++
+		status = c.submit("entry-1", quotePrefix, jobID(first), body)
+	}
+	c.cancel("entry-1", quotePrefix, jobID(first))
+	for n := range 200 {
+		id := jobID(2000 + 200 - n)
+		if c.submit("entry-1", quotePrefix, id, strings.Replace(body, `"spec":"x"`, `"spec":"`+strings.Repeat("x", 200-n)+`"`, 1)) == http.StatusOK {
+			return id
+		}
+	}
+	c.t.Fatal("no job was accepted")
+	return ""
+}
+
+// TestJobIsStoredThoughItOutgrowsItsRow checks that a job whose row was as large as the store takes it before it ran is carried on with by
+// the next owner and completed, and that all ends of its runs are acknowledged.
+func TestJobIsStoredThoughItOutgrowsItsRow(t *testing.T) {
+	run(t, 3, 2, constant(300*time.Millisecond), func(c *cluster) {
+		c.configureLargeJobs()
+		id := c.submitLargest(700)
+		time.Sleep(8 * time.Second)
+		must.Eq(t, "active", c.state("entry-1", quotePrefix, id))
+		must.Less(t, 50, c.site.EndsListed("stretch"))
+		c.kill(c.owner("stretch"))
+		c.await(quotePrefix, id, "completed", time.Minute)
+		time.Sleep(time.Second)
+		must.Zero(t, c.site.EndsListed("stretch"))
+	})
+}
+
+// TestJobOfLargestRowIsCancelled checks that a job is cancelled whose row was as large as the store takes it.
+func TestJobOfLargestRowIsCancelled(t *testing.T) {
+	run(t, 2, 2, constant(300*time.Millisecond), func(c *cluster) {
+		c.configureLargeJobs()
+		id := c.submitLargest(700)
+		c.cancel("entry-1", quotePrefix, id)
+		must.Eq(t, "canceled", c.state("entry-1", quotePrefix, id))
+	})
+}
+
 // TestLargeJobsAreStoredTogether checks that many jobs with large rows that change at once are stored, though all of them exceed the largest
 // size of a transaction.
 func TestLargeJobsAreStoredTogether(t *testing.T) {
--- a/internal/basilwork/progress.go
+++ b/internal/basilwork/progress.go
@@ -147,6 +147,20 @@
 	return count
 }
 
+// WithoutCheckpoints returns the record without the checkpoints of its tasks.
+func (r *Record) WithoutCheckpoints() Record {
+	reduced := *r
+	reduced.Progress = make(map[int]*OccurrenceProgress, len(r.Progress))
+	for n, p := range r.Progress {
+		steps := slices.Clone(p.Steps)
+		for k := range steps {
+			steps[k].Checkpoints = nil
+		}
+		reduced.Progress[n] = &OccurrenceProgress{Done: p.Done, Steps: steps}
+	}
+	return reduced
+}
+
 // NewTombstone returns the record that keeps a job which was cancelled before it was stored from being stored later.
 func NewTombstone(id string, q *Queue, cancelled time.Time) *Record {
 	at := cancelled.UnixMilli()
