shard: let no deposed writer replace a row of a later epoch

Callers would have seen: on a store without transactions over several partitions, a deposed owner of the fleet that doesn't know of its end yet could undo its successor's request to a pool. The pool would fill servers again whose hosts are about to be ordered away.

Cause: the row of such a request has no check of the owner's row. Its version was taken for a fence, but a write that found another version took that one over and wrote again.

Now the request states the epoch of its writer. A write of a row without checks that finds another version reads the row and gives up with ErrSuperseded if a later epoch wrote it. The precondition is the version that was read, so nobody can write in between. A row that was read from a successor when the state was loaded counts as well. Rows with checks are written as before.

Rows of earlier releases state no epoch and count as older; those releases ignore the field. While both run, such an owner can still replace its successor's request, as before (docs/PLATFORM.md).

TestRowOfPredecessorDoesNotOverwriteSuccessor failed in each run. Its bodies are JSON with epochs now, as the rule needs to know who the writer is; what it asks for is the same, and the refusal is checked too. TestDeposedFleetOwnerDoesNotUndoRequest failed on the code before with the call that writes there; the others are new.

--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -27,14 +27,6 @@
 	Version   int64
 }
 
-// EvacuationRequest requests that a pool evacuate backend servers. Each is stored with the serial number that first requested it.
-type EvacuationRequest struct {
-	Serial   int64            `json:"serial"`
-	Backends map[string]int64 `json:"backends,omitempty"`
-	Due      []string         `json:"due,omitempty"`  // backend servers whose hosts are due for maintenance
-	Gone     map[string]int64 `json:"gone,omitempty"` // backend servers whose hosts were moved or sent to maintenance, with the time (Unix milliseconds)
-}
-
 // Load is the load that a pool reports.
 type Load struct {
 	Used          int        `json:"used"`              // CPU in use, thousandths of a core
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -228,7 +228,7 @@
 	f.node.metrics.observe(fleetStepTime, took)
 	f.logPools(now)
 	for pool, a := range plan.Requests {
-		f.writeRow(pool, requestSort, a)
+		f.writeRequest(pool, a)
 	}
 	f.queueOrders(plan.Orders)
 	for _, w := range plan.WaveStates {
--- a/internal/basilnode/fleet_rows.go
+++ b/internal/basilnode/fleet_rows.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"basilstage.example/basilstage/internal/basilcapacity"
 	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basilshard"
 	"basilstage.example/basilstage/internal/basiltimer"
@@ -52,7 +55,7 @@
 		for _, i := range p.items {
 			f.applyRow(p.shard, i)
 			if p.table == fleetTable {
-				f.rowOf(i.Key).SetVersion(i.Version)
+				f.rowOf(i.Key).SetStored(i)
 			}
 		}
 	}
@@ -67,6 +70,12 @@
 	inFlight bool
 }
 
+// writeRequest stores the request to a pool.
+func (f *fleet) writeRequest(pool string, a basilcapacity.EvacuationRequest) {
+	a.Epoch = f.row.Epoch
+	f.writeRow(pool, requestSort, a)
+}
+
 // writeRow stores a row of the fleet's shard or of a pool if this entry host still owns the fleet. While a write of the row is
 // in flight, only the newest value is kept for the next one.
 func (f *fleet) writeRow(shard, sort string, value any) {
@@ -82,7 +91,7 @@
 
 // writeConditions returns the condition of a write of the row, which is that this entry host still owns the fleet. A store
 // without transactions over several partitions can't check that for a pool's row. There a deposed owner still can't overwrite
-// a request of its successor, since the row's version differs.
+// a request of its successor, since that states a later epoch.
 func (f *fleet) writeConditions(k basilplatform.Key) []basilplatform.Write {
 	if f.node.options.SinglePartition && k.Partition != fleetKey(fleetShard, "").Partition {
 		return nil
@@ -107,15 +116,16 @@
 	body := w.body
 	go func() {
 		err := w.Row.Write(f.ctx, body)
-		if err != nil && !basilplatform.IsErrConditionFailed(err) {
-			f.log.WithError(err).WithField("row", w.Key().Sort).Warn("cannot store row")
+		leave := basilplatform.IsErrConditionFailed(err) || basilshard.IsErrSuperseded(err) // the row is the successor's
+		if err != nil {
+			f.log.WithError(err).WithFields(logrus.Fields{"row": w.Key().Sort, "left_to_successor": leave}).Warn("cannot store row")
+		}
+		if err != nil && !leave {
 			_ = basiltimer.Wait(f.ctx, storeRetryDelay) // if the context has ended, so has this owner
 		}
 		f.send(func(time.Time) {
 			w.inFlight = false
-			if err != nil && !basilplatform.IsErrConditionFailed(err) {
-				w.pending = true // retried, unless a version differed: then the row is left to the successor
-			}
+			w.pending = w.pending || err != nil && !leave
 			f.flush(w)
 		})
 	}()
