scheduler: judge long-running tasks under changing owners by the rule's seconds

Besides, after one death of an owner, a server that was cut off 2 s before holds back the tasks that ended just before it for over 9 s, also by the rule's 7 s of calm: the list of hosts shows it up, and the wait counts from the takeover.

The judge models the reading of the list of hosts after a takeover. The judge's own seconds of other plays are as they were.

--- /dev/null
+++ b/internal/basilscheduler/lost_owners_test.go
@@ -0,0 +1,156 @@
+package basilscheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+const (
+	playTakeover    = 1500 * time.Millisecond // from the death of an owner to the next one: its lease, and the claim
+	playEndedDelay  = 300 * time.Millisecond  // from a takeover to the first list of hosts
+	playEndedRepeat = 2 * time.Second         // between the lists
+	playAbsence     = playRestartTime + playMaxWait
+	playRuleCalm    = 4*time.Second + playMaxWait // without a disturbance before LOST is judged, by the platform's rules
+)
+
+// ownersPlay is a play of long-running jobs under owners that die again and again.
+type ownersPlay struct {
+	*lostPlay
+	disturbedAt time.Time // last death of an owner, or fault of a backend server
+	onlyCalm    bool      // whether absences are judged only after playRuleCalm
+}
+
+// disturb calls f, a fault of a backend server, at the time.
+func (p *ownersPlay) disturb(at time.Duration, f func()) {
+	p.after(at, func() {
+		p.disturbedAt = p.now
+		f()
+	})
+}
+
+// readHosts takes silent backend servers for ended that no host runs, as the owner of basilnode does.
+func (o *playOwner) readHosts() {
+	if !o.alive {
+		return
+	}
+	for id := range o.SilentPredecessorBackends() {
+		if h := o.play.hostOf(id); h == nil || !h.life.up {
+			o.play.trace("epoch %d: %s has ended", o.epoch, id)
+			o.PredecessorEnded(id)
+		}
+	}
+	o.play.after(playEndedRepeat, o.readHosts)
+}
+
+// replaceOwners has the owner die again and again; each lasts for the given time.
+func (p *ownersPlay) replaceOwners(lasts time.Duration) {
+	p.disturb(lasts, func() {
+		p.trace("owner dies")
+		p.owner.alive = false
+		p.after(playTakeover, func() {
+			p.takeOver()
+			p.after(playEndedDelay, p.owner.readHosts)
+			p.replaceOwners(lasts)
+		})
+	})
+}
+
+// failRuns has a run of a long-running task fail now and then.
+func (p *lostPlay) failRuns(every time.Duration) {
+	p.after(p.between(every/2, every*3/2), func() {
+		var candidates []func()
+		p.runs(func(s *playServer, r *playRun) {
+			if p.stepOf(r.task).LongRunning && !p.now.Before(s.host.silentUntil) {
+				candidates = append(candidates, func() { s.endRun(r, basilwork.RunEndFailed) })
+			}
+		})
+		if len(candidates) > 0 {
+			candidates[p.random.IntN(len(candidates))]()
+		}
+		p.failRuns(every)
+	})
+}
+
+// judgeAbsences judges LOST by the seconds of the platform's rules: a long-running task with room runs again 9 s after its last run.
+func (p *ownersPlay) judgeAbsences() {
+	p.after(100*time.Millisecond, p.judgeAbsences)
+	if p.onlyCalm && p.now.Sub(p.disturbedAt) < playRuleCalm {
+		return
+	}
+	running := make(map[basilwork.TaskID]bool)
+	p.runs(func(_ *playServer, r *playRun) { running[r.task] = true })
+	for _, id := range sortedKeys(p.jobs) {
+		for n := range p.jobs[id].Steps {
+			for _, k := range p.tasksOf(id, n) {
+				t := p.task(k)
+				if away := p.now.Sub(t.lastEnded); p.jobs[id].Steps[n].LongRunning && !running[k] && !t.lastEnded.IsZero() && away > playAbsence && p.hasRoomTwice(id, n) {
+					p.fail("LOST: %s has not run for %v", k.String(), away)
+				}
+			}
+		}
+	}
+}
+
+// newOwnersPlay returns a play of long-running jobs whose runs fail now and then under owners that last for the given time.
+func newOwnersPlay(seed uint64, lasts time.Duration) *ownersPlay {
+	const hosts = 40
+	p := &ownersPlay{lostPlay: newLostPlay(hosts, seed)}
+	p.disturbedAt = p.now
+	for n := range 3 {
+		step := longStep(24, 2000)
+		step.AntiAffinity = 2
+		p.after(time.Second, func() {
+			p.accept(basilwork.Job{ID: fmt.Sprint("job", n), Queue: "quote", Steps: []basilwork.Step{step}})
+		})
+	}
+	p.failRuns(500 * time.Millisecond)
+	p.after(3*time.Second, p.judgeAbsences)
+	p.replaceOwners(lasts)
+	return p
+}
+
+// TestPropertyLongRunningTasksRunAgainThoughOwnersChange checks, by the seconds of the platform's rules, that long-running tasks run again under
+// owners that die again and again while some of the backend servers are gone for good.
+func TestPropertyLongRunningTasksRunAgainThoughOwnersChange(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		lasts := rapid.SampledFrom([]time.Duration{3 * time.Second, 6 * time.Second, 12 * time.Second}).Draw(r, "owners last")
+		p := newOwnersPlay(rapid.Uint64().Draw(r, "seed"), lasts)
+		gone := rapid.SampledFrom([]int{0, 1, 2}).Draw(r, "gone") // none, 1 and 5 % of the hosts, one at least
+		for n := range gone {
+			p.disturb(drawTime(r, "gone at", 2*time.Second, 20*time.Second), func() { p.hosts[n].life.die() })
+		}
+		p.run(40 * time.Second)
+		if p.failure != "" {
+			r.Fatalf("%s\n%s", p.failure, p.log())
+		}
+	})
+}
+
+// TestLongRunningTasksRunAgainThoughServerIsCutOffBesideTakeover checks the same, in calm only, after one death of an owner, with a backend server
+// that was cut off 2 s before and stays up in the list of hosts.
+func TestLongRunningTasksRunAgainThoughServerIsCutOffBesideTakeover(t *testing.T) {
+	p := newOwnersPlay(1, 12*time.Second)
+	p.onlyCalm = true
+	p.disturb(10*time.Second, func() {
+		p.trace("%s is cut off", p.hosts[0].life.ID)
+		p.hosts[0].silentUntil, p.hosts[0].unlistUntil = p.now.Add(time.Hour), p.now.Add(time.Hour)
+	})
+	p.run(25 * time.Second)
+	must.Eq(t, "", p.failure, must.Sprint(p.log()))
+}
+
+// TestLongRunningTaskIsNotStartedOnServerThatHasJustGone checks that a task whose server is gone for good runs again within 9 s under an owner that
+// lives, though another server goes before the leases on the first have run out: the task was started there, 1.5 s after that one had gone.
+func TestLongRunningTaskIsNotStartedOnServerThatHasJustGone(t *testing.T) {
+	p := newOwnersPlay(3, 12*time.Second)
+	p.disturb(7576*time.Millisecond, func() { p.hosts[0].life.die() })
+	p.disturb(2377*time.Millisecond, func() { p.hosts[1].life.die() })
+	p.run(12 * time.Second)
+	must.Eq(t, "", p.failure, must.Sprint(p.log()))
+}
