scheduler: have the settings of a job's queue last with the job

In the same way a new owner started the tasks of a queue with recommendations without tickets, which are refused, and gave such jobs the settings of a queue at another address that now has the name of theirs.

Cause: the settings were known by the configuration and by the memory of the owner alone. A successor knows no queue that the configuration no longer has, and took the defaults.

Now the row of a job keeps attempts, objective and recommendations of its queue, written when the job is accepted and at each commit while a queue is at its address. They hold if the owner knows no queue at the address. So a new owner goes by the same rule as one that has seen the route. The priority isn't kept, as no decision uses it. Open: a change of settings that no commit of the job follows before the route is dropped is lost with the owner.

--- a/internal/basilnode/front.go
+++ b/internal/basilnode/front.go
@@ -154,7 +154,7 @@
 		c.respond(http.StatusBadRequest, err.Error())
 		return
 	}
-	job.QueueID = c.queue.ID()
+	job.QueueID, job.Settings = c.queue.ID(), c.queue.Settings()
 	acceptance, err := basilledger.NewAcceptance(&basilwork.Record{Job: *job, Accepted: c.started.UnixMilli()})
 	if err == nil {
 		err = c.accept(c.routeOf(configuration), acceptance)
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -106,12 +106,15 @@
 	}
 }
 
-// queueOf returns the queue whose settings hold for the job: the one at the address that it was submitted to, or else the one that has the
-// name of its queue, or nil.
+// queueOf returns the queue whose settings hold for the job: the one that is or was at the address that it was submitted to, or else one
+// with the settings that are stored with the job or, for want of these, the one that has the name of its queue, or nil.
 func (p *Pool) queueOf(j *basilwork.Job) *basilwork.Queue {
 	if q := p.queues[j.QueueID]; q != nil {
 		return q
 	}
+	if j.Settings != nil {
+		return j.Settings.Queue()
+	}
 	return p.namedQueues[j.Queue]
 }
 
--- a/internal/basilscheduler/record.go
+++ b/internal/basilscheduler/record.go
@@ -64,6 +64,9 @@
 	}
 	p.markClean(j)
 	j.urgent = false
+	if q := p.queues[j.record.Job.QueueID]; q != nil {
+		j.record.Job.Settings = q.Settings()
+	}
 	return j.record, true
 }
 
--- a/internal/basilwork/configuration.go
+++ b/internal/basilwork/configuration.go
@@ -9,9 +9,9 @@
 
 // Advice is the cost of asking the recommendation service for a queue.
 type Advice struct {
-	DecisionTime time.Duration // per request
-	TimePerItem  time.Duration // in addition, per item of the request
-	ValidFor     time.Duration // how long the answer may be used
+	DecisionTime time.Duration `json:"d,omitempty"` // per request
+	TimePerItem  time.Duration `json:"i,omitempty"` // in addition, per item of the request
+	ValidFor     time.Duration `json:"v,omitempty"` // how long the answer may be used
 }
 
 // Cost returns how long the service takes to answer a request about the given number of backend servers.
--- a/internal/basilwork/job.go
+++ b/internal/basilwork/job.go
@@ -71,6 +71,7 @@
 	ID          string        `json:"id"`
 	QueueID     string        `json:"k,omitempty"` // of the queue it was submitted to; empty in rows of releases before 2026-12
 	Queue       string        `json:"q"`           // name of that queue, when the job was submitted
+	Settings    *Settings     `json:"l,omitempty"` // of that queue, when the row was written
 	Payload     string        `json:"p,omitempty"`
 	Steps       []Step        `json:"s"`
 	RepeatCount int           `json:"rep,omitempty"` // number of occurrences; 0 for a single one without a scheduled time
