node: take over the requests to pools at once where the owner isn't checked

On a store without transactions over several partitions, a deposed owner of the fleet could still change a request, or add one, from when its successor had read the requests until that happened to write to the same pool. Its request stayed in force, unknown to the successor. A pool's answer to it could also count for a later request of the successor with the same serial number, so that a host with work counted as empty.

Cause: the epoch in a row fences only from the successor's first write on.

Now a new owner of the fleet stores the requests to all pools at its start, on such stores only, also where there is none yet. Their serial numbers begin beyond all of earlier epochs, and hosts that are being evacuated wait for the pool's answer to these. What is left is the time until that write is stored, and what a predecessor had noted as gone in it is not kept. Stores with transactions over several partitions see no change.

TestSuccessorReplacesLateRequestOfDeposedFleetOwner fails without the call at the start (a trial on with an empty takeOverRequests).

--- a/internal/basilcapacity/rows_test.go
+++ b/internal/basilcapacity/rows_test.go
@@ -30,18 +30,18 @@
 	serials := make(map[string]int64, poolHosts)
 	for n := range ids {
 		ids[n] = fmt.Sprintf("ruho%08x", n) // as long as the users' IDs
-		serials[ids[n]] = int64(100000 + n)
+		serials[ids[n]] = 1000<<epochSerialBits + int64(n)
 	}
 	gone := make(map[string]int64)
 	for n := range 300 { // the highest order rate for as long as entries are kept
 		gone[ids[n]] = 1790000000000
 	}
-	request := EvacuationRequest{Serial: 100000, Backends: serials, Due: ids, Gone: gone}
+	request := EvacuationRequest{Epoch: 1000, Serial: 1000 << epochSerialBits, Backends: serials, Due: ids, Gone: gone}
 	lacking := make([]HostNeed, 8) // the most that a pool reports, with the longest labels
 	for n := range lacking {
 		lacking[n] = HostNeed{Label: strings.Repeat("x", 256), Resources: basilwork.Resources{CPU: 128000, Memory: 1 << 20, GPU: 16}, Hosts: poolHosts}
 	}
-	answer := PoolReport{Serial: 100000, Empty: ids, Load: Load{Idle: ids, Slow: ids, Listed: poolHosts, Kept: poolHosts, Lacking: lacking}}
+	answer := PoolReport{Serial: 1000 << epochSerialBits, Empty: ids, Load: Load{Idle: ids, Slow: ids, Listed: poolHosts, Kept: poolHosts, Lacking: lacking}}
 	t.Logf("request %d bytes, report %d bytes for %d hosts", encodedSize(t, request), encodedSize(t, answer), poolHosts)
 	must.Less(t, maxRowBytes, encodedSize(t, request))
 	must.Less(t, maxRowBytes, encodedSize(t, answer))
--- a/internal/basilnode/fleet.go
+++ b/internal/basilnode/fleet.go
@@ -86,6 +86,7 @@
 	if !ok {
 		return
 	}
+	f.takeOverRequests()
 	go f.watch(version)
 	f.reloadWaves()
 	timer := time.NewTimer(0)
--- a/internal/basilnode/fleet_rows.go
+++ b/internal/basilnode/fleet_rows.go
@@ -76,6 +76,17 @@
 	f.writeRow(pool, requestSort, a)
 }
 
+// takeOverRequests stores the requests to all pools anew if the store can't check who owns the fleet. From then on a predecessor that
+// doesn't know of its end yet can't change them, and what it has written since they were loaded is replaced.
+func (f *fleet) takeOverRequests() {
+	if !f.node.options.SinglePartition {
+		return
+	}
+	for pool, a := range f.state.TakeOver(f.row.Epoch, f.node.configuration().Pools()) {
+		f.writeRequest(pool, a)
+	}
+}
+
 // writeRow stores a row of the fleet's shard or of a pool if this entry host still owns the fleet. While a write of the row is
 // in flight, only the newest value is kept for the next one.
 func (f *fleet) writeRow(shard, sort string, value any) {
--- a/internal/basilnode/fleet_rows_test.go
+++ b/internal/basilnode/fleet_rows_test.go
@@ -38,6 +38,11 @@
 // request stores a request to the pool and returns the stored one once the owner has nothing left to write.
 func (f *fleet) request(t *testing.T, a basilcapacity.EvacuationRequest) basilcapacity.EvacuationRequest {
 	f.writeRequest("stretch", a)
+	return f.stored(t)
+}
+
+// stored returns the stored request to the pool once the owner has nothing left to write.
+func (f *fleet) stored(t *testing.T) basilcapacity.EvacuationRequest {
 	for range 10 {
 		time.Sleep(100 * time.Millisecond)
 		f.drain()
@@ -72,6 +77,30 @@
 	})
 }
 
+// TestSuccessorReplacesLateRequestOfDeposedFleetOwner checks that what a deposed owner of the fleet writes after its successor has loaded the
+// requests doesn't last until the successor happens to write to the same pool, and that it can't add a request where there was none.
+func TestSuccessorReplacesLateRequestOfDeposedFleetOwner(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			deposed, successor := fleetOwners(ctx)
+			_, err := successor.tryLoad()
+			must.NoError(t, err)
+			asked := basilcapacity.EvacuationRequest{Serial: 5, Backends: map[string]int64{"i-1": 5}}
+			if late {
+				must.MapLen(t, 1, deposed.request(t, asked).Backends)
+			}
+			successor.takeOverRequests()
+			must.MapEmpty(t, successor.stored(t).Backends)
+			stored := deposed.request(t, asked)
+			must.MapEmpty(t, stored.Backends)
+			must.Eq(t, 2, stored.Epoch)
+			must.Greater(t, 5, stored.Serial)
+		})
+	}
+}
+
 // TestRequestOfEarlierRelease checks that a request that states no epoch is read and replaced.
 func TestRequestOfEarlierRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
