--- a/internal/basilnode/node.go
+++ b/internal/basilnode/node.go
@@ -29,8 +29,8 @@
 	configurationWait = 1500 * time.Millisecond
 	renewInterval     = 310 * time.Millisecond // a quarter of the lease, which leaves room for two lost renewals
 	leaseMargin       = 300 * time.Millisecond
-	// Longest lease that an owner requests from backend servers. With the time for which it extends them without renewing its own, runs outlast an
-	// outage of the store of 9 s; a long-running task whose server is lost has to run again 9 s after its last run.
+	// Longest lease that an owner requests from backend servers. With the time for which it extends them without renewing its own, runs last for 9.2 s
+	// after the last renewal; a long-running task whose server is lost has to run again 9 s after its last run.
 	maxLeaseTerm       = 5700 * time.Millisecond
 	minClockRate       = 0.98 // lowest rate at which a backend server's clock may run
 	graceSlack         = 400 * time.Millisecond
