--- a/internal/basilscheduler/lost_property_test.go
+++ b/internal/basilscheduler/lost_property_test.go
@@ -307,6 +307,7 @@
 // TestPropertyWhatHasItsTurnAndRoomRuns plays random jobs of several steps on backend servers in trouble, under one owner after another, and
 // judges in the calm after it that what has its turn and room runs, by what the servers did.
 func TestPropertyWhatHasItsTurnAndRoomRuns(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
 		p := newLostPlay(rapid.IntRange(3, 8).Draw(r, "hosts"), rapid.Uint64().Draw(r, "seed"))
 		for n := range rapid.IntRange(1, 8).Draw(r, "jobs") {
--- a/internal/basilscheduler/lost_restart_test.go
+++ b/internal/basilscheduler/lost_restart_test.go
@@ -13,6 +13,7 @@
 // TestStartThatReachesNextIncarnationRunsOnce checks that a task runs once though its start reaches a backend server that has come back under its
 // ID before the owner knows, and is carried out there after the owner has given the server up and started the task elsewhere.
 func TestStartThatReachesNextIncarnationRunsOnce(t *testing.T) {
+	t.Parallel()
 	const plays, silence = 200, 7 * time.Second // longer than the leases of the incarnation before
 	for seed := range uint64(plays) {
 		p := newLostPlay(5, seed)
