node: report a host as empty once the ends of its runs are stored

A task ends on a host that is being emptied, the owner reads the end, takes the backend server for empty 60 ms later and has its host ordered away before the commit with the end is stored. Until that commit only the owner and the host know of the end. If the owner dies too, or its commits fail for a while, finished work is lost with the host and runs again, and the steps after it wait.

Cause: IsEmptied asked for no runs only. An owner that leaves already waits for stored ends (unfinished in leave.go); the report to the fleet did not. Now a backend server counts as emptied once the effect of all its ends is stored. Records that the store refuses by themselves are left out of this, as they may be refused for long and would keep all hosts of the pool from maintenance.

The judge of the play took an end for known only once it was acknowledged. A stored record tells each later owner as well, so it counts too; in exchange the play now fails as soon as a host is ordered away with an end that is neither acknowledged nor stored.

Ruled out: an acknowledgement that is sent late. The end was read and processed, its connection is closed with the host; whether the acknowledgement arrives changes nothing, the commit does.

TestBackendIsEmptiedOnceEndsAreStored and TestBackendWithUnstoredEndIsNotEmptied fail without the condition.

--- a/internal/basilcapacity/answer.go
+++ b/internal/basilcapacity/answer.go
@@ -14,13 +14,14 @@
 	minReportedGPUChange    = 2     // GPUs, a third of a host with eight, rounded down
 )
 
-// Apply makes the pool evacuate the requested backend servers and returns the pool's report.
-func (request EvacuationRequest) Apply(p *basilscheduler.Pool, now time.Time) PoolReport {
+// Apply makes the pool evacuate the requested backend servers and returns the pool's report. storedEnds are the numbers of the last ends of
+// runs whose effect is stored, by backend server.
+func (request EvacuationRequest) Apply(p *basilscheduler.Pool, storedEnds map[string]int64, now time.Time) PoolReport {
 	report := PoolReport{Serial: request.Serial}
 	for _, b := range p.Backends() {
 		_, requested := request.Backends[b.ID]
 		p.Evacuate(b.ID, requested)
-		if requested && p.IsEmptied(b.ID) {
+		if requested && p.IsEmptied(b.ID, storedEnds[b.ID]) {
 			report.Empty = append(report.Empty, b.ID)
 		}
 	}
--- a/internal/basilcapacity/answer_test.go
+++ b/internal/basilcapacity/answer_test.go
@@ -25,7 +25,7 @@
 		p.Attached(id)
 	}
 	a := EvacuationRequest{Serial: 4, Backends: map[string]int64{"b2": 3, "b3": 4}}
-	answer := a.Apply(p, now)
+	answer := a.Apply(p, nil, now)
 	must.Eq(t, 4, answer.Serial)
 	must.Eq(t, []string{"b2"}, answer.Empty, must.Sprint("b3 has not reported its runs yet"))
 	must.Eq(t, []string{"b1"}, answer.Load.Idle)
--- a/internal/basilexperiment/pool.go
+++ b/internal/basilexperiment/pool.go
@@ -118,7 +118,7 @@
 // evacuate empties what the fleet asked for, and tells it how the pool stands.
 func (p *pool) evacuate() {
 	w := p.world
-	answer := p.ask.Apply(p.Pool, w.time())
+	answer := p.ask.Apply(p.Pool, p.Processed(), w.time()) // no store is modelled: the effect of all ends is stored
 	worth := answer.HasNewAcknowledgement(p.told) || w.now-p.toldAt >= tellEvery && answer.Load.DiffersSignificantly(p.told.Load)
 	if w.fleet == nil || !worth {
 		return
--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -97,13 +97,22 @@
 // new or the load has changed.
 func (o *owner) evacuate(now time.Time) {
 	e := &o.evacuation
-	answer := e.request.Apply(o.pool, now)
+	answer := o.applyEvacuation(now)
 	due := answer.HasNewAcknowledgement(e.answered) || now.Sub(e.answeredAt) >= answerInterval && answer.Load.DiffersSignificantly(e.answered.Load)
 	if due && !e.inFlight && !now.Before(e.retryAfter) {
 		o.sendAnswer(answer)
 	}
 }
 
+// applyEvacuation applies the evacuation request to the pool and returns the pool's report.
+func (o *owner) applyEvacuation(now time.Time) basilcapacity.PoolReport {
+	request := &o.evacuation.request
+	if len(request.Backends) > 0 && o.commit.idle() && !o.pool.HasDirtyJobs() {
+		o.commit.settle(o.pool.Processed())
+	}
+	return request.Apply(o.pool, o.commit.settled, now)
+}
+
 func (o *owner) sendAnswer(answer basilcapacity.PoolReport) {
 	body, err := json.Marshal(answer)
 	if err != nil {
--- a/internal/basilnode/owner_commit.go
+++ b/internal/basilnode/owner_commit.go
@@ -35,6 +35,7 @@
 	pendingCover   map[string]int64 // the same, once all records are stored that had changed when it was taken
 	pendingChanges int64            // number of record changes when pendingCover was taken
 	acked          map[string]int64 // by backend server: number of the last end that is stored
+	settled        map[string]int64 // the same but for the records that the store has refused, which keep no backend server from being emptied
 	incarnations   map[string]int64 // by backend server: start of the incarnation that the numbers belong to, in Unix milliseconds
 	logged         map[string]int64 // by backend server: number of the last end that was logged
 	oldestChange   time.Time        // time of the oldest change that is not yet in a transaction
@@ -143,20 +144,37 @@
 // forgetEnds forgets which ends of a backend server are stored, or are stored by the transactions under way.
 func (c *committer) forgetEnds(id string) {
 	delete(c.acked, id)
+	delete(c.settled, id)
 	delete(c.covered, id)
 	delete(c.pendingCover, id)
 	delete(c.logged, id)
 }
 
-func (c *committer) acknowledge(numbers map[string]int64) {
-	if c.acked == nil {
-		c.acked = make(map[string]int64)
+// settle records the numbers of the last ends whose effect is stored, but for the records that the store has refused. Without these, the
+// ends are acknowledged.
+func (c *committer) settle(numbers map[string]int64) {
+	c.settled = raised(c.settled, numbers)
+	if len(c.refused) == 0 {
+		c.acknowledge(numbers)
+	}
+}
+
+func (c *committer) acknowledge(numbers map[string]int64) { c.acked = raised(c.acked, numbers) }
+
+// raised returns the map with the values of the other one that are larger.
+func raised(m, by map[string]int64) map[string]int64 {
+	if m == nil {
+		m = make(map[string]int64, len(by))
 	}
-	for id, n := range numbers {
-		c.acked[id] = max(c.acked[id], n)
+	for id, n := range by {
+		m[id] = max(m[id], n)
 	}
+	return m
 }
 
+// idle reports whether no transaction is in flight or to be sent again.
+func (c *committer) idle() bool { return !c.inFlight && len(c.entries) == 0 }
+
 // commitIfDue starts a group commit when one is due, and returns the time until the next check.
 func (o *owner) commitIfDue(now time.Time) time.Duration {
 	c := &o.commit
@@ -178,9 +196,7 @@
 		ids = c.due(ids, now)
 	}
 	if len(ids) == 0 {
-		if len(c.refused) == 0 {
-			c.acknowledge(o.pool.Processed())
-		}
+		c.settle(o.pool.Processed())
 		c.pendingCover, c.oldestChange = nil, time.Time{}
 		return time.Second
 	}
@@ -319,7 +335,5 @@
 		return
 	}
 	c.entries = nil
-	if len(c.refused) == 0 {
-		c.acknowledge(c.covered)
-	}
+	c.settle(c.covered)
 }
--- a/internal/basilnode/owner_commit_test.go
+++ b/internal/basilnode/owner_commit_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 
+	"basilstage.example/basilstage/internal/basilcapacity"
 	"basilstage.example/basilstage/internal/basilledger"
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
@@ -191,6 +192,21 @@
 	must.Eq(t, ends, o.commit.acked["b1"])
 }
 
+// TestBackendIsEmptiedOnceEndsAreStored checks that a backend server isn't reported as empty before the ends of its runs are stored, as the end
+// of its host would lose them, and that a record that the store refuses keeps no host.
+func TestBackendIsEmptiedOnceEndsAreStored(t *testing.T) {
+	o, _, ends := newRefusedCommit(t, refusedJob+1)
+	refused := basilwork.TaskID{Job: commitJobID(refusedJob), Index: 1}.String()
+	end := basilwork.EndedRun{Number: ends + 1, Task: refused, Attempt: 1, End: basilwork.RunEndDone}
+	o.pool.Report("b1", basilwork.Report{Ended: []basilwork.EndedRun{end}}, o.now, o.now)
+	o.evacuation.request = basilcapacity.EvacuationRequest{Backends: map[string]int64{"b1": 1}}
+	must.SliceEmpty(t, o.applyEvacuation(o.now).Empty)
+	o.commitFor(refusedCommitDelay)
+	must.Eq(t, basilwork.JobStateCompleted, o.storedState(t, 0))
+	must.Eq(t, basilwork.JobStatePending, o.storedState(t, refusedJob))
+	must.Eq(t, []string{"b1"}, o.applyEvacuation(o.now).Empty)
+}
+
 // TestCompletedJobIsStoredByLaterOwnership checks that a job whose last task has ended is stored as completed when the entry host had
 // owned the pool before, and another job of the same transaction is cancelled meanwhile.
 func TestCompletedJobIsStoredByLaterOwnership(t *testing.T) {
--- a/internal/basilscheduler/decide_test.go
+++ b/internal/basilscheduler/decide_test.go
@@ -201,9 +201,9 @@
 	f := newFixture(t)
 	f.AddPredecessorBackend(backendOf("b1", 4000), time.Time{})
 	f.Evacuate("b1", true)
-	must.False(t, f.IsEmptied("b1"))
+	must.False(t, f.IsEmptied("b1", 0))
 	f.Attached("b1")
-	must.True(t, f.IsEmptied("b1"))
+	must.True(t, f.IsEmptied("b1", 0))
 }
 
 // TestAdoptionBeforeBackendIsListed covers a backend server that answers before it is in the list: its runs are adopted.
--- a/internal/basilscheduler/lost_judge_test.go
+++ b/internal/basilscheduler/lost_judge_test.go
@@ -18,7 +18,7 @@
 type playTask struct {
 	done      bool          // a run ended so, whether or not an owner has read it
 	doneOn    []*playServer // where runs ended so
-	read      bool          // such an end was acknowledged
+	read      bool          // such an end was acknowledged, or its effect is stored
 	noted     bool          // and no lease lapsed before that
 	begins    []time.Time
 	lastEnded time.Time
@@ -143,6 +143,27 @@
 	}
 }
 
+// noteStored notes the tasks that are done by a stored record: each later owner knows so.
+func (p *lostPlay) noteStored(r *basilwork.Record) {
+	for n := range p.jobs[r.Job.ID].Steps {
+		for _, id := range p.tasksOf(r.Job.ID, n) {
+			if o := r.Progress[0]; r.IsDone(0) || o != nil && n < len(o.Steps) && o.Steps[n].IsDone(id.Index) {
+				p.task(id).read = true
+			}
+		}
+	}
+}
+
+// judgeOrderedAway judges LOST when a host is given away: the ends that its backend server lists are lost with it, unless their effect is stored.
+func (p *lostPlay) judgeOrderedAway(s *playServer) {
+	for _, e := range s.ended {
+		id, err := basilwork.ParseTaskID(e.Task)
+		if err == nil && e.End == basilwork.RunEndDone && !p.store.rows[id.Job].state.Final() && !p.task(id).read {
+			p.fail("LOST: the host of %s is ordered away before the end of %s is stored", s.ID, e.Task)
+		}
+	}
+}
+
 // judgeStored judges MIXED, and LOST for jobs that fail without cause.
 func (p *lostPlay) judgeStored(id string, state basilwork.JobState) {
 	if state == basilwork.JobStateCompleted && !p.allDone(id, false) {
--- a/internal/basilscheduler/lost_owner_test.go
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -130,7 +130,7 @@
 	for _, b := range o.Backends() {
 		h := p.hostOf(b.ID)
 		o.Evacuate(b.ID, h != nil && h.evacuated)
-		if h != nil && h.awayOnceIdle && o.IsEmptied(b.ID) {
+		if h != nil && h.awayOnceIdle && o.IsEmptied(b.ID, o.acked[b.ID]) {
 			o.orderAway(h)
 		}
 	}
@@ -157,6 +157,7 @@
 func (o *playOwner) orderAway(h *playHost) {
 	id := h.life.ID
 	o.play.trace("%s is ordered away", id)
+	o.play.judgeOrderedAway(h.life)
 	h.life.leavesAt = o.play.now
 	h.life.die()
 	h.rebornIn(3 * time.Second)
@@ -334,6 +335,11 @@
 			if row := p.store.rows[id]; p.cancelled[id].IsZero() {
 				row.body, row.state, row.version = bodies[id], states[id], p.store.version
 				p.store.rows[id] = row
+				var r basilwork.Record
+				if err := json.Unmarshal(bodies[id], &r); err != nil {
+					panic(err)
+				}
+				p.noteStored(&r)
 				p.judgeStored(id, states[id])
 			}
 		}
--- a/internal/basilscheduler/lost_test.go
+++ b/internal/basilscheduler/lost_test.go
@@ -153,3 +153,15 @@
 		must.Eq(t, 1, l.ratio, must.Sprint(len(ends)))
 	}
 }
+
+// TestBackendWithUnstoredEndIsNotEmptied checks that a backend server does not count as emptied before the effect of its last end is stored.
+func TestBackendWithUnstoredEndIsNotEmptied(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	f.addJob("j", stepOf(1, 1000))
+	must.Len(t, 1, f.decideAndStart())
+	f.Evacuate("b1", true)
+	must.False(t, f.IsEmptied("b1", 0))
+	f.report("b1", 0, end("j.0.0.0", 1, 1, basilwork.RunEndDone))
+	must.False(t, f.IsEmptied("b1", 0))
+	must.True(t, f.IsEmptied("b1", 1))
+}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -289,12 +289,13 @@
 	}
 }
 
-// IsEmptied reports whether the backend server is being evacuated and certainly has no runs.
+// IsEmptied reports whether the backend server is being evacuated and certainly has no runs, and no end that only it and this owner know of:
+// the effect of its ends up to storedEnd is stored.
 //
 // A backend server that has not answered this owner yet may still have runs of a predecessor.
-func (p *Pool) IsEmptied(id string) bool {
+func (p *Pool) IsEmptied(id string, storedEnd int64) bool {
 	b := p.backends[id]
-	return b != nil && b.evacuating && b.attached && len(b.runs) == 0
+	return b != nil && b.evacuating && b.attached && len(b.runs) == 0 && b.lastEndNumber <= storedEnd
 }
 
 // Lost removes an incarnation of a backend server that has no runs any more.
--- a/internal/basilscheduler/record.go
+++ b/internal/basilscheduler/record.go
@@ -27,6 +27,9 @@
 	return ids, len(list) > 0 && list[0].urgent
 }
 
+// HasDirtyJobs reports whether a record has changes that were not taken yet.
+func (p *Pool) HasDirtyJobs() bool { return len(p.dirty) > 0 }
+
 // Changes returns how many times a clean record became dirty.
 func (p *Pool) Changes() int64 { return p.changes }
 
