node: log for how long the server of a waiting run is silent

A long-running task that has failed and doesn't run again has one of two kinds of reason: nothing is placed for it, or a run of it may exist for the owner on a server that doesn't answer. The lines about waiting tasks named the second kind (run_unknown, run_unlisted) without the time at which it ends at the latest, so a wait that adds up from several bounds looked like one that is about to end.

Lines about runs on silent servers now tell silent_ms and lost_in_ms, and the line about servers that have ended tells how many of them still belong to a host that is down (they may return under their IDs) and, by the rest, how many to none.

--- a/internal/basilnode/ended_servers.go
+++ b/internal/basilnode/ended_servers.go
@@ -60,8 +60,9 @@
 
 // applyEnded takes those of the backend servers for ended that no host which is up runs any more.
 func (o *owner) applyEnded(silent []string, hosts []basilwork.Machine, now time.Time) {
-	running := make(map[string]bool, len(hosts))
+	running, listed := make(map[string]bool, len(hosts)), make(map[string]bool, len(hosts))
 	for n := range hosts {
+		listed[hosts[n].Backend] = true
 		if hosts[n].Up && hosts[n].Backend != "" {
 			running[hosts[n].Backend] = true
 		}
@@ -71,6 +72,7 @@
 		return
 	}
 	var ended []string
+	down := 0
 	for _, id := range silent {
 		if running[id] {
 			continue
@@ -78,12 +80,15 @@
 		before := o.pool.RunStates(id)
 		if o.pool.Ended(id, now) {
 			ended = append(ended, id)
+			if listed[id] {
+				down++
+			}
 			o.recordLosses(id, reasonEnded, before, now)
 		}
 	}
 	if len(ended) > 0 {
 		o.log.WithFields(logrus.Fields{
-			"backends": len(ended), "hosts": ended[:min(len(ended), maxListedBackends)], "predecessors": o.pool.PredecessorBackends(),
+			"backends": len(ended), "hosts": ended[:min(len(ended), maxListedBackends)], "down": down, "predecessors": o.pool.PredecessorBackends(),
 		}).Info("silent backend servers have ended")
 	}
 }
--- a/internal/basilnode/ended_servers_test.go
+++ b/internal/basilnode/ended_servers_test.go
@@ -26,6 +26,7 @@
 	must.Eq(t, 1, o.pool.PredecessorBackends())
 	must.False(t, o.pool.PredecessorUntil("cut-off").IsZero())
 	must.Eq(t, []string{"down", "gone", "moving"}, hook.LastEntry().Data["hosts"].([]string))
+	must.Eq(t, 1, hook.LastEntry().Data["down"].(int))
 }
 
 // TestHostsAreListedSeldomForSilentBackends checks that the interval between listings doubles.
--- a/internal/basilnode/waits.go
+++ b/internal/basilnode/waits.go
@@ -92,6 +92,7 @@
 			fields["renewal_age_ms"] = o.node.keeper.SinceRenewal().Milliseconds()
 			fields["jobs_age_ms"], fields["backends_age_ms"] = o.jobFreshness.age().Milliseconds(), o.backendFreshness.age().Milliseconds()
 		}
+		o.addSilence(fields, x.Run.Backend, now)
 		level := logrus.WarnLevel
 		if x.Expected {
 			level = logrus.InfoLevel
@@ -100,6 +101,17 @@
 	}
 }
 
+// addSilence adds for how long the backend server has not answered, and when it counts as lost if it doesn't answer until then.
+func (o *owner) addSilence(fields logrus.Fields, id string, now time.Time) {
+	c := o.connections[id]
+	if c == nil {
+		return
+	}
+	if since, lostAt := c.Silence(); !since.IsZero() {
+		fields["silent_ms"], fields["lost_in_ms"] = now.Sub(since).Milliseconds(), lostAt.Sub(now).Milliseconds()
+	}
+}
+
 // waitFields returns the log fields of a wait, without those that have no meaning for its reason.
 func waitFields(w *basilscheduler.Wait) logrus.Fields {
 	f := logrus.Fields{
--- a/internal/basilnode/waits_test.go
+++ b/internal/basilnode/waits_test.go
@@ -1,6 +1,7 @@
 package basilnode
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -12,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
+	"basilstage.example/basilstage/internal/basilrunner"
 	"basilstage.example/basilstage/internal/basilscheduler"
 	"basilstage.example/basilstage/internal/basilwork"
 )
@@ -156,3 +158,38 @@
 	must.Len(t, 1, hook.Entries)
 	must.True(t, o.waitLog.next.After(now.Add(time.Millisecond)))
 }
+
+// TestSilenceIsLoggedWithWait checks that the line about a task whose run is on a backend server that doesn't answer tells for how long, and when
+// the server counts as lost.
+func TestSilenceIsLoggedWithWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, _ := newLoggingOwner(time.Now())
+		c := basilrunner.NewConnection(basilwork.Backend{ID: "b1", StartedAt: 1}, basilrunner.Options{
+			Commander: &onceAnswering{}, Sink: o, MaxLease: 6 * time.Second,
+			MayStart: func() bool { return true }, MayHold: func() bool { return true },
+		})
+		o.ctx, o.events = t.Context(), make(chan event, eventQueueSize)
+		o.connections = map[string]*connection{"b1": {Connection: c}}
+		c.SetBusy(true, 1, 0)
+		go c.Run(t.Context())
+		time.Sleep(3 * time.Second)
+		fields := make(logrus.Fields)
+		o.addSilence(fields, "b1", time.Now())
+		o.addSilence(fields, "b2", time.Now())
+		must.Between(t, 2000, fields["silent_ms"].(int64), 3000)
+		must.Between(t, 3000, fields["lost_in_ms"].(int64), 5000)
+	})
+}
+
+// onceAnswering is a backend server that answers one hold.
+type onceAnswering struct {
+	basilwork.Commander
+	holds int
+}
+
+func (a *onceAnswering) Hold(context.Context, basilwork.Backend, basilwork.HoldOrder) (basilwork.Report, error) {
+	if a.holds++; a.holds > 1 {
+		return basilwork.Report{}, basilwork.ErrNoAnswer{Cause: context.DeadlineExceeded}
+	}
+	return basilwork.Report{StartedAt: 1, Clock: 1}, nil
+}
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -362,6 +362,16 @@
 	return later(at, c.options.Inherited)
 }
 
+// Silence returns since when the backend server has not answered, and when it counts as lost if it goes on like that; zero times if it answers.
+func (c *Connection) Silence() (since, lostAt time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.firstMissAt.IsZero() {
+		return time.Time{}, time.Time{}
+	}
+	return c.lease.LastAnswer(), c.expiry()
+}
+
 func (c *Connection) pause(ctx context.Context, err error) {
 	d := defaultHoldPause
 	if c.options.HoldInterval != nil {
--- a/internal/basilrunner/connection_test.go
+++ b/internal/basilrunner/connection_test.go
@@ -176,3 +176,29 @@
 	must.Eq(t, 5700*time.Millisecond, (&Options{MaxLease: 6 * time.Second, Term: 8 * time.Second}).term())
 	must.Eq(t, 5700*time.Millisecond, (&Options{MaxLease: 6 * time.Second}).term())
 }
+
+// TestSilenceTellsWhenBackendIsLost checks that a silent backend server is lost when the connection has told so, and that one that answers isn't
+// called silent.
+func TestSilenceTellsWhenBackendIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &silentBackend{fakeBackend: fakeBackend{answers: []basilwork.Report{{StartedAt: 1, Clock: 1}}}}
+		c := NewConnection(basilwork.Backend{ID: "b1", StartedAt: 1}, Options{
+			Commander: s, Sink: s, Fence: 1, MaxLease: 6 * time.Second,
+			MayStart: func() bool { return true }, MayHold: func() bool { return true },
+		})
+		c.SetBusy(true, 1, 0)
+		s.sink = func(int64) {
+			since, _ := c.Silence()
+			must.True(t, since.IsZero())
+		}
+		var lostAt time.Time
+		s.lost = func() { lostAt = time.Now() }
+		answered := time.Now()
+		go c.Run(t.Context())
+		time.Sleep(3 * time.Second)
+		since, told := c.Silence()
+		must.Less(t, time.Second, since.Sub(answered))
+		time.Sleep(10 * time.Second)
+		must.Between(t, 0, lostAt.Sub(told), time.Second)
+	})
+}
