scheduler: a failed long-running task waits for a server that has gone

A property over any sequence of owners that are killed or frozen, servers that go for good, move, return under their IDs or others or fail what they run, starts that are late, and runs that fail: each long-running task with room runs again within 9 s, in calm by the platform's rules, and never twice. The start gets no answer, so the run may exist until the server's leases have run out, 7.6 s, although the list of hosts tells that the server has ended: that counts only for tasks that were at work. If the server had started again under its ID some seconds before, the longest lease counts from the time until which late orders for the earlier incarnation may come: 18 s.

--- a/internal/basilscheduler/lost_connection_test.go
+++ b/internal/basilscheduler/lost_connection_test.go
@@ -50,11 +50,17 @@
 	delete(o.connections, id)
 }
 
-func (c *playConnection) closed() bool { return !c.owner.alive || c.owner.connections[c.id] != c }
+func (c *playConnection) closed() bool {
+	return !c.owner.alive || c.owner.deposed() || c.owner.connections[c.id] != c
+}
 
 // run holds the backend server when that is due.
 func (c *playConnection) run() {
 	p := c.owner.play
+	if p.now.Before(c.owner.frozenUntil) {
+		c.owner.thawed(c.run)
+		return
+	}
 	if c.closed() {
 		return
 	}
--- a/internal/basilscheduler/lost_owner_test.go
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -59,8 +59,21 @@
 	incarnations   map[string]int64
 	oldestChange   time.Time
 	earlier        basilrunner.EarlierConnections
+	frozenUntil    time.Time
 }
 
+// thawed calls f once the owner isn't frozen.
+func (o *playOwner) thawed(f func()) {
+	if left := o.frozenUntil.Sub(o.play.now); left > 0 {
+		o.play.after(left, func() { o.thawed(f) })
+		return
+	}
+	f()
+}
+
+// deposed reports whether there is another owner.
+func (o *playOwner) deposed() bool { return o.play.owner != o }
+
 // takeOver replaces the owner by one that knows what is stored.
 func (p *lostPlay) takeOver() {
 	p.store.version++
@@ -118,6 +131,15 @@
 		return
 	}
 	p := o.play
+	if p.now.Before(o.frozenUntil) {
+		o.thawed(o.step)
+		return
+	}
+	if o.deposed() {
+		p.trace("epoch %d is deposed", o.epoch)
+		o.alive = false
+		return
+	}
 	p.after(20*time.Millisecond, o.step)
 	if o.Fenced() {
 		p.fail("the newest owner was fenced")
@@ -339,22 +361,24 @@
 		}
 		version := p.store.version
 		p.after(p.storeTime(), func() {
-			if !o.alive {
-				return
-			}
-			if p.now.Before(p.store.troubleUntil) && p.random.IntN(2) == 0 { // its answer is lost
-				o.sendCommit(bodies, states, covered)
-				return
-			}
-			o.committing = false
-			for _, id := range sortedKeys(bodies) {
-				o.versions[id] = max(o.versions[id], version)
-				if !p.cancelled[id].IsZero() {
-					o.Cancel(id, p.now)
+			o.thawed(func() {
+				if !o.alive || o.deposed() {
+					return
 				}
-				o.Stored(id, p.now)
-			}
-			o.acknowledge(covered)
+				if p.now.Before(p.store.troubleUntil) && p.random.IntN(2) == 0 { // its answer is lost
+					o.sendCommit(bodies, states, covered)
+					return
+				}
+				o.committing = false
+				for _, id := range sortedKeys(bodies) {
+					o.versions[id] = max(o.versions[id], version)
+					if !p.cancelled[id].IsZero() {
+						o.Cancel(id, p.now)
+					}
+					o.Stored(id, p.now)
+				}
+				o.acknowledge(covered)
+			})
 		})
 	})
 }
--- a/internal/basilscheduler/lost_owners_test.go
+++ b/internal/basilscheduler/lost_owners_test.go
@@ -36,7 +36,11 @@
 
 // readHosts takes silent backend servers for ended that no host runs, as the owner of basilnode does.
 func (o *playOwner) readHosts() {
-	if !o.alive {
+	if !o.alive || o.deposed() {
+		return
+	}
+	if o.play.now.Before(o.frozenUntil) {
+		o.thawed(o.readHosts)
 		return
 	}
 	for _, id := range o.SilentBackends() {
@@ -54,13 +58,18 @@
 		p.trace("owner dies")
 		p.owner.alive = false
 		p.after(playTakeover, func() {
-			p.takeOver()
-			p.after(playEndedDelay, p.owner.readHosts)
+			p.succeed()
 			p.replaceOwners(lasts)
 		})
 	})
 }
 
+// succeed replaces the owner by one that reads the list of hosts.
+func (p *ownersPlay) succeed() {
+	p.takeOver()
+	p.after(playEndedDelay, p.owner.readHosts)
+}
+
 // failRuns has a run of a long-running task fail now and then.
 func (p *lostPlay) failRuns(every time.Duration) {
 	p.after(p.between(every/2, every*3/2), func() {
@@ -99,6 +108,13 @@
 
 // newOwnersPlay returns a play of long-running jobs whose runs fail now and then on so many hosts, under owners that last for the given time.
 func newOwnersPlay(hosts int, seed uint64, lasts time.Duration) *ownersPlay {
+	p := newLongRunningPlay(hosts, seed)
+	p.replaceOwners(lasts)
+	return p
+}
+
+// newLongRunningPlay returns the same under one owner.
+func newLongRunningPlay(hosts int, seed uint64) *ownersPlay {
 	p := &ownersPlay{lostPlay: newLostPlay(hosts, seed)}
 	p.disturbedAt = p.now
 	for n := range 3 {
@@ -111,7 +127,6 @@
 	p.owner.readHosts()
 	p.failRuns(500 * time.Millisecond)
 	p.after(3*time.Second, p.judgeAbsences)
-	p.replaceOwners(lasts)
 	return p
 }
 
--- a/internal/basilscheduler/lost_property_test.go
+++ b/internal/basilscheduler/lost_property_test.go
@@ -61,6 +61,7 @@
 	tasks     map[basilwork.TaskID]*playTask
 	waits     map[string]time.Time // since when what waits has had room
 	failure   string
+	restless  bool // troubles come at any time
 	lines     []playLine
 }
 
@@ -122,7 +123,12 @@
 }
 
 // calmFor returns for how long there has been no trouble; negative while troubles come.
-func (p *lostPlay) calmFor() time.Duration { return p.now.Sub(p.began)%playRound - playTroubles }
+func (p *lostPlay) calmFor() time.Duration {
+	if p.restless {
+		return -time.Nanosecond
+	}
+	return p.now.Sub(p.began)%playRound - playTroubles
+}
 
 // drawRun returns how long a run will take, and whether it will fail.
 func (p *lostPlay) drawRun(id basilwork.TaskID) (time.Duration, bool) {
@@ -143,7 +149,7 @@
 	answer := func(a playAnswer, answered bool) {
 		if !replied {
 			replied = true
-			reply(a, answered)
+			c.owner.thawed(func() { reply(a, answered) })
 		}
 	}
 	p.after(timeout, func() { answer(playAnswer{}, false) })
@@ -159,6 +165,15 @@
 			a = l.refused(basilwork.RefusalGone)
 		case p.now.Before(h.sickUntil):
 			a = l.refused(basilwork.RefusalBusy)
+		case p.now.Before(h.greyUntil) && p.random.IntN(10) < h.greyTenths:
+			switch h.greyHow {
+			case greyMute:
+				carryOut(l)
+				return
+			case greyHang:
+				return
+			}
+			a = l.refused(basilwork.RefusalBusy)
 		case p.now.Before(h.lateUntil) && slices.Contains(h.lateOrders, kind) && p.random.IntN(10) < 7:
 			p.after(p.between(2*time.Second, 12*time.Second), func() {
 				if h.life == l && l.up && !p.now.Before(h.silentUntil) {
--- a/internal/basilscheduler/lost_server_test.go
+++ b/internal/basilscheduler/lost_server_test.go
@@ -64,6 +64,9 @@
 	lateUntil    time.Time // orders are carried out late
 	lateOrders   []string  // the kinds that are
 	lossyUntil   time.Time // answers get lost
+	greyUntil    time.Time // some runs fail, and some calls
+	greyTenths   int       // how many of ten
+	greyHow      greyHow   // how calls fail
 	evacuated    bool
 	awayOnceIdle bool // the host is ordered away once it is empty
 }
