scheduler: a suspended backend server runs what no other one serves

The pool has one backend server, which was suspended for 3 s after three failed runs of two jobs, and nothing is started there meanwhile. Each further failure begins the 3 s anew, so a task can wait longer than one suspension.

Cause: suspension shut a backend server out, whether or not another one could serve. It is meant to keep tasks from using up their attempts on a server on which everything fails, which helps only as long as there is another. Now it is a preference, like slowness: tasks go elsewhere for 2 s (maxHoldBack, out of the 3 s that the users allow), and then run there if no other one serves them; short tasks only while less than half of the pool is in use. Where both have room the other one is taken, no run is moved there, and nothing is reserved there. Load reports it as before.

Against it: without another server a task of a server on which everything fails now has its next attempt after 2 s in place of 3 s. It would fail there as well after the suspension. Ruled out: a shorter suspension, as later failures prolong it too, and it would shorten it where there are other servers. Of the places where a preference may leave no server (slow, reserved, avoided, suspended), the others have this bound; a long-running task still avoids a server on which it failed for 4 s, which is within the 6 s that it has to restart.

--- a/internal/basilscheduler/advice.go
+++ b/internal/basilscheduler/advice.go
@@ -149,7 +149,7 @@
 func (p *Pool) adviceBackends(s *step, t *stepTickets, now time.Time) []*backend {
 	var list []*backend
 	for _, b := range p.list {
-		if !b.usable(now) || !b.hasLabel(s.spec.Label) || !b.Resources.Covers(s.demand) || !s.antiAffinityAllows(b) {
+		if !b.available(now) || !b.hasLabel(s.spec.Label) || !b.Resources.Covers(s.demand) || !s.antiAffinityAllows(b) {
 			continue
 		}
 		if a, ok := t.answers[b]; !ok || !a.holds(now) {
--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -22,6 +22,7 @@
 	fillerCPU      int       // CPU of the filler runs, in thousandths of a core
 	busyUntil      time.Time // latest expected end of its runs
 	blockedUntil   time.Time // no new runs before this time
+	suspendedUntil time.Time // suspended until this time
 	heardAt        time.Time // when it last answered a hold or a start
 	succeeded      bool      // a newer incarnation was listed at its address, which may have left again since
 	quarantinedFor *run      // suspect that was started on it last; nil if it has ended
@@ -32,6 +33,7 @@
 	pacedAt        time.Time // when the pace of the filler runs was last adjusted
 	recorded       bool      // stored, so that a successor of the owner finds it
 	isSlow         bool      // considered slow in the current decision
+	isSuspended    bool      // suspended in the current decision
 	lostLately     bool      // one at its address was lost a short time ago, as of the current decision
 	reserved       bool      // reserved in the current decision for a task that waits for room
 	needsCheck     bool      // its runs have to be checked in the next decision
@@ -44,8 +46,14 @@
 	orphans        map[Ref]*orphan // runs in its newest report that belong to no known task
 }
 
-// usable reports whether new runs may be placed on the backend server.
-func (b *backend) usable(now time.Time) bool {
+// usable reports whether new runs are placed on the backend server before others wait.
+func (b *backend) usable(now time.Time) bool { return b.available(now) && !b.suspended(now) }
+
+// suspended reports whether the backend server is suspended. It runs only what has been held back for long (see mayUse).
+func (b *backend) suspended(now time.Time) bool { return now.Before(b.suspendedUntil) }
+
+// available reports whether new runs may be placed on the backend server.
+func (b *backend) available(now time.Time) bool {
 	return b.present && b.recorded && b.attached && b.reachable && !b.evacuating && !b.Draining && !now.Before(b.blockedUntil)
 }
 
@@ -115,7 +123,7 @@
 	b.failures++
 	b.failedJobs[jobID] = true
 	if b.failures >= suspectFailures && len(b.failedJobs) >= suspectJobs {
-		b.blockedUntil = now.Add(suspectPause)
+		b.suspendedUntil = now.Add(suspectPause)
 		b.failures = suspectFailures - 1 // after the pause, one more failure suspends it again
 	}
 }
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -140,22 +140,24 @@
 		if rack != "" && b.Rack != rack || !p.mayUse(t, b, now) || !p.hasRoomFor(t, b, tickets, now) {
 			continue
 		}
-		if s := scoreOf(t, b, length, now); best == nil || s.less(bestScore) {
+		s := scoreOf(t, b, length, now)
+		switch {
+		case best == nil, best.isSuspended && !b.isSuspended, best.isSuspended == b.isSuspended && s.less(bestScore):
 			best, bestScore = b, s
 		}
 	}
 	return best
 }
 
-// fits reports whether the backend server has room for the task and isn't too slow for it.
+// fits reports whether the backend server has room for the task and is neither suspended nor too slow for it.
 func (p *Pool) fits(t *task, b *backend, tickets *stepTickets, now time.Time) bool {
-	return p.hasRoomFor(t, b, tickets, now) && (t.step.spec.LongRunning || !p.slow(b, now))
+	return p.hasRoomFor(t, b, tickets, now) && !b.suspended(now) && (t.step.spec.LongRunning || !p.slow(b, now))
 }
 
 // hasRoomFor reports whether the backend server has room for the task and may run it.
 func (p *Pool) hasRoomFor(t *task, b *backend, tickets *stepTickets, now time.Time) bool {
 	s := t.step
-	if !b.free().Covers(s.demand) || !b.usable(now) || !b.hasLabel(s.spec.Label) || b.closed() {
+	if !b.free().Covers(s.demand) || !b.available(now) || !b.hasLabel(s.spec.Label) || b.closed() {
 		return false
 	}
 	return tickets.allow(b, now) && !p.avoids(t, b, now) && s.antiAffinityAllows(b)
--- a/internal/basilscheduler/explain_task.go
+++ b/internal/basilscheduler/explain_task.go
@@ -196,6 +196,8 @@
 		return WaitReasonAntiAffinity
 	case e.mayUse(t, b, e.now):
 		return WaitReasonNone
+	case b.isSuspended:
+		return WaitReasonBlocked
 	case b.reserved:
 		return WaitReasonReserved
 	}
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -12,9 +12,9 @@
 
 // placement is the state of placing tasks during one decision.
 type placement struct {
-	backends        []*backend          // usable backend servers with room for the smallest waiting demand, by ID
+	backends        []*backend          // available backend servers with room for the smallest waiting demand, by ID
 	reserved        int                 // number of backend servers that are reserved for tasks that wait for room
-	aside           []*backend          // those that are reserved or slow, which short tasks may use in some cases only (see mayUse)
+	aside           []*backend          // those that are reserved, slow or suspended, which short tasks may use in some cases only (see mayUse)
 	asideRoom       basilwork.Resources // maximum free room of each kind over these
 	halfEmpty       bool                // less than half of the pool's room of each kind is in use; valid if halfEmptyKnown
 	halfEmptyKnown  bool
@@ -44,10 +44,10 @@
 		lost[p.silences[n].address] = true
 	}
 	for _, b := range p.list {
-		if b.free().Covers(p.waiting.minDemand) && b.usable(now) {
-			b.reserved, b.isSlow, b.lostLately = false, p.slow(b, now), lost[b.Address]
+		if b.free().Covers(p.waiting.minDemand) && b.available(now) {
+			b.reserved, b.isSlow, b.isSuspended, b.lostLately = false, p.slow(b, now), b.suspended(now), lost[b.Address]
 			p.placement.backends = append(p.placement.backends, b)
-			if b.isSlow {
+			if b.isSlow || b.isSuspended {
 				p.setAside(b)
 			}
 		}
@@ -69,7 +69,7 @@
 	}
 	r.Resources, r.known = noRoom, true
 	for _, b := range p.placement.backends {
-		if b.reserved || b.isSlow || b.closed() || !b.hasLabel(p.waiting.labels[label]) {
+		if b.reserved || b.isSlow || b.isSuspended || b.closed() || !b.hasLabel(p.waiting.labels[label]) {
 			continue
 		}
 		r.Resources = r.Resources.Max(b.free())
--- a/internal/basilscheduler/reserve.go
+++ b/internal/basilscheduler/reserve.go
@@ -9,7 +9,7 @@
 
 const (
 	reservedFraction = 3               // one backend server in this many may be reserved for short tasks
-	maxHoldBack      = 2 * time.Second // how long a task may be held back from reserved or slow servers, or ones on which it failed, while the pool has room, out of the 3 s that a task with room may wait
+	maxHoldBack      = 2 * time.Second // how long a task may be held back from reserved, slow or suspended servers, or ones on which it failed, while the pool has room, out of the 3 s that a task with room may wait
 )
 
 // mayReserve reports whether one more backend server may be reserved for a short task.
@@ -25,7 +25,7 @@
 	}
 	var best *backend
 	for _, b := range p.placement.backends {
-		if b.reserved || !b.hasLabel(c.step.spec.Label) || !b.Resources.Covers(c.demand) || !c.step.antiAffinityAllows(b) || p.avoids(t, b, now) {
+		if b.reserved || b.isSuspended || !b.hasLabel(c.step.spec.Label) || !b.Resources.Covers(c.demand) || !c.step.antiAffinityAllows(b) || p.avoids(t, b, now) {
 			continue
 		}
 		if b.free().Covers(c.demand) {
@@ -44,7 +44,7 @@
 	p.resetMaxFree()
 }
 
-// setAside notes that the backend server is reserved or slow.
+// setAside notes that the backend server is reserved, slow or suspended.
 func (p *Pool) setAside(b *backend) {
 	p.placement.aside = append(p.placement.aside, b)
 	p.placement.asideRoom = p.placement.asideRoom.Max(b.free())
@@ -89,17 +89,18 @@
 	return p.placement.halfEmpty
 }
 
-// mayUse reports whether the task may run on the backend server, as far as that is reserved for another task or slow, which is no place for
-// short ones. A task that has been held back for long may run on either while the pool has room; a long-running one also while it is full.
+// mayUse reports whether the task may run on the backend server, as far as that is reserved for another task, suspended, or slow, which is no
+// place for short ones. A task that has been held back for long may run on any of these while the pool has room, as there may be no other
+// server for it; a long-running one also while it is full.
 func (p *Pool) mayUse(t *task, b *backend, now time.Time) bool {
 	long := t.step.spec.LongRunning
-	if !b.reserved && (long || !b.isSlow) {
+	if !b.reserved && !b.isSuspended && (long || !b.isSlow) {
 		return true
 	}
 	return now.Sub(t.readyAt) >= maxHoldBack && (long || p.wasHalfEmpty())
 }
 
-// fitsAside reports whether the next short task of the step may run on a backend server that is reserved for another one or slow.
+// fitsAside reports whether the next short task of the step may run on a backend server that is reserved for another one, slow or suspended.
 func (p *Pool) fitsAside(c *candidate, now time.Time) bool {
 	if !p.placement.asideRoom.Covers(c.demand) || c.step.firstIdle >= len(c.step.tasks) || !p.wasHalfEmpty() {
 		return false
--- a/internal/basilscheduler/reserve_test.go
+++ b/internal/basilscheduler/reserve_test.go
@@ -92,6 +92,60 @@
 	}
 }
 
+// TestSuspendedBackendRunsWhatNoOtherServes checks that tasks wait 2 s for another backend server than one that is suspended after failed runs of
+// several jobs, and then run there if no other serves them. They waited for the end of the suspension, which further failures prolong.
+func TestSuspendedBackendRunsWhatNoOtherServes(t *testing.T) {
+	for name, x := range map[string]struct {
+		other   int // CPU of another backend server, 0 for none
+		step    basilwork.Step
+		backend string
+	}{
+		"only backend server":           {0, stepOf(1, 1000), "b1"},
+		"long-running task":             {0, longStep(1, 1000), "b1"},
+		"others are too small":          {500, stepOf(1, 1000), "b1"},
+		"room elsewhere after the wait": {4000, stepOf(1, 1000), "b2"},
+		"room elsewhere for part of it": {4000, basilwork.Step{Count: 2, Resources: basilwork.Resources{CPU: 3000}, Estimate: time.Second, Gang: true}, "b2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, backendOf("b1", 8000))
+			b := f.backends["b1"]
+			for n := range suspectFailures {
+				b.recordFailure(fmt.Sprint("failed-", n), f.now)
+			}
+			if x.other > 0 {
+				f.setBackends(backendOf("b1", 8000), backendOf("b2", x.other))
+				f.backends["b2"].blockedUntil = f.now.Add(maxHoldBack)
+			}
+			f.addJob("j", x.step)
+			f.wait(0)
+			f.advance(maxHoldBack - time.Millisecond)
+			must.SliceEmpty(t, f.decideAndStart())
+			b.recordFailure("failed", f.now)
+			f.advance(time.Millisecond)
+			starts := f.decideAndStart()
+			must.Len(t, x.step.Count, starts)
+			must.Eq(t, x.backend, starts[0].Backend)
+		})
+	}
+}
+
+// TestSuspendedBackendGetsNothingWhileOthersAreBusy checks that short tasks don't run on a suspended backend server while half of the pool is in use.
+func TestSuspendedBackendGetsNothingWhileOthersAreBusy(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 8000))
+	for n := range suspectFailures {
+		f.backends["b1"].recordFailure(fmt.Sprint("failed-", n), f.now)
+	}
+	f.addJob("busy", stepOf(1, 8000))
+	must.Len(t, 1, f.decideAndStart())
+	f.addJob("j", stepOf(1, 1000))
+	must.SliceEmpty(t, f.decideAndStart())
+	f.advance(suspectPause - time.Millisecond)
+	must.SliceEmpty(t, f.decideAndStart())
+	must.Eq(t, 1, f.ExplainWaits(f.now).Tasks[WaitReasonBlocked])
+	f.advance(time.Millisecond)
+	must.Len(t, 1, f.decideAndStart())
+}
+
 // waitingPlay plays random waiting work of all kinds on a pool, and judges that nothing that has room waits for long.
 type waitingPlay struct {
 	*fixture
