scheduler: have the owner of the plays forget ends as the node's does

The owner of the plays acknowledged to a server that had started again under its ID what a commit in flight had covered of the incarnation before, so that ends of the new one were dropped unread and their tasks ran again (TWICE in the new property, a job of short tasks with the store in trouble beside such a restart). basilnode's committer forgets them in the transaction under way too (committer.forgetEnds); the play's owner does now, so the play is nearer to the code and no check has changed.

--- a/internal/basilscheduler/lost_connection_test.go
+++ b/internal/basilscheduler/lost_connection_test.go
@@ -150,8 +150,7 @@
 	if restarted {
 		o.play.trace("epoch %d sees that %s started again", o.epoch, c.id)
 		o.Restarted(c.id, r, sent, now)
-		delete(o.acked, c.id)
-		delete(o.pendingCover, c.id)
+		o.forgetEnds(c.id)
 	}
 	o.incarnations[c.id] = r.StartedAt
 	o.Report(c.id, r, sent, now)
--- a/internal/basilscheduler/lost_owner_test.go
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -54,6 +54,7 @@
 	lastDelete     time.Time
 	committing     bool
 	pendingCover   map[string]int64
+	covered        map[string]int64 // by the commit in flight
 	pendingChanges int64
 	acked          map[string]int64
 	incarnations   map[string]int64
@@ -337,15 +338,15 @@
 			bodies[id], states[id] = body, r.State
 		}
 	}
-	var covered map[string]int64
+	o.covered = nil
 	if o.TakenUpTo(o.pendingChanges) {
-		covered, o.pendingCover = o.pendingCover, nil
+		o.covered, o.pendingCover = o.pendingCover, nil
 	}
 	o.committing = true
-	o.sendCommit(bodies, states, covered)
+	o.sendCommit(bodies, states)
 }
 
-func (o *playOwner) sendCommit(bodies map[string][]byte, states map[string]basilwork.JobState, covered map[string]int64) {
+func (o *playOwner) sendCommit(bodies map[string][]byte, states map[string]basilwork.JobState) {
 	p := o.play
 	p.after(p.storeTime(), func() {
 		if p.store.epoch != o.epoch {
@@ -366,7 +367,7 @@
 					return
 				}
 				if p.now.Before(p.store.troubleUntil) && p.random.IntN(2) == 0 { // its answer is lost
-					o.sendCommit(bodies, states, covered)
+					o.sendCommit(bodies, states)
 					return
 				}
 				o.committing = false
@@ -377,7 +378,7 @@
 					}
 					o.Stored(id, p.now)
 				}
-				o.acknowledge(covered)
+				o.acknowledge(o.covered)
 			})
 		})
 	})
@@ -395,11 +396,17 @@
 	o.play.trace("epoch %d loses %s: %s", o.epoch, c.id, reason)
 	o.Lost(c.id, reason, o.play.now)
 	o.disconnect(c.id)
-	delete(o.acked, c.id)
-	delete(o.pendingCover, c.id)
+	o.forgetEnds(c.id)
 	delete(o.silences, c.id)
 }
 
+// forgetEnds forgets which ends of a backend server are stored, or are stored by the commits under way.
+func (o *playOwner) forgetEnds(id string) {
+	delete(o.acked, id)
+	delete(o.covered, id)
+	delete(o.pendingCover, id)
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
