scheduler: give up runs that never worked on servers that have ended

The platform's list of hosts had told that the server has ended, but that released only tasks that were at work there: the others may have crashed it. Waits that are bounded one by one added up to more than the 9 s that a task with room may be away (LOST).

The long-running runs on a server that has ended are given up 3 s after its last answer now. So that no task crashes more servers than are counted (BUDGET), the crash still counts for it when it shows, by the server's return or its successor, and a task for which a crash counts or may still count waits as before. A start that may still be answered is waited for, and starts without an answer are stopped should the server return, as after the end of its leases.

Ruled out: telling servers that are gone from those that return by the list.

--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -42,6 +42,8 @@
 	movableLayout  int
 	fillers        int             // number of filler runs
 	orphans        map[Ref]*orphan // runs in its newest report that belong to no known task
+	ended          bool            // it doesn't answer, and no host runs it any more
+	givenUp        []suspect       // runs that were given up since it has ended, until it is known whether it has crashed
 }
 
 // usable reports whether new runs may be placed on the backend server.
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -29,6 +29,7 @@
 	p.expirePredecessors(now)
 	p.explainSilences(now)
 	p.expireOpenStarts(now)
+	p.giveUpEndedRuns(now)
 	p.recordPredecessorCrash(now)
 	p.updateMedianOdds(now)
 	p.openDueOccurrences(now)
--- /dev/null
+++ b/internal/basilscheduler/ended_test.go
@@ -0,0 +1,88 @@
+package basilscheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// endServer has the server of a start fall silent 100 ms after it was answered, and the list of hosts tell 1.9 s later that it has ended.
+func (f *fixture) endServer(s Start) {
+	f.advance(100 * time.Millisecond)
+	f.report(s.Backend, 0)
+	f.SetReachable(s.Backend, false)
+	f.advance(1900 * time.Millisecond)
+	f.Ended(s.Backend, f.now)
+}
+
+// TestLongRunningTaskThatWasNotAtWorkRunsAfterItsServerHasEnded checks that it starts elsewhere 3 s after the last answer of the server, and that the
+// server's crash counts for it if that shows later, by whatever way.
+func TestLongRunningTaskThatWasNotAtWorkRunsAfterItsServerHasEnded(t *testing.T) {
+	for _, crashed := range []bool{false, true} {
+		f := newFixture(t, backendOf("b1", 1000))
+		f.addJob("j", longStep(1, 1000))
+		s := f.decideAndStart()[0]
+		f.setBackends(backendOf("b1", 1000), backendOf("b2", 1000))
+		must.SliceEmpty(t, f.SilentBackends())
+		f.endServer(s)
+		must.SliceEmpty(t, f.SilentBackends())
+		must.SliceEmpty(t, f.decideAndStart())
+		f.advance(endedRunWait - 1900*time.Millisecond)
+		again := f.decideAndStart()
+		must.Len(t, 1, again)
+		must.Eq(t, "b2", again[0].Backend)
+		f.setBackends(backendOf("b2", 1000))
+		must.True(t, f.MayHaveRuns("b1"))
+		must.False(t, f.Busy("b1"))
+		reason := basilwork.LossExpired
+		if crashed {
+			reason = basilwork.LossReplaced
+		}
+		f.Lost("b1", reason, f.now)
+		must.False(t, f.MayHaveRuns("b1"))
+		must.Eq(t, crashed, len(f.findTask(s.Task).step.progress.Crashes[0]) > 0)
+	}
+}
+
+// TestCrashCountsForRunThatWasGivenUp checks that the crash of a server that starts again under its ID counts for a run that was given up there, and
+// that the answer of one that was only unreachable doesn't.
+func TestCrashCountsForRunThatWasGivenUp(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		f := newFixture(t, backendOf("b1", 1000))
+		f.addJob("j", longStep(1, 1000))
+		s := f.decideAndStart()[0]
+		f.setBackends(backendOf("b1", 1000), backendOf("b2", 1000))
+		f.endServer(s)
+		f.advance(endedRunWait)
+		must.Len(t, 1, f.decideAndStart())
+		if restarted {
+			f.Restarted("b1", basilwork.Report{}, f.now, f.now)
+		}
+		f.Report("b1", basilwork.Report{}, f.now, f.now)
+		f.Lost("b1", basilwork.LossReplaced, f.now)
+		must.Eq(t, restarted, len(f.findTask(s.Task).step.progress.Crashes[0]) > 0)
+	}
+}
+
+// TestTaskThatMayHaveCrashedServersWaitsForTheNextOne checks that a task whose server has ended is given up on one server at a time, so that it
+// doesn't crash more servers than are counted.
+func TestTaskThatMayHaveCrashedServersWaitsForTheNextOne(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 1000))
+	f.addJob("j", longStep(1, 1000))
+	f.endServer(f.decideAndStart()[0])
+	f.setBackends(backendOf("b1", 1000), backendOf("b2", 1000))
+	f.advance(endedRunWait)
+	second := f.decideAndStart()
+	must.Len(t, 1, second)
+	f.setBackends(backendOf("b1", 1000), backendOf("b2", 1000), backendOf("b3", 1000))
+	f.endServer(second[0])
+	f.advance(endedRunWait)
+	must.SliceEmpty(t, f.decideAndStart())
+	f.Lost("b1", basilwork.LossExpired, f.now)
+	must.SliceEmpty(t, f.decideAndStart(), must.Sprint("b1 may have crashed"))
+	f.Lost("b2", basilwork.LossExpired, f.now)
+	must.Len(t, 1, f.decideAndStart())
+}
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -45,6 +45,7 @@
 	}
 	b.needsCheck = true
 	b.heardAt = now
+	b.takeGivenUp()
 	for _, e := range report.Ended {
 		if e.Number <= b.lastEndNumber {
 			continue
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -187,7 +187,7 @@
 			p.layoutVersion++
 		}
 		b.present = false
-		if len(b.runs)+len(b.orphans) == 0 && !p.mayHavePredecessorRuns(id) {
+		if len(b.runs)+len(b.orphans)+len(b.givenUp) == 0 && !p.mayHavePredecessorRuns(id) {
 			p.forgetBackend(id)
 		}
 	}
@@ -309,6 +309,7 @@
 	}
 	runs := b.sortedRuns()
 	l := p.newSilence(b, runs)
+	l.suspects = append(l.suspects, b.takeGivenUp()...)
 	p.recordOpenStarts(runs)
 	if reason == basilwork.LossExpired {
 		p.recordLateStarts(runs)
@@ -340,7 +341,9 @@
 		return !r.orderedAt.Before(sent) || !r.answeredAt.Before(sent) || lists(answer.Running, r)
 	})
 	p.recordOpenStarts(gone)
-	p.recordSilence(p.newSilence(b, gone), true, now)
+	l := p.newSilence(b, gone)
+	l.suspects = append(l.suspects, b.takeGivenUp()...)
+	p.recordSilence(l, true, now)
 	for _, r := range b.sortedRuns() {
 		if r.phase == phaseRunning && !r.mustBeListed(sent) && !lists(answer.Running, r) {
 			r.phase = phaseUnanswered
@@ -369,7 +372,9 @@
 	return b != nil && len(b.runs) > 0
 }
 
-// MayHaveRuns reports whether the backend server may have runs of this owner, or unreported runs of a previous one.
+// MayHaveRuns reports whether the backend server may have runs of this owner, or unreported runs of a previous one, or may have crashed under
+// runs that were given up.
 func (p *Pool) MayHaveRuns(id string) bool {
-	return p.Busy(id) || p.mayHavePredecessorRuns(id)
+	b := p.backends[id]
+	return p.Busy(id) || p.mayHavePredecessorRuns(id) || b != nil && len(b.givenUp) > 0
 }
--- a/internal/basilscheduler/predecessor.go
+++ b/internal/basilscheduler/predecessor.go
@@ -81,11 +81,11 @@
 }
 
 // SilentBackends returns the IDs of the backend servers that don't answer and keep tasks from running: those that may have runs of a previous
-// owner, and those with long-running tasks that were at work.
+// owner, and those with long-running tasks.
 func (p *Pool) SilentBackends() []string {
 	ids := slices.Collect(maps.Keys(p.predecessorUntil))
 	for _, b := range p.list {
-		if !b.reachable && p.predecessorUntil[b.ID].IsZero() && slices.ContainsFunc(b.runs, (*run).hasServed) {
+		if !b.reachable && !b.ended && p.predecessorUntil[b.ID].IsZero() && slices.ContainsFunc(b.runs, (*run).isLong) {
 			ids = append(ids, b.ID)
 		}
 	}
@@ -94,8 +94,7 @@
 
 // Ended records that a silent backend server has ended. It returns false if the server isn't silent.
 //
-// Long-running tasks that were at work there may start elsewhere. Other tasks may have crashed the server, and wait until it is lost, so that
-// they don't crash more servers than are counted.
+// Long-running tasks that were at work there may start elsewhere, the others after endedRunWait. Short tasks wait until the server is lost.
 func (p *Pool) Ended(id string, now time.Time) bool {
 	if p.endPredecessor(id) {
 		return true
@@ -104,7 +103,8 @@
 	if b == nil || b.reachable {
 		return false
 	}
-	found := false
+	found := !b.ended
+	b.ended = true
 	for _, r := range b.sortedRuns() {
 		if r.hasServed() {
 			p.endRun(r, basilwork.RunEndLost, now)
@@ -114,8 +114,11 @@
 	return found
 }
 
+// isLong reports whether the run is that of a long-running task.
+func (r *run) isLong() bool { return r.task.step.spec.LongRunning }
+
 // hasServed reports whether the run is that of a long-running task that was at work.
-func (r *run) hasServed() bool { return r.task.step.spec.LongRunning && r.percent >= 100 }
+func (r *run) hasServed() bool { return r.isLong() && r.percent >= 100 }
 
 // expirePredecessors drops the backend servers on which no runs of a predecessor can exist any more, because its leases
 // have expired.
