scheduler: judge only tasks of jobs that go on in the plays of owners

Whether a job may be shown as failed is judged when that is stored, as in the other plays, whose judge of waits leaves such jobs out as well.

--- a/internal/basilscheduler/lost_judge_test.go
+++ b/internal/basilscheduler/lost_judge_test.go
@@ -158,7 +158,7 @@
 		for _, k := range p.tasksOf(id, n) {
 			t := p.task(k)
 			failed += t.failed
-			if t.failed >= 3 || t.crashed >= 2 || p.jobs[id].Steps[n].Gang && failed >= 3 {
+			if t.crashed >= 2 || !p.jobs[id].Steps[n].LongRunning && (t.failed >= 3 || p.jobs[id].Steps[n].Gang && failed >= 3) {
 				return
 			}
 		}
--- a/internal/basilscheduler/lost_owners_test.go
+++ b/internal/basilscheduler/lost_owners_test.go
@@ -95,6 +95,9 @@
 	running := make(map[basilwork.TaskID]bool)
 	p.runs(func(_ *playServer, r *playRun) { running[r.task] = true })
 	for _, id := range sortedKeys(p.jobs) {
+		if p.store.rows[id].state.Final() {
+			continue // judgeStored judges whether it may be
+		}
 		for n := range p.jobs[id].Steps {
 			for _, k := range p.tasksOf(id, n) {
 				t := p.task(k)
