scheduler: start long-running tasks on servers that have answered lately

A server that has gone counts as unreachable 1.5 s after its last answer, so long-running tasks were started on it until then, more of them than elsewhere, as they are packed, and each waited for its leases. They prefer a server that has answered within 0.75 s now, which those with runs do each 0.65 s at most; one that has been quiet for longer is taken if there is no other.

TestLongRunningTaskIsNotStartedOnServerThatHasFallenSilent failed before.

--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -7,6 +7,9 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
+// quietTime is longer than a report takes that waits for the end of a run, 0.4 s, with the longest pause before it, 0.24 s.
+const quietTime = 750 * time.Millisecond
+
 // backend is the state of one incarnation of a backend server.
 type backend struct {
 	basilwork.Backend
@@ -51,6 +54,9 @@
 	return b.present && b.recorded && b.attached && b.reachable && !b.evacuating && !b.Draining && !now.Before(b.blockedUntil)
 }
 
+// quiet reports whether the backend server has not answered for longer than it takes between two reports while it has runs. It may have gone.
+func (b *backend) quiet(now time.Time) bool { return now.Sub(b.heardAt) > quietTime }
+
 // closed reports whether nothing is started on the backend server for now: a suspect was started there, or the room that runs without
 // a job occupy is not known.
 func (b *backend) closed() bool { return b.quarantined() || len(b.orphans) > 0 }
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -227,7 +227,7 @@
 
 // scoreOf packs tasks so that some backend servers become empty soon and can be removed: a short task goes where other
 // runs are expected to last at least as long. Filler tasks are kept apart from long-running ones. A task that may crash its
-// backend server goes where the fewest runs would be lost.
+// backend server goes where the fewest runs would be lost. A long-running task would be away for the leases of a server that has just gone.
 func scoreOf(t *task, b *backend, length time.Duration, now time.Time) score {
 	s, penalty := t.step, 0
 	if s.spec.Affinity != "" && b.Rack != s.spec.Affinity {
@@ -236,6 +236,9 @@
 	if b.maintenanceDue && s.holdsHost(length) {
 		penalty += 2 // worse than a distant rack: the task would soon be moved, or delay the maintenance of the host
 	}
+	if s.spec.LongRunning && b.quiet(now) {
+		penalty += 4 // worse than both
+	}
 	switch {
 	case t.suspicion > 0:
 		return score{b.crashRisk(), len(b.runs), penalty}
--- a/internal/basilscheduler/ended_test.go
+++ b/internal/basilscheduler/ended_test.go
@@ -86,3 +86,21 @@
 	f.Lost("b2", basilwork.LossExpired, f.now)
 	must.Len(t, 1, f.decideAndStart())
 }
+
+// TestLongRunningTaskIsNotStartedOnServerThatHasFallenSilent checks that a long-running task goes to a server that answers, though another one has
+// more such tasks, and to one that has not answered lately rather than to none.
+func TestLongRunningTaskIsNotStartedOnServerThatHasFallenSilent(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	step := longStep(2, 1000)
+	step.AntiAffinity = 0
+	f.addJob("j1", step)
+	f.decideAndStart()
+	f.setBackends(backendOf("b1", 4000), backendOf("b2", 1000))
+	f.advance(time.Second)
+	f.report("b2", 0)
+	f.addJob("j2", step)
+	starts := f.decideAndStart()
+	must.Len(t, 2, starts)
+	must.Eq(t, "b2", starts[0].Backend)
+	must.Eq(t, "b1", starts[1].Backend)
+}
