--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -29,6 +29,7 @@
 	p.expirePredecessors(now)
 	p.explainSilences(now)
 	p.expireOpenStarts(now)
+	p.giveUpEndedRuns(now)
 	p.recordPredecessorCrash(now)
 	p.updateMedianOdds(now)
 	p.openDueOccurrences(now)
@@ -228,7 +229,7 @@
 
 // scoreOf packs tasks so that some backend servers become empty soon and can be removed: a short task goes where other
 // runs are expected to last at least as long. Filler tasks are kept apart from long-running ones. A task that may crash its
-// backend server goes where the fewest runs would be lost.
+// backend server goes where the fewest runs would be lost. A long-running task would be away for the leases of a server that has just gone.
 func scoreOf(t *task, b *backend, length time.Duration, now time.Time) score {
 	s, penalty := t.step, 0
 	if s.spec.Affinity != "" && b.Rack != s.spec.Affinity {
@@ -237,6 +238,9 @@
 	if b.maintenanceDue && s.holdsHost(length) {
 		penalty += 2 // worse than a distant rack: the task would soon be moved, or delay the maintenance of the host
 	}
+	if s.spec.LongRunning && b.quiet(now) {
+		penalty += 4 // worse than both
+	}
 	switch {
 	case t.suspicion > 0:
 		return score{b.crashRisk(), len(b.runs), penalty}
