scheduler: repeat starts that got no answer

Cause: a start without an answer was resolved by a stop. That needs an answered stop and a report after it, and the next start, elsewhere, gets no answer either in seven of ten cases.

Now the owner requests the start again, of the same attempt on the same backend server, one request at a time, for 2.5 s, or 5 s where a step of long-running tasks can spare none, and stops the run only after that. The server begins a run once and answers further requests for it alike, so one answer is enough, and the task runs on no more servers than before. A request is repeated only where a first start might be sent: not to servers that drain, are emptied, don't answer, have started again or have less room now, nor for work that is cancelled or done. It goes out only while leases there are renewed, since its deadline extends them; a server that is gone is given up as soon as before. A refused repetition says nothing of the requests before, so the run is stopped then. What may be carried out late by a server that returns under its ID is stopped there also if one of several requests was answered. A stop drops a repetition that still waits in the queue.

Ruled out: lapsed leases on sound servers and moves (none near a broken AVAIL). Tests that took the immediate stop for granted now expect the repetition first and the stop after it.

--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -1,6 +1,7 @@
 package basilnode
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -71,10 +72,11 @@
 	stopping       bool
 }
 
-// put queues an order that is sent before all starts.
+// put queues an order that is sent before all starts. A start of the same run that still waits repeats one without an answer, and is dropped.
 func (q *orderQueue) put(o order) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	q.starts = slices.DeleteFunc(q.starts, func(s queuedStart) bool { return s.Ref == o.Ref })
 	b := q.backend(o.Backend)
 	if len(b.waiting) == 0 {
 		q.turns = append(q.turns, o.Backend)
--- a/internal/basilnode/orders_test.go
+++ b/internal/basilnode/orders_test.go
@@ -289,3 +289,22 @@
 		must.SliceEmpty(t, s.withdrawn)
 	})
 }
+
+// TestStopDropsRepeatedStart checks that a start that waits to be sent again is dropped once its run is to be stopped.
+func TestStopDropsRepeatedStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBlockedOwner()
+		for n := range basilrunner.MaxConcurrentOrders {
+			s.queueStart("a", n+1, false)
+		}
+		again := s.blockedStart("a", 0, false)
+		again.Repeats = 1
+		s.orders.putStarts([]queuedStart{again})
+		s.queueStop("a", 0, func() bool { return true })
+		close(s.release)
+		synctest.Wait()
+		must.Len(t, basilrunner.MaxConcurrentOrders, s.sent)
+		must.SliceNotContains(t, s.sent, again.Task.String())
+		must.SliceEmpty(t, s.withdrawn)
+	})
+}
--- a/internal/basilnode/owner_orders.go
+++ b/internal/basilnode/owner_orders.go
@@ -1,6 +1,7 @@
 package basilnode
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,8 +35,10 @@
 	}
 }
 
-// logStarts logs one line per step whose tasks are started, with the reasons for their place in the queue.
+// logStarts logs one line per step whose tasks are started, with the reasons for their place in the queue. Repeated requests are logged with
+// their answers.
 func (o *owner) logStarts(starts []basilscheduler.Start) {
+	starts = slices.DeleteFunc(slices.Clone(starts), func(s basilscheduler.Start) bool { return s.Repeats > 0 })
 	for len(starts) > 0 {
 		step := starts[0].Task.StepName()
 		var hosts []string
@@ -99,22 +102,30 @@
 			o.pool.Started(s.Ref, basilwork.RefusalBusy, true, time.Now())
 			continue
 		}
-		list = append(list, queuedStart{Start: s, decided: decided, send: func() bool { return o.sendStart(l, s) }})
+		startedAt := o.commit.incarnations[s.Backend]
+		list = append(list, queuedStart{Start: s, decided: decided, send: func() bool { return o.sendStart(l, s, startedAt) }})
 	}
 	o.orders.putStarts(list)
 }
 
-func (o *owner) sendStart(l *connection, s basilscheduler.Start) (answered bool) {
+// sendStart sends a start to the backend server, whose known incarnation started at startedAt.
+func (o *owner) sendStart(l *connection, s basilscheduler.Start, startedAt int64) (answered bool) {
 	sent := time.Now()
-	refusal, answered := l.Start(o.ctx, basilwork.StartOrder{
-		Task: s.Task.String(), Attempt: s.Attempt, Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
-	})
-	entry := o.logRun(s.Ref).WithField(basillog.FieldDuration, time.Since(sent).Milliseconds())
+	order := basilwork.StartOrder{Task: s.Task.String(), Attempt: s.Attempt, Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket}
+	var refusal basilwork.Refusal
+	if s.Repeats > 0 {
+		refusal, answered = l.RepeatStart(o.ctx, order, startedAt)
+	} else {
+		refusal, answered = l.Start(o.ctx, order)
+	}
+	entry := o.logRun(s.Ref).WithFields(logrus.Fields{basillog.FieldDuration: time.Since(sent).Milliseconds(), "repeats": s.Repeats})
 	switch {
 	case !answered:
 		entry.Warn("start request not answered")
 	case refusal != basilwork.RefusalNone:
 		entry.WithField(basillog.FieldReason, refusal.String()).Info("start refused by the backend server")
+	case s.Repeats > 0:
+		entry.Info("repeated start request answered")
 	default:
 		entry.Debug("task started")
 	}
--- a/internal/basilrunner/orders.go
+++ b/internal/basilrunner/orders.go
@@ -25,20 +25,32 @@
 
 // Start sends an order to start a run; answered is false if no answer came, so that the run may have been started.
 func (c *Connection) Start(ctx context.Context, o basilwork.StartOrder) (refusal basilwork.Refusal, answered bool) {
+	return c.start(ctx, o, func(time.Time) bool { return true })
+}
+
+// RepeatStart sends an order again that got no answer, to the incarnation that started at startedAt and for as long as leases are renewed there:
+// the deadline of the order extends them too.
+func (c *Connection) RepeatStart(ctx context.Context, o basilwork.StartOrder, startedAt int64) (refusal basilwork.Refusal, answered bool) {
+	return c.start(ctx, o, func(now time.Time) bool { return c.backend.StartedAt == startedAt && c.mayRenew(now) })
+}
+
+// start sends an order to start a run if allowed, which is called with the mutex locked, permits that.
+func (c *Connection) start(ctx context.Context, o basilwork.StartOrder, allowed func(now time.Time) bool) (refusal basilwork.Refusal, answered bool) {
 	if !c.acquireSlot(ctx) {
 		return basilwork.RefusalBusy, true
 	}
 	defer c.releaseSlot()
 	c.mutex.Lock()
+	now := time.Now()
 	switch {
-	case c.lost:
+	case c.lost, !allowed(now):
 		c.mutex.Unlock()
 		return basilwork.RefusalUnsent, true
 	case !c.options.MayStart() || !c.lease.Known():
 		c.mutex.Unlock()
 		return basilwork.RefusalBusy, true
 	}
-	o.Deadline = c.lease.Deadline(time.Now(), startLease)
+	o.Deadline = c.lease.Deadline(now, startLease)
 	o.Fence = c.options.Fence
 	b := c.backend
 	c.mutex.Unlock()
--- a/internal/basilscheduler/action.go
+++ b/internal/basilscheduler/action.go
@@ -23,6 +23,7 @@
 	Rank       string        // rank of the step among the waiting work
 	Slack      time.Duration // time left until the objective can no longer be met; the remaining work if it cannot be met
 	Waited     time.Duration // time since the task became ready
+	Repeats    int           // how many times the start was requested before without an answer
 }
 
 // Stop is a request to stop a run.
--- a/internal/basilscheduler/crash_test.go
+++ b/internal/basilscheduler/crash_test.go
@@ -253,7 +253,7 @@
 	for n := range 3 {
 		id := fmt.Sprint("j", n)
 		f.addJob(id, stepOf(1, 1000))
-		starts := f.Decide(f.now).Starts
+		starts := firstRequests(f.Decide(f.now).Starts)
 		must.Len(t, 1, starts)
 		f.advance(200 * time.Millisecond)
 		f.Started(starts[0].Ref, basilwork.RefusalNone, false, f.now)
@@ -270,7 +270,7 @@
 	f := newFixture(t, backendsInRacks(1)...)
 	for _, id := range []string{"j", "bad"} {
 		f.addJob(id, stepOf(1, 1000))
-		starts := f.Decide(f.now).Starts
+		starts := firstRequests(f.Decide(f.now).Starts)
 		must.Len(t, 1, starts)
 		f.advance(200 * time.Millisecond)
 		f.Started(starts[0].Ref, basilwork.RefusalNone, false, f.now)
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -60,7 +60,7 @@
 }
 
 func (p *Pool) start(c *candidate, t *task, b *backend, attempt int, tickets *stepTickets, now time.Time) {
-	r := &run{task: t, backend: b, attempt: attempt, phase: phaseStarting, orderedAt: now, pace: fullPace, resumed: t.checkpoint != ""}
+	r := &run{task: t, backend: b, attempt: attempt, phase: phaseStarting, orderedAt: now, pace: fullPace, resumed: t.checkpoint != "", startCheckpoint: t.checkpoint, ticket: tickets.ticketFor(b, now)}
 	t.attempt = attempt
 	t.account()
 	if t.suspicion > 0 {
@@ -68,7 +68,7 @@
 	}
 	p.addRun(r, p.expectedEnd(t.step, now))
 	p.actions.Starts = append(p.actions.Starts, Start{
-		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.checkpoint, Ticket: tickets.ticketFor(b, now), Gang: t.step.spec.Gang,
+		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.checkpoint, Ticket: r.ticket, Gang: t.step.spec.Gang,
 		Rank: c.rank.String(), Slack: c.slack(now.Sub(p.waiting.rankedAt)), Waited: now.Sub(t.readyAt),
 	})
 }
--- a/internal/basilscheduler/decide_test.go
+++ b/internal/basilscheduler/decide_test.go
@@ -73,8 +73,8 @@
 	must.Eq(t, basilwork.JobStateFailed, r.State)
 }
 
-// TestUnansweredStartIsResolvedBeforeRestart checks that a task is started elsewhere only after the stop of its unanswered run
-// was answered and a later report does not list the run.
+// TestUnansweredStartIsResolvedBeforeRestart checks that a task whose start has long had no answer is started elsewhere only after the stop of
+// its unanswered run was answered and a later report does not list the run.
 func TestUnansweredStartIsResolvedBeforeRestart(t *testing.T) {
 	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000))
 	f.addJob("j", stepOf(1, 1000))
@@ -82,6 +82,11 @@
 	f.advance(time.Second)
 	f.Started(s.Ref, basilwork.RefusalNone, false, f.now)
 	a := f.Decide(f.now)
+	must.SliceEmpty(t, a.Stops)
+	must.Len(t, 1, a.Starts)
+	must.Eq(t, s.Ref, a.Starts[0].Ref, must.Sprint("the request is repeated"))
+	f.advance(unansweredWait)
+	a = f.Decide(f.now)
 	must.Len(t, 1, a.Stops)
 	must.SliceEmpty(t, a.Starts)
 	f.advance(time.Second)
@@ -340,7 +345,7 @@
 }
 
 // TestUnansweredStartRespectsMaxUnavailable covers a start without an answer whose run may exist while as many other tasks of
-// the step are unavailable as allowed: the run is stopped only if no report lists it for a while.
+// the step are unavailable as allowed: the run is stopped only if no report lists it for a while, which is longer where the backend server answers.
 func TestUnansweredStartRespectsMaxUnavailable(t *testing.T) {
 	unanswered := func() (*fixture, Start) {
 		f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000), backendOf("b3", 4000), backendOf("b4", 4000))
@@ -360,11 +365,16 @@
 	f.report(s.Backend, 100)
 	must.SliceEmpty(t, f.Decide(f.now).Stops, must.Sprint("a report lists the run"))
 
-	f, s = unanswered()
-	f.advance(unansweredWait)
-	stops := f.Decide(f.now).Stops
-	must.Len(t, 1, stops)
-	must.Eq(t, s.Ref, stops[0].Ref)
+	for reachable, wait := range map[bool]time.Duration{true: scarceRepeatTime, false: unansweredWait} {
+		f, s = unanswered()
+		f.SetReachable(s.Backend, reachable)
+		f.advance(wait - time.Millisecond)
+		must.SliceEmpty(t, f.Decide(f.now).Stops)
+		f.advance(time.Millisecond + recheckInterval)
+		stops := f.Decide(f.now).Stops
+		must.Len(t, 1, stops)
+		must.Eq(t, s.Ref, stops[0].Ref)
+	}
 }
 
 // TestSuccessorWaitsForStopsOfPredecessor checks that a new owner moves no long-running task while another task of its step may
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -12,7 +12,7 @@
 const (
 	phaseStarting phase = iota // the start was requested and is not answered yet
 	phaseRunning
-	phaseUnanswered // the start request got no answer, so the run has to be stopped
+	phaseUnanswered // the start request got no answer, so it is repeated or the run has to be stopped
 	phaseStopping   // a stop was requested
 )
 
@@ -38,7 +38,12 @@
 	checkpoint         string
 	usage              int
 	pace               int
-	resumed            bool // started from a checkpoint, or its start was not observed
+	resumed            bool   // started from a checkpoint, or its start was not observed
+	startCheckpoint    string // that the start request carried, like the ticket
+	ticket             string
+	repeats            int       // how many times the start was requested again
+	repeatedAt         time.Time // when it last was
+	repeating          bool      // that request is open
 }
 
 func (r *run) ref() Ref { return Ref{Backend: r.backend.ID, Task: r.task.id, Attempt: r.attempt} }
--- a/internal/basilscheduler/late_start.go
+++ b/internal/basilscheduler/late_start.go
@@ -11,15 +11,20 @@
 // incarnation that began under the same ID unseen and received the start: that one may still carry it out.
 type lateStart struct {
 	ref             Ref
+	repeated        bool      // several requests were sent
 	until           time.Time // when it can't be carried out any more
 	stopRequestedAt time.Time
 }
 
 // recordLateStarts notes which runs of a backend server that is given up have starts without an answer.
-func (p *Pool) recordLateStarts(runs []*run) {
+func (p *Pool) recordLateStarts(runs []*run, now time.Time) {
 	for _, r := range runs {
-		if r.phase == phaseStarting || r.phase == phaseUnanswered {
-			p.lateStarts = append(p.lateStarts, lateStart{ref: r.ref(), until: r.orderedAt.Add(basilwork.MaxOrderDelay)})
+		l := lateStart{ref: r.ref(), repeated: r.repeats > 0, until: r.orderedAt.Add(basilwork.MaxOrderDelay)}
+		if l.repeated {
+			l.until = r.repeatedAt.Add(basilwork.MaxOrderDelay)
+		}
+		if r.phase == phaseStarting || r.phase == phaseUnanswered || l.repeated && now.Before(l.until) {
+			p.lateStarts = append(p.lateStarts, l)
 		}
 	}
 }
@@ -41,7 +46,12 @@
 	}
 }
 
-// forgetLateStart records that a start won't be carried out late: the backend server has answered its stop, or has refused it.
+// forgetRefusedStart records that a start won't be carried out late, as it was refused. Of several requests the others may be.
+func (p *Pool) forgetRefusedStart(ref Ref) {
+	p.lateStarts = slices.DeleteFunc(p.lateStarts, func(s lateStart) bool { return s.ref == ref && !s.repeated })
+}
+
+// forgetLateStart records that a start won't be carried out late, as the backend server has answered its stop.
 func (p *Pool) forgetLateStart(ref Ref) {
 	p.lateStarts = slices.DeleteFunc(p.lateStarts, func(s lateStart) bool { return s.ref == ref })
 }
--- a/internal/basilscheduler/lost_connection_test.go
+++ b/internal/basilscheduler/lost_connection_test.go
@@ -66,7 +66,7 @@
 	if c.attached && c.firstMiss.IsZero() && c.acked > c.ackAnswered {
 		order.Acknowledged = c.acked
 	}
-	if c.lease.Known() && c.busy && !c.suspended && (c.firstMiss.IsZero() || p.now.Sub(c.lease.LastAnswer()) < playRenewalLimit) {
+	if c.lease.Known() && c.busy && !c.suspended && c.mayRenew() {
 		order.Deadline = c.lease.Deadline(p.now, playMaxHold-300*time.Millisecond)
 	}
 	sent := p.now
@@ -100,6 +100,11 @@
 	})
 }
 
+// mayRenew reports whether orders may extend leases.
+func (c *playConnection) mayRenew() bool {
+	return c.firstMiss.IsZero() || c.owner.play.now.Sub(c.lease.LastAnswer()) < playRenewalLimit
+}
+
 func (c *playConnection) miss() {
 	o, now := c.owner, c.owner.play.now
 	if c.firstMiss.IsZero() {
--- a/internal/basilscheduler/lost_judge_test.go
+++ b/internal/basilscheduler/lost_judge_test.go
@@ -22,6 +22,7 @@
 	noted     bool          // and no lease lapsed before that
 	begins    []time.Time
 	lastEnded time.Time
+	stopped   bool // the last run ended so
 	failed    int
 	crashed   int
 }
@@ -106,7 +107,7 @@
 
 func (p *lostPlay) judgeEnd(s *playServer, r *playRun, end basilwork.RunEnd) {
 	t := p.task(r.task)
-	t.lastEnded = p.now
+	t.lastEnded, t.stopped = p.now, end == basilwork.RunEndStopped
 	switch end {
 	case basilwork.RunEndDone:
 		for _, id := range p.tasksOf(r.task.Job, r.task.Step) {
--- a/internal/basilscheduler/lost_owner_test.go
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -250,7 +250,7 @@
 	case c == nil || !c.lease.Known():
 		refuse(basilwork.RefusalBusy)
 		return
-	case c.lost:
+	case c.lost, s.Repeats > 0 && !c.mayRenew():
 		refuse(basilwork.RefusalUnsent)
 		return
 	}
--- a/internal/basilscheduler/lost_property_test.go
+++ b/internal/basilscheduler/lost_property_test.go
@@ -62,6 +62,9 @@
 	waits     map[string]time.Time // since when what waits has had room
 	failure   string
 	lines     []playLine
+
+	judgesStops bool // AVAIL is judged
+	late        bool // an order is carried out late
 }
 
 // playLine is a line of the trace, which is printed if the play fails.
@@ -163,7 +166,9 @@
 			p.after(p.between(2*time.Second, 12*time.Second), func() {
 				if h.life == l && l.up && !p.now.Before(h.silentUntil) {
 					p.trace("late: %s on %s", kind, c.id)
+					p.late = true
 					carryOut(l)
+					p.late = false
 				}
 			})
 			return
--- a/internal/basilscheduler/lost_server_test.go
+++ b/internal/basilscheduler/lost_server_test.go
@@ -148,6 +148,7 @@
 	}
 	s.highest[id] = max(s.highest[id], o.Attempt)
 	if r := s.runs[playRunKey{task: id, attempt: o.Attempt}]; r != nil && r.stopped.IsZero() {
+		s.play.judgeStop(r)
 		r.stopped = s.play.now.Add(s.play.between(20*time.Millisecond, playStopTimeout))
 	}
 	return s.refused(basilwork.RefusalNone)
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -311,7 +311,7 @@
 	l := p.newSilence(b, runs)
 	p.recordOpenStarts(runs)
 	if reason == basilwork.LossExpired {
-		p.recordLateStarts(runs)
+		p.recordLateStarts(runs, now)
 	}
 	for _, r := range runs {
 		p.endRun(r, basilwork.RunEndLost, now)
@@ -342,7 +342,8 @@
 	p.recordOpenStarts(gone)
 	p.recordSilence(p.newSilence(b, gone), true, now)
 	for _, r := range b.sortedRuns() {
-		if r.phase == phaseRunning && !r.mustBeListed(sent) && !lists(answer.Running, r) {
+		unanswered := r.phase == phaseUnanswered && r.stopReason == ""
+		if (unanswered || r.phase == phaseRunning && !r.mustBeListed(sent)) && !lists(answer.Running, r) {
 			r.phase = phaseUnanswered
 			p.stop(r, "backend server started again", now)
 		}
--- /dev/null
+++ b/internal/basilscheduler/repeat_start_test.go
@@ -0,0 +1,114 @@
+package basilscheduler
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstage.example/basilstage/internal/basilwork"
+)
+
+// firstRequests returns the starts that don't repeat one without an answer.
+func firstRequests(starts []Start) []Start {
+	return slices.DeleteFunc(slices.Clone(starts), func(s Start) bool { return s.Repeats > 0 })
+}
+
+// newUnanswered returns a start without an answer, and what the next decision repeats of it.
+func newUnanswered(t *testing.T) (f *fixture, first Start, repeats []Start) {
+	t.Helper()
+	f = newFixture(t, backendOf("b1", 1000))
+	f.addJob("j", stepOf(1, 1000))
+	starts := f.Decide(f.now).Starts
+	must.Len(t, 1, starts)
+	f.advance(200 * time.Millisecond)
+	f.setBackends(backendOf("b1", 1000), backendOf("b2", 1000))
+	f.Started(starts[0].Ref, basilwork.RefusalNone, false, f.now)
+	a := f.Decide(f.now)
+	must.SliceEmpty(t, a.Stops)
+	return f, starts[0], a.Starts
+}
+
+// TestUnansweredStartIsRepeated checks that a start without an answer is requested again, one request at a time, and that one answer is enough.
+func TestUnansweredStartIsRepeated(t *testing.T) {
+	f, first, repeats := newUnanswered(t)
+	for n := range 3 {
+		must.Len(t, 1, repeats)
+		must.Eq(t, first.Ref, repeats[0].Ref)
+		must.Eq(t, first.Payload, repeats[0].Payload)
+		must.Eq(t, n+1, repeats[0].Repeats)
+		f.advance(recheckInterval)
+		must.SliceEmpty(t, f.Decide(f.now).Starts, must.Sprint("the last request is open"))
+		f.Started(first.Ref, basilwork.RefusalNone, false, f.now)
+		repeats = f.Decide(f.now).Starts
+	}
+	f.Started(first.Ref, basilwork.RefusalNone, true, f.now)
+	must.Eq(t, phaseRunning, f.findRun(first.Ref).phase)
+	f.advance(unansweredWait)
+	f.report("b1", 50)
+	a := f.Decide(f.now)
+	must.True(t, a.Empty())
+}
+
+// TestRefusedRepeatIsStopped checks that a repeated start that is refused leaves the run to a stop, as an earlier request may have begun it or still
+// do so, and that one that wasn't sent is repeated.
+func TestRefusedRepeatIsStopped(t *testing.T) {
+	for _, refusal := range basilwork.RefusalValues() {
+		if refusal == basilwork.RefusalNone {
+			continue
+		}
+		f, first, _ := newUnanswered(t)
+		f.Started(first.Ref, refusal, true, f.now)
+		a := f.Decide(f.now)
+		must.NotNil(t, f.findRun(first.Ref), must.Sprint(refusal))
+		if refusal == basilwork.RefusalUnsent {
+			must.Len(t, 1, a.Starts)
+			must.Eq(t, first.Ref, a.Starts[0].Ref)
+			continue
+		}
+		must.SliceEmpty(t, a.Starts, must.Sprint(refusal))
+		must.Len(t, 1, a.Stops, must.Sprint(refusal))
+		must.Eq(t, first.Ref, a.Stops[0].Ref)
+	}
+}
+
+// TestUnansweredStartIsNotRepeated checks where a start without an answer is stopped at once.
+func TestUnansweredStartIsNotRepeated(t *testing.T) {
+	draining, smaller := backendOf("b1", 1000), backendOf("b1", 500)
+	draining.Draining = true
+	for name, change := range map[string]func(f *fixture){
+		"cancelled":   func(f *fixture) { f.Cancel("j", f.now) },
+		"draining":    func(f *fixture) { f.setBackends(draining) },
+		"evacuated":   func(f *fixture) { f.Evacuate("b1", true) },
+		"unlisted":    func(f *fixture) { f.setBackends() },
+		"unreachable": func(f *fixture) { f.SetReachable("b1", false) },
+		"smaller":     func(f *fixture) { f.setBackends(smaller) },
+		"restarted":   func(f *fixture) { f.Restarted("b1", basilwork.Report{}, f.now, f.now) },
+	} {
+		f, first, _ := newUnanswered(t)
+		f.advance(recheckInterval)
+		f.Started(first.Ref, basilwork.RefusalNone, false, f.now)
+		change(f)
+		a := f.Decide(f.now)
+		must.SliceEmpty(t, a.Starts, must.Sprint(name))
+		must.Len(t, 1, a.Stops, must.Sprint(name))
+		must.Eq(t, first.Ref, a.Stops[0].Ref)
+	}
+}
+
+// TestRepeatedStartMayBeCarriedOutLate checks that requests without an answer are stopped where a backend server that was given up returns, though
+// one of them was answered, and though a later one is refused.
+func TestRepeatedStartMayBeCarriedOutLate(t *testing.T) {
+	f, first, _ := newUnanswered(t)
+	f.Started(first.Ref, basilwork.RefusalNone, true, f.now)
+	f.advance(7 * time.Second)
+	f.Lost("b1", basilwork.LossExpired, f.now)
+	f.Started(first.Ref, basilwork.RefusalRoom, true, f.now)
+	f.setBackends(backendOf("b1", 1000))
+	stops := f.Decide(f.now).Stops
+	must.Len(t, 1, stops)
+	must.Eq(t, first.Ref, stops[0].Ref)
+	f.Stopped(first.Ref, true, f.now)
+	must.SliceEmpty(t, f.lateStarts)
+}
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -10,10 +10,14 @@
 // Started processes the answer to a start request; answered is false if there was none.
 func (p *Pool) Started(ref Ref, refusal basilwork.Refusal, answered bool, now time.Time) {
 	p.closeStart(ref, answered && neverBegan(refusal), now)
+	r := p.findRun(ref)
+	if r != nil && r.phase == phaseUnanswered {
+		p.handleRepeat(r, refusal, answered, now)
+		return
+	}
 	if answered && neverBegan(refusal) {
-		p.forgetLateStart(ref)
+		p.forgetRefusedStart(ref)
 	}
-	r := p.findRun(ref)
 	if r == nil || r.phase != phaseStarting {
 		return
 	}
@@ -23,26 +27,39 @@
 		r.phase = phaseUnanswered
 		r.unansweredSince = now
 		r.task.avoidBackend(ref.Backend, now.Add(avoidTime))
-		p.stopUnanswered(r, now)
 	case refusal == basilwork.RefusalNone:
-		r.phase = phaseRunning
-		r.answeredAt = now
-		r.progressedAt = now
-		r.backend.heardAt = now
-		p.activate(r.task.step.occurrence.job)
+		p.confirmStart(r, now)
 	default:
 		p.handleRefusal(r, refusal, now)
 	}
 }
 
+// confirmStart records that a backend server has answered that the run exists.
+func (p *Pool) confirmStart(r *run, now time.Time) {
+	r.phase = phaseRunning
+	r.answeredAt = now
+	r.progressedAt = now
+	r.backend.heardAt = now
+	p.activate(r.task.step.occurrence.job)
+}
+
 func (p *Pool) handleRefusal(r *run, refusal basilwork.Refusal, now time.Time) {
-	b := r.backend
 	p.removeRun(r)
+	if refusal == basilwork.RefusalOld {
+		r.task.attempt += attemptsPerEpoch
+	}
+	p.heedRefusal(r, refusal, now)
+	if j := r.task.step.occurrence.job; j.record.State.Final() {
+		p.endJob(j, "job "+j.record.State.String(), now)
+	}
+}
+
+// heedRefusal keeps what was refused from being requested again at once.
+func (p *Pool) heedRefusal(r *run, refusal basilwork.Refusal, now time.Time) {
+	b := r.backend
 	switch refusal {
 	case basilwork.RefusalFence:
 		p.fenced = true
-	case basilwork.RefusalOld:
-		r.task.attempt += attemptsPerEpoch
 	case basilwork.RefusalRoom:
 		b.blockedUntil = now.Add(roomPause)
 	case basilwork.RefusalBusy:
@@ -52,9 +69,6 @@
 	case basilwork.RefusalWrong:
 		r.task.notBefore = now.Add(time.Second)
 	}
-	if j := r.task.step.occurrence.job; j.record.State.Final() {
-		p.endJob(j, "job "+j.record.State.String(), now)
-	}
 }
 
 // activate records that a task of the job has started.
@@ -114,9 +128,13 @@
 	return !r.stopAnsweredAt.IsZero() && now.Sub(r.stopAnsweredAt) > p.options.StopTimeout+endReportDelay
 }
 
-// stopUnanswered stops a run whose start request got no answer. If the run of a long-running task may exist and stopping
-// it would exceed the allowed unavailability of the step, it first waits for a report that shows whether the run exists.
+// stopUnanswered stops a run whose start request got no answer, unless the request is repeated. If the run of a long-running task may
+// exist and stopping it would exceed the allowed unavailability of the step, it first waits for a report that shows whether the run exists.
 func (p *Pool) stopUnanswered(r *run, now time.Time) {
+	if p.mayRepeat(r, now) {
+		p.repeatStart(r, now)
+		return
+	}
 	waits := r.stopRequestedAt.IsZero() && now.Sub(r.unansweredSince) < unansweredWait
 	if waits && r.task.step.spec.LongRunning && !p.mayBecomeUnavailable(r, now) {
 		r.backend.scheduleCheck(now.Add(recheckInterval))
