runner: keep timeouts of orders short while answers are lost

Cause: each miss, of a hold or an order, doubles the timeout of orders on the connection, as if answers had become slow. Holds know better since the renewals: once one that followed a miss is answered as soon as others, answers are lost, not slow, and for 5 s their timeouts don't grow. Orders now go by the same. Where answers are slow their timeouts grow as before.

TestTimeoutsOfOrdersDontGrowWhileAnswersAreLost failed before (0.9 s).

--- a/internal/basilrunner/orders.go
+++ b/internal/basilrunner/orders.go
@@ -81,9 +81,9 @@
 
 // order sends an order; answered is false if no answer came in time.
 func (c *Connection) order(ctx context.Context, send func(ctx context.Context) (clock int64, err error)) (refusal basilwork.Refusal, answered bool) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout.Get())
-	defer cancel()
 	sent := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.orderTimeout(sent))
+	defer cancel()
 	clock, err := send(ctx)
 	if err == nil {
 		c.mutex.Lock()
--- a/internal/basilrunner/renewal.go
+++ b/internal/basilrunner/renewal.go
@@ -83,6 +83,16 @@
 // renewing reports whether runs depend on the holds. The caller must hold the mutex.
 func (c *Connection) renewing() bool { return c.busy && c.attached }
 
+// orderTimeout returns the timeout of an order. It doesn't grow while answers are lost rather than slow.
+func (c *Connection) orderTimeout(now time.Time) time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.renewal.partial(now) {
+		return c.timeout.GetInitial()
+	}
+	return c.timeout.Get()
+}
+
 // holdTimeout returns the timeout of a hold without the time that it waits at the backend server. The last one before the leases expire
 // lasts until then. The caller must hold the mutex.
 func (c *Connection) holdTimeout(now time.Time) time.Duration {
--- a/internal/basilrunner/repeat_start_test.go
+++ b/internal/basilrunner/repeat_start_test.go
@@ -47,3 +47,34 @@
 		})
 	}
 }
+
+// TestTimeoutsOfOrdersDontGrowWhileAnswersAreLost checks that starts without an answer are told soon once holds after a miss were answered as soon as
+// others, and that the timeout grows otherwise, as answers may be slow.
+func TestTimeoutsOfOrdersDontGrowWhileAnswersAreLost(t *testing.T) {
+	const latency, misses = 4 * time.Millisecond, 5
+	for lost, timeout := range map[bool]time.Duration{true: minTimeout, false: maxTimeout} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &slowBackend{latency: time.Hour}
+			s.sink = func(int64) {}
+			l := NewConnection(basilwork.Backend{ID: "b1", StartedAt: 1}, Options{
+				Commander: s, Sink: s, Fence: 1, MaxLease: 6 * time.Second,
+				MayStart: func() bool { return true }, MayHold: func() bool { return true },
+			})
+			l.handleReport(basilwork.Report{StartedAt: 1, Clock: 1}, time.Now(), time.Now())
+			for range 20 {
+				l.timeout.Answered(latency)
+			}
+			if lost {
+				l.renewal.missed()
+				l.renewal.answered(true, time.Now())
+			}
+			for range misses {
+				l.timeout.Missed()
+			}
+			sent := time.Now()
+			_, answered := l.Start(t.Context(), basilwork.StartOrder{Task: "a.0.0.0", Attempt: 1})
+			must.False(t, answered)
+			must.Eq(t, timeout, time.Since(sent))
+		})
+	}
+}
