--- a/internal/basilscheduler/lost_property_test.go
+++ b/internal/basilscheduler/lost_property_test.go
@@ -63,6 +63,9 @@
 	failure   string
 	restless  bool // troubles come at any time
 	lines     []playLine
+
+	judgesStops bool // AVAIL is judged
+	late        bool // an order is carried out late
 }
 
 // playLine is a line of the trace, which is printed if the play fails.
@@ -178,7 +181,9 @@
 			p.after(p.between(2*time.Second, 12*time.Second), func() {
 				if h.life == l && l.up && !p.now.Before(h.silentUntil) {
 					p.trace("late: %s on %s", kind, c.id)
+					p.late = true
 					carryOut(l)
+					p.late = false
 				}
 			})
 			return
