scheduler: judge the crash of a rack by the servers that were there

Whether a rack failed was judged seconds after the crash by the servers listed then. Of a rack that crashes, the servers that had no runs leave the list as soon as their successors are in it, and left nothing behind; the successors counted as survivors. So a rack with one busy server and three idle ones passed for one server that crashed while four others lived, and the crash counted with up to 3 against its tasks.

Now a server without runs leaves a silence too when it is no longer listed, unless it drains, is evacuated or was ordered away, which drops it before. If the same incarnation answers again the silence is dropped: its entry was only missing. Survivors are incarnations that had answered before the lost server's last answer and answered after the silence.

--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -22,6 +22,7 @@
 	fillerCPU      int       // CPU of the filler runs, in thousandths of a core
 	busyUntil      time.Time // latest expected end of its runs
 	blockedUntil   time.Time // no new runs before this time
+	heardFrom      time.Time // when the incarnation first answered
 	heardAt        time.Time // when it last answered a hold or a start
 	succeeded      bool      // a newer incarnation was listed at its address, which may have left again since
 	quarantinedFor *run      // suspect that was started on it last; nil if it has ended
@@ -49,6 +50,14 @@
 	return b.present && b.recorded && b.attached && b.reachable && !b.evacuating && !b.Draining && !now.Before(b.blockedUntil)
 }
 
+// heard records an answer of the backend server.
+func (b *backend) heard(now time.Time) {
+	b.heardAt = now
+	if b.heardFrom.IsZero() {
+		b.heardFrom = now
+	}
+}
+
 // closed reports whether nothing is started on the backend server for now: a suspect was started there, or the room that runs without
 // a job occupy is not known.
 func (b *backend) closed() bool { return b.quarantined() || len(b.orphans) > 0 }
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -44,7 +44,7 @@
 		return
 	}
 	b.needsCheck = true
-	b.heardAt = now
+	b.heard(now)
 	for _, e := range report.Ended {
 		if e.Number <= b.lastEndNumber {
 			continue
--- a/internal/basilscheduler/lost_owner_test.go
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -137,6 +137,7 @@
 	a := o.Decide(p.now)
 	for _, s := range a.GivenUp {
 		p.trace("gives up %s", s.Task)
+		p.givenUp = append(p.givenUp, s)
 	}
 	for _, s := range a.Stops {
 		o.sendStop(s)
--- a/internal/basilscheduler/lost_property_test.go
+++ b/internal/basilscheduler/lost_property_test.go
@@ -58,6 +58,7 @@
 	jobs      map[string]*basilwork.Job
 	cancelled map[string]time.Time
 	failed    map[string]bool
+	givenUp   []GivenUp
 	tasks     map[basilwork.TaskID]*playTask
 	waits     map[string]time.Time // since when what waits has had room
 	failure   string
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -188,6 +188,7 @@
 		}
 		b.present = false
 		if len(b.runs)+len(b.orphans) == 0 && !p.mayHavePredecessorRuns(id) {
+			p.recordUnlisted(b)
 			p.forgetBackend(id)
 		}
 	}
@@ -341,6 +342,7 @@
 	})
 	p.recordOpenStarts(gone)
 	p.recordSilence(p.newSilence(b, gone), true, now)
+	b.heardFrom = time.Time{}
 	for _, r := range b.sortedRuns() {
 		if r.phase == phaseRunning && !r.mustBeListed(sent) && !lists(answer.Running, r) {
 			r.phase = phaseUnanswered
--- a/internal/basilscheduler/silence.go
+++ b/internal/basilscheduler/silence.go
@@ -22,9 +22,11 @@
 	address   string
 	rack      string
 	startedAt int64     // of its incarnation, in Unix milliseconds
+	heardFrom time.Time // when its incarnation first answered
 	from      time.Time // when it last answered
 	until     time.Time // when it certainly was silent
 	lostAt    time.Time
+	unlisted  bool      // it had no runs and is merely no longer listed, so it may still answer
 	suspects  []suspect // nil once it is known whether the backend server has crashed
 	crashed   []suspect // the suspects, once it is known that it has crashed
 }
@@ -54,7 +56,7 @@
 // were requested when it was silent already. A backend server that drains is expected to leave, and a long-running task that was
 // at work didn't crash it.
 func (p *Pool) newSilence(b *backend, runs []*run) silence {
-	l := silence{id: b.ID, address: b.Address, rack: b.Rack, startedAt: b.StartedAt}
+	l := silence{id: b.ID, address: b.Address, rack: b.Rack, startedAt: b.StartedAt, heardFrom: b.heardFrom}
 	l.from, l.until = b.silentSince()
 	if b.Draining {
 		return l
@@ -105,6 +107,17 @@
 	p.silences = append(p.silences, l)
 }
 
+// recordUnlisted records the silence of a backend server without runs that is no longer listed, unless it was expected to leave: the
+// crashes of others in its rack are judged by it.
+func (p *Pool) recordUnlisted(b *backend) {
+	if b.heardAt.IsZero() || b.Draining || b.evacuating {
+		return
+	}
+	l := p.newSilence(b, nil)
+	l.lostAt, l.unlisted = b.heardAt, true
+	p.silences = append(p.silences, l)
+}
+
 func (p *Pool) forgetOldSilences(now time.Time) {
 	p.silences = slices.DeleteFunc(p.silences, func(l silence) bool { return now.Sub(l.lostAt) > silenceMemory })
 	maps.DeleteFunc(p.givenUp, func(_ string, at time.Time) bool { return now.Sub(at) > silenceMemory })
@@ -140,55 +153,19 @@
 func (p *Pool) recordReturn(id string, now time.Time) {
 	for n := range p.silences {
 		if l := &p.silences[n]; l.id == id {
+			l.unlisted = false
 			p.recordCrash(l, now)
 		}
 	}
 }
 
-// forgetSilence drops the suspicions against runs of a lost backend server that answers again: it was only unreachable.
+// forgetSilence drops the suspicions against runs of a lost backend server that answers again: it was only unreachable, or its entry in
+// the list was missing.
 func (p *Pool) forgetSilence(b *backend) {
+	p.silences = slices.DeleteFunc(p.silences, func(l silence) bool { return l.unlisted && l.id == b.ID && l.startedAt == b.StartedAt })
 	for n := range p.silences {
 		if l := &p.silences[n]; l.id == b.ID && l.startedAt == b.StartedAt {
 			l.suspects = nil
 		}
 	}
 }
-
-// rackFailed reports whether several backend servers of the rack fell silent at about the same time, and fewer have answered
-// since.
-func (p *Pool) rackFailed(l *silence) bool {
-	if l.rack == "" {
-		return false
-	}
-	silent := map[string]bool{l.address: true}
-	for _, o := range p.silences {
-		if o.rack == l.rack && l.together(o.from, o.until) {
-			silent[o.address] = true
-		}
-	}
-	for _, b := range p.list {
-		if b.Rack == l.rack && !b.reachable && l.together(b.silentSince()) {
-			silent[b.Address] = true
-		}
-	}
-	alive := 0
-	for _, b := range p.list {
-		if b.Rack == l.rack && !silent[b.Address] && b.heardAt.After(l.until.Add(rackFailureTime)) {
-			alive++
-		}
-	}
-	return len(silent) > 1 && len(silent) > alive
-}
-
-// together reports whether the backend server may have fallen silent with one that did so between the given times.
-func (l *silence) together(from, until time.Time) bool {
-	return l.from.Before(until.Add(rackFailureTime)) && from.Before(l.until.Add(rackFailureTime))
-}
-
-// silentSince returns between which times the backend server fell silent, if it did.
-func (b *backend) silentSince() (from, until time.Time) {
-	if len(b.runs) == 0 {
-		return b.heardAt, b.heardAt.Add(idleReportTime)
-	}
-	return b.heardAt, b.heardAt.Add(promptCrashTime)
-}
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -28,7 +28,7 @@
 		r.phase = phaseRunning
 		r.answeredAt = now
 		r.progressedAt = now
-		r.backend.heardAt = now
+		r.backend.heard(now)
 		p.activate(r.task.step.occurrence.job)
 	default:
 		p.handleRefusal(r, refusal, now)
