--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -26,6 +26,7 @@
 	busyUntil      time.Time // latest expected end of its runs
 	blockedUntil   time.Time // no new runs before this time
 	suspendedUntil time.Time // suspended until this time
+	heardFrom      time.Time // when the incarnation first answered
 	heardAt        time.Time // when it last answered a hold or a start
 	succeeded      bool      // a newer incarnation was listed at its address, which may have left again since
 	quarantinedFor *run      // suspect that was started on it last; nil if it has ended
@@ -65,6 +66,14 @@
 // quiet reports whether the backend server has not answered for longer than it takes between two reports while it has runs. It may have gone.
 func (b *backend) quiet(now time.Time) bool { return now.Sub(b.heardAt) > quietTime }
 
+// heard records an answer of the backend server.
+func (b *backend) heard(now time.Time) {
+	b.heardAt = now
+	if b.heardFrom.IsZero() {
+		b.heardFrom = now
+	}
+}
+
 // closed reports whether nothing is started on the backend server for now: a suspect was started there, or the room that runs without
 // a job occupy is not known.
 func (b *backend) closed() bool { return b.quarantined() || len(b.orphans) > 0 }
--- a/internal/basilscheduler/ended.go
+++ b/internal/basilscheduler/ended.go
@@ -15,6 +15,7 @@
 // giveUpEndedRuns ends the long-running runs on backend servers that have ended, but for those of tasks that may have crashed another server
 // lately: they don't start again before its crash is counted. Nor does one whose start may still be answered.
 func (p *Pool) giveUpEndedRuns(now time.Time) {
+	var suspected map[basilwork.TaskID]bool
 	for _, b := range p.list {
 		if !b.ended || !slices.ContainsFunc(b.runs, (*run).isLong) {
 			continue
@@ -23,14 +24,20 @@
 			p.wakeAt(until)
 			continue
 		}
+		if suspected == nil {
+			suspected = p.suspectedTasks()
+		}
 		runs := b.sortedRuns()
 		suspects := p.newSilence(b, runs).suspects
-		runs = slices.DeleteFunc(runs, func(r *run) bool { return !r.isLong() || r.phase == phaseStarting || p.mayHaveCrashedServer(r.task) })
-		p.recordLateStarts(runs)
+		runs = slices.DeleteFunc(runs, func(r *run) bool {
+			return !r.isLong() || r.phase == phaseStarting || r.repeating || r.task.suspicion > 0 || suspected[r.task.id]
+		})
+		p.recordLateStarts(runs, now)
 		for _, r := range runs {
 			for _, s := range suspects {
 				if s.task == r.task.id && s.attempt == r.attempt {
 					b.givenUp = append(b.givenUp, s)
+					suspected[s.task] = true
 				}
 			}
 			p.endRun(r, basilwork.RunEndLost, now)
@@ -38,11 +45,20 @@
 	}
 }
 
-// mayHaveCrashedServer reports whether a crash counts for the task, or will if a backend server is found to have crashed.
-func (p *Pool) mayHaveCrashedServer(t *task) bool {
-	isTask := func(s suspect) bool { return s.task == t.id }
-	return t.suspicion > 0 || slices.ContainsFunc(p.silences, func(l silence) bool { return slices.ContainsFunc(l.suspects, isTask) }) ||
-		slices.ContainsFunc(p.list, func(b *backend) bool { return slices.ContainsFunc(b.givenUp, isTask) })
+// suspectedTasks returns the tasks for which a crash will count if a lost or ended backend server is found to have crashed.
+func (p *Pool) suspectedTasks() map[basilwork.TaskID]bool {
+	tasks := make(map[basilwork.TaskID]bool)
+	for n := range p.silences {
+		for _, s := range p.silences[n].suspects {
+			tasks[s.task] = true
+		}
+	}
+	for _, b := range p.list {
+		for _, s := range b.givenUp {
+			tasks[s.task] = true
+		}
+	}
+	return tasks
 }
 
 // takeGivenUp returns the runs that were given up on the backend server, for which its crash counts too, and forgets them.
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -188,6 +188,7 @@
 		}
 		b.present = false
 		if len(b.runs)+len(b.orphans)+len(b.givenUp) == 0 && !p.mayHavePredecessorRuns(id) {
+			p.recordUnlisted(b)
 			p.forgetBackend(id)
 		}
 	}
@@ -345,6 +346,7 @@
 	l := p.newSilence(b, gone)
 	l.suspects = append(l.suspects, b.takeGivenUp()...)
 	p.recordSilence(l, true, now)
+	b.heardFrom = time.Time{}
 	for _, r := range b.sortedRuns() {
 		unanswered := r.phase == phaseUnanswered && r.stopReason == ""
 		if (unanswered || r.phase == phaseRunning && !r.mustBeListed(sent)) && !lists(answer.Running, r) {
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -39,7 +39,7 @@
 	r.phase = phaseRunning
 	r.answeredAt = now
 	r.progressedAt = now
-	r.backend.heardAt = now
+	r.backend.heard(now)
 	p.activate(r.task.step.occurrence.job)
 }
 
