ledger: look for accepted jobs in the store while their writes have no answer

The store had carried out their writes, up to 0.3 s after they were sent, and lost the answers.

The write of a job was waited for until its timeout (0.7 s at the owner, then 1.2 s directly), and its row was read back only afterwards, when little was left of the caller's 2.4 s. Now a direct write, and a transaction of the owner, look for their rows every 0.2 s while they have no answer. A row under the job's id is the acceptance, whoever wrote it. The owner learns of such jobs from its watch, as of rows that exist already. A tombstone counts as stored only if the row is that tombstone.

The reads are bounded as the writes in flight are: two transactions of an owner, and the window of direct writes; a batch of which the first row is missing costs one read.

TestAcceptanceIsFoundWhileWriteHasNoAnswer fails without the reads.

--- a/internal/basilledger/acceptor.go
+++ b/internal/basilledger/acceptor.go
@@ -189,9 +189,12 @@
 func (a *Acceptor) storeBatch(batch []*pending, unanswered int) {
 	began := time.Now()
 	for len(batch) > 0 {
-		version, err := a.commit(batch)
+		version, found, err := a.commit(batch)
 		var conflict basilplatform.ErrConditionFailed
 		switch {
+		case found:
+			finish(batch, nil) // the watch brings them to the owner, as for a row that exists already
+			return
 		case err == nil:
 			a.reportStored(batch, version)
 			return
@@ -218,7 +221,8 @@
 	}
 }
 
-func (a *Acceptor) commit(batch []*pending) (int64, error) {
+// commit stores the batch in one transaction. found is true if it has no answer, but all rows are there; who wrote them is not known then.
+func (a *Acceptor) commit(batch []*pending) (version int64, found bool, err error) {
 	var t basilplatform.Transaction
 	for _, p := range batch {
 		t.Writes = append(t.Writes, p.writes(a.service)...)
@@ -230,7 +234,17 @@
 			t.Writes = append(t.Writes, p.gateCheck(a.service))
 		}
 	}
-	return a.store.Commit(a.ctx, t)
+	return commitOrFind(a.ctx, a.store, t, func(ctx context.Context) (int64, bool) { return 0, a.hasRows(ctx, batch) })
+}
+
+// hasRows reports whether all jobs of the batch have rows.
+func (a *Acceptor) hasRows(ctx context.Context, batch []*pending) bool {
+	for _, p := range batch {
+		if _, err := a.store.Get(ctx, Key(a.service, p.id())); err != nil {
+			return false
+		}
+	}
+	return true
 }
 
 // resolveConflict reports success for the jobs whose rows exist already, or ErrAssignmentChanged for those whose gate has changed, and
--- a/internal/basilledger/ledger.go
+++ b/internal/basilledger/ledger.go
@@ -1,6 +1,7 @@
 package basilledger
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"time"
@@ -84,7 +85,15 @@
 
 // storeNew makes the writes of a new row while the gate is as it was. It reports whether it did; if not, the row exists already.
 func (l *Ledger) storeNew(ctx context.Context, service string, a Acceptance, writes []basilplatform.Write) (bool, error) {
-	err := l.store.Transact(ctx, basilplatform.Transaction{Writes: append(writes, a.gateCheck(service))})
+	var stored bool
+	_, found, err := commitOrFind(ctx, l.store, basilplatform.Transaction{Writes: append(writes, a.gateCheck(service))}, func(ctx context.Context) (int64, bool) {
+		i, err := l.store.Get(ctx, Key(service, a.id()))
+		stored = bytes.Equal(i.Body, a.body)
+		return i.Version, err == nil
+	})
+	if found {
+		return stored, nil
+	}
 	var conflict basilplatform.ErrConditionFailed
 	if !errors.As(err, &conflict) {
 		return err == nil, err
--- a/internal/basilledger/read_back_test.go
+++ b/internal/basilledger/read_back_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basilwork"
 )
 
 // unansweredStore answers no writes and carries them out after some time.
@@ -58,3 +61,40 @@
 		must.True(t, basilplatform.IsErrOutcomeUnknown(err))
 	})
 }
+
+// TestAcceptanceIsFoundWhileWriteHasNoAnswer checks that jobs count as stored as soon as their rows can be read, if the answer to the write is lost,
+// and that a tombstone isn't taken for stored where the job is.
+func TestAcceptanceIsFoundWhileWriteHasNoAnswer(t *testing.T) {
+	const late, writeTimeout = 300 * time.Millisecond, 1200 * time.Millisecond // the latter is the shortest one
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := newMemoryStore()
+		_, gate := move(t, New(s), "looms", 1)
+		unanswered := &unansweredStore{s, late}
+		began := time.Now()
+		must.NoError(t, accept(t, New(unanswered), "looms", 0, gate))
+		must.Less(t, writeTimeout, time.Since(began))
+
+		a := NewAcceptor(ctx, unanswered, "looms", func([]Acceptance, int64) { t.Error("who stored the rows isn't known") })
+		began = time.Now()
+		var group sync.WaitGroup
+		for n := range 10 {
+			group.Go(func() {
+				job := jobOf(n + 1)
+				must.NoError(t, a.Accept(ctx, job.WithGate(gate)))
+			})
+		}
+		group.Wait()
+		must.Less(t, writeTimeout, time.Since(began))
+		for n := range 10 {
+			must.Positive(t, s.rows[Key("looms", fmt.Sprint(n+1))].Version)
+		}
+
+		tombstone, err := NewAcceptance(basilwork.NewTombstone("0", &basilwork.Queue{Name: "q"}, time.Now()))
+		must.NoError(t, err)
+		ours, err := New(unanswered).AcceptTombstone(ctx, "looms", tombstone.WithGate(gate))
+		must.NoError(t, err)
+		must.False(t, ours)
+	})
+}
