scheduler: weigh a prompt crash by whether an earlier one was prompt too

Callers saw LOST: accepted jobs without a fault shown as failed beside crashes of whole racks.

At 6.0 s that rack crashes; one server of the pool stands there, with a job that has run for seconds: weight 1. The four servers that a verdict at 9.2 s finds alive in the rack were started before the crash and first answered at 7.1 s. At 11.0 s the other rack crashes, three servers: judged as a rack, weight 1. At 12.4 s the pool has three idle servers of the first rack ordered away. At 16.0 s that rack crashes again, one server of the pool, which last answered within 0.5 s of the start of the job, alone on it: weight 3, sum 5, the job is given up.

Cause: a start right before a crash made an earlier suspect nearly certain, whatever the earlier crashes looked like. Suspects are started alone and right after a crash is found, so that any crash of such a server convicts them. Class: the weight of one crash read into several that do not look alike.

Now each crash is stored with whether it came with the start of the run and nothing else (its rack, a server that crashes by itself) explains it, and weighs 2 or 3 only for a task with such a crash before. A task that crashes its servers at once shows that each time: it is given up after two crashes as before. One that had run for a while before the first crash counts 1 for the second, so it may take one or two crashes more; four weights of 1 and the limit of five crashes hold as they did.

Ruled out: counting a crash of a rack with weight 0. The job above would still be given up by 1 and 3, and tasks that crash two servers of a small rack at once would outlast crashes that count now.

--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -18,11 +18,12 @@
 	quarantineTime = 300 * time.Millisecond // how long a suspect must have run before others are started beside it; reports arrive in about it
 )
 
-// Weights of a crash for the tasks that had runs on the backend server.
+// Weights of a crash for the tasks that had runs on the backend server. A task that had run for a while before each earlier crash isn't
+// more suspect because it was started right before this one: one that crashes its backend servers at once does so each time.
 const (
 	crashWeightPossible = 1 // one of several, or the backend server may have crashed by itself
-	crashWeightLikely   = 2 // of the suspects of earlier crashes, the only one that was started last
-	crashWeightCertain  = 3 // the only suspect of earlier crashes, and the only one that was started last
+	crashWeightLikely   = 2 // of the suspects of earlier crashes, the only one that was started last, as before one of these
+	crashWeightCertain  = 3 // such a task, if it is the only suspect of earlier crashes and the only one that was started last
 )
 
 // suspicionOf returns the sum of the weights of the crashes.
@@ -88,12 +89,13 @@
 	explained := false // by a prompt suspect that is given up
 	slices.SortStableFunc(l.suspects, comparePrompt)
 	for _, s := range l.suspects {
-		weight := c.weight(s, p.suspicion(s.task))
+		weight := c.weight(s, p.suspicion(s.task), p.hasCrashedPromptly(s.task))
 		if weight == 0 && p.excuse(s.task) {
 			continue
 		}
 		p.recordCrashedRun(s.task, basilwork.Crash{
 			Attempt: s.attempt, Weight: max(weight, crashWeightPossible), Uncertain: !s.certain, Explained: explained && !s.prompt,
+			Prompt: s.prompt && !c.withRack && !c.again,
 		}, now)
 		explained = explained || s.prompt && s.certain && !p.givenUp[s.task.Job].IsZero()
 	}
@@ -125,6 +127,12 @@
 	return 0
 }
 
+// hasCrashedPromptly reports whether a backend server crashed with a start of the task, and nothing else explains that.
+func (p *Pool) hasCrashedPromptly(id basilwork.TaskID) bool {
+	t := p.findTask(id)
+	return t != nil && slices.ContainsFunc(t.step.progress.Crashes[id.Index], func(c basilwork.Crash) bool { return c.Prompt && !c.Explained })
+}
+
 // crash sums up the suspects of one crash. It counts jobs, not tasks: it is the job that is given up in the end.
 type crash struct {
 	again       bool            // a backend server at the address crashed a short time ago
@@ -152,8 +160,9 @@
 	}
 }
 
-// weight returns the weight of the crash for a suspect, or 0 if something else explains the crash.
-func (c *crash) weight(s suspect, suspicion int) int {
+// weight returns the weight of the crash for a suspect, or 0 if something else explains the crash. promptBefore tells that an earlier
+// crash came with a start of the suspect.
+func (c *crash) weight(s suspect, suspicion int, promptBefore bool) int {
 	known := suspicion > 0
 	switch {
 	case c.withRack, c.again:
@@ -163,6 +172,8 @@
 		return crashWeightPossible
 	case !known && !s.prompt && c.strongest >= crashWeightLikely:
 		return 0 // the suspect of earlier crashes explains this one
+	case !promptBefore:
+		return crashWeightPossible
 	case known && s.prompt && len(c.known) == 1 && len(c.prompt) == 1:
 		return crashWeightCertain
 	case known && s.prompt && len(c.knownPrompt) == 1:
--- a/internal/basilscheduler/rack_test.go
+++ b/internal/basilscheduler/rack_test.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// TestTaskStartedRightBeforeServerCrashedIsNotGivenUp checks that a task whose earlier backend server crashed long after its start is not
+// given up because the next one crashes right after it, but once that has happened again.
+func TestTaskStartedRightBeforeServerCrashedIsNotGivenUp(t *testing.T) {
+	f := newFixture(t, backendsWithoutRacks(8)...)
+	f.addJob("j", stepOf(1, 1000))
+	id := f.decideAndStart()[0].Backend
+	f.advance(time.Second)
+	f.report(id, 50)
+	f.crash(id)
+	for range 2 {
+		starts := f.decideAndStart()
+		must.Len(t, 1, starts)
+		must.False(t, f.jobs["j"].record.State.Final())
+		f.crash(starts[0].Backend)
+	}
+	must.Len(t, 1, f.Decide(f.now).GivenUp)
+}
+
 // rackPlay is a play in which whole racks crash, and each server that starts the job named bad.
 type rackPlay struct {
 	*lostPlay
--- a/internal/basilwork/progress.go
+++ b/internal/basilwork/progress.go
@@ -19,6 +19,7 @@
 	Weight    int  `json:"w"`           // how much speaks for the run as the cause, 1 or more
 	Uncertain bool `json:"u,omitempty"` // the start was not answered, so the run may never have begun
 	Explained bool `json:"e,omitempty"` // another task was given up since that had been started last, so the weight doesn't count
+	Prompt    bool `json:"p,omitempty"` // the backend server fell silent with the start of the run, and nothing else explains that
 }
 
 // SetDone records that the task is done.
