scheduler: give up runs on one ended server after another within 9 s

A long-running task that was started on a second server that had just gone waited for its leases, 7.6 s, or 18 s if the server had started again under its ID, as it may have crashed both. Each server that it may have crashed delays its next start by 2 s instead, from 3 s: two in a row take 8.4 s with the pauses, and a task that does crash servers is slowed down more with each, to the pace of before at the third, so that crashes are still counted before the fourth.

--- a/internal/basilscheduler/ended.go
+++ b/internal/basilscheduler/ended.go
@@ -7,25 +7,33 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
-// endedRunWait is how long after the last answer of a backend server that has ended its long-running runs are given up that were not at work. A
-// server that they have crashed is back by then as a rule, so that its crash is counted first. A task that meets two such servers in turn runs
-// again within the 9 s that the platform allows.
-const endedRunWait = 3 * time.Second
+const (
+	// endedRunWait is how long after the last answer of a backend server that has ended its long-running runs are given up that were not at work.
+	// A server that they have crashed is back by then as a rule, so that its crash is counted first.
+	endedRunWait = 3 * time.Second
+	// endedRunBackoff is how much longer that takes for each other server that the task may have crashed. With two such servers in turn a task
+	// runs again within the 9 s that the platform allows.
+	endedRunBackoff = 2 * time.Second
+)
 
-// giveUpEndedRuns ends the long-running runs on backend servers that have ended, but for those of tasks that may have crashed another server
-// lately: they don't start again before its crash is counted. Nor does one whose start may still be answered.
+// giveUpEndedRuns ends the long-running runs on backend servers that have ended. A run whose start may still be answered is kept.
 func (p *Pool) giveUpEndedRuns(now time.Time) {
 	for _, b := range p.list {
 		if !b.ended || !slices.ContainsFunc(b.runs, (*run).isLong) {
 			continue
 		}
-		if until := b.heardAt.Add(endedRunWait); now.Before(until) {
-			p.wakeAt(until)
-			continue
-		}
 		runs := b.sortedRuns()
 		suspects := p.newSilence(b, runs).suspects
-		runs = slices.DeleteFunc(runs, func(r *run) bool { return !r.isLong() || r.phase == phaseStarting || p.mayHaveCrashedServer(r.task) })
+		runs = slices.DeleteFunc(runs, func(r *run) bool {
+			if !r.isLong() || r.phase == phaseStarting {
+				return true
+			}
+			until := b.heardAt.Add(endedRunWait + time.Duration(p.possibleCrashes(r.task))*endedRunBackoff)
+			if now.Before(until) {
+				p.wakeAt(until)
+			}
+			return now.Before(until)
+		})
 		p.recordLateStarts(runs)
 		for _, r := range runs {
 			for _, s := range suspects {
@@ -38,11 +46,21 @@
 	}
 }
 
-// mayHaveCrashedServer reports whether a crash counts for the task, or will if a backend server is found to have crashed.
-func (p *Pool) mayHaveCrashedServer(t *task) bool {
+// possibleCrashes returns the number of crashes that count for the task, or will if a backend server is found to have crashed.
+func (p *Pool) possibleCrashes(t *task) int {
 	isTask := func(s suspect) bool { return s.task == t.id }
-	return t.suspicion > 0 || slices.ContainsFunc(p.silences, func(l silence) bool { return slices.ContainsFunc(l.suspects, isTask) }) ||
-		slices.ContainsFunc(p.list, func(b *backend) bool { return slices.ContainsFunc(b.givenUp, isTask) })
+	count := len(t.step.progress.Crashes[t.id.Index])
+	for n := range p.silences {
+		if slices.ContainsFunc(p.silences[n].suspects, isTask) {
+			count++
+		}
+	}
+	for _, b := range p.list {
+		if slices.ContainsFunc(b.givenUp, isTask) {
+			count++
+		}
+	}
+	return count
 }
 
 // takeGivenUp returns the runs that were given up on the backend server, for which its crash counts too, and forgets them.
