--- a/internal/basilscheduler/ended.go
+++ b/internal/basilscheduler/ended.go
@@ -7,15 +7,18 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
-// endedRunWait is how long after the last answer of a backend server that has ended its long-running runs are given up that were not at work. A
-// server that they have crashed is back by then as a rule, so that its crash is counted first. A task that meets two such servers in turn runs
-// again within the 9 s that the platform allows.
-const endedRunWait = 3 * time.Second
+const (
+	// endedRunWait is how long after the last answer of a backend server that has ended its long-running runs are given up that were not at work.
+	// A server that they have crashed is back by then as a rule, so that its crash is counted first.
+	endedRunWait = 3 * time.Second
+	// endedRunBackoff is how much longer that takes for each other server that the task may have crashed. With two such servers in turn a task
+	// runs again within the 9 s that the platform allows.
+	endedRunBackoff = 2 * time.Second
+)
 
-// giveUpEndedRuns ends the long-running runs on backend servers that have ended, but for those of tasks that may have crashed another server
-// lately: they don't start again before its crash is counted. Nor does one whose start may still be answered.
+// giveUpEndedRuns ends the long-running runs on backend servers that have ended. A run whose start may still be answered is kept.
 func (p *Pool) giveUpEndedRuns(now time.Time) {
-	var suspected map[basilwork.TaskID]bool
+	var uncounted map[basilwork.TaskID]int
 	for _, b := range p.list {
 		if !b.ended || !slices.ContainsFunc(b.runs, (*run).isLong) {
 			continue
@@ -24,20 +27,27 @@
 			p.wakeAt(until)
 			continue
 		}
-		if suspected == nil {
-			suspected = p.suspectedTasks()
+		if uncounted == nil {
+			uncounted = p.uncountedCrashes()
 		}
 		runs := b.sortedRuns()
 		suspects := p.newSilence(b, runs).suspects
 		runs = slices.DeleteFunc(runs, func(r *run) bool {
-			return !r.isLong() || r.phase == phaseStarting || r.repeating || r.task.suspicion > 0 || suspected[r.task.id]
+			if !r.isLong() || r.phase == phaseStarting || r.repeating {
+				return true
+			}
+			crashes := uncounted[r.task.id] + len(r.task.step.progress.Crashes[r.task.id.Index])
+			until := b.heardAt.Add(endedRunWait + time.Duration(crashes)*endedRunBackoff)
+			if now.Before(until) {
+				p.wakeAt(until)
+			}
+			return now.Before(until)
 		})
 		p.recordLateStarts(runs, now)
 		for _, r := range runs {
 			for _, s := range suspects {
 				if s.task == r.task.id && s.attempt == r.attempt {
 					b.givenUp = append(b.givenUp, s)
-					suspected[s.task] = true
 				}
 			}
 			p.endRun(r, basilwork.RunEndLost, now)
@@ -45,20 +55,20 @@
 	}
 }
 
-// suspectedTasks returns the tasks for which a crash will count if a lost or ended backend server is found to have crashed.
-func (p *Pool) suspectedTasks() map[basilwork.TaskID]bool {
-	tasks := make(map[basilwork.TaskID]bool)
+// uncountedCrashes returns how many lost or ended backend servers will count as crashed for each task if they are found to have crashed.
+func (p *Pool) uncountedCrashes() map[basilwork.TaskID]int {
+	crashes := make(map[basilwork.TaskID]int)
 	for n := range p.silences {
 		for _, s := range p.silences[n].suspects {
-			tasks[s.task] = true
+			crashes[s.task]++
 		}
 	}
 	for _, b := range p.list {
 		for _, s := range b.givenUp {
-			tasks[s.task] = true
+			crashes[s.task]++
 		}
 	}
-	return tasks
+	return crashes
 }
 
 // takeGivenUp returns the runs that were given up on the backend server, for which its crash counts too, and forgets them.
