node: store that a backend server has fallen silent under a living owner

Callers saw long-running tasks that had room and did not run for longer than the 9 s of the rule (LOST): a backend server was cut off, stayed up in the platform's list of hosts, and the owner died 2 s later. Its successor held back the tasks whose runs had ended just before, for 8.5 s from its own beginning.

Cause: only the silence of servers that had not answered since a change of owner was stored. The owner that died had known for seconds that the server was silent and that it could start nothing there, and nothing told its successor (class of fault: an observation of one owner that its successors have to make anew). For the same reason a server whose leases had run out was stored as in use again while it was still silent, so that each new owner waited for it in full.

A server that stops answering for 1.5 s, which is when renewals without an answer end, is suspended and stored as silent with the end of the leases that were sent to it. The end is read under the lock under which every deadline is taken, and a start on a suspended connection is refused, so that no later deadline can be on its way. Nothing is extended or started there before the server has answered and a row without the silence is stored; leases are renewed at once then. A silence stays once its leases have run out, until the server answers or is no longer listed. Stored fields are as before. No write comes before a start; a server that is silent for longer than 1.5 s costs two rows, in transactions of up to 90, at most four a second for those that fall silent.

Weighed, not done: shorter leases or a shorter time for which a member extends them (work is lost in outages of the store of 7.6 to 8.7 s); a silence after less than 1.5 s (renewals would end sooner while answers get lost); a stored list of where tasks run (a write before or after each start, and it says nothing of the last second); counting the grace from the predecessor's last seen renewal (0.25 s in the model, not enough).

Open, in KNOWN-RED.txt: a server that is cut off less than about 2 s before the owner dies (4 s if it has no runs, as it is asked each 2 s), or before the next owner has heard from it (TestLongRunningTasksRunAgainThoughServerIsCutOffRight- BeforeTakeover, 9.09 s). Found on the way, alike: a task that is started on a server which was lost a moment before waits for the leases of that start.

--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -51,8 +51,9 @@
 	waitLog          waitLog
 	predecessors     predecessorWait
 	ended            endedServers
-	silenceAt        time.Time  // when backend servers that have not answered are stored as silent
-	startBlock       startBlock // why the last decision allowed no starts
+	silenceAt        time.Time       // when backend servers that do not answer are next stored as silent
+	fallenSilent     map[string]bool // those that have answered before
+	startBlock       startBlock      // why the last decision allowed no starts
 	pacer            pacer
 	holdPacer        holdPacer
 	events           chan event
@@ -79,7 +80,7 @@
 		node: n, service: service, row: row,
 		log:         n.log.WithFields(logrus.Fields{basillog.FieldPool: service, basillog.FieldEpoch: row.Epoch}),
 		connections: make(map[string]*connection), versions: make(map[string]int64), finished: make(map[string]time.Time),
-		stats: newLoopStats(n.metrics), events: make(chan event, eventQueueSize),
+		fallenSilent: make(map[string]bool), stats: newLoopStats(n.metrics), events: make(chan event, eventQueueSize),
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
 	o.workload.processor = n.options.ProcessorTime
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -124,6 +124,11 @@
 	o.send(func(now time.Time) {
 		o.log.WithFields(o.describeReachability(id, reachable, now)).Info("backend server reachability changed")
 		o.pool.SetReachable(id, reachable)
+		if reachable {
+			o.heard(id)
+		} else {
+			o.fallenSilent[id] = true
+		}
 	})
 }
 
@@ -154,7 +159,9 @@
 		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, basillog.FieldReason: reason.String()}).Warn("backend server lost")
 		before := o.pool.RunStates(id)
 		o.pool.Lost(id, reason, now)
-		o.heard(id)
+		if reason != basilwork.LossExpired { // otherwise it is silent still, and successors need not wait for it
+			o.heard(id)
+		}
 		o.recordLosses(id, reason.String(), before, now)
 		o.closeConnection(id)
 		o.commit.forgetEnds(id)
--- a/internal/basilnode/predecessor_time_test.go
+++ b/internal/basilnode/predecessor_time_test.go
@@ -57,3 +57,22 @@
 	must.False(t, o.addPredecessor(b))
 	must.False(t, o.pool.PredecessorUntil(b.ID).Before(began.Add(5*time.Second)), must.Sprint(o.pool.PredecessorUntil(b.ID).Sub(began)))
 }
+
+// TestExpiredSilenceIsKeptUntilBackendAnswers checks that successors need not wait for a backend server that has stayed silent for longer than its
+// leases and is listed still: its row tells the silence until it answers, or is no longer listed.
+func TestExpiredSilenceIsKeptUntilBackendAnswers(t *testing.T) {
+	local := 10 * time.Second
+	o, b := newSucceedingOwner(t, func() time.Duration { return local }, -time.Second)
+	must.True(t, o.addPredecessor(b))
+	o.pool.SetBackends([]basilwork.Backend{b})
+	must.Zero(t, o.pool.PredecessorBackends())
+	now := time.Now()
+	o.records.lastDelete = now
+	w := o.records.nextWrite(o.pool.Backends(), now)
+	must.True(t, w.empty())
+	must.False(t, o.records.inUse(b.ID))
+	o.records.lastDelete = time.Time{}
+	w = o.records.nextWrite(nil, now)
+	must.MapContainsKey(t, w.deletes, b.ID)
+	must.MapEmpty(t, o.records.silences)
+}
--- a/internal/basilnode/recorder.go
+++ b/internal/basilnode/recorder.go
@@ -52,8 +52,8 @@
 // recorder stores a row for each backend server that may have runs, so that the next owner asks them all. Rows are put
 // before anything runs on a server, and deleted some time after the server is gone.
 //
-// A server that no owner has heard from since a change of owner is stored as silent, so that the next owner waits for it only
-// until its leases have run out. Nothing may be started or extended there before a row without a silence is stored.
+// A server that does not answer is stored as silent, so that the next owner waits for it only until its leases have run out.
+// Nothing may be started or extended there before a row without a silence is stored.
 //
 // A put needs no version, because a surplus row only makes the next owner ask one more server. One of a silence and a delete name
 // the version that they replace, so that a delayed one, whose answer was lost, can't undo a later put.
@@ -180,6 +180,7 @@
 			delete(r.rows, id) // no longer certainly stored
 		}
 	}
+	maps.DeleteFunc(r.silences, func(id string, _ silence) bool { return !known[id] })
 	w.deletes = make(map[string]int64)
 	for id, version := range r.obsolete {
 		if len(w.deletes) < maxDeletes {
--- a/internal/basilrunner/connection.go
+++ b/internal/basilrunner/connection.go
@@ -74,9 +74,10 @@
 	ackAnswered int64 // newest acknowledgement that the backend server has answered
 	busy        bool
 	watched     bool      // the runs there are stopped, and reports are needed until they are gone
-	suspended   bool      // leases are not extended
+	suspended   bool      // leases are not extended, and nothing is started
 	heldAt      time.Time // when the last hold was sent
 	attached    bool
+	attachedAt  time.Time // first answer of the incarnation
 	reachable   bool
 	lost        bool               // Sink.Lost is called, after which its tasks may be started elsewhere
 	firstMissAt time.Time          // first hold without an answer since the last answer; zero for none
@@ -124,11 +125,15 @@
 	}
 }
 
-// SetSuspended sets whether leases are not extended for now. Starts extend them too, and have to be held back by the caller.
+// SetSuspended sets whether leases are not extended for now, nor anything started. Those of runs are extended at once afterwards.
 func (c *Connection) SetSuspended(suspended bool) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	resumed := c.suspended && !suspended && c.busy && c.attached
 	c.suspended = suspended
+	c.mutex.Unlock()
+	if resumed {
+		c.Refresh()
+	}
 }
 
 // SetWatched sets whether reports are needed until runs that are being stopped have ended. Their leases are not extended for that.
@@ -309,6 +314,9 @@
 	c.backend.StartedAt = max(c.backend.StartedAt, r.StartedAt)
 	c.lease.RecordAnswer(r.Clock, now)
 	first := !c.attached || restarted
+	if first {
+		c.attachedAt = now
+	}
 	reachableAgain := !c.reachable
 	c.attached = true
 	c.reachable = true
--- a/internal/basilrunner/orders.go
+++ b/internal/basilrunner/orders.go
@@ -34,7 +34,7 @@
 	case c.lost:
 		c.mutex.Unlock()
 		return basilwork.RefusalUnsent, true
-	case !c.options.MayStart() || !c.lease.Known():
+	case !c.options.MayStart() || !c.lease.Known() || c.suspended:
 		c.mutex.Unlock()
 		return basilwork.RefusalBusy, true
 	}
--- a/internal/basilscheduler/explain_task.go
+++ b/internal/basilscheduler/explain_task.go
@@ -176,12 +176,12 @@
 		return WaitReasonEvacuating
 	case !b.free().Covers(s.demand):
 		return WaitReasonNoRoom
+	case !b.reachable: // silent ones are no longer recorded as in use
+		return WaitReasonNotReachable
 	case !b.recorded:
 		return WaitReasonNotRecorded
 	case !b.attached:
 		return WaitReasonNotAttached
-	case !b.reachable:
-		return WaitReasonNotReachable
 	case e.now.Before(b.blockedUntil):
 		return WaitReasonBlocked
 	case b.quarantined():
--- a/internal/basilscheduler/lost_connection_test.go
+++ b/internal/basilscheduler/lost_connection_test.go
@@ -26,6 +26,7 @@
 	suspended   bool
 	inherited   time.Time // until when leases of former owners may last
 	attached    bool
+	attachedAt  time.Time
 	reachable   bool
 	lost        bool
 	firstMiss   time.Time
@@ -109,7 +110,15 @@
 	if c.reachable && now.Sub(c.firstMiss) > 0 && (!c.lease.Known() || now.Sub(c.lease.LastAnswer()) > 1500*time.Millisecond) {
 		c.reachable = false
 		o.SetReachable(c.id, false)
+		c.fallSilent()
 	}
+	if c.attached && now.After(c.expiry()) {
+		o.lost(c, basilwork.LossExpired)
+	}
+}
+
+// expiry returns when all runs have certainly ended.
+func (c *playConnection) expiry() time.Time {
 	expiry := c.lease.Expiry(playMaxHold)
 	if longest := c.lease.LastExpiry(playMaxHold); !c.busy && longest.After(expiry) {
 		expiry = longest
@@ -117,9 +126,7 @@
 	if c.inherited.After(expiry) {
 		expiry = c.inherited
 	}
-	if c.attached && now.After(expiry) {
-		o.lost(c, basilwork.LossExpired)
-	}
+	return expiry
 }
 
 func (c *playConnection) report(r basilwork.Report, sent time.Time) {
@@ -137,8 +144,12 @@
 	c.startedAt = max(c.startedAt, r.StartedAt)
 	c.lease.RecordAnswer(r.Clock, now)
 	first := !c.attached || restarted
+	if first {
+		c.attachedAt = now
+	}
 	if !c.reachable {
 		o.SetReachable(c.id, true)
+		o.heard(c.id)
 	}
 	c.attached, c.reachable, c.firstMiss, c.misses = true, true, time.Time{}, 0
 	if restarted {
@@ -151,6 +162,6 @@
 	o.Report(c.id, r, sent, now)
 	if first {
 		o.Attached(c.id)
-		delete(o.silences, c.id)
+		o.heard(c.id)
 	}
 }
--- a/internal/basilscheduler/lost_owner_test.go
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -76,10 +76,10 @@
 	for _, id := range sortedKeys(p.store.servers) {
 		b := p.store.servers[id]
 		if !b.silentUntil.IsZero() {
+			o.silences[id] = b.silentUntil
 			if !p.now.Before(b.silentUntil) {
 				continue
 			}
-			o.silences[id] = b.silentUntil
 		}
 		o.AddPredecessorBackend(basilwork.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Rack: b.Rack, StartedAt: b.StartedAt}, b.silentUntil)
 		o.connect(b.Backend)
@@ -190,64 +190,12 @@
 	}
 }
 
-// inUse reports whether a successor would wait in full for the backend server, so that it may be used.
-func (o *playOwner) inUse(id string) bool {
-	s, ok := o.play.store.servers[id]
-	return ok && s.silentUntil.IsZero() && o.silences[id].IsZero() && !o.uncertain[id]
-}
-
-// record stores the backend servers that may be used and those that are silent, and forgets those that are gone.
-func (o *playOwner) record() {
-	p := o.play
-	if p.now.Sub(o.startedAt) >= playSilenceDelay {
-		for id, until := range o.SilentPredecessorBackends() {
-			if o.silences[id].IsZero() {
-				o.silences[id] = until
-			}
-		}
-	}
-	var missing []playServerRow
-	known := make(map[string]bool)
-	for _, b := range o.Backends() {
-		known[b.ID] = true
-		o.SetRecorded(b.ID, o.inUse(b.ID))
-		if s, ok := p.store.servers[b.ID]; !ok || s.StartedAt != b.StartedAt || !s.silentUntil.Equal(o.silences[b.ID]) {
-			missing = append(missing, playServerRow{Backend: b, silentUntil: o.silences[b.ID]})
-		}
-	}
-	if o.recordBusy || len(missing) == 0 && p.now.Sub(o.lastDelete) < 2*time.Second {
-		return
-	}
-	o.recordBusy = true
-	for _, b := range missing {
-		o.uncertain[b.ID] = !b.silentUntil.IsZero()
-	}
-	p.after(p.storeTime(), func() {
-		o.recordBusy = false
-		clear(o.uncertain)
-		if p.store.epoch != o.epoch {
-			return
-		}
-		for _, b := range missing {
-			p.store.servers[b.ID] = b
-		}
-		if len(missing) == 0 && o.alive {
-			o.lastDelete = p.now
-			for id := range p.store.servers {
-				if !known[id] && !o.Knows(id) {
-					delete(p.store.servers, id)
-				}
-			}
-		}
-	})
-}
-
 func (o *playOwner) sendStart(s Start) {
 	c := o.connections[s.Backend]
 	p := o.play
 	refuse := func(refusal basilwork.Refusal) { o.Started(s.Ref, refusal, true, p.now) }
 	switch {
-	case c == nil || !c.lease.Known():
+	case c == nil || !c.lease.Known() || c.suspended:
 		refuse(basilwork.RefusalBusy)
 		return
 	case c.lost:
@@ -373,7 +321,9 @@
 	o.disconnect(c.id)
 	delete(o.acked, c.id)
 	delete(o.pendingCover, c.id)
-	delete(o.silences, c.id)
+	if reason != basilwork.LossExpired {
+		delete(o.silences, c.id)
+	}
 }
 
 func sortedKeys[V any](m map[string]V) []string {
--- a/internal/basilscheduler/lost_owners_test.go
+++ b/internal/basilscheduler/lost_owners_test.go
@@ -50,13 +50,18 @@
 
 // replaceOwners has the owner die again and again; each lasts for the given time.
 func (p *ownersPlay) replaceOwners(lasts time.Duration) {
-	p.disturb(lasts, func() {
+	p.replaceOwner(lasts)
+	p.after(lasts+playTakeover, func() { p.replaceOwners(lasts) })
+}
+
+// replaceOwner has the owner die at the time, and another one take over.
+func (p *ownersPlay) replaceOwner(at time.Duration) {
+	p.disturb(at, func() {
 		p.trace("owner dies")
 		p.owner.alive = false
 		p.after(playTakeover, func() {
 			p.takeOver()
 			p.after(playEndedDelay, p.owner.readHosts)
-			p.replaceOwners(lasts)
 		})
 	})
 }
@@ -146,6 +151,15 @@
 	must.Eq(t, "", p.failure, must.Sprint(p.log()))
 }
 
+// TestLongRunningTasksRunAgainThoughServerIsCutOffRightBeforeTakeover checks the same with a backend server that was cut off 1 s before.
+func TestLongRunningTasksRunAgainThoughServerIsCutOffRightBeforeTakeover(t *testing.T) {
+	p := newOwnersPlay(40, 1, 12*time.Second)
+	p.onlyCalm = true
+	p.cutOff(0, 11*time.Second, time.Hour)
+	p.run(25 * time.Second)
+	must.Eq(t, "", p.failure, must.Sprint(p.log()))
+}
+
 // TestLongRunningTaskIsNotStartedOnServerThatHasJustGone checks that a task whose server is gone for good runs again within 9 s under an owner that
 // lives, though another server goes before the leases on the first have run out: the task was started there, 1.5 s after that one had gone.
 func TestLongRunningTaskIsNotStartedOnServerThatHasJustGone(t *testing.T) {
