--- a/internal/basilrunner/orders.go
+++ b/internal/basilrunner/orders.go
@@ -46,7 +46,7 @@
 	case c.lost, !allowed(now):
 		c.mutex.Unlock()
 		return basilwork.RefusalUnsent, true
-	case !c.options.MayStart() || !c.lease.Known():
+	case !c.options.MayStart() || !c.lease.Known() || c.suspended:
 		c.mutex.Unlock()
 		return basilwork.RefusalBusy, true
 	}
