scheduler: hold long-running suspects back for seconds, not for leases

A new owner held a task for which a crash counts back until the leases of all servers of its predecessor that have ended would have run out, 8.5 s from the takeover, so that crashes beside a change of owner are counted.

It waits for 3 s and 2 s for each crash that counts or may still count, as under an owner that lives. A crash is counted before that unless the server takes longer to come back; from the third on the wait is as long as before. Short tasks wait for the leases as before.

--- a/internal/basilscheduler/ended.go
+++ b/internal/basilscheduler/ended.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// endedRunWait is how long after the last answer of a backend server that has ended its long-running runs are given up that were not at work.
+	// minEndedRunWait is how long after the last answer of a backend server that has ended its long-running runs are given up that were not at work.
 	// A server that they have crashed is back by then as a rule, so that its crash is counted first.
-	endedRunWait = 3 * time.Second
+	minEndedRunWait = 3 * time.Second
 	// endedRunBackoff is how much longer that takes for each other server that the task may have crashed. With two such servers in turn a task
 	// runs again within the 9 s that the platform allows.
 	endedRunBackoff = 2 * time.Second
@@ -28,7 +28,7 @@
 			if !r.isLong() || r.phase == phaseStarting {
 				return true
 			}
-			until := b.heardAt.Add(endedRunWait + time.Duration(p.possibleCrashes(r.task))*endedRunBackoff)
+			until := b.heardAt.Add(p.endedRunWait(r.task))
 			if now.Before(until) {
 				p.wakeAt(until)
 			}
@@ -46,6 +46,11 @@
 	}
 }
 
+// endedRunWait returns how long a long-running task waits for a server that has ended and that it may have crashed.
+func (p *Pool) endedRunWait(t *task) time.Duration {
+	return minEndedRunWait + time.Duration(p.possibleCrashes(t))*endedRunBackoff
+}
+
 // possibleCrashes returns the number of crashes that count for the task, or will if a backend server is found to have crashed.
 func (p *Pool) possibleCrashes(t *task) int {
 	isTask := func(s suspect) bool { return s.task == t.id }
--- a/internal/basilscheduler/explain_task.go
+++ b/internal/basilscheduler/explain_task.go
@@ -21,7 +21,7 @@
 	case e.startLimit == 0:
 		x.Reason = WaitReasonStartLimit
 	case e.holdsBack(t, e.now):
-		x.Reason, x.Pending, x.Ends = WaitReasonPredecessors, len(e.predecessorUntil), max(0, e.suspectsUntil.Sub(e.now))
+		x.Reason, x.Pending, x.Ends = WaitReasonPredecessors, len(e.predecessorUntil), max(0, e.heldBackUntil(t).Sub(e.now))
 		for _, until := range e.predecessorUntil {
 			x.Ends = max(x.Ends, until.Sub(e.now))
 		}
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -134,6 +134,9 @@
 			continue
 		}
 		if p.holdsBack(t, now) {
+			if until := p.heldBackUntil(t); now.Before(until) {
+				p.wakeAt(until)
+			}
 			continue
 		}
 		if now.Before(t.notBefore) {
--- a/internal/basilscheduler/predecessor.go
+++ b/internal/basilscheduler/predecessor.go
@@ -142,7 +142,18 @@
 	if t.accounted || !t.step.occurrence.job.adopted {
 		return false
 	}
-	return len(p.predecessorUntil) > 0 || t.suspicion > 0 && now.Before(p.suspectsUntil)
+	return len(p.predecessorUntil) > 0 || now.Before(p.heldBackUntil(t))
+}
+
+// heldBackUntil returns until when the task is held back since it may have crashed a server of a previous owner that has ended, or the zero time.
+func (p *Pool) heldBackUntil(t *task) time.Time {
+	if t.suspicion == 0 {
+		return time.Time{}
+	}
+	if until := p.startedAt.Add(p.endedRunWait(t)); t.step.spec.LongRunning && until.Before(p.suspectsUntil) {
+		return until
+	}
+	return p.suspectsUntil
 }
 
 // heldBack reports whether no task of the step may start because of silent backend servers of a previous owner; a gang starts as a whole.
