--- a/internal/basilscheduler/ended.go
+++ b/internal/basilscheduler/ended.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// endedRunWait is how long after the last answer of a backend server that has ended its long-running runs are given up that were not at work.
+	// minEndedRunWait is how long after the last answer of a backend server that has ended its long-running runs are given up that were not at work.
 	// A server that they have crashed is back by then as a rule, so that its crash is counted first.
-	endedRunWait = 3 * time.Second
+	minEndedRunWait = 3 * time.Second
 	// endedRunBackoff is how much longer that takes for each other server that the task may have crashed. With two such servers in turn a task
 	// runs again within the 9 s that the platform allows.
 	endedRunBackoff = 2 * time.Second
@@ -18,26 +18,21 @@
 
 // giveUpEndedRuns ends the long-running runs on backend servers that have ended. A run whose start may still be answered is kept.
 func (p *Pool) giveUpEndedRuns(now time.Time) {
-	var uncounted map[basilwork.TaskID]int
 	for _, b := range p.list {
 		if !b.ended || !slices.ContainsFunc(b.runs, (*run).isLong) {
 			continue
 		}
-		if until := b.heardAt.Add(endedRunWait); now.Before(until) {
+		if until := b.heardAt.Add(minEndedRunWait); now.Before(until) {
 			p.wakeAt(until)
 			continue
 		}
-		if uncounted == nil {
-			uncounted = p.uncountedCrashes()
-		}
 		runs := b.sortedRuns()
 		suspects := p.newSilence(b, runs).suspects
 		runs = slices.DeleteFunc(runs, func(r *run) bool {
 			if !r.isLong() || r.phase == phaseStarting || r.repeating {
 				return true
 			}
-			crashes := uncounted[r.task.id] + len(r.task.step.progress.Crashes[r.task.id.Index])
-			until := b.heardAt.Add(endedRunWait + time.Duration(crashes)*endedRunBackoff)
+			until := b.heardAt.Add(p.endedRunWait(r.task))
 			if now.Before(until) {
 				p.wakeAt(until)
 			}
@@ -48,6 +43,7 @@
 			for _, s := range suspects {
 				if s.task == r.task.id && s.attempt == r.attempt {
 					b.givenUp = append(b.givenUp, s)
+					p.possibleCrashes[s.task]++
 				}
 			}
 			p.endRun(r, basilwork.RunEndLost, now)
@@ -55,8 +51,18 @@
 	}
 }
 
-// uncountedCrashes returns how many lost or ended backend servers will count as crashed for each task if they are found to have crashed.
-func (p *Pool) uncountedCrashes() map[basilwork.TaskID]int {
+// endedRunWait returns how long a long-running task waits for a server that has ended and that it may have crashed.
+func (p *Pool) endedRunWait(t *task) time.Duration {
+	if p.possibleCrashes == nil {
+		p.possibleCrashes = p.countPossibleCrashes()
+	}
+	crashes := p.possibleCrashes[t.id] + len(t.step.progress.Crashes[t.id.Index])
+	return minEndedRunWait + time.Duration(crashes)*endedRunBackoff
+}
+
+// countPossibleCrashes returns, for each task, how many lost or ended backend servers will count as crashed under it if they are found to have
+// crashed.
+func (p *Pool) countPossibleCrashes() map[basilwork.TaskID]int {
 	crashes := make(map[basilwork.TaskID]int)
 	for n := range p.silences {
 		for _, s := range p.silences[n].suspects {
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -55,6 +55,7 @@
 	predecessorUntil map[string]time.Time        // backend servers that may have runs of a predecessor, and until when
 	predecessorEnded map[string]time.Time        // those that have ended, and until when they might have had runs otherwise
 	suspectsUntil    time.Time                   // until when tasks that may have crashed such a server are held back
+	possibleCrashes  map[basilwork.TaskID]int    // crashes that may still count, by task, as of the current decision; nil if not counted yet
 	queues           map[string]*basilwork.Queue // by ID, also those that the configuration no longer has
 	namedQueues      map[string]*basilwork.Queue // the same by name
 	runTimes         map[runTimeKey]*runTimeRatio
