scheduler: store jobs that are failed once a start stays unanswered

Callers saw LOST: a job that was given up stayed unfinished for ever, neither run nor shown as failed, until its pool changed its owner.

Cause: a job whose last crash counts under a start that may still be refused is failed only when that start's answer comes or is overdue. The crash itself has been stored by then, so the record was clean, and the final state alone did not mark it as changed; a job that is final, clean and without runs is dropped from the pool. All other ways to fail a job change its progress right before.

Failing a job marks its record. TestFailedJobIsStoredThoughItsCrashesWereBefore failed before.

--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -298,6 +298,7 @@
 }
 
 func (p *Pool) failJob(j *job, now time.Time) {
+	p.markDirty(j)
 	p.finalize(j, basilwork.JobStateFailed)
 	j.record.Finished = now.UnixMilli()
 	j.urgent = true
--- a/internal/basilscheduler/open_start_test.go
+++ b/internal/basilscheduler/open_start_test.go
@@ -79,6 +79,22 @@
 	}
 }
 
+// TestFailedJobIsStoredThoughItsCrashesWereBefore checks that a job which is failed once a start stays unanswered is stored as failed, though
+// the crashes that decide it had been stored before.
+func TestFailedJobIsStoredThoughItsCrashesWereBefore(t *testing.T) {
+	f, open := openStarts(t, 2)
+	f.Decide(f.now)
+	_, ok := f.Take("j")
+	must.True(t, ok)
+	for _, s := range open {
+		f.Started(s.Ref, basilwork.RefusalNone, false, f.now)
+	}
+	must.Len(t, 1, f.Decide(f.now).GivenUp)
+	ids, _ := f.DirtyJobs()
+	must.Eq(t, []string{"j"}, ids)
+	must.Eq(t, basilwork.JobStateFailed, f.state("j"))
+}
+
 // TestRefusedStartOnRestartedBackendIsNoCrash checks that a start which a backend server refused counts no crash there, though the server came
 // back under its ID before the refusal arrived.
 func TestRefusedStartOnRestartedBackendIsNoCrash(t *testing.T) {
