scheduler: tell a rack failure by servers that got starts while silent

Callers may see LOST: a crash of a whole rack counts with up to 3 against a task that ran in it.

Cause: whether a server that still stands in the list fell silent with its rack was judged by the runs that it has at the verdict. One without runs answers each 2 s, so it may have crashed up to 2 s after its last answer; once a start was sent to it that it never answered it passed for busy, which leaves 0.5 s. Its own silence, made when it is lost, had the time of that start.

Now both are computed in one place: a server was silent by the first start that it has not answered since its last answer.

TestRackFailureIsSeenThoughIdleServerGotStart failed before.

--- a/internal/basilscheduler/rack.go
+++ b/internal/basilscheduler/rack.go
@@ -15,7 +15,7 @@
 		}
 	}
 	for _, b := range p.list {
-		if b.Rack == l.rack && !b.reachable && l.together(b.silentSince()) {
+		if b.Rack == l.rack && !b.reachable && l.together(b.silentSince(b.runs)) {
 			silent[b.Address] = true
 		}
 	}
@@ -39,10 +39,25 @@
 	return l.from.Before(until.Add(rackFailureTime)) && from.Before(l.until.Add(rackFailureTime))
 }
 
-// silentSince returns between which times the backend server fell silent, if it did.
-func (b *backend) silentSince() (from, until time.Time) {
-	if len(b.runs) == 0 {
+// silentSince returns between which times the backend server with the runs fell silent, if it did: it was silent by the first start that it
+// hasn't answered.
+func (b *backend) silentSince(runs []*run) (from, until time.Time) {
+	if at := b.firstUnanswered(runs); !at.IsZero() {
+		return b.heardAt, at
+	}
+	if len(runs) == 0 {
 		return b.heardAt, b.heardAt.Add(idleReportTime)
 	}
 	return b.heardAt, b.heardAt.Add(promptCrashTime)
 }
+
+// firstUnanswered returns when the first start without an answer was requested since the backend server last answered, or the zero time.
+func (b *backend) firstUnanswered(runs []*run) time.Time {
+	var first time.Time
+	for _, r := range runs {
+		if !r.answered() && r.orderedAt.After(b.heardAt) && (first.IsZero() || r.orderedAt.Before(first)) {
+			first = r.orderedAt
+		}
+	}
+	return first
+}
--- a/internal/basilscheduler/rack_test.go
+++ b/internal/basilscheduler/rack_test.go
@@ -88,6 +88,29 @@
 	}
 }
 
+// TestRackFailureIsSeenThoughIdleServerGotStart checks that a rack counts as failed when one of its servers was idle and got a start only after
+// it had crashed with the rack.
+func TestRackFailureIsSeenThoughIdleServerGotStart(t *testing.T) {
+	f := newFixture(t, backendsInRacksOf(2, 2)...)
+	f.reportAll()
+	f.addJob("j", stepOf(1, 1000))
+	home := f.decideAndStart()[0].Backend
+	f.advance(1500 * time.Millisecond)
+	f.report(home, 50) // the rack crashes now
+	f.advance(100 * time.Millisecond)
+	f.backends[home].recorded = false
+	f.addJob("k", stepOf(1, 1000))
+	other := f.Decide(f.now).Starts[0]
+	must.NotEq(t, home, other.Backend)
+	f.advance(500 * time.Millisecond)
+	f.Started(other.Ref, basilwork.RefusalNone, false, f.now)
+	f.advance(time.Second)
+	f.SetReachable(home, false)
+	f.SetReachable(other.Backend, false)
+	l := f.newSilence(f.backends[home], f.backends[home].runs)
+	must.True(t, f.rackFailed(&l))
+}
+
 // TestTaskStartedRightBeforeServerCrashedIsNotGivenUp checks that a task whose earlier backend server crashed long after its start is not
 // given up because the next one crashes right after it, but once that has happened again.
 func TestTaskStartedRightBeforeServerCrashedIsNotGivenUp(t *testing.T) {
--- a/internal/basilscheduler/silence.go
+++ b/internal/basilscheduler/silence.go
@@ -57,24 +57,17 @@
 // at work didn't crash it.
 func (p *Pool) newSilence(b *backend, runs []*run) silence {
 	l := silence{id: b.ID, address: b.Address, rack: b.Rack, startedAt: b.StartedAt, heardFrom: b.heardFrom}
-	l.from, l.until = b.silentSince()
+	l.from, l.until = b.silentSince(runs)
 	if b.Draining {
 		return l
 	}
-	var newest, unanswered time.Time
+	unanswered := b.firstUnanswered(runs)
+	var newest time.Time
 	for _, r := range runs {
-		switch {
-		case r.answered():
-			if r.orderedAt.After(newest) {
-				newest = r.orderedAt
-			}
-		case r.orderedAt.After(b.heardAt) && (unanswered.IsZero() || r.orderedAt.Before(unanswered)):
-			unanswered = r.orderedAt
+		if r.answered() && r.orderedAt.After(newest) {
+			newest = r.orderedAt
 		}
 	}
-	if unanswered.After(l.from) {
-		l.until = unanswered
-	}
 	isPrompt := func(at time.Time) bool { return !at.IsZero() && b.heardAt.Sub(at) <= promptCrashTime }
 	for _, r := range runs {
 		var prompt bool
