--- a/internal/basilscheduler/repeat_start_test.go
+++ b/internal/basilscheduler/repeat_start_test.go
@@ -112,3 +112,36 @@
 	f.Stopped(first.Ref, true, f.now)
 	must.SliceEmpty(t, f.lateStarts)
 }
+
+// TestUnansweredStartRespectsMaxUnavailable covers a start without an answer whose run may exist while as many other tasks of
+// the step are unavailable as allowed: the run is stopped only if no report lists it for a while, which is longer where the backend server answers.
+func TestUnansweredStartRespectsMaxUnavailable(t *testing.T) {
+	unanswered := func() (*fixture, Start) {
+		f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000), backendOf("b3", 4000), backendOf("b4", 4000))
+		f.addJob("long", longStep(3, 1000))
+		starts := f.Decide(f.now).Starts
+		must.Len(t, 3, starts)
+		f.advance(time.Second)
+		f.Started(starts[0].Ref, basilwork.RefusalNone, true, f.now) // the other two are still unavailable
+		f.Started(starts[2].Ref, basilwork.RefusalNone, false, f.now)
+		must.SliceEmpty(t, f.Decide(f.now).Stops)
+		return f, starts[2]
+	}
+	f, s := unanswered()
+	f.report(s.Backend, 100)
+	must.SliceEmpty(t, f.Decide(f.now).Stops)
+	f.advance(unansweredWait)
+	f.report(s.Backend, 100)
+	must.SliceEmpty(t, f.Decide(f.now).Stops, must.Sprint("a report lists the run"))
+
+	for reachable, wait := range map[bool]time.Duration{true: scarceRepeatTime, false: unansweredWait} {
+		f, s = unanswered()
+		f.SetReachable(s.Backend, reachable)
+		f.advance(wait - time.Millisecond)
+		must.SliceEmpty(t, f.Decide(f.now).Stops)
+		f.advance(time.Millisecond + recheckInterval)
+		stops := f.Decide(f.now).Stops
+		must.Len(t, 1, stops)
+		must.Eq(t, s.Ref, stops[0].Ref)
+	}
+}
