scheduler: note the end of a repeated start also if a report came first

Now any answer ends the repetition, and so does a request to stop the run.

TestRunWhoseRepeatedStartWasOvertakenIsGivenUp failed before (no start after 3 s).

--- a/internal/basilscheduler/ended_test.go
+++ b/internal/basilscheduler/ended_test.go
@@ -110,3 +110,33 @@
 	must.Eq(t, "b2", starts[0].Backend)
 	must.Eq(t, "b1", starts[1].Backend)
 }
+
+// TestRunWhoseRepeatedStartWasOvertakenIsGivenUp checks that a run on a server that has ended is given up in 3 s though a report, or the answer to
+// its stop, came before that to a repeated request for its start.
+func TestRunWhoseRepeatedStartWasOvertakenIsGivenUp(t *testing.T) {
+	for _, stopped := range []bool{false, true} {
+		f := newFixture(t, backendOf("b1", 1000))
+		f.addJob("j", longStep(1, 1000))
+		s := f.Decide(f.now).Starts[0]
+		f.advance(200 * time.Millisecond)
+		f.Started(s.Ref, basilwork.RefusalNone, false, f.now)
+		must.Len(t, 1, f.Decide(f.now).Starts)
+		if stopped {
+			f.Evacuate("b1", true)
+			f.advance(unansweredWait)
+			must.Len(t, 1, f.Decide(f.now).Stops)
+			f.Stopped(s.Ref, true, f.now)
+		} else {
+			f.report("b1", 0)
+		}
+		f.Started(s.Ref, basilwork.RefusalNone, !stopped, f.now)
+		f.setBackends(backendOf("b1", 1000), backendOf("b2", 1000))
+		f.backends["b1"].heardAt = f.now
+		f.SetReachable("b1", false)
+		f.advance(endedRunWait)
+		must.True(t, f.Ended("b1", f.now))
+		starts := f.decideAndStart()
+		must.Len(t, 1, starts, must.Sprint(stopped))
+		must.Eq(t, "b2", starts[0].Backend)
+	}
+}
--- a/internal/basilscheduler/repeat_start.go
+++ b/internal/basilscheduler/repeat_start.go
@@ -44,7 +44,6 @@
 
 // handleRepeat processes the answer to a repeated start. A refusal tells nothing of the requests before.
 func (p *Pool) handleRepeat(r *run, refusal basilwork.Refusal, answered bool, now time.Time) {
-	r.repeating = false
 	r.backend.needsCheck = true
 	switch {
 	case !r.stopRequestedAt.IsZero(), !answered, refusal == basilwork.RefusalUnsent:
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -11,6 +11,9 @@
 func (p *Pool) Started(ref Ref, refusal basilwork.Refusal, answered bool, now time.Time) {
 	p.closeStart(ref, answered && neverBegan(refusal), now)
 	r := p.findRun(ref)
+	if r != nil {
+		r.repeating = false // also if a report or the answer to a stop came first
+	}
 	if r != nil && r.phase == phaseUnanswered {
 		p.handleRepeat(r, refusal, answered, now)
 		return
@@ -116,6 +119,7 @@
 	}
 	r.stopReason = reason
 	r.stopRequestedAt = now
+	r.repeating = false // a request that waits to be sent is dropped
 	if r.stoppingSince.IsZero() {
 		r.stoppingSince = now
 	}
