scheduler: judge the suspects of a crash by all runs of the server that was lost

Of the starts without an answer since a server last answered only the first is a suspect, as the others were requested when it was silent already. Long-running runs on a server that has ended are given up before it is lost, so the next start, of a short task, passed for the first one, and the crash counted for it.

Now the server keeps the runs that were given up, and all of them are looked at together when its crash is judged.

TestGivenUpRunStillTellsWhatWasStartedAfterSilence failed before (one crash counted for the short task).

--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -49,7 +49,7 @@
 	fillers        int             // number of filler runs
 	orphans        map[Ref]*orphan // runs in its newest report that belong to no known task
 	ended          bool            // it doesn't answer, and no host runs it any more
-	givenUp        []suspect       // runs that were given up since it has ended, until it is known whether it has crashed
+	givenUp        []*run          // those that were given up since it has ended, until it is known whether it has crashed
 }
 
 // usable reports whether new runs are placed on the backend server before others wait.
--- a/internal/basilscheduler/ended.go
+++ b/internal/basilscheduler/ended.go
@@ -30,9 +30,7 @@
 		if uncounted == nil {
 			uncounted = p.uncountedCrashes()
 		}
-		runs := b.sortedRuns()
-		suspects := p.newSilence(b, runs).suspects
-		runs = slices.DeleteFunc(runs, func(r *run) bool {
+		runs := slices.DeleteFunc(b.sortedRuns(), func(r *run) bool {
 			if !r.isLong() || r.phase == phaseStarting || r.repeating {
 				return true
 			}
@@ -45,11 +43,7 @@
 		})
 		p.recordLateStarts(runs, now)
 		for _, r := range runs {
-			for _, s := range suspects {
-				if s.task == r.task.id && s.attempt == r.attempt {
-					b.givenUp = append(b.givenUp, s)
-				}
-			}
+			b.givenUp = append(b.givenUp, r)
 			p.endRun(r, basilwork.RunEndLost, now)
 		}
 	}
@@ -64,16 +58,20 @@
 		}
 	}
 	for _, b := range p.list {
-		for _, s := range b.givenUp {
-			crashes[s.task]++
+		if len(b.givenUp) == 0 {
+			continue
+		}
+		for _, s := range p.newSilence(b, b.lostRuns(b.sortedRuns())).suspects {
+			if slices.ContainsFunc(b.givenUp, func(r *run) bool { return r.task.id == s.task && r.attempt == s.attempt }) {
+				crashes[s.task]++
+			}
 		}
 	}
 	return crashes
 }
 
-// takeGivenUp returns the runs that were given up on the backend server, for which its crash counts too, and forgets them.
-func (b *backend) takeGivenUp() []suspect {
-	suspects := b.givenUp
-	b.ended, b.givenUp = false, nil
-	return suspects
-}
+// lostRuns returns the given runs and those that were given up on the backend server: which of them are suspects of its crash is judged by all.
+func (b *backend) lostRuns(runs []*run) []*run { return append(slices.Clone(b.givenUp), runs...) }
+
+// forgetGivenUp forgets the runs that were given up on the backend server, as it is known whether their crash counts, or it has answered.
+func (b *backend) forgetGivenUp() { b.ended, b.givenUp = false, nil }
--- a/internal/basilscheduler/ended_test.go
+++ b/internal/basilscheduler/ended_test.go
@@ -140,3 +140,31 @@
 		must.Eq(t, "b2", starts[0].Backend)
 	}
 }
+
+// TestGivenUpRunStillTellsWhatWasStartedAfterSilence checks that a task which was started on a silent server after a long-running one isn't suspected
+// of its crash once the other has been given up.
+func TestGivenUpRunStillTellsWhatWasStartedAfterSilence(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	f.report("b1", 0)
+	for n, s := range []basilwork.Step{longStep(1, 1000), stepOf(1, 1000)} {
+		f.advance(200 * time.Millisecond)
+		id := []string{"long", "short"}[n]
+		f.addJob(id, s)
+		starts := firstRequests(f.Decide(f.now).Starts)
+		must.Len(t, 1, starts)
+		must.Eq(t, id, starts[0].Task.Job)
+		f.advance(200 * time.Millisecond)
+		f.Started(starts[0].Ref, basilwork.RefusalNone, false, f.now)
+	}
+	f.SetReachable("b1", false)
+	f.advance(endedRunWait)
+	for _, r := range f.backends["b1"].sortedRuns() {
+		f.Started(r.ref(), basilwork.RefusalUnsent, true, f.now) // its repetition
+	}
+	must.True(t, f.Ended("b1", f.now))
+	f.Decide(f.now)
+	must.Len(t, 1, f.backends["b1"].runs)
+	f.Lost("b1", basilwork.LossReplaced, f.now)
+	must.Len(t, 1, f.crashesOf("long"))
+	must.SliceEmpty(t, f.crashesOf("short"))
+}
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -45,7 +45,7 @@
 	}
 	b.needsCheck = true
 	b.heard(now)
-	b.takeGivenUp()
+	b.forgetGivenUp()
 	for _, e := range report.Ended {
 		if e.Number <= b.lastEndNumber {
 			continue
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -310,8 +310,8 @@
 		return
 	}
 	runs := b.sortedRuns()
-	l := p.newSilence(b, runs)
-	l.suspects = append(l.suspects, b.takeGivenUp()...)
+	l := p.newSilence(b, b.lostRuns(runs))
+	b.forgetGivenUp()
 	p.recordOpenStarts(runs)
 	if reason == basilwork.LossExpired {
 		p.recordLateStarts(runs, now)
@@ -343,8 +343,8 @@
 		return !r.orderedAt.Before(sent) || !r.answeredAt.Before(sent) || lists(answer.Running, r)
 	})
 	p.recordOpenStarts(gone)
-	l := p.newSilence(b, gone)
-	l.suspects = append(l.suspects, b.takeGivenUp()...)
+	l := p.newSilence(b, b.lostRuns(gone))
+	b.forgetGivenUp()
 	p.recordSilence(l, true, now)
 	b.heardFrom = time.Time{}
 	for _, r := range b.sortedRuns() {
