scheduler: stop a run whose start was repeated on a server that starts again

If it is seen to have started again while it answers (Restarted), a run that was known to be running was taken for gone and started elsewhere at once, though one of its requests without an answer may still be carried out by the new incarnation (TWICE).

Now such a run is stopped there first, for as long as a request may be late, as one without an answer is.

TestRepeatedStartMayBeCarriedOutAfterRestart failed before (attempt 2 started with no stop).

--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -348,7 +348,8 @@
 	p.recordSilence(l, true, now)
 	b.heardFrom = time.Time{}
 	for _, r := range b.sortedRuns() {
-		unanswered := r.phase == phaseUnanswered && r.stopReason == ""
+		repeated := r.phase == phaseRunning && r.repeats > 0 && now.Sub(r.repeatedAt) < basilwork.MaxOrderDelay // a request may be carried out late
+		unanswered := repeated || r.phase == phaseUnanswered && r.stopReason == ""
 		if (unanswered || r.phase == phaseRunning && !r.mustBeListed(sent)) && !lists(answer.Running, r) {
 			r.phase = phaseUnanswered
 			p.stop(r, "backend server started again", now)
--- a/internal/basilscheduler/repeat_start_test.go
+++ b/internal/basilscheduler/repeat_start_test.go
@@ -112,3 +112,19 @@
 	f.Stopped(first.Ref, true, f.now)
 	must.SliceEmpty(t, f.lateStarts)
 }
+
+// TestRepeatedStartMayBeCarriedOutAfterRestart checks that a run which a report showed while its start was repeated isn't started elsewhere before
+// its stop was answered, if the backend server starts again under its ID: a request without an answer may be carried out there.
+func TestRepeatedStartMayBeCarriedOutAfterRestart(t *testing.T) {
+	f, first, _ := newUnanswered(t)
+	f.report("b1", 50)
+	must.Eq(t, phaseRunning, f.findRun(first.Ref).phase)
+	f.advance(200 * time.Millisecond)
+	f.Restarted("b1", basilwork.Report{}, f.now, f.now)
+	f.Report("b1", basilwork.Report{}, f.now, f.now)
+	f.Attached("b1")
+	a := f.Decide(f.now)
+	must.SliceEmpty(t, a.Starts)
+	must.Len(t, 1, a.Stops)
+	must.Eq(t, first.Ref, a.Stops[0].Ref)
+}
