scheduler: take no adopted run for one that was started right before a crash

A run that a new owner adopts gets the time of its adoption as that of its start, so a server that crashes within 0.5 s after a takeover made the runs of the owner before prompt suspects, and the crash weighs 3 for the next start that meets a crash: an innocent job is given up after two.

TestAdoptedRunIsNoPromptSuspect failed before.

--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -122,7 +122,7 @@
 // adopt adds a run that a previous owner started.
 func (p *Pool) adopt(b *backend, t *task, s basilwork.RunStatus, now time.Time) *run {
 	r := &run{
-		task: t, backend: b, attempt: s.Attempt, phase: phaseRunning, orderedAt: now, answeredAt: now, progressedAt: now, pace: fullPace, resumed: true,
+		task: t, backend: b, attempt: s.Attempt, phase: phaseRunning, orderedAt: now, answeredAt: now, progressedAt: now, pace: fullPace, resumed: true, adopted: true,
 		predecessorStopEnd: now.Add(p.options.StopTimeout + endReportDelay),
 	}
 	t.attempt = max(t.attempt, s.Attempt)
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -39,6 +39,7 @@
 	usage              int
 	pace               int
 	resumed            bool   // started from a checkpoint, or its start was not observed
+	adopted            bool   // a previous owner started it, at an unknown time
 	startCheckpoint    string // that the start request carried, like the ticket
 	ticket             string
 	repeats            int       // how many times the start was requested again
--- a/internal/basilscheduler/rack_test.go
+++ b/internal/basilscheduler/rack_test.go
@@ -201,3 +201,15 @@
 		r.Fatalf("%d crashes under the task, given up: %v\n%s", p.crashes, p.failed["bad"], p.log())
 	}
 }
+
+// TestAdoptedRunIsNoPromptSuspect checks that a run that a previous owner started doesn't pass for one that was started right before its backend
+// server crashed, as that falls silent soon after the takeover.
+func TestAdoptedRunIsNoPromptSuspect(t *testing.T) {
+	f := newFixture(t)
+	f.adoptJob(stepOf(1, 1000))
+	f.advance(promptCrashTime / 2)
+	f.report("b1", 50)
+	f.crash("b1")
+	must.Len(t, 1, f.crashesOf("j"))
+	must.False(t, f.crashesOf("j")[0].Prompt)
+}
--- a/internal/basilscheduler/silence.go
+++ b/internal/basilscheduler/silence.go
@@ -64,6 +64,7 @@
 	var newest, unanswered time.Time
 	for _, r := range runs {
 		switch {
+		case r.adopted:
 		case r.answered():
 			if r.orderedAt.After(newest) {
 				newest = r.orderedAt
@@ -81,6 +82,7 @@
 		switch {
 		case r.hasServed():
 			continue
+		case r.adopted: // it had run for the time of the takeover at least
 		case r.answered():
 			prompt = newest.Sub(r.orderedAt) <= startBurst && isPrompt(r.orderedAt)
 		case r.orderedAt.After(b.heardAt) && r.orderedAt.Sub(unanswered) > startBurst:
