scheduler: prefer an idle server to one that is due for maintenance

Since long-running tasks avoid servers that have not answered for 0.75 s, before those due for maintenance and distant racks. Idle servers are asked each 2 s only, so most of them counted as silent, and tasks went to servers that they had to leave soon, or out of their rack.

For an idle server the silence now weighs less than both: it still decides between servers that are alike otherwise.

TestLongRunningTaskPrefersIdleServerToOneDueForMaintenance failed before.

--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -233,13 +233,17 @@
 func scoreOf(t *task, b *backend, length time.Duration, now time.Time) score {
 	s, penalty := t.step, 0
 	if s.spec.Affinity != "" && b.Rack != s.spec.Affinity {
-		penalty = 1
+		penalty = 2
 	}
 	if b.maintenanceDue && s.holdsHost(length) {
-		penalty += 2 // worse than a distant rack: the task would soon be moved, or delay the maintenance of the host
+		penalty += 4 // worse than a distant rack: the task would soon be moved, or delay the maintenance of the host
 	}
-	if s.spec.LongRunning && b.quiet(now) {
-		penalty += 4 // worse than both
+	switch {
+	case !s.spec.LongRunning || !b.quiet(now):
+	case len(b.runs) == 0:
+		penalty++ // it is asked seldom, so this tells little
+	default:
+		penalty += 8 // worse than both
 	}
 	switch {
 	case t.suspicion > 0:
--- a/internal/basilscheduler/ended_test.go
+++ b/internal/basilscheduler/ended_test.go
@@ -168,3 +168,20 @@
 	must.Len(t, 1, f.crashesOf("long"))
 	must.SliceEmpty(t, f.crashesOf("short"))
 }
+
+// TestLongRunningTaskPrefersIdleServerToOneDueForMaintenance checks that a server that is asked seldom, as it is idle, doesn't pass for one that has
+// fallen silent.
+func TestLongRunningTaskPrefersIdleServerToOneDueForMaintenance(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	f.addJob("busy", stepOf(1, 1000))
+	must.Len(t, 1, f.decideAndStart())
+	f.setBackends(backendOf("b1", 4000), backendOf("b2", 4000))
+	f.SetMaintenanceDue([]string{"b1"})
+	f.report("b2", 0)
+	f.advance(idleReportTime - time.Millisecond)
+	f.report("b1", 0)
+	f.addJob("j", longStep(1, 1000))
+	starts := f.decideAndStart()
+	must.Len(t, 1, starts)
+	must.Eq(t, "b2", starts[0].Backend)
+}
