node: empty hosts beside a refused record that changes all the time

Since a host counts as empty once the ends of its runs are stored, but for records that the store refuses. The number of ends that a commit covers did not leave these out: while other records change too, a refused one that changes again between commits kept it from rising, so no host with a later end could be given back or maintained until the pool paused.

Now records that are set aside don't count for what a commit covers. Ends are acknowledged only once no record is refused, as before.

--- a/internal/basilnode/owner_commit.go
+++ b/internal/basilnode/owner_commit.go
@@ -105,10 +105,12 @@
 	if len(again) > 0 {
 		return again
 	}
-	return slices.DeleteFunc(ids, func(id string) bool {
-		_, ok := c.refused[id]
-		return ok
-	})
+	return slices.DeleteFunc(ids, c.isRefused)
+}
+
+func (c *committer) isRefused(id string) bool {
+	_, ok := c.refused[id]
+	return ok
 }
 
 // stopAfterChanges has no more records stored than those with one of the first changes.
@@ -239,7 +241,7 @@
 		c.entries = append(c.entries, e)
 	}
 	c.covered = nil
-	if o.pool.TakenUpTo(c.pendingChanges) {
+	if o.pool.TakenUpToBut(c.pendingChanges, c.isRefused) { // while one is refused, nothing is acknowledged
 		c.covered, c.pendingCover = c.pendingCover, nil
 	}
 }
--- a/internal/basilnode/owner_commit_test.go
+++ b/internal/basilnode/owner_commit_test.go
@@ -235,3 +235,37 @@
 	must.NoError(t, err)
 	must.Eq(t, basilwork.JobStateCompleted, r.State)
 }
+
+// TestBackendIsEmptiedBesideRefusedRecordUnderLoad checks that a record that the store refuses keeps no host from being emptied while it and others
+// change all the time.
+func TestBackendIsEmptiedBesideRefusedRecordUnderLoad(t *testing.T) {
+	o, _, ends := newRefusedCommit(t, refusedJob+1)
+	rounds := int(3 * refusedCommitDelay / commitDelay)
+	for n := range rounds {
+		r := basilwork.Record{State: basilwork.JobStatePending, Job: basilwork.Job{
+			ID: commitJobID(100 + n), Queue: "quote", QueueID: "quote", Steps: []basilwork.Step{{Count: 1, Resources: basilwork.Resources{CPU: 1}, Estimate: time.Second}},
+		}}
+		a, err := basilledger.NewAcceptance(&r)
+		must.NoError(t, err)
+		must.NoError(t, o.ledger.Accept(t.Context(), commitShard, a))
+		o.addJob(t, r.Job.ID)
+	}
+	o.commitFor(refusedCommitDelay)
+	must.Eq(t, ends, o.commit.settled["b1"])
+	attempts := o.startAll()
+	refused := basilwork.TaskID{Job: commitJobID(refusedJob), Index: 1}.String()
+	for n := range rounds {
+		o.commitIfDue(o.now)
+		id := commitJobID(100 + n)
+		o.pool.Report("b1", basilwork.Report{Ended: []basilwork.EndedRun{
+			{Number: ends + int64(2*n) + 1, Task: basilwork.TaskID{Job: id}.String(), Attempt: attempts[id], End: basilwork.RunEndDone},
+			{Number: ends + int64(2*n) + 2, Task: refused, Attempt: 1, End: basilwork.RunEndStopped, Checkpoint: id},
+		}}, o.now, o.now)
+		if o.commit.inFlight {
+			(<-o.events).handle(o.now)
+		}
+		o.now = o.now.Add(commitDelay)
+	}
+	must.MapLen(t, 1, o.commit.refused)
+	must.Greater(t, ends+int64(rounds), o.commit.settled["b1"], must.Sprint("ends of the first half are stored"))
+}
--- a/internal/basilscheduler/record.go
+++ b/internal/basilscheduler/record.go
@@ -35,8 +35,13 @@
 
 // TakenUpTo reports whether all records that became dirty up to that value of Changes were taken.
 func (p *Pool) TakenUpTo(changes int64) bool {
-	for _, j := range p.dirty {
-		if j.dirtySeq <= changes {
+	return p.TakenUpToBut(changes, func(string) bool { return false })
+}
+
+// TakenUpToBut is TakenUpTo without regard to the records of the jobs that are set aside.
+func (p *Pool) TakenUpToBut(changes int64, aside func(id string) bool) bool {
+	for id, j := range p.dirty {
+		if j.dirtySeq <= changes && !aside(id) {
 			return false
 		}
 	}
