node: list the hosts soon for a backend server that has just fallen silent

Runs on a server that has ended are given up 3 s after its last answer once the list of hosts tells so.

A server that falls silent now has the list read as soon as the shortest interval permits.

TestHostsAreListedSoonForNewlySilentBackend failed before.

--- a/internal/basilnode/ended_servers.go
+++ b/internal/basilnode/ended_servers.go
@@ -30,6 +30,14 @@
 	e.inFlight, e.next = false, now.Add(e.interval)
 }
 
+// hasten schedules the next listing as soon as may be, since one more backend server is silent.
+func (e *endedServers) hasten() {
+	if e.interval > minEndedInterval {
+		e.next = e.next.Add(minEndedInterval - e.interval)
+		e.interval = minEndedInterval
+	}
+}
+
 // findEnded lists the hosts in the background if backend servers are silent. It returns the time until it has to be called again, or 0.
 func (o *owner) findEnded(now time.Time) time.Duration {
 	if o.ended.inFlight {
--- a/internal/basilnode/ended_servers_test.go
+++ b/internal/basilnode/ended_servers_test.go
@@ -41,3 +41,24 @@
 	}
 	must.Eq(t, 7, listings)
 }
+
+// TestHostsAreListedSoonForNewlySilentBackend checks that a backend server that falls silent beside one that has long been so doesn't wait for the
+// next listing of that one, as the waits add up if a task meets several such servers.
+func TestHostsAreListedSoonForNewlySilentBackend(t *testing.T) {
+	now := time.Now()
+	o, _ := newLoggingOwner(now)
+	o.ctx, o.events = t.Context(), make(chan event, 1)
+	for range 5 {
+		o.ended.listed(now)
+		now = o.ended.next
+	}
+	o.ended.listed(now)
+	must.False(t, o.ended.due(now.Add(minEndedInterval)))
+	o.Reachable("b1", true)
+	(<-o.events).handle(now)
+	must.False(t, o.ended.due(now.Add(minEndedInterval)))
+	o.Reachable("b1", false)
+	(<-o.events).handle(now)
+	must.False(t, o.ended.due(now))
+	must.True(t, o.ended.due(now.Add(minEndedInterval)))
+}
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -124,6 +124,9 @@
 	o.send(func(now time.Time) {
 		o.log.WithFields(o.describeReachability(id, reachable, now)).Info("backend server reachability changed")
 		o.pool.SetReachable(id, reachable)
+		if !reachable {
+			o.ended.hasten()
+		}
 	})
 }
 
