--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -128,6 +128,7 @@
 			o.heard(id)
 		} else {
 			o.fallenSilent[id] = true
+			o.ended.hasten()
 		}
 	})
 }
--- a/internal/basilscheduler/ended_test.go
+++ b/internal/basilscheduler/ended_test.go
@@ -135,3 +135,78 @@
 	must.Eq(t, "b2", starts[0].Backend)
 	must.Eq(t, "b1", starts[1].Backend)
 }
+
+// TestRunWhoseRepeatedStartWasOvertakenIsGivenUp checks that a run on a server that has ended is given up in 3 s though a report, or the answer to
+// its stop, came before that to a repeated request for its start.
+func TestRunWhoseRepeatedStartWasOvertakenIsGivenUp(t *testing.T) {
+	for _, stopped := range []bool{false, true} {
+		f := newFixture(t, backendOf("b1", 1000))
+		f.addJob("j", longStep(1, 1000))
+		s := f.Decide(f.now).Starts[0]
+		f.advance(200 * time.Millisecond)
+		f.Started(s.Ref, basilwork.RefusalNone, false, f.now)
+		must.Len(t, 1, f.Decide(f.now).Starts)
+		if stopped {
+			f.Evacuate("b1", true)
+			f.advance(unansweredWait)
+			must.Len(t, 1, f.Decide(f.now).Stops)
+			f.Stopped(s.Ref, true, f.now)
+		} else {
+			f.report("b1", 0)
+		}
+		f.Started(s.Ref, basilwork.RefusalNone, !stopped, f.now)
+		f.setBackends(backendOf("b1", 1000), backendOf("b2", 1000))
+		f.backends["b1"].heardAt = f.now
+		f.SetReachable("b1", false)
+		f.advance(minEndedRunWait)
+		must.True(t, f.Ended("b1", f.now))
+		starts := f.decideAndStart()
+		must.Len(t, 1, starts, must.Sprint(stopped))
+		must.Eq(t, "b2", starts[0].Backend)
+	}
+}
+
+// TestGivenUpRunStillTellsWhatWasStartedAfterSilence checks that a task which was started on a silent server after a long-running one isn't suspected
+// of its crash once the other has been given up.
+func TestGivenUpRunStillTellsWhatWasStartedAfterSilence(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	f.report("b1", 0)
+	for n, s := range []basilwork.Step{longStep(1, 1000), stepOf(1, 1000)} {
+		f.advance(200 * time.Millisecond)
+		id := []string{"long", "short"}[n]
+		f.addJob(id, s)
+		starts := firstRequests(f.Decide(f.now).Starts)
+		must.Len(t, 1, starts)
+		must.Eq(t, id, starts[0].Task.Job)
+		f.advance(200 * time.Millisecond)
+		f.Started(starts[0].Ref, basilwork.RefusalNone, false, f.now)
+	}
+	f.SetReachable("b1", false)
+	f.advance(minEndedRunWait)
+	for _, r := range f.backends["b1"].sortedRuns() {
+		f.Started(r.ref(), basilwork.RefusalUnsent, true, f.now) // its repetition
+	}
+	must.True(t, f.Ended("b1", f.now))
+	f.Decide(f.now)
+	must.Len(t, 1, f.backends["b1"].runs)
+	f.Lost("b1", basilwork.LossReplaced, f.now)
+	must.Len(t, 1, f.crashesOf("long"))
+	must.SliceEmpty(t, f.crashesOf("short"))
+}
+
+// TestLongRunningTaskPrefersIdleServerToOneDueForMaintenance checks that a server that is asked seldom, as it is idle, doesn't pass for one that has
+// fallen silent.
+func TestLongRunningTaskPrefersIdleServerToOneDueForMaintenance(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000))
+	f.addJob("busy", stepOf(1, 1000))
+	must.Len(t, 1, f.decideAndStart())
+	f.setBackends(backendOf("b1", 4000), backendOf("b2", 4000))
+	f.SetMaintenanceDue([]string{"b1"})
+	f.report("b2", 0)
+	f.advance(idleReportTime - time.Millisecond)
+	f.report("b1", 0)
+	f.addJob("j", longStep(1, 1000))
+	starts := f.decideAndStart()
+	must.Len(t, 1, starts)
+	must.Eq(t, "b2", starts[0].Backend)
+}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -311,8 +311,8 @@
 		return
 	}
 	runs := b.sortedRuns()
-	l := p.newSilence(b, runs)
-	l.suspects = append(l.suspects, b.takeGivenUp()...)
+	l := p.newSilence(b, b.lostRuns(runs))
+	b.forgetGivenUp()
 	p.recordOpenStarts(runs)
 	if reason == basilwork.LossExpired {
 		p.recordLateStarts(runs, now)
@@ -344,12 +344,13 @@
 		return !r.orderedAt.Before(sent) || !r.answeredAt.Before(sent) || lists(answer.Running, r)
 	})
 	p.recordOpenStarts(gone)
-	l := p.newSilence(b, gone)
-	l.suspects = append(l.suspects, b.takeGivenUp()...)
+	l := p.newSilence(b, b.lostRuns(gone))
+	b.forgetGivenUp()
 	p.recordSilence(l, true, now)
 	b.heardFrom = time.Time{}
 	for _, r := range b.sortedRuns() {
-		unanswered := r.phase == phaseUnanswered && r.stopReason == ""
+		repeated := r.phase == phaseRunning && r.repeats > 0 && now.Sub(r.repeatedAt) < basilwork.MaxOrderDelay // a request may be carried out late
+		unanswered := repeated || r.phase == phaseUnanswered && r.stopReason == ""
 		if (unanswered || r.phase == phaseRunning && !r.mustBeListed(sent)) && !lists(answer.Running, r) {
 			r.phase = phaseUnanswered
 			p.stop(r, "backend server started again", now)
--- a/internal/basilscheduler/silence.go
+++ b/internal/basilscheduler/silence.go
@@ -64,7 +64,7 @@
 	unanswered := b.firstUnanswered(runs)
 	var newest time.Time
 	for _, r := range runs {
-		if r.answered() && r.orderedAt.After(newest) {
+		if r.answered() && !r.adopted && r.orderedAt.After(newest) {
 			newest = r.orderedAt
 		}
 	}
@@ -74,6 +74,7 @@
 		switch {
 		case r.hasServed():
 			continue
+		case r.adopted: // it had run for the time of the takeover at least
 		case r.answered():
 			prompt = newest.Sub(r.orderedAt) <= startBurst && isPrompt(r.orderedAt)
 		case r.orderedAt.After(b.heardAt) && r.orderedAt.Sub(unanswered) > startBurst:
