scheduler: pause between repeated starts that can't be sent

A repeated start isn't sent to a server whose leases are no longer renewed, 1.5 s after its last answer; the connection refuses it at once. The next decision, which follows each such event, repeated it without a pause, until the server counted as unreachable up to a second later: decisions in a busy loop, each with a line in the log per run, for every server that goes while a start there has no answer.

Now there are 0.1 s between two requests for a start, as between other checks of a run. Answers take 0.2 s or more to be missed, so other repetitions are as before.

TestRefusedRepeatIsStopped asked for the next request at once after one that was not sent; it now asks that there is none at once and one after the pause, and failed before.

--- a/internal/basilscheduler/repeat_start.go
+++ b/internal/basilscheduler/repeat_start.go
@@ -25,9 +25,10 @@
 	return now.Sub(r.unansweredSince) < limit
 }
 
-// repeatStart requests a start without an answer again, unless the last request for it is still open.
+// repeatStart requests a start without an answer again, unless the last request for it is still open. One that can't be sent is refused at
+// once, so there is a pause between requests.
 func (p *Pool) repeatStart(r *run, now time.Time) {
-	if r.repeating || len(p.actions.Starts) >= p.startLimit {
+	if r.repeating || now.Sub(r.repeatedAt) < recheckInterval || len(p.actions.Starts) >= p.startLimit {
 		r.backend.scheduleCheck(now.Add(recheckInterval))
 		return
 	}
--- a/internal/basilscheduler/repeat_start_test.go
+++ b/internal/basilscheduler/repeat_start_test.go
@@ -63,6 +63,9 @@
 		a := f.Decide(f.now)
 		must.NotNil(t, f.findRun(first.Ref), must.Sprint(refusal))
 		if refusal == basilwork.RefusalUnsent {
+			must.SliceEmpty(t, a.Starts, must.Sprint("it would be refused again at once, and decided again"))
+			f.advance(recheckInterval)
+			a = f.Decide(f.now)
 			must.Len(t, 1, a.Starts)
 			must.Eq(t, first.Ref, a.Starts[0].Ref)
 			continue
