--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -80,7 +80,7 @@
 		node: n, service: service, row: row,
 		log:         n.log.WithFields(logrus.Fields{basillog.FieldPool: service, basillog.FieldEpoch: row.Epoch}),
 		connections: make(map[string]*connection), versions: make(map[string]int64), finished: make(map[string]time.Time),
-		fallenSilent: make(map[string]bool), stats: newLoopStats(n.metrics), events: make(chan event, eventQueueSize),
+		stats: newLoopStats(n.metrics), events: make(chan event, eventQueueSize),
 		ctx: ctx, cancel: cancel, done: make(chan struct{}),
 	}
 	o.workload.processor = n.options.ProcessorTime
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -127,7 +127,7 @@
 		if reachable {
 			o.heard(id)
 		} else {
-			o.fallenSilent[id] = true
+			o.noteFallenSilent(id)
 			o.ended.hasten()
 		}
 	})
--- a/internal/basilnode/silences.go
+++ b/internal/basilnode/silences.go
@@ -81,6 +81,14 @@
 	return true
 }
 
+// noteFallenSilent notes a backend server that has stopped answering, whose silence is stored next.
+func (o *owner) noteFallenSilent(id string) {
+	if o.fallenSilent == nil {
+		o.fallenSilent = make(map[string]bool)
+	}
+	o.fallenSilent[id] = true
+}
+
 // suspendSilent has the silence of a backend server stored that has answered this owner before. Renewals without an answer have ended by then,
 // so leases there only wait longer for one if the server answers again.
 func (o *owner) suspendSilent(id string, now time.Time) bool {
