scheduler: give up no job for crashes that owners inferred

Callers saw LOST: an accepted job without a fault shown as failed. A new owner counts a crash for each suspect task that runs nowhere when one of its predecessor's servers has crashed; the owner before may have counted the same one, or the task may not have run there.

Such crashes still count as suspicion and towards the limit of five, so a task that crashes each server is given up after five at the latest, whatever changes of owner come between; they prove nothing by themselves any more. Ruled out: not counting them at all, as crashes beside changes of owner would be lost then.

TestJobIsNotGivenUpForCrashesThatOwnersInferred failed before.

--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -38,17 +38,24 @@
 }
 
 // proven reports whether at least two backend servers crashed under the task. Where it is not known of each whether a run had
-// begun, one crash more is needed: the server may have been silent before.
+// begun, one crash more is needed: the server may have been silent before. Inferred crashes prove nothing.
 func proven(crashes []basilwork.Crash) bool {
-	certain := 0
+	certain, observed := 0, 0
 	for _, c := range crashes {
 		if !c.Uncertain {
 			certain++
 		}
+		if !inferred(c) {
+			observed++
+		}
 	}
-	return certain >= minCrashes || len(crashes) > minCrashes
+	return certain >= minCrashes || observed > minCrashes
 }
 
+// inferred reports whether a new owner counted the crash since the task ran nowhere (see recordPredecessorCrash). The owner before may have
+// counted the same one, or the task may not have run on the server.
+func inferred(c basilwork.Crash) bool { return c.Uncertain && c.Attempt%attemptsPerEpoch == 0 }
+
 // mayBeGivenUp reports whether the crashes suffice to give up the task.
 func (t *task) mayBeGivenUp(crashes []basilwork.Crash) bool {
 	count := len(crashes)
--- a/internal/basilscheduler/predecessor_test.go
+++ b/internal/basilscheduler/predecessor_test.go
@@ -144,3 +144,24 @@
 		must.Len(t, 2, progress.Steps[0].Crashes[0], must.Sprintf("listed: %v", listed))
 	}
 }
+
+// TestJobIsNotGivenUpForCrashesThatOwnersInferred checks that a task under which one backend server certainly crashed is not given up because
+// servers crash beside changes of owner while it runs nowhere.
+func TestJobIsNotGivenUpForCrashesThatOwnersInferred(t *testing.T) {
+	f := newFixture(t)
+	f.options.Epoch = 3
+	r := basilwork.Record{Job: basilwork.Job{ID: "j", Queue: "quote", Steps: []basilwork.Step{stepOf(1, 1000)}}, Accepted: f.now.UnixMilli()}
+	progress := &basilwork.OccurrenceProgress{Steps: make([]basilwork.StepProgress, 1)}
+	for _, c := range []basilwork.Crash{{Attempt: 1, Weight: 1, Uncertain: true}, {Attempt: 2, Weight: 1}, {Attempt: attemptsPerEpoch, Weight: 1, Uncertain: true}} {
+		progress.Steps[0].AddCrash(0, c)
+	}
+	r.Progress = map[int]*basilwork.OccurrenceProgress{0: progress}
+	f.AddJob(r, true)
+	f.AddPredecessorBackend(backendOf("b1", 16000), time.Time{})
+	f.setBackends(backendOf("b2", 16000))
+	must.SliceEmpty(t, f.decideAndStart())
+	f.Lost("b1", basilwork.LossReplaced, f.now)
+	must.SliceEmpty(t, f.Decide(f.now).GivenUp)
+	must.Len(t, 4, progress.Steps[0].Crashes[0])
+	must.NotEq(t, basilwork.JobStateFailed, f.state("j"))
+}
