scheduler: drop a field that nothing reads

Cause: silences carried when their incarnation first answered, which only servers need. Found on reading the diff; no behaviour changes.

--- a/internal/basilscheduler/ended.go
+++ b/internal/basilscheduler/ended.go
@@ -16,10 +16,11 @@
 	endedRunBackoff = 2 * time.Second
 )
 
-// giveUpEndedRuns ends the long-running runs on backend servers that have ended. A run whose start may still be answered is kept.
+// giveUpEndedRuns ends the long-running runs on backend servers that have ended, some time after the last answers of these. A run whose start
+// may still be answered is kept.
 func (p *Pool) giveUpEndedRuns(now time.Time) {
 	p.possibleCrashes = nil
-	given := 0
+	count := 0
 	for _, b := range p.list {
 		if !b.ended || !slices.ContainsFunc(b.runs, (*run).isLong) {
 			continue
@@ -43,9 +44,9 @@
 			b.givenUp = append(b.givenUp, r)
 			p.endRun(r, basilwork.RunEndLost, now)
 		}
-		given += len(runs)
+		count += len(runs)
 	}
-	if given > 0 {
+	if count > 0 {
 		p.possibleCrashes = nil
 	}
 }
--- a/internal/basilscheduler/silence.go
+++ b/internal/basilscheduler/silence.go
@@ -22,7 +22,6 @@
 	address   string
 	rack      string
 	startedAt int64     // of its incarnation, in Unix milliseconds
-	heardFrom time.Time // when its incarnation first answered
 	from      time.Time // when it last answered
 	until     time.Time // when it certainly was silent
 	lostAt    time.Time
@@ -56,7 +55,7 @@
 // were requested when it was silent already. A backend server that drains is expected to leave, and a long-running task that was
 // at work didn't crash it.
 func (p *Pool) newSilence(b *backend, runs []*run) silence {
-	l := silence{id: b.ID, address: b.Address, rack: b.Rack, startedAt: b.StartedAt, heardFrom: b.heardFrom}
+	l := silence{id: b.ID, address: b.Address, rack: b.Rack, startedAt: b.StartedAt}
 	l.from, l.until = b.silentSince(runs)
 	if b.Draining {
 		return l
