--- a/internal/basilrunner/connection_test.go
+++ b/internal/basilrunner/connection_test.go
@@ -199,6 +199,7 @@
 		since, told := c.Silence()
 		must.Less(t, time.Second, since.Sub(answered))
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
 		must.Between(t, 0, lostAt.Sub(told), time.Second)
 	})
 }
