scheduler: let a quiet server weigh less than maintenance and distance

Quiet servers weigh alike now, and less than a distant rack and due maintenance, which mends what mends: TestLongRunningTaskPrefersIdleServerToOneDueForMaintenance and TestLongRunningTaskIsNotStartedOnServerThatHasFallenSilent hold, as do the tests of basilexperiment and of basilscheduler but for CutOffRightBeforeTakeover (known red). The price: a task goes to a server that may have gone rather than to a distant rack.

--- a/internal/basilexperiment/pool.go
+++ b/internal/basilexperiment/pool.go
@@ -20,7 +20,7 @@
 	failTime    = 50 * time.Millisecond  // after which a failing host's runs fail
 	tellEvery   = 250 * time.Millisecond // between a pool's reports to the fleet
 	tellTime    = 40 * time.Millisecond  // of a report or an ask, through the store
-	reportEvery = 640 * time.Millisecond // between reports of a backend server without news: a hold waits 0.4 s, after a pause of 0.24 s at most
+	reportEvery = time.Second            // between reports of a backend server without news
 	startBurst  = 128                    // starts that an owner has queued at most
 )
 
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -238,12 +238,8 @@
 	if b.maintenanceDue && s.holdsHost(length) {
 		penalty += 4 // worse than a distant rack: the task would soon be moved, or delay the maintenance of the host
 	}
-	switch {
-	case !s.spec.LongRunning || !b.quiet(now):
-	case len(b.runs) == 0:
-		penalty++ // it is asked seldom, so this tells little
-	default:
-		penalty += 8 // worse than both
+	if s.spec.LongRunning && b.quiet(now) {
+		penalty++ // better than either: idle servers are asked seldom, so that most of them are quiet
 	}
 	switch {
 	case t.suspicion > 0:
