scheduler: tell for which runs a crash counts

The logs showed the crashes of the job at the end, but not which server they were on, what else ran there, or whether the crash was taken for one of the rack or of a server that crashes by itself.

Each crash that counts is logged as `crash counted for runs on backend server` with these inputs and the weight for each suspect.

--- a/internal/basilnode/losses.go
+++ b/internal/basilnode/losses.go
@@ -77,3 +77,28 @@
 	}
 	return list
 }
+
+// crashedRun is a run in the log line about a crash.
+type crashedRun struct {
+	Task    string `json:"task"`
+	Attempt int    `json:"attempt"`
+	Prompt  bool   `json:"prompt,omitempty"`  // the backend server fell silent with its start
+	Certain bool   `json:"certain,omitempty"` // its start was answered
+	Weight  int    `json:"weight"`            // 0 if the crash does not count for the task
+	Sum     int    `json:"sum"`               // of the weights of all crashes of the task
+}
+
+// logCrashes logs which runs the crashes of backend servers count for, those with the highest sum of weights first.
+func (o *owner) logCrashes(crashes []basilscheduler.Crash) {
+	for _, c := range crashes {
+		slices.SortStableFunc(c.Suspects, func(a, b basilscheduler.Suspect) int { return b.Sum - a.Sum })
+		list := make([]crashedRun, 0, min(len(c.Suspects), maxLoggedLosses))
+		for _, s := range c.Suspects[:cap(list)] {
+			list = append(list, crashedRun{Task: s.Task.String(), Attempt: s.Attempt, Prompt: s.Prompt, Certain: s.Certain, Weight: s.Weight, Sum: s.Sum})
+		}
+		o.log.WithFields(logrus.Fields{
+			basillog.FieldHost: c.Backend, "address": c.Address, "silent_ms": c.Silent.Milliseconds(),
+			"with_rack": c.WithRack, "again": c.Again, "runs": len(c.Suspects), "tasks": list,
+		}).Info("crash counted for runs on backend server")
+	}
+}
--- a/internal/basilnode/owner_orders.go
+++ b/internal/basilnode/owner_orders.go
@@ -19,6 +19,7 @@
 			basillog.FieldHost: s.Backend, "odds": s.Odds, "took_ms": s.Took.Milliseconds(), "estimate_ms": s.Estimate.Milliseconds(),
 		}).Info("backend server classified as slow")
 	}
+	o.logCrashes(a.Crashes)
 	for _, g := range a.GivenUp {
 		o.log.WithFields(logrus.Fields{basillog.FieldJob: g.Task.Job, "task": g.Task.String(), "crashes": g.Crashes}).Warn("job given up: backend servers crashed under its task")
 	}
--- a/internal/basilscheduler/action.go
+++ b/internal/basilscheduler/action.go
@@ -59,6 +59,26 @@
 	Crashes []basilwork.Crash
 }
 
+// Crash reports that a backend server crashed and which of the runs that it had count it.
+type Crash struct {
+	Backend  string
+	Address  string
+	Silent   time.Duration // since its last answer
+	WithRack bool          // its rack failed
+	Again    bool          // one at its address crashed a short time ago, and no task explains that
+	Suspects []Suspect
+}
+
+// Suspect is a run in a crash.
+type Suspect struct {
+	Task    basilwork.TaskID
+	Attempt int
+	Prompt  bool // the backend server fell silent with its start
+	Certain bool // its start was answered
+	Weight  int  // of the crash for the task, or 0 if it does not count
+	Sum     int  // of the weights of all crashes of the task
+}
+
 // EarlierEnd reports the successful end of an earlier attempt, whose backend server had been given up. It finishes its task.
 type EarlierEnd struct {
 	Ref
@@ -73,6 +93,7 @@
 	Paces       []Pace
 	Advice      []AdviceRequest
 	Slow        []Slowness // for information only, like those below
+	Crashes     []Crash
 	GivenUp     []GivenUp
 	EarlierEnds []EarlierEnd
 }
--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -93,22 +93,32 @@
 	for _, s := range l.suspects {
 		c.add(s, p.suspicion(s.task))
 	}
+	told := Crash{Backend: l.id, Address: l.address, Silent: now.Sub(l.from), WithRack: c.withRack, Again: c.again}
 	explained := false // by a prompt suspect that is given up
 	slices.SortStableFunc(l.suspects, comparePrompt)
 	for _, s := range l.suspects {
 		weight := c.weight(s, p.suspicion(s.task), p.hasCrashedPromptly(s.task))
 		if weight == 0 && p.excuse(s.task) {
+			told.add(s, 0, p.suspicion(s.task))
 			continue
 		}
 		p.recordCrashedRun(s.task, basilwork.Crash{
 			Attempt: s.attempt, Weight: max(weight, crashWeightPossible), Uncertain: !s.certain, Explained: explained && !s.prompt,
 			Prompt: s.prompt && !c.withRack && !c.again,
 		}, now)
+		told.add(s, max(weight, crashWeightPossible), p.suspicion(s.task))
 		explained = explained || s.prompt && s.certain && !p.givenUp[s.task.Job].IsZero()
 	}
+	if len(told.Suspects) > 0 {
+		p.actions.Crashes = append(p.actions.Crashes, told)
+	}
 	l.suspects, l.crashed = nil, l.suspects
 }
 
+func (c *Crash) add(s suspect, weight, sum int) {
+	c.Suspects = append(c.Suspects, Suspect{Task: s.task, Attempt: s.attempt, Prompt: s.prompt, Certain: s.certain, Weight: weight, Sum: sum})
+}
+
 // explained reports whether a suspect of the crash was the likely cause of another one since.
 func (p *Pool) explained(l *silence) bool {
 	return slices.ContainsFunc(l.crashed, func(s suspect) bool {
