node: tell how long long-running tasks have been away, over losses and owners

- `away_ms` in these lines: since a backend server last listed the task,
- the metric `long_running_away_ms`, the longest of a pool,
- a line once a second and pool about tasks that are at work again, and
- `basilstage experiment absences LOG...`, which prints the longest absence that the log of a play tells.

A new owner knows absences from the pool's answer to the fleet owner, which is written for the load anyway: it names the longest one of up to 8 steps, by the store's clock. That costs one read for each takeover, which nothing waits for, and no write.

--- a/cmd/experiment.go
+++ b/cmd/experiment.go
@@ -53,7 +53,7 @@
 		ShortHelp:   "Compares policies of placement and capacity on a load, in event time and without sockets.",
 		FlagSet:     flags,
 		Options:     []ff.Option{ff.WithEnvVarPrefix(environmentPrefix)},
-		Subcommands: []*ffcli.Command{newRenewalsCommand(stdout, stderr)},
+		Subcommands: []*ffcli.Command{newRenewalsCommand(stdout, stderr), newAbsencesCommand(stdout, stderr)},
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) != 0 {
 				return flag.ErrHelp
--- a/internal/basilnode/evacuation.go
+++ b/internal/basilnode/evacuation.go
@@ -100,7 +100,7 @@
 	answer := o.applyEvacuation(now)
 	due := answer.HasNewAcknowledgement(e.answered) || now.Sub(e.answeredAt) >= answerInterval && answer.Load.DiffersSignificantly(e.answered.Load)
 	if due && !e.inFlight && !now.Before(e.retryAfter) {
-		o.sendAnswer(answer)
+		o.sendAnswer(answer, now)
 	}
 }
 
@@ -113,8 +113,8 @@
 	return request.Apply(o.pool, o.commit.settled, now)
 }
 
-func (o *owner) sendAnswer(answer basilcapacity.PoolReport) {
-	body, err := json.Marshal(answer)
+func (o *owner) sendAnswer(answer basilcapacity.PoolReport, now time.Time) {
+	body, err := json.Marshal(poolAnswer{PoolReport: answer, Absences: o.storedAbsences(now)})
 	if err != nil {
 		o.log.WithError(err).Error("failed to encode the answer to the fleet owner")
 		return
--- a/internal/basilnode/metrics.go
+++ b/internal/basilnode/metrics.go
@@ -30,6 +30,7 @@
 	longestMetric   = "longest_wait_ms"
 	moreWaits       = "waits_unexamined"
 	longRunningWait = "long_running_wait_ms"
+	longRunningAway = "long_running_away_ms"
 	answerLatency   = "answer_latency_ms"
 	startLatency    = "start_latency_ms"
 	commitLatency   = "commit_latency_ms"
@@ -106,6 +107,11 @@
 	}
 }
 
+// setAbsence sets for how long a long-running task of the pool has not been known to be at work at most.
+func (m *metrics) setAbsence(pool string, longest time.Duration) {
+	m.setGauge(longRunningAway+`{pool="`+pool+`"}`, longest.Milliseconds())
+}
+
 // setGauge sets a value, which is not shown before it is set to another one than zero.
 func (m *metrics) setGauge(name string, value int64) {
 	v, ok := m.counts.Get(name).(*expvar.Int)
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -109,12 +109,14 @@
 func (o *owner) run() {
 	defer close(o.done)
 	defer o.node.metrics.setWaits(o.service, basilscheduler.Waits{})
+	defer o.node.metrics.setAbsence(o.service, 0)
 	version, ok := o.loadJobs()
 	if !ok {
 		return
 	}
 	go o.watchJobs(version)
 	go o.watchRequests()
+	go o.loadAbsences()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -263,6 +265,7 @@
 		"hosts_lacking":  l.Lacking, "orders_queued": o.orders.queued(), "starts_limited": l.Limited,
 		"runs_without_job": l.Orphans, "runs_not_stopping": l.Unstopped,
 	}).WithFields(o.stats.fields()).Info("pool load")
+	o.logAbsences(now)
 	o.logWaits(now)
 }
 
--- a/internal/basilnode/waits.go
+++ b/internal/basilnode/waits.go
@@ -121,6 +121,9 @@
 	if w.LongRunning {
 		f["long_running"] = true
 	}
+	if w.Away > 0 {
+		f["away_ms"] = w.Away.Milliseconds()
+	}
 	if w.Blocker.Job != "" {
 		f["blocked_by"], f["blocked_by_reason"] = w.Blocker.String(), w.BlockerReason.String()
 	}
--- a/internal/basilscheduler/event.go
+++ b/internal/basilscheduler/event.go
@@ -114,6 +114,7 @@
 	}
 	r.usage = s.Usage
 	r.listedAt = now
+	p.seeAtWork(r, now)
 	p.clearIfAtWork(r)
 	p.observe(r, r.projectedRunTime(), now)
 	return r
--- a/internal/basilscheduler/explain.go
+++ b/internal/basilscheduler/explain.go
@@ -307,6 +307,9 @@
 			}
 		}
 		x.Waited = e.now.Sub(l.since)
+		if x.LongRunning && l.task != nil {
+			x.Away = l.task.away(e.now)
+		}
 		x.Expected = x.Reason.expected() || x.Reason == WaitReasonStepNotReady && x.BlockerReason.expected()
 		w.Tasks[x.Reason] += x.Tasks
 		w.Longest[x.Reason] = max(w.Longest[x.Reason], x.Waited)
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -72,6 +72,7 @@
 	suspicion  int                  // weight of the recorded crashes of backend servers that had a run of it
 	excused    bool                 // a crash that something else explains was not counted
 	accounted  bool                 // its newest run is known: this owner has started it or seen it running
+	presence   presence             // of a long-running task
 }
 
 func (t *task) idle() bool { return !t.done && len(t.runs) == 0 }
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -77,6 +77,7 @@
 	hostNeed         hostNeeds            // cached result of hostNeeds
 	startLimit       int                  // maximum number of starts per decision
 	startPressure    startPressure
+	returns          Returns // not taken yet
 }
 
 // New returns an empty pool.
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -43,6 +43,7 @@
 	r.answeredAt = now
 	r.progressedAt = now
 	r.backend.heard(now)
+	p.seeAtWork(r, now)
 	p.activate(r.task.step.occurrence.job)
 }
 
--- a/internal/basilscheduler/wait_reason.go
+++ b/internal/basilscheduler/wait_reason.go
@@ -64,7 +64,8 @@
 type Wait struct {
 	Task          basilwork.TaskID // of the waiting tasks of its step the one that has waited longest
 	Tasks         int              // number of waiting tasks of the step, or 1 for a run
-	Waited        time.Duration
+	Waited        time.Duration    // since its last run ended or was lost, or since this owner began
+	Away          time.Duration    // of a long-running task: since it was last known to be at work; 0 if it never was
 	Reason        WaitReason
 	Expected      bool             // a healthy pool has such waits
 	LongRunning   bool             // the tasks are long-running, and come after no others
