ledger: look for cancellations and group commits while their writes have no answer

Reads are answered all the while.

A group commit without an answer is sent again unchanged, and finds out by a failed precondition that it was stored, unless that answer is lost too.

CommitOrReadBack reads the row of the first put each 0.2 s: the body that was sent shows that the whole transaction was carried out, and another version than its precondition names that it can't be any more, or was and is replaced already. Callers resolve the latter as a failed precondition. The bodies of group commits state the commit ID; those of cancellations replace a version, and another cancellation is as good. New jobs, assignments and gates are looked for as before.

--- a/internal/basilledger/acceptor.go
+++ b/internal/basilledger/acceptor.go
@@ -234,7 +234,7 @@
 			t.Writes = append(t.Writes, p.gateCheck(a.service))
 		}
 	}
-	return commitOrFind(a.ctx, a.store, t, func(ctx context.Context) (int64, bool) { return 0, a.hasRows(ctx, batch) })
+	return basilwork.CommitOrFind(a.ctx, a.store, t, func(ctx context.Context) (int64, bool, error) { return 0, a.hasRows(ctx, batch), nil })
 }
 
 // hasRows reports whether all jobs of the batch have rows.
--- a/internal/basilledger/assignment.go
+++ b/internal/basilledger/assignment.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basilwork"
 )
 
 const (
@@ -179,9 +180,9 @@
 		return 0, errors.WithStack(ErrRecordUnreadable{Key: k.Sort, Cause: err})
 	}
 	w := basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: k, Precondition: basilplatform.PreconditionVersion, Version: version, Body: body}
-	version, _, err = commitOrFind(ctx, l.store, basilplatform.Transaction{Writes: []basilplatform.Write{w}}, func(ctx context.Context) (int64, bool) {
+	version, _, err = basilwork.CommitOrFind(ctx, l.store, basilplatform.Transaction{Writes: []basilplatform.Write{w}}, func(ctx context.Context) (int64, bool, error) {
 		i, err := l.store.Get(ctx, k)
-		return i.Version, err == nil && bytes.Equal(i.Body, body) // another process may have stored the same: that is as good
+		return i.Version, err == nil && bytes.Equal(i.Body, body), nil // another process may have stored the same: that is as good
 	})
 	if basilplatform.IsErrConditionFailed(err) {
 		err = errors.WithStack(ErrAssignmentChanged{Queue: queue})
--- a/internal/basilledger/ledger.go
+++ b/internal/basilledger/ledger.go
@@ -86,10 +86,10 @@
 // storeNew makes the writes of a new row while the gate is as it was. It reports whether it did; if not, the row exists already.
 func (l *Ledger) storeNew(ctx context.Context, service string, a Acceptance, writes []basilplatform.Write) (bool, error) {
 	var stored bool
-	_, found, err := commitOrFind(ctx, l.store, basilplatform.Transaction{Writes: append(writes, a.gateCheck(service))}, func(ctx context.Context) (int64, bool) {
+	_, found, err := basilwork.CommitOrFind(ctx, l.store, basilplatform.Transaction{Writes: append(writes, a.gateCheck(service))}, func(ctx context.Context) (int64, bool, error) {
 		i, err := l.store.Get(ctx, Key(service, a.id()))
 		stored = bytes.Equal(i.Body, a.body)
-		return i.Version, err == nil
+		return i.Version, err == nil, nil
 	})
 	if found {
 		return stored, nil
@@ -147,7 +147,7 @@
 			return err
 		}
 		deleteMark := basilplatform.Write{Kind: basilplatform.WriteKindDelete, Key: WaitingKey(service, r.Job.QueueKey(), id), Precondition: basilplatform.PreconditionNone}
-		err = l.store.Transact(ctx, basilplatform.Transaction{Writes: []basilplatform.Write{w, deleteMark}})
+		_, err = basilwork.CommitOrReadBack(ctx, l.store, basilplatform.Transaction{Writes: []basilplatform.Write{w, deleteMark}})
 		switch {
 		case basilplatform.IsErrRefused(err) && form == FormPlain: // the time of the end may make the row too large
 			form = FormCompressed
--- a/internal/basilledger/read_back_test.go
+++ b/internal/basilledger/read_back_test.go
@@ -98,3 +98,84 @@
 		must.False(t, ours)
 	})
 }
+
+// storeJobs stores new jobs with the IDs 1 to count and returns the version of the rows of each.
+func storeJobs(t *testing.T, s *memoryStore, count int) map[string]int64 {
+	t.Helper()
+	_, gate := move(t, New(s), "looms", 1)
+	versions := make(map[string]int64)
+	for n := range count {
+		must.NoError(t, accept(t, New(s), "looms", n+1, gate))
+		id := fmt.Sprint(n + 1)
+		versions[id] = s.rows[Key("looms", id)].Version
+	}
+	return versions
+}
+
+// TestCancelIsKnownWhileWriteHasNoAnswer checks that a cancellation counts as stored as soon as its row can be read, if the answer to the write is
+// lost, also where the owner has changed the row before.
+func TestCancelIsKnownWhileWriteHasNoAnswer(t *testing.T) {
+	const late, writeTimeout = 50 * time.Millisecond, 1200 * time.Millisecond // the latter is the shortest one
+	synctest.Test(t, func(t *testing.T) {
+		s := newMemoryStore()
+		versions := storeJobs(t, s, 2)
+		l := New(&unansweredStore{s, late})
+		cancel := func(id string) {
+			ctx, end := context.WithTimeout(t.Context(), writeTimeout)
+			defer end()
+			must.NoError(t, l.Cancel(ctx, "looms", "q", id))
+			r, _, err := New(s).Find(t.Context(), "looms", id)
+			must.NoError(t, err)
+			must.Eq(t, basilwork.JobStateCanceled, r.State)
+		}
+		cancel("1")
+		time.AfterFunc(late/2, func() {
+			r, _, err := New(s).Find(context.Background(), "looms", "2")
+			must.NoError(t, err)
+			e, err := NewEntry(r, versions["2"], "x.1.1", FormPlain)
+			must.NoError(t, err)
+			_, err = New(s).Commit(context.Background(), Owner{Shard: "looms", Key: basilplatform.Key{Partition: "owners/looms"}}, "x.1.1", []Entry{e})
+			must.NoError(t, err)
+		})
+		cancel("2")
+	})
+}
+
+// TestGroupCommitIsKnownWhileWriteHasNoAnswer checks that the result of a group commit is known as soon as its rows can be read, if the answer is
+// lost. No end is acknowledged meanwhile, and no step that comes after it is started.
+func TestGroupCommitIsKnownWhileWriteHasNoAnswer(t *testing.T) {
+	const late, writeTimeout = 50 * time.Millisecond, 1200 * time.Millisecond // the latter is the shortest one
+	synctest.Test(t, func(t *testing.T) {
+		s := newMemoryStore()
+		versions := storeJobs(t, s, 3)
+		entries := func(commitID string) (list []Entry) {
+			for _, id := range []string{"1", "2", "3"} {
+				r, _, err := New(s).Find(t.Context(), "looms", id)
+				must.NoError(t, err)
+				e, err := NewEntry(r, versions[id], commitID, FormPlain)
+				must.NoError(t, err)
+				list = append(list, e)
+			}
+			return list
+		}
+		owner := Owner{Shard: "looms", Key: basilplatform.Key{Partition: "owners/looms"}}
+		row := basilplatform.Write{Kind: basilplatform.WriteKindPut, Key: owner.Key, Precondition: basilplatform.PreconditionNone, Body: []byte("{}")}
+		version, err := s.Commit(t.Context(), basilplatform.Transaction{Writes: []basilplatform.Write{row}})
+		must.NoError(t, err)
+		owner.Version = version
+		commit := func(commitID string) Result {
+			ctx, end := context.WithTimeout(t.Context(), writeTimeout)
+			defer end()
+			r, err := New(&unansweredStore{s, late}).Commit(ctx, owner, commitID, entries(commitID))
+			must.NoError(t, err)
+			return r
+		}
+		first := commit("x.1.1")
+		must.MapLen(t, 3, first.Versions)
+		versions = first.Versions
+		must.NoError(t, New(s).Cancel(t.Context(), "looms", "q", "1"))
+		second := commit("x.1.2")
+		must.Eq(t, []string{"1"}, second.Cancelled)
+		must.MapLen(t, 2, second.Versions)
+	})
+}
--- a/internal/basilnode/cancel_test.go
+++ b/internal/basilnode/cancel_test.go
@@ -239,9 +239,11 @@
 func TestCancelThatMayBeStoredIsNotRefused(t *testing.T) {
 	run(t, 2, 4, constant(20*time.Second), func(c *cluster) {
 		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), twoSteps))
-		c.site.Store.SetFaults(basilfake.StoreFaults{LoseAnswers: true})
+		time.Sleep(time.Second)                // until the owner writes the row no more
+		const refuses = 900 * time.Millisecond // before the write is carried out, and before its timeout
+		c.site.Store.SetFaults(basilfake.StoreFaults{LateBy: refuses + 50*time.Millisecond})
 		time.AfterFunc(50*time.Millisecond, func() { c.site.Store.SetFaults(basilfake.StoreFaults{}) })
-		time.AfterFunc(900*time.Millisecond, func() { c.site.Store.SetFaults(basilfake.StoreFaults{Busy: true}) }) // before the write's timeout
+		time.AfterFunc(refuses, func() { c.site.Store.SetFaults(basilfake.StoreFaults{Busy: true}) })
 		status, _ := c.call("entry-1", http.MethodDelete, quotePrefix+jobID(1), "")
 		must.Eq(c.t, http.StatusGatewayTimeout, status)
 		c.site.Store.SetFaults(basilfake.StoreFaults{})
--- a/internal/basilnode/cluster_test.go
+++ b/internal/basilnode/cluster_test.go
@@ -63,16 +63,17 @@
 	hosts           map[string]*entryHost
 	starts          int
 	began           time.Time
-	weights         map[string]float64 // weights of entry hosts; 1 if missing
-	bandwidths      map[string]int     // bytes per second that the links of entry hosts carry to them; no limit if missing
-	maxHold         time.Duration      // longest lease of backend servers; 6 s if zero
-	singlePartition bool               // the store has no transactions over several partitions
-	share           atomic.Int64       // percentage of a core that each entry host's process gets
-	percent         map[string]int     // garbage collection percentage, by entry host
-	dueRestarts     []string           // entry hosts to be restarted
-	watchesSilentAt time.Time          // when the connections of the open watches of the configuration went silent
-	behind          map[string]bool    // entry hosts that keep the configuration that they have
-	mutex           sync.Mutex         // guards percent, dueRestarts, behind and the results of callers' goroutines
+	weights         map[string]float64     // weights of entry hosts; 1 if missing
+	bandwidths      map[string]int         // bytes per second that the links of entry hosts carry to them; no limit if missing
+	lostTable       atomic.Pointer[string] // see loseAnswers
+	maxHold         time.Duration          // longest lease of backend servers; 6 s if zero
+	singlePartition bool                   // the store has no transactions over several partitions
+	share           atomic.Int64           // percentage of a core that each entry host's process gets
+	percent         map[string]int         // garbage collection percentage, by entry host
+	dueRestarts     []string               // entry hosts to be restarted
+	watchesSilentAt time.Time              // when the connections of the open watches of the configuration went silent
+	behind          map[string]bool        // entry hosts that keep the configuration that they have
+	mutex           sync.Mutex             // guards percent, dueRestarts, behind and the results of callers' goroutines
 }
 
 // newCluster returns a running site with the given numbers of entry hosts and hosts.
@@ -168,7 +169,7 @@
 func (c *cluster) start(name string) {
 	c.starts++
 	l := &basilstandin.Link{Network: c.network}
-	client := basilsite.NewClientOn(c.limitBandwidth(name, l))
+	client := basilsite.NewClientOn(c.limitBandwidth(name, &lossyLink{l, &c.lostTable}))
 	store := basilsite.NewStore(client, func() string { return basilfake.StoreAddress }, 4*time.Second)
 	began := c.began
 	clock := func() time.Duration { return time.Since(began) + time.Second }
