node: look for rows of backend servers while their writes have no answer

The row of a server has to be stored before anything runs there. A put without an answer ended with its timeout, and the same rows were put again.

Each write of rows now has an ID that its rows state, as another put may have the same servers and others beside them: a row with the ID shows that all rows of the write are stored.

--- a/internal/basilnode/lost_answers_test.go
+++ b/internal/basilnode/lost_answers_test.go
@@ -41,6 +41,19 @@
 // loseAnswers has the answers of all transactions lost that name the table.
 func (c *cluster) loseAnswers(table string) { c.lostTable.Store(&table) }
 
+// TestTaskStartsOnNewBackendThoughAnswersOfItsRowAreLost checks that tasks start on servers that have just come while the store carries out the
+// writes of their rows and the answers are lost.
+func TestTaskStartsOnNewBackendThoughAnswersOfItsRowAreLost(t *testing.T) {
+	const bound = 3 * time.Second // for which a task may wait with capacity for it, by the rule LOST
+	run(t, 1, 1, constant(200*time.Millisecond), func(c *cluster) {
+		c.loseAnswers("backends")
+		c.site.AddPool("stretch", 2, 32000, 65536, false)
+		wholeHosts := `{"spec":"boot","steps":[{"count":2,"cpu":32000,"mem_mb":512,"estimate_ms":500}]}`
+		must.Eq(c.t, http.StatusOK, c.submit("entry-1", quotePrefix, jobID(1), wholeHosts))
+		c.await(quotePrefix, jobID(1), "completed", bound)
+	})
+}
+
 // TestNextStepStartsThoughAnswersOfGroupCommitsAreLost checks that the steps of a job follow each other while the store carries out the
 // owner's group commits and the answers are lost.
 func TestNextStepStartsThoughAnswersOfGroupCommitsAreLost(t *testing.T) {
--- a/internal/basilnode/recorder.go
+++ b/internal/basilnode/recorder.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -43,6 +44,12 @@
 	return basilwork.Backend{ID: r.ID, Service: r.Service, Address: r.Address, Rack: r.Rack, StartedAt: r.StartedAt}
 }
 
+// writtenRecord is a backendRecord as a row has it.
+type writtenRecord struct {
+	backendRecord
+	Writer string `json:"writer,omitempty"` // identifies the write, which is looked for in the store if it has no answer
+}
+
 // storedRecord is a backendRecord with the version of its row.
 type storedRecord struct {
 	backendRecord
@@ -67,6 +74,7 @@
 	refusedUntil map[string]time.Time    // when to write each row again that the store refused
 	putLimit     int                     // rows in the next put; 0 means maxPuts
 	legacyList   bool                    // the row of the earlier layout is still stored
+	writes       int64                   // writes so far
 	inFlight     bool
 	lastDelete   time.Time // last delete of rows
 	retryAfter   time.Time // next attempt after a failed write
@@ -129,6 +137,7 @@
 	silences   []storedRecord   // with the versions that they replace
 	deletes    map[string]int64 // row versions by backend server
 	legacyList bool             // delete the row of the earlier layout
+	writer     string
 }
 
 func (w *recordWrite) empty() bool {
@@ -138,7 +147,8 @@
 // nextWrite returns the next write needed to have a row for exactly the given backend servers. Missing and changed rows
 // are put first, then silences; the row of the earlier layout and those of gone servers are deleted once no put is due.
 func (r *recorder) nextWrite(used []basilwork.Backend, now time.Time) recordWrite {
-	var w recordWrite
+	r.writes++
+	w := recordWrite{writer: fmt.Sprintf("%d.%d", r.check.Version, r.writes)} // no other owner has the version
 	most := cmp.Or(r.putLimit, maxPuts)
 	known := make(map[string]bool, len(used))
 	for _, b := range used {
@@ -194,7 +204,7 @@
 func (r *recorder) write(ctx context.Context, w recordWrite) (int64, error) {
 	t := basilplatform.Transaction{Writes: []basilplatform.Write{r.check}}
 	for _, e := range w.puts {
-		body, err := json.Marshal(e)
+		body, err := json.Marshal(writtenRecord{e, w.writer})
 		if err != nil {
 			return 0, errors.WithStack(basilplatform.ErrRefused{Operation: "record backend", Reason: err.Error()})
 		}
@@ -203,7 +213,7 @@
 		})
 	}
 	for _, e := range w.silences {
-		body, err := json.Marshal(e.backendRecord)
+		body, err := json.Marshal(writtenRecord{e.backendRecord, w.writer})
 		if err != nil {
 			return 0, errors.WithStack(basilplatform.ErrRefused{Operation: "record silent backend", Reason: err.Error()})
 		}
@@ -222,7 +232,7 @@
 			Precondition: basilplatform.PreconditionNone,
 		})
 	}
-	return r.store.Commit(ctx, t)
+	return basilwork.CommitOrReadBack(ctx, r.store, t)
 }
 
 // handleResult updates the state after a transaction.
