shards: look for rows of owners and of the fleet while their writes have no answer

What callers saw: nothing by itself; an entry host that claims or releases several shards while the answers of writes are lost does so one after the other, and waits 1.2 s for each. The fleet's requests and a pool's answers to them are sent again after each timeout, and count as written only once an answer arrives.

Claims state the incarnation and the epoch, releases the epoch that they end, and rows have one writer at a time, so that the body shows whose write it was. Renewals are left out: several are under way with the same body, and a lease counts from the sending of the write that was carried out.

--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -13,6 +13,7 @@
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
 	"basilstage.example/basilstage/internal/basiltimer"
+	"basilstage.example/basilstage/internal/basilwork"
 )
 
 // minCandidatesLogged is the least number of a claim's candidates that are logged.
@@ -180,7 +181,8 @@
 	if version == 0 {
 		w.Precondition = basilplatform.PreconditionAbsent
 	}
-	return k.options.Store.Transact(ctx, basilplatform.Transaction{Writes: append(checks, w)})
+	_, err = basilwork.CommitOrReadBack(ctx, k.options.Store, basilplatform.Transaction{Writes: append(checks, w)})
+	return err
 }
 
 // Release gives up all shards when the process stops; the caller has stopped their work. Until the process ends, a release that fails is
