node: keep the rows that an owner has read when a read fails

What callers saw: a pool whose owner never reads all jobs starts nothing.

Cause: all rows are read page by page, as one read. One page without an answer, or the rows of backend servers or the evacuation request that are read after them, had all pages read again.

--- a/internal/basilshard/recovery.go
+++ b/internal/basilshard/recovery.go
@@ -366,6 +366,11 @@
 	return items, version, err
 }
 
+// Page implements basilwork.Store.
+func (s recoveringStore) Page(ctx context.Context, partition, after string) (basilwork.Page, error) {
+	return call(ctx, s.recovery, true, func(ctx context.Context) (basilwork.Page, error) { return s.Store.Page(ctx, partition, after) })
+}
+
 // Count implements basilwork.Store.
 func (s recoveringStore) Count(ctx context.Context, partition, from, to string, limit int) (int, error) {
 	return call(ctx, s.recovery, true, func(ctx context.Context) (int, error) { return s.Store.Count(ctx, partition, from, to, limit) })
--- a/internal/basilwork/port.go
+++ b/internal/basilwork/port.go
@@ -29,6 +29,8 @@
 	Commit(ctx context.Context, t basilplatform.Transaction) (int64, error)
 	// Snapshot returns all items of a partition and the store's version from before the read.
 	Snapshot(ctx context.Context, partition string) ([]basilplatform.Item, int64, error)
+	// Page returns the first items of a partition after the sort key, as many as one call returns.
+	Page(ctx context.Context, partition, after string) (Page, error)
 	// Count returns the number of items of the partition with sort keys in [from, to), at most limit.
 	Count(ctx context.Context, partition, from, to string, limit int) (int, error)
 	// Watch waits for changes to a table after the version; it can also fail with ErrHistoryDropped.
