node: renew the leases of predecessors' runs while the jobs are read

Cause: a new owner read the jobs, then the rows of backend servers, and only then connected to these. It handled no event meanwhile, so that nothing was renewed.

Now the rows of backend servers and the evacuation request come first, some tens of rows. The connections renew the leases of whatever runs there, unless the row tells that the server is silent. Events are held until the jobs are known, in their order: a report handled before would have the runs of unread jobs stopped. A newer report of a server replaces an earlier one if only reports have come between them, which bounds their number. The steps that read small things are retried by themselves.

A run of a job that was cancelled meanwhile is renewed too, and stopped once the jobs are read.

--- a/internal/basilnode/loop_stats.go
+++ b/internal/basilnode/loop_stats.go
@@ -16,6 +16,7 @@
 // event is a function for a control goroutine to run, and the time at which it was queued.
 type event struct {
 	handle   func(now time.Time)
+	report   string // ID of the backend server if the event is its report, and an earlier one says nothing that this one doesn't
 	queuedAt time.Time
 }
 
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -97,9 +97,12 @@
 }
 
 // send queues an event for the control goroutine, unless the owner has ended.
-func (o *owner) send(f func(now time.Time)) {
+func (o *owner) send(f func(now time.Time)) { o.sendEvent(event{handle: f}) }
+
+func (o *owner) sendEvent(e event) {
+	e.queuedAt = time.Now()
 	select {
-	case o.events <- event{handle: f, queuedAt: time.Now()}:
+	case o.events <- e:
 	case <-o.ctx.Done():
 	}
 }
@@ -108,7 +111,7 @@
 func (o *owner) run() {
 	defer close(o.done)
 	defer o.node.metrics.setWaits(o.service, basilscheduler.Waits{})
-	version, ok := o.loadJobs()
+	version, ok := o.load()
 	if !ok {
 		return
 	}
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -58,6 +58,7 @@
 		},
 		HoldUnanswered: func() { o.node.metrics.holdUnanswered(o.service) }, LeaseNarrow: o.leaseNarrow,
 	})}
+	l.SetSuspended(!o.records.inUse(b.ID))
 	o.connections[b.ID] = l
 	go l.Run(ctx)
 }
@@ -84,7 +85,11 @@
 // Report handles a backend server's answer to a hold request. restarted tells that the server has restarted.
 func (o *owner) Report(id string, r basilwork.Report, sent time.Time, restarted bool) {
 	o.orders.answered(id)
-	o.send(func(now time.Time) {
+	e := event{report: id}
+	if restarted {
+		e.report = ""
+	}
+	e.handle = func(now time.Time) {
 		var before []basilscheduler.RunState
 		if restarted {
 			before = o.pool.RunStates(id)
@@ -96,7 +101,8 @@
 		o.logRunEnds(id, r)
 		o.pool.Report(id, r, sent, now)
 		o.recordLosses(id, reasonRestarted, before, now)
-	})
+	}
+	o.sendEvent(e)
 }
 
 func (o *owner) logRunEnds(id string, r basilwork.Report) {
--- a/internal/basilnode/owner_jobs.go
+++ b/internal/basilnode/owner_jobs.go
@@ -14,38 +14,75 @@
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
-// loadJobs reads the shard's jobs, the backend servers that the previous owner used and the evacuation request. It
-// retries until the owner ends.
-func (o *owner) loadJobs() (version int64, ok bool) {
-	var items []basilplatform.Item
-	var askedAt time.Duration
-	began := time.Now()
-	r := basilwork.NewPartitionReader(o.node.store, basilledger.Partition(o.service))
-	for o.ctx.Err() == nil {
-		if !r.Begun() {
-			askedAt = o.node.options.Clock()
+// load reads what the previous owner has stored, and retries until the owner ends. The backend servers come first, so that the leases of the
+// runs there are renewed while the jobs are read, which takes seconds on a slow link.
+func (o *owner) load() (version int64, ok bool) {
+	if !o.retry("failed to read rows of backend servers; retrying", o.loadRecords) || !o.retry("failed to read the evacuation request; retrying", o.loadRequest) {
+		return 0, false
+	}
+	for _, l := range o.connections {
+		l.SetBusy(true, 0, 0) // as far as is known: its reports are held
+	}
+	loaded := make(chan loadedJobs, 1)
+	go func() {
+		if l, ok := o.readJobs(); ok {
+			loaded <- l
 		}
-		err := r.Read(o.ctx, func(page []basilplatform.Item) { items = append(items, page...) })
-		if err == nil {
-			err = o.loadRecords()
+	}()
+	var held heldEvents
+	for {
+		select {
+		case <-o.ctx.Done():
+			return 0, false
+		case e := <-o.events:
+			held.add(e)
+		case l := <-loaded:
+			o.silenceAt, o.ended.next = time.Now().Add(silenceDelay), time.Now().Add(endedDelay)
+			o.pool.SetConfiguration(o.node.configuration())
+			o.applyJobs(l.list)
+			o.jobFreshness.markCurrent(l.askedAt)
+			o.applyBackends(o.node.backends(o.service))
+			held.handle()
+			return l.version, true
 		}
+	}
+}
+
+// retry calls a function until it succeeds, and returns false if the owner ends before.
+func (o *owner) retry(failure string, f func() error) bool {
+	for o.ctx.Err() == nil {
+		err := f()
 		if err == nil {
-			err = o.loadRequest()
+			return true
 		}
-		if err != nil {
-			o.log.WithError(err).WithField("jobs", len(items)).Warn("failed to read jobs; retrying")
-			_ = basiltimer.Wait(o.ctx, storeRetryDelay) // an ended context ends the loop
-			continue
+		o.log.WithError(err).Warn(failure)
+		_ = basiltimer.Wait(o.ctx, storeRetryDelay) // an ended context ends the loop
+	}
+	return false
+}
+
+// loadedJobs are all jobs of a pool, as they were stored at askedAt or later.
+type loadedJobs struct {
+	list    []storedJob
+	askedAt time.Duration // on the clock of the options
+	version int64         // from which to watch for changes
+}
+
+// readJobs reads all jobs of the pool, and returns false if the owner ends before.
+func (o *owner) readJobs() (l loadedJobs, ok bool) {
+	began := time.Now()
+	r := basilwork.NewPartitionReader(o.node.store, basilledger.Partition(o.service))
+	ok = o.retry("failed to read jobs; retrying", func() error {
+		if !r.Begun() {
+			l.askedAt = o.node.options.Clock()
 		}
-		o.silenceAt, o.ended.next = time.Now().Add(silenceDelay), time.Now().Add(endedDelay)
-		o.pool.SetConfiguration(o.node.configuration())
-		o.applyJobs(o.decodeJobs(items))
-		o.jobFreshness.markCurrent(askedAt)
-		o.applyBackends(o.node.backends(o.service))
-		o.log.WithFields(logrus.Fields{"jobs": len(items), basillog.FieldDuration: time.Since(began).Milliseconds()}).Info("jobs loaded")
-		return r.Version(), true
+		return r.Read(o.ctx, func(page []basilplatform.Item) { l.list = append(l.list, o.decodeJobs(page)...) })
+	})
+	if ok {
+		l.version = r.Version()
+		o.log.WithFields(logrus.Fields{"jobs": r.Items(), basillog.FieldDuration: time.Since(began).Milliseconds()}).Info("jobs loaded")
 	}
-	return 0, false
+	return l, ok
 }
 
 // storedJob is a job record with the id and the version of its row.
--- a/internal/basilnode/paged_takeover_test.go
+++ b/internal/basilnode/paged_takeover_test.go
@@ -109,3 +109,21 @@
 		}
 	}
 }
+
+// TestLongRunningTasksOutlastTakeoverOnSlowLink checks that the leases of long-running tasks are renewed by a new owner whose link takes longer to
+// carry the pool's rows than the leases last.
+func TestLongRunningTasksOutlastTakeoverOnSlowLink(t *testing.T) {
+	const jobs = 10_000 // 8 s
+	run(t, 1, 8, constant(200*time.Millisecond), func(c *cluster) {
+		c.storeFinishedJobs(jobs, specBytes)
+		must.Eq(t, http.StatusOK, c.submit("entry-1", longPrefix, longRunningID, serving))
+		time.Sleep(3 * time.Second)
+		c.kill("entry-1")
+		c.bandwidths = map[string]int{"entry-1": smallBandwidth}
+		c.start("entry-1")
+		time.Sleep(20 * time.Second)
+		must.Len(t, 12, c.site.Runs())
+		must.Len(t, 0, c.absences(longRunningID))
+		must.Eq(t, 12, c.site.Running(longRunningID))
+	})
+}
