scheduler: count no room on servers that have ended

Callers were without long-running tasks for longer than the loss of their servers explains: the pool told the fleet's owner only 3 s later that it lacks hosts. A server that falls silent is known to have ended after about 2.5 s, by the list of hosts, but counted as room for waiting tasks for as long as its entry stays listed, 2 to 2.7 s more.

TestEndedServersAreNoRoomForLongRunningTasks failed before: 0 hosts lacked for each server that has ended. The count now leaves these servers out, of what is there and of what is kept alike, and a pool whose servers have all ended lacks hosts, too.

--- a/internal/basilscheduler/host_need.go
+++ b/internal/basilscheduler/host_need.go
@@ -40,6 +40,7 @@
 // hostCount is the state of counting the needed hosts.
 type hostCount struct {
 	hosts        []hostRoom
+	ended        int // number of listed backend servers that have ended
 	occupied     int // number of hosts with runs that last
 	largestEmpty basilwork.Resources
 	labels       []labelRoom // by label index of the waiting steps
@@ -98,7 +99,7 @@
 		return n
 	}
 	c := p.newHostCount(now)
-	if len(c.hosts) == 0 {
+	if len(c.hosts)+c.ended == 0 {
 		return n // the list of backend servers may not be known yet
 	}
 	for i := range p.waiting.list {
@@ -108,7 +109,7 @@
 		return n
 	}
 	for _, b := range p.list {
-		if b.present && !b.evacuating {
+		if b.present && !b.evacuating && !b.ended {
 			n.present++
 		}
 	}
@@ -126,6 +127,10 @@
 func (p *Pool) newHostCount(now time.Time) *hostCount {
 	c := &hostCount{fits: make(map[hostClass]hostFit), labels: make([]labelRoom, len(p.waiting.labels))}
 	for _, b := range p.list {
+		if b.present && b.ended {
+			c.ended++
+			continue
+		}
 		if !b.present || b.evacuating || b.Draining || p.slow(b, now) {
 			continue
 		}
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -29,7 +29,7 @@
 	WaitingDemand basilwork.Resources // of the waiting tasks
 	Serving       basilwork.Resources // of the long-running tasks
 	MinBackends   int                 // minimum number of backend servers for the long-running tasks, and for waiting ones that fit beside none of these
-	Listed        int                 // backend servers in the current list that are not being evacuated, if Kept is set
+	Listed        int                 // backend servers in the current list that are not being evacuated and have not ended, if Kept is set
 	Kept          int                 // sound ones of these that are used or needed, if waiting work needs hosts without long-running tasks
 	Lacking       []HostNeed          // hosts that the pool lacks beyond those listed
 	ArrivedWork   basilwork.Resources // total estimated work of the jobs added so far: what their tasks reserve, times seconds
