node: start long-running tasks once the rows of their servers list them

Seen by callers: a long-running task whose run ends beside a change of owner has no run for 10 s if a backend server was cut off 1 s before the owner died (LOST). No owner has stored that this server is silent, so the next one holds back all tasks that no server reports until the leases there are over: 8.5 s after the takeover, 10 s after the death. No bound on the leases helps: they are extended for 3.5 s while the store is away, and last for 9.2 s after the last renewal.

Cause: a successor can't tell tasks that may run on the silent server from those that can't. Now the row of each server lists its long-running tasks (not gangs). A start is requested once the list with its task is certainly stored, under the check that the shard is still owned, so a task that the row of a silent server doesn't list has no run there and starts at once. A list names the version that it replaces; after a write of unknown outcome the row is put without a list, which makes successors wait with all tasks as before, as do rows from before an owner of an older release (run_lists_since). Clocks and pauses don't enter.

A task that is started on a server that was just cut off is listed there. So it is listed only once the server has answered after the decision; without an answer for 0.5 s it goes elsewhere, once, since answers may be slow or lost everywhere.

The plays draw the times of the writes of lists from a source of their own.

--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -26,6 +26,7 @@
 	withdrawalLate                 // the decision is too old
 	withdrawalStale                // the data about jobs or backend servers is too old
 	withdrawalStopping             // the owner is giving up the shard
+	withdrawalUnlisted             // the backend server didn't answer, its row could not be stored, or it is not available any more
 )
 
 // queuedStart is a start that waits to be sent.
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -51,6 +51,7 @@
 	waitLog          waitLog
 	predecessors     predecessorWait
 	ended            endedServers
+	unlisted         []unlistedStart
 	silenceAt        time.Time       // when backend servers that do not answer are next stored as silent
 	fallenSilent     map[string]bool // those that have answered before
 	startBlock       startBlock      // why the last decision allowed no starts
@@ -89,6 +90,7 @@
 	o.backendFreshness.watchBackends(n.options.Clock, cmp.Or(n.options.DrainStartWindow, defaultDrainStartWindow))
 	o.orders.fresh, o.orders.withdraw = o.copiesFresh, o.withdraw
 	o.records = newRecorder(n.store, service, row.Check(service))
+	o.records.listsSince = row.RunListsSince
 	o.acceptor = basilledger.NewAcceptor(n.ctx, n.store, service, o.addStoredJobs)
 	o.evacuation.row = basilshard.NewRow(n.store, answerKey(service), row.Check(service))
 	o.pool = basilscheduler.New(basilscheduler.Options{
@@ -191,6 +193,10 @@
 		return time.Second
 	}
 	wake := o.decide(now)
+	if untilListed := o.sendListed(now); untilListed > 0 {
+		wake = min(wake, untilListed)
+	}
+	o.listRuns()
 	o.logPredecessors(now)
 	o.logLoad(now)
 	o.removeFinished(now)
@@ -240,7 +246,7 @@
 	case !o.backendFreshness.fresh():
 		return 0, startBlockBackends
 	}
-	room := o.orders.room()
+	room := max(0, o.orders.room()-len(o.unlisted))
 	if room == 0 {
 		return 0, startBlockOrders
 	}
--- a/internal/basilnode/owner_orders.go
+++ b/internal/basilnode/owner_orders.go
@@ -64,12 +64,14 @@
 
 // withdraw reports starts that were not sent to the scheduler.
 func (o *owner) withdraw(list []withdrawnStart) {
-	o.send(func(now time.Time) {
-		o.logWithdrawn(list)
-		for _, w := range list {
-			o.pool.Started(w.Ref, basilwork.RefusalUnsent, true, now)
-		}
-	})
+	o.send(func(now time.Time) { o.reportWithdrawn(list, now) })
+}
+
+func (o *owner) reportWithdrawn(list []withdrawnStart, now time.Time) {
+	o.logWithdrawn(list)
+	for _, w := range list {
+		o.pool.Started(w.Ref, basilwork.RefusalUnsent, true, now)
+	}
 }
 
 // logWithdrawn logs one line per step and reason for starts that were not sent.
@@ -93,8 +95,23 @@
 	})
 }
 
-// queueStarts queues the starts of one decision. A start without a connection is reported back as refused.
+// queueStarts queues the starts of one decision. Those of listed steps wait until their backend servers have answered and successors would know.
 func (o *owner) queueStarts(starts []basilscheduler.Start, decided time.Time) {
+	var list []basilscheduler.Start
+	for _, s := range starts {
+		l := o.connections[s.Backend]
+		if !s.Listed || s.Repeats > 0 || l == nil {
+			list = append(list, s)
+			continue
+		}
+		o.unlisted = append(o.unlisted, unlistedStart{Start: s, connection: l})
+		l.Refresh()
+	}
+	o.sendStarts(list, decided)
+}
+
+// sendStarts queues starts. One without a connection is reported back as refused.
+func (o *owner) sendStarts(starts []basilscheduler.Start, decided time.Time) {
 	list := make([]queuedStart, 0, len(starts))
 	for _, s := range starts {
 		l := o.connections[s.Backend]
@@ -102,6 +119,10 @@
 			o.pool.Started(s.Ref, basilwork.RefusalBusy, true, time.Now())
 			continue
 		}
+		if s.Listed && !o.records.admits(s.Backend, s.Task.String()) { // a repeated start, while its row is stored anew
+			o.pool.Started(s.Ref, basilwork.RefusalUnsent, true, time.Now())
+			continue
+		}
 		startedAt := o.commit.incarnations[s.Backend]
 		list = append(list, queuedStart{Start: s, decided: decided, send: func() bool { return o.sendStart(l, s, startedAt) }})
 	}
--- a/internal/basilnode/owner_records.go
+++ b/internal/basilnode/owner_records.go
@@ -52,13 +52,14 @@
 				o.logRecordFailure(w, err)
 			}
 			o.recordBackends()
+			o.sendListed(now)
 		})
 	}()
 }
 
 // logRecordFailure logs a failed write of rows; the backend servers of the puts can't be used until it succeeds.
 func (o *owner) logRecordFailure(w recordWrite, err error) {
-	entry := o.log.WithError(err).WithFields(logrus.Fields{"put": len(w.puts), "silent": len(w.silences), "removed": len(w.deletes)})
+	entry := o.log.WithError(err).WithFields(logrus.Fields{"put": len(w.puts), "silent": len(w.silences), "run_lists": len(w.lists), "removed": len(w.deletes)})
 	if basilplatform.IsErrRefused(err) {
 		entry.Error("store refused rows of backend servers")
 		return
--- a/internal/basilnode/recorder.go
+++ b/internal/basilnode/recorder.go
@@ -20,7 +20,7 @@
 	recordKeyPrefix   = "server/"
 	legacyListKey     = "used"           // an earlier layout kept all backend servers in this one row
 	maxPuts           = 90               // rows per transaction, which may have 100 entries
-	maxDeletes        = 45               // half as many, since each delete takes a precondition too
+	maxVersioned      = 45               // half as many of those that name the version that they replace: the precondition is an entry too
 	deleteInterval    = 2 * time.Second  // interval between deletes of the rows of gone backend servers
 	refusedRetryDelay = 10 * time.Second // delay before a row that the store refused is written again
 )
@@ -33,6 +33,7 @@
 	Rack      string `json:"rack,omitempty"`
 	StartedAt int64  `json:"born,omitempty"` // Unix milliseconds
 	silence
+	runList
 }
 
 func newBackendRecord(b basilwork.Backend) backendRecord {
@@ -46,7 +47,8 @@
 // storedRecord is a backendRecord with the version of its row.
 type storedRecord struct {
 	backendRecord
-	version int64
+	version   int64
+	uncertain bool // whether a list of runs is stored that was written since, so that the row has to be put anew
 }
 
 // recorder stores a row for each backend server that may have runs, so that the next owner asks them all. Rows are put
@@ -55,14 +57,19 @@
 // A server that does not answer is stored as silent, so that the next owner waits for it only until its leases have run out.
 // Nothing may be started or extended there before a row without a silence is stored.
 //
-// A put needs no version, because a surplus row only makes the next owner ask one more server. One of a silence and a delete name
-// the version that they replace, so that a delayed one, whose answer was lost, can't undo a later put.
+// A put needs no version, because a surplus row only makes the next owner ask one more server, and without a list of runs wait for it with
+// all tasks. One of a silence or a list and a delete name the version that they replace, so that a delayed one, whose answer was lost, can't
+// undo a later put.
 type recorder struct {
 	store        basilwork.Store
 	service      string
 	check        basilplatform.Write     // precondition that the shard is still owned
 	rows         map[string]storedRecord // rows that are certainly stored
 	silences     map[string]silence      // of the backend servers whose rows are to tell one
+	lists        map[string]runList      // of the backend servers whose lists of runs have changed under this owner
+	writing      map[string]runList      // lists in the write in flight
+	listsSince   int64                   // first epoch whose lists of runs can be trusted
+	putLast      bool                    // the last write was one of puts
 	obsolete     map[string]int64        // versions of the rows to delete; some may be deleted already
 	refusedUntil map[string]time.Time    // when to write each row again that the store refused
 	putLimit     int                     // rows in the next put; 0 means maxPuts
@@ -75,7 +82,7 @@
 func newRecorder(store basilwork.Store, service string, check basilplatform.Write) recorder {
 	return recorder{
 		store: store, service: service, check: check,
-		rows: make(map[string]storedRecord), silences: make(map[string]silence), obsolete: make(map[string]int64), refusedUntil: make(map[string]time.Time),
+		rows: make(map[string]storedRecord), silences: make(map[string]silence), lists: make(map[string]runList), writing: make(map[string]runList), obsolete: make(map[string]int64), refusedUntil: make(map[string]time.Time),
 	}
 }
 
@@ -117,26 +124,31 @@
 		if err := json.Unmarshal(i.Body, &e.backendRecord); err != nil {
 			return nil, errors.WithStack(basilplatform.ErrRefused{Operation: "read backends", Reason: err.Error()})
 		}
+		if e.RunsEpoch < r.listsSince {
+			e.runList = runList{}
+		}
 		r.rows[id] = e
 		list = append(list, e.backend())
 	}
 	return list, nil
 }
 
-// recordWrite is one transaction of either puts, silences or deletes.
+// recordWrite is one transaction of either puts, silences, lists of runs or deletes.
 type recordWrite struct {
 	puts       []backendRecord
 	silences   []storedRecord   // with the versions that they replace
+	lists      []storedRecord   // the same
 	deletes    map[string]int64 // row versions by backend server
 	legacyList bool             // delete the row of the earlier layout
 }
 
 func (w *recordWrite) empty() bool {
-	return len(w.puts) == 0 && len(w.silences) == 0 && len(w.deletes) == 0 && !w.legacyList
+	return len(w.puts)+len(w.silences)+len(w.lists)+len(w.deletes) == 0 && !w.legacyList
 }
 
 // nextWrite returns the next write needed to have a row for exactly the given backend servers. Missing and changed rows
-// are put first, then silences; the row of the earlier layout and those of gone servers are deleted once no put is due.
+// are put first, in turn with silences and then lists of runs; the row of the earlier layout and those of gone servers are deleted once none is
+// due.
 func (r *recorder) nextWrite(used []basilwork.Backend, now time.Time) recordWrite {
 	var w recordWrite
 	most := cmp.Or(r.putLimit, maxPuts)
@@ -146,25 +158,24 @@
 		wanted := newBackendRecord(b)
 		wanted.silence = r.silences[b.ID]
 		e, ok := r.rows[b.ID]
-		switch {
-		case ok && e.backendRecord == wanted, now.Before(r.refusedUntil[b.ID]):
-		case ok && wanted.silence != silence{}:
+		wanted.runList = r.wantedList(e)
+		isStored := ok && !e.uncertain
+		switch versioned := (storedRecord{backendRecord: wanted, version: e.version}); {
+		case isStored && e.backendRecord == wanted, now.Before(r.refusedUntil[b.ID]):
+		case isStored && wanted.silence != silence{}:
 			if len(w.silences) < maxPuts {
-				w.silences = append(w.silences, storedRecord{backendRecord: wanted, version: e.version})
+				w.silences = append(w.silences, versioned)
+			}
+		case isStored && e.backendRecord.withList(wanted.runList) == wanted:
+			if len(w.lists) < min(most, maxVersioned) {
+				w.lists = append(w.lists, versioned)
 			}
 		case len(w.puts) < most:
-			wanted.silence = silence{}
+			wanted.silence, wanted.runList = silence{}, runList{}
 			w.puts = append(w.puts, wanted)
 		}
 	}
-	switch {
-	case len(w.puts) > 0:
-		w.silences = nil
-		return w
-	case len(w.silences) > 0:
-		for _, e := range w.silences {
-			delete(r.rows, e.ID) // not certain until the answer
-		}
+	if r.chooseKind(&w); !w.empty() {
 		return w
 	}
 	if r.legacyList {
@@ -181,9 +192,10 @@
 		}
 	}
 	maps.DeleteFunc(r.silences, func(id string, _ silence) bool { return !known[id] })
+	maps.DeleteFunc(r.lists, func(id string, _ runList) bool { return !known[id] })
 	w.deletes = make(map[string]int64)
 	for id, version := range r.obsolete {
-		if len(w.deletes) < maxDeletes {
+		if len(w.deletes) < maxVersioned {
 			w.deletes[id] = version
 		}
 	}
@@ -202,10 +214,10 @@
 			Kind: basilplatform.WriteKindPut, Key: r.key(e.ID), Precondition: basilplatform.PreconditionNone, Body: body,
 		})
 	}
-	for _, e := range w.silences {
+	for _, e := range slices.Concat(w.silences, w.lists) {
 		body, err := json.Marshal(e.backendRecord)
 		if err != nil {
-			return 0, errors.WithStack(basilplatform.ErrRefused{Operation: "record silent backend", Reason: err.Error()})
+			return 0, errors.WithStack(basilplatform.ErrRefused{Operation: "update backend", Reason: err.Error()})
 		}
 		t.Writes = append(t.Writes, basilplatform.Write{
 			Kind: basilplatform.WriteKindPut, Key: r.key(e.ID), Precondition: basilplatform.PreconditionVersion, Version: e.version, Body: body,
@@ -228,6 +240,10 @@
 // handleResult updates the state after a transaction.
 func (r *recorder) handleResult(w recordWrite, version int64, err error, now time.Time) {
 	r.inFlight = false
+	clear(r.writing)
+	if err != nil {
+		r.doubt(w.lists)
+	}
 	var failed basilplatform.ErrConditionFailed
 	switch {
 	case err == nil:
@@ -235,6 +251,8 @@
 	case errors.As(err, &failed) && r.correctVersion(w, failed):
 	case basilplatform.IsErrRefused(err) && len(w.puts) > 0:
 		r.bisect(w.puts, now)
+	case basilplatform.IsErrRefused(err) && len(w.lists) > 0:
+		r.bisect(recordsOf(w.lists), now)
 	default:
 		r.retryAfter = now.Add(storeRetryDelay)
 	}
@@ -246,14 +264,14 @@
 		delete(r.obsolete, e.ID)
 		delete(r.refusedUntil, e.ID)
 	}
-	for _, e := range w.silences {
+	for _, e := range slices.Concat(w.silences, w.lists) {
 		r.rows[e.ID] = storedRecord{backendRecord: e.backendRecord, version: version}
 	}
 	for id := range w.deletes {
 		delete(r.obsolete, id)
 	}
 	switch {
-	case len(w.silences) > 0:
+	case len(w.silences)+len(w.lists) > 0:
 	case len(w.puts) > 0:
 		r.putLimit = min(2*cmp.Or(r.putLimit, maxPuts), maxPuts)
 	default:
--- a/internal/basilnode/recorder_test.go
+++ b/internal/basilnode/recorder_test.go
@@ -19,9 +19,21 @@
 	version    int64
 	refusedKey string
 	puts       int
+	tooLarge   int // transactions that were refused for their number of entries
+	maxEntries int // of a transaction, in which preconditions on versions count too; 0 for no limit
 }
 
 func (s *rowStore) Commit(_ context.Context, t basilplatform.Transaction) (int64, error) {
+	entries := len(t.Writes)
+	for _, w := range t.Writes {
+		if w.Kind != basilplatform.WriteKindCheck && w.Precondition == basilplatform.PreconditionVersion {
+			entries++
+		}
+	}
+	if s.maxEntries > 0 && entries > s.maxEntries {
+		s.tooLarge++
+		return 0, basilplatform.ErrRefused{Operation: "commit", Reason: "too many entries"}
+	}
 	for _, w := range t.Writes {
 		if s.refusedKey != "" && w.Key.Sort == s.refusedKey {
 			return 0, basilplatform.ErrRefused{Operation: "commit", Reason: "too long"}
@@ -104,7 +116,7 @@
 	writeAll(t, r, used, now)
 	later := now.Add(deleteInterval)
 	unanswered := r.nextWrite(used[:50], later)
-	must.Eq(t, maxDeletes, len(unanswered.deletes))
+	must.Eq(t, maxVersioned, len(unanswered.deletes))
 	r.handleResult(unanswered, 0, basilplatform.ErrOutcomeUnknown{Operation: "commit"}, later)
 	must.Eq(t, 50, len(r.rows))
 	writeAll(t, r, used, later)
--- a/internal/basilnode/silences.go
+++ b/internal/basilnode/silences.go
@@ -118,6 +118,9 @@
 		return true
 	}
 	o.pool.AddPredecessorBackend(b, until)
+	if tasks, listed := o.records.rows[b.ID].tasks(); listed {
+		o.pool.SetPredecessorRuns(b.ID, tasks)
+	}
 	o.openConnection(b)
 	return false
 }
--- a/internal/basilnode/withdrawal_enumer.go
+++ b/internal/basilnode/withdrawal_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _withdrawalName = "nonecancelledlatestalestopping"
+const _withdrawalName = "nonecancelledlatestalestoppingunlisted"
 
-var _withdrawalIndex = [...]uint8{0, 4, 13, 17, 22, 30}
+var _withdrawalIndex = [...]uint8{0, 4, 13, 17, 22, 30, 38}
 
-const _withdrawalLowerName = "nonecancelledlatestalestopping"
+const _withdrawalLowerName = "nonecancelledlatestalestoppingunlisted"
 
 func (i withdrawal) String() string {
 	if i < 0 || i >= withdrawal(len(_withdrawalIndex)-1) {
@@ -29,9 +29,10 @@
 	_ = x[withdrawalLate-(2)]
 	_ = x[withdrawalStale-(3)]
 	_ = x[withdrawalStopping-(4)]
+	_ = x[withdrawalUnlisted-(5)]
 }
 
-var _withdrawalValues = []withdrawal{withdrawalNone, withdrawalCancelled, withdrawalLate, withdrawalStale, withdrawalStopping}
+var _withdrawalValues = []withdrawal{withdrawalNone, withdrawalCancelled, withdrawalLate, withdrawalStale, withdrawalStopping, withdrawalUnlisted}
 
 var _withdrawalNameToValueMap = map[string]withdrawal{
 	_withdrawalName[0:4]:   withdrawalNone,
@@ -39,6 +40,7 @@
 	_withdrawalName[13:17]: withdrawalLate,
 	_withdrawalName[17:22]: withdrawalStale,
 	_withdrawalName[22:30]: withdrawalStopping,
+	_withdrawalName[30:38]: withdrawalUnlisted,
 }
 
 var _withdrawalLowerNameToValueMap = map[string]withdrawal{
@@ -47,6 +49,7 @@
 	_withdrawalLowerName[13:17]: withdrawalLate,
 	_withdrawalLowerName[17:22]: withdrawalStale,
 	_withdrawalLowerName[22:30]: withdrawalStopping,
+	_withdrawalLowerName[30:38]: withdrawalUnlisted,
 }
 
 var _withdrawalNames = []string{
@@ -55,6 +58,7 @@
 	_withdrawalName[13:17],
 	_withdrawalName[17:22],
 	_withdrawalName[22:30],
+	_withdrawalName[30:38],
 }
 
 // withdrawalString retrieves an enum value from the enum constants string name.
--- a/internal/basilscheduler/action.go
+++ b/internal/basilscheduler/action.go
@@ -20,6 +20,7 @@
 	Checkpoint string
 	Ticket     string
 	Gang       bool          // the task is a member of a gang, whose tasks only work together
+	Listed     bool          // the run has to be in the backend server's list of runs before it is requested, see TakeRunLists
 	Rank       string        // rank of the step among the waiting work
 	Slack      time.Duration // time left until the objective can no longer be met; the remaining work if it cannot be met
 	Waited     time.Duration // time since the task became ready
--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -41,6 +41,7 @@
 	lostLately     bool      // one at its address was lost a short time ago, as of the current decision
 	reserved       bool      // reserved in the current decision for a task that waits for room
 	needsCheck     bool      // its runs have to be checked in the next decision
+	runListChanged bool      // see TakeRunLists
 	checkAt        time.Time // when its runs have to be checked at the latest; zero if not scheduled
 	moveBlocked    bool      // a long-running run cannot move away because no other backend server has room
 	movable        bool      // cached result of canMoveLongRuns, valid for movableAt and movableLayout
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -69,7 +69,7 @@
 	}
 	p.addRun(r, p.expectedEnd(t.step, now))
 	p.actions.Starts = append(p.actions.Starts, Start{
-		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.checkpoint, Ticket: r.ticket, Gang: t.step.spec.Gang,
+		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.checkpoint, Ticket: r.ticket, Gang: t.step.spec.Gang, Listed: t.step.listed(),
 		Rank: c.rank.String(), Slack: c.slack(now.Sub(p.waiting.rankedAt)), Waited: now.Sub(t.readyAt),
 	})
 }
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -26,6 +26,7 @@
 	orderedAt          time.Time // when the start was requested, or the run was adopted
 	expectedEnd        time.Time
 	answeredAt         time.Time // when the start was answered, or a report first listed the run
+	listable           bool      // it may be put into the list of runs: its backend server has answered since it was placed there
 	predecessorStopEnd time.Time // when the run has ended at the latest if a predecessor requested its stop
 	unansweredSince    time.Time // since when the start request is known to have no answer
 	stopRequestedAt    time.Time // when a stop was last requested; zero if never
@@ -67,6 +68,7 @@
 	checkpoint string
 	runs       []*run
 	notBefore  time.Time
+	unheardAt  time.Time // when a start was last withdrawn as its backend server didn't answer
 	readyAt    time.Time
 	avoidUntil map[string]time.Time // backend servers to avoid, and until when
 	suspicion  int                  // weight of the recorded crashes of backend servers that had a run of it
--- a/internal/basilscheduler/lost_judge_test.go
+++ b/internal/basilscheduler/lost_judge_test.go
@@ -22,7 +22,8 @@
 	noted     bool          // and no lease lapsed before that
 	begins    []time.Time
 	lastEnded time.Time
-	stopped   bool // the last run ended so
+	failedOn  *playServer // the last run ended as failed there; nil if it ended otherwise
+	stopped   bool        // the last run ended so
 	failed    int
 	crashed   int
 }
@@ -107,7 +108,7 @@
 
 func (p *lostPlay) judgeEnd(s *playServer, r *playRun, end basilwork.RunEnd) {
 	t := p.task(r.task)
-	t.lastEnded, t.stopped = p.now, end == basilwork.RunEndStopped
+	t.lastEnded, t.stopped, t.failedOn = p.now, end == basilwork.RunEndStopped, nil
 	switch end {
 	case basilwork.RunEndDone:
 		for _, id := range p.tasksOf(r.task.Job, r.task.Step) {
@@ -118,6 +119,7 @@
 		}
 	case basilwork.RunEndFailed:
 		t.failed++
+		t.failedOn = s
 	case basilwork.RunEndLost:
 		t.crashed++
 	}
--- a/internal/basilscheduler/lost_owner_test.go
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,6 +31,8 @@
 type playServerRow struct {
 	basilwork.Backend
 	silentUntil time.Time // until when one that has not answered since a change of owner may have runs; zero for one that is in use
+	listed      bool      // which tasks of listed steps may run there is known: those in tasks
+	tasks       map[basilwork.TaskID]bool
 }
 
 type playRow struct {
@@ -61,6 +64,9 @@
 	oldestChange   time.Time
 	earlier        basilrunner.EarlierConnections
 	frozenUntil    time.Time
+	lists          map[string]map[basilwork.TaskID]bool // of runs, by backend server, as they are to be stored
+	listing        map[string]map[basilwork.TaskID]bool // the same of the write under way
+	unlisted       []Start                              // that wait to be requested
 }
 
 // thawed calls f once the owner isn't frozen.
@@ -82,7 +88,7 @@
 	o := &playOwner{
 		play: p, epoch: p.store.epoch, rowVersion: p.store.version, alive: true, connections: make(map[string]*playConnection), versions: make(map[string]int64),
 		startedAt: p.now, silences: make(map[string]time.Time), uncertain: make(map[string]bool),
-		acked: make(map[string]int64), incarnations: make(map[string]int64),
+		acked: make(map[string]int64), incarnations: make(map[string]int64), lists: make(map[string]map[basilwork.TaskID]bool), listing: make(map[string]map[basilwork.TaskID]bool),
 		Pool: New(Options{Epoch: p.store.epoch, Grace: playGrace, StopTimeout: playStopTimeout}, p.now),
 	}
 	p.owner = o
@@ -96,6 +102,9 @@
 			}
 		}
 		o.AddPredecessorBackend(basilwork.Backend{ID: b.ID, Service: b.Service, Address: b.Address, Rack: b.Rack, StartedAt: b.StartedAt}, b.silentUntil)
+		if b.listed {
+			o.SetPredecessorRuns(b.ID, slices.SortedFunc(maps.Keys(b.tasks), compareTaskIDs))
+		}
 		o.connect(b.Backend)
 	}
 	o.SetConfiguration(&basilwork.Configuration{Queues: []basilwork.Queue{
@@ -165,9 +174,9 @@
 	for _, s := range a.Stops {
 		o.sendStop(s)
 	}
-	for _, s := range a.Starts {
-		o.sendStart(s)
-	}
+	o.unlisted = append(o.unlisted, a.Starts...)
+	o.sendListed()
+	o.listRuns()
 	o.commit()
 	for id, c := range o.connections {
 		c.busy, c.watched, c.suspended = o.Busy(id), o.HasOrphans(id), !o.inUse(id)
--- a/internal/basilscheduler/lost_owners_test.go
+++ b/internal/basilscheduler/lost_owners_test.go
@@ -24,6 +24,7 @@
 	*lostPlay
 	disturbedAt time.Time // last death of an owner, or fault of a backend server
 	onlyCalm    bool      // whether absences are judged only after playRuleCalm
+	onlyKnown   bool      // whether those after ends are left out that no owner could note, as their servers were cut off
 }
 
 // disturb calls f, a fault of a backend server, at the time.
@@ -106,6 +107,9 @@
 		for n := range p.jobs[id].Steps {
 			for _, k := range p.tasksOf(id, n) {
 				t := p.task(k)
+				if p.onlyKnown && p.endUnknown(k) {
+					continue
+				}
 				if away := p.now.Sub(t.lastEnded); p.jobs[id].Steps[n].LongRunning && !running[k] && !t.lastEnded.IsZero() && away > playAbsence && p.hasRoomTwice(id, n) {
 					p.fail("LOST: %s has not run for %v", k.String(), away)
 				}
@@ -114,6 +118,12 @@
 	}
 }
 
+// endUnknown reports whether the task's last run has failed on a server that is cut off, and owners know the task as one that may run there still.
+func (p *ownersPlay) endUnknown(id basilwork.TaskID) bool {
+	s := p.task(id).failedOn
+	return s != nil && s.up && p.now.Before(s.host.silentUntil) && p.store.servers[s.ID].tasks[id]
+}
+
 // newOwnersPlay returns a play of long-running jobs whose runs fail now and then on so many hosts, under owners that last for the given time.
 func newOwnersPlay(hosts int, seed uint64, lasts time.Duration) *ownersPlay {
 	p := newLongRunningPlay(hosts, seed)
--- a/internal/basilscheduler/lost_property_test.go
+++ b/internal/basilscheduler/lost_property_test.go
@@ -46,6 +46,7 @@
 // lostPlay plays jobs on backend servers in trouble, under one owner after another, and judges what the servers do.
 type lostPlay struct {
 	random    *rand.Rand
+	listTimes *rand.Rand // of writes of lists, apart so that seeds play what they did before there were lists
 	now       time.Time
 	began     time.Time
 	events    playEvents
@@ -119,11 +120,14 @@
 }
 
 // storeTime returns how long a call to the store takes one way.
-func (p *lostPlay) storeTime() time.Duration {
+func (p *lostPlay) storeTime() time.Duration { return p.storeTimeBy(p.random) }
+
+func (p *lostPlay) storeTimeBy(random *rand.Rand) time.Duration {
+	from, to := 5*time.Millisecond, 40*time.Millisecond
 	if p.now.Before(p.store.troubleUntil) {
-		return p.between(100*time.Millisecond, 3*time.Second)
+		from, to = 100*time.Millisecond, 3*time.Second
 	}
-	return p.between(5*time.Millisecond, 40*time.Millisecond)
+	return from + time.Duration(random.Int64N(int64(to-from)))
 }
 
 // calmFor returns for how long there has been no trouble; negative while troubles come.
@@ -282,7 +286,7 @@
 func newLostPlay(hosts int, seed uint64) *lostPlay {
 	start := time.Unix(1000, 0)
 	p := &lostPlay{
-		random: rand.New(rand.NewPCG(seed, 0)), now: start, began: start,
+		random: rand.New(rand.NewPCG(seed, 0)), listTimes: rand.New(rand.NewPCG(seed, 1)), now: start, began: start,
 		store: playStore{rows: make(map[string]playRow), servers: make(map[string]playServerRow)},
 		jobs:  make(map[string]*basilwork.Job), cancelled: make(map[string]time.Time), failed: make(map[string]bool),
 		tasks: make(map[basilwork.TaskID]*playTask), waits: make(map[string]time.Time),
--- a/internal/basilscheduler/lost_silence_test.go
+++ b/internal/basilscheduler/lost_silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -26,8 +27,17 @@
 	for _, b := range o.Backends() {
 		known[b.ID] = true
 		o.SetRecorded(b.ID, o.inUse(b.ID))
-		if s, ok := p.store.servers[b.ID]; !ok || s.StartedAt != b.StartedAt || !s.silentUntil.Equal(o.silences[b.ID]) {
-			missing = append(missing, playServerRow{Backend: b, silentUntil: o.silences[b.ID]})
+		s, ok := p.store.servers[b.ID]
+		switch tasks, listed := o.lists[b.ID]; {
+		case !ok || s.StartedAt != b.StartedAt || !s.silentUntil.Equal(o.silences[b.ID]):
+			row := playServerRow{Backend: b, silentUntil: o.silences[b.ID]}
+			if ok && !row.silentUntil.IsZero() {
+				row.listed, row.tasks = s.listed, s.tasks
+			}
+			missing = append(missing, row)
+		case listed && !(s.listed && maps.Equal(s.tasks, tasks)):
+			s.listed, s.tasks = true, maps.Clone(tasks)
+			missing = append(missing, s)
 		}
 	}
 	if len(missing) == 0 && p.now.Sub(o.lastDelete) >= 2*time.Second {
@@ -39,10 +49,18 @@
 	o.recordBusy = true
 	for _, b := range missing {
 		o.uncertain[b.ID] = !b.silentUntil.IsZero()
+		if b.listed {
+			o.listing[b.ID] = b.tasks
+		}
+	}
+	random := p.random
+	if len(missing) > 0 && !slices.ContainsFunc(missing, func(b playServerRow) bool { return !b.listed || !b.silentUntil.IsZero() }) {
+		random = p.listTimes
 	}
-	p.after(p.storeTime(), func() {
+	p.after(p.storeTimeBy(random), func() {
 		o.recordBusy = false
 		clear(o.uncertain)
+		clear(o.listing)
 		if p.store.epoch != o.epoch {
 			return
 		}
--- a/internal/basilscheduler/pool.go
+++ b/internal/basilscheduler/pool.go
@@ -52,12 +52,15 @@
 	layoutVersion    int                 // incremented when backend servers or long-running runs change
 	doneOccurrences  []*occurrence       // done occurrences without runs, to be removed
 	startedAt        time.Time
-	predecessorUntil map[string]time.Time        // backend servers that may have runs of a predecessor, and until when
-	predecessorEnded map[string]time.Time        // those that have ended, and until when they might have had runs otherwise
-	suspectsUntil    time.Time                   // until when tasks that may have crashed such a server are held back
-	possibleCrashes  map[basilwork.TaskID]int    // crashes that may still count, by task, as of the current decision; nil if not counted yet
-	queues           map[string]*basilwork.Queue // by ID, also those that the configuration no longer has
-	namedQueues      map[string]*basilwork.Queue // the same by name
+	predecessorUntil map[string]time.Time          // backend servers that may have runs of a predecessor, and until when
+	predecessorEnded map[string]time.Time          // those that have ended, and until when they might have had runs otherwise
+	predecessorRuns  map[string][]basilwork.TaskID // by backend server in predecessorUntil, the tasks of listed steps that may run there, if known
+	predecessorTasks map[basilwork.TaskID]int      // in how many of these lists each task is
+	runListsChanged  bool                          // see TakeRunLists
+	suspectsUntil    time.Time                     // until when tasks that may have crashed such a server are held back
+	possibleCrashes  map[basilwork.TaskID]int      // crashes that may still count, by task, as of the current decision; nil if not counted yet
+	queues           map[string]*basilwork.Queue   // by ID, also those that the configuration no longer has
+	namedQueues      map[string]*basilwork.Queue   // the same by name
 	runTimes         map[runTimeKey]*runTimeRatio
 	spreads          map[string]*runTimeSpread // by queue
 	tickets          map[string]*stepTickets   // by step
@@ -88,6 +91,8 @@
 		backends:         make(map[string]*backend),
 		predecessorUntil: make(map[string]time.Time),
 		predecessorEnded: make(map[string]time.Time),
+		predecessorRuns:  make(map[string][]basilwork.TaskID),
+		predecessorTasks: make(map[basilwork.TaskID]int),
 		queues:           make(map[string]*basilwork.Queue),
 		namedQueues:      make(map[string]*basilwork.Queue),
 		runTimes:         make(map[runTimeKey]*runTimeRatio),
@@ -234,6 +239,7 @@
 func (p *Pool) Attached(id string) {
 	if b := p.backends[id]; b != nil {
 		b.attached = true
+		p.changeRunList(b)
 		p.forgetSilence(b)
 	}
 	p.forgetPredecessor(id)
--- a/internal/basilscheduler/predecessor.go
+++ b/internal/basilscheduler/predecessor.go
@@ -38,7 +38,7 @@
 
 // forgetPredecessor drops a backend server that has answered, or is gone.
 func (p *Pool) forgetPredecessor(id string) {
-	delete(p.predecessorUntil, id)
+	p.removePredecessor(id)
 	delete(p.predecessorEnded, id)
 }
 
@@ -75,7 +75,7 @@
 	if until.After(p.suspectsUntil) {
 		p.suspectsUntil = until
 	}
-	delete(p.predecessorUntil, id)
+	p.removePredecessor(id)
 	p.predecessorEnded[id] = until
 	return true
 }
@@ -128,7 +128,7 @@
 			p.wakeAt(until)
 			continue
 		}
-		delete(p.predecessorUntil, id)
+		p.removePredecessor(id)
 	}
 	maps.DeleteFunc(p.predecessorEnded, func(_ string, until time.Time) bool { return !now.Before(until) })
 	if now.Before(p.suspectsUntil) {
@@ -142,7 +142,7 @@
 	if t.accounted || !t.step.occurrence.job.adopted {
 		return false
 	}
-	return len(p.predecessorUntil) > 0 || now.Before(p.heldBackUntil(t))
+	return p.mayRunOnPredecessor(t) || now.Before(p.heldBackUntil(t))
 }
 
 // heldBackUntil returns until when the task is held back since it may have crashed a server of a previous owner that has ended, or the zero time.
@@ -158,8 +158,8 @@
 
 // heldBack reports whether no task of the step may start because of silent backend servers of a previous owner; a gang starts as a whole.
 func (p *Pool) heldBack(s *step) bool {
-	if !s.occurrence.job.adopted || len(p.predecessorUntil) == 0 {
-		return false
+	if !s.occurrence.job.adopted || len(p.predecessorUntil) == 0 || s.listed() && p.allPredecessorRunsKnown() {
+		return false // if the runs are known, holdsBack decides for each task
 	}
 	return s.accounted == 0 || s.spec.Gang && s.accounted < len(s.tasks)
 }
--- a/internal/basilscheduler/repeat_start.go
+++ b/internal/basilscheduler/repeat_start.go
@@ -38,7 +38,7 @@
 	r.repeatedAt = now
 	p.actions.Starts = append(p.actions.Starts, Start{
 		Ref: r.ref(), Payload: r.task.step.occurrence.job.record.Job.Payload, Checkpoint: r.startCheckpoint, Ticket: r.ticket,
-		Gang: r.task.step.spec.Gang, Repeats: r.repeats,
+		Gang: r.task.step.spec.Gang, Listed: r.task.step.listed(), Repeats: r.repeats,
 	})
 	r.backend.scheduleCheck(now.Add(recheckInterval))
 }
--- a/internal/basilscheduler/start.go
+++ b/internal/basilscheduler/start.go
@@ -160,6 +160,7 @@
 	s.countRunOn(r.backend, -1)
 	if s.spec.LongRunning {
 		p.layoutVersion++
+		p.changeRunList(r.backend)
 	}
 	if t.idle() {
 		p.addIdle(s, 1)
@@ -181,5 +182,6 @@
 	s.countRunOn(r.backend, 1)
 	if s.spec.LongRunning {
 		p.layoutVersion++
+		p.changeRunList(r.backend)
 	}
 }
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -1,6 +1,7 @@
 package basilshard
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -133,10 +134,7 @@
 
 func (k *Keeper) claimShard(ctx context.Context, c Claim) bool {
 	self, previous := k.options.Self, c.previous
-	next := OwnerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: previous.Epoch + 1, Address: self.Address, PreviousEnded: c.previousEnded, Since: previous.Since}
-	if next.Since == 0 {
-		next.Since = next.Epoch
-	}
+	next := OwnerRow{Node: self.Node, Incarnation: self.Incarnation, Epoch: previous.Epoch + 1, Address: self.Address, PreviousEnded: c.previousEnded, Since: cmp.Or(previous.Since, previous.Epoch+1), RunListsSince: cmp.Or(previous.RunListsSince, previous.Epoch+1)}
 	var checks []basilplatform.Write
 	switch { // an owner that renews its lease in the meantime still considers its shards its own
 	case c.previousEnded:
@@ -274,7 +272,7 @@
 func (k *Keeper) release(ctx context.Context, shard string, row OwnerRow) bool {
 	next := k.successor(shard)
 	entry := k.options.Log.WithFields(logrus.Fields{basillog.FieldPool: shard, basillog.FieldEpoch: row.Epoch, "next": next})
-	if err := k.writeOwner(ctx, shard, OwnerRow{Node: row.Node, Epoch: row.Epoch, Next: next, Since: row.Since}, row.Version); err != nil {
+	if err := k.writeOwner(ctx, shard, OwnerRow{Node: row.Node, Epoch: row.Epoch, Next: next, Since: row.Since, RunListsSince: row.RunListsSince}, row.Version); err != nil {
 		entry.WithError(err).Warn("failed to release the shard")
 		return false
 	}
--- a/internal/basilshard/state.go
+++ b/internal/basilshard/state.go
@@ -31,8 +31,10 @@
 	Next          string `json:"next,omitempty"`    // node that is to claim a released shard at once
 	// Since is the first epoch of those up to this one whose owners have all kept the silences of backend servers in their rows, and requested leases
 	// of a limited term; 0 for none.
-	Since   int64 `json:"since,omitempty"`
-	Version int64 `json:"-"`
+	Since int64 `json:"since,omitempty"`
+	// RunListsSince is the first epoch of those up to this one whose owners have all kept the lists of long-running tasks in these rows; 0 for none.
+	RunListsSince int64 `json:"run_lists_since,omitempty"`
+	Version       int64 `json:"-"`
 }
 
 // observedMember is a member row with the clock times at which it was read.
