node: store the silences of many servers in transactions that the store takes

Seen: after a loss of 50 servers of a pool or more, no silence of theirs is ever stored, so that each new owner waits for them anew, and the rows of all of them are put again and again.

Cause: the precondition on a version is an entry of the transaction too, as the limit for deletes says; silences had that of puts, 90. The write was refused, its rows counted as uncertain and were put anew, and the same write followed.

TestSilencesFitIntoTransactions: with 120 of 300 servers silent, rows are left to write after 100 transactions before; all silences are stored now.

--- a/internal/basilnode/recorder.go
+++ b/internal/basilnode/recorder.go
@@ -163,7 +163,7 @@
 		switch versioned := (storedRecord{backendRecord: wanted, version: e.version}); {
 		case isStored && e.backendRecord == wanted, now.Before(r.refusedUntil[b.ID]):
 		case isStored && wanted.silence != silence{}:
-			if len(w.silences) < maxPuts {
+			if len(w.silences) < maxVersioned {
 				w.silences = append(w.silences, versioned)
 			}
 		case isStored && e.backendRecord.withList(wanted.runList) == wanted:
--- a/internal/basilnode/silences_test.go
+++ b/internal/basilnode/silences_test.go
@@ -74,3 +74,20 @@
 	must.True(t, known)
 	must.Zero(t, left)
 }
+
+// TestSilencesFitIntoTransactions checks that silences are stored though many servers of a large service fall silent at once, and each takes two of the
+// 100 entries of a transaction.
+func TestSilencesFitIntoTransactions(t *testing.T) {
+	r, s := newTestRecorder()
+	s.maxEntries = 100
+	used, now := newBackends(300), time.Now()
+	writeAll(t, r, used, now)
+	for _, b := range used[:120] {
+		r.silences[b.ID] = silence{Epoch: 2, Until: 7000}
+	}
+	writeAll(t, r, used, now)
+	must.Zero(t, s.tooLarge)
+	for n, b := range used {
+		must.Eq(t, n < 120, r.rows[b.ID].silence == silence{Epoch: 2, Until: 7000})
+	}
+}
