--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -70,7 +70,7 @@
 	notBefore  time.Time
 	unheardAt  time.Time // when a start was last withdrawn as its backend server didn't answer
 	readyAt    time.Time
-	avoidUntil map[string]time.Time // backend servers to avoid, and until when
+	avoidUntil map[string]time.Time // backend servers to avoid, by ID or address, and until when
 	suspicion  int                  // weight of the recorded crashes of backend servers that had a run of it
 	excused    bool                 // a crash that something else explains was not counted
 	accounted  bool                 // its newest run is known: this owner has started it or seen it running
@@ -88,7 +88,7 @@
 	return nil
 }
 
-// avoidBackend keeps new runs of the task off the backend server until the given time.
+// avoidBackend keeps new runs of the task off the backend server with the ID, or those at the address, until the given time.
 func (t *task) avoidBackend(backend string, until time.Time) {
 	if t.avoidUntil == nil {
 		t.avoidUntil = make(map[string]time.Time)
