capacity: share out hosts that are too few, long-running tasks first

Cause: each host went to the pool that lacked the most, whose need may exceed the fleet many times; pools gave up only what they did not need themselves, so nothing was taken from a pool with 270 hosts and a need of 2,400.

Each pool now has a share of the hosts: first what long-running tasks and gangs need in every pool, then max-min fair up to its need. If there are hosts for all, a share is what the pool needs, as before. A pool above its share gives up hosts, idle ones and those whose short runs end first: at once if long-running tasks of another pool lack them, else if its share has been lower for 1 s and some pool lacks an eighth of its own. A need above the fleet's size is thus no rank. Evacuations that a pool without an owner does not see hold up no others. Reports of pools tell how many of the hosts that they lack or have are for long-running tasks and gangs (fields lasting); older releases ignore them.

TestPoolKeepsHostsThatItHasFilled had a second pool that lacked hosts, to which the first now gives some as its share is smaller; that pool lacks none any more. The test still fails if the limit follows what was in use before.

--- a/internal/basilcapacity/answer.go
+++ b/internal/basilcapacity/answer.go
@@ -33,7 +33,7 @@
 // reportedLoad converts a scheduler's load to the part of it that is reported to the fleet.
 func reportedLoad(l basilscheduler.Load) Load {
 	return Load{
-		Used: l.Used.CPU, WaitingDemand: l.WaitingDemand.CPU, Serving: l.Serving.CPU, MinHosts: l.MinBackends, ArrivedWork: int64(l.ArrivedWork.CPU), Leaving: l.Leaving, Limited: l.Limited,
+		Used: l.Used.CPU, WaitingDemand: l.WaitingDemand.CPU, Serving: l.Serving.CPU, LastingHosts: l.LastingHosts, MinHosts: l.MinBackends, ArrivedWork: int64(l.ArrivedWork.CPU), Leaving: l.Leaving, Limited: l.Limited,
 		Memory: Amounts{Used: l.Used.Memory, WaitingDemand: l.WaitingDemand.Memory, Serving: l.Serving.Memory, ArrivedWork: int64(l.ArrivedWork.Memory)},
 		GPU:    Amounts{Used: l.Used.GPU, WaitingDemand: l.WaitingDemand.GPU, Serving: l.Serving.GPU, ArrivedWork: int64(l.ArrivedWork.GPU)},
 		Listed: l.Listed, Kept: l.Kept, Lacking: reportedNeeds(l.Lacking),
@@ -44,7 +44,7 @@
 func reportedNeeds(needs []basilscheduler.HostNeed) []HostNeed {
 	var list []HostNeed
 	for _, n := range needs {
-		list = append(list, HostNeed{Label: n.Label, Resources: n.Resources, Hosts: n.Hosts})
+		list = append(list, HostNeed{Label: n.Label, Resources: n.Resources, Hosts: n.Hosts, Lasting: n.Lasting})
 	}
 	return list
 }
@@ -69,5 +69,5 @@
 	if l.Listed != last.Listed || l.Kept != last.Kept || !slices.Equal(l.Lacking, last.Lacking) {
 		return true
 	}
-	return l.MinHosts != last.MinHosts || l.Leaving != last.Leaving || l.Limited != last.Limited || !slices.Equal(l.Idle, last.Idle) || !slices.Equal(l.Slow, last.Slow)
+	return l.MinHosts != last.MinHosts || l.LastingHosts != last.LastingHosts || l.Leaving != last.Leaving || l.Limited != last.Limited || !slices.Equal(l.Idle, last.Idle) || !slices.Equal(l.Slow, last.Slow)
 }
--- a/internal/basilcapacity/decide_test.go
+++ b/internal/basilcapacity/decide_test.go
@@ -74,3 +74,34 @@
 	small, large := cost(300), cost(2400)
 	must.Less(t, 8*3, int(large/small), must.Sprintf("%v for 300 hosts, %v for 2400", small, large))
 }
+
+// BenchmarkDecideForManyPools measures a decision over 300 hosts in 30 pools, each of which needs four times its hosts and lacks some for certain
+// tasks.
+func BenchmarkDecideForManyPools(b *testing.B) {
+	const hosts, pools = 300, 30
+	now := time.Unix(1000, 0)
+	f := New(Options{MaintenanceDuration: 2 * time.Second, MoveDuration: 1500 * time.Millisecond})
+	services := []basilwork.Service{{Name: "spare", Standby: true}}
+	var list []basilwork.Machine
+	for n := range pools {
+		services = append(services, basilwork.Service{Name: fmt.Sprintf("p%02d", n)})
+	}
+	f.SetConfiguration(&basilwork.Configuration{Services: services})
+	for n := range hosts {
+		m := basilwork.Machine{ID: fmt.Sprintf("m%05d", n), Pool: fmt.Sprintf("p%02d", n%pools), Up: true, Resources: basilwork.Resources{CPU: 64000}}
+		m.Backend = "i-" + m.ID
+		list = append(list, m)
+	}
+	f.SetMachines(list, now)
+	for n := range pools {
+		load := Load{Used: 10 * 64000, WaitingDemand: 30 * 64000, Listed: 10, Kept: 10, MinHosts: 10, Lacking: []HostNeed{wholeHost(3)}}
+		for i := n; i < hosts; i += pools {
+			load.ShortOnly = append(load.ShortOnly, list[i].Backend)
+		}
+		f.SetReport(fmt.Sprintf("p%02d", n), PoolReport{Load: load}, now)
+	}
+	for b.Loop() {
+		f.Decide(now)
+		now = now.Add(50 * time.Millisecond)
+	}
+}
--- a/internal/basilcapacity/demand.go
+++ b/internal/basilcapacity/demand.go
@@ -23,6 +23,7 @@
 	trends      [resourceGPU + 1]trend // by resource
 	updatedAt   time.Time
 	recentNeeds []needSample // needs during the last releaseDelay
+	shares      []needSample // shares during the last shareDelay
 
 	spareSince      time.Time // since when the pool has had spare hosts; zero if it has none
 	unreportedSince time.Time // since when the pool lacks hosts and reports fewer than it has; zero if it does not
@@ -74,8 +75,8 @@
 	t.level, t.arrived = level, a.ArrivedWork
 }
 
-// need returns how many hosts a pool needs, and records it among the recent needs.
-func (f *Fleet) need(pool string, now time.Time) int {
+// need returns how many hosts a pool needs, of which some that waiting work lacked are on the way, and records it among the recent needs.
+func (f *Fleet) need(pool string, arriving int, now time.Time) int {
 	d := f.moves.demands[pool]
 	if d == nil {
 		return 0
@@ -83,14 +84,31 @@
 	hosts, _ := f.hostsForDemand(pool, now)
 	hosts = min(hosts, f.fillableHosts(pool, now))
 	hosts = max(hosts, f.reports[pool].Load.MinHosts, minPoolHosts)
-	if _, arriving := f.lackingHosts(pool, now); arriving > 0 {
+	if arriving > 0 {
 		hosts = max(hosts, f.reports[pool].Load.Kept+arriving)
 	}
-	d.recentNeeds = slices.DeleteFunc(d.recentNeeds, func(s needSample) bool { return now.Sub(s.at) > releaseDelay })
-	d.recentNeeds = append(d.recentNeeds, needSample{now, hosts})
+	d.recentNeeds = addSample(d.recentNeeds, needSample{now, hosts}, releaseDelay)
 	return hosts
 }
 
+// addSample adds a sample to those of the given time.
+func addSample(samples []needSample, s needSample, length time.Duration) []needSample {
+	old := 0
+	for old < len(samples) && s.at.Sub(samples[old].at) > length {
+		old++
+	}
+	return append(slices.Delete(samples, 0, old), s)
+}
+
+// highest returns the highest need of the samples.
+func highest(samples []needSample) int {
+	var most int
+	for _, s := range samples {
+		most = max(most, s.need)
+	}
+	return most
+}
+
 // hostsForDemand returns how many hosts the demand of a pool takes, and the resource of which it takes most hosts. Tasks
 // that reserve much memory fill hosts whose processors have room left.
 func (f *Fleet) hostsForDemand(pool string, now time.Time) (int, resource) {
@@ -125,11 +143,7 @@
 
 // recentNeed returns the highest recent need of the pool.
 func (f *Fleet) recentNeed(pool string) int {
-	var most int
-	for _, s := range f.moves.demands[pool].recentNeeds {
-		most = max(most, s.need)
-	}
-	return most
+	return highest(f.moves.demands[pool].recentNeeds)
 }
 
 // averageCapacity returns how much of the resource a host of the pool has, or 0 if that is not known or some host has none:
--- a/internal/basilcapacity/fill_test.go
+++ b/internal/basilcapacity/fill_test.go
@@ -35,7 +35,7 @@
 		w.decide(d)
 		w.report("a", next)
 		w.countHosts()
-		return w.need("a", w.now)
+		return w.need("a", 0, w.now)
 	}
 	must.Eq(t, 5, needAfter(0, Load{Used: 4 * 64000, WaitingDemand: 100 * 64000, ArrivedWork: 1000}))
 	must.Greater(t, 5, needAfter(2*time.Second, Load{Used: 4 * 64000, WaitingDemand: 100 * 64000, ArrivedWork: 1000}))
@@ -49,12 +49,12 @@
 	w := newWorld(t)
 	w.addHosts("a", 20)
 	w.addHosts("b", 3)
-	w.report("b", Load{Used: 3 * 64000, WaitingDemand: 20 * 64000})
+	w.report("b", Load{Used: 2 * 64000})
 	w.report("a", Load{Used: 13 * 64000, WaitingDemand: 40 * 64000, ShortOnly: w.lastBackends("a", 20), Limited: true})
 	w.decide(250 * time.Millisecond)
 	for range 4 {
 		w.report("a", Load{Used: 20 * 64000, WaitingDemand: 40 * 64000, ShortOnly: w.lastBackends("a", 20)})
-		w.report("b", Load{Used: 3 * 64000, WaitingDemand: 20 * 64000})
+		w.report("b", Load{Used: 2 * 64000})
 		w.decide(250 * time.Millisecond)
 	}
 	must.Eq(t, 0, w.evacuationCount("a"))
--- a/internal/basilcapacity/fleet.go
+++ b/internal/basilcapacity/fleet.go
@@ -32,6 +32,7 @@
 	Used          int        `json:"used"`              // CPU in use, thousandths of a core
 	WaitingDemand int        `json:"wanted,omitempty"`  // CPU requested by waiting tasks
 	Serving       int        `json:"serving,omitempty"` // CPU of long-running tasks
+	LastingHosts  int        `json:"lasting,omitempty"` // hosts of those listed that long-running tasks and gangs need
 	MinHosts      int        `json:"least,omitempty"`   // hosts required by long-running tasks
 	Listed        int        `json:"listed,omitempty"`  // backend servers that the pool knows and isn't asked to evacuate, if Kept is set
 	Kept          int        `json:"kept,omitempty"`    // sound ones of these that waiting work needs or can't use, if it needs whole hosts
@@ -67,6 +68,8 @@
 	MoveDuration        time.Duration // expected duration of a move
 	OrderRate           float64       // host orders per second that the platform accepts; 0 selects the default
 	IdleOnly            bool          // release idle hosts only; a baseline for experiments
+	Sharing             Sharing       // how pools share hosts that are too few
+	KeepUsed            bool          // pools keep hosts that they use beyond their share; a baseline for experiments
 }
 
 // Fleet is the planning state of hosts, waves and moves. It is not safe for concurrent use.
--- a/internal/basilcapacity/host_need.go
+++ b/internal/basilcapacity/host_need.go
@@ -1,6 +1,7 @@
 package basilcapacity
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,6 +17,7 @@
 	Label     string              `json:"label,omitempty"` // that the hosts must have
 	Resources basilwork.Resources `json:"size,omitzero"`   // that each of them must have at least
 	Hosts     int                 `json:"hosts"`
+	Lasting   int                 `json:"lasting,omitempty"` // of them for long-running tasks and gangs
 }
 
 // matches reports whether the host is one of those needed. One whose capacity is not known may be.
@@ -28,6 +30,7 @@
 	for n := range needs {
 		if needs[n].Hosts > 0 && needs[n].matches(m) {
 			needs[n].Hosts--
+			needs[n].Lasting = max(0, needs[n].Lasting-1)
 			return true
 		}
 	}
@@ -37,26 +40,35 @@
 // add counts the host for the pool.
 func (b *balance) add(m *machine) {
 	takeFrom(b.lacking, m)
+	b.hosts++
 	b.missing = max(0, b.missing-1)
+	b.urgent = max(0, b.urgent-1)
 }
 
-// needFor returns how many hosts the pool lacks of which this may be one.
-func (b *balance) needFor(m *machine) int {
-	var lacking int
+// needFor returns how many hosts the pool lacks of its share of which this may be one, and how many of these its long-running tasks and gangs need.
+func (b *balance) needFor(m *machine) (hosts, urgent int) {
+	var lacking, lasting int
 	for n := range b.lacking {
 		if b.lacking[n].matches(m) {
 			lacking += b.lacking[n].Hosts
+			lasting += b.lacking[n].Lasting
 		}
 	}
-	return max(b.missing, lacking)
+	due := max(0, b.share-b.hosts)
+	return min(due, max(b.missing, lacking)), min(due, b.urgent, max(b.missing, lasting))
 }
 
-// neediestFor returns the other pool that lacks the most hosts of which this may be one, or nil if none does.
+// neediestFor returns the other pool that lacks the most hosts of which this may be one, or nil if none does. Those that lack hosts for
+// long-running tasks and gangs come first.
 func neediestFor(balances []*balance, m *machine) *balance {
 	var most *balance
+	var mostHosts, mostUrgent int
 	for _, b := range balances {
-		if need := b.needFor(m); b.pool != m.Pool && need > 0 && (most == nil || need > most.needFor(m)) {
-			most = b
+		if b.pool == m.Pool {
+			continue
+		}
+		if hosts, urgent := b.needFor(m); cmp.Or(cmp.Compare(urgent, mostUrgent), cmp.Compare(hosts, mostHosts)) > 0 {
+			most, mostHosts, mostUrgent = b, hosts, urgent
 		}
 	}
 	return most
@@ -68,9 +80,8 @@
 	for _, b := range balances {
 		for n := range b.lacking {
 			need := &b.lacking[n]
-			if i := slices.IndexFunc(list, need.matches); i >= 0 && need.Hosts > 0 {
-				need.Hosts--
-				b.missing = max(0, b.missing-1)
+			if i := slices.IndexFunc(list, need.matches); i >= 0 && need.Hosts > 0 && b.hosts < b.share {
+				b.add(list[i])
 				f.orderMove(list[i], b.pool, plan)
 				list = slices.Delete(list, i, i+1)
 			}
--- a/internal/basilcapacity/move.go
+++ b/internal/basilcapacity/move.go
@@ -38,7 +38,9 @@
 	Demand       int    `json:"demand"`   // for this resource, in its unit
 	ExpectedRise int    `json:"ahead"`    // expected rise of the demand by the time a moved host would arrive
 	SteadyDemand int    `json:"steady"`   // demand if work keeps arriving at the present rate
-	Missing      int    `json:"missing"`  // hosts
+	Share        int    `json:"share"`    // hosts of the fleet that the pool may have, at most those that it claims
+	Missing      int    `json:"missing"`  // hosts of its share
+	Urgent       int    `json:"urgent"`   // hosts that long-running tasks and gangs lack
 	Lacking      int    `json:"lacking"`  // hosts of certain kinds, beyond those on the way
 
 	ReportAge         int64 `json:"answer_age_ms"`   // since the latest report
@@ -52,7 +54,7 @@
 func (f *Fleet) PoolStatuses(now time.Time) []PoolStatus {
 	var list []PoolStatus
 	for _, b := range f.balances(now) {
-		s := PoolStatus{Pool: b.pool, Hosts: b.hosts, Need: f.need(b.pool, now), RecentNeed: f.recentNeed(b.pool), Missing: b.missing}
+		s := PoolStatus{Pool: b.pool, Hosts: b.hosts, Need: b.need, RecentNeed: f.recentNeed(b.pool), Share: b.share, Missing: b.missing, Urgent: b.urgent}
 		s.Idle, s.Unavailable = len(f.reports[b.pool].Load.Idle), f.countsOf(b.pool).unavailable
 		for _, n := range b.lacking {
 			s.Lacking += n.Hosts
@@ -86,11 +88,17 @@
 
 // balance compares the hosts that a pool has with those that it needs.
 type balance struct {
-	pool    string
-	hosts   int // hosts that serve the pool or are on the way to it
-	missing int
-	spare   int
-	lacking []HostNeed // hosts of certain kinds, beyond those on the way
+	pool     string
+	hosts    int // hosts that serve the pool or are on the way to it
+	need     int
+	unfit    int // hosts that are slow or will stop soon
+	share    int // of the hosts of the fleet, at most what the pool claims
+	missing  int // hosts of its share
+	spare    int
+	excess   int        // hosts beyond its highest share during shareDelay
+	urgent   int        // hosts of its share that long-running tasks and gangs lack
+	lacking  []HostNeed // hosts of certain kinds, beyond those on the way
+	arriving int        // hosts of these kinds that are on the way
 }
 
 func (f *Fleet) balances(now time.Time) []*balance {
@@ -100,18 +108,26 @@
 		if f.isStandby(pool) {
 			continue
 		}
-		b := &balance{pool: pool, hosts: f.countsOf(pool).serving}
-		need := f.need(pool, now)
 		l := f.reports[pool].Load
-		unfit := len(l.Slow) + l.Leaving
-		b.missing = max(0, need+unfit-b.hosts)
-		b.spare = max(0, b.hosts-f.recentNeed(pool)-unfit)
-		b.lacking, _ = f.lackingHosts(pool, now)
+		b := &balance{pool: pool, hosts: f.countsOf(pool).serving, unfit: len(l.Slow) + l.Leaving}
+		b.lacking, b.arriving = f.lackingHosts(pool, now)
+		b.need = f.need(pool, b.arriving, now)
+		b.spare = max(0, b.hosts-f.recentNeed(pool)-b.unfit)
 		list = append(list, b)
 	}
+	f.shareOut(list, now)
+	for _, b := range list {
+		d := f.moves.demands[b.pool]
+		d.shares = addSample(d.shares, needSample{now, b.share}, shareDelay)
+		b.missing = max(0, min(b.need+b.unfit, b.share)-b.hosts)
+		b.excess = max(0, b.hosts-highest(d.shares))
+	}
 	return list
 }
 
+// lacks reports whether the pool has fewer hosts than it needs.
+func (b *balance) lacks() bool { return b.need+b.unfit > b.hosts }
+
 // servedPool returns the pool that the host serves or is on the way to; ok is false if it serves none.
 func (m *machine) servedPool() (pool string, ok bool) {
 	if m.moving || m.orderPending && m.target != "" {
@@ -129,25 +145,16 @@
 		return
 	}
 	balances := f.balances(now)
-	f.moves.shortage = neediest(balances) != nil
-	slices.SortStableFunc(balances, func(a, b *balance) int { return cmp.Compare(b.missing, a.missing) })
+	f.moves.shortage = slices.ContainsFunc(balances, (*balance).lacks)
+	slices.SortStableFunc(balances, func(a, b *balance) int {
+		return cmp.Or(cmp.Compare(b.urgent, a.urgent), cmp.Compare(b.missing, a.missing))
+	})
 	f.cancelNeededEvacuations(balances)
 	f.moveEvacuated(balances, now, plan)
 	f.moveStandby(balances, now, plan)
 	f.evacuateSpare(balances, now)
 }
 
-// neediest returns the pool that lacks the most hosts, or nil if none does.
-func neediest(balances []*balance) *balance {
-	var most *balance
-	for _, b := range balances {
-		if b.missing > 0 && (most == nil || b.missing > most.missing) {
-			most = b
-		}
-	}
-	return most
-}
-
 // moveEvacuated moves hosts that were evacuated for a move to the pool that lacks the most hosts, else to the standby pool.
 func (f *Fleet) moveEvacuated(balances []*balance, now time.Time, plan *Plan) {
 	for _, m := range f.sorted {
@@ -165,7 +172,7 @@
 
 // moveStandby moves hosts of the standby pool to pools that lack hosts; slow hosts and those due for maintenance go last.
 func (f *Fleet) moveStandby(balances []*balance, now time.Time, plan *Plan) {
-	if neediest(balances) == nil && !slices.ContainsFunc(balances, func(b *balance) bool { return len(b.lacking) > 0 }) {
+	if !slices.ContainsFunc(balances, func(b *balance) bool { return b.missing > 0 || len(b.lacking) > 0 }) {
 		return
 	}
 	var list []*machine
@@ -192,31 +199,58 @@
 	plan.Orders = append(plan.Orders, Order{Machine: m.ID, Backend: m.Backend, Pool: target})
 }
 
-// evacuateSpare requests evacuation of hosts that pools don't need: idle ones first, then those with short runs only, and
-// those whose long-running tasks fit elsewhere once a pool has had spare hosts for a while.
+// evacuateSpare requests evacuation of hosts that pools don't need or that are beyond their share: idle ones first, then those with short runs
+// only, and those whose long-running tasks fit elsewhere once a pool has had spare hosts for a while.
 func (f *Fleet) evacuateSpare(balances []*balance, now time.Time) {
-	inFlight, limit := 0, f.maxConcurrentMoves()
+	inFlight, given, limit := 0, 0, f.maxConcurrentMoves()
 	for _, m := range f.sorted {
 		if m.moving || m.evacuating && m.reason == moveReason {
 			inFlight++
 		}
+		if !m.moving && m.evacuating && m.reason == moveReason && !f.isUnanswered(m, now) {
+			given++
+		}
 	}
+	urgent, wanted := f.hostsForShares(balances)
+	urgent, wanted = urgent-given, wanted-given
 	for _, b := range balances {
+		left := max(b.spare, min(b.hosts-b.share, urgent), min(b.excess, wanted))
 		for _, id := range f.releasableBackends(b, now) {
 			m := f.backends[id]
-			if b.spare <= 0 || inFlight >= limit {
+			if left <= 0 || inFlight >= limit {
 				break
 			}
-			if m == nil || m.Pool != b.pool || m.evacuating || !m.canTakeOrder(now) {
+			if m == nil || m.Pool != b.pool || m.evacuating || !m.canTakeOrder(now) || b.spare <= 0 && neediestFor(balances, m) == nil {
 				continue
 			}
 			b.spare--
+			left--
+			urgent--
+			wanted--
 			inFlight++
 			f.requestEvacuation(m, moveReason, now)
 		}
 	}
 }
 
+// hostsForShares returns how many hosts pools are to give up that they use beyond their shares: at once those that long-running tasks and gangs of
+// other pools lack, and all that pools lack if one of them lacks much of its share.
+func (f *Fleet) hostsForShares(balances []*balance) (urgent, wanted int) {
+	if f.options.KeepUsed {
+		return 0, 0
+	}
+	much := false
+	for _, b := range balances {
+		urgent += b.urgent
+		wanted += b.missing
+		much = much || float64(b.missing) > shareMargin*float64(b.share)
+	}
+	if !much {
+		wanted = 0
+	}
+	return urgent, wanted
+}
+
 // maxConcurrentMoves returns the limit of hosts that are moving or being evacuated for a move.
 func (f *Fleet) maxConcurrentMoves() int {
 	orders := f.options.OrderRate
@@ -230,11 +264,13 @@
 // ones and those due for maintenance come first.
 func (f *Fleet) releasableBackends(b *balance, now time.Time) []string {
 	d, report := f.moves.demands[b.pool], f.reports[b.pool]
-	if b.spare <= 0 {
+	switch {
+	case b.spare <= 0 && b.hosts <= b.share:
 		d.spareSince = time.Time{}
 		return nil
-	}
-	if d.spareSince.IsZero() {
+	case b.spare <= 0:
+		d.spareSince = time.Time{}
+	case d.spareSince.IsZero():
 		d.spareSince = now
 	}
 	l, idle := report.Load, slices.Clone(report.Load.Idle)
@@ -246,7 +282,7 @@
 		return idle
 	}
 	list := append(idle, l.ShortOnly...)
-	if len(list) == 0 && len(l.Movable) > 0 && now.Sub(d.spareSince) > consolidateAfter && f.countsOf(b.pool).evacuating == 0 {
+	if len(list) == 0 && len(l.Movable) > 0 && b.spare > 0 && now.Sub(d.spareSince) > consolidateAfter && f.countsOf(b.pool).evacuating == 0 {
 		return l.Movable[:1]
 	}
 	return list
@@ -263,7 +299,7 @@
 		if b == nil || !m.evacuating || m.reason != moveReason || m.orderPending {
 			continue
 		}
-		if b.needFor(m) <= 0 {
+		if hosts, _ := b.needFor(m); hosts <= 0 {
 			continue
 		}
 		b.add(m)
--- a/internal/basilcapacity/rows_test.go
+++ b/internal/basilcapacity/rows_test.go
@@ -39,9 +39,9 @@
 	request := EvacuationRequest{Epoch: 1000, Serial: 1000 << epochSerialBits, Backends: serials, Due: ids, Gone: gone}
 	lacking := make([]HostNeed, 8) // the most that a pool reports, with the longest labels
 	for n := range lacking {
-		lacking[n] = HostNeed{Label: strings.Repeat("x", 256), Resources: basilwork.Resources{CPU: 128000, Memory: 1 << 20, GPU: 16}, Hosts: poolHosts}
+		lacking[n] = HostNeed{Label: strings.Repeat("x", 256), Resources: basilwork.Resources{CPU: 128000, Memory: 1 << 20, GPU: 16}, Hosts: poolHosts, Lasting: poolHosts}
 	}
-	answer := PoolReport{Serial: 1000 << epochSerialBits, Empty: ids, Load: Load{Idle: ids, Slow: ids, Listed: poolHosts, Kept: poolHosts, Lacking: lacking}}
+	answer := PoolReport{Serial: 1000 << epochSerialBits, Empty: ids, Load: Load{Idle: ids, Slow: ids, LastingHosts: poolHosts, Listed: poolHosts, Kept: poolHosts, Lacking: lacking}}
 	t.Logf("request %d bytes, report %d bytes for %d hosts", encodedSize(t, request), encodedSize(t, answer), poolHosts)
 	must.Less(t, maxRowBytes, encodedSize(t, request))
 	must.Less(t, maxRowBytes, encodedSize(t, answer))
--- a/internal/basilcapacity/sharing_test.go
+++ b/internal/basilcapacity/sharing_test.go
@@ -1,6 +1,7 @@
 package basilcapacity
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -28,8 +29,9 @@
 	name    string
 	lasting func(at time.Duration) int // hosts of its long-running tasks
 	short   func(at time.Duration) int // hosts that its short tasks would fill
-	lacked  time.Duration              // for how long it has lacked hosts for long-running tasks
+	lacked  time.Duration              // for how long it has lacked hosts for long-running tasks, since it last lost any
 	longest time.Duration
+	silent  bool // its owner is away
 }
 
 // fleetPlay plays a fleet with its pools.
@@ -42,7 +44,7 @@
 	left    map[string]string    // by host, the pool that it left last
 	moves   int
 	returns int // moves of a host to the pool that it left last
-	flight  int // most hosts that moved or were evacuated at once
+	flight  int // most hosts that were evacuated or moved from one pool to another at once
 }
 
 func constant(hosts int) func(time.Duration) int { return func(time.Duration) int { return hosts } }
@@ -72,6 +74,11 @@
 
 // lose takes hosts of the pool away for good.
 func (p *fleetPlay) lose(pool string, hosts int) {
+	for _, o := range p.pools {
+		if o.name == pool && hosts > 0 {
+			o.lacked = 0
+		}
+	}
 	for n := range p.list {
 		if m := &p.list[n]; hosts > 0 && m.Pool == pool && m.Up {
 			m.Up, m.Pool, m.Backend = false, "lost", ""
@@ -87,7 +94,9 @@
 		p.SetMachines(p.list, p.now)
 		if p.now.Sub(p.began)%playReport == 0 {
 			for _, o := range p.pools {
-				p.reportPool(o)
+				if !o.silent {
+					p.reportPool(o)
+				}
 			}
 		}
 		p.carryOut(p.Decide(p.now))
@@ -102,7 +111,6 @@
 			m.Up, m.Backend = true, ""
 			p.listed[m.ID] = p.now.Add(playListing)
 			if m.Pool != "spare" {
-				p.moves++
 				m.Backend = fmt.Sprintf("i-%s-%d", m.ID, p.moves)
 			}
 		}
@@ -111,6 +119,7 @@
 
 func (p *fleetPlay) carryOut(plan Plan) {
 	for _, o := range plan.Orders {
+		p.moves++
 		n := slices.IndexFunc(p.list, func(m basilwork.Machine) bool { return m.ID == o.Machine })
 		if p.left[o.Machine] == o.Pool && o.Pool != "spare" {
 			p.returns++
@@ -120,7 +129,12 @@
 		p.arrival[o.Machine] = p.now.Add(playMove)
 		p.SetOrderOutcome(o, nil, p.now)
 	}
-	flight := len(p.arrival)
+	var flight int
+	for id := range p.arrival {
+		if p.left[id] != "spare" {
+			flight++
+		}
+	}
 	for _, r := range p.requests {
 		flight += len(r.Backends)
 	}
@@ -171,12 +185,14 @@
 	return count
 }
 
-// newStarvingPlay returns the loads of four pools one of which needs four times the fleet, while another has lost half of its hosts.
-func newStarvingPlay(t *testing.T) *fleetPlay {
+// newStarvingPlay returns the loads of four pools one of which needs four times the fleet, while another has just lost half of its hosts. Pool b
+// has short tasks for the given number of hosts.
+func newStarvingPlay(t *testing.T, short int) *fleetPlay {
 	p := newFleetPlay(t, 0, []int{270, 29, 25, 26},
-		&playedPool{name: "peak", lasting: constant(12), short: constant(1140)}, &playedPool{name: "b", lasting: constant(24), short: constant(1)},
+		&playedPool{name: "peak", lasting: constant(12), short: constant(1140)}, &playedPool{name: "b", lasting: constant(24), short: constant(short)},
 		&playedPool{name: "c", lasting: constant(20), short: constant(1)}, &playedPool{name: "robbed", lasting: constant(22), short: constant(1)})
-	p.play(2 * time.Second)
+	p.play(playSettled)
+	p.returns = 0
 	p.lose("robbed", 13)
 	return p
 }
@@ -184,7 +200,7 @@
 // TestLongRunningTasksGetHostsBesideUnmeetableNeed checks that a pool that lost half of its hosts gets others for its long-running tasks within a
 // move and its list of servers, though the need of another pool exceeds the fleet.
 func TestLongRunningTasksGetHostsBesideUnmeetableNeed(t *testing.T) {
-	p := newStarvingPlay(t)
+	p := newStarvingPlay(t, 1)
 	p.play(20 * time.Second)
 	robbed := p.pools[3]
 	must.LessEq(t, playLongestLack, robbed.longest, must.Sprintf("the pool has %d hosts", p.hostsOf("robbed")))
@@ -194,8 +210,7 @@
 // TestUnmeetableNeedStarvesNoOtherPool checks that pools whose needs are small get them while the need of another one exceeds the fleet, that no
 // host goes back and forth, and that the limit of concurrent moves is kept.
 func TestUnmeetableNeedStarvesNoOtherPool(t *testing.T) {
-	p := newStarvingPlay(t)
-	p.pools[1].short = constant(31)
+	p := newStarvingPlay(t, 31)
 	p.play(playSettled)
 	for _, x := range []struct {
 		pool  string
@@ -209,3 +224,27 @@
 	must.Eq(t, 0, p.returns)
 	must.LessEq(t, p.maxConcurrentMoves(), p.flight)
 }
+
+// TestUnmeetableNeedsAreSharedOut checks that pools whose needs exceed the fleet each get a like share of it.
+func TestUnmeetableNeedsAreSharedOut(t *testing.T) {
+	p := newStarvingPlay(t, 400)
+	p.play(playSettled)
+	hosts := []int{p.hostsOf("peak"), p.hostsOf("b")}
+	slices.SortFunc(hosts, cmp.Compare)
+	must.GreaterEq(t, hosts[1]*3/4, hosts[0], must.Sprint(hosts))
+	must.LessEq(t, p.maxConcurrentMoves(), p.flight)
+}
+
+// TestUrgentHostsDoNotWaitForPoolWithoutOwner checks that hosts for long-running tasks come from another pool if the one that was asked first has no
+// owner that answers.
+func TestUrgentHostsDoNotWaitForPoolWithoutOwner(t *testing.T) {
+	peak := func(name string) *playedPool {
+		return &playedPool{name: name, lasting: constant(5), short: constant(400)}
+	}
+	p := newFleetPlay(t, 0, []int{100, 80, 20}, peak("a"), peak("b"), &playedPool{name: "robbed", lasting: constant(18), short: constant(0)})
+	p.play(playSettled)
+	p.pools[0].silent = true
+	p.lose("robbed", 10)
+	p.play(playSettled)
+	must.LessEq(t, playLongestLack+shareDelay, p.pools[2].longest)
+}
--- a/internal/basilscheduler/host_need.go
+++ b/internal/basilscheduler/host_need.go
@@ -24,6 +24,7 @@
 	Label     string              // that the hosts must have; empty if any will do
 	Resources basilwork.Resources // that each of them must have at least
 	Hosts     int
+	Lasting   int // of them for long-running tasks and gangs
 }
 
 // hostNeeds is the need of the waiting work counted in hosts, as of a point in time.
@@ -35,6 +36,7 @@
 	present   int // backend servers that the pool has and isn't asked to evacuate
 	kept      int // sound ones of these without those that the pool could do without; 0 if no work needs whole hosts
 	lacking   []HostNeed
+	lasting   int // hosts of those present that long-running tasks and gangs need, if any hosts are lacking
 }
 
 // hostCount is the state of counting the needed hosts.
@@ -81,6 +83,7 @@
 	demand  basilwork.Resources // maximum of the tasks
 	size    basilwork.Resources
 	packed  int                 // hosts taken by tasks that have no host, and by long-running ones
+	lasting int                 // of these, hosts of long-running ones
 	left    basilwork.Resources // on the last of these
 	waiting basilwork.Resources // total demand of the short tasks for which a host comes free
 	gang    int                 // hosts of the gang that needs the most; gangs can run one after the other
@@ -112,7 +115,7 @@
 			n.present++
 		}
 	}
-	n.lacking = c.lacking()
+	n.lacking, n.lasting = c.lacking()
 	n.kept = len(c.hosts)
 	for i := range c.hosts {
 		if c.hosts[i].empty && !c.hosts[i].taken {
@@ -165,7 +168,11 @@
 	case f.empty && !s.spec.LongRunning:
 		g.waiting = g.waiting.Add(multiply(w.demand, s.idle))
 	default:
+		packed := g.packed
 		g.pack(s.idle, w.demand, s.perHost(f.size))
+		if s.spec.LongRunning {
+			g.lasting += max(1, g.packed-packed)
+		}
 	}
 }
 
@@ -333,22 +340,37 @@
 	return (a + b - 1) / b
 }
 
-// lacking takes empty hosts for the groups, those with a label first, and returns what is missing.
-func (c *hostCount) lacking() []HostNeed {
+// lacking takes empty hosts for the groups, those with a label first, and returns what is missing, and how many of those present long-running
+// tasks and gangs need.
+func (c *hostCount) lacking() (needs []HostNeed, lasting int) {
 	slices.SortStableFunc(c.groups, func(a, b hostGroup) int { return cmp.Compare(min(len(b.label), 1), min(len(a.label), 1)) })
-	var needs []HostNeed
+	lasting = c.occupied
 	for _, g := range c.groups {
 		left := g.hostCount()
+		lastingLeft := min(left, max(g.lasting, g.gang))
 		for n := range c.hosts {
 			h := &c.hosts[n]
 			if left > 0 && h.empty && !h.taken && h.hasLabel(g.label) && h.room.Covers(g.demand) {
 				h.taken = true
 				left--
+				if lastingLeft > 0 {
+					lastingLeft--
+					lasting++
+				}
 			}
 		}
 		if left > 0 {
-			needs = append(needs, HostNeed{Label: g.label, Resources: g.demand, Hosts: left})
+			needs = append(needs, HostNeed{Label: g.label, Resources: g.demand, Hosts: left, Lasting: min(left, lastingLeft)})
 		}
 	}
-	return needs
+	return needs, lasting
+}
+
+// lastingLacked returns how many hosts long-running tasks and gangs lack.
+func lastingLacked(needs []HostNeed) int {
+	var hosts int
+	for _, n := range needs {
+		hosts += n.Lasting
+	}
+	return hosts
 }
--- a/internal/basilscheduler/host_need_test.go
+++ b/internal/basilscheduler/host_need_test.go
@@ -66,6 +66,35 @@
 	}
 }
 
+// TestLackingHostsTellLongRunningTasksAndGangs checks how many of the hosts that a pool lacks or has are for long-running tasks and gangs. A pool
+// whose short tasks lack many hosts took those that the long-running tasks of another one lacked.
+func TestLackingHostsTellLongRunningTasksAndGangs(t *testing.T) {
+	gang := stepOf(7, 7000)
+	gang.Gang = true
+	wide := longStep(1, 16000)
+	wide.AntiAffinity = 0
+	cases := map[string]struct {
+		steps           []basilwork.Step
+		hosts, lasting  int
+		hostsForLasting int
+	}{
+		"short tasks":                       {[]basilwork.Step{stepOf(5, 16000)}, 5, 0, 3},
+		"long-running tasks":                {[]basilwork.Step{longStep(5, 1000)}, 2, 2, 3},
+		"gang":                              {[]basilwork.Step{gang}, 1, 1, 3},
+		"long-running ones beside short":    {[]basilwork.Step{stepOf(5, 16000), wide}, 6, 1, 3},
+		"small tasks that wait for a place": {[]basilwork.Step{stepOf(100, 3000)}, 0, 0, 3},
+	}
+	for name, x := range cases {
+		f := newOccupiedFixture(t)
+		f.addJob("j", x.steps...)
+		f.decideAndStart()
+		l := f.Load(f.now)
+		must.Eq(t, x.hosts, totalHosts(l.Lacking), must.Sprint(name))
+		must.Eq(t, x.lasting, lastingLacked(l.Lacking), must.Sprint(name))
+		must.Eq(t, x.hostsForLasting, l.LastingHosts, must.Sprint(name))
+	}
+}
+
 // TestHostsAreLackedByGangOnSmallHosts checks that an empty host counts for as many members of a gang as fit on it. Each counted for as many
 // as the largest host of the pool holds, and the gang waited for ever.
 func TestHostsAreLackedByGangOnSmallHosts(t *testing.T) {
--- a/internal/basilscheduler/load.go
+++ b/internal/basilscheduler/load.go
@@ -28,6 +28,7 @@
 	Room          basilwork.Resources
 	WaitingDemand basilwork.Resources // of the waiting tasks
 	Serving       basilwork.Resources // of the long-running tasks
+	LastingHosts  int                 // hosts of those listed that long-running tasks and gangs need, beside others that they lack
 	MinBackends   int                 // minimum number of backend servers for the long-running tasks, and for waiting ones that fit beside none of these
 	Listed        int                 // backend servers in the current list that are not being evacuated, if Kept is set
 	Kept          int                 // sound ones of these that are used or needed, if waiting work needs hosts without long-running tasks
@@ -133,6 +134,7 @@
 	}
 	n := p.hostNeeds(now)
 	l.Listed, l.Kept, l.Lacking = n.present, n.kept, n.lacking
+	l.LastingHosts = max(p.backlog.minBackends()-lastingLacked(n.lacking), n.lasting)
 	l.MinBackends = max(l.MinBackends, n.kept)
 	return l
 }
