scheduler: keep tasks off the address where their server crashed

Callers saw: a job without a fault is shown as failed beside one server that crashes again and again under new IDs.

Cause: a task avoids the ID of the server that it was lost with, not its address. The loss is found 2.4 to 2.8 s after the crash, 0.1 to 1 s before the next one, when the successor is up and empty. The other servers are closed for 0.3 s each, since suspects of the same crash have just been started there, so the task goes to the successor and is lost again: four crashes of weight 1, all at one address, and the job is given up.

With it the task waits for the 0.3 s, so that its next crash, if it is the cause, is at another address and tells something. The wait is that for an ID: 4 s, 2 s while the pool is half empty, none if the server is the only one. Long-running tasks don't wait, nor do those of a failed rack, which has many empty servers.

--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -112,9 +112,22 @@
 	if len(told.Suspects) > 0 {
 		p.actions.Crashes = append(p.actions.Crashes, told)
 	}
+	if !c.withRack {
+		p.avoidAddress(l, now)
+	}
 	l.suspects, l.crashed = nil, l.suspects
 }
 
+// avoidAddress keeps the suspects off the server's successor at its address for a while. One that crashes again and again would otherwise take
+// the same tasks along each time: it is the emptiest as it returns.
+func (p *Pool) avoidAddress(l *silence, now time.Time) {
+	for _, s := range l.suspects {
+		if t := p.findTask(s.task); t != nil && !t.step.spec.LongRunning && l.address != "" {
+			t.avoidBackend(l.address, now.Add(avoidTime))
+		}
+	}
+}
+
 func (c *Crash) add(s suspect, weight, sum int) {
 	c.Suspects = append(c.Suspects, Suspect{Task: s.task, Attempt: s.attempt, Prompt: s.prompt, Certain: s.certain, Weight: weight, Sum: sum})
 }
--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -167,8 +167,7 @@
 // avoids reports whether the task currently avoids the backend server. A short task that has been held back for long goes back to it
 // while the pool has room.
 func (p *Pool) avoids(t *task, b *backend, now time.Time) bool {
-	until, ok := t.avoidUntil[b.ID]
-	if !ok || !now.Before(until) || len(p.backends) <= 1 {
+	if !now.Before(t.avoidUntil[b.ID]) && !now.Before(t.avoidUntil[b.Address]) || len(p.backends) <= 1 {
 		return false
 	}
 	return t.step.spec.LongRunning || now.Sub(t.readyAt) < maxHoldBack || !p.wasHalfEmpty()
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -68,7 +68,7 @@
 	runs       []*run
 	notBefore  time.Time
 	readyAt    time.Time
-	avoidUntil map[string]time.Time // backend servers to avoid, and until when
+	avoidUntil map[string]time.Time // backend servers to avoid, by ID or address, and until when
 	suspicion  int                  // weight of the recorded crashes of backend servers that had a run of it
 	excused    bool                 // a crash that something else explains was not counted
 	accounted  bool                 // its newest run is known: this owner has started it or seen it running
@@ -85,7 +85,7 @@
 	return nil
 }
 
-// avoidBackend keeps new runs of the task off the backend server until the given time.
+// avoidBackend keeps new runs of the task off the backend server with the ID, or those at the address, until the given time.
 func (t *task) avoidBackend(backend string, until time.Time) {
 	if t.avoidUntil == nil {
 		t.avoidUntil = make(map[string]time.Time)
