node: hold one report of each server while the jobs are read, as of its time

An owner that reads its pool's jobs keeps each report of each server, and a list of all servers each 250 ms, since accepted jobs and lists come between the reports: 6,040 events for 300 servers in 8 s, for the length of the read, which has no bound. Handled at the end of the read, a report of seconds ago made its server one that was heard just now, and servers that had crashed one after the other fell silent at the same moment, as a rack does. The lists were applied after the newest one, from the oldest on, so that servers that had joined meanwhile left and came back.

Cause: any event of another kind ended the replacement of reports, and all were handled with the time of the read's end.

Now a report replaces an earlier one unless something else has happened to that server, a list any earlier list, and each event is handled in the order and with the time at which it was queued.

Evidence: TestHeldReportsAreBoundedWhileJobsAreAccepted: 6,040 events before, within 909 now. TestHeldEventsAreHandledAsOfTheirTime failed before with the time of the end for all.

--- a/internal/basilnode/loop_stats.go
+++ b/internal/basilnode/loop_stats.go
@@ -16,7 +16,8 @@
 // event is a function for a control goroutine to run, and the time at which it was queued.
 type event struct {
 	handle   func(now time.Time)
-	report   string // ID of the backend server if the event is its report, and an earlier one says nothing that this one doesn't
+	subject  string // ID of the backend server that the event tells of, or listSubject; empty for all others
+	complete bool   // an earlier event on the subject says nothing that this one doesn't
 	queuedAt time.Time
 }
 
--- a/internal/basilnode/node_backends.go
+++ b/internal/basilnode/node_backends.go
@@ -99,7 +99,7 @@
 func (n *Node) sendBackends(owners []*owner) {
 	for _, o := range owners {
 		list, at := n.backends(o.service)
-		o.send(func(time.Time) { o.applyBackends(list, at) })
+		o.sendEvent(event{subject: listSubject, complete: true, handle: func(time.Time) { o.applyBackends(list, at) }})
 	}
 }
 
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -85,11 +85,7 @@
 // Report handles a backend server's answer to a hold request. restarted tells that the server has restarted.
 func (o *owner) Report(id string, r basilwork.Report, sent time.Time, restarted bool) {
 	o.orders.answered(id)
-	e := event{report: id}
-	if restarted {
-		e.report = ""
-	}
-	e.handle = func(now time.Time) {
+	o.sendEvent(event{subject: id, complete: !restarted, handle: func(now time.Time) {
 		var before []basilscheduler.RunState
 		if restarted {
 			before = o.pool.RunStates(id)
@@ -101,8 +97,7 @@
 		o.logRunEnds(id, r)
 		o.pool.Report(id, r, sent, now)
 		o.recordLosses(id, reasonRestarted, before, now)
-	}
-	o.sendEvent(e)
+	}})
 }
 
 func (o *owner) logRunEnds(id string, r basilwork.Report) {
@@ -119,15 +114,15 @@
 
 // Attached records that a backend server has answered a request with the owner's epoch.
 func (o *owner) Attached(id string) {
-	o.send(func(time.Time) {
+	o.sendEvent(event{subject: id, handle: func(time.Time) {
 		o.pool.Attached(id)
 		o.heard(id)
-	})
+	}})
 }
 
 // Reachable records whether a backend server answers.
 func (o *owner) Reachable(id string, reachable bool) {
-	o.send(func(now time.Time) {
+	o.sendEvent(event{subject: id, handle: func(now time.Time) {
 		o.log.WithFields(o.describeReachability(id, reachable, now)).Info("backend server reachability changed")
 		o.pool.SetReachable(id, reachable)
 		if reachable {
@@ -136,7 +131,7 @@
 			o.noteFallenSilent(id)
 			o.ended.hasten()
 		}
-	})
+	}})
 }
 
 // describeReachability returns the fields of the log line about a backend server that answers again, or no longer does.
@@ -162,7 +157,7 @@
 
 // Lost records that nothing runs any more on the known incarnation of a backend server, and closes its connection.
 func (o *owner) Lost(id string, reason basilwork.Loss) {
-	o.send(func(now time.Time) {
+	o.sendEvent(event{subject: id, handle: func(now time.Time) {
 		o.log.WithFields(logrus.Fields{basillog.FieldHost: id, basillog.FieldReason: reason.String()}).Warn("backend server lost")
 		before := o.pool.RunStates(id)
 		o.pool.Lost(id, reason, now)
@@ -172,7 +167,7 @@
 		o.recordLosses(id, reason.String(), before, now)
 		o.closeConnection(id)
 		o.commit.forgetEnds(id)
-	})
+	}})
 }
 
 // Fenced ends the owner, because a backend server has seen a newer one.
