node: stop the runs of cancelled jobs while the jobs are read

The time grows with the rows and has no bound.

Cause: since a new owner renews the leases of all runs while it reads the jobs. Before, those of cancelled jobs lapsed with the others. Changes of jobs were followed only after the read, and reports are held until then.

Now changes are followed from the first page on, and a report that is held has the runs of those jobs stopped that are known to be cancelled. A stop is repeated after the stop timeout at the earliest.

--- a/internal/basilnode/loop_stats.go
+++ b/internal/basilnode/loop_stats.go
@@ -18,6 +18,7 @@
 	handle   func(now time.Time)
 	subject  string // ID of the backend server that the event tells of, or listSubject; empty for all others
 	complete bool   // an earlier event on the subject says nothing that this one doesn't
+	held     func() // called at once if the event is held, unless nil
 	queuedAt time.Time
 }
 
--- a/internal/basilnode/orders.go
+++ b/internal/basilnode/orders.go
@@ -234,6 +234,13 @@
 	}
 }
 
+// isCancelled reports whether further starts of the job are blocked.
+func (q *orderQueue) isCancelled(id string) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.cancelled[id]
+}
+
 // forget removes the jobs from the set of cancelled ones.
 func (q *orderQueue) forget(ids []string) {
 	q.mutex.Lock()
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -57,7 +57,8 @@
 	events           chan event
 	lastLoadLog      time.Time
 	orders           orderQueue
-	reload           *basilwork.PartitionReader // belongs to the goroutine of watchJobs; nil unless rows are to be read again
+	earlyStops       map[basilscheduler.Ref]time.Time // when the end of runs was requested while the jobs were read
+	reload           *basilwork.PartitionReader       // belongs to the goroutine of watchJobs; nil unless rows are to be read again
 	jobFreshness     freshness
 	backendFreshness freshness
 	ctx              context.Context
@@ -112,11 +113,9 @@
 	defer close(o.done)
 	defer o.node.metrics.setWaits(o.service, basilscheduler.Waits{})
 	defer o.node.metrics.setAbsence(o.service, 0)
-	version, ok := o.load()
-	if !ok {
+	if !o.load() {
 		return
 	}
-	go o.watchJobs(version)
 	go o.watchRequests()
 	go o.loadAbsences()
 	timer := time.NewTimer(0)
--- a/internal/basilnode/owner_backends.go
+++ b/internal/basilnode/owner_backends.go
@@ -85,7 +85,7 @@
 // Report handles a backend server's answer to a hold request. restarted tells that the server has restarted.
 func (o *owner) Report(id string, r basilwork.Report, sent time.Time, restarted bool) {
 	o.orders.answered(id)
-	o.sendEvent(event{subject: id, complete: !restarted, handle: func(now time.Time) {
+	o.sendEvent(event{subject: id, complete: !restarted, held: func() { o.stopCancelled(id, r.Running) }, handle: func(now time.Time) {
 		var before []basilscheduler.RunState
 		if restarted {
 			before = o.pool.RunStates(id)
--- a/internal/basilnode/owner_jobs.go
+++ b/internal/basilnode/owner_jobs.go
@@ -9,41 +9,45 @@
 	"basilstage.example/basilstage/internal/basilledger"
 	"basilstage.example/basilstage/internal/basillog"
 	"basilstage.example/basilstage/internal/basilplatform"
+	"basilstage.example/basilstage/internal/basilscheduler"
 	"basilstage.example/basilstage/internal/basilshard"
 	"basilstage.example/basilstage/internal/basiltimer"
 	"basilstage.example/basilstage/internal/basilwork"
 )
 
 // load reads what the previous owner has stored, and retries until the owner ends. The backend servers come first, so that the leases of the
-// runs there are renewed while the jobs are read, which takes seconds on a slow link.
-func (o *owner) load() (version int64, ok bool) {
+// runs there are renewed while the jobs are read, which takes seconds on a slow link. Of the reports only the runs of cancelled jobs count so far,
+// which are stopped.
+func (o *owner) load() (ok bool) {
 	if !o.retry("failed to read rows of backend servers; retrying", o.loadRecords) || !o.retry("failed to read the evacuation request; retrying", o.loadRequest) {
-		return 0, false
+		return false
 	}
 	for _, l := range o.connections {
 		l.SetBusy(true, 0, 0) // as far as is known: its reports are held
 	}
-	loaded := make(chan loadedJobs, 1)
+	loaded := make(chan []storedJob, 1)
 	go func() {
-		if l, ok := o.readJobs(); ok {
-			loaded <- l
+		if list, ok := o.readJobs(); ok {
+			loaded <- list
 		}
 	}()
 	var held heldEvents
 	for {
 		select {
 		case <-o.ctx.Done():
-			return 0, false
+			return false
 		case e := <-o.events:
 			held.add(e)
-		case l := <-loaded:
+			if e.held != nil {
+				e.held()
+			}
+		case list := <-loaded:
 			o.silenceAt, o.ended.next = time.Now().Add(silenceDelay), time.Now().Add(endedDelay)
 			o.pool.SetConfiguration(o.node.configuration())
-			o.applyJobs(l.list)
-			o.jobFreshness.markCurrent(l.askedAt)
+			o.applyJobs(list)
 			o.applyBackends(o.node.backends(o.service))
 			held.handle()
-			return l.version, true
+			return true
 		}
 	}
 }
@@ -61,28 +65,50 @@
 	return false
 }
 
-// loadedJobs are all jobs of a pool, as they were stored at askedAt or later.
-type loadedJobs struct {
-	list    []storedJob
-	askedAt time.Duration // on the clock of the options
-	version int64         // from which to watch for changes
-}
-
-// readJobs reads all jobs of the pool, and returns false if the owner ends before.
-func (o *owner) readJobs() (l loadedJobs, ok bool) {
+// readJobs reads all jobs of the pool, and returns false if the owner ends before. Changes are followed from the first page on.
+func (o *owner) readJobs() (list []storedJob, ok bool) {
 	began := time.Now()
 	r := basilwork.NewPartitionReader(o.node.store, basilledger.Partition(o.service))
+	following := false
+	var askedAt time.Duration
 	ok = o.retry("failed to read jobs; retrying", func() error {
-		if !r.Begun() {
-			l.askedAt = o.node.options.Clock()
+		if !following {
+			askedAt = o.node.options.Clock()
 		}
-		return r.Read(o.ctx, func(page []basilplatform.Item) { l.list = append(l.list, o.decodeJobs(page)...) })
+		return r.Read(o.ctx, func(page []basilplatform.Item) {
+			list = append(list, o.decodeJobs(page)...)
+			if !following {
+				following = true
+				o.jobFreshness.markCurrent(askedAt)
+				go o.watchJobs(r.Version())
+			}
+		})
 	})
 	if ok {
-		l.version = r.Version()
 		o.log.WithFields(logrus.Fields{"jobs": r.Items(), basillog.FieldDuration: time.Since(began).Milliseconds()}).Info("jobs loaded")
 	}
-	return l, ok
+	return list, ok
+}
+
+// stopCancelled requests the end of a predecessor's runs of cancelled jobs while the jobs are read. A request is repeated once its run should have
+// ended.
+func (o *owner) stopCancelled(id string, running []basilwork.RunStatus) {
+	now := time.Now()
+	for _, s := range running {
+		task, err := basilwork.ParseTaskID(s.Task)
+		if err != nil || !o.orders.isCancelled(task.Job) {
+			continue
+		}
+		ref := basilscheduler.Ref{Backend: id, Task: task, Attempt: s.Attempt}
+		if at, stopped := o.earlyStops[ref]; stopped && now.Sub(at) < o.node.options.StopTimeout {
+			continue
+		}
+		if o.earlyStops == nil {
+			o.earlyStops = make(map[basilscheduler.Ref]time.Time)
+		}
+		o.earlyStops[ref] = now
+		o.stopRun(basilscheduler.Stop{Ref: ref, Reason: "canceled"})
+	}
 }
 
 // storedJob is a job record with the id and the version of its row.
--- a/internal/basilnode/paged_takeover_test.go
+++ b/internal/basilnode/paged_takeover_test.go
@@ -127,3 +127,34 @@
 		must.Eq(t, 12, c.site.Running(longRunningID))
 	})
 }
+
+// TestCancelledRunsEndDuringTakeoverOnSlowLink checks that the runs of a job that is cancelled while a new owner reads its pool's jobs end as soon as
+// the platform asks, though the owner renews the leases of all runs meanwhile.
+func TestCancelledRunsEndDuringTakeoverOnSlowLink(t *testing.T) {
+	const (
+		jobs   = 10_000                               // 8 s
+		bounds = 4*time.Second + 900*time.Millisecond // cancel_ms and stop_timeout_ms of the deployments
+	)
+	run(t, 2, 8, constant(200*time.Millisecond), func(c *cluster) {
+		owner, other := c.owner("stretch"), c.other("stretch")
+		must.Eq(t, http.StatusOK, c.submit(owner, longPrefix, longRunningID, serving))
+		c.kill(other)
+		c.bandwidths = map[string]int{other: smallBandwidth}
+		c.start(other)
+		time.Sleep(5 * time.Second)
+		c.storeFinishedJobs(jobs, specBytes)
+		must.Eq(t, 12, c.site.Running(longRunningID))
+		c.kill(owner)
+		for c.owner("stretch") != other {
+			time.Sleep(50 * time.Millisecond)
+		}
+		c.start(owner)
+		time.Sleep(time.Second)
+		c.cancel(owner, longPrefix, longRunningID)
+		acked := time.Now()
+		for c.site.Running(longRunningID) > 0 && time.Since(acked) < time.Minute {
+			time.Sleep(50 * time.Millisecond)
+		}
+		must.LessEq(t, bounds, time.Since(acked))
+	})
+}
