scheduler: remember the crashes of a server that is back under its ID

Callers saw: nothing traced; found while reading the crashes of jobs given up beside a server that crashes again and again.

Cause: each return of a server under its ID went over all its earlier losses and dropped what had been counted for them, so that its crashes never passed for those of a server that crashes by itself. Two of them right after a start weighed 1 and 3, enough to give up a job whose only server they were; after returns under new IDs they weigh 1 each.

Only losses of which it was open whether the server had crashed are decided by its return now.

--- a/internal/basilscheduler/rack_test.go
+++ b/internal/basilscheduler/rack_test.go
@@ -137,6 +137,16 @@
 	away    []time.Duration // until a crashed server is back, by host
 }
 
+// newRackPlay returns a play of so many hosts, whose crashed servers are back after a time between the given ones.
+func newRackPlay(r *rapid.T, hosts int, from, to time.Duration) *rackPlay {
+	p := &rackPlay{lostPlay: newLostPlay(hosts, rapid.Uint64().Draw(r, "seed"))}
+	for range p.hosts {
+		p.sameID = append(p.sameID, rapid.Bool().Draw(r, "same id"))
+		p.away = append(p.away, drawTime(r, "away", from, to))
+	}
+	return p
+}
+
 // crash ends the life of a host, which comes back later.
 func (p *rackPlay) crash(h *playHost) {
 	if !h.life.up {
@@ -177,11 +187,7 @@
 	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
 		racks := rapid.IntRange(2, 3).Draw(r, "racks")
-		p := &rackPlay{lostPlay: newLostPlay(3*racks, rapid.Uint64().Draw(r, "seed"))}
-		for range p.hosts {
-			p.sameID = append(p.sameID, rapid.Bool().Draw(r, "same id"))
-			p.away = append(p.away, drawTime(r, "away", 2500*time.Millisecond, 6*time.Second))
-		}
+		p := newRackPlay(r, 3*racks, 2500*time.Millisecond, 6*time.Second)
 		work := rapid.Custom(func(r *rapid.T) basilwork.Step {
 			s := stepOf(rapid.IntRange(1, 3).Draw(r, "tasks"), rapid.SampledFrom([]int{1000, 5000, 12000}).Draw(r, "cpu"))
 			s.Estimate = drawTime(r, "estimate", time.Second, 20*time.Second)
--- a/internal/basilscheduler/silence.go
+++ b/internal/basilscheduler/silence.go
@@ -145,8 +145,12 @@
 // recordReturn records the crash of a lost backend server that has started again under its ID.
 func (p *Pool) recordReturn(id string, now time.Time) {
 	for n := range p.silences {
-		if l := &p.silences[n]; l.id == id {
-			l.unlisted = false
+		l := &p.silences[n]
+		if l.id != id {
+			continue
+		}
+		l.unlisted = false
+		if len(l.suspects) > 0 {
 			p.recordCrash(l, now)
 		}
 	}
