scheduler: bound the wait of a long-running task after a loss by 6 s

Seen by callers: a long-running task whose next three servers go for good while it is started there has no run for 15.4 s (LOST): each server that it may have crashed adds 2 s to the wait for the next start, 3, 5 and 7 s, so that the third one ends 7 s after the last loss, when the platform misses the task.

The wait after one loss is now 6 s at most, which leaves 1 s for the answer of the next server, its row and the start. A server that the task has crashed and that is back within 6 s is counted before as it was; the leases bounded the wait of later ones by 6.9 s already.

--- a/internal/basilscheduler/ended.go
+++ b/internal/basilscheduler/ended.go
@@ -14,6 +14,9 @@
 	// endedRunBackoff is how much longer that takes for each other server that the task may have crashed. With two such servers in turn a task
 	// runs again within the 9 s that the platform allows.
 	endedRunBackoff = 2 * time.Second
+	// maxEndedRunWait bounds that: the platform allows 7 s without a run after the last loss, and the next start takes up to 0.5 s for an answer of its
+	// server, and the write of its row.
+	maxEndedRunWait = 6 * time.Second
 )
 
 // giveUpEndedRuns ends the long-running runs on backend servers that have ended, some time after the last answers of these. A run whose start
@@ -57,7 +60,7 @@
 		p.possibleCrashes = p.countPossibleCrashes()
 	}
 	crashes := p.possibleCrashes[t.id] + len(t.step.progress.Crashes[t.id.Index])
-	return minEndedRunWait + time.Duration(crashes)*endedRunBackoff
+	return min(minEndedRunWait+time.Duration(crashes)*endedRunBackoff, maxEndedRunWait)
 }
 
 // countPossibleCrashes returns, for each task, how many lost or ended backend servers will count as crashed under it if they are found to have
--- a/internal/basilscheduler/lost_owner_test.go
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -238,6 +238,9 @@
 	}
 	order := basilwork.StartOrder{Task: s.Task.String(), Attempt: s.Attempt, Fence: o.epoch, Deadline: c.lease.Deadline(p.now, 4*time.Second)}
 	p.trace("epoch %d starts %s/%d on %s", o.epoch, s.Task, s.Attempt, s.Backend)
+	if p.beforeStart != nil {
+		p.beforeStart(s)
+	}
 	p.call(c, "start", playAnswerTimeout, func(l *playServer) playAnswer { return l.start(order, s.Task) }, func(a playAnswer, answered bool) {
 		if answered {
 			c.lease.RecordAnswer(a.clock, p.now)
--- a/internal/basilscheduler/lost_property_test.go
+++ b/internal/basilscheduler/lost_property_test.go
@@ -66,6 +66,8 @@
 	restless  bool // troubles come at any time
 	lines     []playLine
 
+	beforeStart func(s Start) // called for each start that is requested; nil for none
+
 	judgesStops bool // AVAIL is judged
 	late        bool // an order is carried out late
 }
