experiment: compare how pools share hosts that are too few

The tool plays a burst of all callers (-burst, -burst-for) and the loss of a share of one service's hosts (-lost), shows the worst kind of job and for how long a long-running task was away, and draws the hosts of the service that lost some. Policies: the product's shares, hosts that are used not taken (keep_used), long-running tasks first and then the most missing (floor, floor_keep), the most missing as before (most_missing).

--- a/cmd/experiment.go
+++ b/cmd/experiment.go
@@ -25,6 +25,7 @@
 const (
 	experimentLength = 60 * time.Second // of a load, some 15 s for each peak
 	shortestLoad     = 10 * time.Second
+	burstLength      = 6 * time.Second // of the incident in which one pool took all hosts
 )
 
 // experiment is what the flags of the subcommand say.
@@ -33,6 +34,9 @@
 	policies string
 	seeds    string
 	length   time.Duration
+	burst    float64
+	burstFor time.Duration
+	lost     float64
 	format   string
 	plot     string
 }
@@ -45,6 +49,9 @@
 	flags.StringVar(&e.policies, "policies", strings.Join(basilexperiment.PolicyStrings(), ","), "policies to compare")
 	flags.StringVar(&e.seeds, "seeds", "1,2,3", "seeds of the load; all policies meet the same jobs")
 	flags.DurationVar(&e.length, "length", experimentLength, "how long jobs come in")
+	flags.Float64Var(&e.burst, "burst", 1, "times as many jobs that come in for a while")
+	flags.DurationVar(&e.burstFor, "burst-for", burstLength, "length of the burst")
+	flags.Float64Var(&e.lost, "lost", 0, "share of the last service's hosts that are lost for good")
 	flags.StringVar(&e.plot, "plot", "", "SVG file for hosts held and used by the first seed")
 	formats := formatFlag(flags)
 	return &ffcli.Command{
@@ -72,6 +79,7 @@
 	if err != nil {
 		return err
 	}
+	load.Burst, load.BurstFor, load.Lost = e.burst, e.burstFor, e.lost
 	policies, err := e.parsePolicies()
 	if err != nil {
 		return err
@@ -88,7 +96,7 @@
 		return err
 	}
 	if e.plot != "" {
-		if err := writePlot(e.plot, figures); err != nil {
+		if err := writePlot(e.plot, load, figures); err != nil {
 			return err
 		}
 	}
@@ -122,12 +130,12 @@
 	return seeds, nil
 }
 
-func writePlot(path string, figures []*basilexperiment.Figures) error {
+func writePlot(path string, load *basilexperiment.Load, figures []*basilexperiment.Figures) error {
 	f, err := os.Create(path)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	err = basilexperiment.WritePlot(f, figures)
+	err = basilexperiment.WritePlot(f, load, figures)
 	if closed := f.Close(); err == nil {
 		err = errors.WithStack(closed)
 	}
--- a/internal/basilexperiment/experiment_test.go
+++ b/internal/basilexperiment/experiment_test.go
@@ -112,7 +112,7 @@
 	var back Figures
 	must.NoError(t, json.Unmarshal(lines.Bytes(), &back))
 	must.Eq(t, "arrival", back.PolicyName)
-	must.NoError(t, WritePlot(&plot, plays))
+	must.NoError(t, WritePlot(&plot, named(t, "hinokuni"), plays))
 	must.StrContains(t, plot.String(), "<svg")
 }
 
@@ -121,3 +121,18 @@
 	_, err := Named("nobody")
 	must.ErrorIs(t, err, ErrLoadUnknown{Name: "nobody"})
 }
+
+// TestNoLongRunningTaskWaitsForPeakOfAnotherService checks that long-running tasks whose service loses half of its hosts amid a peak of another
+// service are at work again within the time of the loss, of a move and of the lists, and that more of the work is on time than if each host went
+// to the service that lacks the most.
+func TestNoLongRunningTaskWaitsForPeakOfAnotherService(t *testing.T) {
+	l := named(t, "association_grown")
+	l.Burst, l.BurstFor, l.Lost = 6, 6*time.Second, 0.5
+	figures, err := Compare(t.Context(), l, []Policy{PolicyProduct, PolicyMostMissing}, []uint64{1}, playLength)
+	must.NoError(t, err)
+	product, before := figures[0], figures[1]
+	t.Logf("worth %.3f and %.3f, worst %.3f and %.3f, away %v and %v", product.Worth, before.Worth, product.Worst, before.Worst, product.Away, before.Away)
+	must.Less(t, 9*time.Second, product.Away)
+	must.Greater(t, before.Worth, product.Worth)
+	must.Greater(t, before.Worst, product.Worst)
+}
--- a/internal/basilexperiment/figures.go
+++ b/internal/basilexperiment/figures.go
@@ -49,6 +49,8 @@
 	Hosts      float64         `json:"hosts"`        // mean number that is paid for, those on their way included
 	Used       float64         `json:"used"`         // mean number that the work would fill
 	Moves      int             `json:"moves"`        // of hosts
+	Worst      float64         `json:"worst"`        // worth of the kind of job that is served worst
+	Away       time.Duration   `json:"away_ns"`      // longest time that a long-running task was not at work
 	Wasted     float64         `json:"wasted_cores"` // core-seconds of runs that came to nothing
 	Stranded   int             `json:"stranded"`     // jobs of which nothing ran for long though their pool had room
 	Queues     []*QueueFigures `json:"queues"`
@@ -62,6 +64,7 @@
 type moment struct {
 	at         time.Duration
 	held, used float64
+	loser      float64 // hosts held by the service that loses hosts
 }
 
 func newFigures(l *Load, p Policy) *Figures {
@@ -75,10 +78,10 @@
 }
 
 // sample notes how many hosts are held and used for a while.
-func (f *Figures) sample(at time.Duration, held, used float64, every time.Duration) {
-	f.series = append(f.series, moment{at: at, held: held, used: used})
-	f.Hosts += held * every.Seconds()
-	f.Used += used * every.Seconds()
+func (f *Figures) sample(m moment, every time.Duration) {
+	f.series = append(f.series, m)
+	f.Hosts += m.held * every.Seconds()
+	f.Used += m.used * every.Seconds()
 	f.length += every
 }
 
@@ -111,8 +114,10 @@
 		}
 	}
 	var earned, owed float64
+	f.Worst = 1
 	for _, q := range f.Queues {
 		q.close()
+		f.Worst = min(f.Worst, q.Worth)
 		earned += q.earned
 		owed += q.owed
 	}
--- a/internal/basilexperiment/load.go
+++ b/internal/basilexperiment/load.go
@@ -57,7 +57,10 @@
 	Wave     int                 // hosts that are maintained from the second tenth on
 	WaveMost int                 // of them at once
 	Orders   float64             // for hosts, per second, that the platform accepts
-	Starts   float64             // of tasks, per second, that the owner of a pool carries out; 0 for no limit
+	Burst    float64             // times as many jobs come in for BurstFor; 0 or 1 for none
+	BurstFor time.Duration
+	Lost     float64 // share of the hosts of the last service that are lost for good
+	Starts   float64 // of tasks, per second, that the owner of a pool carries out; 0 for no limit
 
 	HostPrice float64 // worth of holding one host all the time, as a share of all that is to be earned
 	MovePrice float64 // worth of one move, likewise, on a day of one minute
@@ -104,6 +107,14 @@
 	return l.Valley + (l.Peak-l.Valley)*height
 }
 
+// burstAt returns how many times as many jobs come in at the time as without a burst.
+func (l *Load) burstAt(at time.Duration) float64 {
+	if l.Burst > 1 && at >= burstAt && at < burstAt+l.BurstFor {
+		return l.Burst
+	}
+	return 1
+}
+
 // arrivals returns the jobs of a load, in the order of their arrival; one seed gives the same ones each time.
 func (l *Load) arrivals(seed uint64, length time.Duration) []arrival {
 	var all []arrival
@@ -111,11 +122,11 @@
 		q := &l.Queues[n]
 		r := rand.New(rand.NewPCG(seed, uint64(n)))
 		for at := time.Duration(0); ; {
-			at += seconds(r.ExpFloat64() / (q.Rate * l.Peak))
+			at += seconds(r.ExpFloat64() / (q.Rate * l.Peak * max(1, l.Burst)))
 			if at >= length {
 				break
 			}
-			if r.Float64()*l.Peak < l.demandAt(q.Service, at, length) {
+			if r.Float64()*l.Peak*max(1, l.Burst) < l.demandAt(q.Service, at, length)*l.burstAt(at) {
 				all = append(all, q.arrival(r, at, len(all)))
 			}
 		}
--- a/internal/basilexperiment/plot.go
+++ b/internal/basilexperiment/plot.go
@@ -15,19 +15,30 @@
 	plotHeight = 12 * vg.Centimeter
 )
 
-// WritePlot draws as SVG how many hosts each policy held and how many its work would fill, over time.
-func WritePlot(w io.Writer, plays []*Figures) error {
+// WritePlot draws as SVG how many hosts each policy held and how many its work would fill, over time; with a loss of hosts, how many hosts the
+// service had that lost some.
+func WritePlot(w io.Writer, l *Load, plays []*Figures) error {
 	p := plot.New()
 	p.Title.Text = "hosts held and used"
+	if l.Lost > 0 {
+		p.Title.Text = "hosts of the service that lost some"
+	}
 	p.X.Label.Text = "s"
 	p.Y.Label.Text = "hosts"
 	p.Y.Min = 0
 	p.Legend.Top = true
 	for n, f := range plays {
-		held, used := make(plotter.XYs, len(f.series)), make(plotter.XYs, len(f.series))
+		held, used, loser := make(plotter.XYs, len(f.series)), make(plotter.XYs, len(f.series)), make(plotter.XYs, len(f.series))
 		for i, m := range f.series {
-			held[i].X, held[i].Y = m.at.Seconds(), m.held
-			used[i].X, used[i].Y = m.at.Seconds(), m.used
+			held[i] = plotter.XY{X: m.at.Seconds(), Y: m.held}
+			used[i] = plotter.XY{X: m.at.Seconds(), Y: m.used}
+			loser[i] = plotter.XY{X: m.at.Seconds(), Y: m.loser}
+		}
+		if l.Lost > 0 {
+			if err := addLine(p, n, f.PolicyName, loser, false); err != nil {
+				return err
+			}
+			continue
 		}
 		if err := addLine(p, n, f.PolicyName+" held", held, false); err != nil {
 			return err
--- a/internal/basilexperiment/policy_enumer.go
+++ b/internal/basilexperiment/policy_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _PolicyName = "productarrivalshortestidle_onlystaticleast_slackslack"
+const _PolicyName = "productarrivalshortestidle_onlystaticleast_slackslackkeep_usedfloorfloor_keepmost_missing"
 
-var _PolicyIndex = [...]uint8{0, 7, 14, 22, 31, 37, 48, 53}
+var _PolicyIndex = [...]uint8{0, 7, 14, 22, 31, 37, 48, 53, 62, 67, 77, 89}
 
-const _PolicyLowerName = "productarrivalshortestidle_onlystaticleast_slackslack"
+const _PolicyLowerName = "productarrivalshortestidle_onlystaticleast_slackslackkeep_usedfloorfloor_keepmost_missing"
 
 func (i Policy) String() string {
 	if i < 0 || i >= Policy(len(_PolicyIndex)-1) {
@@ -31,9 +31,13 @@
 	_ = x[PolicyStatic-(4)]
 	_ = x[PolicyLeastSlack-(5)]
 	_ = x[PolicySlack-(6)]
+	_ = x[PolicyKeepUsed-(7)]
+	_ = x[PolicyFloor-(8)]
+	_ = x[PolicyFloorKeep-(9)]
+	_ = x[PolicyMostMissing-(10)]
 }
 
-var _PolicyValues = []Policy{PolicyProduct, PolicyArrival, PolicyShortest, PolicyIdleOnly, PolicyStatic, PolicyLeastSlack, PolicySlack}
+var _PolicyValues = []Policy{PolicyProduct, PolicyArrival, PolicyShortest, PolicyIdleOnly, PolicyStatic, PolicyLeastSlack, PolicySlack, PolicyKeepUsed, PolicyFloor, PolicyFloorKeep, PolicyMostMissing}
 
 var _PolicyNameToValueMap = map[string]Policy{
 	_PolicyName[0:7]:   PolicyProduct,
@@ -43,6 +47,10 @@
 	_PolicyName[31:37]: PolicyStatic,
 	_PolicyName[37:48]: PolicyLeastSlack,
 	_PolicyName[48:53]: PolicySlack,
+	_PolicyName[53:62]: PolicyKeepUsed,
+	_PolicyName[62:67]: PolicyFloor,
+	_PolicyName[67:77]: PolicyFloorKeep,
+	_PolicyName[77:89]: PolicyMostMissing,
 }
 
 var _PolicyLowerNameToValueMap = map[string]Policy{
@@ -53,6 +61,10 @@
 	_PolicyLowerName[31:37]: PolicyStatic,
 	_PolicyLowerName[37:48]: PolicyLeastSlack,
 	_PolicyLowerName[48:53]: PolicySlack,
+	_PolicyLowerName[53:62]: PolicyKeepUsed,
+	_PolicyLowerName[62:67]: PolicyFloor,
+	_PolicyLowerName[67:77]: PolicyFloorKeep,
+	_PolicyLowerName[77:89]: PolicyMostMissing,
 }
 
 var _PolicyNames = []string{
@@ -63,6 +75,10 @@
 	_PolicyName[31:37],
 	_PolicyName[37:48],
 	_PolicyName[48:53],
+	_PolicyName[53:62],
+	_PolicyName[62:67],
+	_PolicyName[67:77],
+	_PolicyName[77:89],
 }
 
 // PolicyString retrieves an enum value from the enum constants string name.
--- a/internal/basilexperiment/pool.go
+++ b/internal/basilexperiment/pool.go
@@ -242,7 +242,7 @@
 
 // lasting submits the service's long-running job.
 func (p *pool) lasting(s *Service) {
-	a := &arrival{at: p.world.now, job: basilwork.Job{ID: "lasting-" + s.Name, Queue: "lasting-" + s.Name, Steps: []basilwork.Step{{
+	a := &arrival{at: p.world.now, job: basilwork.Job{ID: lastingJob(s), Queue: lastingJob(s), Steps: []basilwork.Step{{
 		Count: s.Lasting, Resources: basilwork.Resources{CPU: int(s.Room), Memory: lastingMemoryMB}, Estimate: startup,
 		LongRunning: true, AntiAffinity: s.Apart, MaxUnavailable: 1, HasMaxUnavailable: true,
 	}}}, work: []time.Duration{startup}}
--- a/internal/basilexperiment/report.go
+++ b/internal/basilexperiment/report.go
@@ -12,11 +12,12 @@
 // WriteTable writes the figures of plays as a table, one line for each play and one for each kind of job.
 func WriteTable(w io.Writer, plays []*Figures) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "load\tpolicy\tqueue\tjobs\ton time\tlate\tworth\tnet\tlargest tenth\tp50 ms\tp99 ms\thosts\tused\tmoves\twasted core-s")
+	fmt.Fprintln(t, "load\tpolicy\tqueue\tjobs\ton time\tlate\tworth\tnet\tlargest tenth\tp50 ms\tp99 ms\thosts\tused\tmoves\twasted core-s\tworst\taway s")
 	for _, f := range plays {
-		fmt.Fprintf(t, "%s\t%s\tall\t\t\t\t%.3f\t%.3f\t\t\t\t%.1f\t%.1f\t%d\t%.0f\n", f.Load, f.PolicyName, f.Worth, f.Net, f.Hosts, f.Used, f.Moves, f.Wasted)
+		fmt.Fprintf(t, "%s\t%s\tall\t\t\t\t%.3f\t%.3f\t\t\t\t%.1f\t%.1f\t%d\t%.0f\t%.3f\t%.1f\n",
+			f.Load, f.PolicyName, f.Worth, f.Net, f.Hosts, f.Used, f.Moves, f.Wasted, f.Worst, f.Away.Seconds())
 		for _, q := range f.Queues {
-			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%.3f\t\t%.2f\t%d\t%d\t\t\t\t\n",
+			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%.3f\t\t%.2f\t%d\t%d\t\t\t\t\t\t\n",
 				f.Load, f.PolicyName, q.Queue, q.Jobs, q.OnTime, q.Late, q.Worth, q.Large, q.P50, q.P99)
 		}
 	}
@@ -44,6 +45,8 @@
 		m.Hosts += f.Hosts * share
 		m.Used += f.Used * share
 		m.Moves += f.Moves
+		m.Worst += f.Worst * share
+		m.Away = max(m.Away, f.Away)
 		m.Wasted += f.Wasted * share
 		for n, q := range f.Queues {
 			if n == len(m.Queues) {
--- a/internal/basilexperiment/world.go
+++ b/internal/basilexperiment/world.go
@@ -44,7 +44,7 @@
 		figures: newFigures(l, p), length: length,
 	}
 	if p != PolicyStatic {
-		w.fleet = basilcapacity.New(basilcapacity.Options{MaintenanceDuration: maintain, MoveDuration: migrate, OrderRate: l.Orders, IdleOnly: p == PolicyIdleOnly})
+		w.fleet = basilcapacity.New(basilcapacity.Options{MaintenanceDuration: maintain, MoveDuration: migrate, OrderRate: l.Orders, IdleOnly: p == PolicyIdleOnly, Sharing: p.sharing(), KeepUsed: p.keepsUsed()})
 		w.fleet.SetConfiguration(w.configuration())
 	}
 	for n := range l.Services {
@@ -69,6 +69,10 @@
 func (w *world) plan() {
 	w.every(fleetEvery, w.sample)
 	w.every(fleetEvery, newStrandedCount(w).sample)
+	w.every(fleetEvery, newAbsence(w).sample)
+	if w.load.Lost > 0 {
+		w.after(warmUp+lostAt, w.loseHosts)
+	}
 	if w.fleet != nil {
 		w.every(machineEvery, func() { w.fleet.SetMachines(w.machines(), w.time()) })
 		w.every(fleetEvery, w.decide)
@@ -210,12 +214,15 @@
 	if w.now < warmUp {
 		return
 	}
-	var held, used float64
+	m := moment{at: w.now - warmUp}
 	for _, h := range w.hosts {
 		if h.Pool != standby {
-			held++
+			m.held++
+		}
+		if h.pool == w.loser() && h.listed {
+			m.loser++
 		}
-		used += float64(h.used.CPU) / float64(h.Resources.CPU)
+		m.used += float64(h.used.CPU) / float64(h.Resources.CPU)
 	}
-	w.figures.sample(w.now-warmUp, held, used, fleetEvery)
+	w.figures.sample(m, fleetEvery)
 }
