scheduler: give long-running tasks room in a full pool within 9 s

Callers were without long-running tasks for as long as short ones kept the pool full. A waiting long-running task kept short ones off the server that lacked the least room, which need not be the one that has it first: a run of a minute there held it up for that minute while other servers were filled again and again. One server at a time was reserved for a step, and nothing made room where all runs last long.

The server reserved is now the one with room first by the expected ends of its runs, for each task of the step that has waited for 2 s. A task that has been away for 5 s (by what is known over losses and owners), with room later than a stop takes, has short runs stopped there: checkpointed and filling ones first, then those that lose the least work; no gangs.

--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -32,13 +32,16 @@
 	quarantinedFor *run      // suspect that was started on it last; nil if it has ended
 	failures       int       // consecutive failed runs, of distinct jobs in failedJobs
 	failedJobs     map[string]bool
-	slowOdds       float64   // logarithm of the odds that the backend server is slow
-	slowUntil      time.Time // considered slow until this time
-	pacedAt        time.Time // when the pace of the filler runs was last adjusted
-	recorded       bool      // stored, so that a successor of the owner finds it
-	isSlow         bool      // considered slow in the current decision
-	isSuspended    bool      // suspended in the current decision
-	lostLately     bool      // one at its address was lost a short time ago, as of the current decision
+	slowOdds       float64             // logarithm of the odds that the backend server is slow
+	slowUntil      time.Time           // considered slow until this time
+	pacedAt        time.Time           // when the pace of the filler runs was last adjusted
+	recorded       bool                // stored, so that a successor of the owner finds it
+	isSlow         bool                // considered slow in the current decision
+	isSuspended    bool                // suspended in the current decision
+	lostLately     bool                // one at its address was lost a short time ago, as of the current decision
+	reservedRoom   basilwork.Resources // reserved in the current decision
+	byEnd          []*run              // runs that don't last, by expected end as of orderedAt
+	orderedAt      time.Time
 	reserved       bool      // reserved in the current decision for a task that waits for room
 	needsCheck     bool      // its runs have to be checked in the next decision
 	checkAt        time.Time // when its runs have to be checked at the latest; zero if not scheduled
--- a/internal/basilscheduler/decide_bench_test.go
+++ b/internal/basilscheduler/decide_bench_test.go
@@ -151,3 +151,19 @@
 		})
 	}
 }
+
+// BenchmarkDecideWithWaitingLongRunningTasks measures the same while long-running tasks of several steps wait for room.
+func BenchmarkDecideWithWaitingLongRunningTasks(b *testing.B) {
+	for _, size := range []struct{ steps, backends int }{{2, 80}, {8, 80}, {8, 300}} {
+		b.Run(fmt.Sprintf("steps=%d/backends=%d", size.steps, size.backends), func(b *testing.B) {
+			p := newFullPool(1000, size.backends)
+			for range size.steps {
+				p.addJob(longStep(24, 60500)) // beside no task that lasts, so that they wait on
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.endRunAndDecide()
+			}
+		})
+	}
+}
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -109,6 +109,7 @@
 	pending       bool                // has to be considered by the next decision
 	inBacklog     bool                // included in the backlog of the pool
 	runsOn        map[*backend]int    // number of runs by backend server, for a step with anti-affinity
+	plan          roomPlan            // of a long-running step whose tasks wait for room
 	progress      *basilwork.StepProgress
 	speedObserved map[string]bool // backend servers whose speed was already estimated from a run of this step
 }
--- a/internal/basilscheduler/place.go
+++ b/internal/basilscheduler/place.go
@@ -44,8 +44,9 @@
 		lost[p.silences[n].address] = true
 	}
 	for _, b := range p.list {
+		b.reserved, b.reservedRoom = false, basilwork.Resources{}
 		if b.free().Covers(p.waiting.minDemand) && b.available(now) {
-			b.reserved, b.isSlow, b.isSuspended, b.lostLately = false, p.slow(b, now), b.suspended(now), lost[b.Address]
+			b.isSlow, b.isSuspended, b.lostLately = p.slow(b, now), b.suspended(now), lost[b.Address]
 			p.placement.backends = append(p.placement.backends, b)
 			if b.isSlow || b.isSuspended {
 				p.setAside(b)
--- a/internal/basilscheduler/reserve.go
+++ b/internal/basilscheduler/reserve.go
@@ -16,11 +16,13 @@
 func (p *Pool) mayReserve() bool { return p.placement.reserved < len(p.list)/reservedFraction }
 
 // reserve keeps smaller tasks off the backend server that lacks the least room for the task, so that they cannot
-// starve a large task. The limit on reservations doesn't apply to long-running tasks. Nothing is reserved where
-// the room won't come free.
+// starve a large task. Nothing is reserved where the room won't come free.
 func (p *Pool) reserve(c *candidate, t *task, now time.Time) {
-	serving := c.rank == rankServing
-	if !serving && (c.rank != rankOnTime || !p.mayReserve()) || p.maxFree(c.labelIndex) == noRoom {
+	if c.rank == rankServing {
+		p.reserveForServing(c, now)
+		return
+	}
+	if c.rank != rankOnTime || !p.mayReserve() || p.maxFree(c.labelIndex) == noRoom {
 		return
 	}
 	var best *backend
@@ -35,12 +37,20 @@
 			best = b
 		}
 	}
-	if best == nil {
+	if best != nil {
+		p.reserveBackend(best, c.demand)
+	}
+}
+
+// reserveBackend reserves room on the backend server for the rest of the decision.
+func (p *Pool) reserveBackend(b *backend, room basilwork.Resources) {
+	b.reservedRoom = b.reservedRoom.Add(room)
+	if b.reserved {
 		return
 	}
-	best.reserved = true
+	b.reserved = true
 	p.placement.reserved++
-	p.setAside(best)
+	p.setAside(b)
 	p.resetMaxFree()
 }
 
