node: handle what has arrived before each step of an owner

What callers saw: nothing yet; found by review. Events and the timer of steps were chosen at random, so that a step could be decided while reports that had arrived before waited. A step that comes after the time until which a predecessor's backend server is waited for would start tasks elsewhere that the waiting report lists, whose leases the connection renews (TWICE).

Now all events that have arrived are handled before a step.

Evidence: TestAnswerThatArrivedBeforeStepCounts fails without it (two events unhandled at a step).

--- a/internal/basilnode/held_events_test.go
+++ b/internal/basilnode/held_events_test.go
@@ -47,7 +47,8 @@
 
 func newHoldingOwner(t *testing.T) *owner {
 	o, _ := newLoggingOwner(time.Now())
-	o.ctx, o.events = t.Context(), make(chan event, eventQueueSize)
+	o.ctx, o.events, o.stats = t.Context(), make(chan event, eventQueueSize), newLoopStats(o.node.metrics)
+	o.workload.processor = func() time.Duration { return 0 }
 	return o
 }
 
@@ -86,3 +87,24 @@
 		must.Eq(t, []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second}, handled)
 	})
 }
+
+// TestAnswerThatArrivedBeforeStepCounts checks that an owner doesn't take a predecessor's runs for ended while the report that lists them waits to be
+// handled, as after a long read of its jobs: their tasks would run twice.
+func TestAnswerThatArrivedBeforeStepCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 64 { // events and the timer are chosen at random
+			o := newHoldingOwner(t)
+			b := basilwork.Backend{ID: "b1", Service: "stretch"}
+			o.pool.AddPredecessorBackend(b, time.Now().Add(time.Second))
+			time.Sleep(time.Second - time.Millisecond)
+			o.Report(b.ID, basilwork.Report{StartedAt: 1}, time.Now(), false)
+			o.Attached(b.ID)
+			time.Sleep(time.Second)
+			for timer := time.NewTimer(0); !o.await(timer); {
+				synctest.Wait()
+			}
+			must.Zero(t, len(o.events))
+			must.Zero(t, o.pool.PredecessorBackends())
+		}
+	})
+}
--- a/internal/basilnode/owner.go
+++ b/internal/basilnode/owner.go
@@ -121,17 +121,9 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		stepping := true
-		select {
-		case <-o.ctx.Done():
+		stepping := o.await(timer)
+		if o.ctx.Err() != nil {
 			return
-		case e := <-o.events:
-			o.handleEvent(e)
-			o.drainEvents()
-			wait := o.pacer.wait(time.Now())
-			stepping = wait == 0
-			timer.Reset(wait)
-		case <-timer.C:
 		}
 		if stepping {
 			timer.Reset(o.runStep())
@@ -142,6 +134,24 @@
 	}
 }
 
+// await waits for an event or the timer, and reports whether a step is due. All events that have arrived are handled before it: the answer of a backend
+// server counts though the time until which it was waited for is over by then.
+func (o *owner) await(timer *time.Timer) (stepping bool) {
+	select {
+	case <-o.ctx.Done():
+		return false
+	case e := <-o.events:
+		o.handleEvent(e)
+		o.drainEvents()
+		wait := o.pacer.wait(time.Now())
+		timer.Reset(wait)
+		return wait == 0
+	case <-timer.C:
+		o.drainEvents()
+		return true
+	}
+}
+
 // runStep performs and measures one step, and returns the time until the next one if no event arrives.
 func (o *owner) runStep() time.Duration {
 	began := time.Now()
