--- a/internal/basilscheduler/decide.go
+++ b/internal/basilscheduler/decide.go
@@ -69,7 +69,7 @@
 	}
 	p.addRun(r, p.expectedEnd(t.step, now))
 	p.actions.Starts = append(p.actions.Starts, Start{
-		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.checkpoint, Ticket: r.ticket, Gang: t.step.spec.Gang,
+		Ref: r.ref(), Payload: t.step.occurrence.job.record.Job.Payload, Checkpoint: t.checkpoint, Ticket: r.ticket, Gang: t.step.spec.Gang, Listed: t.step.listed(),
 		Rank: c.rank.String(), Slack: c.slack(now.Sub(p.waiting.rankedAt)), Waited: now.Sub(t.readyAt),
 	})
 }
@@ -167,8 +167,7 @@
 // avoids reports whether the task currently avoids the backend server. A short task that has been held back for long goes back to it
 // while the pool has room.
 func (p *Pool) avoids(t *task, b *backend, now time.Time) bool {
-	until, ok := t.avoidUntil[b.ID]
-	if !ok || !now.Before(until) || len(p.backends) <= 1 {
+	if !now.Before(t.avoidUntil[b.ID]) && !now.Before(t.avoidUntil[b.Address]) || len(p.backends) <= 1 {
 		return false
 	}
 	return t.step.spec.LongRunning || now.Sub(t.readyAt) < maxHoldBack || !p.wasHalfEmpty()
--- a/internal/basilscheduler/job.go
+++ b/internal/basilscheduler/job.go
@@ -26,6 +26,7 @@
 	orderedAt          time.Time // when the start was requested, or the run was adopted
 	expectedEnd        time.Time
 	answeredAt         time.Time // when the start was answered, or a report first listed the run
+	listable           bool      // it may be put into the list of runs: its backend server has answered since it was placed there
 	predecessorStopEnd time.Time // when the run has ended at the latest if a predecessor requested its stop
 	unansweredSince    time.Time // since when the start request is known to have no answer
 	stopRequestedAt    time.Time // when a stop was last requested; zero if never
@@ -67,8 +68,9 @@
 	checkpoint string
 	runs       []*run
 	notBefore  time.Time
+	unheardAt  time.Time // when a start was last withdrawn as its backend server didn't answer
 	readyAt    time.Time
-	avoidUntil map[string]time.Time // backend servers to avoid, and until when
+	avoidUntil map[string]time.Time // backend servers to avoid, by ID or address, and until when
 	suspicion  int                  // weight of the recorded crashes of backend servers that had a run of it
 	excused    bool                 // a crash that something else explains was not counted
 	accounted  bool                 // its newest run is known: this owner has started it or seen it running
@@ -86,7 +88,7 @@
 	return nil
 }
 
-// avoidBackend keeps new runs of the task off the backend server until the given time.
+// avoidBackend keeps new runs of the task off the backend server with the ID, or those at the address, until the given time.
 func (t *task) avoidBackend(backend string, until time.Time) {
 	if t.avoidUntil == nil {
 		t.avoidUntil = make(map[string]time.Time)
