scheduler: store a crash as soon as it is counted

Callers saw: nothing traced; asked for as an open point of the last postmortem (BUDGET for long-running tasks, with owners that are killed).

Cause: a crash that had been counted waited up to 0.15 s to be stored, with changes that are merely batched, while the task was started again at once and crashed the next server 10 to 20 ms later. An owner killed in that time takes both crashes along: the first is not stored, and its successor counts a crash for tasks only for which one is stored.

The time of the commit itself is left, and a crash that the owner dies before it finds is not counted if no other is stored for the task.

--- a/internal/basilscheduler/crash.go
+++ b/internal/basilscheduler/crash.go
@@ -222,6 +222,7 @@
 		return
 	}
 	p.markDirty(j)
+	j.urgent = true
 	t.suspicion = suspicionOf(progress.Crashes[id.Index])
 	p.giveUpIfCrashing(t, now)
 }
--- a/internal/basilscheduler/lost_owner_test.go
+++ b/internal/basilscheduler/lost_owner_test.go
@@ -158,8 +158,11 @@
 		}
 	}
 	a := o.Decide(p.now)
+	for _, c := range a.Crashes {
+		p.trace("epoch %d counts crash of %s, with rack %v, again %v: %+v", o.epoch, c.Backend, c.WithRack, c.Again, c.Suspects)
+	}
 	for _, s := range a.GivenUp {
-		p.trace("gives up %s", s.Task)
+		p.trace("gives up %s: %+v", s.Task, s.Crashes)
 		p.givenUp = append(p.givenUp, s)
 	}
 	for _, s := range a.Stops {
