capacity: count hosts that a pool can't give up towards its share

Cause: the host above its share was in a pool whose hosts all have long-running tasks, so it could not be given up, and the pool with the peak had no more than its share, as that host was counted as available.

A pool's claim now includes the hosts that are neither idle nor have short runs only, as far as its report lists all of these.

--- a/internal/basilcapacity/share.go
+++ b/internal/basilcapacity/share.go
@@ -50,9 +50,11 @@
 	if lacking > 0 {
 		c[claimAll] = max(b.need, b.hosts-b.unfit+lacking)
 	}
-	if unanswered { // it gives none up
-		c[claimLasting], c[claimAll] = max(c[claimLasting], b.hosts-b.unfit), max(c[claimAll], b.hosts-b.unfit)
+	held := min(b.hosts, f.heldHosts(b.pool))
+	if unanswered {
+		held = b.hosts
 	}
+	c[claimLasting], c[claimAll] = max(c[claimLasting], held-b.unfit), max(c[claimAll], held-b.unfit)
 	c[claimLasting] = min(c[claimLasting], c[claimAll])
 	for n := range c {
 		c[n] += b.unfit
@@ -60,6 +62,15 @@
 	return c
 }
 
+// heldHosts returns how many hosts the pool can't give up, as they are neither idle nor have short runs only, as far as its report tells.
+func (f *Fleet) heldHosts(pool string) int {
+	l, t := f.reports[pool].Load, f.countsOf(pool)
+	if len(l.ShortOnly) >= maxReportedBackends {
+		return 0
+	}
+	return t.listed - t.unavailable - len(l.Idle) - len(l.ShortOnly)
+}
+
 // lastingOf returns how many of the needed hosts are for long-running tasks and gangs.
 func lastingOf(needs []HostNeed) int {
 	var hosts int
--- a/internal/basilcapacity/sharing_test.go
+++ b/internal/basilcapacity/sharing_test.go
@@ -32,6 +32,7 @@
 	lacked  time.Duration              // for how long it has lacked hosts for long-running tasks, since it last lost any
 	longest time.Duration
 	silent  bool // its owner is away
+	spread  bool // its long-running tasks are spread over all of its hosts
 }
 
 // fleetPlay plays a fleet with its pools.
@@ -164,6 +165,9 @@
 		Serving: lasting * playHostCPU, Used: busy * playHostCPU, WaitingDemand: (lasting + short - busy) * playHostCPU, MinHosts: lasting,
 		ArrivedWork: int64(at.Seconds() * float64(short*playHostCPU)), ShortOnly: limitIDs(ids[occupied:busy]), Idle: ids[busy:],
 	}
+	if o.spread {
+		l.ShortOnly, l.Idle = nil, nil
+	}
 	o.lacked += playReport
 	if lacking := lasting - len(ids); lacking > 0 {
 		l.Listed, l.Kept, l.Lacking = len(ids), len(ids), []HostNeed{wholeHost(lacking)}
@@ -248,3 +252,16 @@
 	p.play(playSettled)
 	must.LessEq(t, playLongestLack+shareDelay, p.pools[2].longest)
 }
+
+// TestUrgentHostsDoNotWaitForHostsThatAreHeld checks that hosts for long-running tasks come from another pool if that above its share has
+// long-running tasks on all of its hosts.
+func TestUrgentHostsDoNotWaitForHostsThatAreHeld(t *testing.T) {
+	p := newFleetPlay(
+		t, 0, []int{100, 60, 20}, &playedPool{name: "peak", lasting: constant(5), short: constant(400)},
+		&playedPool{name: "held", lasting: constant(20), short: constant(0), spread: true}, &playedPool{name: "robbed", lasting: constant(18), short: constant(0)},
+	)
+	p.play(playSettled)
+	p.lose("robbed", 7)
+	p.play(playSettled)
+	must.LessEq(t, playLongestLack, p.pools[2].longest)
+}
