scheduler: repeat needed starts without an answer on servers that are to be emptied

Cause: the start of a long-running task had no answer, and its server was to be emptied 0.1 s before that was known. The start was therefore not repeated but stopped after 2.5 s, though the run may be at work and its step can spare no task. It was carried out late, and the stop ended it with four others away.

Such a start is now repeated on a server that is to be emptied as on any other for as long as its step can spare no task. Once it is answered, the run moves when the step permits. All other starts are stopped there as before.

Evidence: TestEvacuationStopsNoUnansweredStartThatIsNeeded failed before (a stop while two others are away).

--- a/internal/basilscheduler/backend.go
+++ b/internal/basilscheduler/backend.go
@@ -63,8 +63,11 @@
 func (b *backend) suspended(now time.Time) bool { return now.Before(b.suspendedUntil) }
 
 // available reports whether new runs may be placed on the backend server.
-func (b *backend) available(now time.Time) bool {
-	return b.present && b.recorded && b.attached && b.reachable && !b.evacuating && !b.Draining && !now.Before(b.blockedUntil)
+func (b *backend) available(now time.Time) bool { return b.takesStarts(now) && !b.evacuating }
+
+// takesStarts reports whether the backend server may begin runs, also if it is to be emptied.
+func (b *backend) takesStarts(now time.Time) bool {
+	return b.present && b.recorded && b.attached && b.reachable && !b.Draining && !now.Before(b.blockedUntil)
 }
 
 // quiet reports whether the backend server has not answered for longer than it takes between two reports while it has runs. It may have gone.
--- a/internal/basilscheduler/repeat_start.go
+++ b/internal/basilscheduler/repeat_start.go
@@ -15,14 +15,14 @@
 // run is gone and a start elsewhere need three.
 func (p *Pool) mayRepeat(r *run, now time.Time) bool {
 	s, b := r.task.step, r.backend
-	if r.stopReason != "" || r.task.done || s.occurrence.job.record.State.Final() || !b.usable(now) || !b.Resources.Covers(b.used) {
+	if r.stopReason != "" || r.task.done || s.occurrence.job.record.State.Final() || b.suspended(now) || !b.Resources.Covers(b.used) {
 		return false
 	}
-	limit := unansweredWait
-	if s.spec.LongRunning && !p.mayBecomeUnavailable(r, now) {
-		limit = scarceRepeatTime
+	limit, takes := unansweredWait, b.available(now)
+	if s.spec.LongRunning && !p.mayBecomeUnavailable(r, now) { // the run may be at work, also where it has to leave later
+		limit, takes = scarceRepeatTime, b.takesStarts(now)
 	}
-	return now.Sub(r.unansweredSince) < limit
+	return takes && now.Sub(r.unansweredSince) < limit
 }
 
 // repeatStart requests a start without an answer again, unless the last request for it is still open. One that can't be sent is refused at
--- a/internal/basilscheduler/repeat_start_test.go
+++ b/internal/basilscheduler/repeat_start_test.go
@@ -149,6 +149,33 @@
 	}
 }
 
+// TestEvacuationStopsNoUnansweredStartThatIsNeeded checks that a start without an answer is repeated on a backend server that is to be emptied while its
+// step can spare no task: the run may be at work there, and its stop would end it with too many others away.
+func TestEvacuationStopsNoUnansweredStartThatIsNeeded(t *testing.T) {
+	f := newFixture(t, backendOf("b1", 4000), backendOf("b2", 4000), backendOf("b3", 4000))
+	f.addJob("long", longStep(3, 1000))
+	starts := f.Decide(f.now).Starts
+	must.Len(t, 3, starts)
+	f.advance(time.Second)
+	first := starts[0].Ref
+	f.Started(first, basilwork.RefusalNone, false, f.now) // the other two are unavailable
+	f.Evacuate(starts[0].Backend, true)
+	repeats := 0
+	for wait := f.now.Add(scarceRepeatTime); f.now.Before(wait); f.advance(recheckInterval) {
+		a := f.Decide(f.now)
+		must.SliceEmpty(t, a.Stops)
+		for _, s := range a.Starts {
+			must.Eq(t, first, s.Ref)
+			f.Started(first, basilwork.RefusalNone, false, f.now)
+			repeats++
+		}
+	}
+	must.Positive(t, repeats)
+	stops := f.Decide(f.now).Stops
+	must.Len(t, 1, stops)
+	must.Eq(t, first, stops[0].Ref)
+}
+
 // TestRepeatedStartMayBeCarriedOutAfterRestart checks that a run which a report showed while its start was repeated isn't started elsewhere before
 // its stop was answered, if the backend server starts again under its ID: a request without an answer may be carried out there.
 func TestRepeatedStartMayBeCarriedOutAfterRestart(t *testing.T) {
