scheduler: choose servers for waiting long-running tasks by a heap

The servers are now a heap by the time at which they have room. Each task takes the first that it doesn't avoid.

--- a/internal/basilscheduler/decide_bench_test.go
+++ b/internal/basilscheduler/decide_bench_test.go
@@ -167,3 +167,21 @@
 		})
 	}
 }
+
+// BenchmarkReserveRoomForManyTasks measures a decision while half as many tasks of a long-running step as there are backend servers wait for room.
+func BenchmarkReserveRoomForManyTasks(b *testing.B) {
+	for _, backends := range []int{250, 1000, 4000} {
+		b.Run(fmt.Sprintf("backends=%d", backends), func(b *testing.B) {
+			p := newFullPool(1000, backends)
+			long := longStep(backends/2, 60500)
+			long.AntiAffinity = 1
+			p.addJob(long)
+			p.now = p.now.Add(maxHoldBack)
+			p.decide()
+			for b.Loop() {
+				p.now = p.now.Add(planInterval)
+				p.decide()
+			}
+		})
+	}
+}
--- a/internal/basilscheduler/make_room.go
+++ b/internal/basilscheduler/make_room.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	queue "container/heap"
 	"slices"
 	"time"
 
@@ -97,7 +98,7 @@
 	if len(waiting) == 0 {
 		return
 	}
-	var options []*roomOption
+	options := roomOptions{demand: c.demand}
 	for _, b := range p.list {
 		if !b.available(now) || b.suspended(now) || b.closed() || !b.hasLabel(s.spec.Label) || !s.antiAffinityAllows(b) || !b.Resources.Covers(c.demand) {
 			continue
@@ -106,16 +107,12 @@
 			return // the step does not wait for room
 		}
 		if o := (&roomOption{backend: b, places: s.placesOn(b)}); p.updateOption(o, c.demand, now) {
-			options = append(options, o)
+			options.list = append(options.list, o)
 		}
 	}
+	queue.Init(&options)
 	for _, t := range waiting {
-		var best *roomOption
-		for _, o := range options {
-			if o.places > 0 && !p.avoids(t, o.backend, now) && (best == nil || o.before(best, c.demand)) {
-				best = o
-			}
-		}
+		best := options.take(func(b *backend) bool { return !p.avoids(t, b, now) })
 		if best == nil {
 			continue
 		}
@@ -124,8 +121,8 @@
 		if now.Sub(t.awaySince()) >= makeRoomAfter && best.at.Sub(now) > p.options.StopTimeout+endReportDelay {
 			p.makeRoom(best.backend, best.reservedRoom, now)
 		}
-		if best.places--; !p.updateOption(best, c.demand, now) {
-			best.places = 0
+		if best.places--; best.places > 0 && p.updateOption(best, c.demand, now) {
+			queue.Push(&options, best)
 		}
 	}
 }
@@ -137,12 +134,53 @@
 	return ok
 }
 
-// before reports whether the server has room before the other one or, at the same time, lacks less.
-func (o *roomOption) before(other *roomOption, demand basilwork.Resources) bool {
-	if d := o.at.Compare(other.at); d != 0 {
+// roomOptions is a heap of backend servers for one step: the one that has room first or, at the same time, lacks the least.
+type roomOptions struct {
+	list   []*roomOption
+	demand basilwork.Resources
+}
+
+// Len implements heap.Interface.
+func (h *roomOptions) Len() int { return len(h.list) }
+
+// Less implements heap.Interface.
+func (h *roomOptions) Less(i, j int) bool {
+	x, y := h.list[i], h.list[j]
+	if d := x.at.Compare(y.at); d != 0 {
 		return d < 0
 	}
-	return o.missingShare(demand) < other.missingShare(demand)
+	return cmp.Or(cmp.Compare(x.missingShare(h.demand), y.missingShare(h.demand)), cmp.Compare(x.ID, y.ID)) < 0
+}
+
+// Swap implements heap.Interface.
+func (h *roomOptions) Swap(i, j int) { h.list[i], h.list[j] = h.list[j], h.list[i] }
+
+// Push implements heap.Interface.
+func (h *roomOptions) Push(o any) { h.list = append(h.list, o.(*roomOption)) }
+
+// Pop implements heap.Interface.
+func (h *roomOptions) Pop() any {
+	last := len(h.list) - 1
+	o := h.list[last]
+	h.list = h.list[:last]
+	return o
+}
+
+// take removes the first allowed backend server and returns it, or nil if none is left. Few are not allowed, as tasks avoid servers one by one.
+func (h *roomOptions) take(allowed func(*backend) bool) *roomOption {
+	var found *roomOption
+	var passed []*roomOption
+	for found == nil && h.Len() > 0 {
+		if o := queue.Pop(h).(*roomOption); allowed(o.backend) {
+			found = o
+		} else {
+			passed = append(passed, o)
+		}
+	}
+	for _, o := range passed {
+		queue.Push(h, o)
+	}
+	return found
 }
 
 // placesOn returns how many more tasks of the step its anti-affinity allows on the backend server.
