--- a/cmd/client.go
+++ b/cmd/client.go
@@ -81,7 +81,7 @@
 // IsErrNoCertificate tells whether the error is an ErrNoCertificate.
 func IsErrNoCertificate(err error) bool { return errors.As(err, new(ErrNoCertificate)) }
 
-// ErrFileUnreadable says that a file that a flag names can't be read.
+// ErrFileUnreadable says that a file that a flag or an argument names can't be read.
 type ErrFileUnreadable struct {
 	File  string
 	Cause error
--- a/cmd/experiment_absences.go
+++ b/cmd/experiment_absences.go
@@ -14,6 +14,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
 )
 
 // maxLogLine is longer than any line of a log; the state of all pools takes some tens of KB.
@@ -83,12 +84,12 @@
 	for _, name := range names {
 		file, err := os.Open(name)
 		if err != nil {
-			return err
+			return errors.WithStack(ErrFileUnreadable{File: name, Cause: err})
 		}
 		a, err := readAbsences(file)
 		_ = file.Close() // only read
 		if err != nil {
-			return fmt.Errorf("failed to read log [log: %s]: %w", name, err)
+			return errors.WithStack(ErrFileUnreadable{File: name, Cause: err})
 		}
 		_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%s\n", a.away.Milliseconds(), a.pool, a.task, a.reason, name)
 	}
