ledger: look for an owner's many writes less often

Cause: since group commits, rows of backend servers and rows of the fleet are looked for each 0.2 s. On a slow store most of an owner's writes take longer, so that each is followed by reads that slow the store further.

These writes are looked for after 0.5 s now, twice within the shortest timeout; those that callers wait for after 0.2 s as before.

--- a/internal/basilledger/commit.go
+++ b/internal/basilledger/commit.go
@@ -83,7 +83,7 @@
 func (l *Ledger) Commit(ctx context.Context, o Owner, commitID string, entries []Entry) (Result, error) {
 	result := Result{Versions: make(map[string]int64)}
 	for len(entries) > 0 {
-		version, err := basilwork.CommitOrReadBack(ctx, l.store, commitTransaction(o, entries)) // the bodies state the commit ID
+		version, err := basilwork.CommitOrReadBack(ctx, l.store, commitTransaction(o, entries), basilwork.LateInterval) // the bodies state the commit ID
 		if err == nil {
 			for _, e := range entries {
 				result.Versions[e.ID] = version
--- a/internal/basilledger/ledger.go
+++ b/internal/basilledger/ledger.go
@@ -148,7 +148,7 @@
 			return err
 		}
 		deleteMark := basilplatform.Write{Kind: basilplatform.WriteKindDelete, Key: WaitingKey(service, r.Job.QueueKey(), id), Precondition: basilplatform.PreconditionNone}
-		_, err = basilwork.CommitOrReadBack(ctx, l.store, basilplatform.Transaction{Writes: []basilplatform.Write{w, deleteMark}})
+		_, err = basilwork.CommitOrReadBack(ctx, l.store, basilplatform.Transaction{Writes: []basilplatform.Write{w, deleteMark}}, basilwork.SoonInterval)
 		switch {
 		case basilplatform.IsErrRefused(err) && form == FormPlain: // the time of the end may make the row too large
 			form = FormCompressed
--- a/internal/basilnode/recorder.go
+++ b/internal/basilnode/recorder.go
@@ -244,7 +244,7 @@
 			Precondition: basilplatform.PreconditionNone,
 		})
 	}
-	return basilwork.CommitOrReadBack(ctx, r.store, t)
+	return basilwork.CommitOrReadBack(ctx, r.store, t, basilwork.LateInterval)
 }
 
 // handleResult updates the state after a transaction.
--- a/internal/basilshard/ownership.go
+++ b/internal/basilshard/ownership.go
@@ -179,7 +179,7 @@
 	if version == 0 {
 		w.Precondition = basilplatform.PreconditionAbsent
 	}
-	_, err = basilwork.CommitOrReadBack(ctx, k.options.Store, basilplatform.Transaction{Writes: append(checks, w)})
+	_, err = basilwork.CommitOrReadBack(ctx, k.options.Store, basilplatform.Transaction{Writes: append(checks, w)}, basilwork.SoonInterval)
 	return err
 }
 
--- a/internal/basilshard/row.go
+++ b/internal/basilshard/row.go
@@ -108,7 +108,7 @@
 	put := basilplatform.Write{
 		Kind: basilplatform.WriteKindPut, Key: r.key, Precondition: basilplatform.PreconditionVersion, Version: r.version, Body: body,
 	}
-	return basilwork.CommitOrReadBack(ctx, r.store, basilplatform.Transaction{Writes: append(r.checks[:len(r.checks):len(r.checks)], put)})
+	return basilwork.CommitOrReadBack(ctx, r.store, basilplatform.Transaction{Writes: append(r.checks[:len(r.checks):len(r.checks)], put)}, basilwork.LateInterval)
 }
 
 // Check returns a transaction entry that requires the shard's owner row to be unchanged.
--- a/internal/basilwork/read_back_test.go
+++ b/internal/basilwork/read_back_test.go
@@ -54,7 +54,7 @@
 		group.Go(func() {
 			_, _ = CommitOrReadBack(ctx, s, basilplatform.Transaction{Writes: []basilplatform.Write{ // ends with the timeout
 				{Kind: basilplatform.WriteKindPut, Key: basilplatform.Key{Sort: fmt.Sprint(n)}, Precondition: basilplatform.PreconditionAbsent},
-			}})
+			}}, SoonInterval)
 		})
 	}
 	group.Wait()
@@ -69,9 +69,9 @@
 		writes                 int
 		reads, most            int
 	}{
-		{answersAfter: readBackInterval / 2, writes: 100},
+		{answersAfter: SoonInterval / 2, writes: 100},
 		{writes: 1, reads: 5, most: 1},
-		{writes: 1, readTime: 3 * readBackInterval, reads: 2, most: 1},
+		{writes: 1, readTime: 3 * SoonInterval, reads: 2, most: 1},
 		{writes: 100, readTime: time.Millisecond, reads: 5 * maxReadBacks, most: maxReadBacks},
 	} {
 		t.Run(fmt.Sprint(test), func(t *testing.T) {
