--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -21,6 +21,7 @@
 func plays() map[string]play {
 	return map[string]play{
 		"crashes": playCrashes,
+		"night":   playNight,
 	}
 }
 
