--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,6 +22,7 @@
 	return map[string]play{
 		"crashes": playCrashes,
 		"night":   playNight,
+		"gang":    playGang,
 	}
 }
 
